--- /dev/null
+++ b/src/api/mod.rs
@@ -0,0 +1,1 @@
+//! HTTP interface for callers and operators.
--- /dev/null
+++ b/src/bin/gypsumctl.rs
@@ -0,0 +1,3 @@
+//! The command-line tool for operators.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/gypsumleverd.rs
@@ -0,0 +1,3 @@
+//! The daemon.
+
+fn main() {}
--- /dev/null
+++ b/src/config/mod.rs
@@ -0,0 +1,1 @@
+//! Settings of the daemon.
--- /dev/null
+++ b/src/ctl/mod.rs
@@ -0,0 +1,1 @@
+//! Commands of the command-line tool.
--- /dev/null
+++ b/src/daemon/mod.rs
@@ -0,0 +1,1 @@
+//! Assembly, start and drain of an instance.
--- /dev/null
+++ b/src/dispatch/mod.rs
@@ -0,0 +1,1 @@
+//! Queues of the pools that an instance dispatches for.
--- /dev/null
+++ b/src/executor/mod.rs
@@ -0,0 +1,3 @@
+//! The path of a call on its home.
+
+pub mod request;
--- /dev/null
+++ b/src/log/mod.rs
@@ -0,0 +1,57 @@
+//! The platform's append-only log, the only place where something is agreed or kept.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use thiserror::Error;
+
+/// A run of records of one partition.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Batch {
+    /// Records with their offsets, in ascending order; offsets may have gaps.
+    pub records: Vec<(u64, Bytes)>,
+    /// Offset to read from next.
+    pub next: u64,
+}
+
+/// Offsets that a partition holds now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Bounds {
+    /// Offset of the oldest record that is still kept.
+    pub begin: u64,
+    /// Offset that the next record will get.
+    pub end: u64,
+}
+
+/// Reason why an operation on the log failed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Error)]
+pub enum Failure {
+    /// The log did not apply the operation.
+    #[error("log did not apply the operation: {0}")]
+    NotApplied(String),
+    /// The operation may or may not have taken effect.
+    #[error("outcome of the operation on the log is unknown: {0}")]
+    Unknown(String),
+    /// The records from the asked offset on are no longer kept.
+    #[error("records before offset {begin} have expired")]
+    Expired {
+        /// Offset of the oldest record that is still kept.
+        begin: u64,
+    },
+}
+
+/// An append-only log with partitions and offsets.
+///
+/// Futures stay on the thread that made them, as the HTTP client does.
+#[allow(async_fn_in_trait)]
+pub trait Log {
+    /// Appends records in the given order; returns the offset of the first one.
+    async fn append(&self, partition: u32, records: &[Bytes]) -> Result<u64, Failure>;
+
+    /// Reads records from `from` on, and waits up to `wait` for the first one.
+    async fn read(&self, partition: u32, from: u64, wait: Duration) -> Result<Batch, Failure>;
+
+    /// Returns the offsets that the partition holds.
+    async fn bounds(&self, partition: u32) -> Result<Bounds, Failure>;
+}
--- /dev/null
+++ b/src/logs/mod.rs
@@ -0,0 +1,1 @@
+//! Set-up of logging.
--- /dev/null
+++ b/src/member/mod.rs
@@ -0,0 +1,1 @@
+//! View of live and leaving instances and upstreams.
--- /dev/null
+++ b/src/metrics/mod.rs
@@ -0,0 +1,1 @@
+//! OpenTelemetry instruments.
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,1 @@
+//! Links between instances.
--- /dev/null
+++ b/src/policy/mod.rs
@@ -0,0 +1,3 @@
+//! Pure scheduling decisions: state and inputs in, decisions out.
+
+pub mod call;
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the external systems, for tests and trials.
