--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -1,1 +1,409 @@
 //! Queues of the pools that an instance dispatches for.
+//!
+//! One instance per pool and availability zone decides order and upstream of every call, so that
+//! priorities hold across all instances. Two dispatchers of one pool cost only efficiency.
+
+pub mod broker;
+
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+use actix::{
+    Actor,
+    AsyncContext,
+    Context,
+    Handler,
+    Message,
+    SpawnHandle, //
+};
+use rand::{
+    rngs::StdRng,
+    SeedableRng, //
+};
+use tokio::sync::oneshot;
+
+use crate::{
+    clock::Time,
+    hash::{
+        Map,
+        Set, //
+    },
+    name::{
+        Instance,
+        Pool,
+        Upstream, //
+    },
+    policy::{
+        call::{
+            Call,
+            Report, //
+        },
+        pool::{
+            self,
+            Decision,
+            Deny,
+            Stats, //
+        },
+    },
+    upstream::Load,
+};
+
+/// Longest time without a look at the queues, so that no missed wake-up holds a call for long.
+const LONGEST_SLEEP: Duration = Duration::from_millis(200);
+
+/// Answer to a call that asked for an upstream.
+pub type Verdict = Result<Grant, Deny>;
+
+/// The right to send one call to an upstream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Grant {
+    /// Number of the grant, unique on its dispatcher.
+    pub id: u64,
+    /// The upstream.
+    pub upstream: Upstream,
+    /// Address of the upstream.
+    pub address: String,
+}
+
+/// An upstream that a dispatcher may use.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Address of the upstream.
+    pub address: String,
+    /// Bounds of its window.
+    pub limits: pool::Limits,
+}
+
+/// Asks for an upstream; the answer arrives through `reply`.
+#[derive(Message)]
+#[rtype(result = "u64")]
+pub struct Ask {
+    /// Pool of upstreams.
+    pub pool: Pool,
+    /// The call.
+    pub call: Call,
+    /// Instance that will send the call.
+    pub from: Instance,
+    /// Where the answer goes.
+    pub reply: oneshot::Sender<Verdict>,
+}
+
+/// Reports the end of a granted call.
+#[derive(Debug)]
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Done {
+    /// Number of the grant.
+    pub id: u64,
+    /// What the call did.
+    pub report: Report,
+}
+
+/// Takes back a call that waits or was granted, and was not sent.
+#[derive(Debug)]
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Withdraw {
+    /// Number of the grant.
+    pub id: u64,
+}
+
+/// Brings the load report of an upstream.
+#[derive(Debug)]
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Loaded {
+    /// Pool of the upstream.
+    pub pool: Pool,
+    /// The upstream.
+    pub upstream: Upstream,
+    /// Its report.
+    pub load: Load,
+}
+
+/// Says that an upstream is leaving.
+#[derive(Debug)]
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Leaving {
+    /// The upstream.
+    pub upstream: Upstream,
+}
+
+/// Says that instances have gone; their grants are freed.
+#[derive(Debug)]
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Gone {
+    /// Instances that are no longer there.
+    pub instances: Set<Instance>,
+}
+
+/// Asks for what operators see.
+#[derive(Debug)]
+#[derive(Message)]
+#[rtype(result = "BTreeMap<Pool, Stats>")]
+pub struct Inspect;
+
+/// Asks for a retry or hedge from a customer's budget, or for the hedging delay.
+#[derive(Debug)]
+#[derive(Message)]
+#[rtype(result = "bool")]
+pub struct Retry {
+    /// Pool of the call.
+    pub pool: Pool,
+    /// Customer that pays.
+    pub customer: crate::name::Customer,
+}
+
+#[derive(Debug, Default)]
+struct Section {
+    pool: pool::Pool,
+    targets: BTreeMap<Upstream, Target>,
+}
+
+#[derive(Debug)]
+struct Pending {
+    pool: Pool,
+    from: Instance,
+    /// Present until the call is decided.
+    reply: Option<oneshot::Sender<Verdict>>,
+}
+
+/// Holds one queue per pool and decides about the calls in it.
+#[derive(Debug)]
+pub struct Dispatcher {
+    sections: Map<Pool, Section>,
+    pending: Map<u64, Pending>,
+    last: u64,
+    rng: StdRng,
+    timer: Option<SpawnHandle>,
+}
+
+impl Dispatcher {
+    /// Makes a dispatcher for the given upstreams.
+    pub fn new(
+        pools: impl IntoIterator<Item = (Pool, BTreeMap<Upstream, Target>)>,
+        settings: &pool::Settings,
+        seed: u64,
+    ) -> Self {
+        let section = |(name, targets): (Pool, BTreeMap<Upstream, Target>)| {
+            let mut pool = pool::Pool::new(settings.clone());
+            for (upstream, target) in &targets {
+                pool.upsert(upstream.clone(), target.limits);
+            }
+            (name, Section { pool, targets })
+        };
+        Self {
+            sections: pools.into_iter().map(section).collect(),
+            pending: Map::default(),
+            last: 0,
+            rng: StdRng::seed_from_u64(seed),
+            timer: None,
+        }
+    }
+
+    fn answer(&mut self, id: u64, verdict: Verdict) {
+        let granted = verdict.is_ok();
+        let Some(pending) = self.pending.get_mut(&id) else {
+            return;
+        };
+        let delivered = pending
+            .reply
+            .take()
+            .is_some_and(|reply| reply.send(verdict).is_ok());
+        if granted && !delivered {
+            // The asker gave up while its call waited, so the grant would never be returned.
+            self.withdraw(id);
+        } else if !granted {
+            self.pending.remove(&id);
+        }
+    }
+
+    fn withdraw(&mut self, id: u64) {
+        let Some(pending) = self.pending.remove(&id) else {
+            return;
+        };
+        if let Some(section) = self.sections.get_mut(&pending.pool) {
+            section.pool.withdraw(Time::now(), id);
+        }
+    }
+
+    fn decide(&mut self, name: &Pool, ctx: &mut Context<Self>) {
+        let Some(section) = self.sections.get_mut(name) else {
+            return;
+        };
+        let decisions = section.pool.poll(Time::now(), &mut self.rng);
+        for decision in decisions {
+            match decision {
+                Decision::Grant { id, upstream } => {
+                    let target = self.sections.get(name).and_then(|s| s.targets.get(&upstream));
+                    let address = target.map(|t| t.address.clone()).unwrap_or_default();
+                    let grant = Grant { id, upstream, address };
+                    self.answer(id, Ok(grant));
+                }
+                Decision::Deny { id, reason, retry_after } => {
+                    self.answer(id, Err(Deny { reason, retry_after }));
+                }
+            }
+        }
+        self.schedule(ctx);
+    }
+
+    /// Sets the timer to the next time at which a queue needs a look.
+    fn schedule(&mut self, ctx: &mut Context<Self>) {
+        if let Some(timer) = self.timer.take() {
+            ctx.cancel_future(timer);
+        }
+        let now = Time::now();
+        let wake = self
+            .sections
+            .values()
+            .filter_map(|section| section.pool.next_wake(now))
+            .min();
+        let Some(wake) = wake else {
+            return;
+        };
+        let delay = wake.since(now).clamp(Duration::from_millis(1), LONGEST_SLEEP);
+        let timer = ctx.run_later(delay, |this, ctx| {
+            this.timer = None;
+            let names: Vec<_> = this.sections.keys().cloned().collect();
+            for name in names {
+                this.decide(&name, ctx);
+            }
+        });
+        self.timer = Some(timer);
+    }
+
+    fn end(&mut self, id: u64, report: Report, ctx: &mut Context<Self>) {
+        let Some(pending) = self.pending.remove(&id) else {
+            return;
+        };
+        if let Some(section) = self.sections.get_mut(&pending.pool) {
+            section.pool.done(Time::now(), id, report);
+        }
+        self.decide(&pending.pool, ctx);
+    }
+}
+
+impl Actor for Dispatcher {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Context<Self>) {
+        // Default capacity of 16 would make askers wait for the mailbox at peak load.
+        ctx.set_mailbox_capacity(16 * 1024);
+    }
+}
+
+impl Handler<Ask> for Dispatcher {
+    type Result = u64;
+
+    fn handle(&mut self, ask: Ask, ctx: &mut Context<Self>) -> u64 {
+        self.last += 1;
+        let id = self.last;
+        let now = Time::now();
+        let denied = match self.sections.get_mut(&ask.pool) {
+            Some(section) => section.pool.ask(now, id, ask.call),
+            None => Some(Deny {
+                reason: crate::executor::request::Reason::NoUpstream,
+                retry_after: Duration::from_secs(1),
+            }),
+        };
+        if let Some(deny) = denied {
+            // An asker that has gone does not need the answer.
+            let _ = ask.reply.send(Err(deny));
+            return id;
+        }
+        let pending = Pending {
+            pool: ask.pool.clone(),
+            from: ask.from,
+            reply: Some(ask.reply),
+        };
+        self.pending.insert(id, pending);
+        self.decide(&ask.pool, ctx);
+        id
+    }
+}
+
+impl Handler<Done> for Dispatcher {
+    type Result = ();
+
+    fn handle(&mut self, done: Done, ctx: &mut Context<Self>) {
+        self.end(done.id, done.report, ctx);
+    }
+}
+
+impl Handler<Withdraw> for Dispatcher {
+    type Result = ();
+
+    fn handle(&mut self, message: Withdraw, ctx: &mut Context<Self>) {
+        let pool = self.pending.get(&message.id).map(|p| p.pool.clone());
+        self.withdraw(message.id);
+        if let Some(pool) = pool {
+            self.decide(&pool, ctx);
+        }
+    }
+}
+
+impl Handler<Loaded> for Dispatcher {
+    type Result = ();
+
+    fn handle(&mut self, message: Loaded, ctx: &mut Context<Self>) {
+        if let Some(section) = self.sections.get_mut(&message.pool) {
+            let now = Time::now();
+            section.pool.load(now, &message.upstream, message.load);
+        }
+        self.decide(&message.pool, ctx);
+    }
+}
+
+impl Handler<Leaving> for Dispatcher {
+    type Result = ();
+
+    fn handle(&mut self, message: Leaving, _ctx: &mut Context<Self>) {
+        for section in self.sections.values_mut() {
+            section.pool.leaving(&message.upstream);
+        }
+    }
+}
+
+impl Handler<Gone> for Dispatcher {
+    type Result = ();
+
+    fn handle(&mut self, message: Gone, ctx: &mut Context<Self>) {
+        let lost: Vec<u64> = self
+            .pending
+            .iter()
+            .filter(|(_, pending)| message.instances.contains(&pending.from))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in lost {
+            self.withdraw(id);
+        }
+        let names: Vec<_> = self.sections.keys().cloned().collect();
+        for name in names {
+            self.decide(&name, ctx);
+        }
+    }
+}
+
+impl Handler<Inspect> for Dispatcher {
+    type Result = actix::MessageResult<Inspect>;
+
+    fn handle(&mut self, _message: Inspect, _ctx: &mut Context<Self>) -> Self::Result {
+        let stats = |(name, section): (&Pool, &Section)| (name.clone(), section.pool.stats());
+        actix::MessageResult(self.sections.iter().map(stats).collect())
+    }
+}
+
+impl Handler<Retry> for Dispatcher {
+    type Result = bool;
+
+    fn handle(&mut self, message: Retry, _ctx: &mut Context<Self>) -> bool {
+        self.sections
+            .get_mut(&message.pool)
+            .is_some_and(|section| section.pool.retry(Time::now(), &message.customer))
+    }
+}
--- /dev/null
+++ b/src/executor/job.rs
@@ -0,0 +1,157 @@
+//! A running call, which callers follow and which goes on without them.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    rc::Rc,
+};
+
+use tokio::sync::{
+    mpsc,
+    watch, //
+};
+
+use super::request::{
+    Answer,
+    Event,
+    Refusal, //
+};
+
+/// Largest piece of text in one event, in bytes.
+const MAX_PIECE: usize = 16 * 1024;
+
+/// A running or finished call.
+#[derive(Debug)]
+pub struct Job {
+    /// Hash of the request, to tell a repeated call from another one.
+    pub digest: u64,
+    /// Number of the turn that the call produces.
+    pub turn: Option<u32>,
+    /// Text generated so far; it only grows while an attempt runs, and is cleared by a new attempt.
+    text: RefCell<String>,
+    /// Number of attempts that discarded text already shown.
+    restarts: Cell<u32>,
+    /// Last event, set once.
+    last: RefCell<Option<Event>>,
+    /// Counts changes, so that followers wake up.
+    changes: watch::Sender<u64>,
+    /// Whether the caller has asked to cancel.
+    cancelled: watch::Sender<bool>,
+}
+
+impl Job {
+    /// Makes a job whose call has not started.
+    pub fn new(digest: u64, turn: Option<u32>) -> Rc<Self> {
+        Rc::new(Self {
+            digest,
+            turn,
+            text: RefCell::default(),
+            restarts: Cell::new(0),
+            last: RefCell::default(),
+            changes: watch::Sender::new(0),
+            cancelled: watch::Sender::new(false),
+        })
+    }
+
+    fn notify(&self) {
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    /// Adds generated text.
+    pub fn push(&self, text: &str) {
+        self.text.borrow_mut().push_str(text);
+        self.notify();
+    }
+
+    /// Discards the text of a failed attempt.
+    pub fn restart(&self) {
+        if !self.text.borrow().is_empty() {
+            self.text.borrow_mut().clear();
+            self.restarts.set(self.restarts.get() + 1);
+            self.notify();
+        }
+    }
+
+    /// Returns the text generated so far.
+    pub fn text(&self) -> String {
+        self.text.borrow().clone()
+    }
+
+    /// Ends the job; the first end counts.
+    pub fn finish(&self, end: Result<Answer, Refusal>) {
+        let event = match end {
+            Ok(answer) => Event::Answer(answer),
+            Err(refusal) => Event::Refusal(refusal),
+        };
+        self.last.borrow_mut().get_or_insert(event);
+        self.notify();
+    }
+
+    /// Returns whether the job has ended.
+    pub fn finished(&self) -> bool {
+        self.last.borrow().is_some()
+    }
+
+    /// Asks the running call to stop.
+    pub fn cancel(&self) {
+        self.cancelled.send_replace(true);
+    }
+
+    /// Waits until the call is asked to stop.
+    pub async fn cancelled(&self) {
+        // The sender lives in `self`, so waiting cannot fail.
+        let _ = self.cancelled.subscribe().wait_for(|value| *value).await;
+    }
+
+    /// Returns the piece of text at `from`, cut at a character boundary.
+    fn piece(&self, from: usize) -> Option<String> {
+        let text = self.text.borrow();
+        let rest = text.get(from..)?;
+        if rest.is_empty() {
+            return None;
+        }
+        let mut end = rest.len().min(MAX_PIECE);
+        while !rest.is_char_boundary(end) {
+            end -= 1;
+        }
+        Some(rest[..end].to_owned())
+    }
+
+    /// Sends the job's text from byte `from` on, then its last event.
+    ///
+    /// Each follower reads at its own pace; a slow one holds up neither the call nor the others.
+    pub async fn follow(&self, from: u64, sink: &mpsc::Sender<Event>) {
+        let mut changes = self.changes.subscribe();
+        let mut restarts = self.restarts.get();
+        let mut offset = from as usize;
+        loop {
+            changes.borrow_and_update();
+            if restarts != self.restarts.get() {
+                restarts = self.restarts.get();
+                offset = 0;
+            }
+            while let Some(text) = self.piece(offset) {
+                let start = offset as u64;
+                offset += text.len();
+                if sink.send(Event::Text { offset: start, text }).await.is_err() {
+                    return;
+                }
+                if restarts != self.restarts.get() {
+                    restarts = self.restarts.get();
+                    offset = 0;
+                }
+            }
+            let last = self.last.borrow().clone();
+            if let Some(event) = last {
+                // A follower that has gone fetches the answer later.
+                let _ = sink.send(event).await;
+                return;
+            }
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+}
