config: read and check the daemon's settings

The daemon, the adapters and the dispatchers need one checked source of settings. Faults name file, line, path and what would be right; secrets come from environment variables that the file names.

--- /dev/null
+++ b/src/config/check.rs
@@ -0,0 +1,320 @@
+//! Checks of settings that span several values.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use crate::hash::Set;
+
+use super::{
+    raw::{
+        Kind,
+        Pool,
+        Raw,
+        Tls,
+        Upstream, //
+    },
+    Config,
+    Fault,
+    Peers,
+    Secret, //
+};
+
+/// Longest first part of an instance's name; the suffix needs the rest.
+const MAX_PREFIX: usize = 40;
+
+/// Shortest secret, in bytes.
+const MIN_SECRET: usize = 8;
+
+#[derive(Default)]
+struct Check {
+    faults: Vec<Fault>,
+}
+
+impl Check {
+    fn require(&mut self, right: bool, path: impl Into<String>, message: impl Into<String>) {
+        if !right {
+            self.faults.push(Fault {
+                path: path.into(),
+                line: 0,
+                message: message.into(),
+            });
+        }
+    }
+
+    fn address(&mut self, path: impl Into<String>, text: &str) {
+        let right = text
+            .parse::<SocketAddr>()
+            .is_ok_and(|address| address.port() != 0 && !address.ip().is_unspecified());
+        self.require(
+            right,
+            path,
+            format!("must be an IP address and a port such as 10.0.0.7:8000, not {text:?}"),
+        );
+    }
+
+    fn tls(&mut self, path: &str, tls: Option<&Tls>) {
+        self.require(tls.is_none(), path, "not supported yet; remove it");
+    }
+
+    fn text(&mut self, path: impl Into<String>, text: &str) {
+        let right = !text.is_empty() && text.len() <= 256 && !text.contains(char::is_control);
+        self.require(right, path, "must have 1 to 256 printable characters");
+    }
+
+    fn positive(&mut self, path: &str, list: &[(&str, u64)]) {
+        for (name, value) in list {
+            self.require(*value > 0, format!("{path}.{name}"), "must be at least 1");
+        }
+    }
+
+    fn unique<'a>(&mut self, path: &str, field: &str, names: impl Iterator<Item = &'a str>) {
+        let mut seen = Set::default();
+        for (at, name) in names.enumerate() {
+            let path = format!("{path}[{at}]{field}");
+            self.require(seen.insert(name), path, format!("{name:?} is listed twice"));
+        }
+    }
+}
+
+/// Checks settings; `secrets` returns the values of environment variables.
+pub fn check(raw: Raw, secrets: impl Fn(&str) -> Option<String>) -> Result<Config, Vec<Fault>> {
+    let mut check = Check::default();
+    check.identity(&raw);
+    check.listen(&raw);
+    check.platform(&raw);
+    check.pools(&raw);
+    check.timings(&raw);
+    let secret = check.secret(&raw, secrets);
+    if !check.faults.is_empty() {
+        return Err(check.faults);
+    }
+    Ok(Config {
+        cluster: raw.cluster,
+        instance: raw.instance,
+        zone: raw.zone,
+        zones: raw.zones,
+        listen: raw.listen,
+        peers: Peers {
+            secret,
+            seeds: raw.peers.seeds,
+        },
+        log: raw.log,
+        list: raw.list,
+        pools: raw.pools,
+        weights: raw.weights,
+        timings: raw.timings,
+        memory: raw.memory,
+        logs: raw.logs,
+    })
+}
+
+impl Check {
+    fn identity(&mut self, raw: &Raw) {
+        self.text("cluster", &raw.cluster);
+        self.require(
+            raw.instance.as_str().len() <= MAX_PREFIX,
+            "instance",
+            format!("must have at most {MAX_PREFIX} bytes, because a suffix is appended"),
+        );
+        self.unique("zones", "", raw.zones.iter().map(|zone| zone.as_str()));
+        let zones: Vec<_> = raw.zones.iter().map(|zone| zone.as_str()).collect();
+        self.require(
+            raw.zones.contains(&raw.zone),
+            "zone",
+            format!("must be one of the zones {}", zones.join(", ")),
+        );
+        // Program ids consist of the zone and a UUID, joined by a dot.
+        for (at, zone) in raw.zones.iter().enumerate() {
+            let right = !zone.as_str().contains('.') && zone.as_str().len() <= 24;
+            self.require(
+                right,
+                format!("zones[{at}]"),
+                "must have at most 24 bytes and no dot, because program ids begin with it",
+            );
+        }
+    }
+
+    fn listen(&mut self, raw: &Raw) {
+        let listen = &raw.listen;
+        self.tls("listen.tls", listen.tls.as_ref());
+        self.require(
+            !listen.advertised().ip().is_unspecified(),
+            "listen.advertise",
+            "must be an address that other instances reach, because listen.peers is any address",
+        );
+        self.require(
+            listen.workers != Some(0),
+            "listen.workers",
+            "must be at least 1; leave it out for one worker for each core",
+        );
+        self.tls("peers.tls", raw.peers.tls.as_ref());
+        for (at, seed) in raw.peers.seeds.iter().enumerate() {
+            self.address(format!("peers.seeds[{at}]"), seed);
+        }
+    }
+
+    fn platform(&mut self, raw: &Raw) {
+        self.tls("log.tls", raw.log.tls.as_ref());
+        self.require(
+            !raw.log.addresses.is_empty(),
+            "log.addresses",
+            "must have at least one address",
+        );
+        for (at, address) in raw.log.addresses.iter().enumerate() {
+            self.address(format!("log.addresses[{at}]"), address);
+        }
+        self.text("log.topic", &raw.log.topic);
+        let counts = [
+            ("partitions", u64::from(raw.log.partitions)),
+            ("appends_per_second", u64::from(raw.log.appends_per_second)),
+        ];
+        self.positive("log", &counts);
+        // Snapshots are appended at a third of the retention.
+        self.require(
+            raw.log.retention >= Duration::from_secs(60),
+            "log.retention",
+            "must be at least 1m",
+        );
+        self.tls("list.tls", raw.list.tls.as_ref());
+        self.address("list.address", &raw.list.address);
+        self.text("list.service", &raw.list.service);
+        if let Some(weights) = &raw.weights {
+            self.tls("weights.tls", weights.tls.as_ref());
+            self.address("weights.address", &weights.address);
+            self.positive(
+                "weights",
+                &[("loads_per_minute", u64::from(weights.loads_per_minute))],
+            );
+        }
+    }
+
+    fn pools(&mut self, raw: &Raw) {
+        let names = raw.pools.iter().map(|pool| pool.name.as_str());
+        self.unique("pools", ".name", names);
+        let mut seen = Set::default();
+        for (at, pool) in raw.pools.iter().enumerate() {
+            let path = format!("pools[{at}]");
+            self.pool(&path, pool);
+            for (at, upstream) in pool.upstreams.iter().enumerate() {
+                let path = format!("{path}.upstreams[{at}]");
+                self.require(
+                    seen.insert(&upstream.name),
+                    format!("{path}.name"),
+                    format!(
+                        "{} is listed twice; names are unique in the cluster",
+                        upstream.name
+                    ),
+                );
+                self.upstream(&path, upstream, raw);
+            }
+        }
+    }
+
+    fn pool(&mut self, path: &str, pool: &Pool) {
+        let model = pool.kind == Kind::Model;
+        self.require(
+            model != pool.models.is_empty(),
+            format!("{path}.models"),
+            "must have at least one entry for kind model, and none for other kinds",
+        );
+        self.require(
+            model == pool.operations.is_empty(),
+            format!("{path}.operations"),
+            "must have at least one entry for kinds tool and service, and none for kind model",
+        );
+        let limits = pool.limits();
+        self.require(
+            !limits.first.is_zero() && !limits.progress.is_zero() && limits.first <= limits.total,
+            format!("{path}.limits"),
+            "must be positive, and first not longer than total",
+        );
+        let names = pool.models.iter().map(|model| model.name.as_str());
+        self.unique(&format!("{path}.models"), ".name", names);
+        for (at, model) in pool.models.iter().enumerate() {
+            let path = format!("{path}.models[{at}]");
+            self.text(format!("{path}.name"), &model.name);
+            self.text(format!("{path}.version"), &model.version);
+            let names = model.adapters.iter().map(|adapter| adapter.name.as_str());
+            self.unique(&format!("{path}.adapters"), ".name", names);
+            for (at, adapter) in model.adapters.iter().enumerate() {
+                self.text(format!("{path}.adapters[{at}].name"), &adapter.name);
+                self.text(format!("{path}.adapters[{at}].version"), &adapter.version);
+            }
+        }
+        let names = pool
+            .operations
+            .iter()
+            .map(|operation| operation.name.as_str());
+        self.unique(&format!("{path}.operations"), ".name", names);
+        for (at, operation) in pool.operations.iter().enumerate() {
+            let path = format!("{path}.operations[{at}]");
+            self.text(format!("{path}.name"), &operation.name);
+            let right =
+                operation.path.starts_with('/') && operation.path.parse::<awc::http::Uri>().is_ok();
+            self.require(
+                right,
+                format!("{path}.path"),
+                "must be a URL path that begins with /",
+            );
+        }
+    }
+
+    fn upstream(&mut self, path: &str, upstream: &Upstream, raw: &Raw) {
+        self.address(format!("{path}.address"), &upstream.address);
+        self.tls(&format!("{path}.tls"), upstream.tls.as_ref());
+        self.require(
+            raw.zones.contains(&upstream.zone),
+            format!("{path}.zone"),
+            "must be one of the zones",
+        );
+    }
+
+    fn timings(&mut self, raw: &Raw) {
+        let timings = &raw.timings;
+        let millis = |span: Duration| span.as_millis() as u64;
+        let spans = [
+            ("heartbeat", millis(timings.heartbeat)),
+            ("ping", millis(timings.ping)),
+            ("silence", millis(timings.silence)),
+            ("claim_age", millis(timings.claim_age)),
+            ("sweep", millis(timings.sweep)),
+            ("load", millis(timings.load)),
+            ("list", millis(timings.list)),
+            ("drain", millis(timings.drain)),
+            ("connect", millis(timings.connect)),
+            ("idle", millis(timings.idle)),
+        ];
+        for (name, value) in spans {
+            self.require(value > 0, format!("timings.{name}"), "must be at least 1ms");
+        }
+        self.require(
+            timings.silence > timings.ping,
+            "timings.silence",
+            "must be longer than timings.ping, or links are replaced without a fault",
+        );
+        let memory = &raw.memory;
+        let bounds = [
+            ("history_bytes", memory.history_bytes as u64),
+            ("queue_calls", memory.queue_calls as u64),
+            ("customer_calls", memory.customer_calls as u64),
+            ("link_frames", memory.link_frames as u64),
+            ("log_records", memory.log_records as u64),
+        ];
+        self.positive("memory", &bounds);
+    }
+
+    fn secret(&mut self, raw: &Raw, secrets: impl Fn(&str) -> Option<String>) -> Secret {
+        let name = &raw.peers.secret_env;
+        let value = secrets(name).unwrap_or_default();
+        self.require(
+            value.len() >= MIN_SECRET,
+            "peers.secret_env",
+            format!(
+                "environment variable {name:?} must be set and have at least {MIN_SECRET} bytes"
+            ),
+        );
+        Secret::from(value)
+    }
+}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,1 +1,235 @@
 //! Settings of the daemon.
+//!
+//! [`raw::Raw`] is the file as it was read; [`Config`] has passed every check.
+
+pub mod check;
+pub mod place;
+pub mod raw;
+
+use std::{
+    env,
+    fmt,
+    fs,
+    path::Path, //
+};
+
+use thiserror::Error;
+
+use crate::{
+    name::{
+        Instance,
+        Zone, //
+    },
+    upstream,
+};
+
+pub use raw::{
+    Adapter,
+    Format,
+    Kind,
+    Level,
+    Limits,
+    List,
+    Listen,
+    Log,
+    Logs,
+    Memory,
+    Model,
+    Operation,
+    Pool,
+    Prices,
+    Timings,
+    Upstream,
+    Weights, //
+};
+
+/// A text that is neither logged nor printed.
+#[derive(Clone, Eq, PartialEq)]
+pub struct Secret(String);
+
+impl Secret {
+    /// Returns the text.
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+}
+
+impl From<String> for Secret {
+    fn from(text: String) -> Self {
+        Self(text)
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
+
+/// Links to other instances.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Peers {
+    /// Secret that every instance of the cluster presents.
+    pub secret: Secret,
+    /// Peer addresses that are tried in addition to the list of instances.
+    pub seeds: Vec<String>,
+}
+
+/// Checked settings of the daemon.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Config {
+    /// Name of the cluster; instances of another one are refused.
+    pub cluster: String,
+    /// First part of the instance's name; the daemon appends a suffix that is new at each start.
+    pub instance: Instance,
+    /// Availability zone of this instance.
+    pub zone: Zone,
+    /// All availability zones of the cluster.
+    pub zones: Vec<Zone>,
+    /// Addresses that the daemon listens on.
+    pub listen: Listen,
+    /// Links to other instances.
+    pub peers: Peers,
+    /// The platform's log.
+    pub log: Log,
+    /// The platform's list of instances.
+    pub list: List,
+    /// Pools of upstreams.
+    pub pools: Vec<Pool>,
+    /// The weight store, if this deployment has one.
+    pub weights: Option<Weights>,
+    /// Intervals and time limits.
+    pub timings: Timings,
+    /// Bounds of memory.
+    pub memory: Memory,
+    /// Logs of the daemon.
+    pub logs: Logs,
+}
+
+/// A fault in settings.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Fault {
+    /// Path of the setting, for example `pools[0].upstreams[1].address`; empty for the whole file.
+    pub path: String,
+    /// Line in the file, from 1; 0 if it is not known.
+    pub line: u64,
+    /// What is wrong and what would be right.
+    pub message: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.line > 0 {
+            write!(f, "{}: ", self.line)?;
+        }
+        if !self.path.is_empty() {
+            write!(f, "{}: ", self.path)?;
+        }
+        f.write_str(&self.message)
+    }
+}
+
+/// All faults of one file.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Error)]
+pub struct Faults {
+    /// Name of the file.
+    pub file: String,
+    /// The faults; at least one.
+    pub list: Vec<Fault>,
+}
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (at, fault) in self.list.iter().enumerate() {
+            let end = if at > 0 { "\n" } else { "" };
+            write!(f, "{end}{}:{fault}", self.file)?;
+        }
+        Ok(())
+    }
+}
+
+impl TryFrom<raw::Raw> for Config {
+    type Error = Vec<Fault>;
+
+    /// Checks settings and reads the secrets that they name from the environment.
+    fn try_from(raw: raw::Raw) -> Result<Self, Vec<Fault>> {
+        check::check(raw, |name| env::var(name).ok())
+    }
+}
+
+impl Config {
+    /// Reads and checks a file, and reads the secrets that it names from the environment.
+    pub fn load(path: &Path) -> Result<Self, Faults> {
+        Self::open(path, |name| env::var(name).ok())
+    }
+
+    /// Reads and checks a file without its secrets, for use on another machine.
+    pub fn check(path: &Path) -> Result<Self, Faults> {
+        Self::open(path, |_| Some("not read".to_owned()))
+    }
+
+    fn open(path: &Path, secrets: impl Fn(&str) -> Option<String>) -> Result<Self, Faults> {
+        let file = path.display().to_string();
+        match fs::read_to_string(path) {
+            Ok(text) => Self::parse(&file, &text, secrets),
+            Err(error) => Err(Faults {
+                file,
+                list: vec![Fault {
+                    path: String::new(),
+                    line: 0,
+                    message: format!(" can't be read: {error}"),
+                }],
+            }),
+        }
+    }
+
+    /// Checks the text of a file; `secrets` returns the values of environment variables.
+    pub fn parse(
+        file: &str,
+        text: &str,
+        secrets: impl Fn(&str) -> Option<String>,
+    ) -> Result<Self, Faults> {
+        let faults = |list| Faults {
+            file: file.to_owned(),
+            list,
+        };
+        let raw = raw::Raw::parse(text).map_err(|fault| faults(vec![fault]))?;
+        check::check(raw, secrets).map_err(|mut list| {
+            place::locate(text, &mut list);
+            faults(list)
+        })
+    }
+
+    /// Returns the pool with a name.
+    pub fn pool(&self, name: &str) -> Option<&Pool> {
+        self.pools.iter().find(|pool| pool.name.as_str() == name)
+    }
+}
+
+impl Pool {
+    /// Returns the operation with a name.
+    pub fn operation(&self, name: &str) -> Option<&Operation> {
+        self.operations
+            .iter()
+            .find(|operation| operation.name == name)
+    }
+
+    /// Returns the name under which engines serve the pool's model.
+    pub fn model(&self) -> Option<&str> {
+        self.models.first().map(|model| model.name.as_str())
+    }
+
+    /// Returns the time limits of a call.
+    pub fn limits(&self) -> upstream::Limits {
+        let default = match self.kind {
+            Kind::Model => raw::MODEL_LIMITS,
+            Kind::Tool | Kind::Service => raw::SERVICE_LIMITS,
+        };
+        upstream::Limits {
+            first: self.limits.first.unwrap_or(default.first),
+            progress: self.limits.progress.unwrap_or(default.progress),
+            total: self.limits.total.unwrap_or(default.total),
+        }
+    }
+}
--- /dev/null
+++ b/src/config/place.rs
@@ -0,0 +1,180 @@
+//! Places of settings in the text of a file.
+
+use std::fmt;
+
+use serde::{
+    de::{
+        Deserializer,
+        IgnoredAny,
+        MapAccess,
+        SeqAccess,
+        Visitor, //
+    },
+    Deserialize,
+};
+use serde_saphyr::{
+    Error,
+    Spanned, //
+};
+
+use super::Fault;
+
+/// The structure of a file without its values.
+enum Tree {
+    Map(Vec<(Spanned<String>, Tree)>),
+    List(Vec<Spanned<Tree>>),
+    Leaf,
+}
+
+struct Builder;
+
+impl<'de> Visitor<'de> for Builder {
+    type Value = Tree;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("settings")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Tree, A::Error> {
+        let mut entries = Vec::new();
+        while let Some(entry) = map.next_entry()? {
+            entries.push(entry);
+        }
+        Ok(Tree::Map(entries))
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Tree, A::Error> {
+        let mut items = Vec::new();
+        while let Some(item) = seq.next_element()? {
+            items.push(item);
+        }
+        Ok(Tree::List(items))
+    }
+
+    fn visit_bool<E>(self, _: bool) -> Result<Tree, E> {
+        Ok(Tree::Leaf)
+    }
+
+    fn visit_i64<E>(self, _: i64) -> Result<Tree, E> {
+        Ok(Tree::Leaf)
+    }
+
+    fn visit_u64<E>(self, _: u64) -> Result<Tree, E> {
+        Ok(Tree::Leaf)
+    }
+
+    fn visit_f64<E>(self, _: f64) -> Result<Tree, E> {
+        Ok(Tree::Leaf)
+    }
+
+    fn visit_str<E>(self, _: &str) -> Result<Tree, E> {
+        Ok(Tree::Leaf)
+    }
+
+    fn visit_unit<E>(self) -> Result<Tree, E> {
+        Ok(Tree::Leaf)
+    }
+
+    fn visit_some<D: Deserializer<'de>>(self, input: D) -> Result<Tree, D::Error> {
+        Tree::deserialize(input)
+    }
+
+    fn visit_newtype_struct<D: Deserializer<'de>>(self, input: D) -> Result<Tree, D::Error> {
+        IgnoredAny::deserialize(input).map(|_| Tree::Leaf)
+    }
+}
+
+impl<'de> Deserialize<'de> for Tree {
+    fn deserialize<D: Deserializer<'de>>(input: D) -> Result<Self, D::Error> {
+        input.deserialize_any(Builder)
+    }
+}
+
+/// A setting and where it begins.
+struct Place {
+    path: String,
+    line: u64,
+    column: u64,
+}
+
+impl Tree {
+    /// Lists the settings in the order of the file.
+    fn places(&self, path: &str, list: &mut Vec<Place>) {
+        match self {
+            Self::Map(entries) => {
+                for (key, value) in entries {
+                    let dot = if path.is_empty() { "" } else { "." };
+                    let path = format!("{path}{dot}{}", key.value);
+                    list.push(Place {
+                        path: path.clone(),
+                        line: key.referenced.line(),
+                        column: key.referenced.column(),
+                    });
+                    value.places(&path, list);
+                }
+            }
+            Self::List(items) => {
+                for (at, item) in items.iter().enumerate() {
+                    let path = format!("{path}[{at}]");
+                    list.push(Place {
+                        path: path.clone(),
+                        line: item.referenced.line(),
+                        column: item.referenced.column(),
+                    });
+                    item.value.places(&path, list);
+                }
+            }
+            Self::Leaf => {}
+        }
+    }
+}
+
+fn places(text: &str) -> Vec<Place> {
+    let mut list = Vec::new();
+    if let Ok(tree) = serde_saphyr::from_str::<Tree>(text) {
+        tree.places("", &mut list);
+    }
+    list
+}
+
+/// Sets the lines of faults from their paths; a missing setting gets the line of its parent.
+pub(super) fn locate(text: &str, faults: &mut [Fault]) {
+    let places = places(text);
+    for fault in faults {
+        let parent = |place: &&Place| fault.path.starts_with(&place.path);
+        let nearest = places
+            .iter()
+            .filter(parent)
+            .max_by_key(|place| place.path.len());
+        fault.line = nearest.map_or(0, |place| place.line);
+    }
+}
+
+/// Turns an error of the parser into a fault with path and line.
+pub(super) fn fault(text: &str, error: &Error) -> Fault {
+    let error = error.without_snippet();
+    let (line, column) = error
+        .location()
+        .map_or((0, 0), |place| (place.line(), place.column()));
+    let before = |place: &Place| (place.line, place.column) <= (line, column);
+    let mut path = places(text)
+        .into_iter()
+        .take_while(before)
+        .last()
+        .map_or(String::new(), |place| place.path);
+    // The parser gives the place of the last key that is there.
+    if matches!(error, Error::SerdeMissingField { .. }) {
+        path.truncate(path.rfind('.').unwrap_or(0));
+    }
+    Fault {
+        path,
+        line,
+        message: message(&error.to_string()),
+    }
+}
+
+/// Removes the place that the parser appends to its message.
+fn message(text: &str) -> String {
+    let end = text.rfind(" at line ").unwrap_or(text.len());
+    text[..end].to_owned()
+}
