upstream: add clients for engines and services over awc

The executor needs streams of model answers and whole answers of services with a strict class for each failure. awc follows redirects by default, reports a connection that closed after the request left as a failure to connect, and reports a body that was cut off as complete; the clients correct all three. Service::call_once (with a default) uses a connection of its own for calls that must not be repeated.

--- /dev/null
+++ b/src/upstream/http.rs
@@ -0,0 +1,343 @@
+//! HTTP exchanges with upstreams: connections, time limits and classes of failures.
+//!
+//! `awc` never sends a request again by itself once redirects are disabled. It reports a
+//! connection that was closed after the request left as a failure to connect, and the end of a
+//! connection in mid-body as the end of the body; both are corrected here.
+
+use std::{
+    cell::RefCell,
+    fmt::Display,
+    rc::Rc,
+    time::{
+        Duration,
+        SystemTime, //
+    },
+};
+
+use awc::{
+    error::{
+        ConnectError,
+        SendRequestError, //
+    },
+    http::{
+        header::{
+            self,
+            HttpDate, //
+        },
+        StatusCode, //
+    },
+    ClientRequest,
+    ClientResponse,
+    Connector, //
+};
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
+use futures_util::{
+    FutureExt as _,
+    StreamExt as _, //
+};
+use tokio::time::{
+    timeout_at,
+    Instant, //
+};
+
+use crate::hash::Map;
+
+use super::{
+    Failure,
+    Limits, //
+};
+
+/// Longest body of an answer that is read whole.
+pub const MAX_BODY: usize = 4 << 20;
+
+/// Bytes of the body of an error that are kept for people.
+const MAX_MESSAGE: usize = 512;
+
+/// Longest `Retry-After` that is believed.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(3_600);
+
+/// Time for the end of a body to arrive after its last event, so that the connection is reusable.
+const DRAIN: Duration = Duration::from_secs(1);
+
+/// Age of an unused address after which its connections are dropped.
+const UNUSED: Duration = Duration::from_secs(300);
+
+/// Settings of connections.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Longest time to make a connection.
+    pub connect: Duration,
+    /// Longest time that a connection stays unused; shorter than the upstreams' own, so that a
+    /// call rarely meets a connection that the upstream is closing.
+    pub idle: Duration,
+    /// Longest age of a connection that is used again.
+    pub age: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_secs(1),
+            idle: Duration::from_secs(4),
+            age: Duration::from_secs(300),
+        }
+    }
+}
+
+/// Connections of one thread to upstreams.
+#[derive(Clone)]
+pub(super) struct Pool(Rc<Inner>);
+
+struct Inner {
+    settings: Settings,
+    clients: RefCell<Map<String, Entry>>,
+    /// Client whose connections are never used again.
+    fresh: awc::Client,
+}
+
+struct Entry {
+    client: awc::Client,
+    used: Instant,
+}
+
+fn client(settings: &Settings) -> awc::Client {
+    let connector = Connector::new()
+        .timeout(settings.connect)
+        .conn_keep_alive(settings.idle)
+        .conn_lifetime(settings.age)
+        .limit(0);
+    awc::Client::builder()
+        .connector(connector)
+        .disable_timeout()
+        .disable_redirects()
+        .finish()
+}
+
+impl Pool {
+    pub(super) fn new(settings: Settings) -> Self {
+        Self(Rc::new(Inner {
+            clients: RefCell::default(),
+            fresh: client(&settings),
+            settings,
+        }))
+    }
+
+    /// Returns the client of an address.
+    ///
+    /// Each address has its own client, so that its connections can be dropped together.
+    fn client(&self, address: &str) -> awc::Client {
+        let now = Instant::now();
+        let mut clients = self.0.clients.borrow_mut();
+        if let Some(entry) = clients.get_mut(address) {
+            entry.used = now;
+            return entry.client.clone();
+        }
+        clients.retain(|_, entry| now - entry.used < UNUSED);
+        let client = client(&self.0.settings);
+        let entry = Entry {
+            client: client.clone(),
+            used: now,
+        };
+        clients.insert(address.to_owned(), entry);
+        client
+    }
+
+    pub(super) fn get(&self, address: &str, path: &str) -> ClientRequest {
+        self.client(address).get(url(address, path))
+    }
+
+    pub(super) fn post(&self, address: &str, path: &str) -> ClientRequest {
+        self.client(address).post(url(address, path))
+    }
+
+    /// Returns a request that is sent on a new connection, which is closed afterwards.
+    pub(super) fn post_fresh(&self, address: &str, path: &str) -> ClientRequest {
+        self.0.fresh.post(url(address, path)).force_close()
+    }
+
+    /// Drops the unused connections to an address: after one went silent, the others may be too.
+    fn discard(&self, address: &str) {
+        self.0.clients.borrow_mut().remove(address);
+    }
+
+    /// Sends a request and waits for the head of an answer that says the call was accepted.
+    pub(super) async fn send(
+        &self,
+        address: &str,
+        request: ClientRequest,
+        body: Bytes,
+        limits: Limits,
+    ) -> Result<Body, Failure> {
+        let now = Instant::now();
+        let total = now + limits.total;
+        let first = total.min(now + limits.first);
+        let sent = timeout_at(first, request.send_body(body)).await;
+        let response = match sent {
+            Ok(Ok(response)) => response,
+            Ok(Err(error)) => return Err(classify(&error)),
+            Err(_) => {
+                self.discard(address);
+                return Err(Failure::Unknown("no answer in time".into()));
+            }
+        };
+        let body = Body {
+            pool: self.clone(),
+            address: address.to_owned(),
+            expected: length(&response),
+            received: 0,
+            response,
+            first: Some(first),
+            progress: limits.progress,
+            total,
+        };
+        body.accepted().await
+    }
+}
+
+fn url(address: &str, path: &str) -> String {
+    format!("http://{address}{path}")
+}
+
+/// Returns what an error of `awc` says about the call.
+fn classify(error: &SendRequestError) -> Failure {
+    match error {
+        SendRequestError::Connect(ConnectError::Disconnected) => {
+            Failure::Unknown("connection closed before the answer".into())
+        }
+        SendRequestError::Url(_) | SendRequestError::Http(_) | SendRequestError::Connect(_) => {
+            Failure::NotSent(error.to_string())
+        }
+        _ => unknown(error),
+    }
+}
+
+pub(super) fn unknown(error: impl Display) -> Failure {
+    Failure::Unknown(error.to_string())
+}
+
+fn length(response: &ClientResponse) -> Option<u64> {
+    let value = response.headers().get(header::CONTENT_LENGTH)?;
+    value.to_str().ok()?.parse().ok()
+}
+
+fn retry_after(response: &ClientResponse) -> Option<Duration> {
+    let text = response.headers().get(header::RETRY_AFTER)?.to_str().ok()?;
+    let wait = match text.trim().parse() {
+        Ok(seconds) => Duration::from_secs(seconds),
+        Err(_) => {
+            let date = SystemTime::from(text.parse::<HttpDate>().ok()?);
+            date.duration_since(SystemTime::now()).unwrap_or_default()
+        }
+    };
+    Some(wait.min(MAX_RETRY_AFTER))
+}
+
+/// Body of an answer, read under the time limits of its call.
+pub(super) struct Body {
+    pool: Pool,
+    address: String,
+    response: ClientResponse,
+    expected: Option<u64>,
+    received: u64,
+    /// Limit for the first part; `None` after it.
+    first: Option<Instant>,
+    progress: Duration,
+    total: Instant,
+}
+
+impl Body {
+    /// Returns the body if the status says that the call was accepted.
+    async fn accepted(self) -> Result<Self, Failure> {
+        let status = self.response.status();
+        if status.is_success() {
+            return Ok(self);
+        }
+        match status {
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+                Err(Failure::Refused {
+                    status: status.as_u16(),
+                    retry_after: retry_after(&self.response),
+                })
+            }
+            // A gateway says nothing about what happened behind it.
+            StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => {
+                Err(unknown(format_args!("status {status}")))
+            }
+            _ => Err(Failure::Failed {
+                status: status.as_u16(),
+                message: self.message().await?,
+            }),
+        }
+    }
+
+    /// Returns whether the upstream declared that there is no content.
+    pub(super) fn vacant(&self) -> bool {
+        self.response.status() == StatusCode::NO_CONTENT || self.expected == Some(0)
+    }
+
+    /// Returns whether the end of the body can be told from a broken connection.
+    pub(super) fn delimited(&self) -> bool {
+        self.expected.is_some()
+    }
+
+    /// Returns the next part, or `None` at the end of the body.
+    pub(super) async fn part(&mut self) -> Result<Option<Bytes>, Failure> {
+        let silent = self.first.unwrap_or_else(|| Instant::now() + self.progress);
+        let Ok(part) = timeout_at(silent.min(self.total), self.response.next()).await else {
+            if silent <= self.total {
+                self.pool.discard(&self.address);
+            }
+            return Err(Failure::Unknown("answer stopped making progress".into()));
+        };
+        match part {
+            Some(Ok(bytes)) => {
+                self.first = None;
+                self.received += bytes.len() as u64;
+                Ok(Some(bytes))
+            }
+            Some(Err(error)) => Err(unknown(error)),
+            None if self.expected.is_some_and(|length| length != self.received) => {
+                Err(Failure::Unknown("answer was cut off".into()))
+            }
+            None => Ok(None),
+        }
+    }
+
+    /// Reads the whole body, of at most `limit` bytes.
+    pub(super) async fn whole(&mut self, limit: usize) -> Result<Bytes, Failure> {
+        let mut whole = BytesMut::new();
+        while let Some(part) = self.part().await? {
+            if whole.len() + part.len() > limit {
+                return Err(unknown(format_args!("answer is longer than {limit} bytes")));
+            }
+            whole.extend_from_slice(&part);
+        }
+        Ok(whole.freeze())
+    }
+
+    /// Returns the beginning of the body of an error.
+    async fn message(mut self) -> Result<String, Failure> {
+        let mut message = Vec::new();
+        while message.len() < MAX_MESSAGE {
+            match self.part().await? {
+                Some(part) => message.extend_from_slice(&part),
+                None => break,
+            }
+        }
+        message.truncate(MAX_MESSAGE);
+        Ok(String::from_utf8_lossy(&message).into_owned())
+    }
+
+    /// Reads the end of the body, so that the connection can be used again.
+    pub(super) fn finish(mut self) {
+        let mut drain = Box::pin(async move {
+            let _ = timeout_at(Instant::now() + DRAIN, self.part()).await;
+        });
+        if drain.as_mut().now_or_never().is_none() {
+            drop(actix::spawn(drain));
+        }
+    }
+}
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -1,5 +1,10 @@
 //! Upstreams: model engines, tool services and plain services.
 
+pub mod chat;
+pub mod http;
+pub mod rest;
+pub mod sse;
+
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -165,4 +170,19 @@
         body: Bytes,
         limits: Limits,
     ) -> Result<Bytes, Failure>;
+
+    /// Posts like [`Service::call`], on a connection of its own.
+    ///
+    /// Calls that must not be repeated use it: a connection that was idle may be closed by the
+    /// upstream while the call is sent, which leaves the outcome unknown for no good reason.
+    async fn call_once(
+        &self,
+        address: &str,
+        path: &str,
+        key: &str,
+        body: Bytes,
+        limits: Limits,
+    ) -> Result<Bytes, Failure> {
+        self.call(address, path, key, body, limits).await
+    }
 }
--- /dev/null
+++ b/src/upstream/rest.rs
@@ -0,0 +1,100 @@
+//! Tool services and plain services that take and return JSON.
+
+use awc::ClientRequest;
+use bytes::Bytes;
+use serde::de::IgnoredAny;
+
+use super::{
+    http::{
+        Pool,
+        Settings,
+        MAX_BODY, //
+    },
+    Failure,
+    Limits,
+    Service, //
+};
+
+/// Client of services; each thread has its own.
+#[derive(Clone)]
+pub struct Client {
+    pool: Pool,
+}
+
+impl Client {
+    /// Returns a client without connections.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            pool: Pool::new(settings),
+        }
+    }
+
+    async fn post(
+        &self,
+        address: &str,
+        request: ClientRequest,
+        key: &str,
+        body: Bytes,
+        limits: Limits,
+    ) -> Result<Bytes, Failure> {
+        let request = request
+            .content_type("application/json")
+            .insert_header(("Idempotency-Key", key));
+        let mut answer = self.pool.send(address, request, body, limits).await?;
+        let vacant = answer.vacant();
+        let delimited = answer.delimited();
+        let text = answer.whole(MAX_BODY).await?;
+        if vacant {
+            return Ok(Bytes::from_static(b"null"));
+        }
+        check(&text, delimited)?;
+        Ok(text)
+    }
+}
+
+/// Checks that an answer is one whole JSON text.
+///
+/// Without a declared length, the end of a connection cannot be told from the end of the answer.
+/// JSON texts show by themselves that they are whole, except numbers.
+fn check(text: &[u8], delimited: bool) -> Result<(), Failure> {
+    let number = || {
+        let first = text.iter().find(|byte| !byte.is_ascii_whitespace());
+        first.is_some_and(|byte| *byte == b'-' || byte.is_ascii_digit())
+    };
+    if serde_json::from_slice::<IgnoredAny>(text).is_err() || !delimited && number() {
+        return Err(Failure::Unknown("answer is not whole JSON".into()));
+    }
+    Ok(())
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self::new(Settings::default())
+    }
+}
+
+impl Service for Client {
+    async fn call(
+        &self,
+        address: &str,
+        path: &str,
+        key: &str,
+        body: Bytes,
+        limits: Limits,
+    ) -> Result<Bytes, Failure> {
+        let request = self.pool.post(address, path);
+        self.post(address, request, key, body, limits).await
+    }
+
+    async fn call_once(
+        &self,
+        address: &str,
+        path: &str,
+        key: &str,
+        body: Bytes,
+        limits: Limits,
+    ) -> Result<Bytes, Failure> {
+        let request = self.pool.post_fresh(address, path);
+        self.post(address, request, key, body, limits).await
+    }
+}
--- /dev/null
+++ b/src/upstream/sse.rs
@@ -0,0 +1,132 @@
+//! Incremental parser of server-sent events.
+
+use std::mem;
+
+use thiserror::Error;
+
+/// Reason why a stream of events is refused.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Error)]
+pub enum Fault {
+    /// A line or the data of an event is longer than the limit.
+    #[error("an event is longer than {0} bytes")]
+    Long(usize),
+    /// The data of an event is not UTF-8.
+    #[error("an event is not UTF-8")]
+    Encoding,
+}
+
+/// Splits a stream of bytes into the data of its events.
+///
+/// Names, identifiers and comments are skipped: chat completions do not use them.
+#[derive(Debug)]
+pub struct Parser {
+    limit: usize,
+    /// Bytes that were pushed; those before `start` belong to lines that were taken.
+    buffer: Vec<u8>,
+    start: usize,
+    /// Bytes before this position contain no end of line after `start`.
+    scanned: usize,
+    /// Set after a line that ended in CR, because an LF that follows belongs to it.
+    skip_lf: bool,
+    /// Set after the first line, before which a byte order mark is allowed.
+    begun: bool,
+    data: Vec<u8>,
+    /// Whether the event so far has a data line, which may be empty.
+    filled: bool,
+}
+
+impl Parser {
+    /// Returns a parser that refuses lines and events of more than `limit` bytes.
+    pub fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            buffer: Vec::new(),
+            start: 0,
+            scanned: 0,
+            skip_lf: false,
+            begun: false,
+            data: Vec::new(),
+            filled: false,
+        }
+    }
+
+    /// Appends bytes of the stream.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.drain(..self.start);
+        self.scanned -= self.start;
+        self.start = 0;
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Returns the data of the next complete event, or `None` if more bytes are needed.
+    pub fn event(&mut self) -> Result<Option<String>, Fault> {
+        while let Some((from, to)) = self.line()? {
+            if from == to {
+                if mem::take(&mut self.filled) {
+                    let data = mem::take(&mut self.data);
+                    return String::from_utf8(data)
+                        .map(Some)
+                        .map_err(|_| Fault::Encoding);
+                }
+            } else {
+                self.field(from, to)?;
+            }
+        }
+        Ok(None)
+    }
+
+    /// Takes the next complete line and returns its place in the buffer.
+    fn line(&mut self) -> Result<Option<(usize, usize)>, Fault> {
+        if self.skip_lf && self.start < self.buffer.len() {
+            self.skip_lf = false;
+            if self.buffer[self.start] == b'\n' {
+                self.start += 1;
+                self.scanned = self.scanned.max(self.start);
+            }
+        }
+        let end = self.buffer[self.scanned..]
+            .iter()
+            .position(|byte| matches!(byte, b'\n' | b'\r'))
+            .map(|at| self.scanned + at);
+        let length = end.unwrap_or(self.buffer.len()) - self.start;
+        if length > self.limit {
+            return Err(Fault::Long(self.limit));
+        }
+        let Some(end) = end else {
+            self.scanned = self.buffer.len();
+            return Ok(None);
+        };
+        let mut from = self.start;
+        if !mem::replace(&mut self.begun, true)
+            && self.buffer[from..end].starts_with(b"\xef\xbb\xbf")
+        {
+            from += 3;
+        }
+        self.skip_lf = self.buffer[end] == b'\r';
+        self.start = end + 1;
+        self.scanned = self.start;
+        Ok(Some((from, end)))
+    }
+
+    /// Applies a line that is not empty.
+    fn field(&mut self, from: usize, to: usize) -> Result<(), Fault> {
+        let line = &self.buffer[from..to];
+        let Some(rest) = line.strip_prefix(b"data") else {
+            return Ok(());
+        };
+        let value = match rest.split_first() {
+            None => rest,
+            Some((b':', value)) => value.strip_prefix(b" ").unwrap_or(value),
+            Some(_) => return Ok(()),
+        };
+        if self.data.len() + value.len() >= self.limit {
+            return Err(Fault::Long(self.limit));
+        }
+        if mem::replace(&mut self.filled, true) {
+            self.data.push(b'\n');
+        }
+        self.data.extend_from_slice(value);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/tests/upstream_chat.rs
@@ -0,0 +1,134 @@
+//! Guards against wrong requests to engines and against wrong readings of their answers.
+
+use actix_web::{
+    web,
+    App,
+    HttpResponse,
+    HttpServer, //
+};
+use gypsumlever::upstream::{
+    chat::Client,
+    Engine as _,
+    Event,
+    Limits,
+    Message,
+    Prompt,
+    Slot,
+    Stream as _,
+    Usage, //
+};
+use serde_json::{
+    json,
+    Value, //
+};
+use std::time::Duration;
+
+const LIMITS: Limits = Limits {
+    first: Duration::from_secs(5),
+    progress: Duration::from_secs(5),
+    total: Duration::from_secs(10),
+};
+
+async fn complete(body: web::Json<Value>) -> HttpResponse {
+    let right = body["stream"] == json!(true)
+        && body["stream_options"]["include_usage"] == json!(true)
+        && body["prompt_cache_key"] == json!("gypsumlever/p1")
+        && body["model"] == json!("m")
+        && body["max_tokens"] == json!(7)
+        && body["messages"] == json!([{ "role": "user", "content": "hi" }]);
+    if !right {
+        return HttpResponse::BadRequest().body("wrong request");
+    }
+    let text = concat!(
+        "data: {\"choices\":[{\"delta\":{\"role\":\"assistant\",\"content\":\"\"}}]}\n\n",
+        ": comment\n\n",
+        "data: {\"choices\":[{\"delta\":{\"content\":\"Hel\"}}],\"usage\":null}\r\n\r\n",
+        "data: {\"choices\":[{\"delta\":{\"content\":\"lo\"},\"finish_reason\":\"stop\"}]}\n\n",
+        "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":9,\"completion_tokens\":2,",
+        "\"prompt_tokens_details\":{\"cached_tokens\":4}}}\n\n",
+        "data: [DONE]\n\n",
+    );
+    HttpResponse::Ok()
+        .content_type("text/event-stream")
+        .body(text)
+}
+
+async fn erase(path: web::Path<u64>, query: web::Query<Value>) -> HttpResponse {
+    if *path == 3 && query["action"] == json!("erase") {
+        HttpResponse::Ok().json(json!({ "id_slot": 3 }))
+    } else {
+        HttpResponse::NotFound().finish()
+    }
+}
+
+async fn load() -> HttpResponse {
+    HttpResponse::Ok().json(json!({ "running": 2, "waiting": 1, "cache_used": 0.5, "at": 7 }))
+}
+
+async fn slots() -> HttpResponse {
+    HttpResponse::Ok()
+        .json(json!([{ "id": 3, "cache_key": "gypsumlever/p1", "tokens": 11, "n_ctx": 9 }]))
+}
+
+async fn engine() -> String {
+    let server = HttpServer::new(|| {
+        App::new()
+            .route("/v1/chat/completions", web::post().to(complete))
+            .route("/slots/{id}", web::post().to(erase))
+            .route("/load", web::get().to(load))
+            .route("/slots", web::get().to(slots))
+    })
+    .workers(1)
+    .bind("127.0.0.1:0")
+    .expect("address is free");
+    let address = server.addrs()[0].to_string();
+    drop(actix::spawn(server.run()));
+    address
+}
+
+#[actix_web::test]
+async fn start_whole_answer() {
+    let address = engine().await;
+    let prompt = Prompt {
+        model: "m".into(),
+        messages: vec![Message {
+            role: "user".into(),
+            content: "hi".into(),
+        }],
+        max_tokens: 7,
+        cache_key: "gypsumlever/p1".into(),
+    };
+    let client = Client::default();
+    let mut stream = client
+        .start(&address, &prompt, LIMITS)
+        .await
+        .expect("start");
+    let mut events = Vec::new();
+    while let Some(event) = stream.next().await.expect("event") {
+        events.push(event);
+    }
+    let usage = Usage {
+        prompt_tokens: 9,
+        cached_tokens: 4,
+        completion_tokens: 2,
+    };
+    let text = |text: &str| Event::Text(text.into());
+    assert_eq!(events, [text("Hel"), text("lo"), Event::Done(usage)]);
+    assert_eq!(stream.next().await, Ok(None));
+}
+
+#[actix_web::test]
+async fn reports_and_slots() {
+    let address = engine().await;
+    let client = Client::default();
+    let load = client.load(&address).await.expect("load");
+    assert_eq!((load.running, load.waiting, load.at), (2, 1, 7));
+    let slots = client.slots(&address).await.expect("slots");
+    let slot = Slot {
+        id: 3,
+        cache_key: "gypsumlever/p1".into(),
+        tokens: 11,
+    };
+    assert_eq!(slots, std::slice::from_ref(&slot));
+    assert_eq!(client.release(&address, &slot).await, Ok(()));
+}
