Build the pool from replaceable decisions

The plain queue cannot keep short work ahead of long work or share by contract. Queue, route, window, foreign load and admission are now small traits with a standard rule each and plain rules to compare with; pace and budgets of retries and hedges feed them.

--- /dev/null
+++ b/src/policy/place/mod.rs
@@ -0,0 +1,1 @@
+//! Placement of models on engines.
--- a/src/policy/pool/mod.rs
+++ b/src/policy/pool/mod.rs
@@ -1,11 +1,14 @@
 //! Everything that one dispatcher knows about one pool of upstreams in its zone.
 
+mod server;
+mod settings;
+mod stats;
+
 use std::{
     collections::{
         BTreeMap,
-        VecDeque, //
+        BTreeSet, //
     },
-    marker::PhantomData,
     time::Duration,
 };
 
@@ -15,6 +18,15 @@
     Serialize, //
 };
 
+use self::server::Server;
+pub use self::{
+    settings::Settings,
+    stats::{
+        Member,
+        Stats, //
+    },
+};
+pub use crate::policy::window::Limits;
 use crate::{
     clock::Time,
     executor::request::Reason,
@@ -23,55 +35,66 @@
         Customer,
         Upstream, //
     },
-    policy::call::{
-        Call,
-        Report, //
+    policy::{
+        admit::{
+            self,
+            Check,
+            Gate, //
+        },
+        call::{
+            Call,
+            Report, //
+        },
+        foreign,
+        pace::Pace,
+        queue::{
+            Entry,
+            Order,
+            Queue,
+            Verdict, //
+        },
+        retry::Budget,
+        route::{
+            Choice,
+            Place,
+            Route,
+            Router, //
+        },
+        window::{
+            Control,
+            Window, //
+        },
     },
     upstream::Load,
 };
 
+/// Time after the last interactive call during which a part of the window stays reserved.
+const RESERVED: Duration = Duration::from_secs(60);
+
 /// The set of decisions that a pool is built from, chosen at compile time.
-pub trait Policy {}
+pub trait Policy {
+    /// Order of waiting calls.
+    type Queue: Order;
+    /// Choice of the upstream.
+    type Router: Route;
+    /// Calls at a time on an upstream.
+    type Window: Control;
+    /// Load that is not ours.
+    type Foreign: foreign::Estimate;
+    /// Early refusal.
+    type Gate: Check;
+}
 
 /// The decisions that the daemon uses.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Standard;
 
-impl Policy for Standard {}
-
-/// Settings of a pool; the defaults are the measured ones.
-#[derive(Clone, Debug, PartialEq)]
-#[derive(Deserialize, Serialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct Settings {
-    /// Largest number of calls that wait.
-    pub length: usize,
-}
-
-impl Default for Settings {
-    fn default() -> Self {
-        Self { length: 10_000 }
-    }
-}
-
-/// Bounds of the number of calls that an upstream gets at a time.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct Limits {
-    /// Calls at a time before anything is known about the upstream.
-    pub initial: u32,
-    /// Most calls at a time.
-    pub most: u32,
-}
-
-impl Default for Limits {
-    fn default() -> Self {
-        Self {
-            initial: 16,
-            most: 256,
-        }
-    }
+impl Policy for Standard {
+    type Queue = Queue;
+    type Router = Router;
+    type Window = Window;
+    type Foreign = foreign::Load;
+    type Gate = Gate;
 }
 
 /// A refusal; the call did not run.
@@ -105,77 +128,86 @@
     },
 }
 
-/// What operators see of a pool.
-#[derive(Clone, Debug, Default, PartialEq)]
-#[derive(Deserialize, Serialize)]
-pub struct Stats {
-    /// Calls that wait, by customer.
-    pub queues: BTreeMap<Customer, usize>,
-    /// Upstreams by name.
-    pub upstreams: BTreeMap<Upstream, Member>,
-    /// Number of decisions by reason.
-    pub decisions: BTreeMap<String, u64>,
-}
-
-/// What operators see of an upstream.
-#[derive(Clone, Debug, Default, PartialEq)]
-#[derive(Deserialize, Serialize)]
-pub struct Member {
-    /// Calls in flight.
-    pub running: u32,
-    /// Calls that the upstream gets at a time now.
-    pub window: u32,
-    /// Load that is not ours, as inferred from reports.
-    pub foreign: u32,
-    /// Observed slowness against the rest of the pool; 1 is normal.
-    pub slowness: f64,
-    /// Whether the upstream gets no new calls because it is leaving.
-    pub leaving: bool,
-}
-
+/// A call in flight.
 #[derive(Debug)]
-struct Server {
-    window: u32,
-    running: u32,
-    leaving: bool,
+struct Grant {
+    entry: Entry,
+    upstream: Upstream,
+    at: Time,
+    /// Time of the latest sign of progress.
+    progress: Option<Time>,
+    /// When the grant is given up.
+    lease: Time,
+    /// When the call counts as overdue.
+    overdue: Option<Time>,
 }
 
 /// Queue, routes and windows of one pool in one zone.
-#[derive(Debug)]
 pub struct Pool<P: Policy = Standard> {
     settings: Settings,
-    queue: VecDeque<(u64, Call)>,
-    servers: BTreeMap<Upstream, Server>,
-    granted: Map<u64, Upstream>,
-    policy: PhantomData<P>,
+    queue: P::Queue,
+    router: P::Router,
+    gate: P::Gate,
+    pace: Pace,
+    retries: Budget,
+    hedges: Budget,
+    servers: BTreeMap<Upstream, Server<P::Window, P::Foreign>>,
+    grants: Map<u64, Grant>,
+    leases: BTreeSet<(Time, u64)>,
+    overdue: BTreeSet<(Time, u64)>,
+    /// Grants that were asked for again, because the first decision got lost.
+    repeated: Vec<u64>,
+    /// When a call that waits for its prefix has to be routed elsewhere.
+    retry_at: Option<Time>,
+    interactive: Option<Time>,
+    /// Whether members changed since waiting calls were checked for one that may take them.
+    changed: bool,
+    decisions: BTreeMap<&'static str, u64>,
+    /// Time of the latest poll.
+    polled: Time,
 }
 
 impl<P: Policy> Pool<P> {
     /// Makes an empty pool.
     pub fn new(settings: Settings) -> Self {
         Self {
+            queue: P::Queue::new(&settings.queue),
+            router: P::Router::new(&settings.route),
+            gate: P::Gate::new(&settings.admit),
+            pace: Pace::new(&settings.pace),
+            retries: Budget::new(settings.retry),
+            hedges: Budget::new(settings.hedge),
             settings,
-            queue: VecDeque::new(),
             servers: BTreeMap::new(),
-            granted: Map::default(),
-            policy: PhantomData,
+            grants: Map::default(),
+            leases: BTreeSet::new(),
+            overdue: BTreeSet::new(),
+            repeated: Vec::new(),
+            retry_at: None,
+            interactive: None,
+            changed: false,
+            decisions: BTreeMap::new(),
+            polled: Time::default(),
         }
     }
 
     /// Adds an upstream, or changes its limits; one that was leaving is back.
     pub fn upsert(&mut self, upstream: Upstream, limits: Limits) {
-        let server = self.servers.entry(upstream).or_insert(Server {
-            window: limits.initial,
-            running: 0,
-            leaving: false,
-        });
-        server.window = limits.initial;
+        let of = |grant: &&Grant| grant.upstream == upstream;
+        let running = || self.grants.values().filter(of).count() as u32;
+        let settings = &self.settings.window;
+        let server = self
+            .servers
+            .entry(upstream.clone())
+            .or_insert_with(|| Server::new(settings, limits, running()));
+        server.limit(limits);
         server.leaving = false;
     }
 
     /// Stops giving calls to an upstream; calls in flight continue.
     pub fn leaving(&mut self, upstream: &Upstream) {
         if let Some(server) = self.servers.get_mut(upstream) {
+            self.changed |= !server.leaving;
             server.leaving = true;
         }
     }
@@ -183,23 +215,61 @@
     /// Forgets an upstream; calls in flight on it still have to be reported.
     pub fn remove(&mut self, upstream: &Upstream) {
         self.servers.remove(upstream);
+        self.pace.remove(upstream);
+        self.changed = true;
     }
 
-    /// Queues a call, or refuses it at once.
+    /// Queues a call, or refuses it at once; asking again with the same id changes nothing.
     pub fn ask(&mut self, now: Time, id: u64, call: Call) -> Option<Deny> {
-        let reason = if call.deadline <= now {
-            Reason::DeadlineUnreachable
-        } else if !self.reachable(&call) {
-            Reason::NoUpstream
-        } else if self.queue.len() >= self.settings.length {
-            Reason::QueueFull
-        } else {
-            self.queue.push_back((id, call));
+        if self.grants.contains_key(&id) {
+            self.repeated.push(id);
             return None;
+        }
+        if let Some(deny) = self.refuse(now, &call) {
+            self.count(why(deny.reason));
+            return Some(deny);
+        }
+        if call.excluded.is_empty() {
+            self.retries.deposit(&call.customer);
+            self.hedges.deposit(&call.customer);
+        }
+        if call.interactive {
+            self.interactive = Some(now);
+        }
+        self.queue.remove(id);
+        let entry = Entry {
+            id,
+            since: now,
+            latest: call.deadline - self.pace.fastest(&call),
+            expected: self.pace.cost(&call),
+            call,
+        };
+        self.queue.push(now, entry);
+        None
+    }
+
+    fn refuse(&self, now: Time, call: &Call) -> Option<Deny> {
+        let age = self.queue.age(now, &call.customer);
+        let view = admit::View {
+            fastest: self.pace.fastest(call),
+            pressure: self.queue.pressure(now, &call.customer),
+            age,
+        };
+        let full = self.queue.len() >= self.settings.length
+            || self.queue.count(&call.customer) >= self.settings.per_customer;
+        let (reason, retry_after) = if !self.reachable(call) {
+            (Reason::NoUpstream, Duration::from_secs(1))
+        } else if call.deadline <= now {
+            (Reason::DeadlineUnreachable, admit::back(age))
+        } else if full {
+            (Reason::QueueFull, admit::back(age))
+        } else {
+            let back = self.gate.check(now, call, view)?;
+            (Reason::DeadlineUnreachable, back)
         };
         Some(Deny {
             reason,
-            retry_after: Duration::from_secs(1),
+            retry_after,
         })
     }
 
@@ -213,119 +283,299 @@
     ///
     /// Used when the caller cancels, when its instance dies, and when a grant crosses a withdrawal.
     pub fn withdraw(&mut self, now: Time, id: u64) {
-        self.queue.retain(|(waiting, _)| *waiting != id);
-        self.release(now, id);
+        self.queue.remove(id);
+        if let Some(grant) = self.release(now, id) {
+            let expected = grant.entry.expected as i64;
+            self.queue.charge(&grant.entry.call.customer, -expected);
+        }
     }
 
-    fn release(&mut self, _now: Time, id: u64) {
-        let Some(upstream) = self.granted.remove(&id) else {
-            return;
-        };
-        if let Some(server) = self.servers.get_mut(&upstream) {
-            server.running = server.running.saturating_sub(1);
+    fn release(&mut self, now: Time, id: u64) -> Option<Grant> {
+        let grant = self.grants.remove(&id)?;
+        self.leases.remove(&(grant.lease, id));
+        if let Some(at) = grant.overdue {
+            self.overdue.remove(&(at, id));
+        }
+        if let Some(server) = self.servers.get_mut(&grant.upstream) {
+            server.ended(now);
         }
+        Some(grant)
     }
 
     /// Decides about waiting calls.
-    pub fn poll(&mut self, now: Time, _rng: &mut impl Rng) -> Vec<Decision> {
-        let mut decisions = Vec::new();
-        let mut kept = VecDeque::new();
-        while let Some((id, call)) = self.queue.pop_front() {
-            let refused = if call.deadline <= now {
-                Some(Reason::DeadlineUnreachable)
-            } else if !self.reachable(&call) {
-                Some(Reason::NoUpstream)
-            } else {
-                None
-            };
-            if let Some(reason) = refused {
-                let retry_after = Duration::from_secs(1);
-                decisions.push(Decision::Deny {
-                    id,
-                    reason,
-                    retry_after,
-                });
-                continue;
+    pub fn poll(&mut self, now: Time, rng: &mut impl Rng) -> Vec<Decision> {
+        let mut decisions = self.repeat();
+        self.give_up(now);
+        self.suspect(now);
+        self.deny(now, &mut decisions);
+        self.retry_at = None;
+        self.polled = now;
+        let mut places = self.places(now);
+        while let Some((entry, index, reason)) = self.next(now, &places, rng) {
+            places[index].running += 1;
+            self.count(reason);
+            let upstream = places[index].upstream.clone();
+            decisions.push(Decision::Grant {
+                id: entry.id,
+                upstream: upstream.clone(),
+            });
+            self.grant(now, entry, upstream);
+        }
+        decisions
+    }
+
+    fn repeat(&mut self) -> Vec<Decision> {
+        let ids = std::mem::take(&mut self.repeated);
+        let grant = |id| {
+            let upstream = self.grants.get(&id)?.upstream.clone();
+            Some(Decision::Grant { id, upstream })
+        };
+        ids.into_iter().filter_map(grant).collect()
+    }
+
+    /// Frees the places of grants whose report never came.
+    fn give_up(&mut self, now: Time) {
+        while let Some((at, id)) = self.leases.first().copied() {
+            if at > now {
+                break;
+            }
+            self.count("no report");
+            self.leases.remove(&(at, id));
+            self.release(now, id);
+        }
+    }
+
+    /// Counts calls that take unusually long against their upstreams.
+    fn suspect(&mut self, now: Time) {
+        while let Some((at, id)) = self.overdue.first().copied() {
+            if at > now {
+                break;
+            }
+            self.overdue.remove(&(at, id));
+            if let Some(grant) = self.grants.get_mut(&id) {
+                self.pace.overdue(now, &grant.upstream);
+                // The next suspicion follows after as much time again.
+                let next = now + now.since(grant.at);
+                grant.overdue = Some(next);
+                self.overdue.insert((next, id));
             }
-            let open = self
-                .servers
-                .iter_mut()
-                .filter(|(name, server)| {
-                    !server.leaving
-                        && server.running < server.window
-                        && !call.excluded.contains(name)
-                })
-                .min_by_key(|(_, server)| server.running);
-            let Some((upstream, server)) = open else {
-                kept.push_back((id, call));
-                continue;
+        }
+    }
+
+    fn deny(&mut self, now: Time, decisions: &mut Vec<Decision>) {
+        let mut refused = Vec::new();
+        if std::mem::take(&mut self.changed) {
+            let (servers, queue) = (&self.servers, &mut self.queue);
+            let lost = queue.drain(|entry| {
+                !servers
+                    .iter()
+                    .any(|(name, server)| !server.leaving && !entry.call.excluded.contains(name))
+            });
+            refused.extend(lost.into_iter().map(|entry| (entry, Reason::NoUpstream)));
+        }
+        let late = self.queue.expire(now);
+        refused.extend(
+            late.into_iter()
+                .map(|entry| (entry, Reason::DeadlineUnreachable)),
+        );
+        for (entry, reason) in refused {
+            self.count(why(reason));
+            decisions.push(Decision::Deny {
+                id: entry.id,
+                reason,
+                retry_after: admit::back(now.since(entry.since)),
+            });
+        }
+    }
+
+    fn places(&self, now: Time) -> Vec<Place> {
+        self.servers
+            .iter()
+            .filter(|(_, server)| !server.leaving)
+            .map(|(name, server)| Place {
+                upstream: name.clone(),
+                running: server.running(),
+                window: server.room(),
+                slowness: self.pace.slowness(now, name),
+            })
+            .collect()
+    }
+
+    /// Takes the next call that has a place.
+    fn next(
+        &mut self,
+        now: Time,
+        places: &[Place],
+        rng: &mut impl Rng,
+    ) -> Option<(Entry, usize, &'static str)> {
+        if !places.iter().any(|place| place.running < place.window) {
+            return None;
+        }
+        let reserved = self.interactive.is_some_and(|at| now.since(at) < RESERVED);
+        let reserve = if reserved {
+            self.settings.window.reserve
+        } else {
+            0.0
+        };
+        let (router, retry_at) = (&mut self.router, &mut self.retry_at);
+        let mut found = None;
+        let entry = self.queue.scan(now, |entry| {
+            let call = &entry.call;
+            let open = |place: &Place| {
+                let kept = if call.interactive { 0.0 } else { reserve };
+                let kept = (f64::from(place.window) * kept).ceil() as u32;
+                place.running < place.window.saturating_sub(kept).max(1)
+                    && !call.excluded.contains(&place.upstream)
             };
-            server.running += 1;
-            self.granted.insert(id, upstream.clone());
-            let upstream = upstream.clone();
-            decisions.push(Decision::Grant { id, upstream });
+            match router.choose(now, call, entry.since, places, open, rng) {
+                Choice::Send { index, why } => {
+                    found = Some((index, why));
+                    Verdict::Take
+                }
+                Choice::Wait { until } => {
+                    *retry_at = Some(retry_at.map_or(until, |at| at.min(until)));
+                    Verdict::Skip
+                }
+                Choice::None => Verdict::Skip,
+            }
+        })?;
+        let (index, why) = found?;
+        Some((entry, index, why))
+    }
+
+    fn grant(&mut self, now: Time, entry: Entry, upstream: Upstream) {
+        let id = entry.id;
+        self.router.sent(now, &entry.call, &upstream);
+        if let Some(server) = self.servers.get_mut(&upstream) {
+            server.sent(now);
         }
-        self.queue = kept;
-        decisions
+        let lease = entry.call.deadline.max(now) + Duration::from_millis(self.settings.lease_ms);
+        self.leases.insert((lease, id));
+        let overdue = self
+            .pace
+            .overdue_after(&entry.call)
+            .map(|after| now + after);
+        self.overdue.extend(overdue.map(|at| (at, id)));
+        let grant = Grant {
+            entry,
+            upstream,
+            at: now,
+            progress: None,
+            lease,
+            overdue,
+        };
+        self.grants.insert(id, grant);
+    }
+
+    fn count(&mut self, reason: &'static str) {
+        *self.decisions.entry(reason).or_default() += 1;
     }
 
     /// Returns when to poll again if nothing else happens.
     pub fn next_wake(&self, _now: Time) -> Option<Time> {
-        self.queue.iter().map(|(_, call)| call.deadline).min()
+        let first = |set: &BTreeSet<(Time, u64)>| set.first().map(|(at, _)| *at);
+        // A start at the latest time itself still meets the deadline.
+        let expiry = self.queue.expiry().map(|at| at + Duration::from_micros(1));
+        [
+            expiry,
+            self.retry_at,
+            first(&self.leases),
+            first(&self.overdue),
+        ]
+        .into_iter()
+        .flatten()
+        .min()
     }
 
     /// Takes the report of a granted call and frees its place.
-    pub fn done(&mut self, now: Time, id: u64, _report: Report) {
+    pub fn done(&mut self, now: Time, id: u64, report: Report) {
+        let Some(grant) = self.grants.get(&id) else {
+            return;
+        };
+        let (call, upstream) = (&grant.entry.call, &grant.upstream);
+        let missed = report.prompt_tokens.saturating_sub(report.cached_tokens);
+        let tokens = missed + report.completion_tokens;
+        self.queue
+            .charge(&call.customer, tokens as i64 - grant.entry.expected as i64);
+        let pace = if report.refused {
+            None
+        } else {
+            Some(self.pace.done(now, call, upstream, &report))
+        };
+        if let Some(server) = self.servers.get_mut(upstream) {
+            server.learn(now, pace, report.failed || report.refused);
+        }
         self.release(now, id);
     }
 
     /// Takes an upstream's load report.
-    pub fn load(&mut self, _now: Time, upstream: &Upstream, load: Load) {
+    pub fn load(&mut self, now: Time, upstream: &Upstream, load: Load) {
+        if let Some(server) = self.servers.get_mut(upstream) {
+            server.load(now, &load);
+        }
         if load.leaving {
             self.leaving(upstream);
         }
     }
 
     /// Notes that the answer of a granted call advances.
-    pub fn progress(&mut self, _now: Time, _id: u64) {}
+    ///
+    /// Calls of one class should be noted after equal amounts of work, such as 16 tokens, so that
+    /// the times between two notes tell which upstreams are slow.
+    pub fn progress(&mut self, now: Time, id: u64) {
+        let Some(grant) = self.grants.get_mut(&id) else {
+            return;
+        };
+        if let Some(last) = grant.progress.replace(now) {
+            let gap = now.since(last);
+            self.pace
+                .progress(now, &grant.entry.call, &grant.upstream, gap);
+        }
+    }
 
     /// Returns when an idempotent call should be sent to a second upstream, counted from its send.
-    pub fn hedge_after(&self, _call: &Call) -> Option<Duration> {
-        None
+    pub fn hedge_after(&self, call: &Call) -> Option<Duration> {
+        self.pace.hedge_after(call)
     }
 
     /// Takes a retry from the customer's budget; false if none is left.
-    pub fn retry(&mut self, _now: Time, _customer: &Customer) -> bool {
-        true
+    pub fn retry(&mut self, _now: Time, customer: &Customer) -> bool {
+        self.retries.take(customer)
     }
 
-    /// Takes a hedge from the customer's budget; false if none is left.
-    pub fn hedge(&mut self, _now: Time, _customer: &Customer) -> bool {
-        false
+    /// Takes a hedge from the customer's budget; false if none is left or calls wait.
+    pub fn hedge(&mut self, _now: Time, customer: &Customer) -> bool {
+        // A second attempt would take the place of a call that has had none.
+        self.queue.is_empty() && self.hedges.take(customer)
     }
 
     /// Returns what operators see.
     pub fn stats(&self) -> Stats {
-        let mut queues = BTreeMap::new();
-        for (_, call) in &self.queue {
-            *queues.entry(call.customer.clone()).or_default() += 1;
-        }
-        let member = |server: &Server| Member {
-            running: server.running,
-            window: server.window,
-            foreign: 0,
-            slowness: 1.0,
+        let member = |name: &Upstream, server: &Server<P::Window, P::Foreign>| Member {
+            running: server.running(),
+            window: server.window(),
+            foreign: server.foreign(),
+            slowness: self.pace.slowness(self.polled, name),
             leaving: server.leaving,
         };
-        let upstreams = self
-            .servers
-            .iter()
-            .map(|(name, server)| (name.clone(), member(server)))
-            .collect();
+        let upstreams = self.servers.iter();
+        let decisions = self.decisions.iter();
         Stats {
-            queues,
-            upstreams,
-            decisions: BTreeMap::new(),
+            queues: self.queue.lengths().into_iter().collect(),
+            upstreams: upstreams
+                .map(|(name, server)| (name.clone(), member(name, server)))
+                .collect(),
+            decisions: decisions
+                .map(|(reason, count)| ((*reason).to_owned(), *count))
+                .collect(),
         }
     }
 }
+
+fn why(reason: Reason) -> &'static str {
+    match reason {
+        Reason::QueueFull => "queue full",
+        Reason::NoUpstream => "no upstream",
+        _ => "deadline unreachable",
+    }
+}
--- /dev/null
+++ b/src/policy/queue/fair.rs
@@ -0,0 +1,303 @@
+//! Least attained service first, with shares, deadlines and a guard against starvation.
+
+use std::{
+    cmp::Reverse,
+    collections::{
+        btree_set,
+        BTreeSet,
+        BinaryHeap, //
+    },
+    time::Duration,
+};
+
+use super::{
+    Entry,
+    Order,
+    Settings,
+    Verdict, //
+};
+use crate::{
+    clock::Time,
+    hash::Map,
+    name::Customer, //
+};
+
+/// Place of an entry among its customer's.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Key {
+    /// False precedes true: interactive calls come first.
+    batch: bool,
+    level: u8,
+    deadline: Time,
+    sequence: u64,
+    id: u64,
+}
+
+/// What one customer waits for and was served.
+#[derive(Debug, Default)]
+struct Line {
+    share: f64,
+    /// Tokens served divided by the share, comparable among customers.
+    served: f64,
+    order: BTreeSet<Key>,
+    /// Sequence and id of the entries, oldest first.
+    ages: BTreeSet<(u64, u64)>,
+}
+
+#[derive(Debug)]
+struct Stored {
+    entry: Entry,
+    key: Key,
+}
+
+/// The standard queue.
+///
+/// Customers are equal until one is ahead of the least served one by the lead; from then on it
+/// waits for the others. The books are closed whenever nothing waits, so that shares matter only
+/// while demand exceeds supply.
+#[derive(Debug)]
+pub struct Queue {
+    settings: Settings,
+    lines: Map<Customer, Line>,
+    stored: Map<u64, Stored>,
+    starts: BTreeSet<(Time, u64)>,
+    sequence: u64,
+    turn: u32,
+}
+
+/// Position in the merge of all lines; the iterator yields the line's further keys.
+struct Head<'a> {
+    rank: (bool, bool, u8, Time, u64),
+    id: u64,
+    ahead: bool,
+    rest: btree_set::Iter<'a, Key>,
+}
+
+impl<'a> Head<'a> {
+    fn next(ahead: bool, mut rest: btree_set::Iter<'a, Key>) -> Option<Self> {
+        let key = rest.next()?;
+        Some(Self {
+            rank: (key.batch, ahead, key.level, key.deadline, key.sequence),
+            id: key.id,
+            ahead,
+            rest,
+        })
+    }
+}
+
+impl PartialEq for Head<'_> {
+    fn eq(&self, other: &Self) -> bool {
+        self.rank == other.rank
+    }
+}
+
+impl Eq for Head<'_> {}
+
+impl PartialOrd for Head<'_> {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Head<'_> {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.rank.cmp(&other.rank)
+    }
+}
+
+impl Queue {
+    fn key(&self, entry: &Entry) -> Key {
+        let attained = entry.call.attained;
+        let level = self
+            .settings
+            .levels
+            .iter()
+            .filter(|from| attained >= **from)
+            .count();
+        let interactive = self.settings.interactive && entry.call.interactive;
+        Key {
+            batch: !interactive,
+            level: if interactive { 0 } else { level as u8 },
+            deadline: entry.call.deadline,
+            sequence: self.sequence,
+            id: entry.id,
+        }
+    }
+
+    fn active(&self) -> impl Iterator<Item = &Line> {
+        self.lines.values().filter(|line| !line.ages.is_empty())
+    }
+
+    /// Least that an active customer was served.
+    fn floor(&self) -> Option<f64> {
+        self.active().map(|line| line.served).reduce(f64::min)
+    }
+
+    /// Service beyond which a customer is ahead of the others.
+    fn limit(&self) -> f64 {
+        let (mut shares, mut count) = (0.0, 0.0);
+        for line in self.active() {
+            shares += line.share;
+            count += 1.0;
+        }
+        self.floor().unwrap_or(0.0) + self.settings.lead as f64 * count / f64::max(shares, 1.0)
+    }
+
+    /// Ids in the order of the longest wait, the starved ones only.
+    fn starved(&self, now: Time, limit: f64) -> Vec<u64> {
+        let patience = Duration::from_millis(self.settings.patience_ms);
+        let mut oldest: Vec<_> = self
+            .active()
+            .filter_map(|line| Some((line.served > limit, line.ages.first()?)))
+            .filter(|(_, (_, id))| now.since(self.stored[id].entry.since) >= patience)
+            .collect();
+        oldest.sort_unstable();
+        oldest.into_iter().map(|(_, (_, id))| *id).collect()
+    }
+
+    fn find(&self, now: Time, mut visit: impl FnMut(&Entry) -> Verdict) -> Option<u64> {
+        let limit = self.limit();
+        let mut left = self.settings.depth;
+        if self.settings.guard > 0 && self.turn.is_multiple_of(self.settings.guard) {
+            for id in self.starved(now, limit).into_iter().take(left / 2) {
+                left -= 1;
+                match visit(&self.stored[&id].entry) {
+                    Verdict::Take => return Some(id),
+                    Verdict::Skip => {}
+                    Verdict::Stop => return None,
+                }
+            }
+        }
+        let mut heads: BinaryHeap<_> = self
+            .active()
+            .filter_map(|line| Head::next(line.served > limit, line.order.iter()))
+            .map(Reverse)
+            .collect();
+        while let Some(Reverse(head)) = heads.pop() {
+            if left == 0 {
+                return None;
+            }
+            left -= 1;
+            match visit(&self.stored[&head.id].entry) {
+                Verdict::Take => return Some(head.id),
+                Verdict::Skip => heads.extend(Head::next(head.ahead, head.rest).map(Reverse)),
+                Verdict::Stop => return None,
+            }
+        }
+        None
+    }
+
+    fn oldest(&self, customer: &Customer) -> Option<&Entry> {
+        let (_, id) = self.lines.get(customer)?.ages.first()?;
+        Some(&self.stored[id].entry)
+    }
+}
+
+impl Order for Queue {
+    fn new(settings: &Settings) -> Self {
+        Self {
+            settings: settings.clone(),
+            lines: Map::default(),
+            stored: Map::default(),
+            starts: BTreeSet::new(),
+            sequence: 0,
+            turn: 0,
+        }
+    }
+
+    fn push(&mut self, _: Time, entry: Entry) {
+        if self.stored.is_empty() {
+            self.lines.clear();
+        }
+        self.sequence += 1;
+        let key = self.key(&entry);
+        let floor = self.floor();
+        let line = self.lines.entry(entry.call.customer.clone()).or_default();
+        line.share = f64::from(entry.call.share.max(1));
+        if line.ages.is_empty() {
+            // An idle customer saves up no claim to later service.
+            line.served = line.served.max(floor.unwrap_or(0.0));
+        }
+        line.order.insert(key);
+        line.ages.insert((key.sequence, entry.id));
+        self.starts.insert((entry.latest, entry.id));
+        self.stored.insert(entry.id, Stored { entry, key });
+    }
+
+    fn remove(&mut self, id: u64) -> Option<Entry> {
+        let Stored { entry, key } = self.stored.remove(&id)?;
+        if let Some(line) = self.lines.get_mut(&entry.call.customer) {
+            line.order.remove(&key);
+            line.ages.remove(&(key.sequence, id));
+        }
+        self.starts.remove(&(entry.latest, id));
+        Some(entry)
+    }
+
+    fn scan(&mut self, now: Time, visit: impl FnMut(&Entry) -> Verdict) -> Option<Entry> {
+        let id = self.find(now, visit)?;
+        self.turn = self.turn.wrapping_add(1);
+        let entry = self.remove(id)?;
+        self.charge(&entry.call.customer, entry.expected as i64);
+        Some(entry)
+    }
+
+    fn charge(&mut self, customer: &Customer, tokens: i64) {
+        if let Some(line) = self.lines.get_mut(customer) {
+            line.served += tokens as f64 / line.share;
+        }
+    }
+
+    fn drain(&mut self, matches: impl Fn(&Entry) -> bool) -> Vec<Entry> {
+        let ids: Vec<u64> = self
+            .stored
+            .values()
+            .filter(|stored| matches(&stored.entry))
+            .map(|stored| stored.entry.id)
+            .collect();
+        ids.into_iter().filter_map(|id| self.remove(id)).collect()
+    }
+
+    fn expire(&mut self, now: Time) -> Vec<Entry> {
+        let mut gone = Vec::new();
+        while let Some((latest, id)) = self.starts.first().copied() {
+            if latest >= now {
+                break;
+            }
+            gone.extend(self.remove(id));
+        }
+        gone
+    }
+
+    fn expiry(&self) -> Option<Time> {
+        self.starts.first().map(|(latest, _)| *latest)
+    }
+
+    fn pressure(&self, now: Time, customer: &Customer) -> f64 {
+        self.oldest(customer).map_or(0.0, |entry| {
+            let slack = entry.latest.since(entry.since).as_secs_f64();
+            (now.since(entry.since).as_secs_f64() / slack.max(1e-6)).min(1.0)
+        })
+    }
+
+    fn age(&self, now: Time, customer: &Customer) -> Duration {
+        self.oldest(customer)
+            .map_or(Duration::ZERO, |entry| now.since(entry.since))
+    }
+
+    fn count(&self, customer: &Customer) -> usize {
+        self.lines.get(customer).map_or(0, |line| line.ages.len())
+    }
+
+    fn len(&self) -> usize {
+        self.stored.len()
+    }
+
+    fn lengths(&self) -> Vec<(Customer, usize)> {
+        self.lines
+            .iter()
+            .filter(|(_, line)| !line.ages.is_empty())
+            .map(|(customer, line)| (customer.clone(), line.ages.len()))
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/policy/queue/mod.rs
@@ -0,0 +1,126 @@
+//! Order of the calls that wait for a place on an upstream.
+
+mod fair;
+mod fifo;
+
+use std::time::Duration;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+pub use self::{
+    fair::Queue,
+    fifo::Fifo, //
+};
+use crate::{
+    clock::Time,
+    name::Customer,
+    policy::call::Call, //
+};
+
+/// A call that waits.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    /// Identifier given by the asker.
+    pub id: u64,
+    /// The call.
+    pub call: Call,
+    /// When it was asked for.
+    pub since: Time,
+    /// Latest time at which a start still meets the deadline.
+    pub latest: Time,
+    /// Tokens that the call is expected to cost.
+    pub expected: u64,
+}
+
+/// Answer of the visitor of a scan.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// The entry leaves the queue.
+    Take,
+    /// The entry stays; the next one is visited.
+    Skip,
+    /// The entry stays and the scan ends.
+    Stop,
+}
+
+/// An order of waiting calls.
+pub trait Order {
+    /// Makes an empty queue.
+    fn new(settings: &Settings) -> Self;
+
+    /// Adds an entry.
+    fn push(&mut self, now: Time, entry: Entry);
+
+    /// Removes an entry.
+    fn remove(&mut self, id: u64) -> Option<Entry>;
+
+    /// Visits entries in order until one is taken.
+    fn scan(&mut self, now: Time, visit: impl FnMut(&Entry) -> Verdict) -> Option<Entry>;
+
+    /// Corrects what a customer was served by `tokens`.
+    fn charge(&mut self, customer: &Customer, tokens: i64);
+
+    /// Removes and returns the entries that match.
+    fn drain(&mut self, matches: impl Fn(&Entry) -> bool) -> Vec<Entry>;
+
+    /// Removes and returns the entries whose latest start has passed.
+    fn expire(&mut self, now: Time) -> Vec<Entry>;
+
+    /// Returns the earliest of the latest starts.
+    fn expiry(&self) -> Option<Time>;
+
+    /// Returns the part of its time that the customer's oldest call has spent waiting, from 0 to 1.
+    fn pressure(&self, now: Time, customer: &Customer) -> f64;
+
+    /// Returns the age of the customer's oldest call.
+    fn age(&self, now: Time, customer: &Customer) -> Duration;
+
+    /// Returns the number of entries of a customer.
+    fn count(&self, customer: &Customer) -> usize;
+
+    /// Returns the number of entries.
+    fn len(&self) -> usize;
+
+    /// Returns whether nothing waits.
+    fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Returns the number of entries of each customer that has any.
+    fn lengths(&self) -> Vec<(Customer, usize)>;
+}
+
+/// Settings of the order.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// Attained tokens at which the levels after the first begin, ascending.
+    pub levels: Vec<u64>,
+    /// Tokens that a customer of mean share may be ahead of the least served one.
+    pub lead: u64,
+    /// One scan in this many serves the longest wait first; 0 never does.
+    pub guard: u32,
+    /// Wait after which an entry counts as starved, in milliseconds.
+    pub patience_ms: u64,
+    /// Most entries that one scan visits.
+    pub depth: usize,
+    /// Whether interactive calls precede all others.
+    pub interactive: bool,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            levels: vec![2_000, 8_000, 32_000, 128_000],
+            lead: 20_000,
+            guard: 8,
+            patience_ms: 2_000,
+            depth: 32,
+            interactive: true,
+        }
+    }
+}
--- /dev/null
+++ b/src/policy/recent/mod.rs
@@ -0,0 +1,66 @@
+//! A bounded map of what was used recently.
+
+use std::{
+    hash::Hash,
+    mem, //
+};
+
+use crate::hash::Map;
+
+/// A map that forgets the keys that were not written for a while.
+///
+/// Two generations bound the memory without a list of uses: when the newer one is full, the older
+/// one is dropped.
+#[derive(Debug)]
+pub struct Recent<K, V> {
+    newer: Map<K, V>,
+    older: Map<K, V>,
+    half: usize,
+}
+
+impl<K: Clone + Eq + Hash, V> Recent<K, V> {
+    /// Makes an empty map of at most `size` keys, at least 2.
+    pub fn new(size: usize) -> Self {
+        Self {
+            newer: Map::default(),
+            older: Map::default(),
+            half: (size / 2).max(1),
+        }
+    }
+
+    /// Returns the value of a key.
+    pub fn get(&self, key: &K) -> Option<&V> {
+        self.newer.get(key).or_else(|| self.older.get(key))
+    }
+
+    /// Sets the value of a key.
+    pub fn insert(&mut self, key: K, value: V) {
+        if self.newer.len() >= self.half && !self.newer.contains_key(&key) {
+            self.older = mem::take(&mut self.newer);
+        }
+        self.older.remove(&key);
+        self.newer.insert(key, value);
+    }
+
+    /// Returns the value of a key for a change; a missing one is made.
+    pub fn entry(&mut self, key: &K) -> &mut V
+    where
+        V: Default,
+    {
+        if !self.newer.contains_key(key) {
+            let value = self.older.remove(key).unwrap_or_default();
+            self.insert(key.clone(), value);
+        }
+        self.newer.entry(key.clone()).or_default()
+    }
+
+    /// Returns the number of keys.
+    pub fn len(&self) -> usize {
+        self.newer.len() + self.older.len()
+    }
+
+    /// Returns whether there are no keys.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
--- /dev/null
+++ b/src/policy/retry/mod.rs
@@ -0,0 +1,58 @@
+//! Budgets of retries and hedges, so that failures do not multiply the load.
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    name::Customer,
+    policy::recent::Recent, //
+};
+
+/// Customers whose budget is remembered; the design size has 2,300.
+const CUSTOMERS: usize = 10_000;
+
+/// Settings of a budget.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Additional attempts per call.
+    pub ratio: f64,
+    /// Most attempts that are saved up; a new customer starts with them.
+    pub most: f64,
+}
+
+/// A token bucket of each customer, filled by its calls.
+#[derive(Debug)]
+pub struct Budget {
+    settings: Settings,
+    spent: Recent<Customer, f64>,
+}
+
+impl Budget {
+    /// Makes full buckets.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            spent: Recent::new(CUSTOMERS),
+        }
+    }
+
+    /// Notes a first attempt.
+    pub fn deposit(&mut self, customer: &Customer) {
+        let spent = self.spent.entry(customer);
+        *spent = (*spent - self.settings.ratio).max(0.0);
+    }
+
+    /// Takes an additional attempt; false if none is left.
+    pub fn take(&mut self, customer: &Customer) -> bool {
+        let spent = self.spent.entry(customer);
+        let granted = *spent + 1.0 <= self.settings.most;
+        if granted {
+            *spent += 1.0;
+        }
+        granted
+    }
+}
--- /dev/null
+++ b/src/policy/route/affine.rs
@@ -0,0 +1,133 @@
+//! Prefix locality with bounded load.
+
+use rand::{
+    Rng,
+    RngExt, //
+};
+
+use super::{
+    Choice,
+    Place,
+    Route,
+    Settings, //
+};
+use crate::{
+    clock::Time,
+    name::{
+        Program,
+        Upstream, //
+    },
+    policy::{
+        call::Call,
+        recent::Recent, //
+    },
+};
+
+/// The standard router.
+#[derive(Debug)]
+pub struct Router {
+    settings: Settings,
+    homes: Recent<Program, Upstream>,
+}
+
+impl Router {
+    fn home(&self, call: &Call) -> Option<&Upstream> {
+        let program = call.program.as_ref().filter(|_| call.prefix > 0)?;
+        self.homes.get(program)
+    }
+
+    fn slow(&self, place: &Place) -> bool {
+        place.slowness >= self.settings.slow
+    }
+
+    /// Highest load at which a call still goes to the upstream with its prefix.
+    fn bound(&self, places: &[Place]) -> f64 {
+        let healthy = || places.iter().filter(|place| !self.slow(place));
+        let count = healthy().count().max(1) as f64;
+        let mean = healthy().map(Place::load).sum::<f64>() / count;
+        // A nearly idle pool has a tiny mean, and a bound below half a window would only
+        // scatter programs.
+        (mean * self.settings.bound).max(0.5)
+    }
+
+    /// Least loaded open place that is not slow.
+    fn least(
+        &self,
+        call: &Call,
+        places: &[Place],
+        open: impl Fn(&Place) -> bool,
+        rng: &mut impl Rng,
+    ) -> Option<usize> {
+        // One call at a time tests whether a slow upstream has recovered; it must be one that a
+        // second upstream can take over.
+        let usable = |place: &Place| {
+            !self.slow(place) || (place.running == 0 && !call.interactive && call.idempotent)
+        };
+        let mut best: Option<(f64, usize)> = None;
+        let start = rng.random_range(0..places.len().max(1));
+        for step in 0..places.len() {
+            let index = (start + step) % places.len();
+            let place = &places[index];
+            if !open(place) || !usable(place) {
+                continue;
+            }
+            let load = place.load() * place.slowness;
+            if best.is_none_or(|(least, _)| load < least) {
+                best = Some((load, index));
+            }
+        }
+        best.map(|(_, index)| index)
+    }
+}
+
+impl Route for Router {
+    fn new(settings: &Settings) -> Self {
+        Self {
+            settings: settings.clone(),
+            homes: Recent::new(settings.programs),
+        }
+    }
+
+    fn choose(
+        &mut self,
+        now: Time,
+        call: &Call,
+        since: Time,
+        places: &[Place],
+        open: impl Fn(&Place) -> bool,
+        rng: &mut impl Rng,
+    ) -> Choice {
+        let home = self
+            .home(call)
+            .and_then(|name| places.iter().position(|place| place.upstream == *name))
+            .filter(|index| !self.slow(&places[*index]))
+            .filter(|index| !call.excluded.contains(&places[*index].upstream));
+        if let Some(index) = home {
+            let place = &places[index];
+            if open(place) && place.load() <= self.bound(places) {
+                return Choice::Send {
+                    index,
+                    why: "prefix held",
+                };
+            }
+            let until = since + self.settings.wait(call.prefix);
+            if now < until && !open(place) {
+                return Choice::Wait { until };
+            }
+        }
+        let why = match home {
+            Some(_) => "prefix held elsewhere",
+            None => "least loaded",
+        };
+        match self.least(call, places, open, rng) {
+            Some(index) => Choice::Send { index, why },
+            None => Choice::None,
+        }
+    }
+
+    fn sent(&mut self, _: Time, call: &Call, upstream: &Upstream) {
+        if let Some(program) = &call.program {
+            self.homes.insert(program.clone(), upstream.clone());
+        }
+    }
+}
--- /dev/null
+++ b/src/policy/window/mod.rs
@@ -0,0 +1,187 @@
+//! Number of calls that an upstream gets at a time.
+
+use std::time::Duration;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    clock::Time,
+    upstream::Load, //
+};
+
+/// Bounds of the number of calls that an upstream gets at a time.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Limits {
+    /// Calls at a time before anything is known about the upstream.
+    pub initial: u32,
+    /// Most calls at a time.
+    pub most: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            initial: 16,
+            most: 256,
+        }
+    }
+}
+
+/// What a finished call says about the window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Sample {
+    /// Time per unit of work, in the class's usual time.
+    pub pace: Option<f64>,
+    /// Whether the window was in use when the call ended, so that a larger one would be used.
+    pub limited: bool,
+    /// Whether the upstream refused or failed the call.
+    pub failed: bool,
+}
+
+/// A rule that sets the window; load that is not ours counts as part of it.
+pub trait Control {
+    /// Starts with the limits of an upstream.
+    fn new(settings: &Settings, limits: Limits) -> Self;
+
+    /// Changes the limits.
+    fn limit(&mut self, limits: Limits);
+
+    /// Returns the window, at least 1.
+    fn size(&self) -> u32;
+
+    /// Learns from a finished call.
+    fn done(&mut self, now: Time, sample: Sample);
+
+    /// Learns from a load report.
+    fn load(&mut self, now: Time, load: &Load);
+}
+
+/// Settings of the window.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// Pace, as a multiple of the best one seen, beyond which the window shrinks.
+    pub tolerance: f64,
+    /// Factor of a reduction.
+    pub shrink: f64,
+    /// Shortest time between two reductions, in milliseconds: the lag of what causes them.
+    pub pause_ms: u64,
+    /// Part of the window that only interactive calls may use.
+    pub reserve: f64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            tolerance: 3.0,
+            shrink: 0.85,
+            pause_ms: 1_000,
+            reserve: 0.125,
+        }
+    }
+}
+
+/// A window that grows while calls keep their pace and shrinks when they do not.
+#[derive(Debug)]
+pub struct Window {
+    settings: Settings,
+    limits: Limits,
+    size: f64,
+    /// Smoothed pace.
+    pace: Option<f64>,
+    /// Lowest smoothed pace, rising slowly so that it is forgotten.
+    best: f64,
+    reduced: Time,
+}
+
+impl Window {
+    fn reduce(&mut self, now: Time, to: f64) {
+        if now.since(self.reduced) >= Duration::from_millis(self.settings.pause_ms) {
+            self.size = to.clamp(1.0, f64::from(self.limits.most.max(1)));
+            self.reduced = now;
+        }
+    }
+
+    fn smooth(&mut self, pace: f64) -> f64 {
+        let smoothed = self.pace.map_or(pace, |old| old + 0.1 * (pace - old));
+        self.pace = Some(smoothed);
+        self.best = (self.best * 1.0005).min(smoothed);
+        smoothed
+    }
+}
+
+impl Control for Window {
+    fn new(settings: &Settings, limits: Limits) -> Self {
+        Self {
+            settings: settings.clone(),
+            limits,
+            size: f64::from(limits.initial.min(limits.most).max(1)),
+            pace: None,
+            best: f64::INFINITY,
+            reduced: Time::default(),
+        }
+    }
+
+    fn limit(&mut self, limits: Limits) {
+        self.limits = limits;
+        self.size = self.size.clamp(1.0, f64::from(limits.most.max(1)));
+    }
+
+    fn size(&self) -> u32 {
+        self.size as u32
+    }
+
+    fn done(&mut self, now: Time, sample: Sample) {
+        if sample.failed {
+            self.reduce(now, self.size * self.settings.shrink);
+            return;
+        }
+        let Some(pace) = sample.pace else {
+            return;
+        };
+        if self.smooth(pace) > self.best * self.settings.tolerance {
+            self.reduce(now, self.size * self.settings.shrink);
+        } else if sample.limited {
+            let most = f64::from(self.limits.most.max(1));
+            self.size = (self.size + 1.0 / self.size).min(most);
+        }
+    }
+
+    fn load(&mut self, now: Time, load: &Load) {
+        // What waits in the upstream can no longer be reordered.
+        if load.waiting > 0 {
+            let to = f64::from(load.running).max(self.size * self.settings.shrink);
+            self.reduce(now, to.min(self.size));
+        }
+    }
+}
+
+/// A window that never changes.
+#[derive(Debug)]
+pub struct Fixed {
+    limits: Limits,
+}
+
+impl Control for Fixed {
+    fn new(_: &Settings, limits: Limits) -> Self {
+        Self { limits }
+    }
+
+    fn limit(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
+    fn size(&self) -> u32 {
+        self.limits.initial.max(1)
+    }
+
+    fn done(&mut self, _: Time, _: Sample) {}
+
+    fn load(&mut self, _: Time, _: &Load) {}
+}
