--- /dev/null
+++ b/src/dispatch/broker.rs
@@ -0,0 +1,236 @@
+//! Asks the dispatcher of a pool for an upstream, wherever it runs.
+
+use std::time::Duration;
+
+use actix::Addr;
+use tokio::{
+    sync::oneshot,
+    time::timeout, //
+};
+
+use crate::{
+    clock::Time,
+    executor::request::Reason,
+    member::Roster,
+    name::{
+        Customer,
+        Instance,
+        Pool,
+        Upstream,
+        Zone, //
+    },
+    peer::{
+        wire::Body,
+        Mesh, //
+    },
+    policy::{
+        call::{
+            Call,
+            Report, //
+        },
+        pool::Deny, //
+    },
+};
+
+use super::{
+    Ask,
+    Dispatcher,
+    Done,
+    Retry,
+    Withdraw, //
+};
+
+/// Delay that is suggested when no dispatcher could decide.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Handle through which calls get upstreams.
+#[derive(Clone, Debug)]
+pub struct Broker {
+    instance: Instance,
+    zone: Zone,
+    roster: Roster,
+    mesh: Mesh,
+    local: Addr<Dispatcher>,
+}
+
+/// Where a grant came from.
+#[derive(Debug)]
+enum Origin {
+    Local(Addr<Dispatcher>),
+    Remote(Mesh, Instance),
+}
+
+/// A call's place on its dispatcher; it is given back when it is dropped.
+#[derive(Debug)]
+struct Place {
+    id: u64,
+    origin: Option<Origin>,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        match self.origin.take() {
+            Some(Origin::Local(dispatcher)) => dispatcher.do_send(Withdraw { id: self.id }),
+            Some(Origin::Remote(mesh, instance)) => {
+                // A dispatcher that can't be reached has lost the place anyway.
+                let _ = mesh.send(&instance, Body::Withdraw { grant: self.id });
+            }
+            None => {}
+        }
+    }
+}
+
+/// The right to send one call; it is withdrawn if it is dropped unused.
+#[derive(Debug)]
+pub struct Lease {
+    /// The upstream.
+    pub upstream: Upstream,
+    /// Address of the upstream.
+    pub address: String,
+    place: Place,
+}
+
+impl Lease {
+    /// Reports what the call did.
+    pub fn done(mut self, report: Report) {
+        let id = self.place.id;
+        match self.place.origin.take() {
+            Some(Origin::Local(dispatcher)) => dispatcher.do_send(Done { id, report }),
+            Some(Origin::Remote(mesh, instance)) => {
+                let _ = mesh.send(&instance, Body::Done { grant: id, report });
+            }
+            None => {}
+        }
+    }
+}
+
+impl Broker {
+    /// Makes a handle for calls of this instance.
+    pub fn new(
+        instance: Instance,
+        zone: Zone,
+        roster: Roster,
+        mesh: Mesh,
+        local: Addr<Dispatcher>,
+    ) -> Self {
+        Self {
+            instance,
+            zone,
+            roster,
+            mesh,
+            local,
+        }
+    }
+
+    /// Asks for an upstream, in this zone first, and waits until a dispatcher has decided.
+    pub async fn ask(&self, pool: &Pool, call: &Call) -> Result<Lease, Deny> {
+        let snapshot = self.roster.snapshot();
+        let mut verdict = self.ask_zone(&self.zone, pool, call).await;
+        for zone in snapshot.zones() {
+            let elsewhere = matches!(&verdict, Err(deny) if deny.reason == Reason::NoUpstream);
+            if !elsewhere {
+                break;
+            }
+            if *zone != self.zone {
+                verdict = self.ask_zone(zone, pool, call).await;
+            }
+        }
+        verdict
+    }
+
+    async fn ask_zone(&self, zone: &Zone, pool: &Pool, call: &Call) -> Result<Lease, Deny> {
+        let owner = self.roster.snapshot().dispatcher(zone, pool).cloned();
+        match owner {
+            Some(owner) if owner != self.instance => {
+                let remote = self.ask_remote(owner, pool, call).await;
+                match remote {
+                    Some(verdict) => verdict,
+                    // Dispatching with the own queue costs efficiency only.
+                    None if *zone == self.zone => self.ask_local(pool, call).await,
+                    None => Err(Deny {
+                        reason: Reason::NoUpstream,
+                        retry_after: RETRY_AFTER,
+                    }),
+                }
+            }
+            _ if *zone == self.zone => self.ask_local(pool, call).await,
+            _ => Err(Deny {
+                reason: Reason::NoUpstream,
+                retry_after: RETRY_AFTER,
+            }),
+        }
+    }
+
+    async fn ask_local(&self, pool: &Pool, call: &Call) -> Result<Lease, Deny> {
+        let (reply, verdict) = oneshot::channel();
+        let ask = Ask {
+            pool: pool.clone(),
+            call: call.clone(),
+            from: self.instance.clone(),
+            reply,
+        };
+        let lost = Deny {
+            reason: Reason::NotReady,
+            retry_after: RETRY_AFTER,
+        };
+        let Ok(id) = self.local.send(ask).await else {
+            return Err(lost);
+        };
+        let place = Place {
+            id,
+            origin: Some(Origin::Local(self.local.clone())),
+        };
+        match verdict.await {
+            Ok(Ok(grant)) => Ok(Lease {
+                upstream: grant.upstream,
+                address: grant.address,
+                place,
+            }),
+            Ok(Err(deny)) => Err(deny),
+            Err(_) => Err(lost),
+        }
+    }
+
+    /// Returns `None` if the dispatcher could not be asked.
+    async fn ask_remote(
+        &self,
+        owner: Instance,
+        pool: &Pool,
+        call: &Call,
+    ) -> Option<Result<Lease, Deny>> {
+        let body = Body::Ask {
+            pool: pool.clone(),
+            call: call.clone(),
+        };
+        let mut replies = self.mesh.open(&owner, body).ok()?;
+        let patience = call.deadline.since(Time::now());
+        match timeout(patience, replies.next()).await {
+            Ok(Some(Ok(Body::Grant { grant, upstream, address }))) => Some(Ok(Lease {
+                upstream,
+                address,
+                place: Place {
+                    id: grant,
+                    origin: Some(Origin::Remote(self.mesh.clone(), owner)),
+                },
+            })),
+            Ok(Some(Ok(Body::Deny { reason, retry_after_ms }))) => Some(Err(Deny {
+                reason,
+                retry_after: retry_after_ms.map_or(RETRY_AFTER, Duration::from_millis),
+            })),
+            Ok(_) => None,
+            Err(_) => Some(Err(Deny {
+                reason: Reason::DeadlineUnreachable,
+                retry_after: RETRY_AFTER,
+            })),
+        }
+    }
+
+    /// Takes a retry from the customer's budget on this instance.
+    pub async fn retry(&self, pool: &Pool, customer: &Customer) -> bool {
+        let retry = Retry {
+            pool: pool.clone(),
+            customer: customer.clone(),
+        };
+        self.local.send(retry).await.unwrap_or(false)
+    }
+}
--- a/src/executor/prompt.rs
+++ b/src/executor/prompt.rs
@@ -1,13 +1,9 @@
-//! Prompts from a program's history, and what a call may cost at most.
+//! Prompts from a program's history.
 
 use crate::{
     ledger::record::Turn,
-    money::Money,
     name::Program,
-    upstream::{
-        Message,
-        Usage, //
-    },
+    upstream::Message, //
 };
 
 use super::request::Call;
@@ -65,29 +61,3 @@
     let tokens = |m: &Message| (m.role.len() + m.content.len()) as u64 + MESSAGE_TOKENS;
     messages.iter().map(tokens).sum()
 }
-
-/// Prices of a pool, in micro-units.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Price {
-    /// Price of 1,000 prompt tokens.
-    pub prompt: Money,
-    /// Price of 1,000 generated tokens.
-    pub completion: Money,
-    /// Price of a call.
-    pub call: Money,
-}
-
-impl Price {
-    /// Returns the cost of a call; fractions of a micro-unit are rounded up.
-    pub fn of(&self, prompt_tokens: u64, completion_tokens: u64) -> Money {
-        let thousand = |price: Money, tokens: u64| Money(price.0.saturating_mul(tokens).div_ceil(1_000));
-        self.call
-            .saturating_add(thousand(self.prompt, prompt_tokens))
-            .saturating_add(thousand(self.completion, completion_tokens))
-    }
-
-    /// Returns the cost of a call with the usage that an engine reported.
-    pub fn used(&self, usage: &Usage) -> Money {
-        self.of(usage.prompt_tokens, usage.completion_tokens)
-    }
-}
