--- /dev/null
+++ b/src/member/consul.rs
@@ -0,0 +1,1 @@
+//! The platform's list over Consul's health API.
--- /dev/null
+++ b/src/member/roster.rs
@@ -0,0 +1,101 @@
+//! Shared handle to the view.
+
+use std::sync::{
+    Arc,
+    Mutex, //
+};
+
+use tokio::sync::{
+    watch,
+    Notify, //
+};
+
+use super::{
+    entry::{
+        Entry,
+        State, //
+    },
+    snapshot::Snapshot,
+    view::View,
+};
+use crate::{
+    clock::Time,
+    name::{
+        Instance,
+        Zone, //
+    },
+};
+
+/// Shared handle to the view; readers get immutable copies.
+#[derive(Clone, Debug)]
+pub struct Roster {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    view: Mutex<View>,
+    copies: watch::Sender<Arc<Snapshot>>,
+    fresh: Notify,
+}
+
+impl Roster {
+    /// Shares a view.
+    pub fn new(view: View) -> Self {
+        let (copies, _) = watch::channel(Arc::new(view.snapshot()));
+        Self {
+            shared: Arc::new(Shared {
+                view: Mutex::new(view),
+                copies,
+                fresh: Notify::new(),
+            }),
+        }
+    }
+
+    /// Shares the view of an instance that starts now.
+    pub fn start(instance: Instance, zone: Zone, address: &str) -> Self {
+        Self::new(View::new(Entry {
+            instance,
+            incarnation: Time::now().0 / 1_000_000,
+            state: State::Live,
+            zone,
+            address: address.into(),
+        }))
+    }
+
+    /// Returns the latest copy.
+    pub fn snapshot(&self) -> Arc<Snapshot> {
+        self.shared.copies.borrow().clone()
+    }
+
+    /// Returns a receiver of all later copies.
+    pub fn subscribe(&self) -> watch::Receiver<Arc<Snapshot>> {
+        self.shared.copies.subscribe()
+    }
+
+    /// Reads the view.
+    pub fn read<T>(&self, read: impl FnOnce(&View) -> T) -> T {
+        let view = self.shared.view.lock();
+        read(&view.unwrap_or_else(|error| error.into_inner()))
+    }
+
+    /// Changes the view and publishes a copy if readers can see the change.
+    pub fn update<T>(&self, change: impl FnOnce(&mut View) -> T) -> T {
+        let view = self.shared.view.lock();
+        let mut view = view.unwrap_or_else(|error| error.into_inner());
+        let before = (view.revision(), view.highest().to_vec());
+        let result = change(&mut view);
+        if before.0 != view.revision() || before.1 != view.highest() {
+            self.shared.copies.send_replace(Arc::new(view.snapshot()));
+        }
+        if view.has_fresh() {
+            self.shared.fresh.notify_one();
+        }
+        result
+    }
+
+    /// Waits until there are changes that have not been told to other instances.
+    pub async fn fresh(&self) {
+        self.shared.fresh.notified().await;
+    }
+}
--- /dev/null
+++ b/src/member/snapshot.rs
@@ -0,0 +1,214 @@
+//! An immutable copy of the view for readers.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc, //
+};
+
+use serde::Serialize;
+
+use super::{
+    entry::{
+        Departure,
+        Entry,
+        State, //
+    },
+    view::Member,
+};
+use crate::{
+    clock::Time,
+    hash::{
+        ranking,
+        rendezvous,
+        Map, //
+    },
+    name::{
+        Instance,
+        Pool,
+        Program,
+        Upstream,
+        Zone, //
+    },
+};
+
+/// Whether an instance can be used from here.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Status {
+    /// It serves.
+    Live,
+    /// Another instance could not reach it; it is used until the suspicion is confirmed.
+    Suspected,
+    /// This instance could not reach it lately.
+    Unreachable,
+    /// It takes no new work.
+    Leaving,
+    /// It stopped.
+    Gone,
+}
+
+impl Status {
+    /// Returns whether new work may go to the instance.
+    pub fn usable(self) -> bool {
+        matches!(self, Self::Live | Self::Suspected)
+    }
+}
+
+/// One instance in the view.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// What the instances agree on.
+    pub entry: Entry,
+    /// Whether it can be used from here.
+    pub status: Status,
+    /// Whether the platform's list names it.
+    pub listed: bool,
+    /// Time of its last message to this instance.
+    pub heard: Option<Time>,
+    /// Calls that run or wait on it, as it last told this instance.
+    pub load: u32,
+    /// Offset that it has applied for each partition, as it last told this instance.
+    pub applied: Vec<u64>,
+}
+
+/// An immutable copy of the view.
+#[derive(Clone, Debug)]
+pub struct Snapshot {
+    own: Entry,
+    peers: Map<Instance, Peer>,
+    /// Instances that may get new work, by zone, in the order of their names.
+    live: BTreeMap<Zone, Vec<Instance>>,
+    count: usize,
+    departures: Arc<[Departure]>,
+    highest: Vec<u64>,
+}
+
+impl Snapshot {
+    pub(super) fn new<'a>(
+        own: Entry,
+        members: impl Iterator<Item = &'a Member>,
+        departures: Arc<[Departure]>,
+        highest: Vec<u64>,
+    ) -> Self {
+        let mut snapshot = Self {
+            own: own.clone(),
+            peers: Map::default(),
+            live: BTreeMap::new(),
+            count: 0,
+            departures,
+            highest,
+        };
+        if own.state == State::Live {
+            snapshot.add(own.zone, own.instance);
+        }
+        for member in members {
+            let status = member.status();
+            let zone = member.entry.zone.clone();
+            let instance = member.entry.instance.clone();
+            if status.usable() {
+                snapshot.add(zone, instance.clone());
+            } else {
+                snapshot.live.entry(zone).or_default();
+            }
+            let peer = Peer {
+                entry: member.entry.clone(),
+                status,
+                listed: member.listed,
+                heard: member.heard,
+                load: member.load,
+                applied: member.applied.clone(),
+            };
+            snapshot.peers.insert(instance, peer);
+        }
+        for instances in snapshot.live.values_mut() {
+            instances.sort();
+        }
+        snapshot
+    }
+
+    fn add(&mut self, zone: Zone, instance: Instance) {
+        self.live.entry(zone).or_default().push(instance);
+        self.count += 1;
+    }
+
+    /// Returns the entry of this instance.
+    pub fn own(&self) -> &Entry {
+        &self.own
+    }
+
+    /// Returns all other instances that are known.
+    pub fn peers(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values()
+    }
+
+    /// Returns another instance.
+    pub fn peer(&self, instance: &Instance) -> Option<&Peer> {
+        self.peers.get(instance)
+    }
+
+    /// Returns the address of another instance's peer port.
+    pub fn address(&self, instance: &Instance) -> Option<&str> {
+        self.peer(instance).map(|peer| peer.entry.address.as_ref())
+    }
+
+    /// Returns the instances of a zone that may get new work, in the order of their names.
+    pub fn live(&self, zone: &Zone) -> &[Instance] {
+        self.live.get(zone).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the number of instances that may get new work, this one included.
+    pub fn live_count(&self) -> usize {
+        self.count
+    }
+
+    /// Returns the zones with known instances.
+    pub fn zones(&self) -> impl Iterator<Item = &Zone> {
+        self.live.keys()
+    }
+
+    /// Returns the zones with known instances none of which can be used.
+    pub fn unreachable_zones(&self) -> impl Iterator<Item = &Zone> {
+        let lost = |(_, live): &(&Zone, &Vec<Instance>)| live.is_empty();
+        self.live.iter().filter(lost).map(|(zone, _)| zone)
+    }
+
+    /// Returns the usable instances of a zone in the order in which `key` prefers them.
+    pub fn ranking(&self, zone: &Zone, key: &[u8]) -> Vec<&Instance> {
+        ranking(key, self.live(zone))
+    }
+
+    /// Returns the instance of the program's zone that runs its calls.
+    ///
+    /// `None` if none of them can be used; the instance that asks runs the call itself then.
+    pub fn home(&self, program: &Program) -> Option<&Instance> {
+        let (zone, _) = program.as_str().rsplit_once('.')?;
+        let live = self.live.get(zone)?;
+        rendezvous(program.as_str().as_bytes(), live)
+    }
+
+    /// Returns the instance that dispatches to a pool in a zone.
+    pub fn dispatcher(&self, zone: &Zone, pool: &Pool) -> Option<&Instance> {
+        rendezvous(pool.as_str().as_bytes(), self.live(zone))
+    }
+
+    /// Returns the upstreams that are leaving.
+    pub fn departures(&self) -> &[Departure] {
+        &self.departures
+    }
+
+    /// Returns whether an upstream is leaving.
+    pub fn is_leaving(&self, pool: &Pool, upstream: &Upstream) -> bool {
+        // The list is sorted by pool and upstream, as the view keeps it.
+        self.departures
+            .binary_search_by(|departure| {
+                (&departure.pool, &departure.upstream).cmp(&(pool, upstream))
+            })
+            .is_ok()
+    }
+
+    /// Returns the highest offset that any instance is known to have applied, by partition.
+    pub fn highest(&self) -> &[u64] {
+        &self.highest
+    }
+}
--- /dev/null
+++ b/src/member/view.rs
@@ -0,0 +1,593 @@
+//! What one instance knows about all others.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::Duration, //
+};
+
+use super::{
+    entry::{
+        Departure,
+        Entry,
+        State, //
+    },
+    snapshot::{
+        Snapshot,
+        Status, //
+    },
+    Listed,
+};
+use crate::{
+    clock::Time,
+    hash::{
+        stable,
+        Set, //
+    },
+    name::{
+        Instance,
+        Pool,
+        Upstream, //
+    },
+};
+
+/// Time that an instance has to refute a suspicion.
+///
+/// With the second that a lost link takes at most to be tried again, a dead instance is out of
+/// use within 3 s.
+pub const REFUTE: Duration = Duration::from_secs(2);
+
+/// Time after which an instance that could not be reached from here is tried again.
+const RETRY: Duration = Duration::from_secs(5);
+
+/// Time for which an instance that is gone is remembered, and a leaving one is expected to stop.
+///
+/// It is longer than the platform's list lags, so that the list does not bring back the dead.
+const REMEMBER: Duration = Duration::from_secs(600);
+
+/// Time for which the departure of an upstream is remembered after its last report.
+const DEPARTED: Duration = Duration::from_secs(3_600);
+
+/// Groups of entries whose digests are compared separately, so that two views that differ
+/// exchange a part of their entries only.
+pub const GROUPS: usize = 64;
+
+/// Something that changed and is worth telling.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub enum Change {
+    /// The entry of an instance.
+    Instance(Instance),
+    /// The entry of an upstream.
+    Upstream(Pool, Upstream),
+}
+
+/// What is known about one instance.
+#[derive(Clone, Debug)]
+pub(super) struct Member {
+    pub(super) entry: Entry,
+    /// Whether the platform's list names the instance.
+    pub(super) listed: bool,
+    /// Whether the platform's list says that the instance is leaving.
+    pub(super) listed_leaving: bool,
+    /// Time of the last change of state.
+    pub(super) since: Time,
+    /// Time at which this instance last failed to reach it.
+    pub(super) down: Option<Time>,
+    /// Time of its last message to this instance.
+    pub(super) heard: Option<Time>,
+    /// Whether it is gone because it stopped as it had said.
+    pub(super) left: bool,
+    pub(super) load: u32,
+    pub(super) applied: Vec<u64>,
+}
+
+impl Member {
+    fn new(entry: Entry, now: Time) -> Self {
+        Self {
+            entry,
+            listed: false,
+            listed_leaving: false,
+            since: now,
+            down: None,
+            heard: None,
+            left: false,
+            load: 0,
+            applied: Vec::new(),
+        }
+    }
+
+    /// Evidence of this instance's own links comes before what others say.
+    pub(super) fn status(&self) -> Status {
+        match self.entry.state {
+            State::Gone => Status::Gone,
+            State::Leaving => Status::Leaving,
+            State::Live | State::Suspected if self.listed_leaving => Status::Leaving,
+            State::Live | State::Suspected if self.down.is_some() => Status::Unreachable,
+            State::Suspected => Status::Suspected,
+            State::Live => Status::Live,
+        }
+    }
+}
+
+/// What one instance knows about all others.
+///
+/// Entries only grow in the order of [`Entry`]: an incarnation never goes back, and the order in
+/// which messages arrive does not matter.
+#[derive(Clone, Debug)]
+pub struct View {
+    own: Entry,
+    load: u32,
+    applied: Vec<u64>,
+    highest: Vec<u64>,
+    pub(super) members: BTreeMap<Instance, Member>,
+    departures: BTreeMap<(Pool, Upstream), Departure>,
+    fresh: Vec<Change>,
+    /// Instances that work although they are suspected or gone here.
+    contradicted: Vec<Instance>,
+    /// Number of changes that readers can see.
+    revision: u64,
+    changed: Time,
+    digest: u64,
+}
+
+/// Hash of an entry; equal views have equal sums of hashes.
+fn mark(entry: &Entry) -> u64 {
+    let text = format!("{}/{}/{:?}", entry.instance, entry.incarnation, entry.state);
+    stable(text.as_bytes())
+}
+
+fn mark_departure(departure: &Departure) -> u64 {
+    let Departure {
+        pool,
+        upstream,
+        version,
+        leaving,
+    } = departure;
+    stable(format!("{pool}/{upstream}/{version}/{leaving}").as_bytes())
+}
+
+/// Group of an instance in the exchange of digests.
+fn group(instance: &Instance) -> usize {
+    (stable(instance.as_str().as_bytes()) % GROUPS as u64) as usize
+}
+
+/// Returns whether other instances are expected to hold the same entry.
+///
+/// Entries from the list alone differ with its lag, and gone instances are forgotten at
+/// different times.
+fn shared(entry: &Entry) -> bool {
+    entry.incarnation > 0 && entry.state != State::Gone
+}
+
+impl View {
+    /// Makes the view of an instance that knows only itself.
+    pub fn new(own: Entry) -> Self {
+        Self {
+            digest: mark(&own),
+            own,
+            load: 0,
+            applied: Vec::new(),
+            highest: Vec::new(),
+            members: BTreeMap::new(),
+            departures: BTreeMap::new(),
+            fresh: Vec::new(),
+            contradicted: Vec::new(),
+            revision: 0,
+            changed: Time::default(),
+        }
+    }
+
+    /// Returns the entry of this instance.
+    pub fn own(&self) -> &Entry {
+        &self.own
+    }
+
+    /// Returns the digest of all entries that instances share.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Returns the time of the last change.
+    pub fn changed(&self) -> Time {
+        self.changed
+    }
+
+    /// Returns a number that rises with each change that readers can see.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns the load of this instance, as [`View::report`] set it.
+    pub fn load(&self) -> u32 {
+        self.load
+    }
+
+    /// Returns the offsets that this instance has applied, for each partition.
+    pub fn applied(&self) -> &[u64] {
+        &self.applied
+    }
+
+    /// Returns the highest offsets that any instance is known to have applied.
+    pub fn highest(&self) -> &[u64] {
+        &self.highest
+    }
+
+    /// Returns the entry of an instance.
+    pub fn entry(&self, instance: &Instance) -> Option<&Entry> {
+        if *instance == self.own.instance {
+            return Some(&self.own);
+        }
+        self.members.get(instance).map(|member| &member.entry)
+    }
+
+    /// Returns the entry of an upstream.
+    pub fn departure(&self, pool: &Pool, upstream: &Upstream) -> Option<&Departure> {
+        self.departures.get(&(pool.clone(), upstream.clone()))
+    }
+
+    /// Sets what this instance reports about itself.
+    pub fn report(&mut self, load: u32, applied: Vec<u64>) {
+        self.load = load;
+        self.raise(&applied);
+        self.applied = applied;
+    }
+
+    /// Marks this instance as leaving.
+    pub fn leave(&mut self, now: Time) {
+        if self.own.state != State::Leaving {
+            self.replace_own(now, self.own.incarnation, State::Leaving);
+        }
+    }
+
+    /// Takes the platform's list.
+    pub fn listed(&mut self, now: Time, list: &[Listed]) {
+        let names: Set<&Instance> = list.iter().map(|listed| &listed.instance).collect();
+        let dropped: Vec<_> = self
+            .members
+            .iter_mut()
+            .filter(|(instance, member)| member.listed && !names.contains(instance))
+            .map(|(instance, member)| {
+                member.listed = false;
+                (instance.clone(), member.entry.incarnation == 0)
+            })
+            .collect();
+        for (instance, unknown) in dropped {
+            if unknown {
+                self.members.remove(&instance);
+                self.touch(now);
+            }
+        }
+        for listed in list {
+            if listed.instance != self.own.instance {
+                self.list_one(now, listed);
+            }
+        }
+    }
+
+    fn list_one(&mut self, now: Time, listed: &Listed) {
+        if !self.members.contains_key(&listed.instance) {
+            let entry = Entry {
+                instance: listed.instance.clone(),
+                incarnation: 0,
+                state: State::Live,
+                zone: listed.zone.clone(),
+                address: listed.address.as_str().into(),
+            };
+            self.insert(now, entry);
+        }
+        let Some(member) = self.members.get_mut(&listed.instance) else {
+            return;
+        };
+        member.listed = true;
+        if member.listed_leaving != listed.leaving {
+            member.listed_leaving = listed.leaving;
+            self.touch(now);
+        }
+    }
+
+    /// Takes the entry that an instance sent about itself over a link.
+    pub fn connected(&mut self, now: Time, entry: &Entry) {
+        if entry.instance == self.own.instance {
+            return;
+        }
+        self.merge(now, entry);
+        if let Some(member) = self.members.get_mut(&entry.instance) {
+            member.heard = Some(now);
+            let reached = member.down.take().is_some();
+            // The instance does not know that it is suspected, so that it can't refute that.
+            if member.entry > *entry {
+                self.contradicted.push(entry.instance.clone());
+            }
+            if reached {
+                self.touch(now);
+            }
+        }
+    }
+
+    /// Takes the load and the applied offsets that an instance sent about itself.
+    pub fn reported(&mut self, instance: &Instance, load: u32, applied: &[u64], highest: &[u64]) {
+        self.raise(applied);
+        self.raise(highest);
+        if let Some(member) = self.members.get_mut(instance) {
+            member.load = load;
+            member.applied.clear();
+            member.applied.extend_from_slice(applied);
+        }
+    }
+
+    /// Takes the failure to reach an instance.
+    pub fn unreachable(&mut self, now: Time, instance: &Instance) {
+        let Some(member) = self.members.get_mut(instance) else {
+            return;
+        };
+        member.down = Some(now);
+        let state = match member.entry.state {
+            State::Live => State::Suspected,
+            // It said that it would stop, and it did.
+            State::Leaving => State::Gone,
+            State::Suspected | State::Gone => return self.touch(now),
+        };
+        let entry = Entry {
+            state,
+            ..member.entry.clone()
+        };
+        self.insert(now, entry);
+        self.fresh.push(Change::Instance(instance.clone()));
+    }
+
+    /// Takes an entry from another instance; returns whether it was news.
+    pub fn merge(&mut self, now: Time, entry: &Entry) -> bool {
+        // Others never decide that an instance is gone; see `State`.
+        let entry = entry.told();
+        if entry.instance == self.own.instance {
+            return self.refute(now, &entry);
+        }
+        let known = self.members.get(&entry.instance);
+        if known.is_some_and(|member| member.entry >= entry) {
+            return false;
+        }
+        self.fresh.push(Change::Instance(entry.instance.clone()));
+        self.insert(now, entry);
+        true
+    }
+
+    /// Contradicts an entry about this instance that is not true.
+    fn refute(&mut self, now: Time, entry: &Entry) -> bool {
+        let wrong = (entry.incarnation, entry.state) > (self.own.incarnation, self.own.state);
+        if wrong {
+            self.replace_own(now, entry.incarnation + 1, self.own.state);
+        }
+        wrong
+    }
+
+    fn replace_own(&mut self, now: Time, incarnation: u64, state: State) {
+        self.digest = self.digest.wrapping_sub(mark(&self.own));
+        self.own.incarnation = incarnation;
+        self.own.state = state;
+        self.digest = self.digest.wrapping_add(mark(&self.own));
+        self.fresh.push(Change::Instance(self.own.instance.clone()));
+        self.touch(now);
+    }
+
+    /// Puts an entry in the place of an older one.
+    fn insert(&mut self, now: Time, entry: Entry) {
+        let new = Member::new(entry.clone(), now);
+        let member = self.members.entry(entry.instance.clone()).or_insert(new);
+        if shared(&member.entry) {
+            self.digest = self.digest.wrapping_sub(mark(&member.entry));
+        }
+        // A first entry is counted once, below.
+        if shared(&entry) {
+            self.digest = self.digest.wrapping_add(mark(&entry));
+        }
+        // A new incarnation may have started on another machine.
+        if entry.incarnation > member.entry.incarnation {
+            member.down = None;
+        }
+        member.left = member.entry.state == State::Leaving && entry.state == State::Gone;
+        member.entry = entry;
+        member.since = now;
+        self.touch(now);
+    }
+
+    /// Takes a report about an upstream; returns whether it was news.
+    ///
+    /// `version` is the time of the upstream's own report in microseconds.
+    pub fn upstream(
+        &mut self,
+        now: Time,
+        pool: &Pool,
+        upstream: &Upstream,
+        leaving: bool,
+        version: u64,
+    ) -> bool {
+        let known = self.departure(pool, upstream);
+        // Reports that repeat what is known would spread with each new version.
+        if known.map_or(!leaving, |departure| departure.leaving == leaving) {
+            return false;
+        }
+        self.merge_departure(
+            now,
+            &Departure {
+                pool: pool.clone(),
+                upstream: upstream.clone(),
+                version,
+                leaving,
+            },
+        )
+    }
+
+    /// Takes the entry of an upstream from another instance; returns whether it was news.
+    pub fn merge_departure(&mut self, now: Time, departure: &Departure) -> bool {
+        let expired = Time(departure.version) + DEPARTED < now;
+        let key = (departure.pool.clone(), departure.upstream.clone());
+        let known = self.departures.get(&key);
+        if expired || known.is_some_and(|known| known >= departure) {
+            return false;
+        }
+        let old = known.map_or(0, mark_departure);
+        self.digest = self
+            .digest
+            .wrapping_sub(old)
+            .wrapping_add(mark_departure(departure));
+        self.fresh
+            .push(Change::Upstream(key.0.clone(), key.1.clone()));
+        self.departures.insert(key, departure.clone());
+        self.touch(now);
+        true
+    }
+
+    /// Applies the passage of time.
+    pub fn tick(&mut self, now: Time) {
+        let mut gone = Vec::new();
+        let mut forgotten = Vec::new();
+        let mut reachable = false;
+        for (instance, member) in &mut self.members {
+            let age = now.since(member.since);
+            match member.entry.state {
+                State::Suspected if age >= REFUTE => gone.push(instance.clone()),
+                State::Leaving if age >= REMEMBER => gone.push(instance.clone()),
+                State::Gone if age >= REMEMBER && !member.listed => {
+                    forgotten.push(instance.clone());
+                }
+                _ => {}
+            }
+            if member.down.is_some_and(|at| now.since(at) >= RETRY) {
+                member.down = None;
+                reachable = true;
+            }
+        }
+        if reachable || !forgotten.is_empty() {
+            self.touch(now);
+        }
+        for instance in forgotten {
+            self.members.remove(&instance);
+        }
+        for instance in gone {
+            if let Some(member) = self.members.get(&instance) {
+                let entry = Entry {
+                    state: State::Gone,
+                    ..member.entry.clone()
+                };
+                self.insert(now, entry);
+            }
+        }
+        self.expire(now);
+    }
+
+    fn expire(&mut self, now: Time) {
+        let mut sum = 0_u64;
+        self.departures.retain(|_, departure| {
+            let keep = Time(departure.version) + DEPARTED >= now;
+            if !keep {
+                sum = sum.wrapping_add(mark_departure(departure));
+            }
+            keep
+        });
+        if sum != 0 {
+            self.digest = self.digest.wrapping_sub(sum);
+            self.touch(now);
+        }
+    }
+
+    fn touch(&mut self, now: Time) {
+        self.revision += 1;
+        self.changed = now;
+    }
+
+    fn raise(&mut self, offsets: &[u64]) {
+        if self.highest.len() < offsets.len() {
+            self.highest.resize(offsets.len(), 0);
+        }
+        for (highest, offset) in self.highest.iter_mut().zip(offsets) {
+            *highest = (*highest).max(*offset);
+        }
+    }
+
+    /// Returns whether there are changes that have not been told.
+    pub fn has_fresh(&self) -> bool {
+        !self.fresh.is_empty() || !self.contradicted.is_empty()
+    }
+
+    /// Takes the changes that have not been told.
+    pub fn take_fresh(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.fresh)
+    }
+
+    /// Returns the number of changes that have not been told.
+    pub fn fresh_count(&self) -> usize {
+        self.fresh.len()
+    }
+
+    /// Drops all changes that have not been told but the first `count`.
+    pub fn settle(&mut self, count: usize) {
+        self.fresh.truncate(count);
+    }
+
+    /// Takes the instances that have to be told that they are suspected.
+    pub fn take_contradicted(&mut self) -> Vec<Instance> {
+        std::mem::take(&mut self.contradicted)
+    }
+
+    /// Returns the digests of the groups of entries; the last one is that of the upstreams.
+    pub fn groups(&self) -> Vec<u32> {
+        let mut sums = vec![0_u64; GROUPS + 1];
+        for entry in self.entries() {
+            let sum = &mut sums[group(&entry.instance)];
+            *sum = sum.wrapping_add(mark(entry));
+        }
+        for departure in self.departures.values() {
+            sums[GROUPS] = sums[GROUPS].wrapping_add(mark_departure(departure));
+        }
+        sums.into_iter().map(|sum| sum as u32).collect()
+    }
+
+    fn entries(&self) -> impl Iterator<Item = &Entry> {
+        let others = self.members.values().map(|member| &member.entry);
+        std::iter::once(&self.own)
+            .chain(others)
+            .filter(|entry| shared(entry))
+    }
+
+    /// Returns the entries in the groups that differ from a peer's digests.
+    ///
+    /// An instance that is gone here but not there is told as suspected.
+    pub fn differing(&self, theirs: &[u32]) -> (Vec<Entry>, Vec<Departure>) {
+        let differ: Vec<bool> = self
+            .groups()
+            .iter()
+            .enumerate()
+            .map(|(index, own)| theirs.get(index) != Some(own))
+            .collect();
+        let gone = self
+            .members
+            .values()
+            .map(|member| &member.entry)
+            .filter(|entry| entry.incarnation > 0 && entry.state == State::Gone)
+            .map(Entry::told);
+        let entries = self
+            .entries()
+            .cloned()
+            .chain(gone)
+            .filter(|entry| differ[group(&entry.instance)])
+            .collect();
+        let departures = if differ[GROUPS] {
+            self.departures.values().cloned().collect()
+        } else {
+            Vec::new()
+        };
+        (entries, departures)
+    }
+
+    /// Returns an immutable copy for readers.
+    pub fn snapshot(&self) -> Snapshot {
+        let members = self.members.values();
+        let departures: Arc<[Departure]> = self
+            .departures
+            .values()
+            .filter(|departure| departure.leaving)
+            .cloned()
+            .collect();
+        Snapshot::new(self.own.clone(), members, departures, self.highest.clone())
+    }
+}
--- /dev/null
+++ b/src/peer/link.rs
@@ -0,0 +1,501 @@
+//! One connection to another instance.
+
+use std::{
+    sync::{
+        atomic::{
+            AtomicBool,
+            Ordering::Relaxed, //
+        },
+        Arc, Mutex, MutexGuard, OnceLock,
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use bytes::Bytes;
+use futures_util::{
+    stream::{
+        SplitSink,
+        SplitStream, //
+    },
+    SinkExt, StreamExt,
+};
+use tokio::{
+    sync::{
+        mpsc,
+        OwnedSemaphorePermit,
+        Semaphore, //
+    },
+    time::{
+        sleep,
+        timeout_at, //
+    },
+};
+use tokio_tungstenite::{
+    tungstenite::Message,
+    WebSocketStream, //
+};
+
+use super::{
+    meter::{
+        Meter,
+        Metered,
+        Pulse, //
+    },
+    reply::{
+        Inlet,
+        Reply,
+        Responder, //
+    },
+    settings::Settings,
+    wire::{
+        Body,
+        Frame, //
+    },
+    Error, Handler, Unreachable,
+};
+use crate::{
+    hash::Map,
+    name::Instance, //
+};
+
+/// Requests of one peer that may be open at the same time.
+const OPEN_REQUESTS: usize = 8_192;
+
+/// Unit in which the bytes of a queue are counted.
+const UNIT: usize = 1_024;
+
+pub(super) type Socket = WebSocketStream<Metered>;
+
+/// A request that waits for replies.
+#[derive(Debug)]
+pub(super) struct Pending {
+    pub(super) replies: mpsc::Sender<Reply>,
+    pub(super) link: Arc<OnceLock<Arc<Link>>>,
+    /// Whether the frame may have been written to the connection.
+    pub(super) written: bool,
+}
+
+impl Pending {
+    /// Ends the request without a reply.
+    pub(super) fn fail(self, error: Error) {
+        // If the channel is full, its end tells the requester that the link is lost.
+        let _ = self.replies.try_send(Reply {
+            body: Err(error),
+            last: true,
+        });
+    }
+}
+
+/// An encoded frame and the room that it takes in a queue.
+#[derive(Debug)]
+struct Parcel {
+    id: Option<u64>,
+    bytes: Bytes,
+    _room: Option<OwnedSemaphorePermit>,
+}
+
+/// Reason why a link ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum End {
+    /// No request for a long time, or the peer closed the link in an orderly way.
+    Idle,
+    /// The connection was lost.
+    Lost,
+    /// Nothing was received in time.
+    Silent,
+    /// The peer sent something that is not a frame.
+    Malformed,
+    /// This instance stops.
+    Stopped,
+}
+
+/// The sending half of one connection, and the requests that are open on it.
+#[derive(Debug)]
+pub(super) struct Link {
+    pub(super) peer: Instance,
+    queue: mpsc::UnboundedSender<Parcel>,
+    /// Bounds the bytes in the queue, in units of [`UNIT`].
+    room: Arc<Semaphore>,
+    units: u32,
+    frame_bytes: usize,
+    pending: Mutex<Map<u64, Pending>>,
+    inlets: Mutex<Map<u64, Arc<Inlet>>>,
+    closed: AtomicBool,
+    used: Mutex<Instant>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|error| error.into_inner())
+}
+
+/// The receiving half of one connection.
+pub(super) struct Pump {
+    pub(super) link: Arc<Link>,
+    parcels: mpsc::UnboundedReceiver<Parcel>,
+    socket: Socket,
+    pulse: Pulse,
+    meter: Arc<Meter>,
+    ping: Duration,
+    silence: Duration,
+    idle: Duration,
+}
+
+impl Link {
+    /// Makes a link and the task that runs it.
+    pub(super) fn open(
+        peer: Instance,
+        socket: Socket,
+        settings: &Settings,
+        meter: Arc<Meter>,
+    ) -> Pump {
+        let (queue, parcels) = mpsc::unbounded_channel();
+        let units = (settings.queue_bytes / UNIT).max(1);
+        let link = Self {
+            peer,
+            queue,
+            room: Arc::new(Semaphore::new(units)),
+            units: units as u32,
+            frame_bytes: settings.frame_bytes,
+            pending: Mutex::default(),
+            inlets: Mutex::default(),
+            closed: AtomicBool::new(false),
+            used: Mutex::new(Instant::now()),
+        };
+        Pump {
+            link: Arc::new(link),
+            parcels,
+            pulse: socket.get_ref().pulse(),
+            socket,
+            meter,
+            ping: settings.ping,
+            silence: settings.silence,
+            idle: settings.idle,
+        }
+    }
+
+    pub(super) fn is_closed(&self) -> bool {
+        self.closed.load(Relaxed)
+    }
+
+    fn units(&self, bytes: &[u8]) -> u32 {
+        (bytes.len().div_ceil(UNIT) as u32).clamp(1, self.units)
+    }
+
+    fn enqueue(
+        &self,
+        id: Option<u64>,
+        bytes: Vec<u8>,
+        room: Option<OwnedSemaphorePermit>,
+    ) -> Result<(), Unreachable> {
+        let parcel = Parcel {
+            id,
+            bytes: bytes.into(),
+            _room: room,
+        };
+        self.queue.send(parcel).map_err(|_| Unreachable::Down)
+    }
+
+    /// Sends a frame; waits for room in the queue.
+    pub(super) async fn push(&self, frame: &Frame) -> Result<(), Unreachable> {
+        let bytes = frame.encode();
+        if bytes.len() > self.frame_bytes {
+            return Err(Unreachable::Large);
+        }
+        let units = self.units(&bytes);
+        let room = self.room.clone().acquire_many_owned(units).await;
+        let room = room.map_err(|_| Unreachable::Down)?;
+        self.enqueue(None, bytes, Some(room))
+    }
+
+    /// Sends a frame that each open request sends a bounded number of, so it needs no room.
+    pub(super) fn push_now(&self, frame: &Frame) -> Result<(), Unreachable> {
+        let bytes = frame.encode();
+        if bytes.len() > self.frame_bytes {
+            return Err(Unreachable::Large);
+        }
+        self.enqueue(None, bytes, None)
+    }
+
+    /// Sends an encoded frame if there is room; `pending` gets the replies.
+    ///
+    /// On failure the request is handed back, so that another link can be tried.
+    pub(super) fn post(
+        self: &Arc<Self>,
+        id: u64,
+        bytes: Vec<u8>,
+        pending: Option<Pending>,
+    ) -> Result<(), (Unreachable, Option<Pending>)> {
+        let Ok(room) = self.room.clone().try_acquire_many_owned(self.units(&bytes)) else {
+            let reason = if self.is_closed() {
+                Unreachable::Down
+            } else {
+                Unreachable::Full
+            };
+            return Err((reason, pending));
+        };
+        *lock(&self.used) = Instant::now();
+        let Some(pending) = pending else {
+            return self.enqueue(None, bytes, Some(room)).map_err(|e| (e, None));
+        };
+        let _ = pending.link.set(self.clone());
+        lock(&self.pending).insert(id, pending);
+        let queued = self.enqueue(Some(id), bytes, Some(room));
+        // A link that was closed meanwhile may have missed the new entry.
+        if queued.is_err() || self.is_closed() {
+            if let Some(pending) = lock(&self.pending).remove(&id) {
+                return Err((Unreachable::Down, Some(pending)));
+            }
+        }
+        Ok(())
+    }
+
+    /// Drops the replies to a request that the requester gave up.
+    pub(super) fn abandon(&self, id: u64) {
+        lock(&self.pending).remove(&id);
+    }
+
+    /// Ends a request on the side that replies.
+    pub(super) fn forget(&self, id: u64) {
+        lock(&self.inlets).remove(&id);
+    }
+
+    fn busy(&self) -> bool {
+        !lock(&self.pending).is_empty() || !lock(&self.inlets).is_empty()
+    }
+
+    /// Marks a request as written; returns whether anyone still waits for it.
+    fn mark(&self, id: Option<u64>) -> bool {
+        let Some(id) = id else {
+            return true;
+        };
+        match lock(&self.pending).get_mut(&id) {
+            Some(pending) => {
+                pending.written = true;
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Ends all requests in both directions.
+    fn close(&self) {
+        self.closed.store(true, Relaxed);
+        self.room.close();
+        for (_, inlet) in lock(&self.inlets).drain() {
+            inlet.close();
+        }
+        let pending: Vec<_> = lock(&self.pending).drain().collect();
+        for (_, pending) in pending {
+            let error = if pending.written {
+                Error::Lost
+            } else {
+                Error::Unsent(Unreachable::Down)
+            };
+            pending.fail(error);
+        }
+    }
+
+    /// Hands a reply to its requester.
+    fn deliver(&self, frame: Frame) {
+        let mut pending = lock(&self.pending);
+        let Some(waiting) = pending.get(&frame.id) else {
+            return;
+        };
+        let reply = Reply {
+            body: Ok(frame.body),
+            last: frame.last,
+        };
+        // A peer that ignores the window loses the request, not the link.
+        let overrun = waiting.replies.try_send(reply).is_err();
+        if frame.last || overrun {
+            pending.remove(&frame.id);
+        }
+    }
+
+    /// Opens a request of the peer; `None` if too many are open.
+    fn admit(&self, id: u64) -> Option<Arc<Inlet>> {
+        let inlet = Arc::new(Inlet::new());
+        if id == 0 {
+            return Some(inlet);
+        }
+        let mut inlets = lock(&self.inlets);
+        if inlets.len() >= OPEN_REQUESTS {
+            return None;
+        }
+        inlets.insert(id, inlet.clone());
+        Some(inlet)
+    }
+
+    fn inlet(&self, id: u64) -> Option<Arc<Inlet>> {
+        lock(&self.inlets).get(&id).cloned()
+    }
+
+    /// Takes one frame from the peer.
+    fn take<H: Handler>(self: &Arc<Self>, frame: Frame, meter: &Meter, handler: &H) {
+        if frame.reply {
+            return self.deliver(frame);
+        }
+        match frame.body {
+            Body::Cancel => {
+                if let Some(inlet) = lock(&self.inlets).remove(&frame.id) {
+                    inlet.close();
+                }
+            }
+            Body::Credit(credit) => {
+                if let Some(inlet) = self.inlet(frame.id) {
+                    inlet.add(credit);
+                }
+            }
+            Body::Unsupported => {
+                meter.unsupported.one();
+                self.refuse(frame.id);
+            }
+            body => {
+                *lock(&self.used) = Instant::now();
+                let Some(inlet) = self.admit(frame.id) else {
+                    return self.refuse(frame.id);
+                };
+                let responder = Responder::new(frame.id, self.clone(), inlet);
+                handler.handle(self.peer.clone(), body, responder);
+            }
+        }
+    }
+
+    /// Tells the requester that its request was ignored.
+    fn refuse(&self, id: u64) {
+        if id != 0 {
+            let frame = Frame {
+                id,
+                reply: true,
+                last: true,
+                body: Body::Unsupported,
+            };
+            let _ = self.push_now(&frame);
+        }
+    }
+}
+
+impl Pump {
+    /// Runs the connection until it ends.
+    pub(super) async fn run<H: Handler>(self, handler: &H, stop: &Semaphore) -> End {
+        let Self {
+            link,
+            mut parcels,
+            socket,
+            pulse,
+            meter,
+            ping,
+            silence,
+            idle,
+        } = self;
+        let (mut sink, stream) = socket.split();
+        let end = tokio::select! {
+            end = read(&link, stream, &meter, handler) => end,
+            end = write(&link, &mut sink, &mut parcels, &meter, ping) => end,
+            () = watch(&pulse, silence) => End::Silent,
+            () = rest(&link, idle) => End::Idle,
+            _ = stop.acquire() => End::Stopped,
+        };
+        link.close();
+        if matches!(end, End::Idle | End::Stopped) {
+            // A peer that no longer reads must not hold up the end.
+            let _ = tokio::time::timeout(ping, sink.close()).await;
+        }
+        end
+    }
+}
+
+async fn read<H: Handler>(
+    link: &Arc<Link>,
+    mut stream: SplitStream<Socket>,
+    meter: &Meter,
+    handler: &H,
+) -> End {
+    use tokio_tungstenite::tungstenite::Error as Failure;
+    loop {
+        match stream.next().await {
+            Some(Ok(Message::Binary(bytes))) => {
+                meter.frames_in.one();
+                match Frame::decode(&bytes) {
+                    Ok(frame) => link.take(frame, meter, handler),
+                    Err(_) => return End::Malformed,
+                }
+            }
+            Some(Ok(Message::Ping(_) | Message::Pong(_))) => {}
+            Some(Ok(Message::Text(_) | Message::Frame(_))) => return End::Malformed,
+            Some(Ok(Message::Close(_))) => return End::Idle,
+            Some(Err(Failure::Capacity(_) | Failure::Utf8(_))) => return End::Malformed,
+            Some(Err(Failure::Protocol(error))) => {
+                use tokio_tungstenite::tungstenite::error::ProtocolError;
+                return match error {
+                    ProtocolError::ResetWithoutClosingHandshake => End::Lost,
+                    _ => End::Malformed,
+                };
+            }
+            Some(Err(_)) | None => return End::Lost,
+        }
+    }
+}
+
+async fn write(
+    link: &Link,
+    sink: &mut SplitSink<Socket, Message>,
+    parcels: &mut mpsc::UnboundedReceiver<Parcel>,
+    meter: &Meter,
+    ping: Duration,
+) -> End {
+    loop {
+        let due = tokio::time::Instant::now() + ping;
+        let Ok(parcel) = timeout_at(due, parcels.recv()).await else {
+            // A pong that nobody asked for needs no answer, so it costs half of a ping.
+            if sink.send(Message::Pong(Bytes::new())).await.is_err() {
+                return End::Lost;
+            }
+            continue;
+        };
+        let Some(mut parcel) = parcel else {
+            return End::Stopped;
+        };
+        loop {
+            if link.mark(parcel.id) {
+                meter.frames_out.one();
+                let message = Message::Binary(std::mem::take(&mut parcel.bytes));
+                if sink.feed(message).await.is_err() {
+                    return End::Lost;
+                }
+            }
+            match parcels.try_recv() {
+                Ok(next) => parcel = next,
+                Err(_) => break,
+            }
+        }
+        if sink.flush().await.is_err() {
+            return End::Lost;
+        }
+    }
+}
+
+/// Returns when nothing was received for `silence`.
+async fn watch(pulse: &Pulse, silence: Duration) {
+    loop {
+        let quiet = pulse.last().elapsed();
+        if quiet >= silence {
+            return;
+        }
+        sleep(silence - quiet).await;
+    }
+}
+
+/// Returns when no request was made or open for `idle`.
+async fn rest(link: &Link, idle: Duration) {
+    loop {
+        let unused = lock(&link.used).elapsed();
+        if unused >= idle && !link.busy() {
+            return;
+        }
+        sleep(idle.saturating_sub(unused).max(idle / 8)).await;
+    }
+}
--- /dev/null
+++ b/src/peer/mesh.rs
@@ -0,0 +1,551 @@
+//! Links to all instances that this one talks with.
+
+use std::{
+    cell::Cell,
+    collections::VecDeque,
+    fmt,
+    rc::Rc,
+    sync::{
+        atomic::{
+            AtomicU64,
+            Ordering::Relaxed, //
+        },
+        Arc, Mutex, MutexGuard, OnceLock,
+    },
+    time::{
+        Duration,
+        Instant as Moment, //
+    },
+};
+
+use rand::RngExt;
+use tokio::{
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    sync::{
+        mpsc,
+        Semaphore, //
+    },
+    time::{
+        sleep,
+        timeout, //
+    },
+};
+
+use super::{
+    handshake,
+    link::{
+        End,
+        Link,
+        Pending,
+        Pump, //
+    },
+    meter::{
+        Meter,
+        Stats, //
+    },
+    reply::{
+        Replies,
+        WINDOW, //
+    },
+    settings::Settings,
+    wire::{
+        Body,
+        Frame, //
+    },
+    Error, Handler, Responder, Unreachable,
+};
+use crate::{
+    clock::Time,
+    hash::Map,
+    member::{
+        Entry,
+        Gossip,
+        Roster, //
+    },
+    name::Instance,
+};
+
+/// Frames that may wait for a connection to one instance.
+const WAITING: usize = 256;
+
+/// Connections that may be in their handshake at the same time.
+const HANDSHAKES: usize = 64;
+
+/// Time for which changes are collected before they are told.
+const COLLECT: Duration = Duration::from_millis(20);
+
+/// Handle to the links of this instance.
+#[derive(Clone)]
+pub struct Mesh {
+    shared: Arc<Shared>,
+}
+
+impl fmt::Debug for Mesh {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Mesh")
+            .field("instance", &self.shared.settings.instance)
+            .finish()
+    }
+}
+
+struct Shared {
+    settings: Settings,
+    roster: Roster,
+    meter: Arc<Meter>,
+    peers: Mutex<Map<Instance, Peer>>,
+    /// Instances to connect to, for the thread that runs the links.
+    dials: mpsc::UnboundedSender<Instance>,
+    /// Never has a permit; closed when the links have to end.
+    stop: Semaphore,
+    next: AtomicU64,
+}
+
+/// What is known about the links to one instance.
+#[derive(Default)]
+struct Peer {
+    /// Links in the order in which they were made. There are two when both sides connected at
+    /// the same time; both stay, as frames may be on their way on either.
+    links: Vec<Arc<Link>>,
+    dialing: bool,
+    waiting: VecDeque<Waiting>,
+    failures: u32,
+    /// Time before which no attempt to connect is made.
+    retry_at: Option<Moment>,
+}
+
+/// A frame that waits for a connection.
+struct Waiting {
+    id: u64,
+    bytes: Vec<u8>,
+    pending: Option<Pending>,
+}
+
+impl Waiting {
+    fn fail(self, reason: Unreachable) {
+        if let Some(pending) = self.pending {
+            pending.fail(Error::Unsent(reason));
+        }
+    }
+
+    /// Returns whether the requester gave up.
+    fn abandoned(&self) -> bool {
+        let pending = self.pending.as_ref();
+        pending.is_some_and(|pending| pending.replies.is_closed())
+    }
+}
+
+impl Mesh {
+    /// Binds the peer port and runs the links on the current actix thread.
+    ///
+    /// Frames of membership are handled here; all others go to `handler`.
+    pub async fn start<H>(settings: Settings, handler: H, roster: Roster) -> anyhow::Result<Self>
+    where
+        H: Handler + 'static,
+    {
+        let listener = TcpListener::bind(settings.listen).await?;
+        Ok(Self::run(settings, listener, handler, roster))
+    }
+
+    /// Runs the links on the current actix thread with a bound listener.
+    pub fn run<H>(settings: Settings, listener: TcpListener, handler: H, roster: Roster) -> Self
+    where
+        H: Handler + 'static,
+    {
+        let (dials, orders) = mpsc::unbounded_channel();
+        let shared = Arc::new(Shared {
+            settings,
+            roster,
+            meter: Arc::default(),
+            peers: Mutex::default(),
+            dials,
+            stop: Semaphore::new(0),
+            // Numbers start at a random point, so that a late reply meant for an earlier run of
+            // the instance can't match.
+            next: AtomicU64::new(u64::from(rand::rng().random::<u16>()) + 1),
+        });
+        let mesh = Self { shared };
+        let driver = Rc::new(Driver {
+            mesh: mesh.clone(),
+            gossip: std::cell::RefCell::new(Gossip::default()),
+            handler,
+            handshakes: Cell::new(0),
+        });
+        actix_web::rt::spawn(driver.clone().listen(listener));
+        actix_web::rt::spawn(driver.clone().connect(orders));
+        actix_web::rt::spawn(driver.clone().spread());
+        actix_web::rt::spawn(driver.rounds());
+        mesh
+    }
+
+    /// Sends a frame that has no reply.
+    pub fn send(&self, to: &Instance, body: Body) -> Result<(), Unreachable> {
+        self.post(to, 0, body, None)
+    }
+
+    /// Sends a request and returns its first reply.
+    pub async fn request(&self, to: &Instance, body: Body, limit: Duration) -> Result<Body, Error> {
+        let mut replies = self.open(to, body)?;
+        match timeout(limit, replies.next()).await {
+            Ok(Some(reply)) => reply,
+            Ok(None) => Err(Error::Empty),
+            Err(_) => Err(Error::Late(limit)),
+        }
+    }
+
+    /// Sends a request with many replies.
+    pub fn open(&self, to: &Instance, body: Body) -> Result<Replies, Unreachable> {
+        let id = self.shared.next.fetch_add(1, Relaxed);
+        // One place more than the window, for the last reply.
+        let (replies, queue) = mpsc::channel(WINDOW + 1);
+        let link = Arc::new(OnceLock::new());
+        let pending = Pending {
+            replies,
+            link: link.clone(),
+            written: false,
+        };
+        self.post(to, id, body, Some(pending))?;
+        Ok(Replies::new(id, queue, link))
+    }
+
+    /// Returns the counts of the links.
+    pub fn stats(&self) -> Stats {
+        self.shared.meter.stats()
+    }
+
+    /// Returns the number of open links.
+    pub fn links(&self) -> usize {
+        self.peers().values().map(|peer| peer.links.len()).sum()
+    }
+
+    /// Closes all links and the peer port.
+    pub fn stop(&self) {
+        self.shared.stop.close();
+        for peer in self.peers().values_mut() {
+            for waiting in peer.waiting.drain(..) {
+                waiting.fail(Unreachable::Stopped);
+            }
+        }
+    }
+
+    fn peers(&self) -> MutexGuard<'_, Map<Instance, Peer>> {
+        let peers = self.shared.peers.lock();
+        peers.unwrap_or_else(|error| error.into_inner())
+    }
+
+    fn post(
+        &self,
+        to: &Instance,
+        id: u64,
+        body: Body,
+        pending: Option<Pending>,
+    ) -> Result<(), Unreachable> {
+        let frame = Frame {
+            id,
+            reply: false,
+            last: false,
+            body,
+        };
+        let bytes = frame.encode();
+        if bytes.len() > self.shared.settings.frame_bytes {
+            return Err(Unreachable::Large);
+        }
+        let result = self.route(to, id, bytes, pending);
+        if result == Err(Unreachable::Full) {
+            self.shared.meter.full.one();
+        }
+        result
+    }
+
+    /// Gives a frame to the newest working link, or lets it wait for a new one.
+    fn route(
+        &self,
+        to: &Instance,
+        id: u64,
+        bytes: Vec<u8>,
+        pending: Option<Pending>,
+    ) -> Result<(), Unreachable> {
+        if self.shared.stop.is_closed() {
+            return Err(Unreachable::Stopped);
+        }
+        if *to == self.shared.settings.instance {
+            return Err(Unreachable::Own);
+        }
+        let mut peers = self.peers();
+        if !peers.contains_key(to) && self.shared.roster.snapshot().address(to).is_none() {
+            return Err(Unreachable::Unknown);
+        }
+        let peer = peers.entry(to.clone()).or_default();
+        let open = peer.links.iter().rev().find(|link| !link.is_closed());
+        if let Some(link) = open {
+            return link.post(id, bytes, pending).map_err(|(reason, _)| reason);
+        }
+        if !peer.dialing {
+            if peer.retry_at.is_some_and(|at| Moment::now() < at) {
+                return Err(Unreachable::Backoff);
+            }
+            peer.dialing = true;
+            let order = self.shared.dials.send(to.clone());
+            order.map_err(|_| Unreachable::Stopped)?;
+        }
+        if peer.waiting.len() >= WAITING {
+            return Err(Unreachable::Full);
+        }
+        peer.waiting.push_back(Waiting { id, bytes, pending });
+        Ok(())
+    }
+
+    /// Adds a link and sends what waited for it.
+    fn attach(&self, link: &Arc<Link>) {
+        let mut peers = self.peers();
+        let peer = peers.entry(link.peer.clone()).or_default();
+        peer.links.push(link.clone());
+        peer.failures = 0;
+        peer.retry_at = None;
+        for waiting in peer.waiting.drain(..) {
+            if waiting.abandoned() {
+                continue;
+            }
+            let Waiting { id, bytes, pending } = waiting;
+            if let Err((reason, Some(pending))) = link.post(id, bytes, pending) {
+                pending.fail(Error::Unsent(reason));
+            }
+        }
+    }
+
+    /// Removes a link; returns whether it was the last one to the instance.
+    fn detach(&self, link: &Arc<Link>) -> bool {
+        let mut peers = self.peers();
+        let Some(peer) = peers.get_mut(&link.peer) else {
+            return true;
+        };
+        peer.links.retain(|other| !Arc::ptr_eq(other, link));
+        let last = peer.links.is_empty();
+        if last && !peer.dialing && peer.retry_at.is_none() {
+            peers.remove(&link.peer);
+        }
+        last
+    }
+
+    /// Ends an attempt to connect that made no link.
+    fn failed(&self, to: &Instance) {
+        let mut peers = self.peers();
+        let peer = peers.entry(to.clone()).or_default();
+        peer.dialing = false;
+        // The peer may have connected to us meanwhile.
+        if !peer.links.is_empty() {
+            return;
+        }
+        let settings = &self.shared.settings;
+        let step = settings.backoff * (1 << peer.failures.min(10));
+        let step = step.min(settings.backoff_limit);
+        // Jitter spreads the attempts of many instances after a common failure.
+        let pause = step.mul_f64(rand::rng().random_range(0.5..1.0));
+        peer.failures += 1;
+        peer.retry_at = Some(Moment::now() + pause);
+        for waiting in peer.waiting.drain(..) {
+            waiting.fail(Unreachable::Down);
+        }
+    }
+
+    /// Forgets instances without links that are no longer worth an attempt.
+    fn prune(&self) {
+        let now = Moment::now();
+        let limit = self.shared.settings.backoff_limit;
+        self.peers().retain(|_, peer| {
+            let waits = peer.retry_at.is_some_and(|at| now < at + limit);
+            peer.dialing || waits || !peer.links.is_empty()
+        });
+    }
+}
+
+/// Runs the links on their thread.
+struct Driver<H> {
+    mesh: Mesh,
+    gossip: std::cell::RefCell<Gossip>,
+    handler: H,
+    handshakes: Cell<usize>,
+}
+
+impl<H: Handler + 'static> Driver<H> {
+    fn shared(&self) -> &Shared {
+        &self.mesh.shared
+    }
+
+    fn own(&self) -> Entry {
+        self.shared().roster.read(|view| view.own().clone())
+    }
+
+    async fn listen(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = self.shared().stop.acquire() => return,
+            };
+            match accepted {
+                Ok((stream, _)) if self.handshakes.get() < HANDSHAKES => {
+                    actix_web::rt::spawn(self.clone().accept(stream));
+                }
+                // Dropping the connection tells the peer to come back after its back-off.
+                Ok(_) => self.shared().meter.refused.one(),
+                Err(error) => {
+                    log::warn!("peer: accepting a connection failed: {error}");
+                    sleep(Duration::from_millis(100)).await;
+                }
+            }
+        }
+    }
+
+    async fn accept(self: Rc<Self>, stream: TcpStream) {
+        let shared = self.shared();
+        let from = stream.peer_addr();
+        self.handshakes.set(self.handshakes.get() + 1);
+        let accepted =
+            handshake::accept(&shared.settings, shared.meter.clone(), self.own(), stream).await;
+        self.handshakes.set(self.handshakes.get() - 1);
+        match accepted {
+            Ok((socket, entry)) => {
+                self.link(socket, entry).await;
+            }
+            Err(fault) => {
+                shared.meter.refused.one();
+                log::warn!("peer: refused a connection from {from:?}: {fault}");
+            }
+        }
+    }
+
+    async fn connect(self: Rc<Self>, mut orders: mpsc::UnboundedReceiver<Instance>) {
+        loop {
+            tokio::select! {
+                order = orders.recv() => match order {
+                    Some(to) => { actix_web::rt::spawn(self.clone().dial(to)); }
+                    None => return,
+                },
+                _ = self.shared().stop.acquire() => return,
+            }
+        }
+    }
+
+    async fn dial(self: Rc<Self>, to: Instance) {
+        let shared = self.shared();
+        let Some(address) = shared.roster.snapshot().address(&to).map(str::to_owned) else {
+            return self.mesh.failed(&to);
+        };
+        let meter = shared.meter.clone();
+        let dialed = handshake::dial(&shared.settings, meter, self.own(), &to, &address).await;
+        match dialed {
+            Ok((socket, entry)) => {
+                if let Some(peer) = self.mesh.peers().get_mut(&to) {
+                    peer.dialing = false;
+                }
+                self.link(socket, entry).await;
+            }
+            Err(fault) => {
+                shared.meter.dial_failures.one();
+                if fault.refused() {
+                    log::warn!("peer: no link to {to} at {address}: {fault}");
+                } else {
+                    log::debug!("peer: no link to {to} at {address}: {fault}");
+                }
+                self.mesh.failed(&to);
+                let now = Time::now();
+                shared.roster.update(|view| view.unreachable(now, &to));
+            }
+        }
+    }
+
+    /// Runs a link until it ends.
+    async fn link(self: Rc<Self>, socket: super::link::Socket, entry: Entry) {
+        let shared = self.shared();
+        let pump: Pump = Link::open(
+            entry.instance.clone(),
+            socket,
+            &shared.settings,
+            shared.meter.clone(),
+        );
+        let link = pump.link.clone();
+        shared.meter.links.one();
+        self.mesh.attach(&link);
+        let now = Time::now();
+        shared.roster.update(|view| view.connected(now, &entry));
+        let end = pump.run(&*self, &shared.stop).await;
+        let last = self.mesh.detach(&link);
+        match end {
+            End::Malformed => {
+                shared.meter.malformed.one();
+                log::warn!("peer: closed the link with {}: not a frame", link.peer);
+            }
+            End::Silent => {
+                shared.meter.silent.one();
+                log::warn!("peer: replaced the silent link with {}", link.peer);
+            }
+            End::Lost => log::debug!("peer: lost the link with {}", link.peer),
+            End::Idle | End::Stopped => {}
+        }
+        let stopped = shared.stop.is_closed();
+        if last && !stopped && matches!(end, End::Lost | End::Silent) {
+            self.check(&link.peer);
+        }
+    }
+
+    /// Connects again at once to an instance whose last link was lost; a failure is evidence
+    /// that it stopped.
+    fn check(&self, peer: &Instance) {
+        let mut peers = self.mesh.peers();
+        let peer_state = peers.entry(peer.clone()).or_default();
+        if !peer_state.dialing && peer_state.links.is_empty() {
+            peer_state.dialing = true;
+            let _ = self.shared().dials.send(peer.clone());
+        }
+    }
+
+    async fn rounds(self: Rc<Self>) {
+        loop {
+            let period = self.shared().settings.gossip;
+            let pause = period.mul_f64(rand::rng().random_range(0.9..1.1));
+            tokio::select! {
+                () = sleep(pause) => {}
+                _ = self.shared().stop.acquire() => return,
+            }
+            self.mesh.prune();
+            self.gossip(|gossip, view| gossip.round(Time::now(), view, &mut rand::rng()));
+        }
+    }
+
+    /// Tells changes in the view, whoever made them.
+    async fn spread(self: Rc<Self>) {
+        loop {
+            tokio::select! {
+                () = self.shared().roster.fresh() => {}
+                _ = self.shared().stop.acquire() => return,
+            }
+            sleep(COLLECT).await;
+            self.gossip(|gossip, view| gossip.spread(Time::now(), view, &mut rand::rng()));
+        }
+    }
+
+    fn gossip<F>(&self, act: F)
+    where
+        F: FnOnce(&mut Gossip, &mut crate::member::View) -> Vec<(Instance, Body)>,
+    {
+        let mut gossip = self.gossip.borrow_mut();
+        let messages = self.shared().roster.update(|view| act(&mut gossip, view));
+        for (to, body) in messages {
+            // A message that is lost is made up for by a later round.
+            let _ = self.mesh.send(&to, body);
+        }
+    }
+}
+
+impl<H: Handler + 'static> Handler for Driver<H> {
+    fn handle(&self, from: Instance, body: Body, reply: Responder) {
+        match body {
+            Body::Heartbeat(_) | Body::Rumor(_) | Body::Digest(_) => {
+                self.gossip(|gossip, view| gossip.receive(Time::now(), view, &from, body));
+            }
+            body => self.handler.handle(from, body, reply),
+        }
+    }
+}
--- /dev/null
+++ b/src/peer/reply.rs
@@ -0,0 +1,267 @@
+//! Replies to a request, on the side that sends them and on the side that receives them.
+
+use std::{
+    fmt,
+    pin::Pin,
+    sync::{
+        Arc,
+        OnceLock, //
+    },
+    task::{
+        Context,
+        Poll, //
+    },
+};
+
+use futures_util::{
+    Stream,
+    StreamExt, //
+};
+use tokio::sync::{
+    mpsc,
+    Semaphore, //
+};
+
+use super::{
+    link::Link,
+    wire::{
+        Body,
+        Frame, //
+    },
+    Error,
+};
+
+/// Replies that a responder may send ahead of the requester.
+///
+/// Each request has a window of its own, so that a requester that reads slowly delays only its
+/// own replies and not the link.
+pub(super) const WINDOW: usize = 32;
+
+/// Reason why a reply was not sent: the requester gave up, or the link is lost.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(thiserror::Error)]
+#[error("requester is gone")]
+pub struct Closed;
+
+/// State of a request on the side that replies.
+#[derive(Debug)]
+pub(super) struct Inlet {
+    /// Replies that the requester has room for.
+    credit: Semaphore,
+    /// Never has a permit; closed when the requester gave up or the link is lost.
+    open: Semaphore,
+}
+
+impl Inlet {
+    pub(super) fn new() -> Self {
+        Self {
+            credit: Semaphore::new(WINDOW),
+            open: Semaphore::new(0),
+        }
+    }
+
+    pub(super) fn close(&self) {
+        self.credit.close();
+        self.open.close();
+    }
+
+    pub(super) fn add(&self, credit: u32) {
+        let room = WINDOW.saturating_sub(self.credit.available_permits());
+        self.credit.add_permits(room.min(credit as usize));
+    }
+}
+
+/// Sends the replies to one request; the request is closed when it is dropped.
+pub struct Responder {
+    id: u64,
+    link: Arc<Link>,
+    inlet: Arc<Inlet>,
+    finished: bool,
+}
+
+impl fmt::Debug for Responder {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Responder").field("id", &self.id).finish()
+    }
+}
+
+impl Responder {
+    pub(super) fn new(id: u64, link: Arc<Link>, inlet: Arc<Inlet>) -> Self {
+        // Nobody waits for a reply to number 0.
+        let finished = id == 0;
+        Self {
+            id,
+            link,
+            inlet,
+            finished,
+        }
+    }
+
+    /// Sends a reply; waits while the requester has no room.
+    pub async fn send(&self, body: Body) -> Result<(), Closed> {
+        if self.finished {
+            return Err(Closed);
+        }
+        self.inlet
+            .credit
+            .acquire()
+            .await
+            .map_err(|_| Closed)?
+            .forget();
+        let frame = Frame {
+            id: self.id,
+            reply: true,
+            last: false,
+            body,
+        };
+        self.link.push(&frame).await.map_err(|_| Closed)
+    }
+
+    /// Sends the last reply without waiting.
+    ///
+    /// The last reply needs no room at the requester, so that a final answer is never held back.
+    pub fn finish(mut self, body: Body) -> Result<(), Closed> {
+        self.end(body)
+    }
+
+    /// Waits until the requester gives up or the link is lost.
+    pub async fn closed(&self) {
+        let _ = self.inlet.open.acquire().await;
+    }
+
+    /// Returns whether the requester gave up or the link is lost.
+    pub fn is_closed(&self) -> bool {
+        self.inlet.open.is_closed()
+    }
+
+    fn end(&mut self, body: Body) -> Result<(), Closed> {
+        if self.finished {
+            return Err(Closed);
+        }
+        self.finished = true;
+        self.link.forget(self.id);
+        let frame = Frame {
+            id: self.id,
+            reply: true,
+            last: true,
+            body,
+        };
+        self.link.push_now(&frame).map_err(|_| Closed)
+    }
+}
+
+impl Drop for Responder {
+    fn drop(&mut self) {
+        let _ = self.end(Body::Empty);
+    }
+}
+
+/// A reply on its way to the requester.
+#[derive(Debug)]
+pub(super) struct Reply {
+    pub(super) body: Result<Body, Error>,
+    pub(super) last: bool,
+}
+
+/// Replies to one request; the request is cancelled when it is dropped before the last reply.
+pub struct Replies {
+    id: u64,
+    queue: mpsc::Receiver<Reply>,
+    /// Link that the request went out on, once there is one.
+    link: Arc<OnceLock<Arc<Link>>>,
+    taken: u32,
+    finished: bool,
+}
+
+impl fmt::Debug for Replies {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Replies").field("id", &self.id).finish()
+    }
+}
+
+impl Replies {
+    pub(super) fn new(
+        id: u64,
+        queue: mpsc::Receiver<Reply>,
+        link: Arc<OnceLock<Arc<Link>>>,
+    ) -> Self {
+        Self {
+            id,
+            queue,
+            link,
+            taken: 0,
+            finished: false,
+        }
+    }
+
+    /// Returns the next reply, or `None` after the last one.
+    pub async fn next(&mut self) -> Option<Result<Body, Error>> {
+        StreamExt::next(self).await
+    }
+
+    /// Tells the responder that there is room for the replies that were taken.
+    fn refill(&mut self) {
+        self.taken += 1;
+        if self.taken < WINDOW as u32 / 2 {
+            return;
+        }
+        let credit = Body::Credit(std::mem::take(&mut self.taken));
+        self.tell(credit);
+    }
+
+    fn tell(&self, body: Body) {
+        if let Some(link) = self.link.get() {
+            let frame = Frame {
+                id: self.id,
+                reply: false,
+                last: false,
+                body,
+            };
+            let _ = link.push_now(&frame);
+        }
+    }
+
+    fn end(&mut self, error: Error) -> Poll<Option<Result<Body, Error>>> {
+        self.finished = true;
+        Poll::Ready(Some(Err(error)))
+    }
+}
+
+impl Stream for Replies {
+    type Item = Result<Body, Error>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        if self.finished {
+            return Poll::Ready(None);
+        }
+        let Some(reply) = std::task::ready!(self.queue.poll_recv(cx)) else {
+            return self.end(Error::Lost);
+        };
+        match reply.body {
+            Err(error) => self.end(error),
+            Ok(Body::Unsupported) => self.end(Error::Unsupported),
+            Ok(Body::Empty) if reply.last => {
+                self.finished = true;
+                Poll::Ready(None)
+            }
+            Ok(body) => {
+                self.finished = reply.last;
+                if !reply.last {
+                    self.refill();
+                }
+                Poll::Ready(Some(Ok(body)))
+            }
+        }
+    }
+}
+
+impl Drop for Replies {
+    fn drop(&mut self) {
+        if !self.finished {
+            if let Some(link) = self.link.get() {
+                link.abandon(self.id);
+            }
+            self.tell(Body::Cancel);
+        }
+    }
+}
