--- a/src/upstream/http.rs
+++ b/src/upstream/http.rs
@@ -8,12 +8,25 @@
     cell::RefCell,
     fmt::Display,
     rc::Rc,
+    task::{
+        Context,
+        Poll, //
+    },
     time::{
         Duration,
         SystemTime, //
     },
 };
 
+use actix_tls::connect::{
+    ConnectError as DialError,
+    ConnectInfo,
+    Connection,
+    Connector as Dial,
+    ConnectorService,
+    Resolver, //
+};
+use actix_web::dev::Service;
 use awc::{
     error::{
         ConnectError,
@@ -24,7 +37,8 @@
             self,
             HttpDate, //
         },
-        StatusCode, //
+        StatusCode,
+        Uri, //
     },
     ClientRequest,
     ClientResponse,
@@ -35,12 +49,16 @@
     BytesMut, //
 };
 use futures_util::{
+    future::LocalBoxFuture,
     FutureExt as _,
     StreamExt as _, //
 };
-use tokio::time::{
-    timeout_at,
-    Instant, //
+use tokio::{
+    net::TcpStream,
+    time::{
+        timeout_at,
+        Instant, //
+    }, //
 };
 
 use crate::hash::Map;
@@ -103,8 +121,34 @@
     used: Instant,
 }
 
+/// Makes connections that send small parts immediately.
+///
+/// Otherwise the last part of a prompt may wait for the acknowledgement of the part before it.
+#[derive(Clone)]
+struct Dialer(ConnectorService);
+
+impl Service<ConnectInfo<Uri>> for Dialer {
+    type Response = Connection<Uri, TcpStream>;
+    type Error = DialError;
+    type Future = LocalBoxFuture<'static, Result<Self::Response, DialError>>;
+
+    fn poll_ready(&self, context: &mut Context<'_>) -> Poll<Result<(), DialError>> {
+        Service::<ConnectInfo<Uri>>::poll_ready(&self.0, context)
+    }
+
+    fn call(&self, info: ConnectInfo<Uri>) -> Self::Future {
+        let dial = self.0.call(info);
+        Box::pin(async move {
+            let connection = dial.await?;
+            connection.set_nodelay(true).map_err(DialError::Io)?;
+            Ok(connection)
+        })
+    }
+}
+
 fn client(settings: &Settings) -> awc::Client {
     let connector = Connector::new()
+        .connector(Dialer(Dial::new(Resolver::default()).service()))
         .timeout(settings.connect)
         .conn_keep_alive(settings.idle)
         .conn_lifetime(settings.age)
