--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -158,7 +158,6 @@
     pub customer: crate::name::Customer,
 }
 
-#[derive(Debug, Default)]
 struct Section {
     pool: pool::Pool,
     targets: BTreeMap<Upstream, Target>,
@@ -173,7 +172,6 @@
 }
 
 /// Holds one queue per pool and decides about the calls in it.
-#[derive(Debug)]
 pub struct Dispatcher {
     sections: Map<Pool, Section>,
     pending: Map<u64, Pending>,
--- /dev/null
+++ b/src/executor/admit.rs
@@ -0,0 +1,115 @@
+//! Checks of a call against the ledger before any work is done.
+
+use std::time::Duration;
+
+use crate::{
+    clock::Time,
+    contract::{
+        Contract,
+        Server, //
+    },
+    ledger::{
+        self,
+        program,
+        record::{
+            Ending,
+            Ran, //
+        },
+        State, //
+    },
+    money::Money,
+    name::Program,
+};
+
+use super::request::{
+    Reason,
+    Refusal,
+    Request, //
+};
+
+/// Delay after which a caller may ask again for a call that is running.
+pub const SOON: Duration = Duration::from_millis(200);
+
+/// Makes a refusal of a call that did not run.
+pub fn refuse(reason: Reason, detail: impl Into<String>, retry_after: Option<Duration>) -> Refusal {
+    Refusal {
+        reason,
+        ran: Ran::No,
+        retry_after_ms: retry_after.map(|span| span.as_millis() as u64),
+        detail: detail.into(),
+    }
+}
+
+/// Returns the customer's contract if this system serves the customer.
+pub fn contract<'a>(state: &'a State, request: &Request) -> Result<&'a Contract, Refusal> {
+    let Some(contract) = state.contract(&request.customer) else {
+        let detail = format!("customer {} has no contract", request.customer);
+        return Err(refuse(Reason::UnknownCustomer, detail, None));
+    };
+    if contract.served_by() != Server::Gypsumlever {
+        let detail = format!("customer {} is served by the old system", request.customer);
+        return Err(refuse(Reason::CustomerElsewhere, detail, None));
+    }
+    Ok(contract)
+}
+
+/// Returns the program under way that a call names.
+pub fn find<'a>(
+    state: &'a State,
+    request: &Request,
+    name: &Program,
+    memory: Duration,
+    now: Time,
+) -> Result<&'a ledger::program::Program, Refusal> {
+    if let Some(found) = state.program(name) {
+        if *found.customer() == request.customer {
+            return Ok(found);
+        }
+        // The answer must not tell one customer about the programs of another.
+        return Err(unknown(name));
+    }
+    if let Some(ending) = state.ended(&request.customer, name) {
+        return Err(ended(ending));
+    }
+    match program::created(name) {
+        Some(created) if created + memory < now => {
+            let detail = format!("program {name} is older than records are kept");
+            Err(refuse(Reason::ProgramExpired, detail, None))
+        }
+        _ => Err(unknown(name)),
+    }
+}
+
+fn unknown(name: &Program) -> Refusal {
+    refuse(Reason::UnknownProgram, format!("program {name} is not known"), None)
+}
+
+/// Makes the refusal of a call of an ended program.
+pub fn ended(ending: Ending) -> Refusal {
+    refuse(Reason::ProgramEnded, format!("program has ended: {ending:?}"), None)
+}
+
+/// What a program has used so far, turns that are not in the log yet included.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Usage {
+    /// Number of turns.
+    pub turns: u32,
+    /// Tokens of history.
+    pub tokens: u64,
+    /// Time since the start.
+    pub age: Duration,
+    /// Money spent.
+    pub spent: Money,
+}
+
+/// Returns the limit of the contract that a program has reached.
+pub fn reached(contract: &Contract, usage: &Usage) -> Option<Ending> {
+    let limits = contract.limits();
+    let rules = [
+        (usage.turns >= limits.turns, Ending::TurnLimit),
+        (usage.tokens >= limits.tokens, Ending::TokenLimit),
+        (usage.age.as_secs() >= limits.seconds, Ending::TimeLimit),
+        (usage.spent.0 >= limits.spend_micros, Ending::SpendLimit),
+    ];
+    rules.into_iter().find(|(hit, _)| *hit).map(|(_, ending)| ending)
+}
--- /dev/null
+++ b/src/executor/attempt.rs
@@ -0,0 +1,440 @@
+//! Attempts to run a call on upstreams.
+
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use bytes::Bytes;
+
+use crate::{
+    clock::Time,
+    config::Operation,
+    contract::Contract,
+    dispatch::broker::Lease,
+    executor::prompt,
+    ledger::{
+        purse::Hold,
+        record::Ran, //
+    },
+    metrics::Retry,
+    money::Money,
+    name::{
+        Class,
+        Customer,
+        Program,
+        Upstream, //
+    },
+    policy::call::{
+        self,
+        Report, //
+    },
+    upstream::{
+        Engine,
+        Event,
+        Failure,
+        Limits,
+        Message,
+        Prompt,
+        Service,
+        Stream,
+        Usage, //
+    },
+};
+
+use super::{
+    admit::refuse,
+    job::Job,
+    request::{
+        Call,
+        Reason,
+        Refusal,
+        Request, //
+    },
+    Inner,
+};
+
+/// Most attempts of one call; more would multiply load when every upstream fails.
+const MOST_ATTEMPTS: usize = 4;
+
+/// Delay that is suggested after a failure of upstreams.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What has to be sent.
+pub(super) enum Work {
+    /// A prompt to a model engine.
+    Model(Prompt),
+    /// A request to a service.
+    Service {
+        /// Path of the operation.
+        path: String,
+        /// Key that the service may recognise a repeated request by.
+        key: String,
+        /// JSON text.
+        body: Bytes,
+        /// Whether the request may be sent again.
+        idempotent: bool,
+    },
+}
+
+impl Work {
+    fn idempotent(&self) -> bool {
+        match self {
+            Self::Model(_) => true,
+            Self::Service { idempotent, .. } => *idempotent,
+        }
+    }
+}
+
+/// What is known about a call when its attempts begin.
+pub(super) struct Task {
+    /// The call.
+    pub(super) request: Request,
+    /// Contract in force when the call entered.
+    pub(super) contract: Arc<Contract>,
+    /// What has to be sent.
+    pub(super) work: Work,
+    /// Tokens that the program has been served.
+    pub(super) attained: u64,
+    /// Highest cost of one attempt.
+    pub(super) worst: Money,
+    /// Time by which the answer is useful.
+    pub(super) deadline: Time,
+    /// Last moment at which a claimed call may be sent.
+    pub(super) claimed_until: Option<Instant>,
+}
+
+/// What the successful attempt brought.
+#[derive(Clone, Debug)]
+pub(super) struct Outcome {
+    /// Text of a model's message, or JSON text of a service's answer.
+    pub(super) content: String,
+    /// Tokens that the call used.
+    pub(super) usage: Usage,
+    /// Cost of all attempts.
+    pub(super) cost: Money,
+}
+
+/// Why an attempt did not succeed.
+enum Miss {
+    /// The upstream failed.
+    Upstream(Failure),
+    /// The caller cancelled, after the call was sent.
+    Cancelled,
+    /// The claim is too old to send.
+    Stale,
+}
+
+impl<E: Engine + 'static, S: Service + 'static> Inner<E, S> {
+    /// Returns what has to be sent and its highest cost.
+    pub(super) fn work(
+        &self,
+        request: &Request,
+        operation: Option<&Operation>,
+        history: Vec<Message>,
+        key: String,
+    ) -> Result<(Work, Money), Refusal> {
+        let pool = self.shared.config.pool(request.call.pool().as_str());
+        let Some(pool) = pool else {
+            return Err(refuse(Reason::UnknownPool, "pool is not configured", None));
+        };
+        match (&request.call, operation) {
+            (Call::Model { messages, max_tokens, .. }, _) => {
+                let mut all = history;
+                all.extend(messages.iter().cloned());
+                let worst = pool.prices.cost(prompt::most_tokens(&all), u64::from(*max_tokens));
+                let work = Work::Model(Prompt {
+                    model: pool.model().unwrap_or(pool.name.as_str()).to_owned(),
+                    messages: all,
+                    max_tokens: *max_tokens,
+                    cache_key: request.program.as_ref().map(prompt::cache_key).unwrap_or_default(),
+                });
+                Ok((work, worst))
+            }
+            (Call::Service { body, .. }, Some(operation)) => {
+                let price = operation.call_micros.unwrap_or(pool.prices.call_micros);
+                let work = Work::Service {
+                    path: operation.path.clone(),
+                    key,
+                    body: Bytes::from(body.clone()),
+                    idempotent: operation.idempotent,
+                };
+                Ok((work, Money(price)))
+            }
+            (Call::Service { .. }, None) => {
+                Err(refuse(Reason::UnknownPool, "operation is not configured", None))
+            }
+        }
+    }
+
+    /// Covers the highest cost of one attempt from the customer's budget.
+    pub(super) async fn cover(&self, customer: &Customer, worst: Money) -> Result<Hold, Refusal> {
+        let taken = self.shared.purses.take(customer, worst).await;
+        taken.map_err(|error| error.into())
+    }
+
+    /// Runs a call until an attempt succeeds or no more attempt is allowed.
+    ///
+    /// `first` covers the first attempt; each further one that may cost again is covered anew.
+    pub(super) async fn attempts(
+        &self,
+        job: &Rc<Job>,
+        task: &Task,
+        first: Hold,
+    ) -> Result<Outcome, Refusal> {
+        let mut hold = Some(first);
+        let mut excluded = Vec::new();
+        let mut lost = Money(0);
+        for attempt in 1.. {
+            let covered = match hold.take() {
+                Some(hold) => hold,
+                None => self.cover(&task.request.customer, task.worst).await?,
+            };
+            let lease = self.lease(job, task, &excluded, lost).await?;
+            let upstream = lease.upstream.clone();
+            let miss = match self.send(job, task, lease).await {
+                Ok((content, usage)) => {
+                    let cost = self.price(task, &usage);
+                    let cost = Money(cost.0.min(task.worst.0));
+                    covered.settle(cost);
+                    let cost = cost.saturating_add(lost);
+                    return Ok(Outcome { content, usage, cost });
+                }
+                Err(miss) => miss,
+            };
+            let safe = task.work.idempotent();
+            let failure = match miss {
+                Miss::Stale => {
+                    covered.settle(Money(0));
+                    let detail = "the claim became too old before the call could be sent";
+                    return Err(refuse(Reason::DeadlineUnreachable, detail, Some(RETRY_AFTER)));
+                }
+                Miss::Cancelled => {
+                    drop(covered);
+                    return Err(cancelled(safe));
+                }
+                Miss::Upstream(failure) => failure,
+            };
+            let reason = match &failure {
+                Failure::NotSent(_) => Retry::NotSent,
+                Failure::Refused { .. } => Retry::Refused,
+                Failure::Failed { .. } => Retry::Failed,
+                Failure::Unknown(_) => Retry::Unknown,
+            };
+            match &failure {
+                Failure::NotSent(_) => hold = Some(covered),
+                Failure::Refused { .. } if safe => hold = Some(covered),
+                // The upstream may have done the work, so that its highest cost counts as spent.
+                _ => {
+                    drop(covered);
+                    lost = lost.saturating_add(task.worst);
+                }
+            }
+            let repeatable = safe || matches!(failure, Failure::NotSent(_));
+            let again = repeatable
+                && attempt < MOST_ATTEMPTS
+                && Time::now() < task.deadline
+                && self.shared.broker.retry(task.request.call.pool(), &task.request.customer).await;
+            if !again {
+                if let Some(unused) = hold.take() {
+                    unused.settle(Money(0));
+                }
+                return Err(failed(&failure, safe));
+            }
+            self.shared.metrics.retry(reason);
+            log::info!("executor: {} retries after {failure}", task.request.id);
+            job.restart();
+            excluded.push(upstream);
+        }
+        unreachable!("the loop ends after the last attempt")
+    }
+
+    fn price(&self, task: &Task, usage: &Usage) -> Money {
+        match &task.work {
+            Work::Model(_) => {
+                let pool = self.shared.config.pool(task.request.call.pool().as_str());
+                pool.map_or(task.worst, |pool| {
+                    pool.prices.cost(usage.prompt_tokens, usage.completion_tokens)
+                })
+            }
+            Work::Service { .. } => task.worst,
+        }
+    }
+
+    /// Waits for an upstream.
+    async fn lease(
+        &self,
+        job: &Rc<Job>,
+        task: &Task,
+        excluded: &[Upstream],
+        _lost: Money,
+    ) -> Result<Lease, Refusal> {
+        let (prefix, cost) = match &task.work {
+            Work::Model(prompt) => {
+                let tokens = prompt::most_tokens(&prompt.messages) / BYTES_PER_TOKEN;
+                let fresh = tokens.saturating_sub(task.attained);
+                (task.attained, fresh + u64::from(prompt.max_tokens))
+            }
+            Work::Service { .. } => (0, 1),
+        };
+        let class: &Class = &task.request.class;
+        let call = call::Call {
+            customer: task.request.customer.clone(),
+            share: task.contract.share(),
+            class: class.clone(),
+            interactive: task.contract.interactive(class),
+            program: task.request.program.clone(),
+            attained: task.attained,
+            prefix,
+            cost,
+            deadline: task.deadline,
+            idempotent: task.work.idempotent(),
+            excluded: excluded.to_vec(),
+        };
+        let asked = Instant::now();
+        let granted = tokio::select! {
+            granted = self.shared.broker.ask(task.request.call.pool(), &call) => granted,
+            () = job.cancelled() => {
+                return Err(refuse(Reason::Cancelled, "the caller cancelled the call", None));
+            }
+        };
+        self.shared.metrics.queue_wait(asked.elapsed());
+        granted.map_err(|deny| {
+            let detail = "no upstream was granted in time";
+            refuse(deny.reason, detail, Some(deny.retry_after))
+        })
+    }
+
+    /// Sends the call once.
+    async fn send(
+        &self,
+        job: &Rc<Job>,
+        task: &Task,
+        lease: Lease,
+    ) -> Result<(String, Usage), Miss> {
+        if task.claimed_until.is_some_and(|until| Instant::now() >= until) {
+            return Err(Miss::Stale);
+        }
+        let started = Instant::now();
+        let mut report = Report::default();
+        let work = self.transfer(job, task, &lease.address, started, &mut report);
+        let result = tokio::select! {
+            result = work => result.map_err(Miss::Upstream),
+            () = job.cancelled() => Err(Miss::Cancelled),
+        };
+        report.total_us = started.elapsed().as_micros() as u64;
+        report.refused = matches!(
+            &result,
+            Err(Miss::Upstream(Failure::Refused { .. } | Failure::NotSent(_)))
+        );
+        report.failed = matches!(&result, Err(Miss::Upstream(_)));
+        lease.done(report);
+        result
+    }
+
+    async fn transfer(
+        &self,
+        job: &Rc<Job>,
+        task: &Task,
+        address: &str,
+        started: Instant,
+        report: &mut Report,
+    ) -> Result<(String, Usage), Failure> {
+        let pool = self.shared.config.pool(task.request.call.pool().as_str());
+        let mut limits = pool.map_or(crate::config::raw::SERVICE_LIMITS, |pool| pool.limits());
+        shorten(&mut limits, task.deadline.since(Time::now()));
+        match &task.work {
+            Work::Model(prompt) => {
+                self.place(task.request.program.as_ref(), address);
+                let mut stream = self.engine.start(address, prompt, limits).await?;
+                while let Some(event) = stream.next().await? {
+                    match event {
+                        Event::Text(text) => {
+                            if report.first_us.is_none() {
+                                let first = started.elapsed();
+                                report.first_us = Some(first.as_micros() as u64);
+                                self.shared.metrics.first_token(first);
+                            }
+                            job.push(&text);
+                        }
+                        Event::Done(usage) => {
+                            report.prompt_tokens = usage.prompt_tokens;
+                            report.cached_tokens = usage.cached_tokens;
+                            report.completion_tokens = usage.completion_tokens;
+                            self.shared.metrics.tokens(&usage);
+                            return Ok((job.text(), usage));
+                        }
+                    }
+                }
+                Err(Failure::Unknown("stream ended without usage".into()))
+            }
+            Work::Service { path, key, body, idempotent } => {
+                let body = body.clone();
+                let answer = if *idempotent {
+                    self.service.call(address, path, key, body, limits).await?
+                } else {
+                    self.service.call_once(address, path, key, body, limits).await?
+                };
+                report.first_us = Some(started.elapsed().as_micros() as u64);
+                let content = String::from_utf8_lossy(&answer).into_owned();
+                Ok((content, Usage::default()))
+            }
+        }
+    }
+
+    /// Notes that an engine may hold cache of a program.
+    fn place(&self, program: Option<&Program>, address: &str) {
+        let Some(program) = program else {
+            return;
+        };
+        let mut placed = self.placed.borrow_mut();
+        let addresses = placed.entry(program.clone()).or_default();
+        if !addresses.iter().any(|known| known == address) {
+            addresses.push(address.to_owned());
+        }
+    }
+}
+
+/// Bytes of text per token, as a rough mean for estimates of load; costs use an upper bound.
+const BYTES_PER_TOKEN: u64 = 4;
+
+fn shorten(limits: &mut Limits, left: Duration) {
+    limits.total = limits.total.min(left);
+    limits.first = limits.first.min(left);
+}
+
+fn cancelled(idempotent: bool) -> Refusal {
+    let mut refusal = refuse(Reason::Cancelled, "the caller cancelled the call", None);
+    refusal.ran = Ran::Unknown;
+    if !idempotent {
+        refusal.reason = Reason::OutcomeUnknown;
+        refusal.detail = "the call was cancelled after it was sent".into();
+    }
+    refusal
+}
+
+/// Makes the final answer after the last attempt.
+fn failed(failure: &Failure, idempotent: bool) -> Refusal {
+    let (reason, ran, after) = match failure {
+        Failure::NotSent(_) => (Reason::NoUpstream, Ran::No, Some(RETRY_AFTER)),
+        Failure::Refused { retry_after, .. } if idempotent => {
+            (Reason::UpstreamRefused, Ran::No, Some(retry_after.unwrap_or(RETRY_AFTER)))
+        }
+        Failure::Failed { .. } if idempotent => {
+            (Reason::UpstreamFailed, Ran::Unknown, Some(RETRY_AFTER))
+        }
+        // A refusal or an error may come from something between us and the service, after the
+        // service has acted.
+        _ => (Reason::OutcomeUnknown, Ran::Unknown, None),
+    };
+    Refusal {
+        reason,
+        ran,
+        retry_after_ms: after.map(|span| span.as_millis() as u64),
+        detail: failure.to_string(),
+    }
+}
--- /dev/null
+++ b/src/executor/commit.rs
@@ -0,0 +1,455 @@
+//! Claims and turns on their way into the log.
+
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use crate::{
+    clock::Time,
+    executor::prompt,
+    ledger::{
+        outcome::{
+            self,
+            Winner, //
+        },
+        record::{
+            Body,
+            Ending,
+            Ran,
+            Record,
+            Turn, //
+        },
+        Refusal as LogRefusal,
+    },
+    name::{
+        Instance,
+        Program, //
+    },
+    peer::wire,
+    upstream::{
+        Engine,
+        Service, //
+    },
+};
+
+use super::{
+    admit::{
+        self,
+        refuse,
+        SOON, //
+    },
+    attempt::{
+        Outcome,
+        Task, //
+    },
+    job::Job,
+    request::{
+        Answer,
+        Call,
+        Durability,
+        Reason,
+        Refusal,
+        Request, //
+    },
+    turn::Plan,
+    Inner,
+};
+
+/// Longest wait for a peer to hold a turn.
+const HOLD: Duration = Duration::from_secs(1);
+
+/// Peers that hold a turn while the log is down.
+const HOLDERS: usize = 2;
+
+/// An accepted claim of this instance.
+struct Claimed {
+    record: Record,
+    until: Instant,
+}
+
+impl<E: Engine + 'static, S: Service + 'static> Inner<E, S> {
+    /// Runs a one-shot lookup.
+    pub(super) fn look_up(self: Rc<Self>, request: Request) -> Rc<Job> {
+        let job = Job::new(0, None);
+        let result = job.clone();
+        actix_web::rt::spawn(async move {
+            let end = self.looked_up(&job, request).await;
+            self.count(&end);
+            job.finish(end);
+        });
+        result
+    }
+
+    async fn looked_up(&self, job: &Rc<Job>, request: Request) -> Result<Answer, Refusal> {
+        let contract = {
+            let state = self.shared.ledger.state();
+            Arc::new(admit::contract(&state, &request)?.clone())
+        };
+        if request.deadline <= Time::now() {
+            return Err(refuse(Reason::DeadlineUnreachable, "the deadline has passed", None));
+        }
+        let operation = self.operation(&request.call)?;
+        if operation.is_some_and(|operation| !operation.idempotent) {
+            let detail = "a non-idempotent call needs a program";
+            return Err(refuse(Reason::BadRequest, detail, None));
+        }
+        let (work, worst) = self.work(&request, operation, Vec::new(), request.id.clone())?;
+        let hold = self.cover(&request.customer, worst).await?;
+        let task = Task {
+            deadline: request.deadline,
+            request,
+            contract,
+            work,
+            attained: 0,
+            worst,
+            claimed_until: None,
+        };
+        let outcome = self.attempts(job, &task, hold).await?;
+        Ok(Answer {
+            turn: None,
+            content: outcome.content,
+            usage: outcome.usage,
+            durability: Durability::None,
+            stopped: None,
+        })
+    }
+
+    /// Runs the next turn of a program to its end.
+    pub(super) async fn perform(
+        self: Rc<Self>,
+        job: Rc<Job>,
+        request: Request,
+        program: Program,
+        plan: Plan,
+    ) {
+        let end = self.performed(&job, request, &program, &plan).await;
+        self.count(&end);
+        job.finish(end);
+        let mut jobs = self.jobs.borrow_mut();
+        if jobs.get(&program).is_some_and(|last| Rc::ptr_eq(last, &job)) {
+            jobs.remove(&program);
+        }
+    }
+
+    fn count(&self, end: &Result<Answer, Refusal>) {
+        if let Err(refusal) = end {
+            self.shared.metrics.refusal(refusal.reason);
+        }
+    }
+
+    async fn performed(
+        &self,
+        job: &Rc<Job>,
+        request: Request,
+        program: &Program,
+        plan: &Plan,
+    ) -> Result<Answer, Refusal> {
+        let operation = self.operation(&request.call)?.cloned();
+        let history = match &request.call {
+            Call::Model { .. } => prompt::messages(&self.history(program, plan).await?),
+            Call::Service { .. } => Vec::new(),
+        };
+        let key = format!("{program}/{}", plan.index);
+        let (work, worst) = self.work(&request, operation.as_ref(), history, key)?;
+        let limit = plan.contract.limits().spend_micros;
+        if plan.spent.saturating_add(worst).0 > limit {
+            self.stop(&request.customer, program, Ending::SpendLimit).await;
+            return Err(admit::ended(Ending::SpendLimit));
+        }
+        let hold = self.cover(&request.customer, worst).await?;
+        let claim = match operation.filter(|operation| !operation.idempotent) {
+            Some(_) => Some(self.claim(&request, program, plan).await?),
+            None => None,
+        };
+        let task = Task {
+            contract: plan.contract.clone(),
+            work,
+            attained: plan.tokens,
+            worst,
+            deadline: plan.deadline,
+            claimed_until: claim.as_ref().map(|claim| claim.until),
+            request,
+        };
+        let result = self.attempts(job, &task, hold).await;
+        match (result, claim) {
+            (Ok(outcome), _) => self.commit(job, &task, program, plan, outcome).await,
+            (Err(refusal), None) => Err(refusal),
+            (Err(refusal), Some(claim)) if refusal.ran == Ran::No => {
+                self.void(&task.request, program, plan, &claim).await;
+                Err(refusal)
+            }
+            (Err(refusal), Some(_)) => {
+                self.commit_unknown(&task, program, plan).await;
+                Err(refusal)
+            }
+        }
+    }
+
+    async fn history(&self, program: &Program, plan: &Plan) -> Result<Vec<Arc<Turn>>, Refusal> {
+        let next = {
+            let state = self.shared.ledger.state();
+            state.program(program).map_or(0, |found| found.next())
+        };
+        let committed = next.min(plan.index);
+        let mut turns = Vec::new();
+        if committed > 0 {
+            let read = self.shared.ledger.turns(program, 0..committed).await;
+            turns = read.map_err(|error| {
+                let after = self.shared.ledger.settings().backoff_most;
+                let detail = format!("history can't be read: {error}");
+                refuse(Reason::LogUnavailable, detail, Some(after))
+            })?;
+        }
+        turns.extend(self.shared.overlay.turns(program, committed));
+        if turns.len() < plan.index as usize {
+            let detail = "history of the program is not complete on this instance";
+            return Err(refuse(Reason::LogUnavailable, detail, Some(SOON)));
+        }
+        turns.truncate(plan.index as usize);
+        Ok(turns)
+    }
+
+    /// Claims the right to send a non-idempotent call.
+    ///
+    /// The age is counted from before the append on a clock that includes suspended time.
+    async fn claim(
+        &self,
+        request: &Request,
+        program: &Program,
+        plan: &Plan,
+    ) -> Result<Claimed, Refusal> {
+        let until = Instant::now() + self.shared.config.timings.claim_age;
+        let body = Body::Claim {
+            program: program.clone(),
+            index: plan.index,
+            key: request.key.clone(),
+            digest: plan.digest,
+        };
+        let record = self.shared.ledger.record(&request.customer, body);
+        match self.shared.ledger.commit(record.clone()).await {
+            Ok(outcome) if outcome.took_effect() => Ok(Claimed { record, until }),
+            Ok(outcome::Outcome::Conflict(_)) => Err(Refusal {
+                reason: Reason::OutcomeUnknown,
+                ran: Ran::Unknown,
+                retry_after_ms: Some(SOON.as_millis() as u64),
+                detail: "another instance runs this turn".into(),
+            }),
+            Ok(outcome) => Err(refuse(
+                Reason::OutOfOrder,
+                format!("the turn can't be claimed: {outcome:?}"),
+                Some(SOON),
+            )),
+            Err(error) => {
+                if matches!(error, LogRefusal::Unknown { .. }) {
+                    // The claim may still get into the log; nothing was sent under it.
+                    self.void_later(request, program, plan, &record);
+                }
+                Err(error.into())
+            }
+        }
+    }
+
+    fn void_record(
+        &self,
+        request: &Request,
+        program: &Program,
+        plan: &Plan,
+        claim: &Record,
+    ) -> Record {
+        let body = Body::Void {
+            program: program.clone(),
+            index: plan.index,
+            claim: claim.id,
+        };
+        self.shared.ledger.record(&request.customer, body)
+    }
+
+    fn void_later(&self, request: &Request, program: &Program, plan: &Plan, claim: &Record) {
+        let record = self.void_record(request, program, plan, claim);
+        let _ = self.shared.ledger.commit_later(record);
+    }
+
+    async fn void(&self, request: &Request, program: &Program, plan: &Plan, claim: &Claimed) {
+        let record = self.void_record(request, program, plan, &claim.record);
+        if self.shared.ledger.commit(record.clone()).await.is_err() {
+            let _ = self.shared.ledger.commit_later(record);
+        }
+    }
+
+    fn turn_record(
+        &self,
+        task: &Task,
+        program: &Program,
+        plan: &Plan,
+        ran: Ran,
+        outcome: &Outcome,
+    ) -> (Record, Arc<Turn>) {
+        let request = serde_json::to_string(&task.request.call).unwrap_or_default();
+        let added = (request.len() + outcome.content.len()) as u64 / 4;
+        let turn = Arc::new(Turn {
+            key: task.request.key.clone(),
+            digest: plan.digest,
+            request,
+            answer: outcome.content.clone(),
+            ran,
+            cost: outcome.cost,
+            tokens: added + 1,
+        });
+        let body = Body::Turn {
+            program: program.clone(),
+            index: plan.index,
+            turn: turn.clone(),
+        };
+        (self.shared.ledger.record(&task.request.customer, body), turn)
+    }
+
+    /// Commits that the outcome of a claimed call is unknown, so that the program can go on.
+    async fn commit_unknown(&self, task: &Task, program: &Program, plan: &Plan) {
+        let outcome = Outcome {
+            content: String::new(),
+            usage: Default::default(),
+            cost: task.worst,
+        };
+        let (record, _) = self.turn_record(task, program, plan, Ran::Unknown, &outcome);
+        if self.shared.ledger.commit(record.clone()).await.is_err() {
+            self.shared.overlay.insert(&record);
+            let _ = self.shared.ledger.commit_later(record);
+        }
+    }
+
+    /// Commits a turn and makes the caller's answer.
+    async fn commit(
+        &self,
+        job: &Rc<Job>,
+        task: &Task,
+        program: &Program,
+        plan: &Plan,
+        outcome: Outcome,
+    ) -> Result<Answer, Refusal> {
+        let (record, turn) = self.turn_record(task, program, plan, Ran::Yes, &outcome);
+        let started = Instant::now();
+        let ahead = self.shared.overlay.turns(program, 0).is_empty();
+        let committed = if ahead {
+            self.shared.ledger.commit(record.clone()).await
+        } else {
+            // Earlier turns wait for the log, and the log takes turns in order only.
+            Err(LogRefusal::NotApplied { retry_after: SOON })
+        };
+        self.shared.metrics.commit(started.elapsed());
+        let durability = match committed {
+            Ok(decided) if decided.took_effect() => Durability::Committed,
+            Ok(outcome::Outcome::Conflict(Winner::Turn(index))) => {
+                return self.superseded(job, program, index).await;
+            }
+            Ok(outcome::Outcome::Rejected(outcome::Reason::Ended(ending))) => {
+                return Err(Refusal { ran: Ran::Yes, ..admit::ended(ending) });
+            }
+            Ok(decided) => {
+                return Err(Refusal {
+                    reason: Reason::OutOfOrder,
+                    ran: Ran::Yes,
+                    retry_after_ms: None,
+                    detail: format!("the call ran, but its turn was not accepted: {decided:?}"),
+                });
+            }
+            Err(_) => self.replicate(program, record).await,
+        };
+        let usage = admit::Usage {
+            turns: plan.index + 1,
+            tokens: plan.tokens + turn.tokens,
+            age: Time::now().since(plan.started),
+            spent: plan.spent.saturating_add(outcome.cost),
+        };
+        let stopped = admit::reached(&plan.contract, &usage);
+        if let Some(ending) = stopped {
+            self.stop(&task.request.customer, program, ending).await;
+        }
+        Ok(Answer {
+            turn: Some(plan.index),
+            content: outcome.content,
+            usage: outcome.usage,
+            durability,
+            stopped,
+        })
+    }
+
+    /// Answers with the turn that another instance committed first.
+    async fn superseded(
+        &self,
+        job: &Rc<Job>,
+        program: &Program,
+        index: u32,
+    ) -> Result<Answer, Refusal> {
+        let turn = self.read(program, index).await?;
+        if turn.digest != job.digest || turn.ran != Ran::Yes {
+            return Err(Refusal {
+                reason: Reason::OutOfOrder,
+                ran: Ran::Yes,
+                retry_after_ms: None,
+                detail: format!("another call became turn {index} first"),
+            });
+        }
+        job.restart();
+        Ok(Answer {
+            turn: Some(index),
+            content: turn.answer.clone(),
+            usage: Default::default(),
+            durability: Durability::Committed,
+            stopped: None,
+        })
+    }
+
+    /// Keeps a turn on peers until the log takes it.
+    async fn replicate(&self, program: &Program, record: Record) -> Durability {
+        if !self.shared.overlay.insert(&record) {
+            return Durability::None;
+        }
+        let _ = self.shared.ledger.commit_later(record.clone());
+        let mut held = 0;
+        for holder in self.holders(program) {
+            let body = wire::Body::Hold(record.clone());
+            let reply = self.shared.mesh.request(&holder, body, HOLD).await;
+            held += usize::from(matches!(reply, Ok(wire::Body::Held)));
+            if held == HOLDERS {
+                return Durability::Replicated;
+            }
+        }
+        Durability::None
+    }
+
+    /// Returns the instances that should hold a turn, best first: the program's next homes, with
+    /// one in another availability zone among the first two.
+    fn holders(&self, program: &Program) -> Vec<Instance> {
+        let snapshot = self.shared.roster.snapshot();
+        let own = &self.shared.config.instance;
+        let key = program.as_str().as_bytes();
+        let zone = &self.shared.config.zone;
+        let near = snapshot.ranking(zone, key).into_iter().cloned();
+        let far = snapshot.zones().filter(|other| *other != zone);
+        let mut far = far.flat_map(|zone| snapshot.ranking(zone, key)).cloned();
+        let mut holders: Vec<_> = near.filter(|instance| instance != own).collect();
+        if let Some(other) = far.next() {
+            holders.insert(holders.len().min(1), other);
+        }
+        holders.extend(far);
+        holders.truncate(HOLDERS + 2);
+        holders
+    }
+}
+
+impl From<LogRefusal> for Refusal {
+    fn from(error: LogRefusal) -> Self {
+        let after = match &error {
+            LogRefusal::NotApplied { retry_after }
+            | LogRefusal::Unknown { retry_after }
+            | LogRefusal::Full { retry_after } => Some(*retry_after),
+            LogRefusal::TooLarge(_) => None,
+        };
+        refuse(Reason::LogUnavailable, error.to_string(), after)
+    }
+}
--- a/src/executor/mod.rs
+++ b/src/executor/mod.rs
@@ -1,3 +1,324 @@
 //! The path of a call on its home.
+//!
+//! Each executor runs on a thread of its own and holds the calls of the programs that hash to it,
+//! so that the calls of one program meet in one place without locks.
 
+pub mod admit;
+mod attempt;
+mod commit;
+pub mod job;
+pub mod overlay;
+pub mod prompt;
+mod release;
 pub mod request;
+mod turn;
+
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    sync::{
+        atomic::{
+            AtomicUsize,
+            Ordering, //
+        },
+        Arc,
+    },
+    time::Duration,
+};
+
+use actix::{
+    Actor,
+    Addr,
+    Arbiter,
+    Context,
+    Handler,
+    Message, //
+};
+use tokio::sync::mpsc;
+
+use crate::{
+    clock::Time,
+    config::Config,
+    dispatch::broker::Broker,
+    hash::{
+        self,
+        Map, //
+    },
+    ledger::{
+        purse::Purses,
+        Ledger, //
+    },
+    member::Roster,
+    metrics::Metrics,
+    name::{
+        Customer,
+        Program, //
+    },
+    peer::Mesh,
+    upstream::{
+        Engine,
+        Service, //
+    },
+};
+
+use job::Job;
+use overlay::Overlay;
+use request::{
+    Event,
+    Request, //
+};
+
+/// Events that may wait for a slow caller.
+pub const SINK: usize = 16;
+
+/// What all executors of an instance share.
+#[derive(Clone)]
+pub struct Shared {
+    /// Settings.
+    pub config: Arc<Config>,
+    /// Agreed state.
+    pub ledger: Ledger,
+    /// Tranches of the customers' budgets.
+    pub purses: Purses,
+    /// Access to upstreams.
+    pub broker: Broker,
+    /// View of members.
+    pub roster: Roster,
+    /// Links to other instances.
+    pub mesh: Mesh,
+    /// Turns that are not in the log yet.
+    pub overlay: Overlay,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+    /// Calls that are running, on all executors.
+    pub running: Arc<AtomicUsize>,
+}
+
+impl Shared {
+    /// Returns the time for which ended programs are remembered.
+    pub fn memory(&self) -> Duration {
+        self.ledger.settings().memory
+    }
+}
+
+/// Runs a call, or joins it if it is running, and sends its events.
+#[derive(Debug)]
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Run {
+    /// The call.
+    pub request: Request,
+    /// Byte of the answer's text at which the events begin.
+    pub from: u64,
+    /// Where the events go.
+    pub sink: mpsc::Sender<Event>,
+}
+
+/// Cancels the running call of a program; returns whether there was one.
+#[derive(Debug)]
+#[derive(Message)]
+#[rtype(result = "bool")]
+pub struct Cancel {
+    /// The program.
+    pub program: Program,
+}
+
+/// Joins the running call of a turn; returns false if it is not running here.
+#[derive(Debug)]
+#[derive(Message)]
+#[rtype(result = "bool")]
+pub struct Join {
+    /// The program.
+    pub program: Program,
+    /// Number of the turn.
+    pub turn: u32,
+    /// Byte of the answer's text at which the events begin.
+    pub from: u64,
+    /// Where the events go.
+    pub sink: mpsc::Sender<Event>,
+}
+
+/// Releases the engine memory of a program that has ended.
+#[derive(Debug)]
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Release {
+    /// The program.
+    pub program: Program,
+}
+
+/// State of one executor; it never leaves its thread.
+struct Inner<E, S> {
+    shared: Shared,
+    engine: E,
+    service: S,
+    /// The last call of each program; at most one of a program is running.
+    jobs: RefCell<Map<Program, Rc<Job>>>,
+    /// Engines that may hold cache of a program.
+    placed: RefCell<Map<Program, Vec<String>>>,
+}
+
+/// Runs calls on one thread.
+pub struct Executor<E, S> {
+    inner: Rc<Inner<E, S>>,
+}
+
+impl<E: Engine + 'static, S: Service + 'static> Executor<E, S> {
+    /// Makes an executor; call it on the thread that it will run on.
+    pub fn new(shared: Shared, engine: E, service: S) -> Self {
+        let inner = Inner {
+            shared,
+            engine,
+            service,
+            jobs: RefCell::default(),
+            placed: RefCell::default(),
+        };
+        Self {
+            inner: Rc::new(inner),
+        }
+    }
+}
+
+impl<E: Engine + 'static, S: Service + 'static> Actor for Executor<E, S> {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Context<Self>) {
+        // Default capacity of 16 would make callers wait for the mailbox at peak load.
+        ctx.set_mailbox_capacity(16 * 1024);
+    }
+}
+
+impl<E: Engine + 'static, S: Service + 'static> Handler<Run> for Executor<E, S> {
+    type Result = ();
+
+    fn handle(&mut self, run: Run, _ctx: &mut Context<Self>) {
+        let inner = self.inner.clone();
+        actix_web::rt::spawn(inner.serve(run.request, run.from, run.sink));
+    }
+}
+
+impl<E: Engine + 'static, S: Service + 'static> Handler<Cancel> for Executor<E, S> {
+    type Result = bool;
+
+    fn handle(&mut self, cancel: Cancel, _ctx: &mut Context<Self>) -> bool {
+        let job = self.inner.running(&cancel.program);
+        job.inspect(|job| job.cancel()).is_some()
+    }
+}
+
+impl<E: Engine + 'static, S: Service + 'static> Handler<Join> for Executor<E, S> {
+    type Result = bool;
+
+    fn handle(&mut self, join: Join, _ctx: &mut Context<Self>) -> bool {
+        let job = self.inner.running(&join.program);
+        let Some(job) = job.filter(|job| job.turn == Some(join.turn)) else {
+            return false;
+        };
+        actix_web::rt::spawn(async move { job.follow(join.from, &join.sink).await });
+        true
+    }
+}
+
+impl<E: Engine + 'static, S: Service + 'static> Handler<Release> for Executor<E, S> {
+    type Result = ();
+
+    fn handle(&mut self, message: Release, _ctx: &mut Context<Self>) {
+        self.inner.jobs.borrow_mut().remove(&message.program);
+        let inner = self.inner.clone();
+        actix_web::rt::spawn(async move { inner.release(&message.program).await });
+    }
+}
+
+impl<E: Engine + 'static, S: Service + 'static> Inner<E, S> {
+    /// Returns the running call of a program.
+    fn running(&self, program: &Program) -> Option<Rc<Job>> {
+        let jobs = self.jobs.borrow();
+        jobs.get(program).filter(|job| !job.finished()).cloned()
+    }
+
+    /// Runs a call or joins it, and sends its events.
+    async fn serve(self: Rc<Self>, request: Request, from: u64, sink: mpsc::Sender<Event>) {
+        let started = Time::now();
+        let entered = match request.program.clone() {
+            Some(program) => self.clone().enter(request, program).await,
+            None => Ok(turn::Entered::Job(self.clone().look_up(request))),
+        };
+        match entered {
+            Ok(turn::Entered::Job(job)) => job.follow(from, &sink).await,
+            Ok(turn::Entered::Committed(answer)) => {
+                // A caller that has gone asks again.
+                let _ = sink.send(Event::Answer(answer)).await;
+            }
+            Err(refusal) => {
+                self.shared.metrics.refusal(refusal.reason);
+                let _ = sink.send(Event::Refusal(refusal)).await;
+            }
+        }
+        let elapsed = Time::now().since(started);
+        self.shared.metrics.call(elapsed);
+    }
+}
+
+/// Address of an executor.
+type Shard<E, S> = Addr<Executor<E, S>>;
+
+/// Handle to the executors of an instance.
+pub struct Pool<E: Engine + 'static, S: Service + 'static> {
+    shards: Arc<[Shard<E, S>]>,
+    next: Arc<AtomicUsize>,
+}
+
+impl<E: Engine + 'static, S: Service + 'static> Clone for Pool<E, S> {
+    fn clone(&self) -> Self {
+        Self {
+            shards: self.shards.clone(),
+            next: self.next.clone(),
+        }
+    }
+}
+
+impl<E: Engine + 'static, S: Service + 'static> Pool<E, S> {
+    /// Starts `count` executors, each on a thread of its own with its own clients.
+    pub fn start<F>(shared: &Shared, count: usize, clients: F) -> Self
+    where
+        F: Fn() -> (E, S) + Clone + Send + 'static,
+    {
+        let shard = |_| {
+            let (shared, clients) = (shared.clone(), clients.clone());
+            let arbiter = Arbiter::new().handle();
+            Executor::start_in_arbiter(&arbiter, move |_| {
+                let (engine, service) = clients();
+                Executor::new(shared, engine, service)
+            })
+        };
+        Self {
+            shards: (0..count.max(1)).map(shard).collect(),
+            next: Arc::default(),
+        }
+    }
+
+    /// Returns the executor of a program; one-shot lookups are spread evenly.
+    pub fn shard(&self, program: Option<&Program>) -> &Shard<E, S> {
+        let key = match program {
+            Some(program) => hash::stable(program.as_str().as_bytes()) as usize,
+            None => self.next.fetch_add(1, Ordering::Relaxed),
+        };
+        &self.shards[key % self.shards.len()]
+    }
+
+    /// Runs a call, or joins it, on this instance.
+    pub fn run(&self, request: Request, from: u64, sink: mpsc::Sender<Event>) {
+        let shard = self.shard(request.program.as_ref());
+        shard.do_send(Run {
+            request,
+            from,
+            sink,
+        });
+    }
+}
+
+/// Hash of a call, to tell a repeated one from another one.
+pub fn digest(customer: &Customer, call: &request::Call) -> u64 {
+    let text = serde_json::to_string(&(customer, call)).unwrap_or_default();
+    hash::stable(text.as_bytes())
+}
--- /dev/null
+++ b/src/executor/turn.rs
@@ -0,0 +1,364 @@
+//! Entry of a call into its program: repeated calls, order, limits and open claims.
+
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::Duration, //
+};
+
+use crate::{
+    clock::Time,
+    config,
+    contract::Contract,
+    ledger::{
+        program::Claim,
+        record::{
+            Body,
+            Ending,
+            Ran,
+            Turn, //
+        },
+    },
+    money::Money,
+    name::Program,
+    upstream::{
+        Engine,
+        Service, //
+    },
+};
+
+use super::{
+    admit::{
+        self,
+        refuse,
+        SOON, //
+    },
+    digest,
+    job::Job,
+    request::{
+        Answer,
+        Call,
+        Durability,
+        Reason,
+        Refusal,
+        Request, //
+    },
+    Inner,
+};
+
+/// Margin beyond the limits of a claimed call before its holder is considered lost.
+const CLAIM_MARGIN: Duration = Duration::from_secs(2);
+
+/// How a call entered its program.
+pub(super) enum Entered {
+    /// It runs, or it ran lately.
+    Job(Rc<Job>),
+    /// It is committed already.
+    Committed(Answer),
+}
+
+/// What a call needs to know about its program.
+#[derive(Clone, Debug)]
+pub(super) struct Plan {
+    /// Number of the turn that the call produces.
+    pub(super) index: u32,
+    /// Hash of the call.
+    pub(super) digest: u64,
+    /// Contract in force when the call entered.
+    pub(super) contract: Arc<Contract>,
+    /// Tokens that the program has been served.
+    pub(super) tokens: u64,
+    /// What the program has spent.
+    pub(super) spent: Money,
+    /// Time at which the program started.
+    pub(super) started: Time,
+    /// Time by which the answer is useful.
+    pub(super) deadline: Time,
+}
+
+/// What the replica says about a program.
+struct View {
+    committed: u32,
+    claim: Option<Claim>,
+    plan: Plan,
+    /// Committed turns that may have the call's key, latest first.
+    keyed: Vec<u32>,
+}
+
+impl<E: Engine + 'static, S: Service + 'static> Inner<E, S> {
+    /// Lets a call into its program, or finds the answer that it has already.
+    pub(super) async fn enter(
+        self: Rc<Self>,
+        request: Request,
+        program: Program,
+    ) -> Result<Entered, Refusal> {
+        let digest = digest(&request.customer, &request.call);
+        if let Some(job) = self.repeated(&request, &program, digest)? {
+            return Ok(Entered::Job(job));
+        }
+        let view = self.view(&request, &program, digest)?;
+        if let Some(answer) = self.answered(&request, &program, &view).await? {
+            return Ok(Entered::Committed(answer));
+        }
+        self.in_order(&request, &view)?;
+        if let Some(claim) = &view.claim {
+            return Err(self.claimed(&request, &program, &view, claim).await);
+        }
+        self.within_limits(&request, &program, &view).await?;
+        let retried = self.repeated(&request, &program, digest)?;
+        if let Some(job) = retried {
+            // Another task let the same call in while this one waited.
+            return Ok(Entered::Job(job));
+        }
+        let job = Job::new(digest, Some(view.plan.index));
+        self.jobs.borrow_mut().insert(program.clone(), job.clone());
+        let task = self.clone().perform(job.clone(), request, program, view.plan);
+        actix_web::rt::spawn(task);
+        Ok(Entered::Job(job))
+    }
+
+    /// Returns the running call if this is the same one.
+    fn repeated(
+        &self,
+        request: &Request,
+        program: &Program,
+        digest: u64,
+    ) -> Result<Option<Rc<Job>>, Refusal> {
+        let Some(job) = self.running(program) else {
+            return Ok(None);
+        };
+        let same_turn = request.turn.is_none() || request.turn == job.turn;
+        if job.digest == digest && same_turn {
+            return Ok(Some(job));
+        }
+        let detail = "another call of the program is running";
+        Err(refuse(Reason::TurnInProgress, detail, Some(SOON)))
+    }
+
+    fn view(&self, request: &Request, program: &Program, digest: u64) -> Result<View, Refusal> {
+        let now = Time::now();
+        let state = self.shared.ledger.state();
+        let contract = admit::contract(&state, request)?;
+        let contract = Arc::new(contract.clone());
+        let found = admit::find(&state, request, program, self.shared.memory(), now)?;
+        let held = self.shared.overlay.turns(program, found.next());
+        let tokens = held.iter().map(|turn| turn.tokens).sum::<u64>();
+        let cost = held.iter().fold(Money(0), |sum, turn| sum.saturating_add(turn.cost));
+        let key = request.key.as_deref();
+        Ok(View {
+            committed: found.next(),
+            claim: found.claim().cloned(),
+            keyed: key.map(|key| found.keyed(key).collect()).unwrap_or_default(),
+            plan: Plan {
+                index: found.next() + held.len() as u32,
+                digest,
+                contract,
+                tokens: found.tokens() + tokens,
+                spent: found.spent().saturating_add(cost),
+                started: found.started(),
+                deadline: request.deadline.min(found.deadline()),
+            },
+        })
+    }
+
+    /// Returns the answer if the call is committed or held already.
+    async fn answered(
+        &self,
+        request: &Request,
+        program: &Program,
+        view: &View,
+    ) -> Result<Option<Answer>, Refusal> {
+        for index in &view.keyed {
+            let turn = self.read(program, *index).await?;
+            if turn.key == request.key {
+                return replay(*index, &turn, view.plan.digest, Durability::Committed).map(Some);
+            }
+        }
+        let held = self.shared.overlay.turns(program, view.committed);
+        for (turn, index) in held.iter().zip(view.committed..) {
+            let same = request.key.is_some() && turn.key == request.key;
+            if same || request.turn == Some(index) {
+                return replay(index, turn, view.plan.digest, Durability::Replicated).map(Some);
+            }
+        }
+        match request.turn {
+            Some(index) if index < view.committed => {
+                let turn = self.read(program, index).await?;
+                replay(index, &turn, view.plan.digest, Durability::Committed).map(Some)
+            }
+            _ => Ok(None),
+        }
+    }
+
+    /// Reads one committed turn.
+    pub(super) async fn read(&self, program: &Program, index: u32) -> Result<Arc<Turn>, Refusal> {
+        let turns = self.shared.ledger.turns(program, index..index + 1).await;
+        match turns {
+            Ok(turns) if turns.len() == 1 => Ok(turns[0].clone()),
+            Ok(_) => Err(refuse(
+                Reason::UnknownProgram,
+                "history is no longer kept",
+                None,
+            )),
+            Err(error) => Err(refuse(
+                Reason::LogUnavailable,
+                format!("history can't be read: {error}"),
+                Some(self.shared.ledger.settings().backoff_most),
+            )),
+        }
+    }
+
+    fn in_order(&self, request: &Request, view: &View) -> Result<(), Refusal> {
+        let next = view.plan.index;
+        match request.turn {
+            Some(turn) if turn != next => {
+                let detail = format!("turn {turn} is not the next one, which is {next}");
+                Err(refuse(Reason::OutOfOrder, detail, Some(SOON)))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Answers a call whose turn is claimed by a call that is not running here.
+    ///
+    /// If the holder is lost, the claimed turn is committed with an unknown outcome, so that the
+    /// program can go on; the work itself is never repeated.
+    async fn claimed(
+        &self,
+        request: &Request,
+        program: &Program,
+        view: &View,
+        claim: &Claim,
+    ) -> Refusal {
+        let limits = config::raw::SERVICE_LIMITS.total;
+        let longest = self.shared.config.timings.claim_age + limits + CLAIM_MARGIN;
+        let lost = Time::now().since(claim.at) > longest || self.lost(claim);
+        if lost {
+            let turn = Turn {
+                key: claim.key.clone(),
+                digest: claim.digest,
+                request: String::new(),
+                answer: String::new(),
+                ran: Ran::Unknown,
+                cost: Money(0),
+                tokens: 0,
+            };
+            let body = Body::Turn {
+                program: program.clone(),
+                index: view.plan.index,
+                turn: Arc::new(turn),
+            };
+            let record = self.shared.ledger.record(&request.customer, body);
+            // Whatever the log decides, the caller asks again or learns that it is unknown.
+            let _ = self.shared.ledger.commit(record).await;
+        }
+        let same = claim.digest == view.plan.digest;
+        if same {
+            return Refusal {
+                reason: Reason::OutcomeUnknown,
+                ran: Ran::Unknown,
+                retry_after_ms: (!lost).then_some(SOON.as_millis() as u64),
+                detail: format!("instance {} may have sent the call", claim.author),
+            };
+        }
+        let detail = "another call of the program may be running";
+        refuse(Reason::TurnInProgress, detail, Some(SOON))
+    }
+
+    /// Returns whether the holder of a claim can't finish its call any more.
+    ///
+    /// A wrong answer costs the result of the call, never a second send.
+    fn lost(&self, claim: &Claim) -> bool {
+        if claim.author == self.shared.config.instance {
+            // This process has no job for the claim.
+            return true;
+        }
+        let snapshot = self.shared.roster.snapshot();
+        let holder = snapshot.peer(&claim.author);
+        holder.is_none_or(|peer| !peer.status.usable())
+    }
+
+    async fn within_limits(
+        &self,
+        request: &Request,
+        program: &Program,
+        view: &View,
+    ) -> Result<(), Refusal> {
+        let usage = admit::Usage {
+            turns: view.plan.index,
+            tokens: view.plan.tokens,
+            age: Time::now().since(view.plan.started),
+            spent: view.plan.spent,
+        };
+        if let Some(ending) = admit::reached(&view.plan.contract, &usage) {
+            self.stop(&request.customer, program, ending).await;
+            return Err(admit::ended(ending));
+        }
+        if view.plan.deadline <= Time::now() {
+            let detail = "the deadline has passed";
+            return Err(refuse(Reason::DeadlineUnreachable, detail, None));
+        }
+        Ok(())
+    }
+
+    /// Ends a program that has reached a limit.
+    pub(super) async fn stop(
+        &self,
+        customer: &crate::name::Customer,
+        program: &Program,
+        reason: Ending,
+    ) {
+        let body = Body::End {
+            program: program.clone(),
+            reason,
+        };
+        let record = self.shared.ledger.record(customer, body);
+        if self.shared.ledger.commit(record.clone()).await.is_err() {
+            // The limit holds on every call, so that the record may follow when the log is back.
+            let _ = self.shared.ledger.commit_later(record);
+        }
+        self.release(program).await;
+    }
+
+    /// Returns the operation of a service call.
+    pub(super) fn operation(&self, call: &Call) -> Result<Option<&config::Operation>, Refusal> {
+        let pool = self.shared.config.pool(call.pool().as_str());
+        let Some(pool) = pool else {
+            let detail = format!("pool {} is not configured", call.pool());
+            return Err(refuse(Reason::UnknownPool, detail, None));
+        };
+        let Call::Service { operation, .. } = call else {
+            return Ok(None);
+        };
+        match pool.operation(operation) {
+            Some(found) => Ok(Some(found)),
+            None => {
+                let detail = format!("pool {} has no operation {operation}", pool.name);
+                Err(refuse(Reason::UnknownPool, detail, None))
+            }
+        }
+    }
+}
+
+/// Answers a repeated call with its turn.
+fn replay(index: u32, turn: &Turn, digest: u64, durability: Durability) -> Result<Answer, Refusal> {
+    if turn.digest != digest {
+        let detail = format!("turn {index} was another call");
+        return Err(refuse(Reason::KeyReused, detail, None));
+    }
+    if turn.ran != Ran::Yes {
+        return Err(Refusal {
+            reason: Reason::OutcomeUnknown,
+            ran: turn.ran,
+            retry_after_ms: None,
+            detail: format!("the outcome of turn {index} is unknown"),
+        });
+    }
+    Ok(Answer {
+        turn: Some(index),
+        content: turn.answer.clone(),
+        usage: Default::default(),
+        durability,
+        stopped: None,
+    })
+}
