--- /dev/null
+++ b/src/log/kafka.rs
@@ -0,0 +1,448 @@
+//! Client of a log that speaks the Kafka REST Proxy API v2.
+
+use std::{
+    cell::RefCell,
+    io,
+    time::Duration, //
+};
+
+use awc::{
+    error::{
+        ConnectError,
+        SendRequestError, //
+    },
+    http::{
+        Method,
+        StatusCode, //
+    },
+    Connector,
+};
+use base64::{
+    engine::general_purpose::STANDARD,
+    Engine, //
+};
+use bytes::Bytes;
+use serde::{
+    de::DeserializeOwned,
+    Deserialize,
+    Serialize, //
+};
+use tokio::time::timeout;
+
+use super::{
+    Batch,
+    Bounds,
+    Failure,
+    Log, //
+};
+use crate::{
+    hash::Map,
+    name::{
+        Instance,
+        Zone, //
+    },
+};
+
+const JSON: &str = "application/vnd.kafka.v2+json";
+const BINARY: &str = "application/vnd.kafka.binary.v2+json";
+
+/// Largest answer that is read; records grow by a third in base64.
+const ANSWER_BYTES: usize = 32 << 20;
+
+/// Consumers kept per partition: one follows the end, the other reads older records.
+const CONSUMERS: usize = 2;
+
+/// Where the log is and how long it may take.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// URL of the REST proxy, without a trailing slash.
+    pub url: String,
+    /// Topic that holds the system's records.
+    pub topic: String,
+    /// This instance; consumers are named after it.
+    pub instance: Instance,
+    /// This instance's availability zone, sent as `X-Zone`.
+    pub zone: Zone,
+    /// Longest time that a connection may take to be made.
+    pub connect: Duration,
+    /// Longest time that an operation may take, long polls' waiting excluded.
+    pub step: Duration,
+    /// Most bytes of records that one read asks for.
+    pub read_bytes: u64,
+}
+
+/// Client of the REST proxy; it stays on the thread that made it.
+pub struct Client {
+    http: awc::Client,
+    settings: Settings,
+    consumers: RefCell<Map<u32, Vec<Consumer>>>,
+}
+
+/// A consumer instance on the proxy, assigned to one partition.
+#[derive(Debug)]
+struct Consumer {
+    uri: String,
+    next: u64,
+}
+
+/// Error of one HTTP exchange.
+enum Error {
+    /// The request did not leave this process, or the proxy refused it.
+    Refused(String),
+    /// The request may have taken effect.
+    Unknown(String),
+}
+
+impl From<Error> for Failure {
+    fn from(error: Error) -> Self {
+        match error {
+            Error::Refused(text) => Self::NotApplied(text),
+            Error::Unknown(text) => Self::Unknown(text),
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct Produce {
+    records: Vec<Value>,
+}
+
+#[derive(Serialize)]
+struct Value {
+    value: String,
+}
+
+#[derive(Deserialize)]
+struct Produced {
+    offsets: Vec<Placed>,
+}
+
+#[derive(Deserialize)]
+struct Placed {
+    offset: Option<u64>,
+    error_code: Option<i64>,
+    error: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Offsets {
+    beginning_offset: u64,
+    end_offset: u64,
+}
+
+#[derive(Serialize)]
+struct Subscribe {
+    format: &'static str,
+    #[serde(rename = "auto.offset.reset")]
+    reset: &'static str,
+    #[serde(rename = "auto.commit.enable")]
+    commit: &'static str,
+}
+
+#[derive(Deserialize)]
+struct Subscribed {
+    base_uri: String,
+}
+
+#[derive(Serialize)]
+struct Place<'a> {
+    topic: &'a str,
+    partition: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    offset: Option<u64>,
+}
+
+#[derive(Serialize)]
+struct Assignment<'a> {
+    partitions: [Place<'a>; 1],
+}
+
+#[derive(Serialize)]
+struct Positions<'a> {
+    offsets: [Place<'a>; 1],
+}
+
+#[derive(Deserialize)]
+struct Consumed {
+    value: Option<String>,
+    partition: u32,
+    offset: u64,
+}
+
+impl Client {
+    /// Makes a client; nothing is sent yet.
+    pub fn new(settings: Settings) -> Self {
+        let connector = Connector::new().timeout(settings.connect);
+        let http = awc::Client::builder()
+            .connector(connector)
+            .disable_redirects()
+            .add_default_header(("X-Zone", settings.zone.as_str()))
+            .finish();
+        Self {
+            http,
+            settings,
+            consumers: RefCell::default(),
+        }
+    }
+
+    fn topic(&self, partition: u32, rest: &str) -> String {
+        let Settings { url, topic, .. } = &self.settings;
+        format!("{url}/topics/{topic}/partitions/{partition}{rest}")
+    }
+
+    /// Sends one request and returns the body of a successful answer.
+    ///
+    /// `kind` is the media type of the request's body.
+    async fn exchange(
+        &self,
+        method: Method,
+        url: &str,
+        kind: &str,
+        accept: &str,
+        body: Option<Vec<u8>>,
+        limit: Duration,
+    ) -> Result<Bytes, Error> {
+        let request = self
+            .http
+            .request(method, url)
+            .timeout(limit)
+            .insert_header(("Accept", accept))
+            .insert_header(("Content-Type", kind));
+        let sent = match body {
+            Some(body) => request.send_body(body).await,
+            None => request.send().await,
+        };
+        let mut answer = sent.map_err(classify)?;
+        let status = answer.status();
+        let read = timeout(limit, answer.body().limit(ANSWER_BYTES)).await;
+        if !status.is_success() {
+            let text = read.ok().and_then(Result::ok).unwrap_or_default();
+            return Err(refusal(status, &text));
+        }
+        match read {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(error)) => Err(Error::Unknown(format!("answer is incomplete: {error}"))),
+            Err(_) => Err(Error::Unknown("answer did not end in time".into())),
+        }
+    }
+
+    async fn post(&self, url: &str, body: &impl Serialize) -> Result<Bytes, Error> {
+        let body = write(body)?;
+        let limit = self.settings.step;
+        self.exchange(Method::POST, url, JSON, JSON, Some(body), limit)
+            .await
+    }
+
+    /// Makes a consumer instance that is assigned to one partition.
+    async fn subscribe(&self, partition: u32) -> Result<Consumer, Error> {
+        let Settings { url, instance, .. } = &self.settings;
+        let subscribe = Subscribe {
+            format: "binary",
+            reset: "earliest",
+            commit: "false",
+        };
+        let group = format!("{url}/consumers/gypsumlever-{instance}");
+        let answer = self.post(&group, &subscribe).await?;
+        let Subscribed { base_uri: uri } = parse(&answer)?;
+        let assignment = Assignment {
+            partitions: [self.place(partition, None)],
+        };
+        self.post(&format!("{uri}/assignments"), &assignment)
+            .await?;
+        let next = u64::MAX;
+        Ok(Consumer { uri, next })
+    }
+
+    fn place(&self, partition: u32, offset: Option<u64>) -> Place<'_> {
+        Place {
+            topic: &self.settings.topic,
+            partition,
+            offset,
+        }
+    }
+
+    /// Takes the consumer that suits a read best out of the kept ones.
+    fn take(&self, partition: u32, from: u64) -> Option<Consumer> {
+        let mut consumers = self.consumers.borrow_mut();
+        let kept = consumers.entry(partition).or_default();
+        match kept.iter().position(|consumer| consumer.next == from) {
+            Some(index) => Some(kept.swap_remove(index)),
+            None if kept.len() >= CONSUMERS => kept.pop(),
+            None => None,
+        }
+    }
+
+    async fn keep(&self, partition: u32, consumer: Consumer) {
+        let excess = {
+            let mut consumers = self.consumers.borrow_mut();
+            let kept = consumers.entry(partition).or_default();
+            kept.insert(0, consumer);
+            match kept.len() > CONSUMERS {
+                true => kept.pop(),
+                false => None,
+            }
+        };
+        if let Some(consumer) = excess {
+            let limit = self.settings.step;
+            let deleted = self.exchange(Method::DELETE, &consumer.uri, JSON, JSON, None, limit);
+            // The proxy drops an unused consumer by itself after a while.
+            let _ = deleted.await;
+        }
+    }
+
+    /// Moves a consumer to an offset, after a check that the offset is kept.
+    async fn seek(&self, consumer: &mut Consumer, partition: u32, to: u64) -> Result<(), Failure> {
+        self.check(partition, to).await?;
+        let positions = Positions {
+            offsets: [self.place(partition, Some(to))],
+        };
+        let url = format!("{}/positions", consumer.uri);
+        self.post(&url, &positions).await?;
+        consumer.next = to;
+        Ok(())
+    }
+
+    async fn check(&self, partition: u32, from: u64) -> Result<(), Failure> {
+        let Bounds { begin, .. } = self.bounds(partition).await?;
+        match from < begin {
+            true => Err(Failure::Expired { begin }),
+            false => Ok(()),
+        }
+    }
+
+    async fn poll(&self, consumer: &Consumer, wait: Duration) -> Result<Vec<Consumed>, Error> {
+        let url = format!(
+            "{}/records?timeout={}&max_bytes={}",
+            consumer.uri,
+            wait.as_millis(),
+            self.settings.read_bytes
+        );
+        let limit = self.settings.step + wait;
+        let answer = self
+            .exchange(Method::GET, &url, JSON, BINARY, None, limit)
+            .await?;
+        parse(&answer)
+    }
+
+    async fn consume(
+        &self,
+        mut consumer: Consumer,
+        partition: u32,
+        from: u64,
+        wait: Duration,
+    ) -> Result<Batch, Failure> {
+        if consumer.next != from {
+            self.seek(&mut consumer, partition, from).await?;
+        }
+        let consumed = self.poll(&consumer, wait).await?;
+        let mut records = Vec::with_capacity(consumed.len());
+        for record in consumed {
+            // The consumer is assigned to one partition; an old answer may still hold others.
+            if record.partition != partition || record.offset < from {
+                continue;
+            }
+            let value = record.value.unwrap_or_default();
+            let value = STANDARD.decode(value);
+            let value = value.map_err(|error| Failure::Unknown(format!("value: {error}")))?;
+            records.push((record.offset, Bytes::from(value)));
+        }
+        if records.first().is_some_and(|(offset, _)| *offset > from) {
+            // Either the offsets have a gap, or the proxy went on at the first kept record.
+            self.check(partition, from).await?;
+        }
+        let next = records.last().map_or(from, |(offset, _)| offset + 1);
+        consumer.next = next;
+        self.keep(partition, consumer).await;
+        Ok(Batch { records, next })
+    }
+}
+
+impl Log for Client {
+    async fn append(&self, partition: u32, records: &[Bytes]) -> Result<u64, Failure> {
+        let value = |record: &Bytes| Value {
+            value: STANDARD.encode(record),
+        };
+        let produce = Produce {
+            records: records.iter().map(value).collect(),
+        };
+        let url = self.topic(partition, "");
+        let body = write(&produce)?;
+        let limit = self.settings.step;
+        let answer = self
+            .exchange(Method::POST, &url, BINARY, JSON, Some(body), limit)
+            .await?;
+        let Produced { offsets } = parse(&answer)?;
+        let failed = offsets.iter().find(|placed| placed.error_code.is_some());
+        if let Some(Placed { error, .. }) = failed {
+            // Other records of the batch may have been appended, and a retriable error such as
+            // a time-out leaves open whether this one was.
+            let error = error.clone().unwrap_or_default();
+            return Err(Failure::Unknown(format!("record failed: {error}")));
+        }
+        match offsets.first().and_then(|placed| placed.offset) {
+            Some(offset) if offsets.len() == records.len() => Ok(offset),
+            _ => Err(Failure::Unknown("answer lacks offsets".into())),
+        }
+    }
+
+    async fn read(&self, partition: u32, from: u64, wait: Duration) -> Result<Batch, Failure> {
+        let consumer = match self.take(partition, from) {
+            Some(consumer) => consumer,
+            None => self.subscribe(partition).await?,
+        };
+        // A consumer whose read failed, for example because it expired, is dropped; the next
+        // read makes another one.
+        self.consume(consumer, partition, from, wait).await
+    }
+
+    async fn bounds(&self, partition: u32) -> Result<Bounds, Failure> {
+        let url = self.topic(partition, "/offsets");
+        let limit = self.settings.step;
+        let answer = self
+            .exchange(Method::GET, &url, JSON, JSON, None, limit)
+            .await?;
+        let Offsets {
+            beginning_offset: begin,
+            end_offset: end,
+        } = parse(&answer)?;
+        Ok(Bounds { begin, end })
+    }
+}
+
+/// Tells errors before the request left from all others.
+fn classify(error: SendRequestError) -> Error {
+    let before = match &error {
+        SendRequestError::Url(_) => true,
+        SendRequestError::Connect(error) => match error {
+            // `Disconnected` is also reported when the answer to a sent request is missing.
+            ConnectError::Timeout | ConnectError::Resolver(_) | ConnectError::NoRecords => true,
+            ConnectError::Io(error) => error.kind() == io::ErrorKind::ConnectionRefused,
+            _ => false,
+        },
+        _ => false,
+    };
+    let text = error.to_string();
+    match before {
+        true => Error::Refused(text),
+        false => Error::Unknown(text),
+    }
+}
+
+/// Tells an answer that rules out an effect from one that doesn't.
+fn refusal(status: StatusCode, body: &[u8]) -> Error {
+    let text = String::from_utf8_lossy(&body[..body.len().min(200)]);
+    let text = format!("status {status}: {text}");
+    // A gateway may send 408 while the request is still under way.
+    match status.is_client_error() && status != StatusCode::REQUEST_TIMEOUT {
+        true => Error::Refused(text),
+        false => Error::Unknown(text),
+    }
+}
+
+fn write(body: &impl Serialize) -> Result<Vec<u8>, Error> {
+    serde_json::to_vec(body).map_err(|error| Error::Refused(error.to_string()))
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Error> {
+    serde_json::from_slice(body).map_err(|error| Error::Unknown(format!("answer: {error}")))
+}
--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -1,5 +1,8 @@
 //! The platform's append-only log, the only place where something is agreed or kept.
 
+pub mod kafka;
+pub mod memory;
+
 use std::time::Duration;
 
 use bytes::Bytes;
