--- /dev/null
+++ b/src/ledger/account.rs
@@ -0,0 +1,504 @@
+//! A customer's contract, budget and set of programs.
+
+use std::{
+    collections::VecDeque,
+    sync::Arc,
+    time::Duration, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use uuid::Uuid;
+
+use crate::{
+    clock::Time,
+    contract::{
+        Contract,
+        Server,
+        Version, //
+    },
+    hash::{
+        self,
+        Map, //
+    },
+    ledger::{
+        outcome::{
+            Outcome,
+            Reason,
+            Winner, //
+        },
+        program::{
+            created,
+            fingerprint,
+            minted, //
+        },
+        record::{
+            Body,
+            Ending,
+            Record,
+            Start, //
+        },
+    },
+    money::Money,
+    name::{
+        Customer,
+        Instance,
+        Program, //
+    },
+};
+
+/// Number of past versions whose records are recognised as duplicates; a record of an older
+/// version is a conflict and changes nothing either.
+const VERSIONS: usize = 32;
+
+/// A tranche of the budget that is not settled.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Tranche {
+    /// Instance that may spend it.
+    pub author: Instance,
+    /// Its size.
+    pub amount: Money,
+}
+
+/// A program under way, as its account knows it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+struct Run {
+    /// Fingerprint of the start's record.
+    id: u64,
+    /// Hash of the idempotency key.
+    key: Option<u64>,
+    parent: Option<Program>,
+    children: Vec<Program>,
+}
+
+/// What is kept of an ended program for a while.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+struct Tomb {
+    start: u64,
+    /// Fingerprint of the record that ended it.
+    id: u64,
+    reason: Ending,
+    key: Option<u64>,
+}
+
+/// Something that is forgotten when its time has come.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+enum Past {
+    Program(Program),
+    Tranche(Uuid),
+}
+
+/// What a customer may spend and has spent.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Budget {
+    /// What the contract allows in all.
+    pub total: Money,
+    /// What settled tranches spent.
+    pub spent: Money,
+    /// Sum of the tranches that are not settled.
+    pub outstanding: Money,
+}
+
+impl Budget {
+    /// Returns what may still be reserved.
+    pub fn left(&self) -> Money {
+        let used = self.spent.saturating_add(self.outstanding);
+        self.total.saturating_sub(used)
+    }
+}
+
+/// A customer's contract, budget and set of programs.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Account {
+    contract: Option<Arc<Contract>>,
+    version: Version,
+    published: VecDeque<(Version, u64)>,
+    spent: Money,
+    /// Sum of `tranches`.
+    outstanding: Money,
+    tranches: Map<Uuid, Tranche>,
+    settled: Map<Uuid, u64>,
+    running: Map<Program, Run>,
+    ended: Map<Program, Tomb>,
+    keys: Map<u64, Program>,
+    /// Members of `ended` and `settled` in the order in which they are forgotten.
+    past: VecDeque<(Time, Past)>,
+    /// Whether the account is known from its beginning or from a snapshot.
+    pub(crate) sound: bool,
+    /// Log time at which the account was last written in full.
+    pub(crate) refreshed: Time,
+}
+
+impl Account {
+    pub(crate) fn new(sound: bool, now: Time) -> Self {
+        Self {
+            sound,
+            refreshed: now,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the contract, if one is published.
+    pub fn contract(&self) -> Option<&Arc<Contract>> {
+        self.contract.as_ref()
+    }
+
+    /// Returns the version of the contract, 0 if none is published.
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// Returns what the customer may spend and has spent.
+    pub fn budget(&self) -> Budget {
+        Budget {
+            total: self.contract.as_ref().map_or(Money(0), |c| c.budget()),
+            spent: self.spent,
+            outstanding: self.outstanding,
+        }
+    }
+
+    /// Returns a tranche that is not settled.
+    pub fn tranche(&self, id: &Uuid) -> Option<&Tranche> {
+        self.tranches.get(id)
+    }
+
+    /// Returns the number of programs under way.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Returns whether a program is under way.
+    pub fn is_running(&self, program: &Program) -> bool {
+        self.running.contains_key(program)
+    }
+
+    /// Returns the children of a program that are under way.
+    pub fn children(&self, program: &Program) -> &[Program] {
+        self.running.get(program).map_or(&[], |run| &run.children)
+    }
+
+    /// Returns why a program ended, while that is remembered.
+    pub fn ended(&self, program: &Program) -> Option<Ending> {
+        self.ended.get(program).map(|tomb| tomb.reason)
+    }
+
+    /// Returns the program that was started with an idempotency key.
+    pub fn keyed(&self, key: &str) -> Option<&Program> {
+        self.keys.get(&hash::stable(key.as_bytes()))
+    }
+
+    /// Applies a record about the account; names of programs that it ends are added to `gone`.
+    ///
+    /// Returns `None` for a record that is about something else.
+    pub(crate) fn apply(
+        &mut self,
+        record: &Record,
+        now: Time,
+        memory: Duration,
+        gone: &mut Vec<Program>,
+    ) -> Option<Outcome> {
+        let Record {
+            id,
+            customer,
+            author,
+            body,
+            ..
+        } = record;
+        self.forget(now);
+        Some(match body {
+            Body::Publish { version, contract } => self.publish(id, customer, *version, contract),
+            Body::Start(start) => self.start(id, start, now, memory),
+            Body::Reserve { amount } => self.reserve(*id, author, *amount, now, memory),
+            Body::Settle { tranche, spent } => {
+                self.settle(id, author, *tranche, *spent, now, memory)
+            }
+            Body::End { program, reason } => self.end(id, program, *reason, now, memory, gone),
+            Body::Turn { .. } | Body::Claim { .. } | Body::Void { .. } | Body::Snapshot { .. } => {
+                return None;
+            }
+        })
+    }
+
+    fn publish(
+        &mut self,
+        id: &Uuid,
+        customer: &Customer,
+        version: Version,
+        contract: &Arc<Contract>,
+    ) -> Outcome {
+        if contract.customer() != customer {
+            return Outcome::Rejected(Reason::WrongCustomer);
+        }
+        let entry = (version, fingerprint(id));
+        if self.published.contains(&entry) {
+            return Outcome::Duplicate;
+        }
+        if self.version.checked_add(1) != Some(version) {
+            return Outcome::Conflict(Winner::Contract(self.version));
+        }
+        self.contract = Some(contract.clone());
+        self.version = version;
+        self.published.push_back(entry);
+        if self.published.len() > VERSIONS {
+            self.published.pop_front();
+        }
+        Outcome::Accepted
+    }
+
+    pub(crate) fn start(
+        &mut self,
+        id: &Uuid,
+        start: &Start,
+        now: Time,
+        memory: Duration,
+    ) -> Outcome {
+        let id = fingerprint(id);
+        let known = self.running.get(&start.program).map(|run| run.id);
+        let known = known.or_else(|| self.ended.get(&start.program).map(|tomb| tomb.start));
+        match known {
+            Some(known) if known == id => return Outcome::Duplicate,
+            Some(_) => return Outcome::Conflict(Winner::Program(start.program.clone())),
+            None => {}
+        }
+        let Some(created) = created(&start.program) else {
+            return Outcome::Rejected(Reason::BadName);
+        };
+        if created + memory < now {
+            return Outcome::Rejected(Reason::Expired);
+        }
+        let key = start.key.as_ref().map(|key| hash::stable(key.as_bytes()));
+        if let Some(first) = key.and_then(|key| self.keys.get(&key)) {
+            return Outcome::Conflict(Winner::Program(first.clone()));
+        }
+        if let Some(reason) = self.forbids(start) {
+            return Outcome::Rejected(reason);
+        }
+        if let Some(parent) = start.parent.as_ref().and_then(|p| self.running.get_mut(p)) {
+            parent.children.push(start.program.clone());
+        }
+        if let Some(key) = key {
+            self.keys.insert(key, start.program.clone());
+        }
+        let run = Run {
+            id,
+            key,
+            parent: start.parent.clone(),
+            children: Vec::new(),
+        };
+        self.running.insert(start.program.clone(), run);
+        Outcome::Accepted
+    }
+
+    /// Returns the rule of the contract that forbids a start.
+    fn forbids(&self, start: &Start) -> Option<Reason> {
+        let Some(contract) = &self.contract else {
+            return Some(Reason::NoContract);
+        };
+        if contract.served_by() != Server::Gypsumlever {
+            return Some(Reason::Elsewhere);
+        }
+        if self.running.len() >= contract.programs() as usize {
+            return Some(Reason::TooManyPrograms(contract.programs()));
+        }
+        let live = |parent: &Program| self.running.contains_key(parent);
+        match &start.parent {
+            Some(parent) if !live(parent) => Some(Reason::ParentNotLive),
+            _ => None,
+        }
+    }
+
+    fn reserve(
+        &mut self,
+        id: Uuid,
+        author: &Instance,
+        amount: Money,
+        now: Time,
+        memory: Duration,
+    ) -> Outcome {
+        if self.tranches.contains_key(&id) || self.settled.contains_key(&id) {
+            return Outcome::Duplicate;
+        }
+        match minted(&id) {
+            Some(minted) if minted + memory >= now => {}
+            _ => return Outcome::Rejected(Reason::Expired),
+        }
+        if amount == Money(0) {
+            return Outcome::Rejected(Reason::Zero);
+        }
+        if self.contract.is_none() {
+            return Outcome::Rejected(Reason::NoContract);
+        }
+        let left = self.budget().left();
+        if amount > left {
+            return Outcome::Rejected(Reason::BudgetExhausted { left });
+        }
+        self.outstanding = self.outstanding.saturating_add(amount);
+        let author = author.clone();
+        self.tranches.insert(id, Tranche { author, amount });
+        Outcome::Accepted
+    }
+
+    fn settle(
+        &mut self,
+        id: &Uuid,
+        author: &Instance,
+        tranche: Uuid,
+        spent: Money,
+        now: Time,
+        memory: Duration,
+    ) -> Outcome {
+        if let Some(by) = self.settled.get(&tranche) {
+            return match *by == fingerprint(id) {
+                true => Outcome::Duplicate,
+                false => Outcome::Conflict(Winner::Settled),
+            };
+        }
+        let Some(held) = self.tranches.get(&tranche) else {
+            self.note_settled(id, tranche, now, memory);
+            return Outcome::Rejected(Reason::UnknownTranche);
+        };
+        if held.author != *author {
+            return Outcome::Rejected(Reason::NotAuthor);
+        }
+        if spent > held.amount {
+            return Outcome::Rejected(Reason::Overspent(held.amount));
+        }
+        self.outstanding = self.outstanding.saturating_sub(held.amount);
+        self.spent = self.spent.saturating_add(spent);
+        self.tranches.remove(&tranche);
+        self.remember_settled(id, tranche, now, memory);
+        Outcome::Accepted
+    }
+
+    /// Notes a settlement whose reservation may lie before the begin of this reader's log.
+    fn note_settled(&mut self, id: &Uuid, tranche: Uuid, now: Time, memory: Duration) {
+        if !self.sound {
+            self.remember_settled(id, tranche, now, memory);
+        }
+    }
+
+    fn remember_settled(&mut self, id: &Uuid, tranche: Uuid, now: Time, memory: Duration) {
+        self.settled.insert(tranche, fingerprint(id));
+        let until = now.max(minted(&tranche).unwrap_or_default()) + memory;
+        self.past.push_back((until, Past::Tranche(tranche)));
+    }
+
+    /// Ends a program and its descendants, whose names are added to `gone`.
+    fn end(
+        &mut self,
+        id: &Uuid,
+        program: &Program,
+        reason: Ending,
+        now: Time,
+        memory: Duration,
+        gone: &mut Vec<Program>,
+    ) -> Outcome {
+        let id = fingerprint(id);
+        if let Some(tomb) = self.ended.get(program) {
+            return match tomb.id == id {
+                true => Outcome::Duplicate,
+                false => Outcome::Conflict(Winner::Ended(tomb.reason)),
+            };
+        }
+        if !self.running.contains_key(program) {
+            if !self.sound {
+                // The start may lie before the begin of this reader's log.
+                let (start, key) = (0, None);
+                let tomb = Tomb {
+                    start,
+                    id,
+                    reason,
+                    key,
+                };
+                self.bury(program.clone(), tomb, now, memory);
+            }
+            return Outcome::Rejected(Reason::UnknownProgram);
+        }
+        let mut open = vec![(program.clone(), reason)];
+        while let Some((program, reason)) = open.pop() {
+            let Some(run) = self.running.remove(&program) else {
+                continue;
+            };
+            if let Some(parent) = run.parent.as_ref().and_then(|p| self.running.get_mut(p)) {
+                parent.children.retain(|child| *child != program);
+            }
+            let ended = |child| (child, Ending::ParentEnded);
+            open.extend(run.children.into_iter().map(ended));
+            let tomb = Tomb {
+                start: run.id,
+                id,
+                reason,
+                key: run.key,
+            };
+            self.bury(program.clone(), tomb, now, memory);
+            gone.push(program);
+        }
+        Outcome::Accepted
+    }
+
+    fn bury(&mut self, program: Program, tomb: Tomb, now: Time, memory: Duration) {
+        let until = now.max(created(&program).unwrap_or_default()) + memory;
+        self.ended.insert(program.clone(), tomb);
+        self.past.push_back((until, Past::Program(program)));
+    }
+
+    /// Returns what a snapshot repeats: everything but what has ended.
+    pub(crate) fn image(&self) -> Self {
+        let keys = self.keys.iter();
+        let live = |(_, program): &(&u64, &Program)| self.running.contains_key(*program);
+        Self {
+            settled: Map::default(),
+            ended: Map::default(),
+            past: VecDeque::new(),
+            keys: keys.filter(live).map(|(k, p)| (*k, p.clone())).collect(),
+            ..self.clone()
+        }
+    }
+
+    /// Takes over a snapshot; what this reader knows to have ended stays so.
+    pub(crate) fn install(&mut self, image: &Self, sound: bool, now: Time) {
+        let known = std::mem::take(self);
+        *self = Self {
+            settled: known.settled,
+            ended: known.ended,
+            past: known.past,
+            sound,
+            refreshed: now,
+            ..image.clone()
+        };
+        for (program, tomb) in &self.ended {
+            if let Some(key) = tomb.key {
+                self.keys.entry(key).or_insert_with(|| program.clone());
+            }
+        }
+    }
+
+    /// Forgets what ended long ago.
+    fn forget(&mut self, now: Time) {
+        while self.past.front().is_some_and(|(until, _)| *until < now) {
+            match self.past.pop_front() {
+                Some((_, Past::Tranche(id))) => {
+                    self.settled.remove(&id);
+                }
+                Some((_, Past::Program(program))) => self.forget_program(&program),
+                None => {}
+            }
+        }
+    }
+
+    fn forget_program(&mut self, program: &Program) {
+        let key = self.ended.remove(program).and_then(|tomb| tomb.key);
+        if let Some(key) = key {
+            if self.keys.get(&key) == Some(program) {
+                self.keys.remove(&key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/ledger/handle.rs
@@ -0,0 +1,408 @@
+//! The ledger's handle.
+
+use std::{
+    sync::{
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        },
+        Arc,
+        Mutex,
+        MutexGuard,
+        RwLock,
+        RwLockReadGuard,
+        RwLockWriteGuard, //
+    },
+    time::Duration,
+};
+
+use thiserror::Error;
+use tokio::{
+    sync::{
+        mpsc,
+        oneshot,
+        watch, //
+    },
+    task::spawn_local,
+    time::{
+        sleep,
+        timeout, //
+    },
+};
+use uuid::Uuid;
+
+use crate::{
+    clock::Time,
+    ledger::{
+        cache::Cache,
+        codec,
+        follower::Follower,
+        health::Health,
+        history::{
+            Fetch,
+            Found,
+            Missing,
+            Reader,
+            Wanted, //
+        },
+        queue::{
+            Entry,
+            Queue, //
+        },
+        record::{
+            Body,
+            Record,
+            Turn, //
+        },
+        settings::Settings,
+        state::{
+            partition,
+            Horizon,
+            Mismatch,
+            State, //
+        },
+        writer::Writer,
+        Outcome,
+    },
+    log::Log,
+    name::{
+        Customer,
+        Program, //
+    },
+};
+
+/// Requests for texts per partition that wait for the reader.
+const FETCHES: usize = 256;
+
+/// Reason why a commit has no outcome.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Error)]
+pub enum Refusal {
+    /// The record is certainly not in the log and will not get there.
+    #[error("log is not available")]
+    NotApplied {
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// The record may be in the log, or may still get there.
+    #[error("outcome of the record is unknown")]
+    Unknown {
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// Too many records wait; the record is not in the log.
+    #[error("too many records wait for the log")]
+    Full {
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// The record is larger than an append may be.
+    #[error("record of {0} bytes is too large")]
+    TooLarge(usize),
+}
+
+/// What belongs to one partition.
+#[derive(Debug)]
+pub(crate) struct Lane {
+    pub(crate) queue: Queue,
+    pub(crate) health: Health,
+    fetches: mpsc::Sender<Fetch>,
+}
+
+/// What the handles and the tasks of a ledger share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    state: RwLock<State>,
+    cache: Mutex<Cache>,
+    lanes: Vec<Lane>,
+    interval: AtomicU64,
+    /// Offset of the next record of each partition.
+    pub(crate) applied: watch::Sender<Vec<u64>>,
+    caught_up: watch::Sender<Vec<bool>>,
+}
+
+impl Shared {
+    /// Also returns the receivers of requests for texts, one per partition.
+    fn new(settings: Settings) -> (Self, Vec<mpsc::Receiver<Fetch>>) {
+        let partitions = settings.partitions.max(1);
+        let lane = |_| {
+            let (fetches, receiver) = mpsc::channel(FETCHES);
+            let lane = Lane {
+                queue: Queue::default(),
+                health: Health::new(settings.detection),
+                fetches,
+            };
+            (lane, receiver)
+        };
+        let (lanes, receivers) = (0..partitions).map(lane).unzip();
+        let horizon = Horizon {
+            memory: settings.memory,
+            retention: settings.retention,
+        };
+        let shared = Self {
+            state: RwLock::new(State::new(partitions, horizon)),
+            cache: Mutex::new(Cache::new(settings.cache_bytes)),
+            lanes,
+            interval: AtomicU64::new(settings.interval.as_micros() as u64),
+            applied: watch::Sender::new(vec![0; partitions as usize]),
+            caught_up: watch::Sender::new(vec![false; partitions as usize]),
+            settings,
+        };
+        (shared, receivers)
+    }
+
+    pub(crate) fn state(&self) -> RwLockReadGuard<'_, State> {
+        self.state.read().unwrap_or_else(|p| p.into_inner())
+    }
+
+    pub(crate) fn state_mut(&self) -> RwLockWriteGuard<'_, State> {
+        self.state.write().unwrap_or_else(|p| p.into_inner())
+    }
+
+    pub(crate) fn cache(&self) -> MutexGuard<'_, Cache> {
+        self.cache.lock().unwrap_or_else(|p| p.into_inner())
+    }
+
+    pub(crate) fn lane(&self, partition: u32) -> &Lane {
+        &self.lanes[partition as usize]
+    }
+
+    pub(crate) fn interval(&self) -> Duration {
+        Duration::from_micros(self.interval.load(Ordering::Relaxed))
+    }
+
+    pub(crate) fn publish_applied(&self) {
+        let state = self.state();
+        let offsets = (0..state.partitions()).map(|partition| state.applied(partition));
+        let offsets: Vec<_> = offsets.collect();
+        drop(state);
+        self.applied.send_if_modified(|applied| {
+            let changed = *applied != offsets;
+            *applied = offsets;
+            changed
+        });
+    }
+
+    pub(crate) fn set_caught_up(&self, partition: u32, value: bool) {
+        self.caught_up.send_if_modified(|caught_up| {
+            let caught_up = &mut caught_up[partition as usize];
+            let changed = *caught_up != value;
+            *caught_up = value;
+            changed
+        });
+    }
+}
+
+/// Handle of the ledger.
+#[derive(Clone, Debug)]
+pub struct Ledger {
+    shared: Arc<Shared>,
+}
+
+impl Ledger {
+    /// Starts a writer and a follower per partition on the calling thread, which must run a
+    /// `LocalSet`, as an actix arbiter does.
+    pub fn start<L: Log + 'static>(log: L, settings: Settings) -> Self {
+        let (shared, receivers) = Shared::new(settings);
+        let shared = Arc::new(shared);
+        // The futures of the log stay on this thread; only the count is shared.
+        #[allow(clippy::arc_with_non_send_sync)]
+        let log = Arc::new(log);
+        for (partition, fetches) in (0..).zip(receivers) {
+            spawn_local(Reader::new(log.clone(), shared.clone(), partition, fetches).run());
+            spawn_local(Writer::new(log.clone(), shared.clone(), partition).run());
+            spawn_local(Follower::new(log.clone(), shared.clone(), partition).run());
+        }
+        Self { shared }
+    }
+
+    /// Returns the state that follows from the records applied so far.
+    ///
+    /// The guard blocks the follower and must not be held across an await.
+    pub fn state(&self) -> RwLockReadGuard<'_, State> {
+        self.shared.state()
+    }
+
+    /// Makes a record of this instance with a new identifier.
+    pub fn record(&self, customer: &Customer, body: Body) -> Record {
+        Record {
+            id: Uuid::now_v7(),
+            customer: customer.clone(),
+            author: self.shared.settings.instance.clone(),
+            at: Time::now(),
+            body,
+        }
+    }
+
+    /// Appends a record and waits until log order has decided.
+    pub async fn commit(&self, record: Record) -> Result<Outcome, Refusal> {
+        let lane = self.lane(&record.customer);
+        let retry_after = self.shared.settings.backoff_most;
+        if lane.health.is_down() {
+            return Err(Refusal::NotApplied { retry_after });
+        }
+        let id = record.id;
+        let entry = Entry::new(id, self.encode(&record)?, false);
+        let progress = entry.progress.clone();
+        let Some(mut outcome) = lane.queue.push(entry, self.shared.settings.queue) else {
+            return Err(Refusal::Full { retry_after });
+        };
+        let gone = async {
+            let patience = self.shared.settings.patience;
+            let _ = timeout(patience, lane.health.wait_down()).await;
+        };
+        tokio::select! {
+            biased;
+            Ok(outcome) = &mut outcome => return Ok(outcome),
+            () = gone => {}
+        }
+        let sent = progress.give_up();
+        lane.queue.forget(&id);
+        match (outcome.try_recv(), sent) {
+            (Ok(outcome), _) => Ok(outcome),
+            (Err(_), true) => Err(Refusal::Unknown { retry_after }),
+            (Err(_), false) => Err(Refusal::NotApplied { retry_after }),
+        }
+    }
+
+    /// Appends a record when the log is available, in order with the other records of its
+    /// partition; the record is kept in memory until then.
+    pub fn commit_later(&self, record: Record) -> Result<(), Refusal> {
+        let lane = self.lane(&record.customer);
+        let entry = Entry::new(record.id, self.encode(&record)?, true);
+        let retry_after = self.shared.settings.backoff_most;
+        match lane
+            .queue
+            .push_later(entry, self.shared.settings.later_bytes)
+        {
+            true => Ok(()),
+            false => Err(Refusal::Full { retry_after }),
+        }
+    }
+
+    /// Returns the turns of a program under way, in order.
+    pub async fn history(&self, program: &Program) -> Result<Vec<Arc<Turn>>, Missing> {
+        let (customer, turns) = {
+            let state = self.state();
+            let known = state.program(program).ok_or(Missing::Program)?;
+            (known.customer().clone(), known.turns().to_vec())
+        };
+        let mut history = self.shared.cache().get(program, turns.len() as u32);
+        let missing = |(index, turn): (usize, &Option<_>)| {
+            turn.is_none().then(|| Wanted {
+                index: index as u32,
+                offset: turns[index].offset(),
+            })
+        };
+        let wanted: Vec<_> = history.iter().enumerate().filter_map(missing).collect();
+        if !wanted.is_empty() {
+            for (index, turn) in self.fetch(&customer, program, wanted).await? {
+                self.shared.cache().insert(program, index, &turn);
+                history[index as usize] = Some(turn);
+            }
+        }
+        let complete: Option<Vec<_>> = history.into_iter().collect();
+        complete.ok_or_else(|| Missing::Unavailable("a turn is missing".into()))
+    }
+
+    async fn fetch(
+        &self,
+        customer: &Customer,
+        program: &Program,
+        wanted: Vec<Wanted>,
+    ) -> Result<Found, Missing> {
+        let (reply, found) = oneshot::channel();
+        let fetch = Fetch {
+            program: program.clone(),
+            wanted,
+            reply,
+        };
+        let sent = self.lane(customer).fetches.try_send(fetch);
+        sent.map_err(|error| Missing::Unavailable(error.to_string()))?;
+        match found.await {
+            Ok(Ok(found)) => Ok(found),
+            Ok(Err(failure)) => Err(Missing::Unavailable(failure.to_string())),
+            Err(_) => Err(Missing::Unavailable("reader has stopped".into())),
+        }
+    }
+
+    /// Encodes the state of a partition for a starting instance.
+    pub fn export(&self, partition: u32) -> Option<bytes::Bytes> {
+        self.state().export(partition)
+    }
+
+    /// Takes over the state of a partition from a peer if it is newer than ours.
+    pub fn import(&self, partition: u32, bytes: bytes::Bytes) -> Result<(), Mismatch> {
+        self.shared.state_mut().import(partition, &bytes)?;
+        self.shared.publish_applied();
+        Ok(())
+    }
+
+    /// Waits up to `limit` until no record waits for an append; returns whether that is so.
+    pub async fn flush(&self, limit: Duration) -> bool {
+        let idle = async {
+            while !self.shared.lanes.iter().all(|lane| lane.queue.is_idle()) {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        timeout(limit, idle).await.is_ok()
+    }
+
+    /// Sets the shortest time between two appends to a partition.
+    ///
+    /// It is `partitions * live instances / append budget`.
+    pub fn set_interval(&self, interval: Duration) {
+        let micros = interval.as_micros() as u64;
+        self.shared.interval.store(micros, Ordering::Relaxed);
+    }
+
+    /// Returns whether the log answers for every partition.
+    pub fn available(&self) -> bool {
+        !self.shared.lanes.iter().any(|lane| lane.health.is_down())
+    }
+
+    /// Returns whether the log answers for the partition of a customer.
+    pub fn available_for(&self, customer: &Customer) -> bool {
+        !self.lane(customer).health.is_down()
+    }
+
+    /// Returns the offset of the next record of each partition.
+    pub fn applied(&self) -> Vec<u64> {
+        self.shared.applied.borrow().clone()
+    }
+
+    /// Returns a receiver that changes with each record that is applied.
+    pub fn watch(&self) -> watch::Receiver<Vec<u64>> {
+        self.shared.applied.subscribe()
+    }
+
+    /// Returns whether the state holds all records that the log had when the ledger started.
+    pub fn caught_up(&self) -> bool {
+        self.shared.caught_up.borrow().iter().all(|caught| *caught)
+    }
+
+    /// Waits until [`Self::caught_up`] is true.
+    pub async fn wait_caught_up(&self) {
+        let mut caught_up = self.shared.caught_up.subscribe();
+        // The sender lives as long as `self`.
+        let _ = caught_up.wait_for(|all| all.iter().all(|c| *c)).await;
+    }
+
+    pub(crate) fn settings(&self) -> &Settings {
+        &self.shared.settings
+    }
+
+    fn lane(&self, customer: &Customer) -> &Lane {
+        let partitions = self.shared.lanes.len() as u32;
+        self.shared.lane(partition(customer, partitions))
+    }
+
+    fn encode(&self, record: &Record) -> Result<bytes::Bytes, Refusal> {
+        let bytes = codec::encode(record);
+        match bytes.len() > self.shared.settings.batch_bytes {
+            true => Err(Refusal::TooLarge(bytes.len())),
+            false => Ok(bytes),
+        }
+    }
+}
--- /dev/null
+++ b/src/ledger/health.rs
@@ -0,0 +1,67 @@
+//! Whether the log answers.
+
+use std::{
+    sync::Mutex,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use tokio::sync::watch;
+
+/// Part of the ledger that uses the log.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Part {
+    Writer,
+    Follower,
+}
+
+/// Whether the log answers for one partition.
+#[derive(Debug)]
+pub(crate) struct Health {
+    /// Start of the current run of failures of each part.
+    failing: Mutex<[Option<Instant>; 2]>,
+    detection: Duration,
+    down: watch::Sender<bool>,
+}
+
+impl Health {
+    pub(crate) fn new(detection: Duration) -> Self {
+        Self {
+            failing: Mutex::default(),
+            detection,
+            down: watch::Sender::new(false),
+        }
+    }
+
+    pub(crate) fn is_down(&self) -> bool {
+        *self.down.borrow()
+    }
+
+    pub(crate) async fn wait_down(&self) {
+        // The sender lives as long as `self`.
+        let _ = self.down.subscribe().wait_for(|down| *down).await;
+    }
+
+    pub(crate) fn succeeded(&self, part: Part) {
+        self.set(part, |_| None);
+    }
+
+    pub(crate) fn failed(&self, part: Part) {
+        self.set(part, |since| since.or_else(|| Some(Instant::now())));
+    }
+
+    fn set(&self, part: Part, change: impl Fn(Option<Instant>) -> Option<Instant>) {
+        let mut failing = self.failing.lock().unwrap_or_else(|p| p.into_inner());
+        let since = &mut failing[part as usize];
+        *since = change(*since);
+        let long = |since: &Instant| since.elapsed() >= self.detection;
+        let down = failing.iter().flatten().any(long);
+        self.down.send_if_modified(|was| {
+            let changed = *was != down;
+            *was = down;
+            changed
+        });
+    }
+}
--- /dev/null
+++ b/src/ledger/history.rs
@@ -0,0 +1,180 @@
+//! Texts of a program's turns, from memory or from the log.
+
+use std::sync::Arc;
+
+use thiserror::Error;
+use tokio::{
+    sync::{
+        mpsc,
+        oneshot, //
+    },
+    time::sleep,
+};
+
+use crate::{
+    ledger::{
+        backoff::Backoff,
+        codec,
+        handle::Shared,
+        record::{
+            Body,
+            Turn, //
+        },
+        writer::limit,
+        Entity, //
+    },
+    log::{
+        Failure,
+        Log, //
+    },
+    name::Program,
+};
+
+/// Tries of one read before the history counts as unavailable.
+const TRIES: u32 = 4;
+
+/// Reason why a history can't be had.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Error)]
+pub enum Missing {
+    /// The program is not under way.
+    #[error("program is not under way")]
+    Program,
+    /// The log holds a part of the history and does not answer.
+    #[error("history is not available: {0}")]
+    Unavailable(String),
+}
+
+/// A turn whose text has to be read.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Wanted {
+    pub(crate) index: u32,
+    pub(crate) offset: u64,
+}
+
+/// Texts of turns with the turns' numbers.
+pub(crate) type Found = Vec<(u32, Arc<Turn>)>;
+
+/// Request for the texts of some turns of a program.
+#[derive(Debug)]
+pub(crate) struct Fetch {
+    pub(crate) program: Program,
+    pub(crate) wanted: Vec<Wanted>,
+    pub(crate) reply: oneshot::Sender<Result<Found, Failure>>,
+}
+
+/// Reads older records of one partition.
+pub(crate) struct Reader<L> {
+    log: Arc<L>,
+    shared: Arc<Shared>,
+    partition: u32,
+    fetches: mpsc::Receiver<Fetch>,
+}
+
+impl<L: Log> Reader<L> {
+    pub(crate) fn new(
+        log: Arc<L>,
+        shared: Arc<Shared>,
+        partition: u32,
+        fetches: mpsc::Receiver<Fetch>,
+    ) -> Self {
+        Self {
+            log,
+            shared,
+            partition,
+            fetches,
+        }
+    }
+
+    pub(crate) async fn run(mut self) {
+        while let Some(fetch) = self.fetches.recv().await {
+            let Fetch {
+                program,
+                wanted,
+                reply,
+            } = fetch;
+            if reply.is_closed() {
+                continue;
+            }
+            let found = self.fetch(&program, wanted).await;
+            // The requester may have left.
+            let _ = reply.send(found);
+        }
+    }
+
+    async fn fetch(&self, program: &Program, mut wanted: Vec<Wanted>) -> Result<Found, Failure> {
+        wanted.sort_by_key(|wanted| wanted.offset);
+        let mut found = Vec::with_capacity(wanted.len());
+        let mut rest = wanted.as_slice();
+        while let Some(first) = rest.first() {
+            let batch = self.read(first.offset).await?;
+            for (offset, bytes) in &batch.records {
+                let count = rest.iter().take_while(|w| w.offset == *offset).count();
+                let (here, after) = rest.split_at(count);
+                rest = after;
+                if !here.is_empty() {
+                    extract(bytes, program, here, &mut found)?;
+                }
+            }
+        }
+        Ok(found)
+    }
+
+    /// Reads a batch that begins with the record at `from`.
+    async fn read(&self, from: u64) -> Result<crate::log::Batch, Failure> {
+        let settings = &self.shared.settings;
+        let mut backoff = Backoff::new(settings.backoff, settings.backoff_most);
+        let mut failure = Failure::Unknown("record is missing".into());
+        for _ in 0..TRIES {
+            let read = self.log.read(self.partition, from, settings.poll);
+            match limit(settings.step + settings.poll, read).await {
+                Ok(batch) if batch.records.first().is_some_and(|(at, _)| *at == from) => {
+                    return Ok(batch);
+                }
+                Ok(_) => {}
+                Err(expired @ Failure::Expired { .. }) => return Err(expired),
+                Err(other) => failure = other,
+            }
+            sleep(backoff.delay()).await;
+        }
+        Err(failure)
+    }
+}
+
+/// Takes the wanted turns out of a record.
+fn extract(
+    bytes: &[u8],
+    program: &Program,
+    wanted: &[Wanted],
+    found: &mut Found,
+) -> Result<(), Failure> {
+    let invalid = || Failure::Unknown("record does not hold the turn".into());
+    let record = codec::decode(bytes).map_err(|_| invalid())?;
+    for Wanted { index, .. } in wanted {
+        let turn = turn_of(&record.body, program, *index).ok_or_else(invalid)?;
+        found.push((*index, turn));
+    }
+    Ok(())
+}
+
+fn turn_of(body: &Body, name: &Program, wanted: u32) -> Option<Arc<Turn>> {
+    match body {
+        Body::Turn {
+            program,
+            index,
+            turn,
+        } => (program == name && *index == wanted).then(|| turn.clone()),
+        Body::Snapshot { entity, .. } => match &**entity {
+            Entity::Texts {
+                program,
+                first,
+                turns,
+            } if program == name => {
+                let place = wanted.checked_sub(*first)?;
+                turns.get(place as usize).map(|(_, turn)| turn.clone())
+            }
+            _ => None,
+        },
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/ledger/keeper.rs
@@ -0,0 +1,190 @@
+//! Writes live state again before its records expire.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use tokio::time::sleep;
+
+use crate::{
+    clock::Time,
+    ledger::{
+        handle::Ledger,
+        history::Missing,
+        record::{
+            Body,
+            Turn, //
+        },
+        Entity,
+        Outcome,
+        Reason,
+        Refusal, //
+    },
+    name::{
+        Customer,
+        Program, //
+    },
+};
+
+/// Tries in a row to write an entity that changes meanwhile.
+const TRIES: u32 = 4;
+
+/// Bounds of the time between two searches for state that is due.
+const SEARCH: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(60));
+
+/// An entity whose last full record is old.
+enum Due {
+    Account(Customer),
+    Program(Customer, Program),
+}
+
+/// A part of a history that fits into an append.
+struct Part {
+    first: u32,
+    bytes: usize,
+    turns: Vec<(u64, Arc<Turn>)>,
+}
+
+impl Ledger {
+    /// Keeps live state in the log: writes what is due and what `owns` picks, forever.
+    ///
+    /// `owns` gets the name of a customer or of a program. It may be wrong for a while; state that
+    /// is written twice costs space only.
+    pub async fn keep(self, owns: impl Fn(&str) -> bool) {
+        let pause = self.settings().retention / 60;
+        loop {
+            sleep(pause.clamp(SEARCH.0, SEARCH.1)).await;
+            if let Err(refusal) = self.refresh(Time::now(), &owns).await {
+                log::warn!("ledger: live state was not written again: {refusal}");
+            }
+        }
+    }
+
+    /// Writes the live state that is due at `now` and that `owns` picks; returns how many entities
+    /// were written.
+    pub async fn refresh(&self, now: Time, owns: &impl Fn(&str) -> bool) -> Result<usize, Refusal> {
+        if !self.caught_up() {
+            return Ok(0);
+        }
+        let mut written = 0;
+        for due in self.due(now, owns) {
+            written += usize::from(match &due {
+                Due::Account(customer) => self.refresh_account(customer).await?,
+                Due::Program(customer, program) => self.refresh_program(customer, program).await?,
+            });
+        }
+        Ok(written)
+    }
+
+    /// Returns what is due; accounts come first, because a program's snapshot needs its account's.
+    fn due(&self, now: Time, owns: &impl Fn(&str) -> bool) -> Vec<Due> {
+        let state = self.state();
+        let refresh = state.horizon().refresh();
+        let due = |refreshed: Time| now >= refreshed + refresh;
+        // State that may be incomplete must not overwrite what others know.
+        let accounts = state.accounts().filter(|(customer, account)| {
+            due(account.refreshed) && owns(customer.as_str()) && state.is_sound(customer)
+        });
+        let programs = state.programs().filter(|(name, program)| {
+            due(program.refreshed) && owns(name.as_str()) && state.is_sound(program.customer())
+        });
+        let accounts = accounts.map(|(customer, _)| Due::Account(customer.clone()));
+        let programs =
+            programs.map(|(name, program)| Due::Program(program.customer().clone(), name.clone()));
+        accounts.chain(programs).collect()
+    }
+
+    async fn refresh_account(&self, customer: &Customer) -> Result<bool, Refusal> {
+        let image = || {
+            let state = self.state();
+            let account = state.account(customer)?;
+            let entity = Entity::Account(account.image());
+            Some((state.applied_for(customer).checked_sub(1)?, entity))
+        };
+        self.write(customer, image).await
+    }
+
+    async fn refresh_program(&self, customer: &Customer, name: &Program) -> Result<bool, Refusal> {
+        let turns = match self.history(name).await {
+            Ok(turns) => turns,
+            Err(Missing::Program) => return Ok(false),
+            Err(Missing::Unavailable(reason)) => {
+                log::warn!("ledger: texts of {name} were not written again: {reason}");
+                return Ok(false);
+            }
+        };
+        for entity in self.texts(name, &turns) {
+            let body = self.snapshot(customer, entity);
+            self.commit(self.record(customer, body)).await?;
+        }
+        let image = || {
+            let state = self.state();
+            let program = state.program(name)?.clone();
+            let name = name.clone();
+            let entity = Entity::Program { name, program };
+            Some((state.applied_for(customer).checked_sub(1)?, entity))
+        };
+        self.write(customer, image).await
+    }
+
+    /// Commits a snapshot, again if the entity changed meanwhile.
+    async fn write(
+        &self,
+        customer: &Customer,
+        image: impl Fn() -> Option<(u64, Entity)>,
+    ) -> Result<bool, Refusal> {
+        for _ in 0..TRIES {
+            let Some((as_of, entity)) = image() else {
+                return Ok(false);
+            };
+            let entity = Arc::new(entity);
+            let record = self.record(customer, Body::Snapshot { as_of, entity });
+            match self.commit(record).await? {
+                Outcome::Rejected(Reason::Stale) => {}
+                outcome => return Ok(outcome.took_effect()),
+            }
+        }
+        Ok(false)
+    }
+
+    fn snapshot(&self, customer: &Customer, entity: Entity) -> Body {
+        let as_of = self.state().applied_for(customer).saturating_sub(1);
+        let entity = Arc::new(entity);
+        Body::Snapshot { as_of, entity }
+    }
+
+    /// Splits a history into entities that fit into an append.
+    fn texts(&self, name: &Program, turns: &[Arc<Turn>]) -> Vec<Entity> {
+        let most = self.settings().batch_bytes / 2;
+        let state = self.state();
+        let Some(program) = state.program(name) else {
+            return Vec::new();
+        };
+        let mut parts: Vec<Part> = Vec::new();
+        for (index, turn) in (0..).zip(turns) {
+            let Some(print) = program.print(index) else {
+                break;
+            };
+            let bytes = turn.request.len() + turn.answer.len();
+            let entry = (print, turn.clone());
+            match parts.last_mut() {
+                Some(part) if part.bytes + bytes <= most => {
+                    part.bytes += bytes;
+                    part.turns.push(entry);
+                }
+                _ => parts.push(Part {
+                    first: index,
+                    bytes,
+                    turns: vec![entry],
+                }),
+            }
+        }
+        let entity = |part: Part| Entity::Texts {
+            program: name.clone(),
+            first: part.first,
+            turns: part.turns,
+        };
+        parts.into_iter().map(entity).collect()
+    }
+}
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -1,13 +1,65 @@
 //! Records in log order and the state that follows from them.
 
+pub mod account;
+mod backoff;
+mod cache;
+pub mod codec;
+mod follower;
+pub mod handle;
+mod health;
+pub mod history;
+mod keeper;
+pub mod outcome;
+pub mod program;
+mod queue;
 pub mod record;
+pub mod settings;
+pub mod state;
+mod writer;
+
+use std::sync::Arc;
 
 use serde::{
     Deserialize,
     Serialize, //
 };
 
+use crate::name;
+
+pub use self::{
+    handle::{
+        Ledger,
+        Refusal, //
+    },
+    outcome::{
+        Outcome,
+        Reason,
+        Winner, //
+    },
+    settings::Settings,
+    state::State, //
+};
+
 /// State of one entity, repeated in a snapshot.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
-pub enum Entity {}
+pub enum Entity {
+    /// A customer's account.
+    Account(account::Account),
+    /// A program under way, with the offsets of its turns' texts.
+    Program {
+        /// Name of the program.
+        name: name::Program,
+        /// The program.
+        program: program::Program,
+    },
+    /// Texts of turns of a program under way.
+    Texts {
+        /// Program that the turns belong to.
+        program: name::Program,
+        /// Number of the first turn.
+        first: u32,
+        /// The turns, each with the fingerprint of its record.
+        turns: Vec<(u64, Arc<record::Turn>)>,
+    },
+}
--- /dev/null
+++ b/src/ledger/queue.rs
@@ -0,0 +1,212 @@
+//! Records that wait for an append, and commits that wait for an outcome.
+
+use std::{
+    collections::VecDeque,
+    sync::{
+        atomic::{
+            AtomicU8,
+            Ordering, //
+        },
+        Arc,
+        Mutex,
+        MutexGuard, //
+    },
+};
+
+use bytes::Bytes;
+use tokio::sync::{
+    oneshot,
+    Notify, //
+};
+use uuid::Uuid;
+
+use crate::{
+    hash::Map,
+    ledger::Outcome, //
+};
+
+/// Whether a record may have reached the log.
+///
+/// Shared between the commit that waits and the writer, so that a record which the commit gave up
+/// before it was sent is never sent later.
+#[derive(Debug, Default)]
+pub(crate) struct Progress(AtomicU8);
+
+const WAITING: u8 = 0;
+const SENT: u8 = 1;
+const GIVEN_UP: u8 = 2;
+
+impl Progress {
+    /// Marks the record as sent; returns false if it was given up.
+    fn send(&self) -> bool {
+        let swapped = self
+            .0
+            .compare_exchange(WAITING, SENT, Ordering::AcqRel, Ordering::Acquire);
+        matches!(swapped, Ok(_) | Err(SENT))
+    }
+
+    /// Takes back the mark of a record that the log certainly did not take.
+    fn unsend(&self) {
+        let _ = self
+            .0
+            .compare_exchange(SENT, WAITING, Ordering::AcqRel, Ordering::Acquire);
+    }
+
+    /// Gives the record up; returns whether it may have reached the log.
+    pub(crate) fn give_up(&self) -> bool {
+        self.0.swap(GIVEN_UP, Ordering::AcqRel) == SENT
+    }
+}
+
+/// A record that waits for an append.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub(crate) id: Uuid,
+    pub(crate) bytes: Bytes,
+    pub(crate) progress: Arc<Progress>,
+    /// Whether nobody waits for the outcome.
+    pub(crate) later: bool,
+    /// Whether an append of the record had an unknown outcome.
+    uncertain: bool,
+}
+
+impl Entry {
+    pub(crate) fn new(id: Uuid, bytes: Bytes, later: bool) -> Self {
+        Self {
+            id,
+            bytes,
+            progress: Arc::default(),
+            later,
+            uncertain: false,
+        }
+    }
+
+    /// Notes that an append failed; `applied` tells whether it may have taken effect.
+    pub(crate) fn failed(&mut self, applied: bool) {
+        self.uncertain |= applied;
+        if !self.uncertain {
+            self.progress.unsend();
+        }
+    }
+
+    /// Marks the record as sent; returns false if it was given up.
+    pub(crate) fn send(&self) -> bool {
+        self.progress.send()
+    }
+}
+
+#[derive(Debug, Default)]
+struct Waiting {
+    entries: VecDeque<Entry>,
+    later_bytes: usize,
+    /// Records in the batch that the writer works on.
+    in_flight: usize,
+    pending: Map<Uuid, Option<oneshot::Sender<Outcome>>>,
+}
+
+/// Records of one partition that wait, in the order in which they are appended.
+#[derive(Debug, Default)]
+pub(crate) struct Queue {
+    waiting: Mutex<Waiting>,
+    changed: Notify,
+}
+
+impl Queue {
+    fn lock(&self) -> MutexGuard<'_, Waiting> {
+        self.waiting.lock().unwrap_or_else(|p| p.into_inner())
+    }
+
+    /// Adds a record whose outcome is awaited; returns `None` if `most` records wait.
+    pub(crate) fn push(&self, entry: Entry, most: usize) -> Option<oneshot::Receiver<Outcome>> {
+        let (sender, receiver) = oneshot::channel();
+        let mut waiting = self.lock();
+        if waiting.entries.len() >= most {
+            return None;
+        }
+        waiting.pending.insert(entry.id, Some(sender));
+        waiting.entries.push_back(entry);
+        self.changed.notify_one();
+        Some(receiver)
+    }
+
+    /// Adds a record for which nobody waits; returns false if these hold `most` bytes.
+    pub(crate) fn push_later(&self, entry: Entry, most: usize) -> bool {
+        let mut waiting = self.lock();
+        if waiting.later_bytes + entry.bytes.len() > most {
+            return false;
+        }
+        waiting.later_bytes += entry.bytes.len();
+        waiting.pending.insert(entry.id, None);
+        waiting.entries.push_back(entry);
+        self.changed.notify_one();
+        true
+    }
+
+    /// Waits until a record waits.
+    pub(crate) async fn filled(&self) {
+        while self.lock().entries.is_empty() {
+            self.changed.notified().await;
+        }
+    }
+
+    /// Takes the records of the next append and marks them as sent.
+    pub(crate) fn take(&self, records: usize, bytes: usize) -> Vec<Entry> {
+        let mut waiting = self.lock();
+        let mut batch: Vec<Entry> = Vec::new();
+        let mut size = 0;
+        while let Some(entry) = waiting.entries.front() {
+            let full = batch.len() >= records || size + entry.bytes.len() > bytes;
+            if full && !batch.is_empty() {
+                break;
+            }
+            size += entry.bytes.len();
+            batch.extend(waiting.entries.pop_front());
+        }
+        batch.retain(|entry| entry.later || entry.send());
+        waiting.in_flight = batch.len();
+        batch
+    }
+
+    /// Notes that the writer is done with its batch.
+    pub(crate) fn done(&self) {
+        self.lock().in_flight = 0;
+    }
+
+    /// Notes that a record for which nobody waits is in the log.
+    pub(crate) fn stored(&self, entry: &Entry) {
+        if entry.later {
+            let mut waiting = self.lock();
+            waiting.later_bytes = waiting.later_bytes.saturating_sub(entry.bytes.len());
+            waiting.pending.remove(&entry.id);
+        }
+    }
+
+    /// Returns whether the outcome of a record is still open.
+    pub(crate) fn is_open(&self, id: &Uuid) -> bool {
+        self.lock().pending.contains_key(id)
+    }
+
+    /// Resolves the commit of a record.
+    pub(crate) fn resolve(&self, id: &Uuid, outcome: Outcome) {
+        let sender = self.lock().pending.remove(id).flatten();
+        if let Some(sender) = sender {
+            // The commit may have been given up.
+            let _ = sender.send(outcome);
+        }
+    }
+
+    /// Forgets a commit that was given up.
+    pub(crate) fn forget(&self, id: &Uuid) {
+        self.lock().pending.remove(id);
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.lock().entries.is_empty()
+    }
+
+    /// Returns whether no record waits or is on its way.
+    pub(crate) fn is_idle(&self) -> bool {
+        let waiting = self.lock();
+        waiting.entries.is_empty() && waiting.in_flight == 0
+    }
+}
