--- /dev/null
+++ b/src/api/operate.rs
@@ -0,0 +1,198 @@
+//! Views for operators.
+
+use std::collections::BTreeMap;
+
+use actix_web::{
+    web::{
+        self,
+        ServiceConfig, //
+    },
+    HttpResponse,
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    dispatch::Inspect,
+    executor::{
+        admit::refuse,
+        request::Reason, //
+    },
+    name::{
+        Customer,
+        Program, //
+    },
+    policy::pool::Stats,
+};
+
+use super::App;
+
+/// Rows of a listing that are returned at most.
+const MOST_ROWS: usize = 1_000;
+
+/// An instance as operators see it.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Instance {
+    /// Name.
+    pub instance: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Address of the peer port.
+    pub address: String,
+    /// What the asked instance believes about it.
+    pub status: String,
+    /// Whether it is the asked instance itself.
+    pub own: bool,
+}
+
+/// An upstream as operators see it.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Upstream {
+    /// Pool.
+    pub pool: String,
+    /// Name.
+    pub upstream: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Address.
+    pub address: String,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Calls in flight, if the asked instance dispatches for the pool.
+    pub running: Option<u32>,
+    /// Calls that it gets at a time.
+    pub window: Option<u32>,
+    /// Load that is not ours.
+    pub foreign: Option<u32>,
+}
+
+/// A program as operators see it.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Row {
+    /// Name.
+    pub program: Program,
+    /// Customer.
+    pub customer: Customer,
+    /// Kind of work.
+    pub class: String,
+    /// Committed turns.
+    pub turns: u32,
+    /// Tokens of history.
+    pub tokens: u64,
+    /// Micro-units spent.
+    pub spent_micros: u64,
+    /// Home of the program.
+    pub home: Option<String>,
+}
+
+/// Adds the routes.
+pub fn configure(services: &mut ServiceConfig) {
+    services
+        .route("/v1/instances", web::get().to(instances))
+        .route("/v1/upstreams", web::get().to(upstreams))
+        .route("/v1/queues", web::get().to(queues))
+        .route("/v1/programs", web::get().to(programs))
+        .route("/v1/refusals", web::get().to(refusals))
+        .route("/v1/refusals/{request}", web::get().to(refusal));
+}
+
+async fn instances(app: web::Data<App>) -> HttpResponse {
+    let snapshot = app.shared().roster.snapshot();
+    let own = snapshot.own();
+    let mut rows = vec![Instance {
+        instance: own.instance.to_string(),
+        zone: own.zone.to_string(),
+        address: own.address.to_string(),
+        status: format!("{:?}", own.state).to_lowercase(),
+        own: true,
+    }];
+    rows.extend(snapshot.peers().map(|peer| Instance {
+        instance: peer.instance.to_string(),
+        zone: peer.zone.to_string(),
+        address: peer.address.to_string(),
+        status: format!("{:?}", peer.status).to_lowercase(),
+        own: false,
+    }));
+    HttpResponse::Ok().json(rows)
+}
+
+async fn stats(app: &App) -> BTreeMap<crate::name::Pool, Stats> {
+    app.dispatcher.send(Inspect).await.unwrap_or_default()
+}
+
+async fn upstreams(app: web::Data<App>) -> HttpResponse {
+    let stats = stats(&app).await;
+    let snapshot = app.shared().roster.snapshot();
+    let mut rows = Vec::new();
+    for pool in &app.shared().config.pools {
+        for upstream in &pool.upstreams {
+            let seen = stats.get(&pool.name).and_then(|s| s.upstreams.get(&upstream.name));
+            rows.push(Upstream {
+                pool: pool.name.to_string(),
+                upstream: upstream.name.to_string(),
+                zone: upstream.zone.to_string(),
+                address: upstream.address.clone(),
+                leaving: snapshot.is_leaving(&pool.name, &upstream.name),
+                running: seen.map(|member| member.running),
+                window: seen.map(|member| member.window),
+                foreign: seen.map(|member| member.foreign),
+            });
+        }
+    }
+    HttpResponse::Ok().json(rows)
+}
+
+async fn queues(app: web::Data<App>) -> HttpResponse {
+    HttpResponse::Ok().json(stats(&app).await)
+}
+
+/// Which programs are listed.
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct Filter {
+    customer: Option<String>,
+}
+
+async fn programs(app: web::Data<App>, filter: web::Query<Filter>) -> HttpResponse {
+    let snapshot = app.shared().roster.snapshot();
+    let state = app.shared().ledger.state();
+    let wanted = |customer: &Customer| {
+        let name = filter.customer.as_deref();
+        name.is_none_or(|name| name == customer.as_str())
+    };
+    let rows: Vec<_> = state
+        .programs()
+        .filter(|(_, program)| wanted(program.customer()))
+        .take(MOST_ROWS)
+        .map(|(name, program)| Row {
+            program: name.clone(),
+            customer: program.customer().clone(),
+            class: program.class().to_string(),
+            turns: program.next(),
+            tokens: program.tokens(),
+            spent_micros: program.spent().0,
+            home: snapshot.home(name).map(|home| home.to_string()),
+        })
+        .collect();
+    HttpResponse::Ok().json(rows)
+}
+
+async fn refusals(app: web::Data<App>) -> HttpResponse {
+    HttpResponse::Ok().json(app.refusals.recent(MOST_ROWS))
+}
+
+async fn refusal(app: web::Data<App>, path: web::Path<String>) -> HttpResponse {
+    match app.refusals.find(&path) {
+        Some(problem) => HttpResponse::Ok().json(problem),
+        None => {
+            let detail = format!("this instance has no refusal of request {path}");
+            let refusal = refuse(Reason::BadRequest, detail, None);
+            app.refuse(&app.request_id(), &refusal)
+        }
+    }
+}
--- a/src/api/problem.rs
+++ b/src/api/problem.rs
@@ -56,6 +56,7 @@
         | Reason::TurnInProgress
         | Reason::Cancelled => StatusCode::CONFLICT,
         Reason::ProgramExpired => StatusCode::GONE,
+        Reason::Conflict => StatusCode::PRECONDITION_FAILED,
         Reason::CustomerElsewhere => StatusCode::MISDIRECTED_REQUEST,
         Reason::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
         Reason::TooManyPrograms => StatusCode::TOO_MANY_REQUESTS,
--- a/src/executor/admit.rs
+++ b/src/executor/admit.rs
@@ -18,7 +18,10 @@
         State, //
     },
     money::Money,
-    name::Program,
+    name::{
+        Customer,
+        Program, //
+    },
 };
 
 use super::request::{
@@ -42,12 +45,17 @@
 
 /// Returns the customer's contract if this system serves the customer.
 pub fn contract<'a>(state: &'a State, request: &Request) -> Result<&'a Contract, Refusal> {
-    let Some(contract) = state.contract(&request.customer) else {
-        let detail = format!("customer {} has no contract", request.customer);
+    contract_of(state, &request.customer)
+}
+
+/// Returns a customer's contract if this system serves the customer.
+pub fn contract_of<'a>(state: &'a State, customer: &Customer) -> Result<&'a Contract, Refusal> {
+    let Some(contract) = state.contract(customer) else {
+        let detail = format!("customer {customer} has no contract");
         return Err(refuse(Reason::UnknownCustomer, detail, None));
     };
     if contract.served_by() != Server::Gypsumlever {
-        let detail = format!("customer {} is served by the old system", request.customer);
+        let detail = format!("customer {customer} is served by the old system");
         return Err(refuse(Reason::CustomerElsewhere, detail, None));
     }
     Ok(contract)
@@ -71,16 +79,22 @@
     if let Some(ending) = state.ended(&request.customer, name) {
         return Err(ended(ending));
     }
+    Err(missing(name, memory, now))
+}
+
+/// Makes the refusal of a program that is not known, by its age.
+pub fn missing(name: &Program, memory: Duration, now: Time) -> Refusal {
     match program::created(name) {
         Some(created) if created + memory < now => {
             let detail = format!("program {name} is older than records are kept");
-            Err(refuse(Reason::ProgramExpired, detail, None))
+            refuse(Reason::ProgramExpired, detail, None)
         }
-        _ => Err(unknown(name)),
+        _ => unknown(name),
     }
 }
 
-fn unknown(name: &Program) -> Refusal {
+/// Makes the refusal of a program that is not known.
+pub fn unknown(name: &Program) -> Refusal {
     refuse(Reason::UnknownProgram, format!("program {name} is not known"), None)
 }
 
--- a/src/executor/attempt.rs
+++ b/src/executor/attempt.rs
@@ -177,6 +177,10 @@
         taken.map_err(|error| error.into())
     }
 
+    fn settle(&self, task: &Task, hold: Hold, spent: Money) {
+        self.shared.purses.settle(&task.request.customer, hold, spent);
+    }
+
     /// Runs a call until an attempt succeeds or no more attempt is allowed.
     ///
     /// `first` covers the first attempt; each further one that may cost again is covered anew.
@@ -200,7 +204,7 @@
                 Ok((content, usage)) => {
                     let cost = self.price(task, &usage);
                     let cost = Money(cost.0.min(task.worst.0));
-                    covered.settle(cost);
+                    self.settle(task, covered, cost);
                     let cost = cost.saturating_add(lost);
                     return Ok(Outcome { content, usage, cost });
                 }
@@ -209,7 +213,7 @@
             let safe = task.work.idempotent();
             let failure = match miss {
                 Miss::Stale => {
-                    covered.settle(Money(0));
+                    self.settle(task, covered, Money(0));
                     let detail = "the claim became too old before the call could be sent";
                     return Err(refuse(Reason::DeadlineUnreachable, detail, Some(RETRY_AFTER)));
                 }
@@ -241,7 +245,7 @@
                 && self.shared.broker.retry(task.request.call.pool(), &task.request.customer).await;
             if !again {
                 if let Some(unused) = hold.take() {
-                    unused.settle(Money(0));
+                    self.settle(task, unused, Money(0));
                 }
                 return Err(failed(&failure, safe));
             }
--- a/src/executor/commit.rs
+++ b/src/executor/commit.rs
@@ -195,17 +195,11 @@
             let state = self.shared.ledger.state();
             state.program(program).map_or(0, |found| found.next())
         };
-        let committed = next.min(plan.index);
         let mut turns = Vec::new();
-        if committed > 0 {
-            let read = self.shared.ledger.turns(program, 0..committed).await;
-            turns = read.map_err(|error| {
-                let after = self.shared.ledger.settings().backoff_most;
-                let detail = format!("history can't be read: {error}");
-                refuse(Reason::LogUnavailable, detail, Some(after))
-            })?;
+        if next > 0 {
+            turns = self.committed(program).await?;
         }
-        turns.extend(self.shared.overlay.turns(program, committed));
+        turns.extend(self.shared.overlay.turns(program, turns.len() as u32));
         if turns.len() < plan.index as usize {
             let detail = "history of the program is not complete on this instance";
             return Err(refuse(Reason::LogUnavailable, detail, Some(SOON)));
--- /dev/null
+++ b/src/executor/gateway.rs
@@ -0,0 +1,156 @@
+//! Finds the instance that runs a call and forwards the call to it.
+
+use std::sync::Arc;
+
+use tokio::sync::mpsc;
+
+use crate::{
+    ledger::{
+        program,
+        record::Turn, //
+    },
+    name::{
+        Instance,
+        Program, //
+    },
+    peer::wire::Body,
+    upstream::{
+        Engine,
+        Service, //
+    },
+};
+
+use super::{
+    admit::{
+        refuse,
+        SOON, //
+    },
+    request::{
+        Answer,
+        Durability,
+        Event,
+        Reason,
+        Refusal,
+        Request, //
+    },
+    turn::replay,
+    Pool,
+    Shared, //
+};
+
+/// Homes that are tried before the call runs on the entry instance.
+const MOST_HOMES: usize = 3;
+
+/// Entry of calls into the instances.
+pub struct Gateway<E: Engine + 'static, S: Service + 'static> {
+    shared: Shared,
+    pool: Pool<E, S>,
+}
+
+impl<E: Engine + 'static, S: Service + 'static> Clone for Gateway<E, S> {
+    fn clone(&self) -> Self {
+        Self {
+            shared: self.shared.clone(),
+            pool: self.pool.clone(),
+        }
+    }
+}
+
+impl<E: Engine + 'static, S: Service + 'static> Gateway<E, S> {
+    /// Makes the entry for the executors of this instance.
+    pub fn new(shared: Shared, pool: Pool<E, S>) -> Self {
+        Self { shared, pool }
+    }
+
+    /// Returns what the executors share.
+    pub fn shared(&self) -> &Shared {
+        &self.shared
+    }
+
+    /// Returns the executors of this instance.
+    pub fn pool(&self) -> &Pool<E, S> {
+        &self.pool
+    }
+
+    /// Returns the home of a program among the instances that were not tried.
+    fn home(&self, name: &Program, tried: &[Instance]) -> Option<Instance> {
+        let snapshot = self.shared.roster.snapshot();
+        let key = name.as_str().as_bytes();
+        let zone = program::zone(name)?;
+        let near = snapshot.ranking(&zone, key);
+        let far = snapshot.zones().filter(|other| **other != zone);
+        let far = far.flat_map(|zone| snapshot.ranking(zone, key));
+        let mut ranked = near.into_iter().chain(far);
+        ranked.find(|home| !tried.contains(home)).cloned()
+    }
+
+    /// Runs a call at its home and sends its events.
+    ///
+    /// A home that is lost while the call runs is replaced by the next one, which joins the
+    /// committed turn, runs an idempotent call again, or knows from the claim that it must not.
+    pub async fn run(&self, request: Request, from: u64, sink: mpsc::Sender<Event>) {
+        let Some(program) = request.program.clone() else {
+            self.pool.run(request, from, sink);
+            return;
+        };
+        let mut tried = Vec::new();
+        while tried.len() < MOST_HOMES {
+            let home = match self.home(&program, &tried) {
+                Some(home) if home != self.shared.config.instance => home,
+                _ => break,
+            };
+            if self.forward(&home, &request, &sink).await {
+                return;
+            }
+            log::info!("executor: {} leaves home {home}, which is lost", request.id);
+            tried.push(home);
+        }
+        self.pool.run(request, from, sink);
+    }
+
+    /// Returns the history of a program, turns that are not in the log yet included.
+    pub async fn history(&self, program: &Program) -> Result<Vec<Arc<Turn>>, Refusal> {
+        let read = self.shared.ledger.history(program).await;
+        let mut turns = read.map_err(|error| {
+            let after = self.shared.ledger.settings().backoff_most;
+            let detail = format!("history can't be read: {error}");
+            refuse(Reason::LogUnavailable, detail, Some(after))
+        })?;
+        turns.extend(self.shared.overlay.turns(program, turns.len() as u32));
+        Ok(turns)
+    }
+
+    /// Returns the answer of a turn that has ended.
+    pub async fn kept(&self, program: &Program, turn: u32) -> Result<Answer, Refusal> {
+        let turns = self.history(program).await?;
+        let Some(found) = turns.get(turn as usize) else {
+            let detail = format!("turn {turn} has not ended; the next one is {}", turns.len());
+            return Err(refuse(Reason::TurnInProgress, detail, Some(SOON)));
+        };
+        let state = self.shared.ledger.state();
+        let next = state.program(program).map_or(0, |found| found.next());
+        let durability = match turn < next {
+            true => Durability::Committed,
+            false => Durability::Replicated,
+        };
+        replay(turn, found, found.digest, durability)
+    }
+
+    /// Forwards a call; returns false if its last event did not arrive.
+    async fn forward(&self, home: &Instance, request: &Request, sink: &mpsc::Sender<Event>) -> bool {
+        let body = Body::Call(request.clone());
+        let Ok(mut replies) = self.shared.mesh.open(home, body) else {
+            return false;
+        };
+        while let Some(reply) = replies.next().await {
+            let Ok(Body::Event(event)) = reply else {
+                return false;
+            };
+            let last = !matches!(event, Event::Text { .. });
+            if sink.send(event).await.is_err() || last {
+                return true;
+            }
+        }
+        false
+    }
+}
--- a/src/executor/mod.rs
+++ b/src/executor/mod.rs
@@ -6,6 +6,7 @@
 pub mod admit;
 mod attempt;
 mod commit;
+pub mod gateway;
 pub mod job;
 pub mod overlay;
 pub mod prompt;
@@ -45,7 +46,7 @@
         Map, //
     },
     ledger::{
-        purse::Purses,
+        allocator::Allocator,
         Ledger, //
     },
     member::Roster,
@@ -79,7 +80,7 @@
     /// Agreed state.
     pub ledger: Ledger,
     /// Tranches of the customers' budgets.
-    pub purses: Purses,
+    pub purses: Allocator,
     /// Access to upstreams.
     pub broker: Broker,
     /// View of members.
--- a/src/executor/request.rs
+++ b/src/executor/request.rs
@@ -188,4 +188,6 @@
     UnknownPool,
     /// The instance is stopping or not ready.
     NotReady,
+    /// Another change was accepted first.
+    Conflict,
 }
--- a/src/executor/turn.rs
+++ b/src/executor/turn.rs
@@ -147,7 +147,8 @@
         let key = request.key.as_deref();
         Ok(View {
             committed: found.next(),
-            claim: found.claim().cloned(),
+            // A held turn is later than the claim, which it answers.
+            claim: found.claim().filter(|_| held.is_empty()).cloned(),
             keyed: key.map(|key| found.keyed(key).collect()).unwrap_or_default(),
             plan: Plan {
                 index: found.next() + held.len() as u32,
@@ -192,20 +193,20 @@
 
     /// Reads one committed turn.
     pub(super) async fn read(&self, program: &Program, index: u32) -> Result<Arc<Turn>, Refusal> {
-        let turns = self.shared.ledger.turns(program, index..index + 1).await;
-        match turns {
-            Ok(turns) if turns.len() == 1 => Ok(turns[0].clone()),
-            Ok(_) => Err(refuse(
-                Reason::UnknownProgram,
-                "history is no longer kept",
-                None,
-            )),
-            Err(error) => Err(refuse(
-                Reason::LogUnavailable,
-                format!("history can't be read: {error}"),
-                Some(self.shared.ledger.settings().backoff_most),
-            )),
-        }
+        let turns = self.committed(program).await?;
+        turns.get(index as usize).cloned().ok_or_else(|| {
+            let detail = "history is no longer kept";
+            refuse(Reason::UnknownProgram, detail, None)
+        })
+    }
+
+    /// Reads the committed turns of a program.
+    pub(super) async fn committed(&self, program: &Program) -> Result<Vec<Arc<Turn>>, Refusal> {
+        self.shared.ledger.history(program).await.map_err(|error| {
+            let after = self.shared.ledger.settings().backoff_most;
+            let detail = format!("history can't be read: {error}");
+            refuse(Reason::LogUnavailable, detail, Some(after))
+        })
     }
 
     fn in_order(&self, request: &Request, view: &View) -> Result<(), Refusal> {
@@ -341,7 +342,7 @@
 }
 
 /// Answers a repeated call with its turn.
-fn replay(index: u32, turn: &Turn, digest: u64, durability: Durability) -> Result<Answer, Refusal> {
+pub(super) fn replay(index: u32, turn: &Turn, digest: u64, durability: Durability) -> Result<Answer, Refusal> {
     if turn.digest != digest {
         let detail = format!("turn {index} was another call");
         return Err(refuse(Reason::KeyReused, detail, None));
--- a/src/ledger/handle.rs
+++ b/src/ledger/handle.rs
@@ -217,6 +217,11 @@
         Self { shared }
     }
 
+    /// Returns the settings.
+    pub fn settings(&self) -> &Settings {
+        &self.shared.settings
+    }
+
     /// Returns the state that follows from the records applied so far.
     ///
     /// The guard blocks the follower and must not be held across an await.
--- a/src/ledger/program.rs
+++ b/src/ledger/program.rs
@@ -149,6 +149,10 @@
     pub author: Instance,
     /// Time at which the claim's record was made, by its author's clock.
     pub at: Time,
+    /// Caller's idempotency key of the call.
+    pub key: Option<String>,
+    /// Hash of the request.
+    pub digest: u64,
 }
 
 /// A claim that is no longer open.
@@ -293,11 +297,10 @@
 
     pub(crate) fn claim_turn(
         &mut self,
-        id: Uuid,
-        author: &Instance,
-        at: Time,
+        claim: Claim,
         index: u32,
     ) -> Outcome {
+        let id = claim.id;
         match &self.claim {
             Some(claim) if claim.id == id => return Outcome::Duplicate,
             _ => {}
@@ -316,8 +319,7 @@
         if let Some(claim) = &self.claim {
             return covered(claim);
         }
-        let author = author.clone();
-        self.claim = Some(Claim { id, author, at });
+        self.claim = Some(claim);
         Outcome::Accepted
     }
 
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -67,6 +67,10 @@
         program: Program,
         /// Number of the turn, from 0.
         index: u32,
+        /// Caller's idempotency key of the call.
+        key: Option<String>,
+        /// Hash of the request; with the key, it recognises a repeated call after the holder is lost.
+        digest: u64,
     },
     /// Gives up claim `claim` that was certainly not used; accepted from the claim's author only.
     Void {
--- a/src/ledger/state.rs
+++ b/src/ledger/state.rs
@@ -316,8 +316,17 @@
             Body::Turn { index, turn, .. } => {
                 program.turn(offset, &record.id, &record.author, *index, turn)
             }
-            Body::Claim { index, .. } => {
-                program.claim_turn(record.id, &record.author, record.at, *index)
+            Body::Claim {
+                index, key, digest, ..
+            } => {
+                let claim = Claim {
+                    id: record.id,
+                    author: record.author.clone(),
+                    at: record.at,
+                    key: key.clone(),
+                    digest: *digest,
+                };
+                program.claim_turn(claim, *index)
             }
             Body::Void { claim, .. } => program.void(&record.id, &record.author, claim),
             _ => Outcome::Rejected(Reason::UnknownProgram),
