--- /dev/null
+++ b/standin/src/engine/answer.rs
@@ -0,0 +1,56 @@
+//! Deterministic answers.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::{
+    prompt::chain,
+    Message, //
+};
+
+/// Tokens at the beginning of an answer that spell the prompt's hash.
+const DIGEST_TOKENS: u32 = 4;
+
+/// The answer to a prompt. It begins with the hash of the whole prompt, so that a mixed-up
+/// history or answer shows. Every token has four bytes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Answer {
+    hash: u64,
+}
+
+impl Answer {
+    /// Returns the answer to a prompt.
+    pub fn new(messages: &[Message]) -> Self {
+        let hash = chain(messages).last().map_or(0, |mark| mark.hash);
+        Self { hash }
+    }
+
+    pub(super) fn of(hash: u64) -> Self {
+        Self { hash }
+    }
+
+    /// Returns the hash of the prompt in hexadecimal.
+    pub fn digest(self) -> String {
+        self.text(DIGEST_TOKENS)
+    }
+
+    /// Returns one token.
+    pub fn token(self, index: u32) -> String {
+        if index < DIGEST_TOKENS {
+            let part = self.hash >> (16 * (DIGEST_TOKENS - 1 - index));
+            return format!("{:04x}", part & 0xffff);
+        }
+        let word = xxh3_64_with_seed(&index.to_le_bytes(), self.hash);
+        format!(" {:03x}", word & 0xfff)
+    }
+
+    /// Returns the first `count` tokens.
+    pub fn text(self, count: u32) -> String {
+        (0..count).map(|index| self.token(index)).collect()
+    }
+
+    /// Picks the length of the answer between two bounds.
+    pub(super) fn length(self, (least, most): (u32, u32)) -> u32 {
+        let span = u64::from(most.saturating_sub(least)) + 1;
+        least + (xxh3_64_with_seed(b"length", self.hash) % span) as u32
+    }
+}
--- /dev/null
+++ b/standin/src/engine/command.rs
@@ -0,0 +1,101 @@
+//! Commands to an engine, with fencing numbers.
+
+use std::collections::BTreeSet;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::now;
+
+/// What the engine does with fencing numbers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fencing {
+    /// A command with a lower number than an earlier one, or with none, is rejected.
+    #[default]
+    Enforced,
+    /// The number is recorded and otherwise ignored.
+    Ignored,
+}
+
+/// What a command changes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Change {
+    /// Load a model.
+    Model(String),
+    /// Load an adapter.
+    Adapter(String),
+    /// Unload an adapter.
+    NoAdapter(String),
+    /// Change the role.
+    Role(String),
+}
+
+/// A received command.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Serialize)]
+pub struct Command {
+    /// Time in microseconds since the Unix epoch.
+    pub at: u64,
+    /// Fencing number, if the sender gave one.
+    pub fence: Option<u64>,
+    /// What the command changes.
+    pub change: Change,
+    /// Whether the engine accepted it.
+    pub accepted: bool,
+}
+
+/// Models, adapters and role of an engine.
+#[derive(Debug, Default)]
+pub struct Control {
+    /// Whether stale numbers are rejected.
+    pub fencing: Fencing,
+    /// Highest fencing number of the accepted commands.
+    pub highest: Option<u64>,
+    /// Models that are loaded.
+    pub models: BTreeSet<String>,
+    /// Adapters that are loaded.
+    pub adapters: BTreeSet<String>,
+    /// Role that was set last.
+    pub role: Option<String>,
+    /// All received commands.
+    pub received: Vec<Command>,
+}
+
+impl Control {
+    /// Records a command and returns whether it is accepted.
+    pub fn accept(&mut self, fence: Option<u64>, change: Change) -> bool {
+        let stale = fence < self.highest || fence.is_none();
+        let accepted = self.fencing == Fencing::Ignored || !stale;
+        if accepted {
+            self.highest = self.highest.max(fence);
+        }
+        self.received.push(Command {
+            at: now(),
+            fence,
+            change,
+            accepted,
+        });
+        accepted
+    }
+
+    /// Carries out an accepted command.
+    pub fn apply(&mut self, change: Change) {
+        match change {
+            Change::Model(name) => drop(self.models.insert(name)),
+            Change::Adapter(name) => drop(self.adapters.insert(name)),
+            Change::NoAdapter(name) => drop(self.adapters.remove(&name)),
+            Change::Role(role) => self.role = Some(role),
+        }
+    }
+
+    /// Returns whether requests for `model` are served.
+    pub fn serves(&self, model: &str) -> bool {
+        self.models.is_empty() || self.models.contains(model) || self.adapters.contains(model)
+    }
+}
--- /dev/null
+++ b/standin/src/engine/mod.rs
@@ -0,0 +1,180 @@
+//! A model engine: OpenAI chat completions over a model of continuous batching.
+
+mod answer;
+mod batch;
+mod books;
+mod cache;
+mod chat;
+mod command;
+mod faults;
+mod prompt;
+mod refusal;
+mod report;
+mod routes;
+mod sse;
+mod state;
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::Arc, //
+};
+
+use actix_web::{
+    rt,
+    web::ServiceConfig, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::server::{
+    Network,
+    Server,
+    Standin,
+    FREE, //
+};
+
+pub use answer::Answer;
+pub use books::{
+    Books,
+    Call,
+    Cost,
+    End,
+    Erasure, //
+};
+pub use command::{
+    Command,
+    Fencing, //
+};
+pub use faults::Faults;
+pub use prompt::Message;
+pub use report::{
+    Load,
+    Report, //
+};
+pub use state::Engine;
+
+/// Settings of the engine. Times are those of the modelled engine; `speed` divides them.
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Config {
+    /// Address to listen on; port 0 picks a free port.
+    pub listen: SocketAddr,
+    /// Address of the control routes that no fault of the network affects.
+    pub control: SocketAddr,
+    /// Factor by which all modelled times are shortened.
+    pub speed: f64,
+    /// Duration of a step without work, in microseconds.
+    pub step_us: u64,
+    /// Longer duration of a step per request in the batch, in microseconds.
+    pub step_per_request_us: u64,
+    /// Longer duration of a step per prompt token that isn't cached, in microseconds.
+    pub prefill_per_token_us: f64,
+    /// Most prompt tokens that one step computes.
+    pub prefill_chunk: u64,
+    /// Most requests in the batch.
+    pub max_batch: usize,
+    /// Tokens that fit in the memory for running requests and cached prefixes.
+    pub cache_tokens: u64,
+    /// Tokens of an answer if the request has no `max_tokens`.
+    pub default_tokens: u32,
+    /// Shortest and longest answer, picked by the prompt's hash; `max_tokens` cuts it
+    /// off. Without it every answer has `max_tokens` tokens.
+    pub answer_tokens: Option<(u32, u32)>,
+    /// Models that are loaded; if empty, every model is.
+    pub models: Vec<String>,
+    /// Duration of loading a model or an adapter, in microseconds.
+    pub model_load_us: u64,
+    /// Whether commands with a stale fencing number are rejected.
+    pub fencing: Fencing,
+    /// Age of the load report, in milliseconds of real time.
+    pub load_lag_ms: u64,
+    /// Time between two load reports, in milliseconds of real time.
+    pub load_interval_ms: u64,
+    /// Age at which cache events are published, in milliseconds of real time.
+    pub events_lag_ms: u64,
+    /// Probability that a cache event is lost.
+    pub events_loss: f64,
+    /// Most calls that the books keep in detail.
+    pub calls_kept: usize,
+    /// Seed of the random faults.
+    pub seed: u64,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            listen: FREE,
+            control: FREE,
+            speed: 1.0,
+            step_us: 10_000,
+            step_per_request_us: 250,
+            prefill_per_token_us: 40.0,
+            prefill_chunk: 4_096,
+            max_batch: 64,
+            cache_tokens: 600_000,
+            default_tokens: 256,
+            answer_tokens: None,
+            models: Vec::new(),
+            model_load_us: 2_000_000,
+            fencing: Fencing::Enforced,
+            load_lag_ms: 300,
+            load_interval_ms: 50,
+            events_lag_ms: 500,
+            events_loss: 0.0,
+            calls_kept: 100_000,
+            seed: 0,
+        }
+    }
+}
+
+/// Load that the old system puts on the engine.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Foreign {
+    /// Requests of the old system in the batch.
+    pub running: usize,
+    /// Requests of the old system that wait.
+    pub waiting: usize,
+    /// Cache of the old system to add: keys and tokens.
+    pub slots: Vec<(String, u64)>,
+}
+
+/// Starts an engine.
+pub fn start(config: Config) -> io::Result<Server<Engine>> {
+    let (listen, control) = (config.listen, config.control);
+    Server::start(Engine::new(config), listen, control)
+}
+
+impl Standin for Engine {
+    type Faults = Faults;
+    type Books = Books;
+
+    fn configure(app: &mut ServiceConfig) {
+        routes::configure(app);
+    }
+
+    fn run(self: &Arc<Self>) {
+        rt::spawn(Arc::clone(self).drive());
+    }
+
+    fn faults(&self) -> Faults {
+        self.inner().faults.clone()
+    }
+
+    fn set_faults(&self, faults: Faults) {
+        self.change(|inner| inner.faults = faults);
+    }
+
+    fn network(faults: &Faults) -> &Network {
+        &faults.network
+    }
+
+    fn books(&self) -> Books {
+        self.inner().books()
+    }
+}
--- /dev/null
+++ b/standin/src/engine/prompt.rs
@@ -0,0 +1,122 @@
+//! Requests for chat completions.
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use serde_json::Value;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Bytes of a prompt that count as one token.
+const TOKEN_BYTES: u64 = 4;
+
+/// A message of a prompt.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Message {
+    /// Who speaks.
+    pub role: String,
+    /// Text, parts or null.
+    #[serde(default)]
+    pub content: Value,
+    /// Tool calls of an assistant.
+    #[serde(default, skip_serializing_if = "Value::is_null")]
+    pub tool_calls: Value,
+}
+
+impl Message {
+    /// Makes a text message.
+    pub fn new(role: &str, content: &str) -> Self {
+        Self {
+            role: role.to_owned(),
+            content: Value::String(content.to_owned()),
+            tool_calls: Value::Null,
+        }
+    }
+
+    /// Returns the bytes that the model reads.
+    fn text(&self) -> String {
+        let text = |value: &Value| match value {
+            Value::Null => String::new(),
+            Value::String(text) => text.clone(),
+            other => other.to_string(),
+        };
+        format!("{}{}", text(&self.content), text(&self.tool_calls))
+    }
+}
+
+/// Body of `POST /v1/chat/completions`; unknown fields are ignored as published.
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
+pub struct Request {
+    /// Model that has to answer.
+    pub model: String,
+    /// The prompt.
+    pub messages: Vec<Message>,
+    /// Most tokens to generate.
+    #[serde(default)]
+    pub max_tokens: Option<u32>,
+    /// Newer name of `max_tokens`.
+    #[serde(default)]
+    pub max_completion_tokens: Option<u32>,
+    /// Whether the answer is streamed.
+    #[serde(default)]
+    pub stream: bool,
+    /// Options of the stream.
+    #[serde(default)]
+    pub stream_options: Option<Options>,
+    /// Key of the cached prefix.
+    #[serde(default)]
+    pub prompt_cache_key: Option<String>,
+}
+
+/// Options of a stream.
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Deserialize)]
+pub struct Options {
+    /// Whether the last part tells the usage.
+    #[serde(default)]
+    pub include_usage: bool,
+}
+
+/// A prefix of a conversation that ends with a whole message.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Mark {
+    /// Hash of all messages up to here.
+    pub hash: u64,
+    /// Bytes of all messages up to here.
+    pub bytes: u64,
+}
+
+impl Mark {
+    /// Returns the prefix that ends with `message`.
+    pub fn then(self, message: &Message) -> Self {
+        let text = message.text();
+        let seed = xxh3_64_with_seed(message.role.as_bytes(), self.hash);
+        Self {
+            hash: xxh3_64_with_seed(text.as_bytes(), seed),
+            bytes: self.bytes + text.len() as u64,
+        }
+    }
+
+    /// Returns the tokens of the prefix.
+    pub fn tokens(self) -> u64 {
+        self.bytes.div_ceil(TOKEN_BYTES)
+    }
+}
+
+/// Returns the prefixes of a conversation, the longest one last.
+pub fn chain(messages: &[Message]) -> Vec<Mark> {
+    let step = |mark: &mut Mark, message| {
+        *mark = mark.then(message);
+        Some(*mark)
+    };
+    messages.iter().scan(Mark::default(), step).collect()
+}
+
+/// Returns the longest prefix that both chains have.
+pub fn common(one: &[Mark], other: &[Mark]) -> Mark {
+    let pairs = one.iter().zip(other);
+    let same = pairs.take_while(|(one, other)| one == other);
+    same.last().map_or(Mark::default(), |(mark, _)| *mark)
+}
--- /dev/null
+++ b/standin/src/engine/report.rs
@@ -0,0 +1,64 @@
+//! Load reports, which show the load some time ago.
+
+use std::collections::VecDeque;
+
+use serde::Serialize;
+
+/// A load report.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Serialize)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Share of the memory in use, from 0 to 1.
+    pub cache_used: f64,
+    /// Time of the report in microseconds since the Unix epoch.
+    pub at: u64,
+    /// Whether the upstream is leaving.
+    pub leaving: bool,
+}
+
+/// Recent changes of the load.
+#[derive(Debug)]
+pub struct Report {
+    lag: u64,
+    interval: u64,
+    changes: VecDeque<Load>,
+}
+
+impl Report {
+    /// Makes a report with a lag and an interval in milliseconds.
+    pub fn new(lag_ms: u64, interval_ms: u64) -> Self {
+        Self {
+            lag: lag_ms * 1_000,
+            interval: (interval_ms * 1_000).max(1),
+            changes: VecDeque::new(),
+        }
+    }
+
+    /// Notes the load; `load.at` must not decrease.
+    pub fn note(&mut self, load: Load) {
+        let shown = self.shown(load.at);
+        while self.changes.get(1).is_some_and(|next| next.at <= shown) {
+            self.changes.pop_front();
+        }
+        self.changes.push_back(load);
+    }
+
+    /// Returns the newest report that is old enough to be shown.
+    pub fn read(&self, now: u64) -> Load {
+        let shown = self.shown(now);
+        let past = self.changes.iter().take_while(|load| load.at <= shown);
+        Load {
+            at: shown,
+            ..past.last().copied().unwrap_or_default()
+        }
+    }
+
+    fn shown(&self, now: u64) -> u64 {
+        let late = now.saturating_sub(self.lag);
+        late - late % self.interval
+    }
+}
--- /dev/null
+++ b/standin/src/engine/state.rs
@@ -0,0 +1,418 @@
+//! Continuous batching over wall-clock time.
+
+use std::{
+    collections::VecDeque,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use actix_web::rt::time;
+use tokio::{
+    sync::Notify,
+    task, //
+};
+
+use super::{
+    batch::{
+        Job,
+        Piece, //
+    },
+    books::{
+        Books,
+        Call,
+        Cost,
+        End,
+        Erasure, //
+    },
+    cache::Cache,
+    command::Control,
+    prompt::Mark,
+    report::{
+        Load,
+        Report, //
+    },
+    Config,
+    Faults,
+    Foreign, //
+};
+use crate::{
+    lock,
+    now, //
+};
+
+/// Time that a busy machine may be behind the model and still catch up.
+const CATCH_UP: Duration = Duration::from_millis(100);
+
+/// How often a hung engine looks whether it may go on.
+const HANG: Duration = Duration::from_millis(5);
+
+/// Slots of running calls have identifiers from here on.
+const FIRST_BUSY_SLOT: u64 = 1 << 40;
+
+/// A stand-in for a model engine.
+pub struct Engine {
+    inner: Mutex<Inner>,
+    wake: Notify,
+}
+
+impl Engine {
+    pub(super) fn new(config: Config) -> Self {
+        Self {
+            inner: Mutex::new(Inner::new(config)),
+            wake: Notify::new(),
+        }
+    }
+
+    pub(super) fn inner(&self) -> MutexGuard<'_, Inner> {
+        lock(&self.inner)
+    }
+
+    /// Changes the state and lets the batch notice it.
+    pub(super) fn change<T>(&self, change: impl FnOnce(&mut Inner) -> T) -> T {
+        let mut inner = self.inner();
+        let result = change(&mut inner);
+        inner.note();
+        drop(inner);
+        self.wake.notify_one();
+        result
+    }
+
+    /// Sets the load of the old system and adds cache of it.
+    pub fn set_foreign(&self, foreign: Foreign) {
+        self.change(|inner| inner.set_foreign(foreign));
+    }
+
+    /// Returns the load report that clients see now.
+    pub fn load(&self) -> Load {
+        self.inner().report.read(now())
+    }
+
+    /// Computes steps for as long as the engine exists.
+    pub(super) async fn drive(self: Arc<Self>) {
+        let mut due = Instant::now();
+        loop {
+            let planned = self.inner().plan();
+            let Some(step) = planned else {
+                self.wake.notified().await;
+                due = Instant::now();
+                continue;
+            };
+            due = due.max(Instant::now() - CATCH_UP) + step;
+            if due > Instant::now() {
+                time::sleep_until(due.into()).await;
+            } else {
+                task::yield_now().await;
+            }
+            let behind = Instant::now().saturating_duration_since(due);
+            self.inner().step(behind);
+        }
+    }
+}
+
+pub(super) struct Inner {
+    pub(super) config: Config,
+    pub(super) faults: Faults,
+    pub(super) control: Control,
+    pub(super) cache: Cache,
+    pub(super) report: Report,
+    waiting: VecDeque<Job>,
+    running: Vec<Job>,
+    foreign: Foreign,
+    chunk: Vec<u64>,
+    enqueued: u64,
+    books: Books,
+}
+
+impl Inner {
+    fn new(config: Config) -> Self {
+        let mut inner = Self {
+            faults: Faults::default(),
+            control: Control {
+                fencing: config.fencing,
+                models: config.models.iter().cloned().collect(),
+                ..Control::default()
+            },
+            cache: Cache::new(config.cache_tokens, config.events_loss, config.seed),
+            report: Report::new(config.load_lag_ms, config.load_interval_ms),
+            waiting: VecDeque::new(),
+            running: Vec::new(),
+            foreign: Foreign::default(),
+            chunk: Vec::new(),
+            enqueued: 0,
+            books: Books::default(),
+            config,
+        };
+        inner.note();
+        inner
+    }
+
+    /// Notes the load for the reports.
+    fn note(&mut self) {
+        self.report.note(Load {
+            running: (self.running.len() + self.foreign.running) as u32,
+            waiting: (self.waiting.len() + self.foreign.waiting) as u32,
+            cache_used: self.cache.used(),
+            at: now(),
+            leaving: self.faults.leaving,
+        });
+    }
+
+    fn set_foreign(&mut self, foreign: Foreign) {
+        for (key, tokens) in &foreign.slots {
+            // A prefix that no prompt of ours has.
+            let mark = Mark {
+                hash: u64::MAX,
+                bytes: tokens * 4,
+            };
+            self.cache.store(key, vec![mark]);
+        }
+        self.foreign = Foreign {
+            slots: Vec::new(),
+            ..foreign
+        };
+    }
+
+    /// Counts a received call.
+    pub(super) fn receive(&mut self) {
+        self.books.received += 1;
+        if self.faults.leaving {
+            self.books.received_leaving += 1;
+        }
+    }
+
+    /// Counts a refused call.
+    pub(super) fn refuse(&mut self) {
+        self.books.refused += 1;
+    }
+
+    /// Adds a call to the queue.
+    pub(super) fn enqueue(&mut self, mut job: Job) {
+        job.slot = FIRST_BUSY_SLOT + self.enqueued;
+        self.enqueued += 1;
+        let calls = &mut self.books.calls;
+        if calls.len() < self.config.calls_kept {
+            job.call = Some(calls.len());
+            calls.push(Call {
+                key: job.key.clone(),
+                hash: job.answer.digest(),
+                messages: job.chain.len(),
+                prompt_tokens: job.prompt_tokens(),
+                received: now(),
+                ..Call::default()
+            });
+        }
+        self.waiting.push_back(job);
+    }
+
+    fn record(&mut self, job: &Job, note: impl FnOnce(&mut Call)) {
+        let call = job.call.and_then(|call| self.books.calls.get_mut(call));
+        if let Some(call) = call {
+            note(call);
+        }
+    }
+
+    /// Admits calls and returns the duration of the next step; `None` if there is no work.
+    fn plan(&mut self) -> Option<Duration> {
+        self.drop_cancelled();
+        if self.faults.silent {
+            return Some(HANG);
+        }
+        self.admit();
+        if self.running.is_empty() && self.waiting.is_empty() {
+            return None;
+        }
+        Some(self.schedule())
+    }
+
+    /// Admits calls in the order of arrival while batch and memory have room.
+    fn admit(&mut self) {
+        while self.running.len() + self.foreign.running < self.config.max_batch {
+            let Some(mut job) = self.waiting.pop_front() else {
+                return;
+            };
+            let Some(found) = self.cache.admit(&job.key, &job.chain, job.need()) else {
+                self.waiting.push_front(job);
+                return;
+            };
+            // The last token of a prompt is always computed, as engines do.
+            let prompt = job.prompt_tokens();
+            job.cached = found.tokens().min(prompt.saturating_sub(1));
+            job.missing = prompt - job.cached;
+            let cost = self.books.keys.entry(job.key.clone()).or_default();
+            cost.calls += 1;
+            cost.prompt_tokens += prompt;
+            cost.cached_tokens += job.cached;
+            self.record(&job, |call| {
+                call.admitted = now();
+                call.cached_tokens = job.cached;
+            });
+            self.running.push(job);
+            self.note();
+        }
+    }
+
+    /// Shares the step among the prompts in the order of admission.
+    fn schedule(&mut self) -> Duration {
+        let mut left = self.config.prefill_chunk;
+        let take = |job: &Job| {
+            let part = job.missing.min(left);
+            left -= part;
+            part
+        };
+        self.chunk = self.running.iter().map(take).collect();
+        let prefill: u64 = self.chunk.iter().sum();
+        let batch = self.running.len() + self.foreign.running;
+        self.books.largest_batch = self.books.largest_batch.max(self.running.len());
+        let micros = self.config.step_us as f64
+            + self.config.step_per_request_us as f64 * batch as f64
+            + self.config.prefill_per_token_us * prefill as f64;
+        let factor = self.faults.slow.max(0.0) / self.config.speed.max(f64::MIN_POSITIVE);
+        Duration::from_secs_f64(micros * factor / 1e6)
+    }
+
+    /// Ends a step: computes parts of prompts and one token of every other call.
+    fn step(&mut self, behind: Duration) {
+        self.books.steps += 1;
+        self.books.behind_us = self.books.behind_us.max(behind.as_micros() as u64);
+        if self.faults.silent {
+            return;
+        }
+        let chunk = std::mem::take(&mut self.chunk);
+        let mut running = std::mem::take(&mut self.running);
+        for (job, part) in running.iter_mut().zip(chunk) {
+            job.missing -= part;
+            if job.missing == 0 && !job.is_silent() {
+                self.generate(job);
+            }
+        }
+        let (ended, running) = running.into_iter().partition(Self::has_ended);
+        self.running = running;
+        for job in ended {
+            self.end(job);
+        }
+    }
+
+    fn generate(&mut self, job: &mut Job) {
+        if job.generated < job.length {
+            let token = job.answer.token(job.generated);
+            job.generated += 1;
+            let cost = self.books.keys.entry(job.key.clone()).or_default();
+            cost.completion_tokens += 1;
+            let _ = job.client.send(Piece::Token(token));
+        }
+        self.record(job, |call| {
+            call.completion_tokens = job.generated;
+            if call.first == 0 {
+                call.first = now();
+            }
+        });
+    }
+
+    fn has_ended(job: &Job) -> bool {
+        let broken = job
+            .fate
+            .break_after
+            .is_some_and(|after| job.missing == 0 && job.generated >= after);
+        broken || job.generated >= job.length
+    }
+
+    fn end(&mut self, job: Job) {
+        let broken = job
+            .fate
+            .break_after
+            .is_some_and(|after| job.generated >= after);
+        let end = if broken { End::Broken } else { End::Completed };
+        let piece = match end {
+            End::Broken => Piece::Break,
+            _ => Piece::Done(job.usage(), job.finish),
+        };
+        let _ = job.client.send(piece);
+        self.settle(job, end);
+    }
+
+    /// Gives back the memory of a call that was admitted.
+    fn settle(&mut self, job: Job, end: End) {
+        self.cache.release(&job.key, job.computed(), job.need());
+        self.close(&job, end);
+    }
+
+    fn close(&mut self, job: &Job, end: End) {
+        match end {
+            End::Completed => self.books.completed += 1,
+            End::Cancelled => self.books.cancelled += 1,
+            End::Broken => self.books.broken += 1,
+            End::Open => {}
+        }
+        self.record(job, |call| {
+            call.end = end;
+            call.ended = now();
+        });
+        self.note();
+    }
+
+    /// Drops the calls whose clients have disconnected.
+    fn drop_cancelled(&mut self) {
+        if self.running.iter().any(|job| job.client.is_closed()) {
+            let running = std::mem::take(&mut self.running);
+            let (gone, running) = running.into_iter().partition(|job| job.client.is_closed());
+            self.running = running;
+            for job in gone {
+                self.settle(job, End::Cancelled);
+            }
+        }
+        if self.waiting.iter().any(|job| job.client.is_closed()) {
+            let waiting = std::mem::take(&mut self.waiting);
+            let (gone, waiting): (Vec<_>, Vec<_>) =
+                waiting.into_iter().partition(|job| job.client.is_closed());
+            self.waiting = waiting.into();
+            for job in gone {
+                self.close(&job, End::Cancelled);
+            }
+        }
+    }
+
+    /// Erases a slot by request and returns its tokens.
+    pub(super) fn erase(&mut self, id: u64) -> Option<u64> {
+        let slot = self.cache.erase(id)?;
+        self.books.erased.push(Erasure {
+            at: now(),
+            key: slot.key,
+            tokens: slot.tokens,
+        });
+        Some(slot.tokens)
+    }
+
+    /// Returns the calls that run.
+    pub(super) fn running(&self) -> &[Job] {
+        &self.running
+    }
+
+    pub(super) fn books(&self) -> Books {
+        let mut books = self.books.clone();
+        for (key, cost) in &books.keys {
+            let prefix = key.split('/').next().unwrap_or_default();
+            let sum = books.prefixes.entry(prefix.to_owned()).or_default();
+            *sum = Cost::plus(*sum, *cost);
+        }
+        let idle = self.cache.slots().map(|slot| (&slot.key, slot.tokens));
+        let busy = self.running.iter().map(|job| (&job.key, job.need()));
+        for (key, tokens) in idle.chain(busy) {
+            *books.held.entry(key.clone()).or_default() += tokens;
+        }
+        books.evictions = self.cache.evictions;
+        books.evicted = self.cache.evicted.clone();
+        books.commands = self.control.received.clone();
+        books.highest_fence = self.control.highest;
+        books.models = self.control.models.iter().cloned().collect();
+        books.adapters = self.control.adapters.iter().cloned().collect();
+        books.role = self.control.role.clone();
+        books
+    }
+}
--- /dev/null
+++ b/standin/src/log/format.rs
@@ -0,0 +1,142 @@
+//! Embedded formats of record keys and values.
+
+use base64::{
+    engine::general_purpose::STANDARD,
+    Engine, //
+};
+use bytes::Bytes;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use serde_json::{
+    value::RawValue,
+    Value, //
+};
+
+use super::{
+    partition::{
+        Entry,
+        Pair, //
+    },
+    problem::Problem,
+};
+
+/// Media type of bodies without records.
+pub const MEDIA: &str = "application/vnd.kafka.v2+json";
+
+/// How keys and values are written in JSON.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Format {
+    /// Base64 text.
+    #[default]
+    Binary,
+    /// JSON values.
+    Json,
+}
+
+impl Format {
+    /// Returns the format that a media type names.
+    pub fn of(media: &str) -> Option<Self> {
+        let media = media.split(';').next().unwrap_or_default().trim();
+        match media {
+            "application/vnd.kafka.binary.v2+json" => Some(Self::Binary),
+            "application/vnd.kafka.json.v2+json" => Some(Self::Json),
+            _ => None,
+        }
+    }
+
+    /// Returns the media type.
+    pub fn media(self) -> &'static str {
+        match self {
+            Self::Binary => "application/vnd.kafka.binary.v2+json",
+            Self::Json => "application/vnd.kafka.json.v2+json",
+        }
+    }
+
+    fn decode(self, field: &RawValue) -> Result<Option<Bytes>, Problem> {
+        if field.get() == "null" {
+            return Ok(None);
+        }
+        if self == Self::Json {
+            return Ok(Some(Bytes::copy_from_slice(field.get().as_bytes())));
+        }
+        let invalid = |error: String| Problem::new(422, format!("Invalid base64 field: {error}"));
+        let text: String =
+            serde_json::from_str(field.get()).map_err(|error| invalid(error.to_string()))?;
+        let bytes = STANDARD
+            .decode(text)
+            .map_err(|error| invalid(error.to_string()))?;
+        Ok(Some(bytes.into()))
+    }
+
+    fn encode(self, bytes: Option<&Bytes>) -> Result<Value, Problem> {
+        let Some(bytes) = bytes else {
+            return Ok(Value::Null);
+        };
+        match self {
+            Self::Binary => Ok(Value::String(STANDARD.encode(bytes))),
+            Self::Json => serde_json::from_slice(bytes)
+                .map_err(|error| Problem::broker(&format!("Error deserializing JSON: {error}"))),
+        }
+    }
+}
+
+/// Body of a produce request.
+#[derive(Debug)]
+#[derive(Deserialize)]
+pub struct Produce<'a> {
+    #[serde(borrow)]
+    records: Vec<Record<'a>>,
+}
+
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct Record<'a> {
+    #[serde(borrow, default)]
+    key: Option<&'a RawValue>,
+    #[serde(borrow)]
+    value: &'a RawValue,
+}
+
+impl Produce<'_> {
+    /// Returns keys and values as bytes.
+    pub fn decode(&self, format: Format) -> Result<Vec<Pair>, Problem> {
+        let decode = |record: &Record<'_>| {
+            let key = record.key.map_or(Ok(None), |key| format.decode(key))?;
+            Ok((key, format.decode(record.value)?))
+        };
+        self.records.iter().map(decode).collect()
+    }
+}
+
+/// A record as a consumer gets it.
+#[derive(Debug)]
+#[derive(Serialize)]
+pub struct Fetched {
+    topic: String,
+    key: Value,
+    value: Value,
+    partition: u32,
+    offset: u64,
+}
+
+impl Fetched {
+    /// Encodes an entry.
+    pub fn encode(
+        format: Format,
+        topic: &str,
+        partition: u32,
+        entry: &Entry,
+    ) -> Result<Self, Problem> {
+        Ok(Self {
+            topic: topic.to_owned(),
+            key: format.encode(entry.key.as_ref())?,
+            value: format.encode(entry.value.as_ref())?,
+            partition,
+            offset: entry.offset,
+        })
+    }
+}
--- /dev/null
+++ b/standin/src/log/routes.rs
@@ -0,0 +1,343 @@
+//! HTTP routes of the log.
+
+use std::{
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use actix_web::{
+    http::header,
+    rt::{
+        self,
+        time, //
+    },
+    web::{
+        self,
+        Bytes,
+        Data,
+        Path,
+        Query, //
+    },
+    HttpRequest,
+    HttpResponse, //
+};
+use serde::{
+    de::DeserializeOwned,
+    Deserialize, //
+};
+use serde_json::json;
+
+use super::{
+    consumer::{
+        Place,
+        Places,
+        Positions,
+        Request, //
+    },
+    format::{
+        Format,
+        Produce,
+        MEDIA, //
+    },
+    partition::Pair,
+    problem::Problem,
+    store::{
+        Fate,
+        Log,
+        Peek, //
+    },
+    Loss,
+};
+use crate::server::Link;
+
+pub(super) fn configure(app: &mut web::ServiceConfig) {
+    let instance = "/consumers/{group}/instances/{instance}";
+    app.route("/topics", web::get().to(topics))
+        .route("/topics/{topic}/partitions", web::get().to(partitions))
+        .route(
+            "/topics/{topic}/partitions/{partition}",
+            web::post().to(produce),
+        )
+        .route(
+            "/topics/{topic}/partitions/{partition}/offsets",
+            web::get().to(offsets),
+        )
+        .route("/consumers/{group}", web::post().to(create))
+        .service(
+            web::scope(instance)
+                .route("", web::delete().to(delete))
+                .route("/assignments", web::post().to(assign))
+                .route("/assignments", web::get().to(assignments))
+                .route("/positions", web::post().to(seek))
+                .route("/positions/{edge}", web::post().to(seek_edge))
+                .route("/records", web::get().to(records)),
+        )
+        .route("/control/trim", web::post().to(trim));
+}
+
+type Outcome = Result<HttpResponse, Problem>;
+
+fn answer(outcome: Outcome) -> HttpResponse {
+    outcome.unwrap_or_else(|problem| problem.answer())
+}
+
+fn done() -> HttpResponse {
+    HttpResponse::NoContent().finish()
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Problem> {
+    serde_json::from_slice(body).map_err(|error| invalid(&error))
+}
+
+/// Malformed JSON is status 400; JSON of another shape is 422.
+fn invalid(error: &serde_json::Error) -> Problem {
+    let code = if error.is_data() { 422 } else { 400 };
+    Problem::new(code, error.to_string())
+}
+
+fn text(request: &HttpRequest, name: impl header::AsHeaderName) -> Option<String> {
+    let value = request.headers().get(name)?;
+    value.to_str().ok().map(str::to_owned)
+}
+
+async fn topics(log: Data<Log>) -> HttpResponse {
+    let books = log.inner().books();
+    let names: Vec<_> = books.topics.into_keys().collect();
+    HttpResponse::Ok().content_type(MEDIA).json(names)
+}
+
+async fn partitions(log: Data<Log>, topic: Path<String>) -> HttpResponse {
+    let list = |count: usize| {
+        let replica = json!([{"broker": 1, "leader": true, "in_sync": true}]);
+        let entry = |id| json!({"partition": id, "leader": 1, "replicas": replica});
+        (0..count).map(entry).collect::<Vec<_>>()
+    };
+    answer(log.inner().topic(&topic).map(|partitions| {
+        HttpResponse::Ok()
+            .content_type(MEDIA)
+            .json(list(partitions.len()))
+    }))
+}
+
+async fn offsets(log: Data<Log>, path: Path<(String, u32)>) -> HttpResponse {
+    let (topic, partition) = path.into_inner();
+    answer(log.inner().partition(&topic, partition).map(|partition| {
+        HttpResponse::Ok().content_type(MEDIA).json(json!({
+            "beginning_offset": partition.begin(),
+            "end_offset": partition.end(),
+        }))
+    }))
+}
+
+async fn produce(
+    log: Data<Log>,
+    path: Path<(String, u32)>,
+    request: HttpRequest,
+    body: Bytes,
+) -> HttpResponse {
+    let (topic, partition) = path.into_inner();
+    let (pairs, fate) = match accept(&log, &topic, partition, &request, &body) {
+        Ok(accepted) => accepted,
+        Err(problem) => return problem.answer(),
+    };
+    let count = pairs.len() as u64;
+    // The append runs on its own, so that it takes effect even if the client gives up.
+    let effect = {
+        let log = log.into_inner();
+        async move {
+            if !fate.before.is_zero() {
+                time::sleep(fate.before).await;
+            }
+            log.put(&topic, partition, pairs)
+        }
+    };
+    let first = match rt::spawn(effect).await {
+        Ok(Ok(first)) => first,
+        Ok(Err(problem)) => return problem.answer(),
+        Err(_) => return Problem::broker("append was interrupted").answer(),
+    };
+    if !fate.after.is_zero() {
+        time::sleep(fate.after).await;
+    }
+    match fate.loss {
+        Some(Loss::Close) => match Link::of(&request).abort().await {},
+        Some(Loss::Silent) => std::future::pending().await,
+        Some(Loss::Error) => Problem::broker("request timed out").answer(),
+        None => produced(partition, first, count),
+    }
+}
+
+/// Checks an append request and decides what happens to it.
+fn accept(
+    log: &Log,
+    topic: &str,
+    partition: u32,
+    request: &HttpRequest,
+    body: &[u8],
+) -> Result<(Vec<Pair>, Fate), Problem> {
+    let media = text(request, header::CONTENT_TYPE).unwrap_or_default();
+    let format =
+        Format::of(&media).ok_or_else(|| Problem::new(415, "HTTP 415 Unsupported Media Type"))?;
+    let produce: Produce<'_> = serde_json::from_slice(body).map_err(|error| invalid(&error))?;
+    let pairs = produce.decode(format)?;
+    let mut inner = log.inner();
+    inner.partition(topic, partition)?;
+    let zone = text(request, "X-Zone");
+    Ok((pairs, inner.admit(zone.as_deref())?))
+}
+
+fn produced(partition: u32, first: u64, count: u64) -> HttpResponse {
+    let entry = |offset| json!({"partition": partition, "offset": offset, "error_code": null, "error": null});
+    let offsets: Vec<_> = (first..first + count).map(entry).collect();
+    HttpResponse::Ok().content_type(MEDIA).json(json!({
+        "offsets": offsets,
+        "key_schema_id": null,
+        "value_schema_id": null,
+    }))
+}
+
+async fn create(
+    log: Data<Log>,
+    group: Path<String>,
+    request: HttpRequest,
+    body: Bytes,
+) -> HttpResponse {
+    let created = parse::<Request>(&body).and_then(|wish| log.inner().create(&group, wish));
+    let host = request.connection_info().host().to_owned();
+    answer(created.map(|name| {
+        HttpResponse::Ok().content_type(MEDIA).json(json!({
+            "instance_id": name,
+            "base_uri": format!("http://{host}/consumers/{group}/instances/{name}"),
+        }))
+    }))
+}
+
+type Instance = Path<(String, String)>;
+
+async fn delete(log: Data<Log>, path: Instance) -> HttpResponse {
+    answer(log.inner().delete(&path.0, &path.1).map(|()| done()))
+}
+
+async fn assign(log: Data<Log>, path: Instance, body: Bytes) -> HttpResponse {
+    answer(parse::<Places>(&body).and_then(|places| {
+        let mut inner = log.inner();
+        for place in &places.partitions {
+            inner.partition(&place.topic, place.partition)?;
+        }
+        inner.consumer(&path.0, &path.1)?.assign(places.partitions);
+        Ok(done())
+    }))
+}
+
+async fn assignments(log: Data<Log>, path: Instance) -> HttpResponse {
+    answer(log.inner().consumer(&path.0, &path.1).map(|consumer| {
+        let partitions = consumer.positions.keys().cloned().collect();
+        HttpResponse::Ok()
+            .content_type(MEDIA)
+            .json(Places { partitions })
+    }))
+}
+
+async fn seek(log: Data<Log>, path: Instance, body: Bytes) -> HttpResponse {
+    answer(parse::<Positions>(&body).and_then(|positions| {
+        let mut inner = log.inner();
+        for position in positions.offsets {
+            inner.seek(&path.0, &path.1, position.place, position.offset)?;
+        }
+        Ok(done())
+    }))
+}
+
+async fn seek_edge(
+    log: Data<Log>,
+    path: Path<(String, String, String)>,
+    body: Bytes,
+) -> HttpResponse {
+    let (group, name, edge) = path.into_inner();
+    let end = match edge.as_str() {
+        "beginning" => false,
+        "end" => true,
+        _ => return Problem::new(404, "HTTP 404 Not Found").answer(),
+    };
+    answer(parse::<Places>(&body).and_then(|places| {
+        let mut inner = log.inner();
+        for place in places.partitions {
+            let partition = inner.partition(&place.topic, place.partition)?;
+            let offset = if end {
+                partition.end()
+            } else {
+                partition.begin()
+            };
+            inner.seek(&group, &name, place, offset)?;
+        }
+        Ok(done())
+    }))
+}
+
+/// Limits of a read.
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct Limits {
+    timeout: Option<u64>,
+    max_bytes: Option<usize>,
+}
+
+async fn records(
+    log: Data<Log>,
+    path: Instance,
+    limits: Query<Limits>,
+    request: HttpRequest,
+) -> HttpResponse {
+    let accept = text(&request, header::ACCEPT).and_then(|media| Format::of(&media));
+    let format = match log.inner().check_format(&path.0, &path.1, accept) {
+        Ok(format) => format,
+        Err(problem) => return problem.answer(),
+    };
+    let log = log.into_inner();
+    answer(fetch(&log, &path.0, &path.1, &limits).await.map(|peek| {
+        HttpResponse::Ok()
+            .content_type(format.media())
+            .json(&peek.records)
+    }))
+}
+
+/// Waits until enough is there to read or the time is over.
+async fn fetch(log: &Arc<Log>, group: &str, name: &str, limits: &Limits) -> Result<Peek, Problem> {
+    let (min, timeout) = {
+        let mut inner = log.inner();
+        let consumer = inner.consumer(group, name)?;
+        (consumer.min_bytes, consumer.timeout_ms)
+    };
+    let timeout = Duration::from_millis(limits.timeout.unwrap_or(timeout));
+    let deadline = Instant::now() + timeout;
+    let max = limits.max_bytes.unwrap_or(usize::MAX);
+    let mut appended = log.watch();
+    loop {
+        appended.borrow_and_update();
+        let peek = log.inner().peek(group, name, max)?;
+        let enough = min >= 0 && !peek.records.is_empty() && peek.bytes as i64 >= min;
+        let left = deadline.saturating_duration_since(Instant::now());
+        if enough || peek.full || left.is_zero() {
+            log.inner().advance(group, name, &peek)?;
+            return Ok(peek);
+        }
+        let _ = time::timeout(left, appended.changed()).await;
+    }
+}
+
+/// Body of the control request that removes old records.
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct Trim {
+    #[serde(flatten)]
+    place: Place,
+    offset: u64,
+}
+
+async fn trim(log: Data<Log>, body: web::Json<Trim>) -> HttpResponse {
+    log.trim(&body.place.topic, body.place.partition, body.offset);
+    done()
+}
--- /dev/null
+++ b/standin/src/log/store.rs
@@ -0,0 +1,407 @@
+//! State of the log.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Mutex,
+        MutexGuard, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use rand::{
+    rngs::SmallRng,
+    RngExt,
+    SeedableRng, //
+};
+use tokio::sync::watch;
+
+use super::{
+    books::{
+        Books,
+        Topic, //
+    },
+    consumer::{
+        Consumer,
+        Place,
+        Request,
+        Reset, //
+    },
+    format::{
+        Fetched,
+        Format, //
+    },
+    partition::{
+        Entry,
+        Pair,
+        Partition, //
+    },
+    problem::Problem,
+    Config,
+    Faults,
+    Loss,
+    Retention, //
+};
+use crate::{
+    lock,
+    now,
+    rate::Bucket,
+    Map, //
+};
+
+/// A stand-in for the platform's log.
+pub struct Log {
+    inner: Mutex<Inner>,
+    appended: watch::Sender<u64>,
+}
+
+impl Log {
+    pub(super) fn new(config: Config) -> Self {
+        Self {
+            inner: Mutex::new(Inner::new(config)),
+            appended: watch::Sender::new(0),
+        }
+    }
+
+    pub(super) fn inner(&self) -> MutexGuard<'_, Inner> {
+        lock(&self.inner)
+    }
+
+    /// Returns a receiver that is told about every append.
+    pub(super) fn watch(&self) -> watch::Receiver<u64> {
+        self.appended.subscribe()
+    }
+
+    /// Appends records past all limits and faults, as another user of the log does.
+    pub fn append(&self, topic: &str, partition: u32, values: Vec<Vec<u8>>) -> Option<u64> {
+        let pairs = values
+            .into_iter()
+            .map(|value| (None, Some(value.into())))
+            .collect();
+        self.put(topic, partition, pairs).ok()
+    }
+
+    pub(super) fn put(
+        &self,
+        topic: &str,
+        partition: u32,
+        pairs: Vec<Pair>,
+    ) -> Result<u64, Problem> {
+        let offset = self.inner().put(topic, partition, pairs)?;
+        self.appended.send_modify(|count| *count += 1);
+        Ok(offset)
+    }
+
+    /// Returns the kept records of a partition.
+    pub fn records(&self, topic: &str, partition: u32) -> Vec<Entry> {
+        match self.inner().partition(topic, partition) {
+            Ok(partition) => partition.from(0).cloned().collect(),
+            Err(_) => Vec::new(),
+        }
+    }
+
+    /// Removes the records before `offset`, as the retention does.
+    pub fn trim(&self, topic: &str, partition: u32, offset: u64) {
+        if let Ok(partition) = self.inner().partition(topic, partition) {
+            partition.trim(offset);
+        }
+    }
+}
+
+/// What happens to an append besides its effect.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Fate {
+    pub(super) before: Duration,
+    pub(super) after: Duration,
+    pub(super) loss: Option<Loss>,
+}
+
+pub(super) struct Inner {
+    pub(super) faults: Faults,
+    config: Config,
+    topics: Map<String, Vec<Partition>>,
+    consumers: HashMap<(String, String), Consumer>,
+    bucket: Bucket,
+    books: Books,
+    rng: SmallRng,
+    named: u64,
+}
+
+impl Inner {
+    fn new(config: Config) -> Self {
+        let mut inner = Self {
+            faults: Faults::default(),
+            topics: Map::default(),
+            consumers: HashMap::new(),
+            bucket: Bucket::new(config.appends_per_second.map(f64::from)),
+            books: Books::default(),
+            rng: SmallRng::seed_from_u64(config.seed),
+            named: 0,
+            config,
+        };
+        for topic in inner.config.topics.clone() {
+            let _ = inner.topic(&topic);
+        }
+        inner
+    }
+
+    pub(super) fn set_faults(&mut self, faults: Faults) {
+        let limit = faults.appends_per_second.or(self.config.appends_per_second);
+        let foreign = faults.foreign_appends_per_second;
+        let rate = limit.map(|limit| f64::from(limit.saturating_sub(foreign)));
+        self.bucket.set_rate(rate);
+        self.faults = faults;
+    }
+
+    pub(super) fn books(&mut self) -> Books {
+        self.expire_consumers();
+        let retention = self.retention();
+        let mut books = self.books.clone();
+        books.consumers.live = self.consumers.len() as u64;
+        for (name, partitions) in &mut self.topics {
+            let bounds = partitions.iter_mut().map(|partition| {
+                partition.expire(now(), retention);
+                (partition.begin(), partition.end())
+            });
+            let partitions = bounds.collect();
+            books.topics.insert(name.clone(), Topic { partitions });
+        }
+        books
+    }
+
+    /// Returns the partitions of a topic.
+    pub(super) fn topic(&mut self, topic: &str) -> Result<&mut Vec<Partition>, Problem> {
+        let known = &self.config.topics;
+        if !known.is_empty() && !known.iter().any(|name| name == topic) {
+            return Err(Problem::topic());
+        }
+        let count = self.config.partitions;
+        let make = || (0..count).map(|_| Partition::default()).collect();
+        Ok(self.topics.entry(topic.to_owned()).or_insert_with(make))
+    }
+
+    /// Returns a partition without its expired records.
+    pub(super) fn partition(
+        &mut self,
+        topic: &str,
+        partition: u32,
+    ) -> Result<&mut Partition, Problem> {
+        let retention = self.retention();
+        let partitions = self.topic(topic)?;
+        let partition = partitions
+            .get_mut(partition as usize)
+            .ok_or_else(Problem::partition)?;
+        partition.expire(now(), retention);
+        Ok(partition)
+    }
+
+    fn retention(&self) -> Retention {
+        self.faults.retention.unwrap_or(self.config.retention)
+    }
+
+    /// Decides what happens to an append request that has been read.
+    pub(super) fn admit(&mut self, zone: Option<&str>) -> Result<Fate, Problem> {
+        if let Some(zone) = zone {
+            *self.books.zones.entry(zone.to_owned()).or_default() += 1;
+        }
+        if !self.bucket.take(1.0) {
+            self.books.limited += 1;
+            return Err(Problem::rate());
+        }
+        if count_down(&mut self.faults.fail_next) {
+            self.books.failed += 1;
+            return Err(Problem::broker("broker not available"));
+        }
+        let lose = count_down(&mut self.faults.lose_next)
+            || (self.faults.lose_probability > 0.0
+                && self.rng.random::<f64>() < self.faults.lose_probability);
+        if lose {
+            self.books.lost += 1;
+        }
+        Ok(Fate {
+            before: Duration::from_millis(self.faults.append_delay_ms),
+            after: Duration::from_millis(self.faults.answer_delay_ms),
+            loss: lose.then_some(self.faults.loss),
+        })
+    }
+
+    fn put(&mut self, topic: &str, partition: u32, pairs: Vec<Pair>) -> Result<u64, Problem> {
+        let count = pairs.len() as u64;
+        let first = self.partition(topic, partition)?.append(now(), pairs);
+        self.books.appends += 1;
+        self.books.records += count;
+        Ok(first)
+    }
+
+    /// Makes a consumer instance and returns its name.
+    pub(super) fn create(&mut self, group: &str, request: Request) -> Result<String, Problem> {
+        self.expire_consumers();
+        self.named += 1;
+        let name = request
+            .name
+            .unwrap_or_else(|| format!("rest-consumer-{}", self.named));
+        let number = |number: Option<super::consumer::Number>| number.and_then(|text| text.get());
+        let consumer = Consumer {
+            format: request.format,
+            reset: request.reset,
+            min_bytes: number(request.min_bytes).unwrap_or(self.config.fetch_min_bytes),
+            timeout_ms: number(request.timeout_ms).map_or(1_000, |ms| ms.max(0) as u64),
+            positions: Default::default(),
+            used: Instant::now(),
+        };
+        let key = (group.to_owned(), name.clone());
+        if self.consumers.contains_key(&key) {
+            let text = "Consumer instance with the specified name already exists.";
+            return Err(Problem::new(40_902, text));
+        }
+        self.consumers.insert(key, consumer);
+        self.books.consumers.created += 1;
+        Ok(name)
+    }
+
+    /// Returns a consumer instance and marks it as used.
+    pub(super) fn consumer(&mut self, group: &str, name: &str) -> Result<&mut Consumer, Problem> {
+        self.expire_consumers();
+        let key = (group.to_owned(), name.to_owned());
+        let consumer = self.consumers.get_mut(&key).ok_or_else(Problem::instance)?;
+        consumer.used = Instant::now();
+        Ok(consumer)
+    }
+
+    pub(super) fn delete(&mut self, group: &str, name: &str) -> Result<(), Problem> {
+        self.consumer(group, name)?;
+        self.consumers.remove(&(group.to_owned(), name.to_owned()));
+        self.books.consumers.deleted += 1;
+        Ok(())
+    }
+
+    /// Removes the consumer instances that were idle for too long.
+    fn expire_consumers(&mut self) {
+        let limit = Duration::from_millis(self.config.instance_timeout_ms);
+        let before = self.consumers.len();
+        self.consumers
+            .retain(|_, consumer| consumer.used.elapsed() < limit);
+        self.books.consumers.expired += (before - self.consumers.len()) as u64;
+    }
+
+    /// Sets a position of an assigned partition.
+    pub(super) fn seek(
+        &mut self,
+        group: &str,
+        name: &str,
+        place: Place,
+        offset: u64,
+    ) -> Result<(), Problem> {
+        let consumer = self.consumer(group, name)?;
+        match consumer.positions.get_mut(&place) {
+            Some(position) => *position = Some(offset),
+            None => {
+                let text = format!(
+                    "Illegal state: No current assignment for partition {}-{}",
+                    place.topic, place.partition
+                );
+                return Err(Problem::new(40_903, text));
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads up to `max` bytes of records at the positions of a consumer, at least one
+    /// record if there is one, and doesn't move the positions.
+    pub(super) fn peek(&mut self, group: &str, name: &str, max: usize) -> Result<Peek, Problem> {
+        let consumer = self.consumer(group, name)?;
+        let (format, reset) = (consumer.format, consumer.reset);
+        let positions = consumer.positions.clone();
+        let mut peek = Peek::default();
+        for (place, position) in positions {
+            let partition = self.partition(&place.topic, place.partition)?;
+            let bounds = (partition.begin(), partition.end());
+            let start = resume(&place, position, bounds, reset)?;
+            let mut next = start;
+            for entry in partition.from(start) {
+                if !peek.records.is_empty() && peek.bytes + entry.size() > max {
+                    peek.full = true;
+                    break;
+                }
+                peek.bytes += entry.size();
+                next = entry.offset + 1;
+                let record = Fetched::encode(format, &place.topic, place.partition, entry)?;
+                peek.records.push(record);
+            }
+            peek.positions.push((place, next));
+        }
+        peek.full |= peek.bytes >= max;
+        Ok(peek)
+    }
+
+    /// Moves the positions behind what was read.
+    pub(super) fn advance(&mut self, group: &str, name: &str, peek: &Peek) -> Result<(), Problem> {
+        let consumer = self.consumer(group, name)?;
+        for (place, next) in &peek.positions {
+            if let Some(position) = consumer.positions.get_mut(place) {
+                *position = Some(*next);
+            }
+        }
+        self.books.reads += 1;
+        self.books.read_records += peek.records.len() as u64;
+        Ok(())
+    }
+
+    /// Checks the format of a read.
+    pub(super) fn check_format(
+        &mut self,
+        group: &str,
+        name: &str,
+        format: Option<Format>,
+    ) -> Result<Format, Problem> {
+        let own = self.consumer(group, name)?.format;
+        if format.is_some_and(|format| format != own) {
+            let text = "The requested embedded data format does not match the deserializer for this consumer instance";
+            return Err(Problem::new(40_601, text));
+        }
+        Ok(own)
+    }
+}
+
+/// What a read would return.
+#[derive(Debug, Default)]
+pub(super) struct Peek {
+    pub(super) records: Vec<Fetched>,
+    pub(super) bytes: usize,
+    pub(super) full: bool,
+    positions: Vec<(Place, u64)>,
+}
+
+/// Returns the offset to read from; one that isn't kept follows the reset policy.
+fn resume(
+    place: &Place,
+    position: Option<u64>,
+    (begin, end): (u64, u64),
+    reset: Reset,
+) -> Result<u64, Problem> {
+    if let Some(position) = position.filter(|position| (begin..=end).contains(position)) {
+        return Ok(position);
+    }
+    match (reset, position) {
+        (Reset::Earliest, _) => Ok(begin),
+        (Reset::Latest, _) => Ok(end),
+        (Reset::None, Some(position)) => Err(Problem::broker(&format!(
+            "Offsets out of range with no configured reset policy for partitions: {{{}-{}={position}}}",
+            place.topic, place.partition
+        ))),
+        (Reset::None, None) => Err(Problem::broker(&format!(
+            "Undefined offset with no reset policy for partitions: [{}-{}]",
+            place.topic, place.partition
+        ))),
+    }
+}
+
+/// Counts down and returns whether the count was above zero.
+fn count_down(count: &mut u32) -> bool {
+    let hit = *count > 0;
+    *count = count.saturating_sub(1);
+    hit
+}
--- /dev/null
+++ b/standin/src/rate/mod.rs
@@ -0,0 +1,70 @@
+//! Rate limits.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+/// Time whose tokens a bucket holds at most.
+const DEPTH: Duration = Duration::from_millis(200);
+
+/// A token bucket.
+#[derive(Debug)]
+pub struct Bucket {
+    rate: Option<f64>,
+    tokens: f64,
+    filled: Instant,
+}
+
+impl Bucket {
+    /// Makes a full bucket; without a rate it never limits.
+    pub fn new(rate: Option<f64>) -> Self {
+        let mut bucket = Self {
+            rate,
+            tokens: 0.0,
+            filled: Instant::now(),
+        };
+        bucket.tokens = bucket.depth();
+        bucket
+    }
+
+    /// Replaces the rate.
+    pub fn set_rate(&mut self, rate: Option<f64>) {
+        if rate != self.rate {
+            *self = Self::new(rate);
+        }
+    }
+
+    /// Takes tokens if the bucket isn't empty; a large take leaves a debt.
+    pub fn take(&mut self, tokens: f64) -> bool {
+        let Some(rate) = self.rate else { return true };
+        let gained = self.filled.elapsed().as_secs_f64() * rate;
+        self.filled = Instant::now();
+        self.tokens = (self.tokens + gained).min(self.depth());
+        let enough = self.tokens >= tokens.min(1.0);
+        if enough {
+            self.tokens -= tokens;
+        }
+        enough
+    }
+
+    /// Returns the time until the bucket isn't empty.
+    pub fn wait(&self) -> Duration {
+        match self.rate {
+            Some(rate) if rate > 0.0 && self.tokens < 1.0 => {
+                Duration::from_secs_f64((1.0 - self.tokens) / rate)
+            }
+            _ => Duration::ZERO,
+        }
+    }
+
+    fn depth(&self) -> f64 {
+        self.rate.map_or(0.0, |rate| {
+            if rate > 0.0 {
+                (rate * DEPTH.as_secs_f64()).max(1.0)
+            } else {
+                0.0
+            }
+        })
+    }
+}
--- /dev/null
+++ b/standin/src/server/connection.rs
@@ -0,0 +1,187 @@
+//! One connection: a stream that faults can silence or close.
+
+use std::{
+    convert::Infallible,
+    io,
+    pin::Pin,
+    sync::{
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+        Arc,
+    },
+    task::{
+        Context,
+        Poll, //
+    },
+    time::Duration,
+};
+
+use actix_http::{
+    HttpService,
+    KeepAlive,
+    Response, //
+};
+use actix_service::{
+    map_config,
+    IntoServiceFactory,
+    ServiceFactory,
+    ServiceFactoryExt, //
+};
+use actix_web::{
+    body::BoxBody,
+    dev::AppConfig,
+    middleware::from_fn,
+    web,
+    App,
+    Error,
+    HttpRequest, //
+};
+use futures_util::task::AtomicWaker;
+use tokio::{
+    io::{
+        AsyncRead,
+        AsyncWrite,
+        ReadBuf, //
+    },
+    net::TcpStream,
+    sync::Notify,
+};
+
+use super::{
+    control,
+    Standin,
+    Wire, //
+};
+
+/// Largest body of a request: prompts of 290,000 tokens take over a megabyte.
+const MAX_BODY: usize = 64 << 20;
+
+/// Control over one established connection.
+#[derive(Default)]
+pub struct Link {
+    muted: AtomicBool,
+    closed: Notify,
+    waker: AtomicWaker,
+}
+
+impl Link {
+    /// Returns the connection of a request.
+    pub fn of(request: &HttpRequest) -> Arc<Self> {
+        request
+            .conn_data::<Arc<Self>>()
+            .cloned()
+            .unwrap_or_default()
+    }
+
+    /// Silences the connection for good.
+    pub fn mute(&self) {
+        self.muted.store(true, Ordering::Release);
+        self.wake();
+    }
+
+    /// Closes the connection, whatever has been written.
+    pub fn close(&self) {
+        self.closed.notify_one();
+    }
+
+    /// Closes the connection and never returns.
+    pub async fn abort(&self) -> Infallible {
+        self.close();
+        std::future::pending().await
+    }
+
+    pub(super) fn wake(&self) {
+        self.waker.wake();
+    }
+
+    pub(super) async fn closed(&self) {
+        self.closed.notified().await;
+    }
+}
+
+/// A TCP stream that passes nothing while it is silenced.
+pub struct Gate {
+    stream: TcpStream,
+    wire: Arc<Wire>,
+    link: Arc<Link>,
+}
+
+impl Gate {
+    pub(super) fn new(stream: TcpStream, wire: Arc<Wire>, link: Arc<Link>) -> Self {
+        Self { stream, wire, link }
+    }
+
+    /// Returns the stream if bytes may pass; else the task is woken on a change.
+    fn pass(&mut self, cx: &mut Context<'_>) -> Poll<Pin<&mut TcpStream>> {
+        self.link.waker.register(cx.waker());
+        if self.link.muted.load(Ordering::Acquire) || self.wire.is_silent() {
+            return Poll::Pending;
+        }
+        Poll::Ready(Pin::new(&mut self.stream))
+    }
+}
+
+impl AsyncRead for Gate {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        std::task::ready!(self.pass(cx)).poll_read(cx, buffer)
+    }
+}
+
+impl AsyncWrite for Gate {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        std::task::ready!(self.pass(cx)).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        std::task::ready!(self.pass(cx)).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        std::task::ready!(self.pass(cx)).poll_shutdown(cx)
+    }
+}
+
+/// Returns the HTTP service that serves the connections of one listener.
+///
+/// A handler is dropped as soon as its client has disconnected.
+pub(super) fn factory<S: Standin>(
+    state: &Arc<S>,
+    wire: &Arc<Wire>,
+) -> impl ServiceFactory<(Gate, Option<std::net::SocketAddr>), Config = (), Response = (), InitError = ()>
+{
+    let app = App::new()
+        .app_data(web::Data::from(Arc::clone(state)))
+        .app_data(web::Data::from(Arc::clone(wire)))
+        .app_data(web::PayloadConfig::new(MAX_BODY))
+        .app_data(
+            web::JsonConfig::default()
+                .limit(MAX_BODY)
+                .content_type_required(false),
+        )
+        .wrap(from_fn(control::network))
+        .configure(control::routes::<S>)
+        .configure(S::configure);
+    let app = app
+        .into_factory()
+        .map_err(|error: Error| -> Response<BoxBody> {
+            Response::from(error.error_response().map_into_boxed_body())
+        });
+    HttpService::<Gate, _, _>::build()
+        .keep_alive(KeepAlive::Timeout(Duration::from_secs(75)))
+        .client_request_timeout(Duration::ZERO)
+        .h1_allow_half_closed(false)
+        .on_connect_ext(|gate: &Gate, data: &mut actix_http::Extensions| {
+            data.insert(Arc::clone(&gate.link));
+        })
+        .h1(map_config(app, |()| AppConfig::default()))
+}
--- /dev/null
+++ b/standin/src/server/listener.rs
@@ -0,0 +1,131 @@
+//! Listening sockets that can be closed and opened again on the same port.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::Arc, //
+};
+
+use actix_service::{
+    Service,
+    ServiceFactory, //
+};
+use actix_web::rt;
+use tokio::{
+    net::{
+        TcpListener,
+        TcpSocket,
+        TcpStream, //
+    },
+    sync::watch,
+};
+
+use super::{
+    connection::Gate,
+    Outage,
+    Wire, //
+};
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 4096;
+
+/// A bound socket that doesn't listen. It keeps the port from being given to others
+/// while connections to it are refused.
+pub(super) struct Holder {
+    address: SocketAddr,
+    _socket: TcpSocket,
+}
+
+impl Holder {
+    pub(super) fn reserve(listen: SocketAddr) -> io::Result<Self> {
+        let socket = bound(listen)?;
+        Ok(Self {
+            address: socket.local_addr()?,
+            _socket: socket,
+        })
+    }
+
+    pub(super) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Opens a listening socket on the reserved port.
+    pub(super) fn listen(&self) -> io::Result<TcpListener> {
+        bound(self.address)?.listen(BACKLOG)
+    }
+}
+
+/// Binds a socket; sharing the port lets the holder and the listener have the same one.
+fn bound(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_reuseport(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
+/// Serves connections until `stopping` changes; opens and closes the socket with the faults.
+pub(super) async fn accept<F>(
+    holder: Holder,
+    first: TcpListener,
+    wire: &Arc<Wire>,
+    factory: F,
+    mut stopping: watch::Receiver<bool>,
+) where
+    F: ServiceFactory<(Gate, Option<SocketAddr>), Config = (), Response = (), InitError = ()>,
+    <F::Service as Service<(Gate, Option<SocketAddr>)>>::Future: 'static,
+{
+    let Ok(service) = factory.new_service(()).await else {
+        return;
+    };
+    let mut faults = wire.watch();
+    let mut socket = Some(first);
+    loop {
+        let refuse = faults.borrow_and_update().outage == Some(Outage::Refuse);
+        if refuse {
+            socket = None;
+        } else if socket.is_none() {
+            socket = holder.listen().ok();
+        }
+        tokio::select! {
+            accepted = next(socket.as_ref()) => {
+                if let Ok((stream, peer)) = accepted {
+                    serve(&service, wire, stream, peer);
+                }
+            }
+            _ = faults.changed() => {}
+            _ = stopping.changed() => break,
+        }
+    }
+    drop(socket);
+    wire.close_all();
+}
+
+async fn next(socket: Option<&TcpListener>) -> io::Result<(TcpStream, SocketAddr)> {
+    match socket {
+        Some(socket) => socket.accept().await,
+        None => std::future::pending().await,
+    }
+}
+
+fn serve<S>(service: &S, wire: &Arc<Wire>, stream: TcpStream, peer: SocketAddr)
+where
+    S: Service<(Gate, Option<SocketAddr>), Response = ()>,
+    S::Future: 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let wire = Arc::clone(wire);
+    let (id, link) = wire.open();
+    let gate = Gate::new(stream, Arc::clone(&wire), Arc::clone(&link));
+    let connection = service.call((gate, Some(peer)));
+    rt::spawn(async move {
+        tokio::select! {
+            _ = connection => {}
+            () = link.closed() => {}
+        }
+        wire.end(id);
+    });
+}
--- /dev/null
+++ b/standin/src/server/network.rs
@@ -0,0 +1,137 @@
+//! Faults of the network in front of a stand-in.
+
+use std::{
+    sync::{
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        },
+        Arc,
+        Mutex,
+        MutexGuard, //
+    },
+    time::Duration,
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use tokio::sync::watch;
+
+use super::Link;
+use crate::{
+    lock,
+    Map, //
+};
+
+/// How a system that can't be reached behaves.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outage {
+    /// Connections are refused and established ones closed.
+    Refuse,
+    /// Connections are accepted and nothing is read or written; what was sent meanwhile
+    /// is read after the outage, as a delayed packet would be.
+    Silent,
+}
+
+/// Faults of the network, the same for every stand-in.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Network {
+    /// Outage for all clients.
+    pub outage: Option<Outage>,
+    /// Zones whose clients, by header `X-Zone`, are cut off.
+    pub cut_zones: Vec<String>,
+    /// How requests from the cut zones end: `silent` if not given.
+    pub cut: Option<Outage>,
+    /// Delay of every request before it is handled, in milliseconds.
+    pub latency_ms: u64,
+}
+
+impl Network {
+    /// Returns the outage that a client of `zone` sees.
+    pub fn outage_of(&self, zone: Option<&str>) -> Option<Outage> {
+        let cut = zone.is_some_and(|zone| self.cut_zones.iter().any(|name| name == zone));
+        self.outage
+            .or_else(|| cut.then(|| self.cut.unwrap_or(Outage::Silent)))
+    }
+
+    /// Returns the delay of every request.
+    pub fn latency(&self) -> Duration {
+        Duration::from_millis(self.latency_ms)
+    }
+}
+
+/// The network in front of one address: its faults and its connections.
+pub struct Wire {
+    faults: watch::Sender<Network>,
+    links: Mutex<Map<u64, Arc<Link>>>,
+    next: AtomicU64,
+}
+
+impl Wire {
+    /// Makes a wire with the given faults and no connections.
+    pub fn new(faults: Network) -> Self {
+        Self {
+            faults: watch::Sender::new(faults),
+            links: Mutex::default(),
+            next: AtomicU64::new(0),
+        }
+    }
+
+    /// Returns the faults that hold now.
+    pub fn faults(&self) -> watch::Ref<'_, Network> {
+        self.faults.borrow()
+    }
+
+    /// Returns a receiver that is told about every change of the faults.
+    pub fn watch(&self) -> watch::Receiver<Network> {
+        self.faults.subscribe()
+    }
+
+    /// Replaces the faults.
+    pub fn set(&self, faults: Network) {
+        let refuse = faults.outage == Some(Outage::Refuse);
+        self.faults.send_replace(faults);
+        if refuse {
+            self.close_all();
+        }
+        self.links().values().for_each(|link| link.wake());
+    }
+
+    /// Returns whether no byte passes.
+    pub fn is_silent(&self) -> bool {
+        self.faults.borrow().outage == Some(Outage::Silent)
+    }
+
+    /// Silences all established connections for good.
+    pub fn mute_all(&self) {
+        self.links().values().for_each(|link| link.mute());
+    }
+
+    /// Closes all established connections.
+    pub fn close_all(&self) {
+        self.links().values().for_each(|link| link.close());
+    }
+
+    /// Adds a connection.
+    pub(super) fn open(&self) -> (u64, Arc<Link>) {
+        let id = self.next.fetch_add(1, Ordering::Relaxed);
+        let link = Arc::new(Link::default());
+        self.links().insert(id, Arc::clone(&link));
+        (id, link)
+    }
+
+    /// Removes a connection that has ended.
+    pub(super) fn end(&self, id: u64) {
+        self.links().remove(&id);
+    }
+
+    fn links(&self) -> MutexGuard<'_, Map<u64, Arc<Link>>> {
+        lock(&self.links)
+    }
+}
--- /dev/null
+++ b/standin/src/service/routes.rs
@@ -0,0 +1,172 @@
+//! HTTP routes of the service.
+
+use std::{
+    convert::Infallible,
+    future,
+    sync::Arc, //
+};
+
+use actix_web::{
+    http::header,
+    rt::{
+        self,
+        time, //
+    },
+    web::{
+        self,
+        Bytes,
+        Data, //
+    },
+    HttpRequest,
+    HttpResponse, //
+};
+use futures_util::{
+    stream,
+    StreamExt, //
+};
+use serde_json::{
+    json,
+    Value, //
+};
+
+use super::{
+    answer,
+    Call,
+    Kind,
+    Service, //
+};
+use crate::{
+    now,
+    server::Link, //
+};
+
+pub(super) fn configure(app: &mut web::ServiceConfig) {
+    app.route("/load", web::get().to(load))
+        .route("/{path:.*}", web::post().to(call));
+}
+
+async fn load(service: Data<Service>) -> HttpResponse {
+    HttpResponse::Ok().json(service.load())
+}
+
+async fn call(service: Data<Service>, request: HttpRequest, body: Bytes) -> HttpResponse {
+    let Ok(body) = serde_json::from_slice::<Value>(&body) else {
+        return HttpResponse::BadRequest().json(json!({"error": "the body is not JSON"}));
+    };
+    let path = request.path().to_owned();
+    let key = request.headers().get("Idempotency-Key");
+    let key = key.and_then(|key| key.to_str().ok()).map(str::to_owned);
+    let reply = answer(&path, key.as_deref(), &body);
+    let receipt = service.receive(path, key, body);
+    let fault = receipt.fault;
+    // The call runs on its own, so that it takes effect even if the client gives up.
+    let run = rt::spawn(service.into_inner().work(receipt));
+    if run.await.is_err() {
+        return HttpResponse::InternalServerError().finish();
+    }
+    let link = Link::of(&request);
+    match fault {
+        Some(Kind::Hang | Kind::HangAfter) => future::pending().await,
+        Some(Kind::BreakBefore | Kind::BreakAfter) => match link.abort().await {},
+        Some(Kind::BreakAnswer) => broken(&reply, link),
+        Some(Kind::Unavailable(seconds)) => HttpResponse::ServiceUnavailable()
+            .insert_header((header::RETRY_AFTER, seconds))
+            .json(json!({"error": "unavailable"})),
+        Some(Kind::Error | Kind::ErrorAfter) => {
+            HttpResponse::InternalServerError().json(json!({"error": "internal error"}))
+        }
+        Some(Kind::Slow(_) | Kind::Silent) | None => HttpResponse::Ok().json(reply),
+    }
+}
+
+/// Answers with the first half of the body and closes the connection.
+fn broken(reply: &Value, link: Arc<Link>) -> HttpResponse {
+    let text = reply.to_string();
+    let half = Bytes::copy_from_slice(&text.as_bytes()[..text.len() / 2]);
+    let rest = stream::once(async move {
+        // Lets the first half leave before the connection is closed.
+        time::sleep(std::time::Duration::from_millis(5)).await;
+        match link.abort().await {}
+    });
+    let parts = stream::once(future::ready(Ok::<_, Infallible>(half))).chain(rest);
+    HttpResponse::Ok()
+        .content_type("application/json")
+        .no_chunking(text.len() as u64)
+        .streaming(parts)
+}
+
+/// A call that is to run.
+struct Receipt {
+    path: String,
+    call: Option<usize>,
+    fault: Option<Kind>,
+}
+
+impl Service {
+    /// Enters a call in the books.
+    fn receive(&self, path: String, key: Option<String>, body: Value) -> Receipt {
+        let mut inner = self.inner();
+        inner.books.received += 1;
+        if inner.faults.leaving {
+            inner.books.received_leaving += 1;
+        }
+        let fault = inner.fault(&path).map(|fault| fault.kind);
+        let room = inner.books.calls.len() < inner.config.calls_kept;
+        let call = room.then_some(inner.books.calls.len());
+        if room {
+            inner.books.calls.push(Call {
+                path: path.clone(),
+                key,
+                body,
+                at: now(),
+                fault,
+                effect: false,
+                answered: false,
+            });
+        }
+        Receipt { path, call, fault }
+    }
+
+    /// Runs a call and enters its effect in the books.
+    async fn work(self: Arc<Self>, receipt: Receipt) {
+        if receipt.fault == Some(Kind::Silent) {
+            let _ = self.changes.subscribe().changed().await;
+        }
+        self.count(0, 1);
+        let slot = self.slots.acquire().await;
+        self.count(1, -1);
+        let factor = match receipt.fault {
+            Some(Kind::Slow(factor)) => factor.max(0.0),
+            _ => 1.0,
+        };
+        let latency = self.inner().latency(&receipt.path).mul_f64(factor);
+        if !latency.is_zero() {
+            time::sleep(latency).await;
+        }
+        drop(slot);
+        self.count(-1, 0);
+        self.finish(&receipt);
+    }
+
+    fn count(&self, running: i32, waiting: i32) {
+        let mut inner = self.inner();
+        inner.running = inner.running.saturating_add_signed(running);
+        inner.waiting = inner.waiting.saturating_add_signed(waiting);
+        inner.note();
+    }
+
+    fn finish(&self, receipt: &Receipt) {
+        let effect = receipt.fault.is_none_or(Kind::has_effect);
+        let answered = matches!(receipt.fault, None | Some(Kind::Slow(_) | Kind::Silent));
+        let mut inner = self.inner();
+        inner.books.effects += u64::from(effect);
+        inner.books.answered += u64::from(answered);
+        if let Some(call) = receipt
+            .call
+            .and_then(|call| inner.books.calls.get_mut(call))
+        {
+            call.effect = effect;
+            call.answered = answered;
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/weights/mod.rs
@@ -0,0 +1,153 @@
+//! The weight store: HTTP GET with ranges.
+
+mod range;
+mod routes;
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::{
+        Mutex,
+        MutexGuard, //
+    },
+};
+
+use actix_web::web::ServiceConfig;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{
+    lock,
+    rate::Bucket,
+    server::{
+        Network,
+        Server,
+        Standin,
+        FREE, //
+    },
+};
+
+/// Settings of the weight store.
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Config {
+    /// Address to listen on; port 0 picks a free port.
+    pub listen: SocketAddr,
+    /// Address of the control routes that no fault of the network affects.
+    pub control: SocketAddr,
+    /// Sizes of the files by path, for example `/models/saddle`.
+    pub files: BTreeMap<String, u64>,
+    /// Bytes per second over which requests are refused with status 503.
+    pub bytes_per_second: Option<u64>,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            listen: FREE,
+            control: FREE,
+            files: BTreeMap::new(),
+            bytes_per_second: None,
+        }
+    }
+}
+
+/// Faults of the weight store.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Faults of the network in front of the store.
+    pub network: Network,
+    /// Replaces the configured rate.
+    pub bytes_per_second: Option<u64>,
+    /// Requests that are refused with status 503; counts down.
+    pub refuse_next: u32,
+    /// Answers break off after this many bytes.
+    pub break_after: Option<u64>,
+}
+
+/// What the weight store received and did.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize)]
+pub struct Books {
+    /// Requests by path, including refused ones.
+    pub requests: BTreeMap<String, u64>,
+    /// Requests that were refused with status 503.
+    pub refused: u64,
+    /// Bytes that were sent.
+    pub bytes: u64,
+}
+
+/// A stand-in for the weight store.
+pub struct Store {
+    inner: Mutex<Inner>,
+}
+
+struct Inner {
+    config: Config,
+    faults: Faults,
+    bucket: Bucket,
+    books: Books,
+}
+
+/// Starts a weight store.
+pub fn start(config: Config) -> io::Result<Server<Store>> {
+    let (listen, control) = (config.listen, config.control);
+    let store = Store {
+        inner: Mutex::new(Inner {
+            bucket: Bucket::new(config.bytes_per_second.map(|rate| rate as f64)),
+            faults: Faults::default(),
+            books: Books::default(),
+            config,
+        }),
+    };
+    Server::start(store, listen, control)
+}
+
+/// Returns the bytes of a file from `offset` on.
+pub fn content(path: &str, offset: u64, length: usize) -> Vec<u8> {
+    let seed = xxh3_64_with_seed(path.as_bytes(), 0);
+    let word = |index: u64| xxh3_64_with_seed(&index.to_le_bytes(), seed).to_le_bytes();
+    let words = (offset / 8..).flat_map(word);
+    words.skip((offset % 8) as usize).take(length).collect()
+}
+
+impl Store {
+    fn inner(&self) -> MutexGuard<'_, Inner> {
+        lock(&self.inner)
+    }
+}
+
+impl Standin for Store {
+    type Faults = Faults;
+    type Books = Books;
+
+    fn configure(app: &mut ServiceConfig) {
+        routes::configure(app);
+    }
+
+    fn faults(&self) -> Faults {
+        self.inner().faults.clone()
+    }
+
+    fn set_faults(&self, faults: Faults) {
+        let mut inner = self.inner();
+        let rate = faults.bytes_per_second.or(inner.config.bytes_per_second);
+        inner.bucket.set_rate(rate.map(|rate| rate as f64));
+        inner.faults = faults;
+    }
+
+    fn network(faults: &Faults) -> &Network {
+        &faults.network
+    }
+
+    fn books(&self) -> Books {
+        self.inner().books.clone()
+    }
+}
--- /dev/null
+++ b/standin/src/weights/range.rs
@@ -0,0 +1,47 @@
+//! The part of a file that a request asks for.
+
+use actix_web::http::header::{
+    ByteRangeSpec,
+    Range, //
+};
+
+/// A part of a file.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Part {
+    /// The whole file.
+    Whole,
+    /// Bytes from the first to the last, both included.
+    Bytes(u64, u64),
+    /// Nothing that the file has.
+    Unsatisfiable,
+}
+
+impl Part {
+    /// Returns the part that the header asks for; several ranges give the whole file,
+    /// which the standard allows.
+    pub fn of(header: Option<&str>, size: u64) -> Self {
+        let range = header.and_then(|text| text.parse::<Range>().ok());
+        let Some(Range::Bytes(specs)) = range else {
+            return Self::Whole;
+        };
+        let [spec] = specs.as_slice() else {
+            return Self::Whole;
+        };
+        match Self::bounds(spec, size) {
+            Some((first, last)) => Self::Bytes(first, last),
+            None => Self::Unsatisfiable,
+        }
+    }
+
+    fn bounds(spec: &ByteRangeSpec, size: u64) -> Option<(u64, u64)> {
+        let end = size.checked_sub(1)?;
+        match *spec {
+            ByteRangeSpec::FromTo(first, last) if first <= last && first <= end => {
+                Some((first, last.min(end)))
+            }
+            ByteRangeSpec::From(first) if first <= end => Some((first, end)),
+            ByteRangeSpec::Last(count) if count > 0 => Some((size.saturating_sub(count), end)),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/weights/routes.rs
@@ -0,0 +1,137 @@
+//! HTTP routes of the weight store.
+
+use std::{
+    convert::Infallible,
+    sync::Arc,
+    time::Duration, //
+};
+
+use actix_web::{
+    http::{
+        header,
+        StatusCode, //
+    },
+    rt::time,
+    web::{
+        self,
+        Bytes,
+        Data, //
+    },
+    HttpRequest,
+    HttpResponse,
+    HttpResponseBuilder, //
+};
+use futures_util::stream;
+
+use super::{
+    content,
+    range::Part,
+    Store, //
+};
+use crate::server::Link;
+
+/// Bytes that are made and sent at a time.
+const PIECE: u64 = 256 << 10;
+
+pub(super) fn configure(app: &mut web::ServiceConfig) {
+    app.route("/{path:.*}", web::get().to(get))
+        .route("/{path:.*}", web::head().to(head));
+}
+
+async fn head(store: Data<Store>, request: HttpRequest) -> HttpResponse {
+    let size = store.inner().config.files.get(request.path()).copied();
+    let Some(size) = size else {
+        return HttpResponse::NotFound().finish();
+    };
+    HttpResponse::Ok()
+        .insert_header((header::ACCEPT_RANGES, "bytes"))
+        .no_chunking(size)
+        .streaming(stream::empty::<Result<Bytes, Infallible>>())
+}
+
+async fn get(store: Data<Store>, request: HttpRequest) -> HttpResponse {
+    let path = request.path().to_owned();
+    let size = store.inner().config.files.get(&path).copied();
+    let Some(size) = size else {
+        return HttpResponse::NotFound().finish();
+    };
+    let header = request.headers().get(header::RANGE);
+    let part = Part::of(header.and_then(|text| text.to_str().ok()), size);
+    let (status, first, end) = match part {
+        Part::Whole => (StatusCode::OK, 0, size),
+        Part::Bytes(first, last) => (StatusCode::PARTIAL_CONTENT, first, last + 1),
+        Part::Unsatisfiable => {
+            return HttpResponse::RangeNotSatisfiable()
+                .insert_header((header::CONTENT_RANGE, format!("bytes */{size}")))
+                .finish();
+        }
+    };
+    if let Err(wait) = store.admit(&path, end - first) {
+        return HttpResponse::ServiceUnavailable()
+            .insert_header((
+                header::RETRY_AFTER,
+                wait.as_secs_f64().ceil().max(1.0) as u64,
+            ))
+            .finish();
+    }
+    let mut answer = HttpResponse::build(status);
+    answer.insert_header((header::ACCEPT_RANGES, "bytes"));
+    if status == StatusCode::PARTIAL_CONTENT {
+        let range = format!("bytes {first}-{}/{size}", end - 1);
+        answer.insert_header((header::CONTENT_RANGE, range));
+    }
+    send(
+        answer,
+        store.into_inner(),
+        path,
+        (first, end),
+        Link::of(&request),
+    )
+}
+
+/// Streams the bytes from `first` to before `end`.
+fn send(
+    mut answer: HttpResponseBuilder,
+    store: Arc<Store>,
+    path: String,
+    (first, end): (u64, u64),
+    link: Arc<Link>,
+) -> HttpResponse {
+    let stop = store.inner().faults.break_after.map(|after| first + after);
+    let parts = stream::unfold(first, move |at| {
+        let (store, path, link) = (Arc::clone(&store), path.clone(), Arc::clone(&link));
+        async move {
+            if at >= end {
+                return None;
+            }
+            if stop.is_some_and(|stop| at >= stop) {
+                // Lets what was written leave before the connection is closed.
+                time::sleep(Duration::from_millis(5)).await;
+                match link.abort().await {}
+            }
+            let next = (at + PIECE).min(end).min(stop.unwrap_or(end));
+            store.inner().books.bytes += next - at;
+            let piece = content(&path, at, (next - at) as usize);
+            Some((Ok::<_, Infallible>(Bytes::from(piece)), next))
+        }
+    });
+    answer
+        .content_type("application/octet-stream")
+        .no_chunking(end - first)
+        .streaming(parts)
+}
+
+impl Store {
+    /// Counts a request and returns the time to wait if it is over the rate.
+    fn admit(&self, path: &str, bytes: u64) -> Result<(), Duration> {
+        let mut inner = self.inner();
+        *inner.books.requests.entry(path.to_owned()).or_default() += 1;
+        let refused = inner.faults.refuse_next > 0;
+        inner.faults.refuse_next = inner.faults.refuse_next.saturating_sub(1);
+        if refused || !inner.bucket.take(bytes as f64) {
+            inner.books.refused += 1;
+            return Err(inner.bucket.wait());
+        }
+        Ok(())
+    }
+}
