--- /dev/null
+++ b/tests/upstream_faults.rs
@@ -0,0 +1,682 @@
+//! Guards against wrong classes of failures, calls that are sent twice and calls that hang.
+
+use std::{
+    cell::Cell,
+    rc::Rc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use gypsumlever::upstream::{
+    chat,
+    http::Settings,
+    rest,
+    Engine as _,
+    Event,
+    Failure,
+    Limits,
+    Message,
+    Prompt,
+    Service as _,
+    Stream as _, //
+};
+use tokio::{
+    io::{
+        AsyncReadExt as _,
+        AsyncWriteExt as _, //
+    },
+    net::{
+        TcpListener,
+        TcpSocket,
+        TcpStream, //
+    },
+    time::{
+        sleep,
+        timeout, //
+    },
+};
+
+/// What the fake does on a connection.
+#[derive(Clone)]
+enum Step {
+    Send(String),
+    Pause(u64),
+    /// Waits until a byte has arrived, without reading it.
+    Arrived,
+    /// Keeps the connection open and does nothing more.
+    Silent,
+    Close,
+    Reset,
+}
+
+use Step::{
+    Arrived,
+    Close,
+    Pause,
+    Reset,
+    Send,
+    Silent, //
+};
+
+/// An upstream that counts whole calls and answers each as a script says.
+#[derive(Clone, Default)]
+struct Fake {
+    calls: Rc<Cell<usize>>,
+    connections: Rc<Cell<usize>>,
+    /// Connections that the client closed.
+    closed: Rc<Cell<usize>>,
+}
+
+/// Steps for a connection and a call, each counted from 0; `None` instead of a call is the accept.
+type Script = Rc<dyn Fn(usize, Option<usize>) -> Vec<Step>>;
+
+impl Fake {
+    async fn start(script: Script) -> (Self, String) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address").to_string();
+        let fake = Self::default();
+        let server = fake.clone();
+        drop(actix::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let number = server.connections.get();
+                server.connections.set(number + 1);
+                drop(actix::spawn(server.clone().serve(
+                    stream,
+                    number,
+                    script.clone(),
+                )));
+            }
+        }));
+        (fake, address)
+    }
+
+    async fn serve(self, mut stream: TcpStream, number: usize, script: Script) {
+        let mut steps = script(number, None);
+        loop {
+            for step in steps {
+                match step {
+                    Send(text) => {
+                        if stream.write_all(text.as_bytes()).await.is_err() {
+                            return;
+                        }
+                    }
+                    Arrived => stream.readable().await.unwrap_or_default(),
+                    Pause(millis) => sleep(Duration::from_millis(millis)).await,
+                    Silent => {
+                        while stream.read(&mut [0; 1024]).await.is_ok_and(|read| read > 0) {}
+                        self.closed.set(self.closed.get() + 1);
+                        return;
+                    }
+                    Close => return,
+                    Reset => return stream.set_zero_linger().expect("linger"),
+                }
+            }
+            if read(&mut stream).await.is_none() {
+                self.closed.set(self.closed.get() + 1);
+                return;
+            }
+            steps = script(number, Some(self.calls.get()));
+            self.calls.set(self.calls.get() + 1);
+        }
+    }
+}
+
+/// Reads one whole request.
+async fn read(stream: &mut TcpStream) -> Option<()> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    let head = String::from_utf8(head).ok()?.to_lowercase();
+    let length = head.split_once("content-length: ")?.1;
+    let length = length.split_once("\r\n")?.0.parse().ok()?;
+    stream.read_exact(&mut vec![0; length]).await.ok()?;
+    Some(())
+}
+
+fn chunk(data: &str) -> Step {
+    Send(format!("{:x}\r\n{data}\r\n", data.len()))
+}
+
+fn text(text: &str) -> Step {
+    chunk(&format!(
+        "data: {{\"choices\":[{{\"delta\":{{\"content\":\"{text}\"}}}}]}}\n\n"
+    ))
+}
+
+fn head(kind: &str) -> Step {
+    Send(format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: {kind}\r\ntransfer-encoding: chunked\r\n\r\n"
+    ))
+}
+
+fn events(steps: &[Step]) -> Vec<Step> {
+    [&[head("text/event-stream")], steps].concat()
+}
+
+fn status(line: &str, body: &str) -> Vec<Step> {
+    let length = body.len();
+    vec![Send(format!(
+        "HTTP/1.1 {line}\r\ncontent-length: {length}\r\n\r\n{body}"
+    ))]
+}
+
+const USAGE: &str = "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":1}}\n\n";
+const DONE: &str = "data: [DONE]\n\n";
+
+fn whole() -> Vec<Step> {
+    events(&[text("a"), chunk(USAGE), chunk(DONE), chunk("")])
+}
+
+/// A limit that only faults reach; a failure must not depend on how busy the machine is.
+const FIRST: Duration = Duration::from_millis(300);
+
+const LIMITS: Limits = Limits {
+    first: FIRST,
+    progress: FIRST,
+    total: Duration::from_secs(20),
+};
+
+const LONG: Limits = Limits {
+    first: Duration::from_secs(10),
+    progress: Duration::from_secs(10),
+    total: Duration::from_secs(20),
+};
+
+fn prompt() -> Prompt {
+    Prompt {
+        model: "m".into(),
+        messages: vec![Message {
+            role: "user".into(),
+            content: "hi".into(),
+        }],
+        max_tokens: 7,
+        cache_key: "gypsumlever/p1".into(),
+    }
+}
+
+/// Outcome of a call without the texts for people.
+#[derive(Debug, PartialEq)]
+enum Class {
+    Done(String),
+    NotSent,
+    Refused(u16, Option<u64>),
+    Failed(u16),
+    Unknown,
+}
+
+use Class::{
+    Done,
+    Failed,
+    NotSent,
+    Refused,
+    Unknown, //
+};
+
+impl From<Result<String, Failure>> for Class {
+    fn from(result: Result<String, Failure>) -> Self {
+        match result {
+            Ok(text) => Done(text),
+            Err(Failure::NotSent(_)) => NotSent,
+            Err(Failure::Refused {
+                status,
+                retry_after,
+            }) => Refused(status, retry_after.map(|wait| wait.as_secs())),
+            Err(Failure::Failed { status, .. }) => Failed(status),
+            Err(Failure::Unknown(_)) => Unknown,
+        }
+    }
+}
+
+async fn chat(client: &chat::Client, address: &str, limits: Limits) -> Class {
+    let run = async {
+        let mut stream = client.start(address, &prompt(), limits).await?;
+        let mut answer = String::new();
+        while let Some(event) = stream.next().await? {
+            if let Event::Text(text) = event {
+                answer.push_str(&text);
+            }
+        }
+        Ok(answer)
+    };
+    run.await.into()
+}
+
+async fn rest(client: &rest::Client, address: &str, limits: Limits, once: bool) -> Class {
+    let body = Bytes::from_static(b"{}");
+    let answer = if once {
+        client.call_once(address, "/x", "key", body, limits).await
+    } else {
+        client.call(address, "/x", "key", body, limits).await
+    };
+    answer
+        .map(|text| String::from_utf8_lossy(&text).into_owned())
+        .into()
+}
+
+/// Name, steps at accept, steps of a call, class of the outcome, and number of whole calls.
+type Case = (&'static str, Vec<Step>, Vec<Step>, Class, usize);
+
+/// Faults that both clients treat alike.
+fn faults() -> Vec<Case> {
+    let refused = |line: &str| status(line, "");
+    vec![
+        ("silent after accept", vec![Silent], vec![], Unknown, 0),
+        (
+            "reset before the request is read",
+            vec![Arrived, Reset],
+            vec![],
+            Unknown,
+            0,
+        ),
+        (
+            "closed before the request is read",
+            vec![Arrived, Close],
+            vec![],
+            Unknown,
+            0,
+        ),
+        ("silent after the request", vec![], vec![Silent], Unknown, 1),
+        ("reset after the request", vec![], vec![Reset], Unknown, 1),
+        ("closed after the request", vec![], vec![Close], Unknown, 1),
+        (
+            "silent in the head",
+            vec![],
+            vec![Send("HTTP/1.1 200".into()), Silent],
+            Unknown,
+            1,
+        ),
+        (
+            "silent after the head",
+            vec![],
+            vec![head("text/event-stream"), Silent],
+            Unknown,
+            1,
+        ),
+        (
+            "no HTTP",
+            vec![],
+            vec![Send("SSH-2.0-x\r\n\r\n".into()), Close],
+            Unknown,
+            1,
+        ),
+        ("429", vec![], refused("429 x"), Refused(429, None), 1),
+        (
+            "503",
+            vec![],
+            refused("503 x\r\nRetry-After: 7"),
+            Refused(503, Some(7)),
+            1,
+        ),
+        (
+            "503 until a past date",
+            vec![],
+            refused("503 x\r\nRetry-After: Fri, 27 Nov 2020 07:28:00 GMT"),
+            Refused(503, Some(0)),
+            1,
+        ),
+        (
+            "503 for ages",
+            vec![],
+            refused("503 x\r\nRetry-After: 99999"),
+            Refused(503, Some(3_600)),
+            1,
+        ),
+        (
+            "503 garbled",
+            vec![],
+            refused("503 x\r\nRetry-After: soon"),
+            Refused(503, None),
+            1,
+        ),
+        ("500", vec![], status("500 x", "broken"), Failed(500), 1),
+        ("404", vec![], status("404 x", ""), Failed(404), 1),
+        (
+            "500 with a body that is cut off",
+            vec![],
+            vec![
+                Send("HTTP/1.1 500 x\r\ncontent-length: 9\r\n\r\nbro".into()),
+                Close,
+            ],
+            Unknown,
+            1,
+        ),
+        ("502 of a gateway", vec![], status("502 x", ""), Unknown, 1),
+        (
+            "redirect",
+            vec![],
+            status("307 x\r\nLocation: http://127.0.0.1:1/", ""),
+            Failed(307),
+            1,
+        ),
+    ]
+}
+
+fn scripted(accept: Vec<Step>, call: Vec<Step>) -> Script {
+    Rc::new(move |_, number| match number {
+        None => accept.clone(),
+        Some(_) => call.clone(),
+    })
+}
+
+#[actix_web::test]
+async fn both_table_of_faults() {
+    for (name, accept, call, class, calls) in faults() {
+        for kind in ["chat", "rest", "once"] {
+            let (fake, address) = Fake::start(scripted(accept.clone(), call.clone())).await;
+            let found = match kind {
+                "chat" => chat(&chat::Client::default(), &address, LIMITS).await,
+                kind => rest(&rest::Client::default(), &address, LIMITS, kind == "once").await,
+            };
+            assert_eq!(found, class, "{kind}: {name}");
+            assert_eq!(fake.calls.get(), calls, "{kind}: {name}");
+            assert_eq!(fake.connections.get(), 1, "{kind}: {name}");
+        }
+    }
+}
+
+#[actix_web::test]
+async fn chat_table_of_faults() {
+    let long = "x".repeat(chat::MAX_EVENT + 1);
+    let error = chunk("data: {\"error\":{\"message\":\"out of memory\"}}\n\n");
+    let cases = [
+        ("whole", whole(), Done("a".into())),
+        (
+            "silent in mid-stream",
+            events(&[text("a"), Silent]),
+            Unknown,
+        ),
+        ("closed in mid-stream", events(&[text("a"), Close]), Unknown),
+        ("reset in mid-stream", events(&[text("a"), Reset]), Unknown),
+        (
+            "ended early",
+            events(&[text("a"), chunk(USAGE), chunk("")]),
+            Unknown,
+        ),
+        (
+            "no usage",
+            events(&[text("a"), chunk(DONE), chunk("")]),
+            Unknown,
+        ),
+        (
+            "error in mid-stream",
+            events(&[text("a"), error]),
+            Failed(200),
+        ),
+        (
+            "garbage",
+            events(&[chunk("data: {]\n\n"), chunk("")]),
+            Unknown,
+        ),
+        (
+            "wrong type",
+            events(&[chunk("data: {\"choices\":7}\n\n")]),
+            Unknown,
+        ),
+        (
+            "closed in mid-event",
+            events(&[Send("9\r\ndata: ".into()), Close]),
+            Unknown,
+        ),
+        (
+            "garbled chunk",
+            events(&[Send("zz\r\n".into()), Silent]),
+            Unknown,
+        ),
+        (
+            "long line",
+            events(&[chunk(&format!("data: {long}")), Silent]),
+            Unknown,
+        ),
+        (
+            "long comment",
+            events(&[chunk(&format!(":{long}")), Silent]),
+            Unknown,
+        ),
+        (
+            "no end of the body",
+            events(&[text("a"), chunk(USAGE), chunk(DONE), Silent]),
+            Done("a".into()),
+        ),
+    ];
+    for (name, steps, class) in cases {
+        let (fake, address) = Fake::start(scripted(vec![], steps)).await;
+        let found = chat(&chat::Client::default(), &address, LIMITS).await;
+        assert_eq!(found, class, "{name}");
+        assert_eq!(fake.calls.get(), 1, "{name}");
+    }
+}
+
+#[actix_web::test]
+async fn rest_table_of_answers() {
+    let json = |steps: &[Step]| [&[head("application/json")], steps].concat();
+    let long = "x".repeat(gypsumlever::upstream::http::MAX_BODY);
+    let cases = [
+        (
+            "whole",
+            status("200 x", "{\"a\":1}"),
+            Done("{\"a\":1}".into()),
+        ),
+        ("number", status("200 x", "12"), Done("12".into())),
+        (
+            "no content",
+            vec![Send("HTTP/1.1 204 x\r\n\r\n".into())],
+            Done("null".into()),
+        ),
+        ("empty", status("200 x", ""), Done("null".into())),
+        (
+            "chunked",
+            json(&[chunk("{\"a\""), chunk(":1}"), chunk("")]),
+            Done("{\"a\":1}".into()),
+        ),
+        (
+            "cut off",
+            vec![
+                Send("HTTP/1.1 200 x\r\ncontent-length: 9\r\n\r\n{}".into()),
+                Close,
+            ],
+            Unknown,
+        ),
+        (
+            "chunked and cut off",
+            json(&[chunk("{\"a\":"), Close]),
+            Unknown,
+        ),
+        ("empty and cut off", json(&[Close]), Unknown),
+        (
+            "number that may be cut off",
+            json(&[chunk("12"), Close]),
+            Unknown,
+        ),
+        ("silent", json(&[chunk("{"), Silent]), Unknown),
+        ("no JSON", status("200 x", "<html>"), Unknown),
+        (
+            "oversized",
+            json(&[chunk(&format!("\"{long}\"")), chunk("")]),
+            Unknown,
+        ),
+    ];
+    for (name, steps, class) in cases {
+        let (fake, address) = Fake::start(scripted(vec![], steps)).await;
+        let found = rest(&rest::Client::default(), &address, LIMITS, false).await;
+        assert_eq!(found, class, "{name}");
+        assert_eq!(fake.calls.get(), 1, "{name}");
+    }
+}
+
+/// Only a call of which no byte can have left may be reported as not sent.
+#[actix_web::test]
+async fn both_no_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let refusing = listener.local_addr().expect("address").to_string();
+    drop(listener);
+    // A listener that accepts nothing: once its backlog is full, connections time out.
+    let socket = TcpSocket::new_v4().expect("socket");
+    socket
+        .bind("127.0.0.1:0".parse().expect("address"))
+        .expect("bind");
+    let full = socket.listen(1).expect("listen");
+    let address = full.local_addr().expect("address");
+    let mut waiting = Vec::new();
+    while let Ok(Ok(stream)) = timeout(FIRST, TcpStream::connect(address)).await {
+        waiting.push(stream);
+    }
+    let settings = Settings {
+        connect: FIRST,
+        ..Settings::default()
+    };
+    for address in [refusing, address.to_string(), "no address".into()] {
+        let found = chat(&chat::Client::new(settings), &address, LONG).await;
+        assert_eq!(found, NotSent, "chat: {address}");
+        for once in [false, true] {
+            let found = rest(&rest::Client::new(settings), &address, LONG, once).await;
+            assert_eq!(found, NotSent, "rest: {address}");
+        }
+    }
+}
+
+#[actix_web::test]
+async fn call_wrong_key() {
+    let (fake, address) = Fake::start(scripted(vec![], status("200 x", "{}"))).await;
+    let client = rest::Client::default();
+    let body = Bytes::from_static(b"{}");
+    let answer = client.call(&address, "/x", "a\r\nb: c", body, LONG).await;
+    assert!(matches!(answer, Err(Failure::NotSent(_))), "{answer:?}");
+    assert_eq!(fake.calls.get(), 0);
+}
+
+/// A limit on progress must not stop an answer that takes longer as a whole.
+#[actix_web::test]
+async fn chat_slow_but_steady() {
+    let mut steps = Vec::new();
+    for _ in 0..25 {
+        steps.extend([Pause(100), text("a")]);
+    }
+    steps.extend([chunk(USAGE), chunk(DONE), chunk("")]);
+    let (_, address) = Fake::start(scripted(vec![], events(&steps))).await;
+    let limits = Limits {
+        first: Duration::from_secs(2),
+        progress: Duration::from_secs(2),
+        total: Duration::from_secs(20),
+    };
+    let found = chat(&chat::Client::default(), &address, limits).await;
+    assert_eq!(found, Done("a".repeat(25)));
+}
+
+/// A stream that always makes progress would otherwise never end.
+#[actix_web::test]
+async fn chat_endless() {
+    let mut steps = Vec::new();
+    for _ in 0..1_000 {
+        steps.extend([Pause(20), text("a")]);
+    }
+    let (fake, address) = Fake::start(scripted(vec![], events(&steps))).await;
+    let limits = Limits {
+        total: Duration::from_millis(500),
+        ..LONG
+    };
+    let found = chat(&chat::Client::default(), &address, limits).await;
+    assert_eq!(found, Unknown);
+    assert_eq!(fake.calls.get(), 1);
+}
+
+/// Waits until `right` holds, for a time that only a fault reaches.
+async fn eventually(right: impl Fn() -> bool) -> bool {
+    for _ in 0..500 {
+        if right() {
+            return true;
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+    false
+}
+
+/// An engine would otherwise go on generating for a call that nobody waits for.
+#[actix_web::test]
+async fn drop_cancels() {
+    let steps = events(&[text("a"), Silent]);
+    let (fake, address) = Fake::start(scripted(vec![], steps)).await;
+    let client = chat::Client::default();
+    let mut stream = client
+        .start(&address, &prompt(), LONG)
+        .await
+        .expect("start");
+    assert_eq!(stream.next().await, Ok(Some(Event::Text("a".into()))));
+    assert_eq!(fake.closed.get(), 0);
+    drop(stream);
+    assert!(eventually(|| fake.closed.get() == 1).await);
+}
+
+/// The same for a call whose head has not arrived.
+#[actix_web::test]
+async fn drop_before_the_answer() {
+    let (fake, address) = Fake::start(scripted(vec![], vec![Silent])).await;
+    let client = chat::Client::default();
+    let prompt = prompt();
+    let start = client.start(&address, &prompt, LONG);
+    assert!(timeout(FIRST, start).await.is_err());
+    assert!(eventually(|| fake.closed.get() == 1).await);
+    assert_eq!(fake.calls.get(), 1);
+}
+
+/// Connections are used again, also after streams, except by calls that must not be repeated.
+#[actix_web::test]
+async fn connections_used_again() {
+    let (fake, address) = Fake::start(scripted(vec![], whole())).await;
+    let client = chat::Client::default();
+    for _ in 0..5 {
+        assert_eq!(chat(&client, &address, LONG).await, Done("a".into()));
+        // The end of the body is read in the background.
+        sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(fake.connections.get(), 1);
+    for (once, connections) in [(false, 1), (true, 5)] {
+        let (fake, address) = Fake::start(scripted(vec![], status("200 x", "{}"))).await;
+        let client = rest::Client::default();
+        for _ in 0..5 {
+            assert_eq!(rest(&client, &address, LONG, once).await, Done("{}".into()));
+        }
+        assert_eq!(fake.connections.get(), connections);
+    }
+}
+
+/// A connection that the upstream closes while a call is sent leaves the outcome unknown; the
+/// call is not sent again.
+#[actix_web::test]
+async fn call_on_a_closed_connection() {
+    let script: Script = Rc::new(|connection, call| match (connection, call) {
+        (_, None) => vec![],
+        (0, Some(1)) => vec![Close],
+        _ => status("200 x", "{}"),
+    });
+    let (fake, address) = Fake::start(script).await;
+    let client = rest::Client::default();
+    for (class, calls) in [(Done("{}".into()), 1), (Unknown, 2), (Done("{}".into()), 3)] {
+        assert_eq!(rest(&client, &address, LONG, false).await, class);
+        assert_eq!(fake.calls.get(), calls);
+    }
+}
+
+/// Idle connections that all went silent cost one timeout, not one each.
+#[actix_web::test]
+async fn call_on_silent_connections() {
+    let script: Script = Rc::new(|connection, call| match (connection, call) {
+        (_, None) => vec![],
+        (0..4, Some(0..4)) => [vec![Pause(200)], status("200 x", "{}")].concat(),
+        (0..4, _) => vec![Silent],
+        _ => status("200 x", "{}"),
+    });
+    let (fake, address) = Fake::start(script).await;
+    let client = rest::Client::default();
+    let calls = (0..4).map(|_| rest(&client, &address, LONG, false));
+    for class in futures_util::future::join_all(calls).await {
+        assert_eq!(class, Done("{}".into()));
+    }
+    assert_eq!(fake.connections.get(), 4);
+    assert_eq!(rest(&client, &address, LIMITS, false).await, Unknown);
+    assert_eq!(
+        rest(&client, &address, LIMITS, false).await,
+        Done("{}".into())
+    );
+    assert_eq!(fake.connections.get(), 5);
+}
