--- a/src/logs/mod.rs
+++ b/src/logs/mod.rs
@@ -1,1 +1,79 @@
 //! Set-up of logging.
+
+use log::LevelFilter as Most;
+use logforth::{
+    append::Stderr,
+    bridge::log::LogBridge,
+    filter::rustlog::{
+        RustLogFilter,
+        RustLogFilterBuilder, //
+    },
+    layout::{
+        JsonLayout,
+        TextLayout, //
+    },
+    record::{
+        Level as Severity,
+        LevelFilter, //
+    },
+    Layout,
+};
+
+use crate::config::{
+    Format,
+    Level,
+    Logs, //
+};
+
+/// Starts logging to standard error; fails if it has been started before.
+pub fn start(settings: &Logs) -> Result<(), log::SetLoggerError> {
+    let append = Stderr::default().with_layout(layout(settings.format));
+    let logger = logforth::core::builder()
+        .dispatch(|dispatch| dispatch.filter(filter(settings.level)).append(append))
+        .build();
+    log::set_boxed_logger(Box::new(LogBridge::new(logger)))?;
+    // Lines below the level then cost one comparison.
+    log::set_max_level(most(settings.level));
+    Ok(())
+}
+
+/// Returns the layout of a format.
+pub fn layout(format: Format) -> Box<dyn Layout> {
+    match format {
+        Format::Text => TextLayout::default().no_color().into(),
+        Format::Json => JsonLayout::default().into(),
+    }
+}
+
+/// Returns a filter that passes lines of this program from a level on, and warnings of libraries.
+pub fn filter(level: Level) -> RustLogFilter {
+    let own = severity(level);
+    let others = match level {
+        Level::Error | Level::Trace => own,
+        _ => Severity::Warn,
+    };
+    RustLogFilterBuilder::default()
+        .filter_level(LevelFilter::MoreSevereEqual(others))
+        .filter_module("gypsumlever", LevelFilter::MoreSevereEqual(own))
+        .build()
+}
+
+fn severity(level: Level) -> Severity {
+    match level {
+        Level::Error => Severity::Error,
+        Level::Warn => Severity::Warn,
+        Level::Info => Severity::Info,
+        Level::Debug => Severity::Debug,
+        Level::Trace => Severity::Trace,
+    }
+}
+
+fn most(level: Level) -> Most {
+    match level {
+        Level::Error => Most::Error,
+        Level::Warn => Most::Warn,
+        Level::Info => Most::Info,
+        Level::Debug => Most::Debug,
+        Level::Trace => Most::Trace,
+    }
+}
