metrics: add instruments with a text for Prometheus

Operators need a counter for every refusal and retry reason from the start, so that a first event shows as a rise. Labels are enumerations whose attributes are built once; a reason that is added to the enumeration without a label does not compile. Bound instruments of opentelemetry would be cheaper still, but are experimental and were left out.

--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -1,1 +1,202 @@
-//! OpenTelemetry instruments.
+//! OpenTelemetry instruments, and their text for Prometheus.
+
+pub mod label;
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use anyhow::Context as _;
+use opentelemetry::{
+    metrics::{
+        Counter,
+        Gauge,
+        Histogram,
+        Meter,
+        MeterProvider as _, //
+    },
+    KeyValue,
+};
+use opentelemetry_sdk::{
+    metrics::SdkMeterProvider,
+    Resource, //
+};
+use prometheus::{
+    Encoder as _,
+    Registry,
+    TextEncoder, //
+};
+
+use crate::{
+    executor::request::Reason,
+    upstream::Usage, //
+};
+
+pub use label::{
+    Level,
+    Outcome,
+    Retry,
+    Span,
+    Token, //
+};
+
+use label::Label;
+
+/// Bounds of the histograms in seconds, from a fast lookup to the longest program.
+const BOUNDS: [f64; 20] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.64, 1.0, 2.0, 5.0, 10.0, 20.0, 60.0,
+    180.0, 600.0, 1_800.0, 3_600.0,
+];
+
+/// Attributes of a label, built once so that counting allocates nothing.
+struct Attributes<L>(Vec<[KeyValue; 1]>, std::marker::PhantomData<L>);
+
+impl<L: Label> Attributes<L> {
+    fn new() -> Self {
+        let pair = |label: &L| [KeyValue::new(L::KEY, label.name())];
+        Self(L::ALL.iter().map(pair).collect(), std::marker::PhantomData)
+    }
+
+    fn of(&self, label: L) -> &[KeyValue] {
+        &self.0[label.index()]
+    }
+}
+
+/// A counter with one time series for each value of a label.
+struct Labelled<L> {
+    counter: Counter<u64>,
+    attributes: Attributes<L>,
+}
+
+impl<L: Label> Labelled<L> {
+    /// Returns a counter whose time series all begin at 0, so that a first event shows as a rise.
+    fn new(meter: &Meter, name: &'static str, description: &'static str) -> Self {
+        let labelled = Self {
+            counter: meter
+                .u64_counter(name)
+                .with_description(description)
+                .build(),
+            attributes: Attributes::new(),
+        };
+        for label in L::ALL {
+            labelled.add(*label, 0);
+        }
+        labelled
+    }
+
+    fn add(&self, label: L, count: u64) {
+        self.counter.add(count, self.attributes.of(label));
+    }
+}
+
+/// All instruments of an instance; clones share them.
+#[derive(Clone)]
+pub struct Metrics(Arc<Inner>);
+
+struct Inner {
+    registry: Registry,
+    /// Keeps the instruments connected to the registry.
+    _provider: SdkMeterProvider,
+    refusals: Labelled<Reason>,
+    retries: Labelled<Retry>,
+    calls: Labelled<Outcome>,
+    tokens: Labelled<Token>,
+    spans: Vec<Histogram<f64>>,
+    levels: Vec<Gauge<u64>>,
+}
+
+impl Metrics {
+    /// Returns instruments that count from zero.
+    pub fn new() -> anyhow::Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .with_namespace("gypsumlever")
+            .without_target_info()
+            .scope_info_enabled(false)
+            .build()
+            .context("metrics can't be exported")?;
+        let provider = SdkMeterProvider::builder()
+            .with_resource(Resource::builder_empty().build())
+            .with_reader(exporter)
+            .build();
+        let meter = provider.meter("gypsumlever");
+        let inner = Inner {
+            refusals: Labelled::new(&meter, "refusals", "Calls refused or failed, by reason."),
+            retries: Labelled::new(&meter, "retries", "Attempts made again, by reason."),
+            calls: Labelled::new(&meter, "upstream_calls", "Calls to upstreams, by outcome."),
+            tokens: Labelled::new(&meter, "tokens", "Tokens of model calls, by kind."),
+            spans: Span::ALL
+                .iter()
+                .map(|span| histogram(&meter, *span))
+                .collect(),
+            levels: Level::ALL
+                .iter()
+                .map(|level| gauge(&meter, *level))
+                .collect(),
+            registry,
+            _provider: provider,
+        };
+        Ok(Self(Arc::new(inner)))
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, reason: Reason) {
+        self.0.refusals.add(reason, 1);
+    }
+
+    /// Counts a retry.
+    pub fn retried(&self, reason: Retry) {
+        self.0.retries.add(reason, 1);
+    }
+
+    /// Counts a call to an upstream.
+    pub fn called(&self, outcome: Outcome) {
+        self.0.calls.add(outcome, 1);
+    }
+
+    /// Counts the tokens of a model call.
+    pub fn used(&self, usage: &Usage) {
+        self.0.tokens.add(Token::Prompt, usage.prompt_tokens);
+        self.0.tokens.add(Token::Cached, usage.cached_tokens);
+        self.0
+            .tokens
+            .add(Token::Completion, usage.completion_tokens);
+    }
+
+    /// Records how long something took.
+    pub fn took(&self, span: Span, time: Duration) {
+        self.0.spans[span.index()].record(time.as_secs_f64(), &[]);
+    }
+
+    /// Sets a level.
+    pub fn set(&self, level: Level, value: u64) {
+        self.0.levels[level.index()].record(value, &[]);
+    }
+
+    /// Returns all metrics in the text format of Prometheus.
+    pub fn scrape(&self) -> anyhow::Result<String> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.0.registry.gather(), &mut text)?;
+        Ok(String::from_utf8(text)?)
+    }
+}
+
+fn histogram(meter: &Meter, span: Span) -> Histogram<f64> {
+    meter
+        .f64_histogram(span.name())
+        .with_description(span.description())
+        .with_unit("s")
+        .with_boundaries(BOUNDS.to_vec())
+        .build()
+}
+
+fn gauge(meter: &Meter, level: Level) -> Gauge<u64> {
+    let gauge = meter
+        .u64_gauge(level.name())
+        .with_description(level.description())
+        .build();
+    gauge.record(0, &[]);
+    gauge
+}
