--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -1,6 +1,7 @@
 //! Records in log order and the state that follows from them.
 
 pub mod account;
+pub mod allocator;
 mod backoff;
 mod cache;
 pub mod codec;
@@ -11,6 +12,7 @@
 mod keeper;
 pub mod outcome;
 pub mod program;
+pub mod purse;
 mod queue;
 pub mod record;
 pub mod settings;
@@ -27,6 +29,7 @@
 use crate::name;
 
 pub use self::{
+    allocator::Allocator,
     handle::{
         Ledger,
         Refusal, //
@@ -36,6 +39,7 @@
         Reason,
         Winner, //
     },
+    purse::Purse,
     settings::Settings,
     state::State, //
 };
--- a/src/ledger/state.rs
+++ b/src/ledger/state.rs
@@ -160,7 +160,7 @@
     }
 
     /// Notes that the records of a partition before `begin` expired before they were read.
-    pub(crate) fn lapse(&mut self, partition: u32, begin: u64) {
+    pub fn lapse(&mut self, partition: u32, begin: u64) {
         if let Some(shard) = self.shards.get_mut(partition as usize) {
             shard.begin = begin;
             shard.next = begin;
@@ -238,6 +238,29 @@
         account.is_some_and(|account| shard.is_sound(account, &self.horizon))
     }
 
+    /// Returns a snapshot of a customer's account.
+    pub fn snapshot_account(&self, customer: &Customer) -> Option<Body> {
+        let image = self.account(customer)?.image();
+        self.snapshot(customer, Entity::Account(image))
+    }
+
+    /// Returns a snapshot of a program under way.
+    ///
+    /// It says where the texts of the turns are and does not repeat them.
+    pub fn snapshot_program(&self, name: &name::Program) -> Option<Body> {
+        let program = self.program(name)?.clone();
+        let customer = program.customer().clone();
+        let name = name.clone();
+        self.snapshot(&customer, Entity::Program { name, program })
+    }
+
+    /// Returns a snapshot as of the last record applied; `None` if there is none.
+    pub(crate) fn snapshot(&self, customer: &Customer, entity: Entity) -> Option<Body> {
+        let as_of = self.applied_for(customer).checked_sub(1)?;
+        let entity = Arc::new(entity);
+        Some(Body::Snapshot { as_of, entity })
+    }
+
     /// Encodes the state of a partition for another instance.
     pub fn export(&self, partition: u32) -> Option<Bytes> {
         let shard = self.shard(partition)?;
