--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -91,7 +91,7 @@
 
     /// Makes the response of a request that was refused before it reached an executor.
     pub fn refuse(&self, request: &str, refusal: &Refusal) -> HttpResponse {
-        self.shared().metrics.refusal(refusal.reason);
+        self.shared().metrics.refused(refusal.reason);
         self.problem(request, refusal)
     }
 }
--- a/src/api/operate.rs
+++ b/src/api/operate.rs
@@ -112,9 +112,9 @@
         own: true,
     }];
     rows.extend(snapshot.peers().map(|peer| Instance {
-        instance: peer.instance.to_string(),
-        zone: peer.zone.to_string(),
-        address: peer.address.to_string(),
+        instance: peer.entry.instance.to_string(),
+        zone: peer.entry.zone.to_string(),
+        address: peer.entry.address.to_string(),
         status: format!("{:?}", peer.status).to_lowercase(),
         own: false,
     }));
--- a/src/api/probe.rs
+++ b/src/api/probe.rs
@@ -32,8 +32,10 @@
 }
 
 async fn metrics(app: web::Data<App>) -> HttpResponse {
-    let text = app.shared().metrics.scrape();
-    HttpResponse::Ok()
-        .content_type("text/plain; version=0.0.4")
-        .body(text)
+    match app.shared().metrics.scrape() {
+        Ok(text) => HttpResponse::Ok()
+            .content_type("text/plain; version=0.0.4")
+            .body(text),
+        Err(error) => HttpResponse::InternalServerError().body(error.to_string()),
+    }
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,1 +1,294 @@
 //! Assembly, start and drain of an instance.
+
+mod intake;
+mod upkeep;
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        atomic::{
+            AtomicBool,
+            AtomicU64,
+            AtomicUsize,
+            Ordering, //
+        },
+        Arc,
+        OnceLock, //
+    },
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use actix::{
+    Actor,
+    Addr, //
+};
+use actix_web::{
+    dev::ServerHandle,
+    web,
+    App as WebApp,
+    HttpServer, //
+};
+use anyhow::Context;
+
+use crate::{
+    api::{
+        self,
+        refusals::Refusals,
+        App, //
+    },
+    clock::Time,
+    config::{
+        self,
+        Config,
+        Kind, //
+    },
+    dispatch::{
+        broker::Broker,
+        Dispatcher,
+        Target, //
+    },
+    executor::{
+        self,
+        gateway::Gateway,
+        overlay::Overlay,
+        Shared, //
+    },
+    ledger::{
+        self,
+        allocator::Allocator,
+        purse::Sizing,
+        Ledger, //
+    },
+    log::kafka,
+    member::Roster,
+    metrics::Metrics,
+    name::Instance,
+    peer::{
+        self,
+        Mesh, //
+    },
+    policy::pool,
+    upstream::{
+        chat,
+        http,
+        rest, //
+    },
+};
+
+/// Entry of calls with the clients that the daemon uses.
+pub(crate) type Entry = Gateway<chat::Client, rest::Client>;
+
+/// Executors per instance; instances are small, and one thread carries thousands of calls.
+const EXECUTORS: usize = 2;
+
+/// Workers of the HTTP server if the settings name none.
+const WORKERS: usize = 2;
+
+/// Longest time that an operation on the log may take.
+const LOG_STEP: Duration = Duration::from_secs(2);
+
+/// Most bytes of records that one read of the log asks for.
+const READ_BYTES: u64 = 4 << 20;
+
+/// Longest wait for records that nobody waits for, when the instance stops.
+const FLUSH: Duration = Duration::from_secs(5);
+
+/// Time between two looks at what still runs while the instance drains.
+const DRAIN_STEP: Duration = Duration::from_millis(50);
+
+/// A running instance.
+pub struct Daemon {
+    app: App,
+    server: ServerHandle,
+    address: SocketAddr,
+}
+
+/// Returns the name under which this process writes records.
+///
+/// A restarted process of the same instance is another author, because it knows nothing of the
+/// claims and tranches of the earlier one.
+fn author(instance: &Instance) -> anyhow::Result<Instance> {
+    let suffix: u32 = rand::random();
+    Ok(Instance::try_from(format!("{instance}.{suffix:08x}"))?)
+}
+
+fn targets(config: &Config, pool: &config::Pool) -> std::collections::BTreeMap<crate::name::Upstream, Target> {
+    let here = pool.upstreams.iter().filter(|upstream| upstream.zone == config.zone);
+    let limits = match pool.kind {
+        Kind::Model => pool::Limits::default(),
+        // A service answers at once and needs no short queue for the sake of priorities.
+        Kind::Tool | Kind::Service => pool::Limits { initial: 128, most: 1_024 },
+    };
+    let target = |upstream: &config::Upstream| Target {
+        address: upstream.address.clone(),
+        limits,
+    };
+    here.map(|upstream| (upstream.name.clone(), target(upstream))).collect()
+}
+
+fn ledger(config: &Config, author: Instance) -> Ledger {
+    let client = kafka::Client::new(kafka::Settings {
+        url: format!("http://{}", config.log.addresses[0]),
+        topic: config.log.topic.clone(),
+        instance: author.clone(),
+        zone: config.zone.clone(),
+        connect: config.timings.connect,
+        step: LOG_STEP,
+        read_bytes: READ_BYTES,
+    });
+    let settings = ledger::Settings {
+        partitions: config.log.partitions,
+        retention: config.log.retention,
+        cache_bytes: config.memory.history_bytes,
+        queue: config.memory.log_records,
+        ..ledger::Settings::new(author)
+    };
+    Ledger::start(client, settings)
+}
+
+fn links(config: &Config) -> peer::Settings {
+    let mut settings = peer::Settings::new(
+        &config.cluster,
+        config.instance.clone(),
+        config.zone.clone(),
+        config.listen.peers,
+        config.peers.secret.expose(),
+    );
+    settings.address = Some(config.listen.advertised().to_string());
+    settings.ping = config.timings.ping;
+    settings.silence = config.timings.silence;
+    settings.gossip = config.timings.heartbeat;
+    settings
+}
+
+fn dispatcher(config: &Config) -> Addr<Dispatcher> {
+    let pools = config.pools.iter();
+    let pools = pools.map(|pool| (pool.name.clone(), targets(config, pool)));
+    let settings = pool::Settings {
+        length: config.memory.queue_calls,
+        ..pool::Settings::default()
+    };
+    Dispatcher::new(pools, &settings, rand::random()).start()
+}
+
+impl Daemon {
+    /// Starts an instance on the current actix thread; it is not ready at once.
+    pub async fn start(config: Config) -> anyhow::Result<Self> {
+        let config = Arc::new(config);
+        let author = author(&config.instance)?;
+        log::info!("daemon: instance {} starts in zone {} as {author}", config.instance, config.zone);
+        let ledger = ledger(&config, author);
+        let address = config.listen.advertised().to_string();
+        let roster = Roster::start(config.instance.clone(), config.zone.clone(), &address);
+        let dispatcher = dispatcher(&config);
+        let overlay = Overlay::default();
+        let entry = Arc::new(OnceLock::new());
+        let handler = intake::Intake::new(entry.clone(), dispatcher.clone(), ledger.clone(), overlay.clone());
+        let mesh = Mesh::start(links(&config), handler, roster.clone()).await;
+        let mesh = mesh.with_context(|| format!("peer port {} can't be opened", config.listen.peers))?;
+        let broker = Broker::new(
+            config.instance.clone(),
+            config.zone.clone(),
+            roster.clone(),
+            mesh.clone(),
+            dispatcher.clone(),
+        );
+        let shared = Shared {
+            purses: Allocator::new(ledger.clone(), Sizing::default()),
+            config: config.clone(),
+            ledger,
+            broker,
+            roster,
+            mesh,
+            overlay,
+            metrics: Metrics::new()?,
+            running: Arc::new(AtomicUsize::new(0)),
+        };
+        let connections = http::Settings {
+            connect: config.timings.connect,
+            idle: config.timings.idle,
+            ..http::Settings::default()
+        };
+        let clients = move || (chat::Client::new(connections), rest::Client::new(connections));
+        let pool = executor::Pool::start(&shared, EXECUTORS, clients);
+        let gateway = Gateway::new(shared, pool);
+        // Nothing else sets the entry.
+        let _ = entry.set(gateway.clone());
+        let app = App {
+            gateway,
+            dispatcher,
+            refusals: Arc::new(Refusals::default()),
+            ready: Arc::new(AtomicBool::new(false)),
+            last: Arc::new(AtomicU64::new(1)),
+        };
+        upkeep::start(&app);
+        let (server, address) = serve(&app)?;
+        Ok(Self {
+            app,
+            server,
+            address,
+        })
+    }
+
+    /// Returns the address that callers and operators use.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns whether the instance may get new work.
+    pub fn ready(&self) -> bool {
+        self.app.ready.load(Ordering::Relaxed)
+    }
+
+    /// Returns what the handlers share.
+    pub fn app(&self) -> &App {
+        &self.app
+    }
+
+    /// Stops the instance without cutting off a request.
+    pub async fn drain(self) {
+        let shared = self.app.shared().clone();
+        let config = shared.config.clone();
+        log::info!("daemon: instance {} is leaving", config.instance);
+        self.app.ready.store(false, Ordering::Relaxed);
+        shared.roster.update(|view| view.leave(Time::now()));
+        // The balancer goes on sending new requests until it has seen the readiness check fail.
+        tokio::time::sleep(config.timings.balancer_lag).await;
+        let end = Instant::now() + config.timings.drain;
+        while shared.running.load(Ordering::Relaxed) > 0 && Instant::now() < end {
+            tokio::time::sleep(DRAIN_STEP).await;
+        }
+        self.server.stop(true).await;
+        shared.purses.close();
+        if !shared.ledger.flush(FLUSH).await {
+            log::warn!("daemon: some records did not reach the log before the stop");
+        }
+        shared.mesh.stop();
+        log::info!("daemon: instance {} has stopped", config.instance);
+    }
+}
+
+fn serve(app: &App) -> anyhow::Result<(ServerHandle, SocketAddr)> {
+    let config = app.shared().config.clone();
+    let data = web::Data::new(app.clone());
+    let server = HttpServer::new(move || {
+        WebApp::new()
+            .app_data(data.clone())
+            .configure(api::configure)
+    })
+    .workers(config.listen.workers.unwrap_or(WORKERS))
+    .disable_signals()
+    .shutdown_timeout(config.timings.drain.as_secs())
+    .bind(config.listen.callers)
+    .with_context(|| format!("callers' port {} can't be opened", config.listen.callers))?;
+    let address = server.addrs().first().copied().unwrap_or(config.listen.callers);
+    let server = server.run();
+    let handle = server.handle();
+    actix_web::rt::spawn(server);
+    log::info!("daemon: callers are served at {address} by {:?}", thread::current().id());
+    Ok((handle, address))
+}
--- /dev/null
+++ b/src/daemon/upkeep.rs
@@ -0,0 +1,176 @@
+//! Periodic work of an instance.
+
+use std::{
+    sync::atomic::Ordering,
+    time::Duration, //
+};
+
+use tokio::time::sleep;
+
+use crate::{
+    api::App,
+    clock::Time,
+    dispatch::{
+        Gone,
+        Leaving, //
+    },
+    hash::Set,
+    ledger::program,
+    member::snapshot::Status,
+    metrics::Level,
+    name::Instance,
+    peer::wire::Body,
+};
+
+use super::intake::FETCH;
+
+/// Period of the upkeep.
+const PERIOD: Duration = Duration::from_millis(500);
+
+/// Time without a caught-up replica after which peers are asked for their state.
+const ASK_PEERS: Duration = Duration::from_secs(2);
+
+/// Starts all periodic work on the current thread.
+pub(super) fn start(app: &App) {
+    actix_web::rt::spawn(tick(app.clone()));
+    actix_web::rt::spawn(get_ready(app.clone()));
+    actix_web::rt::spawn(follow_view(app.clone()));
+}
+
+/// Shares the append budget of the log among the live instances.
+fn interval(app: &App) -> Duration {
+    let live = app.shared().roster.snapshot().live_count().max(1);
+    let budget = f64::from(app.shared().config.log.appends_per_second.max(1));
+    Duration::from_secs_f64(live as f64 / budget)
+}
+
+async fn tick(app: App) {
+    loop {
+        let shared = app.shared();
+        let now = Time::now();
+        shared.ledger.set_interval(interval(&app));
+        shared.purses.tick(now);
+        let running = shared.running.load(Ordering::Relaxed) as u32;
+        let applied = shared.ledger.applied();
+        shared.roster.update(|view| view.report(running, applied));
+        drop_decided(&app);
+        levels(&app);
+        sleep(PERIOD).await;
+    }
+}
+
+/// Drops held turns that the log has decided.
+fn drop_decided(app: &App) {
+    let shared = app.shared();
+    for name in shared.overlay.programs() {
+        let next = {
+            let state = shared.ledger.state();
+            state.program(&name).map(program::Program::next)
+        };
+        match next {
+            Some(next) => shared.overlay.decided(&name, next),
+            None if shared.ledger.available() => shared.overlay.forget(&name),
+            None => {}
+        }
+    }
+}
+
+fn levels(app: &App) {
+    let shared = app.shared();
+    let snapshot = shared.roster.snapshot();
+    let levels = [
+        (Level::Ready, u64::from(app.ready.load(Ordering::Relaxed))),
+        (Level::LogUp, u64::from(shared.ledger.available())),
+        (Level::Held, shared.overlay.len() as u64),
+        (Level::Instances, snapshot.live_count() as u64),
+        (Level::Links, shared.mesh.links() as u64),
+        (Level::Running, shared.running.load(Ordering::Relaxed) as u64),
+    ];
+    for (level, value) in levels {
+        shared.metrics.set(level, value);
+    }
+}
+
+/// Marks the instance as ready once its replica has caught up with the log or with a peer.
+async fn get_ready(app: App) {
+    let ledger = &app.shared().ledger;
+    while tokio::time::timeout(ASK_PEERS, ledger.wait_caught_up()).await.is_err() {
+        if copy_from_peers(&app).await {
+            break;
+        }
+    }
+    app.ready.store(true, Ordering::Relaxed);
+    log::info!("daemon: instance is ready at offsets {:?}", ledger.applied());
+}
+
+/// Takes the state of every partition from peers; returns whether it is as new as any peer's.
+async fn copy_from_peers(app: &App) -> bool {
+    let shared = app.shared();
+    let snapshot = shared.roster.snapshot();
+    let highest = snapshot.highest().to_vec();
+    let peers: Vec<Instance> = snapshot
+        .peers()
+        .filter(|peer| peer.status.usable())
+        .map(|peer| peer.entry.instance.clone())
+        .collect();
+    if peers.is_empty() || highest.iter().all(|offset| *offset == 0) {
+        return false;
+    }
+    for partition in 0..shared.config.log.partitions {
+        for peer in &peers {
+            if fetch(app, peer, partition).await {
+                break;
+            }
+        }
+    }
+    let applied = shared.ledger.applied();
+    highest.iter().zip(&applied).all(|(highest, applied)| applied >= highest)
+}
+
+async fn fetch(app: &App, peer: &Instance, partition: u32) -> bool {
+    let shared = app.shared();
+    let applied = shared.ledger.applied();
+    let from = applied.get(partition as usize).copied().unwrap_or(0);
+    let Ok(mut replies) = shared.mesh.open(peer, Body::Fetch { partition, from }) else {
+        return false;
+    };
+    let mut state = Vec::new();
+    let all = async {
+        while let Some(reply) = replies.next().await {
+            match reply {
+                Ok(Body::Chunk { bytes, .. }) => state.extend_from_slice(&bytes),
+                Ok(_) => {}
+                Err(_) => return false,
+            }
+        }
+        true
+    };
+    let whole = tokio::time::timeout(FETCH, all).await.unwrap_or(false);
+    whole && !state.is_empty() && shared.ledger.import(partition, state.into()).is_ok()
+}
+
+/// Tells the dispatcher which instances are gone and which upstreams are leaving.
+async fn follow_view(app: App) {
+    let mut snapshots = app.shared().roster.subscribe();
+    let mut gone = Set::default();
+    loop {
+        let snapshot = snapshots.borrow_and_update().clone();
+        for departure in snapshot.departures().iter().filter(|d| d.leaving) {
+            let upstream = departure.upstream.clone();
+            app.dispatcher.do_send(Leaving { upstream });
+        }
+        let now: Set<Instance> = snapshot
+            .peers()
+            .filter(|peer| matches!(peer.status, Status::Gone))
+            .map(|peer| peer.entry.instance.clone())
+            .collect();
+        let instances: Set<Instance> = now.difference(&gone).cloned().collect();
+        gone = now;
+        if !instances.is_empty() {
+            app.dispatcher.do_send(Gone { instances });
+        }
+        if snapshots.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- a/src/executor/attempt.rs
+++ b/src/executor/attempt.rs
@@ -18,10 +18,15 @@
     dispatch::broker::Lease,
     executor::prompt,
     ledger::{
+        allocator::Denied,
         purse::Hold,
         record::Ran, //
     },
-    metrics::Retry,
+    metrics::{
+        self,
+        Retry,
+        Span, //
+    },
     money::Money,
     name::{
         Class,
@@ -223,12 +228,6 @@
                 }
                 Miss::Upstream(failure) => failure,
             };
-            let reason = match &failure {
-                Failure::NotSent(_) => Retry::NotSent,
-                Failure::Refused { .. } => Retry::Refused,
-                Failure::Failed { .. } => Retry::Failed,
-                Failure::Unknown(_) => Retry::Unknown,
-            };
             match &failure {
                 Failure::NotSent(_) => hold = Some(covered),
                 Failure::Refused { .. } if safe => hold = Some(covered),
@@ -249,7 +248,7 @@
                 }
                 return Err(failed(&failure, safe));
             }
-            self.shared.metrics.retry(reason);
+            self.shared.metrics.retried(Retry::from(&failure));
             log::info!("executor: {} retries after {failure}", task.request.id);
             job.restart();
             excluded.push(upstream);
@@ -306,7 +305,7 @@
                 return Err(refuse(Reason::Cancelled, "the caller cancelled the call", None));
             }
         };
-        self.shared.metrics.queue_wait(asked.elapsed());
+        self.shared.metrics.took(Span::QueueWait, asked.elapsed());
         granted.map_err(|deny| {
             let detail = "no upstream was granted in time";
             refuse(deny.reason, detail, Some(deny.retry_after))
@@ -336,6 +335,11 @@
             Err(Miss::Upstream(Failure::Refused { .. } | Failure::NotSent(_)))
         );
         report.failed = matches!(&result, Err(Miss::Upstream(_)));
+        self.shared.metrics.called(match &result {
+            Ok(_) => metrics::Outcome::Done,
+            Err(Miss::Upstream(failure)) => metrics::Outcome::from(failure),
+            Err(_) => metrics::Outcome::Cancelled,
+        });
         lease.done(report);
         result
     }
@@ -361,7 +365,7 @@
                             if report.first_us.is_none() {
                                 let first = started.elapsed();
                                 report.first_us = Some(first.as_micros() as u64);
-                                self.shared.metrics.first_token(first);
+                                self.shared.metrics.took(Span::FirstToken, first);
                             }
                             job.push(&text);
                         }
@@ -369,7 +373,7 @@
                             report.prompt_tokens = usage.prompt_tokens;
                             report.cached_tokens = usage.cached_tokens;
                             report.completion_tokens = usage.completion_tokens;
-                            self.shared.metrics.tokens(&usage);
+                            self.shared.metrics.used(&usage);
                             return Ok((job.text(), usage));
                         }
                     }
@@ -442,3 +446,17 @@
         detail: failure.to_string(),
     }
 }
+
+impl From<Denied> for Refusal {
+    fn from(denied: Denied) -> Self {
+        match denied {
+            Denied::Log(refusal) => refusal.into(),
+            Denied::Contended => {
+                refuse(Reason::QueueFull, denied.to_string(), Some(RETRY_AFTER))
+            }
+            Denied::Budget { .. } | Denied::Rule(_) => {
+                refuse(Reason::BudgetExhausted, denied.to_string(), None)
+            }
+        }
+    }
+}
--- a/src/executor/commit.rs
+++ b/src/executor/commit.rs
@@ -26,6 +26,7 @@
         },
         Refusal as LogRefusal,
     },
+    metrics::Span,
     name::{
         Instance,
         Program, //
@@ -138,7 +139,7 @@
 
     fn count(&self, end: &Result<Answer, Refusal>) {
         if let Err(refusal) = end {
-            self.shared.metrics.refusal(refusal.reason);
+            self.shared.metrics.refused(refusal.reason);
         }
     }
 
@@ -334,7 +335,7 @@
             // Earlier turns wait for the log, and the log takes turns in order only.
             Err(LogRefusal::NotApplied { retry_after: SOON })
         };
-        self.shared.metrics.commit(started.elapsed());
+        self.shared.metrics.took(Span::Commit, started.elapsed());
         let durability = match committed {
             Ok(decided) if decided.took_effect() => Durability::Committed,
             Ok(outcome::Outcome::Conflict(Winner::Turn(index))) => {
--- a/src/executor/mod.rs
+++ b/src/executor/mod.rs
@@ -50,7 +50,10 @@
         Ledger, //
     },
     member::Roster,
-    metrics::Metrics,
+    metrics::{
+        Metrics,
+        Span, //
+    },
     name::{
         Customer,
         Program, //
@@ -90,7 +93,7 @@
     /// Turns that are not in the log yet.
     pub overlay: Overlay,
     /// Counters.
-    pub metrics: Arc<Metrics>,
+    pub metrics: Metrics,
     /// Calls that are running, on all executors.
     pub running: Arc<AtomicUsize>,
 }
@@ -251,12 +254,12 @@
                 let _ = sink.send(Event::Answer(answer)).await;
             }
             Err(refusal) => {
-                self.shared.metrics.refusal(refusal.reason);
+                self.shared.metrics.refused(refusal.reason);
                 let _ = sink.send(Event::Refusal(refusal)).await;
             }
         }
         let elapsed = Time::now().since(started);
-        self.shared.metrics.call(elapsed);
+        self.shared.metrics.took(Span::Call, elapsed);
     }
 }
 
--- a/src/executor/turn.rs
+++ b/src/executor/turn.rs
@@ -270,12 +270,16 @@
     ///
     /// A wrong answer costs the result of the call, never a second send.
     fn lost(&self, claim: &Claim) -> bool {
-        if claim.author == self.shared.config.instance {
-            // This process has no job for the claim.
+        let Some((instance, _)) = claim.author.as_str().rsplit_once('.') else {
+            return true;
+        };
+        if instance == self.shared.config.instance.as_str() {
+            // This process has no job for the claim, and an earlier process of the instance ended.
             return true;
         }
         let snapshot = self.shared.roster.snapshot();
-        let holder = snapshot.peer(&claim.author);
+        let mut peers = snapshot.peers();
+        let holder = peers.find(|peer| peer.entry.instance.as_str() == instance);
         holder.is_none_or(|peer| !peer.status.usable())
     }
 
--- a/src/ledger/handle.rs
+++ b/src/ledger/handle.rs
@@ -394,10 +394,6 @@
         let _ = caught_up.wait_for(|all| all.iter().all(|c| *c)).await;
     }
 
-    pub(crate) fn settings(&self) -> &Settings {
-        &self.shared.settings
-    }
-
     fn lane(&self, customer: &Customer) -> &Lane {
         let partitions = self.shared.lanes.len() as u32;
         self.shared.lane(partition(customer, partitions))
--- a/src/ledger/state.rs
+++ b/src/ledger/state.rs
@@ -342,7 +342,7 @@
             Body::Claim {
                 index, key, digest, ..
             } => {
-                let claim = Claim {
+                let claim = super::program::Claim {
                     id: record.id,
                     author: record.author.clone(),
                     at: record.at,
--- a/src/metrics/label.rs
+++ b/src/metrics/label.rs
@@ -87,6 +87,7 @@
     Cancelled: "cancelled",
     UnknownPool: "unknown_pool",
     NotReady: "not_ready",
+    Conflict: "conflict",
 });
 
 names! {
