Serve the whole path from caller to engine by separate processes

Cause: the parts existed, but no request was served from end to end. Change: the HTTP interface, executors, gateway, daemon assembly and a test with three daemon processes on stand-ins. Claims now carry the key and the digest of their call, so that a repeated call is recognised after its holder is lost.

--- a/src/api/calls.rs
+++ b/src/api/calls.rs
@@ -93,7 +93,10 @@
         .route("/v1/programs/{program}/end", web::post().to(end))
         .route("/v1/programs/{program}/calls", web::post().to(call))
         .route("/v1/programs/{program}/calls/{turn}", web::get().to(fetch))
-        .route("/v1/programs/{program}/calls/{turn}", web::delete().to(cancel));
+        .route(
+            "/v1/programs/{program}/calls/{turn}",
+            web::delete().to(cancel),
+        );
 }
 
 /// Body of a start.
@@ -168,7 +171,8 @@
         let pool = Pool::try_from(new.pool).map_err(|fault| bad(format!("pool: {fault}")))?;
         if new.kind == Kind::Model {
             let messages = new.messages.filter(|messages| !messages.is_empty());
-            let messages = messages.ok_or_else(|| bad("messages: a model call needs at least one"))?;
+            let messages =
+                messages.ok_or_else(|| bad("messages: a model call needs at least one"))?;
             let max_tokens = new.max_tokens.unwrap_or(DEFAULT_TOKENS);
             if !(1..=MOST_TOKENS).contains(&max_tokens) {
                 return Err(bad(format!("max_tokens: must be from 1 to {MOST_TOKENS}")));
@@ -179,8 +183,12 @@
                 max_tokens,
             });
         }
-        let operation = new.operation.ok_or_else(|| bad("operation: a service call needs one"))?;
-        let body = new.body.map_or_else(|| "{}".to_owned(), |body| body.get().to_owned());
+        let operation = new
+            .operation
+            .ok_or_else(|| bad("operation: a service call needs one"))?;
+        let body = new
+            .body
+            .map_or_else(|| "{}".to_owned(), |body| body.get().to_owned());
         Ok(Self::Service {
             pool,
             operation,
@@ -189,7 +197,11 @@
     }
 }
 
-async fn start(app: web::Data<App>, body: web::Json<NewProgram>, http: HttpRequest) -> HttpResponse {
+async fn start(
+    app: web::Data<App>,
+    body: web::Json<NewProgram>,
+    http: HttpRequest,
+) -> HttpResponse {
     let id = app.request_id();
     match started(&app, body.into_inner(), &http).await {
         Ok(started) => HttpResponse::Created().json(started),
@@ -214,7 +226,11 @@
         now + asked.unwrap_or(longest).min(longest)
     };
     if deadline <= now {
-        return Err(refuse(Reason::DeadlineUnreachable, "the deadline has passed", None));
+        return Err(refuse(
+            Reason::DeadlineUnreachable,
+            "the deadline has passed",
+            None,
+        ));
     }
     let name = program::identifier(&app.shared().config.zone, now, &mut rand::rng());
     let program = name.map_err(|fault| bad(fault.to_string()))?;
@@ -230,7 +246,9 @@
         Ok(outcome) if outcome.took_effect() => Ok(Started { program, deadline }),
         Ok(Outcome::Conflict(Winner::Program(first))) => {
             let state = app.shared().ledger.state();
-            let deadline = state.program(&first).map_or(deadline, |found| found.deadline());
+            let deadline = state
+                .program(&first)
+                .map_or(deadline, |found| found.deadline());
             Ok(Started {
                 program: first,
                 deadline,
@@ -278,15 +296,23 @@
     new: NewCall,
     http: &HttpRequest,
 ) -> Result<Request, Refusal> {
-    let customer = new.customer.clone().ok_or_else(|| bad("customer: is missing"))?;
-    let customer = Customer::try_from(customer).map_err(|fault| bad(format!("customer: {fault}")))?;
+    let customer = new
+        .customer
+        .clone()
+        .ok_or_else(|| bad("customer: is missing"))?;
+    let customer =
+        Customer::try_from(customer).map_err(|fault| bad(format!("customer: {fault}")))?;
     let class = class(new.class.as_deref())?;
     let deadline = {
         let state = app.shared().ledger.state();
         let contract = admit::contract_of(&state, &customer)?;
         authorize(http, contract)?;
         let longest = contract.deadline(&class);
-        Time::now() + new.deadline_ms.map_or(longest, Duration::from_millis).min(longest)
+        Time::now()
+            + new
+                .deadline_ms
+                .map_or(longest, Duration::from_millis)
+                .min(longest)
     };
     let key = idempotency_key(http)?;
     Ok(Request {
@@ -332,7 +358,9 @@
 }
 
 fn absent(app: &App, state: &crate::ledger::State, program: &Program) -> Refusal {
-    let ended = state.accounts().find_map(|(_, account)| account.ended(program));
+    let ended = state
+        .accounts()
+        .find_map(|(_, account)| account.ended(program));
     if let Some(ending) = ended {
         return admit::ended(ending);
     }
@@ -347,10 +375,16 @@
     http: &HttpRequest,
 ) -> Result<Request, Refusal> {
     let (program, customer, class, deadline) = owned(app, path, http)?;
-    if new.customer.as_ref().is_some_and(|name| name != customer.as_str()) {
+    if new
+        .customer
+        .as_ref()
+        .is_some_and(|name| name != customer.as_str())
+    {
         return Err(admit::unknown(&program));
     }
-    let asked = new.deadline_ms.map(|ms| Time::now() + Duration::from_millis(ms));
+    let asked = new
+        .deadline_ms
+        .map(|ms| Time::now() + Duration::from_millis(ms));
     let turn = new.turn;
     let key = idempotency_key(http)?;
     let call = Call::try_from(new)?;
@@ -371,7 +405,10 @@
 }
 
 fn idempotent(app: &App, call: &Call) -> bool {
-    let Call::Service { pool, operation, .. } = call else {
+    let Call::Service {
+        pool, operation, ..
+    } = call
+    else {
         return true;
     };
     let pool = app.shared().config.pool(pool.as_str());
@@ -451,11 +488,7 @@
     Bytes::from(text)
 }
 
-fn event_stream(
-    app: web::Data<App>,
-    id: String,
-    events: mpsc::Receiver<Event>,
-) -> HttpResponse {
+fn event_stream(app: web::Data<App>, id: String, events: mpsc::Receiver<Event>) -> HttpResponse {
     let state = (app, id, Some(events));
     let body = stream::unfold(state, |(app, id, events)| async move {
         let mut events = events?;
@@ -593,7 +626,12 @@
     finish(app, &path, Ending::Cancelled, &http).await
 }
 
-async fn finish(app: web::Data<App>, path: &str, reason: Ending, http: &HttpRequest) -> HttpResponse {
+async fn finish(
+    app: web::Data<App>,
+    path: &str,
+    reason: Ending,
+    http: &HttpRequest,
+) -> HttpResponse {
     let id = app.request_id();
     match finished(&app, path, reason, http).await {
         Ok(ending) => HttpResponse::Ok().json(serde_json::json!({ "ended": ending })),
--- a/src/api/contracts.rs
+++ b/src/api/contracts.rs
@@ -12,8 +12,7 @@
         self,
         ServiceConfig, //
     },
-    HttpRequest,
-    HttpResponse,
+    HttpRequest, HttpResponse,
 };
 use serde::{
     Deserialize,
@@ -94,12 +93,17 @@
         names.sort();
         names
     };
-    let entries: Vec<_> = customers.iter().filter_map(|name| entry(&app, name)).collect();
+    let entries: Vec<_> = customers
+        .iter()
+        .filter_map(|name| entry(&app, name))
+        .collect();
     HttpResponse::Ok().json(entries)
 }
 
 async fn show(app: web::Data<App>, path: web::Path<String>) -> HttpResponse {
-    let found = Customer::try_from(path.as_str()).ok().and_then(|name| entry(&app, &name));
+    let found = Customer::try_from(path.as_str())
+        .ok()
+        .and_then(|name| entry(&app, &name));
     match found {
         Some(entry) => HttpResponse::Ok()
             .insert_header((ETAG, format!("\"{}\"", entry.version)))
@@ -114,7 +118,12 @@
 
 /// Returns the version that the operator expects to be in force, 0 for none.
 fn expected(request: &HttpRequest) -> Result<Version, Refusal> {
-    let header = |name| request.headers().get(name).and_then(|value| value.to_str().ok());
+    let header = |name| {
+        request
+            .headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+    };
     let bad = |detail: &str| refuse(Reason::BadRequest, detail, None);
     match (header(IF_NONE_MATCH), header(IF_MATCH)) {
         (Some("*"), None) => Ok(0),
@@ -122,7 +131,9 @@
             .trim_matches('"')
             .parse()
             .map_err(|_| bad("If-Match: must be the version in double quotes")),
-        _ => Err(bad("send If-None-Match: * to publish, or If-Match: \"version\" to amend")),
+        _ => Err(bad(
+            "send If-None-Match: * to publish, or If-Match: \"version\" to amend",
+        )),
     }
 }
 
@@ -187,8 +198,8 @@
     current: Version,
     contract: &Contract,
 ) -> Result<Version, Refusal> {
-    let same = version == current
-        && entry(app, customer).is_some_and(|entry| entry.contract == *contract);
+    let same =
+        version == current && entry(app, customer).is_some_and(|entry| entry.contract == *contract);
     if same {
         return Ok(version);
     }
--- a/src/api/operate.rs
+++ b/src/api/operate.rs
@@ -131,7 +131,9 @@
     let mut rows = Vec::new();
     for pool in &app.shared().config.pools {
         for upstream in &pool.upstreams {
-            let seen = stats.get(&pool.name).and_then(|s| s.upstreams.get(&upstream.name));
+            let seen = stats
+                .get(&pool.name)
+                .and_then(|s| s.upstreams.get(&upstream.name));
             rows.push(Upstream {
                 pool: pool.name.to_string(),
                 upstream: upstream.name.to_string(),
--- a/src/api/problem.rs
+++ b/src/api/problem.rs
@@ -51,10 +51,9 @@
         Reason::WrongKey => StatusCode::UNAUTHORIZED,
         Reason::BudgetExhausted => StatusCode::PAYMENT_REQUIRED,
         Reason::UnknownCustomer | Reason::UnknownProgram => StatusCode::NOT_FOUND,
-        Reason::ProgramEnded
-        | Reason::OutOfOrder
-        | Reason::TurnInProgress
-        | Reason::Cancelled => StatusCode::CONFLICT,
+        Reason::ProgramEnded | Reason::OutOfOrder | Reason::TurnInProgress | Reason::Cancelled => {
+            StatusCode::CONFLICT
+        }
         Reason::ProgramExpired => StatusCode::GONE,
         Reason::Conflict => StatusCode::PRECONDITION_FAILED,
         Reason::CustomerElsewhere => StatusCode::MISDIRECTED_REQUEST,
@@ -89,7 +88,8 @@
 
 impl From<Problem> for HttpResponse {
     fn from(problem: Problem) -> Self {
-        let status = StatusCode::from_u16(problem.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let status =
+            StatusCode::from_u16(problem.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
         let mut response = HttpResponseBuilder::new(status);
         if let Some(ms) = problem.retry_after_ms {
             // `Retry-After` counts whole seconds; rounding up never invites an early retry.
--- a/src/api/refusals.rs
+++ b/src/api/refusals.rs
@@ -21,7 +21,9 @@
 
 impl Refusals {
     fn latest(&self) -> MutexGuard<'_, VecDeque<Problem>> {
-        self.latest.lock().unwrap_or_else(|error| error.into_inner())
+        self.latest
+            .lock()
+            .unwrap_or_else(|error| error.into_inner())
     }
 
     /// Keeps a refusal, and forgets the oldest one if there are too many.
--- a/src/bin/gypsumleverd.rs
+++ b/src/bin/gypsumleverd.rs
@@ -1,9 +1,6 @@
 //! The daemon.
 
-use std::{
-    path::PathBuf,
-    process::ExitCode, //
-};
+use std::process::ExitCode;
 
 use anyhow::Context;
 use gypsumlever::{
@@ -16,13 +13,20 @@
     SignalKind, //
 };
 
-xflags::xflags! {
-    /// Runs one instance of the scheduler.
-    cmd gypsumleverd {
-        /// File with the settings.
-        required --config path: PathBuf
-        /// Check the settings and exit.
-        optional --check
+mod flags {
+    //! Command line of the daemon.
+    #![allow(missing_docs)]
+
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Runs one instance of the scheduler.
+        cmd gypsumleverd {
+            /// File with the settings.
+            required --config path: PathBuf
+            /// Check the settings and exit.
+            optional --check
+        }
     }
 }
 
@@ -30,7 +34,7 @@
 const INVALID: u8 = 2;
 
 fn main() -> anyhow::Result<ExitCode> {
-    let flags = Gypsumleverd::from_env_or_exit();
+    let flags = flags::Gypsumleverd::from_env_or_exit();
     if flags.check {
         return Ok(check(&flags));
     }
@@ -46,7 +50,7 @@
     Ok(ExitCode::SUCCESS)
 }
 
-fn check(flags: &Gypsumleverd) -> ExitCode {
+fn check(flags: &flags::Gypsumleverd) -> ExitCode {
     match Config::check(&flags.config) {
         Ok(_) => {
             println!("{}: settings are valid", flags.config.display());
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -116,18 +116,28 @@
     Ok(Instance::try_from(format!("{instance}.{suffix:08x}"))?)
 }
 
-fn targets(config: &Config, pool: &config::Pool) -> std::collections::BTreeMap<crate::name::Upstream, Target> {
-    let here = pool.upstreams.iter().filter(|upstream| upstream.zone == config.zone);
+fn targets(
+    config: &Config,
+    pool: &config::Pool,
+) -> std::collections::BTreeMap<crate::name::Upstream, Target> {
+    let here = pool
+        .upstreams
+        .iter()
+        .filter(|upstream| upstream.zone == config.zone);
     let limits = match pool.kind {
         Kind::Model => pool::Limits::default(),
         // A service answers at once and needs no short queue for the sake of priorities.
-        Kind::Tool | Kind::Service => pool::Limits { initial: 128, most: 1_024 },
+        Kind::Tool | Kind::Service => pool::Limits {
+            initial: 128,
+            most: 1_024,
+        },
     };
     let target = |upstream: &config::Upstream| Target {
         address: upstream.address.clone(),
         limits,
     };
-    here.map(|upstream| (upstream.name.clone(), target(upstream))).collect()
+    here.map(|upstream| (upstream.name.clone(), target(upstream)))
+        .collect()
 }
 
 fn ledger(config: &Config, author: Instance) -> Ledger {
@@ -180,16 +190,26 @@
     pub async fn start(config: Config) -> anyhow::Result<Self> {
         let config = Arc::new(config);
         let author = author(&config.instance)?;
-        log::info!("daemon: instance {} starts in zone {} as {author}", config.instance, config.zone);
+        log::info!(
+            "daemon: instance {} starts in zone {} as {author}",
+            config.instance,
+            config.zone
+        );
         let ledger = ledger(&config, author);
         let address = config.listen.advertised().to_string();
         let roster = Roster::start(config.instance.clone(), config.zone.clone(), &address);
         let dispatcher = dispatcher(&config);
         let overlay = Overlay::default();
         let entry = Arc::new(OnceLock::new());
-        let handler = intake::Intake::new(entry.clone(), dispatcher.clone(), ledger.clone(), overlay.clone());
+        let handler = intake::Intake::new(
+            entry.clone(),
+            dispatcher.clone(),
+            ledger.clone(),
+            overlay.clone(),
+        );
         let mesh = Mesh::start(links(&config), handler, roster.clone()).await;
-        let mesh = mesh.with_context(|| format!("peer port {} can't be opened", config.listen.peers))?;
+        let mesh =
+            mesh.with_context(|| format!("peer port {} can't be opened", config.listen.peers))?;
         let broker = Broker::new(
             config.instance.clone(),
             config.zone.clone(),
@@ -213,7 +233,12 @@
             idle: config.timings.idle,
             ..http::Settings::default()
         };
-        let clients = move || (chat::Client::new(connections), rest::Client::new(connections));
+        let clients = move || {
+            (
+                chat::Client::new(connections),
+                rest::Client::new(connections),
+            )
+        };
         let pool = executor::Pool::start(&shared, EXECUTORS, clients);
         let gateway = Gateway::new(shared, pool);
         // Nothing else sets the entry.
@@ -285,10 +310,17 @@
     .shutdown_timeout(config.timings.drain.as_secs())
     .bind(config.listen.callers)
     .with_context(|| format!("callers' port {} can't be opened", config.listen.callers))?;
-    let address = server.addrs().first().copied().unwrap_or(config.listen.callers);
+    let address = server
+        .addrs()
+        .first()
+        .copied()
+        .unwrap_or(config.listen.callers);
     let server = server.run();
     let handle = server.handle();
     actix_web::rt::spawn(server);
-    log::info!("daemon: callers are served at {address} by {:?}", thread::current().id());
+    log::info!(
+        "daemon: callers are served at {address} by {:?}",
+        thread::current().id()
+    );
     Ok((handle, address))
 }
--- a/src/daemon/upkeep.rs
+++ b/src/daemon/upkeep.rs
@@ -16,7 +16,11 @@
     },
     hash::Set,
     ledger::program,
-    member::snapshot::Status,
+    member::{
+        consul,
+        snapshot::Status,
+        List, //
+    },
     metrics::Level,
     name::Instance,
     peer::wire::Body,
@@ -35,6 +39,7 @@
     actix_web::rt::spawn(tick(app.clone()));
     actix_web::rt::spawn(get_ready(app.clone()));
     actix_web::rt::spawn(follow_view(app.clone()));
+    actix_web::rt::spawn(poll_list(app.clone()));
 }
 
 /// Shares the append budget of the log among the live instances.
@@ -59,6 +64,22 @@
     }
 }
 
+/// Reads the platform's list; the last one stands while the list can't be read.
+async fn poll_list(app: App) {
+    let config = app.shared().config.clone();
+    let client = consul::Client::new(&config.list.address, &config.list.service);
+    loop {
+        match client.list().await {
+            Ok(listed) => {
+                let now = Time::now();
+                app.shared().roster.update(|view| view.listed(now, &listed));
+            }
+            Err(error) => log::debug!("daemon: list of instances can't be read: {error}"),
+        }
+        sleep(config.timings.list).await;
+    }
+}
+
 /// Drops held turns that the log has decided.
 fn drop_decided(app: &App) {
     let shared = app.shared();
@@ -84,7 +105,10 @@
         (Level::Held, shared.overlay.len() as u64),
         (Level::Instances, snapshot.live_count() as u64),
         (Level::Links, shared.mesh.links() as u64),
-        (Level::Running, shared.running.load(Ordering::Relaxed) as u64),
+        (
+            Level::Running,
+            shared.running.load(Ordering::Relaxed) as u64,
+        ),
     ];
     for (level, value) in levels {
         shared.metrics.set(level, value);
@@ -94,13 +118,19 @@
 /// Marks the instance as ready once its replica has caught up with the log or with a peer.
 async fn get_ready(app: App) {
     let ledger = &app.shared().ledger;
-    while tokio::time::timeout(ASK_PEERS, ledger.wait_caught_up()).await.is_err() {
+    while tokio::time::timeout(ASK_PEERS, ledger.wait_caught_up())
+        .await
+        .is_err()
+    {
         if copy_from_peers(&app).await {
             break;
         }
     }
     app.ready.store(true, Ordering::Relaxed);
-    log::info!("daemon: instance is ready at offsets {:?}", ledger.applied());
+    log::info!(
+        "daemon: instance is ready at offsets {:?}",
+        ledger.applied()
+    );
 }
 
 /// Takes the state of every partition from peers; returns whether it is as new as any peer's.
@@ -124,7 +154,10 @@
         }
     }
     let applied = shared.ledger.applied();
-    highest.iter().zip(&applied).all(|(highest, applied)| applied >= highest)
+    highest
+        .iter()
+        .zip(&applied)
+        .all(|(highest, applied)| applied >= highest)
 }
 
 async fn fetch(app: &App, peer: &Instance, partition: u32) -> bool {
--- a/src/dispatch/broker.rs
+++ b/src/dispatch/broker.rs
@@ -205,7 +205,11 @@
         let mut replies = self.mesh.open(&owner, body).ok()?;
         let patience = call.deadline.since(Time::now());
         match timeout(patience, replies.next()).await {
-            Ok(Some(Ok(Body::Grant { grant, upstream, address }))) => Some(Ok(Lease {
+            Ok(Some(Ok(Body::Grant {
+                grant,
+                upstream,
+                address,
+            }))) => Some(Ok(Lease {
                 upstream,
                 address,
                 place: Place {
@@ -213,7 +217,10 @@
                     origin: Some(Origin::Remote(self.mesh.clone(), owner)),
                 },
             })),
-            Ok(Some(Ok(Body::Deny { reason, retry_after_ms }))) => Some(Err(Deny {
+            Ok(Some(Ok(Body::Deny {
+                reason,
+                retry_after_ms,
+            }))) => Some(Err(Deny {
                 reason,
                 retry_after: retry_after_ms.map_or(RETRY_AFTER, Duration::from_millis),
             })),
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -237,13 +237,30 @@
         for decision in decisions {
             match decision {
                 Decision::Grant { id, upstream } => {
-                    let target = self.sections.get(name).and_then(|s| s.targets.get(&upstream));
+                    let target = self
+                        .sections
+                        .get(name)
+                        .and_then(|s| s.targets.get(&upstream));
                     let address = target.map(|t| t.address.clone()).unwrap_or_default();
-                    let grant = Grant { id, upstream, address };
+                    let grant = Grant {
+                        id,
+                        upstream,
+                        address,
+                    };
                     self.answer(id, Ok(grant));
                 }
-                Decision::Deny { id, reason, retry_after } => {
-                    self.answer(id, Err(Deny { reason, retry_after }));
+                Decision::Deny {
+                    id,
+                    reason,
+                    retry_after,
+                } => {
+                    self.answer(
+                        id,
+                        Err(Deny {
+                            reason,
+                            retry_after,
+                        }),
+                    );
                 }
             }
         }
@@ -264,7 +281,9 @@
         let Some(wake) = wake else {
             return;
         };
-        let delay = wake.since(now).clamp(Duration::from_millis(1), LONGEST_SLEEP);
+        let delay = wake
+            .since(now)
+            .clamp(Duration::from_millis(1), LONGEST_SLEEP);
         let timer = ctx.run_later(delay, |this, ctx| {
             this.timer = None;
             let names: Vec<_> = this.sections.keys().cloned().collect();
--- a/src/executor/admit.rs
+++ b/src/executor/admit.rs
@@ -95,12 +95,20 @@
 
 /// Makes the refusal of a program that is not known.
 pub fn unknown(name: &Program) -> Refusal {
-    refuse(Reason::UnknownProgram, format!("program {name} is not known"), None)
+    refuse(
+        Reason::UnknownProgram,
+        format!("program {name} is not known"),
+        None,
+    )
 }
 
 /// Makes the refusal of a call of an ended program.
 pub fn ended(ending: Ending) -> Refusal {
-    refuse(Reason::ProgramEnded, format!("program has ended: {ending:?}"), None)
+    refuse(
+        Reason::ProgramEnded,
+        format!("program has ended: {ending:?}"),
+        None,
+    )
 }
 
 /// What a program has used so far, turns that are not in the log yet included.
@@ -125,5 +133,8 @@
         (usage.age.as_secs() >= limits.seconds, Ending::TimeLimit),
         (usage.spent.0 >= limits.spend_micros, Ending::SpendLimit),
     ];
-    rules.into_iter().find(|(hit, _)| *hit).map(|(_, ending)| ending)
+    rules
+        .into_iter()
+        .find(|(hit, _)| *hit)
+        .map(|(_, ending)| ending)
 }
--- a/src/executor/attempt.rs
+++ b/src/executor/attempt.rs
@@ -148,15 +148,28 @@
             return Err(refuse(Reason::UnknownPool, "pool is not configured", None));
         };
         match (&request.call, operation) {
-            (Call::Model { messages, max_tokens, .. }, _) => {
+            (
+                Call::Model {
+                    messages,
+                    max_tokens,
+                    ..
+                },
+                _,
+            ) => {
                 let mut all = history;
                 all.extend(messages.iter().cloned());
-                let worst = pool.prices.cost(prompt::most_tokens(&all), u64::from(*max_tokens));
+                let worst = pool
+                    .prices
+                    .cost(prompt::most_tokens(&all), u64::from(*max_tokens));
                 let work = Work::Model(Prompt {
                     model: pool.model().unwrap_or(pool.name.as_str()).to_owned(),
                     messages: all,
                     max_tokens: *max_tokens,
-                    cache_key: request.program.as_ref().map(prompt::cache_key).unwrap_or_default(),
+                    cache_key: request
+                        .program
+                        .as_ref()
+                        .map(prompt::cache_key)
+                        .unwrap_or_default(),
                 });
                 Ok((work, worst))
             }
@@ -170,9 +183,11 @@
                 };
                 Ok((work, Money(price)))
             }
-            (Call::Service { .. }, None) => {
-                Err(refuse(Reason::UnknownPool, "operation is not configured", None))
-            }
+            (Call::Service { .. }, None) => Err(refuse(
+                Reason::UnknownPool,
+                "operation is not configured",
+                None,
+            )),
         }
     }
 
@@ -183,7 +198,9 @@
     }
 
     fn settle(&self, task: &Task, hold: Hold, spent: Money) {
-        self.shared.purses.settle(&task.request.customer, hold, spent);
+        self.shared
+            .purses
+            .settle(&task.request.customer, hold, spent);
     }
 
     /// Runs a call until an attempt succeeds or no more attempt is allowed.
@@ -211,7 +228,11 @@
                     let cost = Money(cost.0.min(task.worst.0));
                     self.settle(task, covered, cost);
                     let cost = cost.saturating_add(lost);
-                    return Ok(Outcome { content, usage, cost });
+                    return Ok(Outcome {
+                        content,
+                        usage,
+                        cost,
+                    });
                 }
                 Err(miss) => miss,
             };
@@ -220,7 +241,11 @@
                 Miss::Stale => {
                     self.settle(task, covered, Money(0));
                     let detail = "the claim became too old before the call could be sent";
-                    return Err(refuse(Reason::DeadlineUnreachable, detail, Some(RETRY_AFTER)));
+                    return Err(refuse(
+                        Reason::DeadlineUnreachable,
+                        detail,
+                        Some(RETRY_AFTER),
+                    ));
                 }
                 Miss::Cancelled => {
                     drop(covered);
@@ -241,7 +266,11 @@
             let again = repeatable
                 && attempt < MOST_ATTEMPTS
                 && Time::now() < task.deadline
-                && self.shared.broker.retry(task.request.call.pool(), &task.request.customer).await;
+                && self
+                    .shared
+                    .broker
+                    .retry(task.request.call.pool(), &task.request.customer)
+                    .await;
             if !again {
                 if let Some(unused) = hold.take() {
                     self.settle(task, unused, Money(0));
@@ -261,7 +290,8 @@
             Work::Model(_) => {
                 let pool = self.shared.config.pool(task.request.call.pool().as_str());
                 pool.map_or(task.worst, |pool| {
-                    pool.prices.cost(usage.prompt_tokens, usage.completion_tokens)
+                    pool.prices
+                        .cost(usage.prompt_tokens, usage.completion_tokens)
                 })
             }
             Work::Service { .. } => task.worst,
@@ -319,7 +349,10 @@
         task: &Task,
         lease: Lease,
     ) -> Result<(String, Usage), Miss> {
-        if task.claimed_until.is_some_and(|until| Instant::now() >= until) {
+        if task
+            .claimed_until
+            .is_some_and(|until| Instant::now() >= until)
+        {
             return Err(Miss::Stale);
         }
         let started = Instant::now();
@@ -332,7 +365,9 @@
         report.total_us = started.elapsed().as_micros() as u64;
         report.refused = matches!(
             &result,
-            Err(Miss::Upstream(Failure::Refused { .. } | Failure::NotSent(_)))
+            Err(Miss::Upstream(
+                Failure::Refused { .. } | Failure::NotSent(_)
+            ))
         );
         report.failed = matches!(&result, Err(Miss::Upstream(_)));
         self.shared.metrics.called(match &result {
@@ -380,12 +415,19 @@
                 }
                 Err(Failure::Unknown("stream ended without usage".into()))
             }
-            Work::Service { path, key, body, idempotent } => {
+            Work::Service {
+                path,
+                key,
+                body,
+                idempotent,
+            } => {
                 let body = body.clone();
                 let answer = if *idempotent {
                     self.service.call(address, path, key, body, limits).await?
                 } else {
-                    self.service.call_once(address, path, key, body, limits).await?
+                    self.service
+                        .call_once(address, path, key, body, limits)
+                        .await?
                 };
                 report.first_us = Some(started.elapsed().as_micros() as u64);
                 let content = String::from_utf8_lossy(&answer).into_owned();
@@ -429,9 +471,11 @@
 fn failed(failure: &Failure, idempotent: bool) -> Refusal {
     let (reason, ran, after) = match failure {
         Failure::NotSent(_) => (Reason::NoUpstream, Ran::No, Some(RETRY_AFTER)),
-        Failure::Refused { retry_after, .. } if idempotent => {
-            (Reason::UpstreamRefused, Ran::No, Some(retry_after.unwrap_or(RETRY_AFTER)))
-        }
+        Failure::Refused { retry_after, .. } if idempotent => (
+            Reason::UpstreamRefused,
+            Ran::No,
+            Some(retry_after.unwrap_or(RETRY_AFTER)),
+        ),
         Failure::Failed { .. } if idempotent => {
             (Reason::UpstreamFailed, Ran::Unknown, Some(RETRY_AFTER))
         }
@@ -451,9 +495,7 @@
     fn from(denied: Denied) -> Self {
         match denied {
             Denied::Log(refusal) => refusal.into(),
-            Denied::Contended => {
-                refuse(Reason::QueueFull, denied.to_string(), Some(RETRY_AFTER))
-            }
+            Denied::Contended => refuse(Reason::QueueFull, denied.to_string(), Some(RETRY_AFTER)),
             Denied::Budget { .. } | Denied::Rule(_) => {
                 refuse(Reason::BudgetExhausted, denied.to_string(), None)
             }
--- a/src/executor/commit.rs
+++ b/src/executor/commit.rs
@@ -92,7 +92,11 @@
             Arc::new(admit::contract(&state, &request)?.clone())
         };
         if request.deadline <= Time::now() {
-            return Err(refuse(Reason::DeadlineUnreachable, "the deadline has passed", None));
+            return Err(refuse(
+                Reason::DeadlineUnreachable,
+                "the deadline has passed",
+                None,
+            ));
         }
         let operation = self.operation(&request.call)?;
         if operation.is_some_and(|operation| !operation.idempotent) {
@@ -132,7 +136,10 @@
         self.count(&end);
         job.finish(end);
         let mut jobs = self.jobs.borrow_mut();
-        if jobs.get(&program).is_some_and(|last| Rc::ptr_eq(last, &job)) {
+        if jobs
+            .get(&program)
+            .is_some_and(|last| Rc::ptr_eq(last, &job))
+        {
             jobs.remove(&program);
         }
     }
@@ -159,7 +166,8 @@
         let (work, worst) = self.work(&request, operation.as_ref(), history, key)?;
         let limit = plan.contract.limits().spend_micros;
         if plan.spent.saturating_add(worst).0 > limit {
-            self.stop(&request.customer, program, Ending::SpendLimit).await;
+            self.stop(&request.customer, program, Ending::SpendLimit)
+                .await;
             return Err(admit::ended(Ending::SpendLimit));
         }
         let hold = self.cover(&request.customer, worst).await?;
@@ -300,7 +308,10 @@
             index: plan.index,
             turn: turn.clone(),
         };
-        (self.shared.ledger.record(&task.request.customer, body), turn)
+        (
+            self.shared.ledger.record(&task.request.customer, body),
+            turn,
+        )
     }
 
     /// Commits that the outcome of a claimed call is unknown, so that the program can go on.
@@ -342,7 +353,10 @@
                 return self.superseded(job, program, index).await;
             }
             Ok(outcome::Outcome::Rejected(outcome::Reason::Ended(ending))) => {
-                return Err(Refusal { ran: Ran::Yes, ..admit::ended(ending) });
+                return Err(Refusal {
+                    ran: Ran::Yes,
+                    ..admit::ended(ending)
+                });
             }
             Ok(decided) => {
                 return Err(Refusal {
--- a/src/executor/gateway.rs
+++ b/src/executor/gateway.rs
@@ -137,7 +137,12 @@
     }
 
     /// Forwards a call; returns false if its last event did not arrive.
-    async fn forward(&self, home: &Instance, request: &Request, sink: &mpsc::Sender<Event>) -> bool {
+    async fn forward(
+        &self,
+        home: &Instance,
+        request: &Request,
+        sink: &mpsc::Sender<Event>,
+    ) -> bool {
         let body = Body::Call(request.clone());
         let Ok(mut replies) = self.shared.mesh.open(home, body) else {
             return false;
--- a/src/executor/job.rs
+++ b/src/executor/job.rs
@@ -135,7 +135,14 @@
             while let Some(text) = self.piece(offset) {
                 let start = offset as u64;
                 offset += text.len();
-                if sink.send(Event::Text { offset: start, text }).await.is_err() {
+                if sink
+                    .send(Event::Text {
+                        offset: start,
+                        text,
+                    })
+                    .await
+                    .is_err()
+                {
                     return;
                 }
                 if restarts != self.restarts.get() {
--- a/src/executor/overlay.rs
+++ b/src/executor/overlay.rs
@@ -72,7 +72,9 @@
             Body::Turn { turn, .. } => Some(turn.clone()),
             _ => None,
         };
-        consecutive.filter_map(|((_, record), _)| turn(record)).collect()
+        consecutive
+            .filter_map(|((_, record), _)| turn(record))
+            .collect()
     }
 
     /// Drops the turns that the log has decided: those below `next`.
--- a/src/executor/prompt.rs
+++ b/src/executor/prompt.rs
@@ -35,7 +35,9 @@
                 messages.extend(new);
                 messages.push(message("assistant", &turn.answer));
             }
-            Ok(Call::Service { operation, body, .. }) => {
+            Ok(Call::Service {
+                operation, body, ..
+            }) => {
                 let request = format!("{operation} {body}");
                 messages.push(message("assistant", &request));
                 messages.push(message("tool", &turn.answer));
--- a/src/executor/turn.rs
+++ b/src/executor/turn.rs
@@ -112,7 +112,9 @@
         }
         let job = Job::new(digest, Some(view.plan.index));
         self.jobs.borrow_mut().insert(program.clone(), job.clone());
-        let task = self.clone().perform(job.clone(), request, program, view.plan);
+        let task = self
+            .clone()
+            .perform(job.clone(), request, program, view.plan);
         actix_web::rt::spawn(task);
         Ok(Entered::Job(job))
     }
@@ -143,13 +145,17 @@
         let found = admit::find(&state, request, program, self.shared.memory(), now)?;
         let held = self.shared.overlay.turns(program, found.next());
         let tokens = held.iter().map(|turn| turn.tokens).sum::<u64>();
-        let cost = held.iter().fold(Money(0), |sum, turn| sum.saturating_add(turn.cost));
+        let cost = held
+            .iter()
+            .fold(Money(0), |sum, turn| sum.saturating_add(turn.cost));
         let key = request.key.as_deref();
         Ok(View {
             committed: found.next(),
             // A held turn is later than the claim, which it answers.
             claim: found.claim().filter(|_| held.is_empty()).cloned(),
-            keyed: key.map(|key| found.keyed(key).collect()).unwrap_or_default(),
+            keyed: key
+                .map(|key| found.keyed(key).collect())
+                .unwrap_or_default(),
             plan: Plan {
                 index: found.next() + held.len() as u32,
                 digest,
@@ -346,7 +352,12 @@
 }
 
 /// Answers a repeated call with its turn.
-pub(super) fn replay(index: u32, turn: &Turn, digest: u64, durability: Durability) -> Result<Answer, Refusal> {
+pub(super) fn replay(
+    index: u32,
+    turn: &Turn,
+    digest: u64,
+    durability: Durability,
+) -> Result<Answer, Refusal> {
     if turn.digest != digest {
         let detail = format!("turn {index} was another call");
         return Err(refuse(Reason::KeyReused, detail, None));
--- a/src/ledger/program.rs
+++ b/src/ledger/program.rs
@@ -295,11 +295,7 @@
         Outcome::Accepted
     }
 
-    pub(crate) fn claim_turn(
-        &mut self,
-        claim: Claim,
-        index: u32,
-    ) -> Outcome {
+    pub(crate) fn claim_turn(&mut self, claim: Claim, index: u32) -> Outcome {
         let id = claim.id;
         match &self.claim {
             Some(claim) if claim.id == id => return Outcome::Duplicate,
--- a/tests/ledger_replica.rs
+++ b/tests/ledger_replica.rs
@@ -217,7 +217,7 @@
                     let budget = state.budget(&customer());
                     prop_assert!(after.spent + after.outstanding <= budget.total.0);
                 }
-                Body::Claim { program, index } => {
+                Body::Claim { program, index, .. } => {
                     prop_assert_eq!(open.insert((program, index), record.id), None);
                 }
                 Body::Void { claim, .. } => open.retain(|_, id| *id != claim),
--- a/tests/ledger_support/mod.rs
+++ b/tests/ledger_support/mod.rs
@@ -160,6 +160,8 @@
     Body::Claim {
         program: program.clone(),
         index,
+        key: None,
+        digest: 0,
     }
 }
 
--- /dev/null
+++ b/tests/path.rs
@@ -0,0 +1,51 @@
+//! The whole path on real processes: contract, program, dependent calls, stream, end.
+
+mod support;
+
+use serde_json::json;
+use support::{
+    Cluster,
+    Shape, //
+};
+
+/// Guards against a break anywhere between caller, instances, log and upstreams.
+#[actix_web::test]
+async fn path_one_program() {
+    let cluster = Cluster::start(Shape {
+        instances: 3,
+        engines: 2,
+        ..Shape::default()
+    })
+    .await;
+    cluster.with_contract().await;
+    let program = cluster.program(0).await;
+    let mut texts = Vec::new();
+    for turn in 0..3 {
+        let (status, body) = cluster
+            .say(turn, &program, &format!("k{turn}"), "girth?")
+            .await;
+        assert_eq!(status, 200, "{body}");
+        assert_eq!(body["turn"], turn);
+        assert_eq!(body["durability"], "committed");
+        texts.push(body["content"].as_str().expect("content").to_owned());
+    }
+    assert_ne!(
+        texts[0], texts[1],
+        "the second prompt must contain the first turn"
+    );
+    let (status, body) = cluster.capture(1, &program, "deposit-1").await;
+    assert_eq!(status, 200, "{body}");
+    assert_eq!(cluster.captures("deposit-1"), 1);
+    let (status, body) = cluster.get(2, &format!("/v1/programs/{program}")).await;
+    assert_eq!(status, 200, "{body}");
+    assert_eq!(body["turns"].as_array().map(Vec::len), Some(4));
+    let path = format!("/v1/programs/{program}/end");
+    let (status, body) = cluster.post(0, &path, None, &json!({})).await;
+    assert_eq!(status, 200, "{body}");
+    let (status, body) = cluster.say(1, &program, "late", "more?").await;
+    assert_eq!(
+        (status, &body["reason"]),
+        (409, &json!("program_ended")),
+        "{body}"
+    );
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,438 @@
+//! Real daemon processes on stand-ins, for tests of the whole path.
+
+#![allow(dead_code)]
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    net::TcpListener,
+    path::PathBuf,
+    process::{
+        Child,
+        Command,
+        Stdio, //
+    },
+    sync::atomic::{
+        AtomicU32,
+        Ordering, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use serde_json::{
+    json,
+    Value, //
+};
+use standin::{
+    engine,
+    list,
+    log,
+    server::Server,
+    service, //
+};
+
+/// Secret that the instances of a test share.
+const SECRET: &str = "secret-of-a-test";
+
+/// Shape of a deployment.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    /// Availability zones.
+    pub zones: Vec<&'static str>,
+    /// Instances in each zone.
+    pub instances: usize,
+    /// Engines in each zone.
+    pub engines: usize,
+    /// Services in each zone.
+    pub services: usize,
+    /// Settings of the log.
+    pub log: log::Config,
+    /// Settings of the engines.
+    pub engine: engine::Config,
+    /// Extra settings of the daemon in YAML, at the top level.
+    pub extra: String,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Self {
+            zones: vec!["cairo-a"],
+            instances: 1,
+            engines: 1,
+            services: 1,
+            log: log::Config::default(),
+            engine: engine::Config {
+                speed: 20.0,
+                ..engine::Config::default()
+            },
+            extra: String::new(),
+        }
+    }
+}
+
+/// One daemon process.
+pub struct Node {
+    pub name: String,
+    pub zone: String,
+    pub callers: String,
+    pub peers: String,
+    config: PathBuf,
+    child: Option<Child>,
+}
+
+impl Node {
+    /// Returns the process id.
+    pub fn pid(&self) -> u32 {
+        self.child.as_ref().map_or(0, Child::id)
+    }
+
+    /// Sends a signal by name, for example `STOP`.
+    pub fn signal(&self, name: &str) {
+        let pid = self.pid().to_string();
+        let status = Command::new("kill").args(["-s", name, &pid]).status();
+        assert!(
+            status.expect("kill starts").success(),
+            "kill -s {name} {pid}"
+        );
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Waits until the process has ended by itself; returns whether it succeeded.
+    pub fn wait(&mut self, limit: Duration) -> bool {
+        let end = Instant::now() + limit;
+        let Some(child) = self.child.as_mut() else {
+            return false;
+        };
+        while Instant::now() < end {
+            if let Some(status) = child.try_wait().expect("process can be waited for") {
+                self.child = None;
+                return status.success();
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        false
+    }
+
+    /// Starts the process, again if it was stopped.
+    pub fn start(&mut self) {
+        let log = fs::File::create(self.config.with_extension("log")).expect("log file");
+        let child = Command::new(env!("CARGO_BIN_EXE_gypsumleverd"))
+            .arg("--config")
+            .arg(&self.config)
+            .env("GYPSUMLEVER_PEER_SECRET", SECRET)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn();
+        self.child = Some(child.expect("daemon starts"));
+    }
+
+    /// Returns what the process has logged.
+    pub fn log(&self) -> String {
+        fs::read_to_string(self.config.with_extension("log")).unwrap_or_default()
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A deployment on loopback.
+pub struct Cluster {
+    pub log: Server<log::Log>,
+    pub list: Server<list::List>,
+    pub engines: Vec<Server<engine::Engine>>,
+    pub services: Vec<Server<service::Service>>,
+    pub nodes: Vec<Node>,
+    pub http: awc::Client,
+}
+
+fn free_address() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("an address").to_string()
+}
+
+fn upstreams(prefix: &str, list: &[(String, String)]) -> String {
+    let entry = |(at, (address, zone)): (usize, &(String, String))| {
+        format!("      - {{ name: {prefix}-{at}, address: \"{address}\", zone: {zone} }}\n")
+    };
+    list.iter().enumerate().map(entry).collect()
+}
+
+impl Cluster {
+    /// Starts a deployment and waits until all instances are ready.
+    pub async fn start(shape: Shape) -> Self {
+        let mut cluster = Self::prepare(&shape);
+        for node in &mut cluster.nodes {
+            node.start();
+        }
+        for at in 0..cluster.nodes.len() {
+            cluster.wait_ready(at).await;
+        }
+        cluster.wait_joined().await;
+        cluster
+    }
+
+    /// Starts the stand-ins and prepares the instances.
+    pub fn prepare(shape: &Shape) -> Self {
+        static LAST: AtomicU32 = AtomicU32::new(0);
+        let number = LAST.fetch_add(1, Ordering::Relaxed);
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
+            .join(format!("cluster-{}-{number}", std::process::id()));
+        fs::create_dir_all(&folder).expect("a folder for settings");
+        let log = log::start(shape.log.clone()).expect("log");
+        let list = list::start(list::Config {
+            lag_ms: 200,
+            ..list::Config::default()
+        });
+        let list = list.expect("list");
+        let mut engines = Vec::new();
+        let mut services = Vec::new();
+        let mut places = BTreeMap::new();
+        for zone in &shape.zones {
+            for _ in 0..shape.engines {
+                let engine = engine::start(shape.engine.clone()).expect("engine");
+                let place = (engine.address().to_string(), (*zone).to_owned());
+                places.entry("engine").or_insert_with(Vec::new).push(place);
+                engines.push(engine);
+            }
+            for _ in 0..shape.services {
+                let service = service::start(service::Config::default()).expect("service");
+                let place = (service.address().to_string(), (*zone).to_owned());
+                places.entry("service").or_insert_with(Vec::new).push(place);
+                services.push(service);
+            }
+        }
+        let empty = Vec::new();
+        let pools = format!(
+            "pools:\n  - name: saddle-advice\n    kind: model\n    prices: {{ prompt_micros_per_1000: 1000, completion_micros_per_1000: 1000 }}\n    models: [{{ name: saddle-advice, version: \"1\" }}]\n    upstreams:\n{}  - name: workshop-orders\n    kind: service\n    prices: {{ call_micros: 10 }}\n    operations:\n      - {{ name: stitch-status, path: /stitch-status, idempotent: true }}\n      - {{ name: capture-deposit, path: /capture-deposit, idempotent: false }}\n    upstreams:\n{}",
+            upstreams("engine", places.get("engine").unwrap_or(&empty)),
+            upstreams("service", places.get("service").unwrap_or(&empty)),
+        );
+        let mut nodes = Vec::new();
+        for zone in &shape.zones {
+            for at in 0..shape.instances {
+                let name = format!("{zone}-{at}");
+                let (callers, peers) = (free_address(), free_address());
+                let zones = shape.zones.join(", ");
+                let timings = "timings: { balancer_lag: 300ms, claim_age: 5s }\n";
+                let extra = match shape.extra.contains("timings:") {
+                    true => shape.extra.clone(),
+                    false => format!("{timings}{}", shape.extra),
+                };
+                let text = format!(
+                    "cluster: test\ninstance: {name}\nzone: {zone}\nzones: [{zones}]\nlisten: {{ callers: \"{callers}\", peers: \"{peers}\", workers: 2 }}\npeers: {{ secret_env: GYPSUMLEVER_PEER_SECRET }}\nlog: {{ addresses: [\"{}\"] }}\nlist: {{ address: \"{}\" }}\n{pools}{extra}",
+                    log.address(),
+                    list.address(),
+                );
+                let config = folder.join(format!("{name}.yaml"));
+                fs::write(&config, text).expect("settings");
+                list.state().put_now(entry(&name, zone, &peers));
+                nodes.push(Node {
+                    name,
+                    zone: (*zone).to_owned(),
+                    callers,
+                    peers,
+                    config,
+                    child: None,
+                });
+            }
+        }
+        Self {
+            log,
+            list,
+            engines,
+            services,
+            nodes,
+            http: awc::Client::builder()
+                .timeout(Duration::from_secs(30))
+                .finish(),
+        }
+    }
+
+    /// Waits until an instance is ready.
+    pub async fn wait_ready(&self, at: usize) {
+        let end = Instant::now() + Duration::from_secs(20);
+        while Instant::now() < end {
+            let response = self.http.get(self.url(at, "/readyz")).send().await;
+            if response.is_ok_and(|response| response.status().is_success()) {
+                return;
+            }
+            actix_web::rt::time::sleep(Duration::from_millis(20)).await;
+        }
+        panic!(
+            "instance {} is not ready:\n{}",
+            self.nodes[at].name,
+            self.nodes[at].log()
+        );
+    }
+
+    /// Waits until every instance sees every other one as live.
+    pub async fn wait_joined(&self) {
+        let end = Instant::now() + Duration::from_secs(20);
+        let wanted = self.nodes.len();
+        for at in 0..wanted {
+            loop {
+                let (_, rows) = self.get(at, "/v1/instances").await;
+                let rows = rows.as_array().cloned().unwrap_or_default();
+                let live = rows.iter().filter(|row| row["status"] == "live").count();
+                if live >= wanted {
+                    break;
+                }
+                assert!(
+                    Instant::now() < end,
+                    "instance {at} sees {live} of {wanted}"
+                );
+                actix_web::rt::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+
+    /// Returns the URL of a path on an instance.
+    pub fn url(&self, at: usize, path: &str) -> String {
+        format!("http://{}{path}", self.nodes[at].callers)
+    }
+
+    /// Gets a path; status 0 means that there was no whole answer.
+    pub async fn get(&self, at: usize, path: &str) -> (u16, Value) {
+        answer(self.http.get(self.url(at, path)).send().await).await
+    }
+
+    /// Posts JSON with an optional idempotency key.
+    pub async fn post(
+        &self,
+        at: usize,
+        path: &str,
+        key: Option<&str>,
+        body: &Value,
+    ) -> (u16, Value) {
+        let mut request = self.http.post(self.url(at, path));
+        if let Some(key) = key {
+            request = request.insert_header(("Idempotency-Key", key));
+        }
+        answer(request.send_json(body).await).await
+    }
+
+    /// Publishes a contract as `version`; returns the status and the body.
+    pub async fn publish(&self, at: usize, version: u64, contract: &Value) -> (u16, Value) {
+        let customer = contract["customer"].as_str().unwrap_or_default();
+        let request = self
+            .http
+            .put(self.url(at, &format!("/v1/contracts/{customer}")));
+        let request = match version {
+            1 => request.insert_header(("If-None-Match", "*")),
+            _ => request.insert_header(("If-Match", format!("\"{}\"", version - 1))),
+        };
+        answer(request.send_json(contract).await).await
+    }
+
+    /// Publishes the first contract of customer `sirag` and waits until it is in effect everywhere.
+    pub async fn with_contract(&self) {
+        let contract = json!({ "customer": "sirag", "budget_micros": 1_000_000_000u64 });
+        let (status, body) = self.publish(0, 1, &contract).await;
+        assert_eq!(status, 200, "{body}");
+        self.wait_contract("sirag", 1).await;
+    }
+
+    /// Waits until a version of a contract is in effect on all instances.
+    pub async fn wait_contract(&self, customer: &str, version: u64) {
+        let end = Instant::now() + Duration::from_secs(7);
+        for at in 0..self.nodes.len() {
+            if self.nodes[at].child.is_none() {
+                continue;
+            }
+            loop {
+                let (_, body) = self.get(at, &format!("/v1/contracts/{customer}")).await;
+                if body["version"]
+                    .as_u64()
+                    .is_some_and(|found| found >= version)
+                {
+                    break;
+                }
+                assert!(
+                    Instant::now() < end,
+                    "version {version} is not in effect on {at}"
+                );
+                actix_web::rt::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+    }
+
+    /// Starts a program of customer `sirag`.
+    pub async fn program(&self, at: usize) -> String {
+        let body = json!({ "customer": "sirag", "class": "consultation" });
+        let (status, answer) = self.post(at, "/v1/programs", None, &body).await;
+        assert_eq!(status, 201, "{answer}");
+        answer["program"].as_str().expect("a program").to_owned()
+    }
+
+    /// Makes a model call of a program.
+    pub async fn say(&self, at: usize, program: &str, key: &str, text: &str) -> (u16, Value) {
+        let body = json!({
+            "type": "model",
+            "pool": "saddle-advice",
+            "messages": [{ "role": "user", "content": text }],
+            "max_tokens": 16,
+        });
+        let path = format!("/v1/programs/{program}/calls");
+        self.post(at, &path, Some(key), &body).await
+    }
+
+    /// Captures a deposit, which must happen at most once.
+    pub async fn capture(&self, at: usize, program: &str, key: &str) -> (u16, Value) {
+        let body = json!({
+            "type": "tool",
+            "pool": "workshop-orders",
+            "operation": "capture-deposit",
+            "body": { "deposit": key },
+        });
+        let path = format!("/v1/programs/{program}/calls");
+        self.post(at, &path, Some(key), &body).await
+    }
+
+    /// Returns how often the services received a capture of this deposit.
+    pub fn captures(&self, key: &str) -> usize {
+        let of = |service: &Server<service::Service>| {
+            let calls = service.state().calls("/capture-deposit");
+            calls
+                .iter()
+                .filter(|call| call.body["deposit"] == key)
+                .count()
+        };
+        self.services.iter().map(of).sum()
+    }
+}
+
+/// Makes an entry of the platform's list.
+pub fn entry(name: &str, zone: &str, address: &str) -> list::Entry {
+    let address = address.parse().expect("an address");
+    list::Entry::new("gypsumlever", name, zone, address)
+}
+
+async fn answer<S>(
+    sent: Result<awc::ClientResponse<S>, awc::error::SendRequestError>,
+) -> (u16, Value)
+where
+    S: futures_util::Stream<Item = Result<bytes::Bytes, awc::error::PayloadError>> + Unpin,
+{
+    let Ok(mut response) = sent else {
+        return (0, Value::Null);
+    };
+    let status = response.status().as_u16();
+    match response.body().limit(8 << 20).await {
+        Ok(body) => (status, serde_json::from_slice(&body).unwrap_or(Value::Null)),
+        Err(_) => (0, Value::Null),
+    }
+}
