standin: Add contract tests and the faults that they showed to be wrong

Cause: failure tests are judged by the stand-ins' books, so the stand-ins need tests of their own.

Change: table-driven contract tests per stand-in. Faults hold when the call that sets them returns (the listener was reopened later). An answer that breaks off after 0 tokens generates none. Records are written as JSON once for all readers. Token parts are written without a JSON encoder. A given port that another stand-in has is refused.

Conclusion: awc reports a connection that was closed within a body as the end of the body, so clients have to check content length and [DONE]; the tests' client does.

--- a/standin/src/engine/batch.rs
+++ b/standin/src/engine/batch.rs
@@ -47,6 +47,8 @@
 pub struct Job {
     /// Number of the call in the books; `None` if the books are full.
     pub call: Option<usize>,
+    /// Number of the key's cost in the books.
+    pub cost: usize,
     /// Identifier of its slot while it runs.
     pub slot: u64,
     /// Key of the cached prefix.
@@ -98,6 +100,12 @@
             .is_some_and(|after| self.generated >= after)
     }
 
+    /// Returns whether a fault breaks the answer off here.
+    pub fn is_broken(&self) -> bool {
+        let reached = |after| self.missing == 0 && self.generated >= after;
+        self.fate.break_after.is_some_and(reached)
+    }
+
     /// Returns the prefixes that are computed and may stay in the cache.
     pub fn computed(&self) -> Vec<Mark> {
         if self.missing > 0 {
--- a/standin/src/engine/books.rs
+++ b/standin/src/engine/books.rs
@@ -1,10 +1,17 @@
 //! What the engine received and did.
 
-use std::collections::BTreeMap;
+use std::{
+    collections::BTreeMap,
+    ops::{
+        Index,
+        IndexMut, //
+    },
+};
 
 use serde::Serialize;
 
 use super::Command;
+use crate::Map;
 
 /// Books of the engine.
 #[derive(Clone, Debug, Default)]
@@ -24,6 +31,9 @@
     pub broken: u64,
     /// Steps that were computed.
     pub steps: u64,
+    /// Modelled duration of all steps in microseconds of real time; divided by the steps
+    /// it is the time between two tokens, for requests of the old system too.
+    pub busy_us: u64,
     /// Largest batch, without foreign requests.
     pub largest_batch: usize,
     /// Longest time in microseconds by which a step ended later than modelled; if it
@@ -89,6 +99,50 @@
     }
 }
 
+/// Costs of all keys, found by number while a call runs.
+#[derive(Debug, Default)]
+pub(super) struct Costs {
+    numbers: Map<String, usize>,
+    costs: Vec<Cost>,
+}
+
+impl Costs {
+    /// Returns the number of a key's cost.
+    pub(super) fn find(&mut self, key: &str) -> usize {
+        if let Some(number) = self.numbers.get(key) {
+            return *number;
+        }
+        self.costs.push(Cost::default());
+        self.numbers.insert(key.to_owned(), self.costs.len() - 1);
+        self.costs.len() - 1
+    }
+
+    /// Writes the costs into the books.
+    pub(super) fn publish(&self, books: &mut Books) {
+        for (key, number) in &self.numbers {
+            let cost = self.costs[*number];
+            let prefix = key.split('/').next().unwrap_or_default();
+            let sum = books.prefixes.entry(prefix.to_owned()).or_default();
+            *sum = sum.plus(cost);
+            books.keys.insert(key.clone(), cost);
+        }
+    }
+}
+
+impl Index<usize> for Costs {
+    type Output = Cost;
+
+    fn index(&self, number: usize) -> &Cost {
+        &self.costs[number]
+    }
+}
+
+impl IndexMut<usize> for Costs {
+    fn index_mut(&mut self, number: usize) -> &mut Cost {
+        &mut self.costs[number]
+    }
+}
+
 /// How a call ended.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 #[derive(Serialize)]
--- a/standin/src/engine/chat.rs
+++ b/standin/src/engine/chat.rs
@@ -60,12 +60,12 @@
         Ok(call) => call,
         Err(problem) => return Refusal::Invalid(problem.to_string()).answer(),
     };
-    let writer = Writer {
-        id: format!("chatcmpl-{}", NEXT.fetch_add(1, Ordering::Relaxed)),
-        model: call.model.clone(),
-        created: now() / 1_000_000,
-        usage: call.stream_options.unwrap_or_default().include_usage,
-    };
+    let writer = Writer::new(
+        format!("chatcmpl-{}", NEXT.fetch_add(1, Ordering::Relaxed)),
+        call.model.clone(),
+        now() / 1_000_000,
+        call.stream_options.unwrap_or_default().include_usage,
+    );
     let link = Link::of(&request);
     match submit(&engine, &call) {
         Ok(pieces) if call.stream => streamed(writer, pieces, link),
@@ -93,6 +93,7 @@
         let (length, finish) = length(&inner.config, call, answer);
         let job = Job {
             call: None,
+            cost: 0,
             slot: 0,
             key: key(call, marks.first().map_or(0, |mark| mark.hash)),
             chain: marks,
@@ -134,17 +135,15 @@
 }
 
 fn streamed(writer: Writer, pieces: UnboundedReceiver<Piece>, link: Arc<Link>) -> HttpResponse {
-    let parts = stream::unfold(Some((pieces, true)), move |state| {
-        let (writer, link) = (writer.clone(), Arc::clone(&link));
-        async move {
-            let (mut pieces, first) = state?;
-            let (part, rest) = match pieces.recv().await? {
-                Piece::Token(text) => (writer.token(&text, first), Some((pieces, false))),
-                Piece::Done(usage, finish) => (writer.done(usage, finish), None),
-                Piece::Break => match link.abort().await {},
-            };
-            Some((Ok::<_, Infallible>(part), rest))
-        }
+    let parts = stream::unfold(Some((pieces, writer, link, true)), |state| async {
+        let (mut pieces, writer, link, first) = state?;
+        let (part, more) = match pieces.recv().await? {
+            Piece::Token(text) => (writer.token(&text, first), true),
+            Piece::Done(usage, finish) => (writer.done(usage, finish), false),
+            Piece::Break => match link.abort().await {},
+        };
+        let rest = more.then_some((pieces, writer, link, false));
+        Some((Ok::<_, Infallible>(part), rest))
     });
     HttpResponse::Ok()
         .content_type("text/event-stream")
--- a/standin/src/engine/sse.rs
+++ b/standin/src/engine/sse.rs
@@ -23,40 +23,59 @@
     }
 }
 
-/// Writer of one answer.
+/// Writer of one answer. Tokens are plain words, so their parts are written without a
+/// JSON encoder: an engine writes thousands of them per second.
 #[derive(Clone, Debug)]
 pub struct Writer {
-    /// Identifier of the answer.
-    pub id: String,
-    /// Model that answers.
-    pub model: String,
-    /// Time in seconds since the Unix epoch.
-    pub created: u64,
-    /// Whether the last part tells the usage.
-    pub usage: bool,
+    id: String,
+    model: String,
+    created: u64,
+    usage: bool,
+    head: String,
+    tail: &'static str,
 }
 
 impl Writer {
+    /// Makes a writer; `usage` tells whether the last part carries the usage.
+    pub fn new(id: String, model: String, created: u64, usage: bool) -> Self {
+        let name = Value::from(model.as_str());
+        let head = format!(
+            r#"data: {{"id":"{id}","object":"chat.completion.chunk","created":{created},"model":{name},"choices":"#
+        );
+        Self {
+            id,
+            model,
+            created,
+            usage,
+            head,
+            tail: if usage {
+                ",\"usage\":null}\n\n"
+            } else {
+                "}\n\n"
+            },
+        }
+    }
+
     /// Returns the part that carries a token.
     pub fn token(&self, text: &str, first: bool) -> Bytes {
-        let delta = match first {
-            true => json!({"role": "assistant", "content": text}),
-            false => json!({"content": text}),
-        };
-        self.chunk(
-            &json!([{"index": 0, "delta": delta, "finish_reason": null}]),
-            Value::Null,
+        let (head, tail) = (&self.head, self.tail);
+        let role = if first { r#""role":"assistant","# } else { "" };
+        format!(
+            r#"{head}[{{"index":0,"delta":{{{role}"content":"{text}"}},"finish_reason":null}}]{tail}"#
         )
+        .into()
     }
 
     /// Returns the parts after the last token.
     pub fn done(&self, usage: Usage, finish: Finish) -> Bytes {
+        let (head, tail) = (&self.head, self.tail);
         let choices = json!([{"index": 0, "delta": {}, "finish_reason": finish}]);
-        let mut parts = self.chunk(&choices, Value::Null).to_vec();
+        let mut parts = format!("{head}{choices}{tail}");
         if self.usage {
-            parts.extend(self.chunk(&json!([]), usage.publish()));
+            let usage = usage.publish();
+            parts.push_str(&format!("{head}[],\"usage\":{usage}}}\n\n"));
         }
-        parts.extend(b"data: [DONE]\n\n");
+        parts.push_str("data: [DONE]\n\n");
         parts.into()
     }
 
@@ -72,18 +91,4 @@
             "usage": usage.publish(),
         })
     }
-
-    fn chunk(&self, choices: &Value, usage: Value) -> Bytes {
-        let mut chunk = json!({
-            "id": self.id,
-            "object": "chat.completion.chunk",
-            "created": self.created,
-            "model": self.model,
-            "choices": choices,
-        });
-        if self.usage {
-            chunk["usage"] = usage;
-        }
-        format!("data: {chunk}\n\n").into()
-    }
 }
--- a/standin/src/engine/state.rs
+++ b/standin/src/engine/state.rs
@@ -27,7 +27,7 @@
     books::{
         Books,
         Call,
-        Cost,
+        Costs,
         End,
         Erasure, //
     },
@@ -127,6 +127,7 @@
     foreign: Foreign,
     chunk: Vec<u64>,
     enqueued: u64,
+    costs: Costs,
     books: Books,
 }
 
@@ -146,6 +147,7 @@
             foreign: Foreign::default(),
             chunk: Vec::new(),
             enqueued: 0,
+            costs: Costs::default(),
             books: Books::default(),
             config,
         };
@@ -245,7 +247,8 @@
             let prompt = job.prompt_tokens();
             job.cached = found.tokens().min(prompt.saturating_sub(1));
             job.missing = prompt - job.cached;
-            let cost = self.books.keys.entry(job.key.clone()).or_default();
+            job.cost = self.costs.find(&job.key);
+            let cost = &mut self.costs[job.cost];
             cost.calls += 1;
             cost.prompt_tokens += prompt;
             cost.cached_tokens += job.cached;
@@ -274,6 +277,7 @@
             + self.config.step_per_request_us as f64 * batch as f64
             + self.config.prefill_per_token_us * prefill as f64;
         let factor = self.faults.slow.max(0.0) / self.config.speed.max(f64::MIN_POSITIVE);
+        self.books.busy_us += (micros * factor) as u64;
         Duration::from_secs_f64(micros * factor / 1e6)
     }
 
@@ -288,7 +292,7 @@
         let mut running = std::mem::take(&mut self.running);
         for (job, part) in running.iter_mut().zip(chunk) {
             job.missing -= part;
-            if job.missing == 0 && !job.is_silent() {
+            if job.missing == 0 && !job.is_silent() && !job.is_broken() {
                 self.generate(job);
             }
         }
@@ -303,8 +307,7 @@
         if job.generated < job.length {
             let token = job.answer.token(job.generated);
             job.generated += 1;
-            let cost = self.books.keys.entry(job.key.clone()).or_default();
-            cost.completion_tokens += 1;
+            self.costs[job.cost].completion_tokens += 1;
             let _ = job.client.send(Piece::Token(token));
         }
         self.record(job, |call| {
@@ -316,19 +319,15 @@
     }
 
     fn has_ended(job: &Job) -> bool {
-        let broken = job
-            .fate
-            .break_after
-            .is_some_and(|after| job.missing == 0 && job.generated >= after);
-        broken || job.generated >= job.length
+        job.is_broken() || job.generated >= job.length
     }
 
     fn end(&mut self, job: Job) {
-        let broken = job
-            .fate
-            .break_after
-            .is_some_and(|after| job.generated >= after);
-        let end = if broken { End::Broken } else { End::Completed };
+        let end = if job.is_broken() {
+            End::Broken
+        } else {
+            End::Completed
+        };
         let piece = match end {
             End::Broken => Piece::Break,
             _ => Piece::Done(job.usage(), job.finish),
@@ -396,11 +395,7 @@
 
     pub(super) fn books(&self) -> Books {
         let mut books = self.books.clone();
-        for (key, cost) in &books.keys {
-            let prefix = key.split('/').next().unwrap_or_default();
-            let sum = books.prefixes.entry(prefix.to_owned()).or_default();
-            *sum = Cost::plus(*sum, *cost);
-        }
+        self.costs.publish(&mut books);
         let idle = self.cache.slots().map(|slot| (&slot.key, slot.tokens));
         let busy = self.running.iter().map(|job| (&job.key, job.need()));
         for (key, tokens) in idle.chain(busy) {
--- a/standin/src/log/format.rs
+++ b/standin/src/log/format.rs
@@ -113,30 +113,35 @@
 }
 
 /// A record as a consumer gets it.
-#[derive(Debug)]
 #[derive(Serialize)]
-pub struct Fetched {
-    topic: String,
+struct Fetched<'a> {
+    topic: &'a str,
     key: Value,
     value: Value,
     partition: u32,
     offset: u64,
 }
 
-impl Fetched {
-    /// Encodes an entry.
-    pub fn encode(
-        format: Format,
-        topic: &str,
-        partition: u32,
-        entry: &Entry,
-    ) -> Result<Self, Problem> {
-        Ok(Self {
-            topic: topic.to_owned(),
-            key: format.encode(entry.key.as_ref())?,
-            value: format.encode(entry.value.as_ref())?,
+impl Entry {
+    /// Returns the record as consumers get it. It is written once and kept, because
+    /// every instance reads every record.
+    pub fn render(&self, format: Format, topic: &str, partition: u32) -> Result<Bytes, Problem> {
+        let kept = match format {
+            Format::Binary => &self.binary,
+            Format::Json => &self.json,
+        };
+        if let Some(text) = kept.get() {
+            return Ok(text.clone());
+        }
+        let fetched = Fetched {
+            topic,
+            key: format.encode(self.key.as_ref())?,
+            value: format.encode(self.value.as_ref())?,
             partition,
-            offset: entry.offset,
-        })
+            offset: self.offset,
+        };
+        let text = serde_json::to_vec(&fetched);
+        let text = Bytes::from(text.map_err(|error| Problem::broker(&error.to_string()))?);
+        Ok(kept.get_or_init(|| text).clone())
     }
 }
--- a/standin/src/log/partition.rs
+++ b/standin/src/log/partition.rs
@@ -1,6 +1,9 @@
 //! Records of one partition.
 
-use std::collections::VecDeque;
+use std::{
+    cell::OnceCell,
+    collections::VecDeque, //
+};
 
 use bytes::Bytes;
 
@@ -17,6 +20,10 @@
     pub key: Option<Bytes>,
     /// Value; `None` is a null value.
     pub value: Option<Bytes>,
+    /// The record in the binary format, once it was read.
+    pub(super) binary: OnceCell<Bytes>,
+    /// The record in the JSON format, once it was read.
+    pub(super) json: OnceCell<Bytes>,
 }
 
 impl Entry {
@@ -48,6 +55,8 @@
                 at,
                 key,
                 value,
+                binary: OnceCell::new(),
+                json: OnceCell::new(),
             });
             self.end += 1;
         }
--- a/standin/src/log/routes.rs
+++ b/standin/src/log/routes.rs
@@ -300,10 +300,20 @@
     answer(fetch(&log, &path.0, &path.1, &limits).await.map(|peek| {
         HttpResponse::Ok()
             .content_type(format.media())
-            .json(&peek.records)
+            .body(array(&peek.records))
     }))
 }
 
+/// Joins records that are written already to a JSON array.
+fn array(records: &[Bytes]) -> Vec<u8> {
+    let mut text =
+        Vec::with_capacity(records.iter().map(|record| record.len() + 1).sum::<usize>() + 2);
+    text.push(b'[');
+    text.extend(records.join(&b','));
+    text.push(b']');
+    text
+}
+
 /// Waits until enough is there to read or the time is over.
 async fn fetch(log: &Arc<Log>, group: &str, name: &str, limits: &Limits) -> Result<Peek, Problem> {
     let (min, timeout) = {
--- a/standin/src/log/store.rs
+++ b/standin/src/log/store.rs
@@ -12,6 +12,7 @@
     },
 };
 
+use bytes::Bytes;
 use rand::{
     rngs::SmallRng,
     RngExt,
@@ -30,10 +31,7 @@
         Request,
         Reset, //
     },
-    format::{
-        Fetched,
-        Format, //
-    },
+    format::Format,
     partition::{
         Entry,
         Pair,
@@ -328,7 +326,7 @@
                 }
                 peek.bytes += entry.size();
                 next = entry.offset + 1;
-                let record = Fetched::encode(format, &place.topic, place.partition, entry)?;
+                let record = entry.render(format, &place.topic, place.partition)?;
                 peek.records.push(record);
             }
             peek.positions.push((place, next));
@@ -369,7 +367,7 @@
 /// What a read would return.
 #[derive(Debug, Default)]
 pub(super) struct Peek {
-    pub(super) records: Vec<Fetched>,
+    pub(super) records: Vec<Bytes>,
     pub(super) bytes: usize,
     pub(super) full: bool,
     positions: Vec<(Place, u64)>,
--- a/standin/src/server/control.rs
+++ b/standin/src/server/control.rs
@@ -64,6 +64,7 @@
     faults: web::Json<S::Faults>,
 ) -> HttpResponse {
     apply(&**state, &wire, faults.into_inner());
+    wire.settled().await;
     HttpResponse::NoContent().finish()
 }
 
--- a/standin/src/server/listener.rs
+++ b/standin/src/server/listener.rs
@@ -3,14 +3,18 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::Arc, //
+    sync::Arc,
+    time::Duration, //
 };
 
 use actix_service::{
     Service,
     ServiceFactory, //
 };
-use actix_web::rt;
+use actix_web::rt::{
+    self,
+    time, //
+};
 use tokio::{
     net::{
         TcpListener,
@@ -29,6 +33,9 @@
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 4096;
 
+/// Pause after a connection could not be accepted, for lack of file descriptors for example.
+const RETRY: Duration = Duration::from_millis(10);
+
 /// A bound socket that doesn't listen. It keeps the port from being given to others
 /// while connections to it are refused.
 pub(super) struct Holder {
@@ -38,6 +45,10 @@
 
 impl Holder {
     pub(super) fn reserve(listen: SocketAddr) -> io::Result<Self> {
+        if listen.port() != 0 {
+            // The shared port would hide that another stand-in has it already.
+            drop(std::net::TcpListener::bind(listen)?);
+        }
         let socket = bound(listen)?;
         Ok(Self {
             address: socket.local_addr()?,
@@ -90,10 +101,12 @@
         } else if socket.is_none() {
             socket = holder.listen().ok();
         }
+        wire.set_listening(socket.is_some());
         tokio::select! {
             accepted = next(socket.as_ref()) => {
-                if let Ok((stream, peer)) = accepted {
-                    serve(&service, wire, stream, peer);
+                match accepted {
+                    Ok((stream, peer)) => serve(&service, wire, stream, peer),
+                    Err(_) => time::sleep(RETRY).await,
                 }
             }
             _ = faults.changed() => {}
@@ -123,6 +136,7 @@
     let connection = service.call((gate, Some(peer)));
     rt::spawn(async move {
         tokio::select! {
+            biased;
             _ = connection => {}
             () = link.closed() => {}
         }
--- a/standin/src/server/mod.rs
+++ b/standin/src/server/mod.rs
@@ -61,7 +61,7 @@
     /// Returns the faults that are set.
     fn faults(&self) -> Self::Faults;
 
-    /// Replaces all faults.
+    /// Replaces all faults; [`Server::set_faults`] also applies those of the network.
     fn set_faults(&self, faults: Self::Faults);
 
     /// Returns the network's part of the faults.
@@ -126,9 +126,20 @@
         self.control
     }
 
-    /// Replaces all faults.
+    /// Replaces all faults; they hold when this returns.
     pub fn set_faults(&self, faults: S::Faults) {
         control::apply(&*self.state, &self.wire, faults);
+        self.wire.settle();
+    }
+
+    /// Returns the faults that are set.
+    pub fn faults(&self) -> S::Faults {
+        self.state.faults()
+    }
+
+    /// Returns a copy of the books.
+    pub fn books(&self) -> S::Books {
+        self.state.books()
     }
 
     /// Silences all established connections for good; new ones work.
--- a/standin/src/server/network.rs
+++ b/standin/src/server/network.rs
@@ -10,9 +10,14 @@
         Mutex,
         MutexGuard, //
     },
-    time::Duration,
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
+use actix_web::rt::time;
 use serde::{
     Deserialize,
     Serialize, //
@@ -25,6 +30,9 @@
     Map, //
 };
 
+/// Longest wait for the listening socket to be opened or closed.
+const SETTLE: Duration = Duration::from_secs(1);
+
 /// How a system that can't be reached behaves.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -69,6 +77,7 @@
 /// The network in front of one address: its faults and its connections.
 pub struct Wire {
     faults: watch::Sender<Network>,
+    listening: watch::Sender<bool>,
     links: Mutex<Map<u64, Arc<Link>>>,
     next: AtomicU64,
 }
@@ -77,6 +86,7 @@
     /// Makes a wire with the given faults and no connections.
     pub fn new(faults: Network) -> Self {
         Self {
+            listening: watch::Sender::new(faults.outage != Some(Outage::Refuse)),
             faults: watch::Sender::new(faults),
             links: Mutex::default(),
             next: AtomicU64::new(0),
@@ -103,6 +113,29 @@
         self.links().values().for_each(|link| link.wake());
     }
 
+    /// Tells whether the listening socket is open now.
+    pub(super) fn set_listening(&self, open: bool) {
+        self.listening.send_replace(open);
+    }
+
+    /// Waits until the listening socket is as the faults want it. The listener runs on
+    /// another thread, or is a task on this one that must not be blocked.
+    pub(super) async fn settled(&self) {
+        let open = self.faults.borrow().outage != Some(Outage::Refuse);
+        let mut listening = self.listening.subscribe();
+        let reached = listening.wait_for(|now| *now == open);
+        let _ = time::timeout(SETTLE, reached).await;
+    }
+
+    /// Blocks until the listening socket is as the faults want it.
+    pub(super) fn settle(&self) {
+        let open = self.faults.borrow().outage != Some(Outage::Refuse);
+        let begin = Instant::now();
+        while *self.listening.borrow() != open && begin.elapsed() < SETTLE {
+            thread::sleep(Duration::from_micros(200));
+        }
+    }
+
     /// Returns whether no byte passes.
     pub fn is_silent(&self) -> bool {
         self.faults.borrow().outage == Some(Outage::Silent)
--- a/standin/src/weights/routes.rs
+++ b/standin/src/weights/routes.rs
@@ -51,8 +51,7 @@
 
 async fn get(store: Data<Store>, request: HttpRequest) -> HttpResponse {
     let path = request.path().to_owned();
-    let size = store.inner().config.files.get(&path).copied();
-    let Some(size) = size else {
+    let Some(size) = store.receive(&path) else {
         return HttpResponse::NotFound().finish();
     };
     let header = request.headers().get(header::RANGE);
@@ -66,7 +65,7 @@
                 .finish();
         }
     };
-    if let Err(wait) = store.admit(&path, end - first) {
+    if let Err(wait) = store.admit(end - first) {
         return HttpResponse::ServiceUnavailable()
             .insert_header((
                 header::RETRY_AFTER,
@@ -122,10 +121,16 @@
 }
 
 impl Store {
-    /// Counts a request and returns the time to wait if it is over the rate.
-    fn admit(&self, path: &str, bytes: u64) -> Result<(), Duration> {
+    /// Counts a request and returns the size of the file.
+    fn receive(&self, path: &str) -> Option<u64> {
         let mut inner = self.inner();
         *inner.books.requests.entry(path.to_owned()).or_default() += 1;
+        inner.config.files.get(path).copied()
+    }
+
+    /// Returns the time to wait if a request is over the rate.
+    fn admit(&self, bytes: u64) -> Result<(), Duration> {
+        let mut inner = self.inner();
         let refused = inner.faults.refuse_next > 0;
         inner.faults.refuse_next = inner.faults.refuse_next.saturating_sub(1);
         if refused || !inner.bucket.take(bytes as f64) {
--- /dev/null
+++ b/standin/tests/common/mod.rs
@@ -0,0 +1,163 @@
+//! HTTP client of the contract tests.
+#![allow(dead_code)]
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use actix_web::rt::time;
+use awc::{
+    error::{
+        ConnectError,
+        SendRequestError, //
+    },
+    http::header::{
+        HeaderMap,
+        CONTENT_LENGTH,
+        CONTENT_TYPE, //
+    },
+    Client,
+};
+use serde_json::Value;
+
+/// How a request ended for the client.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Seen {
+    /// Status and body; text that isn't JSON is a string.
+    Answer(u16, Value),
+    /// The connection was refused.
+    Refused,
+    /// The connection broke, before or within the answer.
+    Broken,
+    /// No answer came in time.
+    Silent,
+}
+
+impl Seen {
+    /// Returns the body of an answer with status 200.
+    pub fn body(self) -> Value {
+        match self {
+            Self::Answer(200, body) => body,
+            other => panic!("expected status 200, not {other:?}"),
+        }
+    }
+
+    /// Returns the status.
+    pub fn status(&self) -> u16 {
+        match self {
+            Self::Answer(status, _) => *status,
+            other => panic!("expected an answer, not {other:?}"),
+        }
+    }
+}
+
+/// A client with its own connections.
+pub struct Caller {
+    client: Client,
+    base: String,
+    /// Longest wait for a whole answer.
+    pub limit: Duration,
+}
+
+impl Caller {
+    /// Makes a client that waits up to three seconds.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            client: Client::builder().disable_timeout().finish(),
+            base: format!("http://{address}"),
+            limit: Duration::from_secs(3),
+        }
+    }
+
+    /// Makes a client that takes silence for granted soon.
+    pub fn hasty(address: SocketAddr) -> Self {
+        Self {
+            limit: Duration::from_millis(150),
+            ..Self::new(address)
+        }
+    }
+
+    /// Makes a client that waits for long unless silence is expected.
+    pub fn expecting(address: SocketAddr, expected: &Seen) -> Self {
+        match expected {
+            Seen::Silent => Self::hasty(address),
+            _ => Self::new(address),
+        }
+    }
+
+    /// Gets a path.
+    pub async fn get(&self, path: &str) -> Seen {
+        self.send("GET", path, &[], Vec::new()).await
+    }
+
+    /// Posts JSON to a path.
+    pub async fn post(&self, path: &str, body: Value) -> Seen {
+        let body = body.to_string().into_bytes();
+        self.send("POST", path, &[], body).await
+    }
+
+    /// Sends a request with headers.
+    pub async fn send(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Vec<u8>,
+    ) -> Seen {
+        let method = method.parse().expect("method");
+        let url = format!("{}{path}", self.base);
+        let mut request = self.client.request(method, url);
+        if !body.is_empty() {
+            request = request.content_type("application/json");
+        }
+        for header in headers {
+            request = request.insert_header(*header);
+        }
+        let exchange = async {
+            let mut answer = request.send_body(body).await.map_err(classify)?;
+            let status = answer.status().as_u16();
+            let bytes = answer.body().await.map_err(|_| Seen::Broken)?;
+            if is_cut(answer.headers(), &bytes) {
+                return Err(Seen::Broken);
+            }
+            let text = String::from_utf8_lossy(&bytes).into_owned();
+            let body = serde_json::from_str(&text).unwrap_or(Value::String(text));
+            Ok(Seen::Answer(status, body))
+        };
+        match time::timeout(self.limit, exchange).await {
+            Ok(Ok(seen) | Err(seen)) => seen,
+            Err(_) => Seen::Silent,
+        }
+    }
+}
+
+/// Returns whether an answer is incomplete. The client reports a connection that was closed
+/// within a body as the end of the body.
+fn is_cut(headers: &HeaderMap, body: &[u8]) -> bool {
+    let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
+    let length = text(CONTENT_LENGTH).and_then(|length| length.parse().ok());
+    let stream = text(CONTENT_TYPE) == Some("text/event-stream");
+    length.is_some_and(|length: usize| length != body.len())
+        || (stream && !body.ends_with(b"data: [DONE]\n\n"))
+}
+
+/// A connection that was made and then closed is reported as a connect error too.
+fn classify(error: SendRequestError) -> Seen {
+    match error {
+        SendRequestError::Connect(ConnectError::Disconnected) => Seen::Broken,
+        SendRequestError::Connect(_) => Seen::Refused,
+        _ => Seen::Broken,
+    }
+}
+
+/// Waits until `done`, at most three seconds.
+pub async fn until(mut done: impl FnMut() -> bool) {
+    for _ in 0..600 {
+        if done() {
+            return;
+        }
+        time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("what was expected did not happen within three seconds");
+}
--- /dev/null
+++ b/standin/tests/engine.rs
@@ -0,0 +1,465 @@
+//! Guards against an engine whose answers, cache, costs or faults differ from what it claims:
+//! budgets, prefix locality and mixed-up histories are judged by its books.
+
+mod common;
+
+use common::{
+    Caller,
+    Seen, //
+};
+use serde_json::{
+    json,
+    Value, //
+};
+use standin::{
+    engine::{
+        self,
+        Answer,
+        Books,
+        Config,
+        Cost,
+        End,
+        Engine,
+        Faults,
+        Fencing,
+        Foreign,
+        Message, //
+    },
+    server::Server,
+};
+
+const CHAT: &str = "/v1/chat/completions";
+
+/// An engine that is 20 times as fast as modelled.
+fn config() -> Config {
+    Config {
+        speed: 20.0,
+        load_lag_ms: 0,
+        load_interval_ms: 1,
+        events_lag_ms: 0,
+        ..Default::default()
+    }
+}
+
+fn start(config: Config) -> (Server<Engine>, Caller) {
+    let server = engine::start(config).expect("start");
+    let caller = Caller::new(server.address());
+    (server, caller)
+}
+
+fn call(key: &str, messages: &[Message], tokens: u32) -> Value {
+    json!({
+        "model": "m",
+        "messages": messages,
+        "max_tokens": tokens,
+        "prompt_cache_key": key,
+    })
+}
+
+fn user(text: &str) -> Vec<Message> {
+    vec![Message::new("user", text)]
+}
+
+fn streamed(mut body: Value) -> Value {
+    body["stream"] = json!(true);
+    body["stream_options"] = json!({"include_usage": true});
+    body
+}
+
+/// Splits a stream into its text, its usage and whether it is complete.
+fn parse(body: &Value) -> (String, Value, bool) {
+    let stream = body.as_str().expect("event stream");
+    let (mut text, mut usage, mut complete) = (String::new(), Value::Null, false);
+    for line in stream.lines().filter(|line| !line.is_empty()) {
+        let data = line.strip_prefix("data: ").expect("data");
+        if data == "[DONE]" {
+            complete = true;
+            continue;
+        }
+        let part: Value = serde_json::from_str(data).expect("JSON");
+        assert_eq!(part["object"], "chat.completion.chunk");
+        if let Some(token) = part["choices"][0]["delta"]["content"].as_str() {
+            text.push_str(token);
+        }
+        if part["usage"].is_object() {
+            usage = part["usage"].clone();
+        }
+    }
+    (text, usage, complete)
+}
+
+async fn until(server: &Server<Engine>, done: impl Fn(&Books) -> bool) {
+    common::until(|| done(&server.books())).await;
+}
+
+#[actix_web::test]
+async fn completions_stream_and_whole() {
+    let (server, caller) = start(config());
+    let prompt = user("which saddle fits a wide back?");
+    let expected = Answer::new(&prompt).text(9);
+    let seen = caller.post(CHAT, streamed(call("p/1", &prompt, 9))).await;
+    let (text, usage, complete) = parse(&seen.body());
+    assert_eq!((text.as_str(), complete), (expected.as_str(), true));
+    let details = json!({"cached_tokens": 0});
+    assert_eq!(usage["prompt_tokens_details"], details);
+    assert_eq!(usage["prompt_tokens"], 8);
+    assert_eq!(usage["completion_tokens"], 9);
+
+    let body = caller.post(CHAT, call("p/2", &prompt, 9)).await.body();
+    let choice = &body["choices"][0];
+    assert_eq!(choice["message"]["content"], expected);
+    assert_eq!(choice["finish_reason"], "length");
+    assert_eq!(body["usage"]["total_tokens"], 17);
+    assert_eq!(server.books().completed, 2);
+    let other = Answer::new(&user("another")).text(9);
+    assert_ne!(other, expected);
+}
+
+#[actix_web::test]
+async fn completions_reuse_the_prefix() {
+    let (server, caller) = start(config());
+    let mut history = user(&"a".repeat(400));
+    caller.post(CHAT, call("p/1", &history, 10)).await.body();
+    history.push(Message::new("assistant", &Answer::new(&history).text(10)));
+    history.push(Message::new("user", &"b".repeat(40)));
+    let cached = |body: Value| body["usage"]["prompt_tokens_details"]["cached_tokens"].clone();
+    // Key, and the tokens that the engine has for it.
+    for (key, expected) in [("p/2", 0), ("p/1", 110)] {
+        let body = caller.post(CHAT, call(key, &history, 1)).await.body();
+        assert_eq!(cached(body), expected, "{key}");
+    }
+    history[0] = Message::new("user", "changed");
+    let body = caller.post(CHAT, call("p/1", &history, 1)).await.body();
+    assert_eq!(cached(body), 0, "a changed history shares no prefix");
+    let cost = Cost {
+        calls: 3,
+        prompt_tokens: 100 + 120 + 22,
+        cached_tokens: 110,
+        completion_tokens: 12,
+    };
+    let books = server.books();
+    assert_eq!(books.keys["p/1"], cost);
+    assert_eq!(books.prefixes["p"], cost.plus(books.keys["p/2"]));
+    assert_eq!(books.cost("p/"), books.prefixes["p"]);
+}
+
+#[actix_web::test]
+async fn cache_evicts_the_least_recently_used() {
+    let (server, caller) = start(Config {
+        cache_tokens: 300,
+        ..config()
+    });
+    let prompt = user(&"a".repeat(396));
+    for key in ["p/1", "p/2", "p/1", "p/3"] {
+        caller.post(CHAT, call(key, &prompt, 1)).await.body();
+    }
+    let held = server.books().held;
+    assert_eq!(held.keys().collect::<Vec<_>>(), ["p/1", "p/2", "p/3"]);
+    caller.post(CHAT, call("p/4", &prompt, 1)).await.body();
+    let books = server.books();
+    assert_eq!(books.held.keys().collect::<Vec<_>>(), ["p/1", "p/3", "p/4"]);
+    assert_eq!(books.evicted["p/2"], 100);
+    let events = caller.get("/cache_events?since=4").await.body();
+    let kinds = events["events"].as_array().expect("events").iter();
+    let kinds: Vec<_> = kinds.map(|event| event["kind"].clone()).collect();
+    assert_eq!(kinds, ["evicted", "stored"]);
+    assert_eq!(events["next"], 6);
+}
+
+#[actix_web::test]
+async fn slots_erase_one() {
+    let (server, caller) = start(config());
+    server.set_foreign(Foreign {
+        slots: vec![("old/1".to_owned(), 50)],
+        ..Default::default()
+    });
+    caller
+        .post(CHAT, call("p/1", &user("abcd"), 3))
+        .await
+        .body();
+    let slots = caller.get("/slots").await.body();
+    assert_eq!(slots[0]["cache_key"], "old/1");
+    assert_eq!(slots[1]["cache_key"], "p/1");
+    assert_eq!(slots[1]["tokens"], 4);
+    let path = format!("/slots/{}?action=erase", slots[1]["id"]);
+    assert_eq!(caller.post(&path, json!({})).await.body()["n_erased"], 4);
+    assert_eq!(caller.post(&path, json!({})).await.status(), 404);
+    let books = server.books();
+    assert_eq!(books.erased.len(), 1);
+    assert_eq!(books.erased[0].key, "p/1");
+    assert_eq!(books.held.keys().collect::<Vec<_>>(), ["old/1"]);
+}
+
+#[actix_web::test]
+async fn batch_admits_in_order_of_arrival() {
+    let (server, caller) = start(Config {
+        max_batch: 3,
+        ..config()
+    });
+    server.set_foreign(Foreign {
+        running: 2,
+        waiting: 4,
+        ..Default::default()
+    });
+    let calls = (0..4).map(|number| {
+        let (key, prompt) = (format!("p/{number}"), user("abcd"));
+        let body = call(&key, &prompt, 20);
+        let caller = &caller;
+        async move { caller.post(CHAT, body).await.status() }
+    });
+    let calls = futures_util::future::join_all(calls);
+    let watch = until(&server, |_| {
+        let load = server.load();
+        load.running == 3 && load.waiting >= 4
+    });
+    let (statuses, ()) = futures_util::future::join(calls, watch).await;
+    assert_eq!(statuses, [200; 4]);
+    let books = server.books();
+    assert_eq!(books.largest_batch, 1);
+    let admitted: Vec<_> = books.calls.iter().map(|call| call.admitted).collect();
+    assert!(admitted.is_sorted(), "{admitted:?}");
+    let mut one_by_one = books.calls.windows(2);
+    assert!(one_by_one.all(|pair| pair[1].admitted >= pair[0].ended));
+}
+
+#[actix_web::test]
+async fn step_grows_with_batch_prompt_and_slowness() {
+    // Prompt tokens, foreign requests, slowness, modelled time of all steps.
+    let table = [
+        (100, 0, 1.0, 5 * 1_100 + 100 * 10),
+        (300, 0, 1.0, 5 * 1_100 + 300 * 10),
+        (100, 9, 1.0, 5 * 2_000 + 100 * 10),
+        (100, 0, 3.0, 3 * (5 * 1_100 + 100 * 10)),
+    ];
+    for (tokens, running, slow, expected) in table {
+        let (server, caller) = start(Config {
+            speed: 1.0,
+            step_us: 1_000,
+            step_per_request_us: 100,
+            prefill_per_token_us: 10.0,
+            ..Default::default()
+        });
+        server.set_foreign(Foreign {
+            running,
+            ..Default::default()
+        });
+        server.set_faults(Faults {
+            slow,
+            ..Default::default()
+        });
+        let prompt = user(&"a".repeat(4 * tokens));
+        caller.post(CHAT, call("p/1", &prompt, 5)).await.body();
+        let books = server.books();
+        assert_eq!((books.busy_us, books.steps), (expected, 5));
+        let call = &books.calls[0];
+        assert!(
+            call.ended - call.received >= expected,
+            "faster than modelled"
+        );
+    }
+}
+
+#[actix_web::test]
+async fn completions_cancelled_by_disconnecting() {
+    for stream in [false, true] {
+        let (server, _) = start(Config {
+            speed: 1.0,
+            ..config()
+        });
+        let mut body = call("p/1", &user("abcd"), 10_000);
+        body["stream"] = json!(stream);
+        let caller = Caller::hasty(server.address());
+        assert_eq!(caller.post(CHAT, body).await, Seen::Silent);
+        until(&server, |books| books.cancelled == 1).await;
+        let books = server.books();
+        assert_eq!(books.calls[0].end, End::Cancelled);
+        assert!(books.keys["p/1"].completion_tokens < 10_000);
+        until(&server, |_| server.load().running == 0).await;
+    }
+}
+
+#[actix_web::test]
+async fn completions_table_of_faults() {
+    let fault = |faults: Value| serde_json::from_value::<Faults>(faults).expect("faults");
+    // Fault, what the client sees, generated tokens, how the call ended.
+    let refused = json!({"refuse": true, "retry_after": 2, "times": 1});
+    let (server, caller) = start(config());
+    server.set_faults(fault(refused));
+    assert_eq!(
+        caller.post(CHAT, call("p/1", &user("a"), 5)).await.status(),
+        503
+    );
+    assert_eq!(
+        caller.post(CHAT, call("p/1", &user("a"), 5)).await.status(),
+        200
+    );
+    assert_eq!(server.books().refused, 1);
+
+    let table = [
+        (json!({"break_after": 0}), Seen::Broken, 0, End::Broken),
+        (json!({"break_after": 3}), Seen::Broken, 3, End::Broken),
+        (json!({"silent_after": 3}), Seen::Silent, 3, End::Cancelled),
+        (json!({"silent": true}), Seen::Silent, 0, End::Cancelled),
+    ];
+    for (faults, expected, tokens, end) in table {
+        for stream in [false, true] {
+            let (server, caller) = start(config());
+            server.set_faults(fault(faults.clone()));
+            let mut body = call("p/1", &user("abcd"), 8);
+            body["stream"] = json!(stream);
+            let faulty = Caller::expecting(server.address(), &expected);
+            let seen = faulty.post(CHAT, body.clone()).await;
+            assert_eq!(seen, expected, "{faults} {stream}");
+            until(&server, |books| books.calls[0].end == end).await;
+            assert_eq!(server.books().calls[0].completion_tokens, tokens);
+            server.set_faults(Faults::default());
+            assert_eq!(
+                caller.post(CHAT, body).await.status(),
+                200,
+                "after {faults}"
+            );
+        }
+    }
+}
+
+#[actix_web::test]
+async fn completions_break_keeps_what_was_sent() {
+    let (server, _) = start(config());
+    server.set_faults(Faults {
+        break_after: Some(3),
+        ..Default::default()
+    });
+    let client = awc::Client::default();
+    let url = format!("http://{}{CHAT}", server.address());
+    let prompt = user("abcd");
+    let body = streamed(call("p/1", &prompt, 8));
+    let mut answer = client.post(url).send_json(&body).await.expect("answer");
+    let text = answer
+        .body()
+        .await
+        .expect("the part that was sent")
+        .to_vec();
+    let text = Value::String(String::from_utf8(text).expect("text"));
+    let (text, _, complete) = parse(&text);
+    assert_eq!((text, complete), (Answer::new(&prompt).text(3), false));
+}
+
+#[actix_web::test]
+async fn load_is_shown_late() {
+    let (server, caller) = start(Config {
+        load_lag_ms: 400,
+        load_interval_ms: 10,
+        ..config()
+    });
+    server.set_foreign(Foreign {
+        running: 7,
+        ..Default::default()
+    });
+    server.set_faults(Faults {
+        leaving: true,
+        ..Default::default()
+    });
+    let changed = standin::now();
+    let early = caller.get("/load").await.body();
+    assert_eq!(
+        (&early["running"], &early["leaving"]),
+        (&json!(0), &json!(false))
+    );
+    until(&server, |_| server.load().leaving).await;
+    assert!(standin::now() - changed >= 400_000);
+    let late = caller.get("/load").await.body();
+    assert_eq!(late["running"], 7);
+    assert!(late["at"].as_u64().expect("time") <= standin::now() - 400_000);
+    caller.post(CHAT, call("p/1", &user("a"), 1)).await.body();
+    assert_eq!(server.books().received_leaving, 1);
+}
+
+#[actix_web::test]
+async fn commands_table_of_fences() {
+    // Setting, fencing numbers in order, statuses, highest number.
+    let table = [
+        (
+            Fencing::Enforced,
+            vec![Some(2), Some(1)],
+            vec![200, 409],
+            Some(2),
+        ),
+        (
+            Fencing::Enforced,
+            vec![Some(2), Some(2)],
+            vec![200, 200],
+            Some(2),
+        ),
+        (
+            Fencing::Enforced,
+            vec![None, Some(1)],
+            vec![409, 200],
+            Some(1),
+        ),
+        (
+            Fencing::Ignored,
+            vec![Some(2), Some(1)],
+            vec![200, 200],
+            Some(2),
+        ),
+        (Fencing::Ignored, vec![None], vec![200], None),
+    ];
+    for (fencing, fences, statuses, highest) in table {
+        let (server, caller) = start(Config {
+            fencing,
+            model_load_us: 0,
+            ..config()
+        });
+        let mut seen = Vec::new();
+        for fence in &fences {
+            let text = fence.map(|fence: u64| fence.to_string());
+            let header = text.as_deref().map(|text| ("Fencing-Number", text));
+            let headers: Vec<_> = header.into_iter().collect();
+            let body = br#"{"lora_name": "a"}"#.to_vec();
+            let path = "/v1/load_lora_adapter";
+            seen.push(caller.send("POST", path, &headers, body).await.status());
+        }
+        assert_eq!(seen, statuses, "{fencing:?} {fences:?}");
+        let books = server.books();
+        assert_eq!(books.highest_fence, highest, "{fencing:?} {fences:?}");
+        assert_eq!(books.commands.len(), fences.len());
+        assert_eq!(books.adapters, ["a"]);
+    }
+}
+
+#[actix_web::test]
+async fn commands_load_models_and_roles() {
+    let (server, caller) = start(Config {
+        models: vec!["m".to_owned()],
+        model_load_us: 200_000,
+        fencing: Fencing::Ignored,
+        ..config()
+    });
+    let mut body = call("p/1", &user("a"), 1);
+    body["model"] = json!("n");
+    assert_eq!(caller.post(CHAT, body.clone()).await.status(), 404);
+    let load = json!({"model": "n"});
+    assert_eq!(caller.post("/v1/models/load", load).await.status(), 200);
+    assert_eq!(caller.post(CHAT, body).await.status(), 200);
+    let role = json!({"role": "prefill"});
+    assert_eq!(caller.post("/v1/role", role).await.status(), 200);
+    assert_eq!(server.books().role.as_deref(), Some("prefill"));
+    let long = call("p/1", &user(&"a".repeat(3_000_000)), 1);
+    assert_eq!(caller.post(CHAT, long).await.status(), 400);
+}
+
+#[actix_web::test]
+async fn cache_events_have_gaps() {
+    let (_server, caller) = start(Config {
+        events_loss: 0.5,
+        seed: 1,
+        ..config()
+    });
+    for number in 0..20 {
+        let key = format!("p/{number}");
+        caller.post(CHAT, call(&key, &user("a"), 1)).await.body();
+    }
+    let body = caller.get("/cache_events").await.body();
+    let count = body["events"].as_array().expect("events").len();
+    assert!((1..20).contains(&count), "{count}");
+}
--- /dev/null
+++ b/standin/tests/service.rs
@@ -0,0 +1,129 @@
+//! Guards against a service whose books miss a call or claim an effect that didn't
+//! happen: they decide whether a call that must not be repeated ran at most once.
+
+mod common;
+
+use common::{
+    Caller,
+    Seen, //
+};
+use serde_json::json;
+use standin::service::{
+    self,
+    Config,
+    Fault,
+    Faults,
+    Kind, //
+};
+
+fn config() -> Config {
+    Config {
+        latency_us: 1_000,
+        load_lag_ms: 0,
+        load_interval_ms: 1,
+        ..Default::default()
+    }
+}
+
+#[actix_web::test]
+async fn call_table_of_faults() {
+    let ok = Seen::Answer(
+        200,
+        service::answer("/cut", Some("k"), &json!({"order": 7})),
+    );
+    let unavailable = Seen::Answer(503, json!({"error": "unavailable"}));
+    let error = Seen::Answer(500, json!({"error": "internal error"}));
+    // Fault, what the client sees, whether the call took effect.
+    let table = [
+        (Kind::Hang, Seen::Silent, false),
+        (Kind::HangAfter, Seen::Silent, true),
+        (Kind::BreakBefore, Seen::Broken, false),
+        (Kind::BreakAfter, Seen::Broken, true),
+        (Kind::BreakAnswer, Seen::Broken, true),
+        (Kind::Unavailable(2), unavailable, false),
+        (Kind::Error, error.clone(), false),
+        (Kind::ErrorAfter, error, true),
+        (Kind::Slow(1_000.0), Seen::Silent, true),
+        (Kind::Slow(3.0), ok.clone(), true),
+        (Kind::Silent, Seen::Silent, true),
+    ];
+    for (kind, expected, effect) in table {
+        let server = service::start(config()).expect("start");
+        server.set_faults(Faults {
+            paths: [("/cut".to_owned(), Fault::next(kind, 1))].into(),
+            ..Default::default()
+        });
+        let headers = [("Idempotency-Key", "k")];
+        let body = br#"{"order": 7}"#.to_vec();
+        let caller = Caller::expecting(server.address(), &expected);
+        let seen = caller.send("POST", "/cut", &headers, body.clone()).await;
+        assert_eq!(seen, expected, "{kind:?}");
+        // A silent call goes on when the faults change.
+        server.set_faults(Faults::default());
+        let effects = usize::from(effect);
+        common::until(|| server.books().effects_of("k") == effects).await;
+        let call = server.calls("/cut").remove(0);
+        assert_eq!(call.fault, Some(kind));
+        assert_eq!((call.effect, call.body), (effect, json!({"order": 7})));
+        let caller = Caller::new(server.address());
+        let seen = caller.send("POST", "/cut", &headers, body).await;
+        assert_eq!(seen, ok, "after {kind:?}");
+        assert_eq!(server.books().effects_of("k"), effects + 1);
+        assert_eq!(server.books().received, 2);
+    }
+}
+
+#[actix_web::test]
+async fn call_faults_by_path_and_chance() {
+    let server = service::start(config()).expect("start");
+    let caller = Caller::new(server.address());
+    let half = Fault {
+        probability: Some(0.5),
+        ..Kind::Error.into()
+    };
+    server.set_faults(Faults {
+        all: Some(half),
+        paths: [("/a".to_owned(), Kind::Unavailable(1).into())].into(),
+        ..Default::default()
+    });
+    let mut failed = 0;
+    for _ in 0..40 {
+        assert_eq!(caller.post("/a", json!({})).await.status(), 503);
+        failed += usize::from(caller.post("/b", json!({})).await.status() == 500);
+    }
+    assert!((1..40).contains(&failed), "{failed}");
+    let calls = server.calls("/b");
+    let effects = calls.iter().filter(|call| call.effect).count();
+    assert_eq!(effects, 40 - failed);
+}
+
+#[actix_web::test]
+async fn call_waits_for_a_worker() {
+    let server = service::start(Config {
+        workers: 1,
+        latency_us: 30_000,
+        ..config()
+    })
+    .expect("start");
+    let caller = Caller::new(server.address());
+    let calls = (0..3).map(|_| caller.post("/x", json!({})));
+    let seen = common::until(|| {
+        let load = server.load();
+        (load.running, load.waiting) == (1, 2)
+    });
+    let (answers, ()) =
+        futures_util::future::join(futures_util::future::join_all(calls), seen).await;
+    assert!(answers.iter().all(|answer| answer.status() == 200));
+    let load = caller.get("/load").await.body();
+    assert_eq!(load["leaving"], false);
+    common::until(|| server.load().running == 0).await;
+}
+
+#[actix_web::test]
+async fn call_rejects_other_bodies() {
+    let server = service::start(config()).expect("start");
+    let caller = Caller::new(server.address());
+    let seen = caller.send("POST", "/x", &[], b"no JSON".to_vec()).await;
+    assert_eq!(seen.status(), 400);
+    assert_eq!(server.books().received, 0);
+}
