Measure the decisions against a fake engine

An example runs two named workloads on a virtual clock. Short work may now run four leads ahead of a customer's share.

--- /dev/null
+++ b/examples/policy/engine.rs
@@ -0,0 +1,164 @@
+//! A model engine: continuous batching, prefill in chunks, a prefix cache in limited tokens.
+
+use std::collections::{
+    BTreeMap,
+    VecDeque, //
+};
+
+/// Most sequences in the batch; others wait in order of arrival.
+pub const BATCH: usize = 32;
+
+/// Tokens of prompt that one step computes at most.
+const CHUNK: u64 = 512;
+
+/// Tokens that the prefix cache holds.
+const CACHE: u64 = 200_000;
+
+/// Time of a step: fixed, per sequence that generates, per token of prompt, in microseconds.
+const STEP: (u64, u64, u64) = (8_000, 400, 40);
+
+/// A request in the engine.
+#[derive(Clone, Debug)]
+pub struct Sequence {
+    pub job: usize,
+    /// Program whose prefix is cached; `None` for requests of others.
+    pub program: Option<usize>,
+    pub prompt: u64,
+    pub completion: u64,
+    pub cached: u64,
+    pub left: u64,
+    pub generated: u64,
+}
+
+/// What happened to a request at the end of a step.
+#[derive(Clone, Copy, Debug)]
+pub enum Sign {
+    Admitted { job: usize },
+    First { job: usize },
+    Progress { job: usize },
+    Done { job: usize, cached: u64 },
+}
+
+/// A prefix cache that drops the program that was used least recently.
+#[derive(Debug, Default)]
+struct Cache {
+    held: BTreeMap<usize, (u64, u64)>,
+    total: u64,
+    clock: u64,
+}
+
+impl Cache {
+    fn get(&self, program: usize) -> u64 {
+        self.held.get(&program).map_or(0, |(tokens, _)| *tokens)
+    }
+
+    fn put(&mut self, program: usize, tokens: u64) {
+        self.clock += 1;
+        let old = self.held.insert(program, (tokens, self.clock));
+        self.total += tokens;
+        self.total -= old.map_or(0, |(tokens, _)| tokens);
+        while self.total > CACHE {
+            let oldest = self.held.iter().min_by_key(|(_, (_, used))| *used);
+            let Some((program, (tokens, _))) = oldest.map(|(p, e)| (*p, *e)) else {
+                break;
+            };
+            self.held.remove(&program);
+            self.total -= tokens;
+        }
+    }
+}
+
+#[derive(Debug)]
+pub struct Engine {
+    pub slow: u64,
+    pub busy: bool,
+    running: Vec<Sequence>,
+    waiting: VecDeque<Sequence>,
+    cache: Cache,
+}
+
+impl Default for Engine {
+    fn default() -> Self {
+        Self {
+            slow: 1,
+            busy: false,
+            running: Vec::new(),
+            waiting: VecDeque::new(),
+            cache: Cache::default(),
+        }
+    }
+}
+
+impl Engine {
+    pub fn push(&mut self, sequence: Sequence) {
+        self.waiting.push_back(sequence);
+    }
+
+    pub fn cancel(&mut self, job: usize) {
+        self.waiting.retain(|sequence| sequence.job != job);
+        self.running.retain(|sequence| sequence.job != job);
+    }
+
+    pub fn running(&self) -> u32 {
+        self.running.len() as u32
+    }
+
+    pub fn waiting(&self) -> u32 {
+        self.waiting.len() as u32
+    }
+
+    /// Admits requests and returns the duration of the next step; `None` if the engine is idle.
+    pub fn start(&mut self, signs: &mut Vec<Sign>) -> Option<u64> {
+        while self.running.len() < BATCH {
+            let Some(mut sequence) = self.waiting.pop_front() else {
+                break;
+            };
+            let held = sequence.program.map_or(0, |p| self.cache.get(p));
+            sequence.cached = held.min(sequence.cached);
+            sequence.left = sequence.prompt - sequence.cached;
+            signs.push(Sign::Admitted { job: sequence.job });
+            self.running.push(sequence);
+        }
+        self.busy = !self.running.is_empty();
+        if !self.busy {
+            return None;
+        }
+        let generating = self.running.iter().filter(|s| s.left == 0).count() as u64;
+        let prompt: u64 = self.running.iter().map(|s| s.left).sum();
+        let (fixed, each, token) = STEP;
+        Some((fixed + each * generating + token * prompt.min(CHUNK)) * self.slow)
+    }
+
+    /// Ends a step.
+    pub fn finish(&mut self, signs: &mut Vec<Sign>) {
+        let mut budget = CHUNK;
+        for sequence in &mut self.running {
+            if sequence.left > 0 {
+                let part = sequence.left.min(budget);
+                budget -= part;
+                sequence.left -= part;
+                if sequence.left > 0 {
+                    continue;
+                }
+                signs.push(Sign::First { job: sequence.job });
+            }
+            sequence.generated += 1;
+            if sequence.generated >= sequence.completion {
+                signs.push(Sign::Done {
+                    job: sequence.job,
+                    cached: sequence.cached,
+                });
+            } else if sequence.generated.is_multiple_of(16) {
+                signs.push(Sign::Progress { job: sequence.job });
+            }
+        }
+        let cache = &mut self.cache;
+        self.running.retain(|sequence| {
+            let done = sequence.generated >= sequence.completion;
+            if let Some(program) = sequence.program.filter(|_| done) {
+                cache.put(program, sequence.prompt + sequence.completion);
+            }
+            !done
+        });
+    }
+}
--- /dev/null
+++ b/examples/policy/main.rs
@@ -0,0 +1,315 @@
+//! Measures the scheduling decisions against a fake engine on a virtual clock.
+//!
+//! `docs/MEASUREMENTS.md` explains the model and holds the results.
+
+mod case;
+mod engine;
+mod measure;
+mod run;
+mod workload;
+
+use std::{
+    env,
+    sync::atomic::{
+        AtomicUsize,
+        Ordering, //
+    },
+    sync::Mutex,
+    thread,
+    time::Instant,
+};
+
+use self::{
+    case::{
+        ablations,
+        baseline,
+        central,
+        standard,
+        Case, //
+    },
+    measure::{
+        measure,
+        spread,
+        Values,
+        LATE,
+        NAMES, //
+    },
+    run::Scene,
+    workload::{
+        arrivals,
+        foreign,
+        Workload,
+        CASCADE,
+        SIRAG, //
+    },
+};
+
+/// Runs at the same time; the machine is shared.
+const THREADS: usize = 3;
+
+/// Runs jobs on a few threads and returns the results in order.
+fn parallel<T: Send>(count: usize, job: impl Fn(usize) -> T + Sync) -> Vec<T> {
+    let next = AtomicUsize::new(0);
+    let done = Mutex::new(Vec::new());
+    thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| loop {
+                let index = next.fetch_add(1, Ordering::Relaxed);
+                if index >= count {
+                    return;
+                }
+                let result = job(index);
+                done.lock().expect("no job panics").push((index, result));
+            });
+        }
+    });
+    let mut done = done.into_inner().expect("no job panics");
+    done.sort_by_key(|(index, _)| *index);
+    done.into_iter().map(|(_, result)| result).collect()
+}
+
+/// Lookups and programs together per program.
+fn per_program(workload: &Workload) -> f64 {
+    let weight = |interactive| -> f64 {
+        let kinds = workload.kinds.iter();
+        kinds
+            .filter(|kind| interactive || !kind.interactive)
+            .map(|kind| kind.weight)
+            .sum()
+    };
+    weight(true) / weight(false)
+}
+
+/// Part of the programs that end in time at a steady rate of programs.
+fn in_time(workload: &Workload, case: &Case, rate: f64, seeds: usize) -> f64 {
+    let parts = parallel(seeds, |seed| {
+        let seed = seed as u64;
+        let programs = arrivals(workload, rate * per_program(workload), true, seed);
+        let out = case.run(workload, &programs, &[], Scene::default(), seed);
+        let values = measure(workload, &programs, &out);
+        100.0 - values[LATE]
+    });
+    spread(&mut parts.clone()).0
+}
+
+/// Measures the highest steady rate at which 99 % of the programs end in time.
+fn capacity(workload: &Workload, case: &Case, seeds: usize) -> f64 {
+    let engines: usize = workload.engines.iter().sum();
+    let (mut low, mut high) = (0.0, 2.0 * engines as f64);
+    while high - low > 0.01 * high {
+        let middle = (low + high) / 2.0;
+        if in_time(workload, case, middle, seeds) >= 99.0 {
+            low = middle;
+        } else {
+            high = middle;
+        }
+    }
+    println!("{}, {}: {low:.2} programs/s", workload.name, case.name);
+    low
+}
+
+fn table(title: &str, cases: &[Case], results: &[Vec<Values>], columns: &[usize]) {
+    println!("\n{title}\n");
+    let names: Vec<_> = columns.iter().map(|column| NAMES[*column]).collect();
+    println!("| policy | {} |", names.join(" | "));
+    println!("|---|{}", "---|".repeat(columns.len()));
+    for (case, runs) in cases.iter().zip(results) {
+        let cells: Vec<_> = columns
+            .iter()
+            .map(|column| {
+                let mut values: Vec<_> = runs.iter().map(|run| run[*column]).collect();
+                let (median, low, high) = spread(&mut values);
+                {
+                    let d = digits(median);
+                    format!("{median:.d$} ({low:.d$} to {high:.d$})")
+                }
+            })
+            .collect();
+        println!("| {} | {} |", case.name, cells.join(" | "));
+    }
+}
+
+fn digits(value: f64) -> usize {
+    match value.abs() {
+        v if v >= 100.0 => 0,
+        v if v >= 10.0 => 1,
+        _ => 2,
+    }
+}
+
+/// Runs cases on the same arrivals, for each seed.
+fn compare(
+    workload: &Workload,
+    cases: &[Case],
+    rate: f64,
+    others: f64,
+    scene: Scene,
+    seeds: usize,
+) -> Vec<Vec<Values>> {
+    let runs = parallel(cases.len() * seeds, |index| {
+        let seed = (index % seeds) as u64 + 100;
+        let rate = rate * per_program(workload);
+        let programs = arrivals(workload, rate, scene.steady, seed);
+        let others = if others > 0.0 {
+            foreign(workload, others, seed)
+        } else {
+            Vec::new()
+        };
+        let out = cases[index / seeds].run(workload, &programs, &others, scene, seed);
+        measure(workload, &programs, &out)
+    });
+    runs.chunks(seeds).map(<[Values]>::to_vec).collect()
+}
+
+const SLOW_ENGINES: Scene = Scene {
+    slow_engines: true,
+    slow_services: false,
+    steady: false,
+    progress: true,
+    initial: 16,
+};
+
+const STEADY: Scene = Scene {
+    slow_engines: false,
+    steady: true,
+    ..SLOW_ENGINES
+};
+
+const SLOW_ALL: Scene = Scene {
+    slow_services: true,
+    ..SLOW_ENGINES
+};
+
+fn main() {
+    let arguments: Vec<String> = env::args().skip(1).collect();
+    let seeds = arguments
+        .get(1)
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(10);
+    let what = arguments.first().map_or("all", String::as_str);
+    let begin = Instant::now();
+    for workload in [&SIRAG, &CASCADE] {
+        if arguments.get(2).is_some_and(|name| name != workload.name) {
+            continue;
+        }
+        let full = capacity(workload, &standard(), 3);
+        if what == "all" || what == "capacity" {
+            capacity(workload, &baseline(), 3);
+            capacity(workload, &central(), 3);
+        }
+        if what == "all" || what == "compare" {
+            measures(workload, full, seeds);
+        }
+        if what == "sweep" {
+            sweep(workload, full, seeds);
+        }
+        if what == "all" || what == "ablate" {
+            switched_off(workload, full, seeds);
+        }
+    }
+    println!("\n{:.0} s", begin.elapsed().as_secs_f64());
+}
+
+const LATENCY: [usize; 11] = [0, 1, 2, 3, 6, 7, 8, 10, 11, 12, 14];
+
+fn measures(workload: &Workload, full: f64, seeds: usize) {
+    let cases = [standard(), baseline(), central()];
+    let scenes = [
+        ("75 % of capacity", 0.75, Scene::default()),
+        ("50 % of capacity", 0.5, Scene::default()),
+        (
+            "75 %, one in five engines slowed 5 times",
+            0.75,
+            SLOW_ENGINES,
+        ),
+        ("75 %, engines and one service slowed", 0.75, SLOW_ALL),
+        ("100 %", 1.0, Scene::default()),
+        ("150 %", 1.5, Scene::default()),
+        ("100 %, steady", 1.0, STEADY),
+        ("150 %, steady", 1.5, STEADY),
+    ];
+    for (title, part, scene) in scenes {
+        let results = compare(workload, &cases, full * part, 0.0, scene, seeds);
+        let title = format!("{}, demand {title}", workload.name);
+        table(&title, &cases, &results, &LATENCY);
+        table(&title, &cases, &results, &[4, 5, 9, 13]);
+    }
+}
+
+fn switched_off(workload: &Workload, full: f64, seeds: usize) {
+    let mut cases = vec![standard()];
+    cases.extend(ablations());
+    for (title, part, scene) in [
+        ("75 %", 0.75, Scene::default()),
+        (
+            "75 %, one in five engines slowed 5 times",
+            0.75,
+            SLOW_ENGINES,
+        ),
+        ("150 %", 1.5, Scene::default()),
+    ] {
+        let results = compare(workload, &cases, full * part, 0.0, scene, seeds);
+        let title = format!(
+            "{}, demand {title}, each decision switched off",
+            workload.name
+        );
+        table(
+            &title,
+            &cases,
+            &results,
+            &[0, 1, 2, 3, 6, 7, 8, 9, 11, 12, 13],
+        );
+    }
+}
+
+/// Variants of the settings that were weighed.
+fn sweep(workload: &Workload, full: f64, seeds: usize) {
+    let mut cases = vec![standard()];
+    for part in [0.01, 0.02, 0.1, 0.2, 0.4] {
+        cases.push(Case::with(&format!("pressure {part}"), |s| {
+            s.admit.pressure = part
+        }));
+    }
+    for lead in [5_000, 80_000] {
+        cases.push(Case::with(&format!("lead {lead}"), |s| s.queue.lead = lead));
+    }
+    for wait in [0, 10, 20, 100] {
+        cases.push(Case::with(&format!("wait_us {wait}"), |s| {
+            s.route.wait_us = wait
+        }));
+    }
+    for bound in [1.0, 1.25, 2.0] {
+        cases.push(Case::with(&format!("bound {bound}"), |s| {
+            s.route.bound = bound
+        }));
+    }
+    for tolerance in [1.5, 2.0, 5.0] {
+        cases.push(Case::with(&format!("tolerance {tolerance}"), |s| {
+            s.window.tolerance = tolerance
+        }));
+    }
+    for first in [1_000, 4_000] {
+        cases.push(Case::with(&format!("levels from {first}"), |s| {
+            s.queue.levels = vec![first, first * 4, first * 16, first * 64];
+        }));
+    }
+    for slow in [1.5, 3.0] {
+        cases.push(Case::with(&format!("slow {slow}"), |s| s.route.slow = slow));
+    }
+    for (title, part, scene) in [
+        ("75 %", 0.75, Scene::default()),
+        ("100 %", 1.0, Scene::default()),
+        ("50 %, slowed", 0.5, SLOW_ENGINES),
+        ("75 %, slowed", 0.75, SLOW_ENGINES),
+        ("150 %", 1.5, STEADY),
+    ] {
+        let results = compare(workload, &cases, full * part, 0.0, scene, seeds);
+        let title = format!("{}, demand {title}", workload.name);
+        table(
+            &title,
+            &cases,
+            &results,
+            &[0, 1, 2, 4, 6, 7, 8, 9, 11, 12, 13],
+        );
+    }
+}
--- /dev/null
+++ b/examples/policy/workload.rs
@@ -0,0 +1,263 @@
+//! Programs of the two deployments and their arrivals.
+
+use rand::{
+    rngs::SmallRng,
+    RngExt,
+    SeedableRng, //
+};
+
+/// Microseconds of a second.
+pub const SECOND: u64 = 1_000_000;
+
+/// Period of the demand swing, its part at the peak, and the demand there against the mean.
+const SWING: (f64, f64, f64) = (20.0, 0.3, 1.6);
+
+/// Shares of the customers and their parts of the demand, which differ from their shares.
+pub const CUSTOMERS: [(u32, f64); 3] = [(1, 0.20), (2, 0.29), (4, 0.51)];
+
+/// A range of values, drawn evenly.
+type Range = (u64, u64);
+
+/// A kind of program.
+#[derive(Debug)]
+pub struct Kind {
+    pub name: &'static str,
+    /// Relative frequency.
+    pub weight: f64,
+    /// Whether it is short work, whose wait behind long work is measured.
+    pub short: bool,
+    pub interactive: bool,
+    pub turns: Range,
+    /// Tokens of the first prompt, of each further one, and of each answer.
+    pub first: Range,
+    pub next: Range,
+    pub answer: Range,
+    /// Chance of a service call after a turn, and its time in microseconds.
+    pub service: f64,
+    pub service_us: Range,
+    /// Pause after a turn in microseconds.
+    pub pause: Range,
+    pub deadline: u64,
+}
+
+/// A deployment.
+#[derive(Debug)]
+pub struct Workload {
+    pub name: &'static str,
+    pub engines: &'static [usize],
+    pub services: &'static [usize],
+    pub kinds: &'static [Kind],
+    /// Seconds of arrivals, of them not measured at the start, and seconds after the last arrival.
+    pub length: u64,
+    pub warm: u64,
+    pub drain: u64,
+}
+
+const fn ms(low: u64, high: u64) -> Range {
+    (low * 1_000, high * 1_000)
+}
+
+const LOOKUP: Kind = Kind {
+    name: "lookup",
+    weight: 10.0,
+    short: true,
+    interactive: true,
+    turns: (0, 0),
+    first: (0, 0),
+    next: (0, 0),
+    answer: (0, 0),
+    service: 1.0,
+    service_us: ms(5, 20),
+    pause: (0, 0),
+    deadline: 2 * SECOND,
+};
+
+pub const SIRAG: Workload = Workload {
+    name: "Sirag",
+    engines: &[4, 3, 3],
+    services: &[2, 2, 1],
+    kinds: &[
+        LOOKUP,
+        Kind {
+            name: "order review",
+            weight: 0.6,
+            short: true,
+            interactive: false,
+            turns: (2, 5),
+            first: (800, 1_500),
+            next: (100, 500),
+            answer: (40, 150),
+            service: 0.7,
+            service_us: ms(100, 600),
+            pause: ms(200, 1_500),
+            deadline: 40 * SECOND,
+        },
+        Kind {
+            name: "fitting consultation",
+            weight: 0.4,
+            short: false,
+            interactive: false,
+            turns: (4, 14),
+            first: (1_500, 4_000),
+            next: (200, 1_000),
+            answer: (60, 300),
+            service: 0.5,
+            service_us: ms(200, 1_500),
+            pause: ms(500, 4_000),
+            deadline: 120 * SECOND,
+        },
+    ],
+    length: 300,
+    warm: 60,
+    drain: 300,
+};
+
+pub const CASCADE: Workload = Workload {
+    name: "Cascade",
+    engines: &[3, 3, 3, 3],
+    services: &[1, 1, 1, 1],
+    kinds: &[
+        LOOKUP,
+        Kind {
+            name: "quote helper",
+            weight: 0.9,
+            short: true,
+            interactive: false,
+            turns: (2, 4),
+            first: (600, 1_500),
+            next: (50, 300),
+            answer: (40, 150),
+            service: 0.5,
+            service_us: ms(50, 300),
+            pause: ms(200, 1_500),
+            deadline: 30 * SECOND,
+        },
+        Kind {
+            name: "repair coach",
+            weight: 0.1,
+            short: false,
+            interactive: false,
+            turns: (30, 80),
+            first: (2_000, 6_000),
+            next: (100, 800),
+            answer: (100, 400),
+            service: 0.3,
+            service_us: ms(100, 800),
+            pause: ms(200, 3_000),
+            deadline: 900 * SECOND,
+        },
+    ],
+    length: 500,
+    warm: 100,
+    drain: 900,
+};
+
+/// One call of a program.
+#[derive(Clone, Copy, Debug)]
+pub enum Step {
+    Model { new: u64, answer: u64 },
+    Service { time: u64 },
+}
+
+/// A program with everything that happens in it drawn beforehand.
+#[derive(Clone, Debug)]
+pub struct Program {
+    pub kind: usize,
+    pub customer: usize,
+    pub zone: usize,
+    pub start: u64,
+    pub peak: bool,
+    /// Pauses before the calls, and the calls.
+    pub steps: Vec<(u64, Step)>,
+}
+
+/// Requests of the system that runs beside this one: start, zone, engine, prompt, answer.
+pub type Foreign = (u64, usize, usize, u64, u64);
+
+fn draw(rng: &mut SmallRng, range: Range) -> u64 {
+    rng.random_range(range.0..=range.1)
+}
+
+fn pick(rng: &mut SmallRng, weights: impl Iterator<Item = f64> + Clone) -> usize {
+    let mut left = rng.random::<f64>() * weights.clone().sum::<f64>();
+    let mut last = 0;
+    for (index, weight) in weights.enumerate() {
+        last = index;
+        left -= weight;
+        if left < 0.0 {
+            break;
+        }
+    }
+    last
+}
+
+fn program(workload: &Workload, rng: &mut SmallRng, start: u64, peak: bool) -> Program {
+    let index = pick(rng, workload.kinds.iter().map(|kind| kind.weight));
+    let kind = &workload.kinds[index];
+    let mut steps = Vec::new();
+    let turns = draw(rng, kind.turns);
+    let mut pause = 0;
+    for turn in 0..turns {
+        let range = if turn == 0 { kind.first } else { kind.next };
+        let (new, answer) = (draw(rng, range), draw(rng, kind.answer));
+        steps.push((pause, Step::Model { new, answer }));
+        pause = draw(rng, kind.pause);
+        if turn + 1 < turns && rng.random::<f64>() < kind.service {
+            let time = draw(rng, kind.service_us);
+            steps.push((0, Step::Service { time }));
+        }
+    }
+    if turns == 0 {
+        let time = draw(rng, kind.service_us);
+        steps.push((0, Step::Service { time }));
+    }
+    Program {
+        kind: index,
+        customer: pick(rng, CUSTOMERS.iter().map(|(_, demand)| *demand)),
+        zone: pick(rng, workload.engines.iter().map(|count| *count as f64)),
+        start,
+        peak,
+        steps,
+    }
+}
+
+/// Draws programs that arrive at a mean rate per second, lookups included, steadily or in swings.
+pub fn arrivals(workload: &Workload, rate: f64, steady: bool, seed: u64) -> Vec<Program> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let (period, part, high) = if steady { (20.0, 0.0, 1.0) } else { SWING };
+    let low = (1.0 - part * high) / (1.0 - part);
+    let mut programs = Vec::new();
+    let mut at = 0.0;
+    loop {
+        at += -(1.0 - rng.random::<f64>()).ln() / (rate * high);
+        if at >= workload.length as f64 {
+            return programs;
+        }
+        let peak = (at % period) < part * period;
+        if peak || rng.random::<f64>() < low / high {
+            let start = (at * SECOND as f64) as u64;
+            programs.push(program(workload, &mut rng, start, peak));
+        }
+    }
+}
+
+/// Draws requests of the other system, `rate` per second and engine, 10 s on and 10 s off.
+pub fn foreign(workload: &Workload, rate: f64, seed: u64) -> Vec<Foreign> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0xf0);
+    let mut requests = Vec::new();
+    for (zone, count) in workload.engines.iter().enumerate() {
+        for engine in 0..*count {
+            let mut at = 0.0;
+            while at < workload.length as f64 {
+                at += -(1.0 - rng.random::<f64>()).ln() / rate;
+                if ((at / 10.0) as u64).is_multiple_of(2) {
+                    let start = (at * SECOND as f64) as u64;
+                    let (prompt, answer) =
+                        (draw(&mut rng, (500, 2_000)), draw(&mut rng, (50, 200)));
+                    requests.push((start, zone, engine, prompt, answer));
+                }
+            }
+        }
+    }
+    requests
+}
--- a/src/policy/call.rs
+++ b/src/policy/call.rs
@@ -62,3 +62,14 @@
     /// Whether the upstream refused the call before it ran.
     pub refused: bool,
 }
+
+impl Report {
+    /// Returns the work that the call cost: tokens, or milliseconds of a service without tokens.
+    pub fn served(&self) -> u64 {
+        let missed = self.prompt_tokens.saturating_sub(self.cached_tokens);
+        match missed + self.completion_tokens {
+            0 => self.total_us / 1_000,
+            tokens => tokens,
+        }
+    }
+}
--- a/src/policy/pace/mod.rs
+++ b/src/policy/pace/mod.rs
@@ -92,8 +92,7 @@
 impl Usual {
     fn done(&mut self, report: &Report) -> f64 {
         let total = report.total_us.max(1) as f64;
-        let missed = report.prompt_tokens.saturating_sub(report.cached_tokens);
-        let cost = (missed + report.completion_tokens) as f64;
+        let cost = report.served() as f64;
         if self.count == 0 {
             self.fastest = total;
             self.deviation = total / 2.0;
--- a/src/policy/pool/mod.rs
+++ b/src/policy/pool/mod.rs
@@ -493,10 +493,9 @@
             return;
         };
         let (call, upstream) = (&grant.entry.call, &grant.upstream);
-        let missed = report.prompt_tokens.saturating_sub(report.cached_tokens);
-        let tokens = missed + report.completion_tokens;
+        let served = report.served() as i64;
         self.queue
-            .charge(&call.customer, tokens as i64 - grant.entry.expected as i64);
+            .charge(&call.customer, served - grant.entry.expected as i64);
         let pace = if report.refused {
             None
         } else {
--- a/src/policy/queue/fair.rs
+++ b/src/policy/queue/fair.rs
@@ -65,21 +65,42 @@
     turn: u32,
 }
 
+/// Service beyond which a customer is ahead of the others.
+#[derive(Clone, Copy, Debug)]
+struct Limit {
+    floor: f64,
+    lead: f64,
+    short: f64,
+}
+
+impl Limit {
+    /// Returns whether a call of this place has to wait for other customers.
+    ///
+    /// Short work costs little and is charged like all other, so that it may run further ahead;
+    /// the customer's long work makes up for it.
+    fn ahead(self, line: &Line, key: &Key) -> bool {
+        let short = !key.batch || key.level == 0;
+        let factor = if short { self.short } else { 1.0 };
+        line.served > self.floor + self.lead * factor
+    }
+}
+
 /// Position in the merge of all lines; the iterator yields the line's further keys.
 struct Head<'a> {
     rank: (bool, bool, u8, Time, u64),
     id: u64,
-    ahead: bool,
+    line: &'a Line,
     rest: btree_set::Iter<'a, Key>,
 }
 
 impl<'a> Head<'a> {
-    fn next(ahead: bool, mut rest: btree_set::Iter<'a, Key>) -> Option<Self> {
+    fn next(limit: Limit, line: &'a Line, mut rest: btree_set::Iter<'a, Key>) -> Option<Self> {
         let key = rest.next()?;
+        let ahead = limit.ahead(line, key);
         Some(Self {
             rank: (key.batch, ahead, key.level, key.deadline, key.sequence),
             id: key.id,
-            ahead,
+            line,
             rest,
         })
     }
@@ -133,22 +154,27 @@
         self.active().map(|line| line.served).reduce(f64::min)
     }
 
-    /// Service beyond which a customer is ahead of the others.
-    fn limit(&self) -> f64 {
+    /// Returns the least served service and the lead.
+    fn limit(&self) -> Limit {
         let (mut shares, mut count) = (0.0, 0.0);
         for line in self.active() {
             shares += line.share;
             count += 1.0;
         }
-        self.floor().unwrap_or(0.0) + self.settings.lead as f64 * count / f64::max(shares, 1.0)
+        Limit {
+            floor: self.floor().unwrap_or(0.0),
+            lead: self.settings.lead as f64 * count / f64::max(shares, 1.0),
+            short: self.settings.short,
+        }
     }
 
     /// Ids in the order of the longest wait, the starved ones only.
-    fn starved(&self, now: Time, limit: f64) -> Vec<u64> {
+    fn starved(&self, now: Time, limit: Limit) -> Vec<u64> {
         let patience = Duration::from_millis(self.settings.patience_ms);
         let mut oldest: Vec<_> = self
             .active()
-            .filter_map(|line| Some((line.served > limit, line.ages.first()?)))
+            .filter_map(|line| Some((line, line.ages.first()?)))
+            .map(|(line, age)| (limit.ahead(line, &self.stored[&age.1].key), age))
             .filter(|(_, (_, id))| now.since(self.stored[id].entry.since) >= patience)
             .collect();
         oldest.sort_unstable();
@@ -170,7 +196,7 @@
         }
         let mut heads: BinaryHeap<_> = self
             .active()
-            .filter_map(|line| Head::next(line.served > limit, line.order.iter()))
+            .filter_map(|line| Head::next(limit, line, line.order.iter()))
             .map(Reverse)
             .collect();
         while let Some(Reverse(head)) = heads.pop() {
@@ -180,7 +206,7 @@
             left -= 1;
             match visit(&self.stored[&head.id].entry) {
                 Verdict::Take => return Some(head.id),
-                Verdict::Skip => heads.extend(Head::next(head.ahead, head.rest).map(Reverse)),
+                Verdict::Skip => heads.extend(Head::next(limit, head.line, head.rest).map(Reverse)),
                 Verdict::Stop => return None,
             }
         }
@@ -249,12 +275,13 @@
     }
 
     fn drain(&mut self, matches: impl Fn(&Entry) -> bool) -> Vec<Entry> {
-        let ids: Vec<u64> = self
+        let mut ids: Vec<u64> = self
             .stored
             .values()
             .filter(|stored| matches(&stored.entry))
             .map(|stored| stored.entry.id)
             .collect();
+        ids.sort_unstable();
         ids.into_iter().filter_map(|id| self.remove(id)).collect()
     }
 
--- a/src/policy/queue/mod.rs
+++ b/src/policy/queue/mod.rs
@@ -102,6 +102,8 @@
     pub levels: Vec<u64>,
     /// Tokens that a customer of mean share may be ahead of the least served one.
     pub lead: u64,
+    /// Factor of the lead for interactive calls and those of the first level.
+    pub short: f64,
     /// One scan in this many serves the longest wait first; 0 never does.
     pub guard: u32,
     /// Wait after which an entry counts as starved, in milliseconds.
@@ -117,6 +119,7 @@
         Self {
             levels: vec![2_000, 8_000, 32_000, 128_000],
             lead: 20_000,
+            short: 4.0,
             guard: 8,
             patience_ms: 2_000,
             depth: 32,
