peer: detect silent links early and test the faults of links

A request over a link that went silent waited for the end of the link. A link is now doubted at half of the limit, a second connection is tried at once and requests move to it; its failure is the evidence that the instance stopped. The order of doubt and attempt was wrong at first, which request_moves_from_doubted_link showed.

--- a/src/member/gossip.rs
+++ b/src/member/gossip.rs
@@ -157,18 +157,21 @@
             Body::Heartbeat(heartbeat) => self.beat(now, view, from, &heartbeat),
             Body::Rumor(news) => {
                 take(now, view, &news);
-                Vec::new()
+                let back = select(view, &news.wanted);
+                if back.is_empty() {
+                    return Vec::new();
+                }
+                vec![(from.clone(), Body::Rumor(back))]
             }
             Body::Digest(groups) => {
-                let (entries, departures) = view.differing(&groups);
-                let news = News {
-                    entries,
-                    departures,
-                    quiet: true,
-                };
-                if news.is_empty() {
+                let differ = view.compare(&groups);
+                if differ.is_empty() {
                     return Vec::new();
                 }
+                let news = News {
+                    wanted: differ.clone(),
+                    ..select(view, &differ)
+                };
                 vec![(from.clone(), Body::Rumor(news))]
             }
             _ => Vec::new(),
@@ -294,6 +297,20 @@
     news
 }
 
+/// Reads all entries of some groups, to catch up a peer whose entries differ.
+fn select(view: &View, groups: &[u8]) -> News {
+    if groups.is_empty() {
+        return News::default();
+    }
+    let (entries, departures) = view.select(groups);
+    News {
+        entries,
+        departures,
+        quiet: true,
+        wanted: Vec::new(),
+    }
+}
+
 fn take(now: Time, view: &mut View, news: &News) {
     let known = view.fresh_count();
     for entry in &news.entries {
--- a/src/member/view.rs
+++ b/src/member/view.rs
@@ -33,9 +33,16 @@
 
 /// Time that an instance has to refute a suspicion.
 ///
-/// With the second that a lost link takes at most to be tried again, a dead instance is out of
-/// use within 3 s.
-pub const REFUTE: Duration = Duration::from_secs(2);
+/// A suspicion and its refutation spread in a fraction of a second, or with the heartbeats of the
+/// next one if their first messages are lost. A dead instance is out of use everywhere within 3 s
+/// of the first failure to reach it.
+pub const REFUTE: Duration = Duration::from_millis(1_500);
+
+/// Time for which this instance does not repeat a suspicion that was refuted.
+///
+/// Without it, an instance that can't be reached from here only would be suspected and refuted
+/// all over the deployment at each attempt.
+const QUIET: Duration = Duration::from_secs(10);
 
 /// Time after which an instance that could not be reached from here is tried again.
 const RETRY: Duration = Duration::from_secs(5);
@@ -73,6 +80,8 @@
     pub(super) since: Time,
     /// Time at which this instance last failed to reach it.
     pub(super) down: Option<Time>,
+    /// Time at which this instance last spread a suspicion of it.
+    pub(super) suspected: Option<Time>,
     /// Time of its last message to this instance.
     pub(super) heard: Option<Time>,
     /// Whether it is gone because it stopped as it had said.
@@ -89,6 +98,7 @@
             listed_leaving: false,
             since: now,
             down: None,
+            suspected: None,
             heard: None,
             left: false,
             load: 0,
@@ -321,12 +331,15 @@
             return;
         };
         member.down = Some(now);
+        let repeated = member.suspected.is_some_and(|at| now.since(at) < QUIET);
         let state = match member.entry.state {
+            State::Live if repeated => return self.touch(now),
             State::Live => State::Suspected,
             // It said that it would stop, and it did.
             State::Leaving => State::Gone,
             State::Suspected | State::Gone => return self.touch(now),
         };
+        member.suspected = Some(now);
         let entry = Entry {
             state,
             ..member.entry.clone()
@@ -380,10 +393,6 @@
         if shared(&entry) {
             self.digest = self.digest.wrapping_add(mark(&entry));
         }
-        // A new incarnation may have started on another machine.
-        if entry.incarnation > member.entry.incarnation {
-            member.down = None;
-        }
         member.left = member.entry.state == State::Leaving && entry.state == State::Gone;
         member.entry = entry;
         member.since = now;
@@ -549,29 +558,25 @@
             .filter(|entry| shared(entry))
     }
 
-    /// Returns the entries in the groups that differ from a peer's digests.
+    /// Returns the groups that differ from a peer's digests.
+    pub fn compare(&self, theirs: &[u32]) -> Vec<u8> {
+        let own = self.groups();
+        let differs = |index: &u8| theirs.get(usize::from(*index)) != own.get(usize::from(*index));
+        (0..=GROUPS as u8).filter(differs).collect()
+    }
+
+    /// Returns all entries of some groups.
     ///
-    /// An instance that is gone here but not there is told as suspected.
-    pub fn differing(&self, theirs: &[u32]) -> (Vec<Entry>, Vec<Departure>) {
-        let differ: Vec<bool> = self
-            .groups()
-            .iter()
-            .enumerate()
-            .map(|(index, own)| theirs.get(index) != Some(own))
-            .collect();
-        let gone = self
-            .members
-            .values()
-            .map(|member| &member.entry)
-            .filter(|entry| entry.incarnation > 0 && entry.state == State::Gone)
-            .map(Entry::told);
-        let entries = self
-            .entries()
-            .cloned()
-            .chain(gone)
-            .filter(|entry| differ[group(&entry.instance)])
+    /// Instances that are gone are told as suspected, for a peer that does not know it.
+    pub fn select(&self, groups: &[u8]) -> (Vec<Entry>, Vec<Departure>) {
+        let wanted: Set<usize> = groups.iter().map(|group| usize::from(*group)).collect();
+        let members = self.members.values().map(|member| &member.entry);
+        let entries = std::iter::once(&self.own)
+            .chain(members)
+            .filter(|entry| entry.incarnation > 0 && wanted.contains(&group(&entry.instance)))
+            .map(Entry::told)
             .collect();
-        let departures = if differ[GROUPS] {
+        let departures = if wanted.contains(&GROUPS) {
             self.departures.values().cloned().collect()
         } else {
             Vec::new()
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -30,12 +30,19 @@
     },
     time::{
         sleep,
+        timeout,
         timeout_at, //
     },
 };
 use tokio_tungstenite::{
-    tungstenite::Message,
-    WebSocketStream, //
+    tungstenite::{
+        protocol::{
+            frame::coding::CloseCode,
+            CloseFrame, //
+        },
+        Message,
+    },
+    WebSocketStream,
 };
 
 use super::{
@@ -108,6 +115,8 @@
     Silent,
     /// The peer sent something that is not a frame.
     Malformed,
+    /// The peer stops.
+    Away,
     /// This instance stops.
     Stopped,
 }
@@ -124,6 +133,8 @@
     pending: Mutex<Map<u64, Pending>>,
     inlets: Mutex<Map<u64, Arc<Inlet>>>,
     closed: AtomicBool,
+    /// Whether nothing was received for longer than a peer that works stays silent.
+    doubted: AtomicBool,
     used: Mutex<Instant>,
 }
 
@@ -162,6 +173,7 @@
             pending: Mutex::default(),
             inlets: Mutex::default(),
             closed: AtomicBool::new(false),
+            doubted: AtomicBool::new(false),
             used: Mutex::new(Instant::now()),
         };
         Pump {
@@ -180,6 +192,11 @@
         self.closed.load(Relaxed)
     }
 
+    /// Returns whether the peer is expected to answer on this link.
+    pub(super) fn is_healthy(&self) -> bool {
+        !self.is_closed() && !self.doubted.load(Relaxed)
+    }
+
     fn units(&self, bytes: &[u8]) -> u32 {
         (bytes.len().div_ceil(UNIT) as u32).clamp(1, self.units)
     }
@@ -349,7 +366,7 @@
                     inlet.add(credit);
                 }
             }
-            Body::Unsupported => {
+            Body::Unknown => {
                 meter.unsupported.one();
                 self.refuse(frame.id);
             }
@@ -380,7 +397,13 @@
 
 impl Pump {
     /// Runs the connection until it ends.
-    pub(super) async fn run<H: Handler>(self, handler: &H, stop: &Semaphore) -> End {
+    ///
+    /// `doubt` is called when the peer has been silent for half of the limit.
+    pub(super) async fn run<H, F>(self, handler: &H, doubt: F, stop: &Semaphore) -> End
+    where
+        H: Handler,
+        F: Fn(),
+    {
         let Self {
             link,
             mut parcels,
@@ -395,15 +418,22 @@
         let end = tokio::select! {
             end = read(&link, stream, &meter, handler) => end,
             end = write(&link, &mut sink, &mut parcels, &meter, ping) => end,
-            () = watch(&pulse, silence) => End::Silent,
+            () = watch(&link, &pulse, silence, doubt) => End::Silent,
             () = rest(&link, idle) => End::Idle,
             _ = stop.acquire() => End::Stopped,
         };
         link.close();
-        if matches!(end, End::Idle | End::Stopped) {
-            // A peer that no longer reads must not hold up the end.
-            let _ = tokio::time::timeout(ping, sink.close()).await;
-        }
+        let code = match end {
+            End::Idle => CloseCode::Normal,
+            End::Stopped => CloseCode::Away,
+            _ => return end,
+        };
+        let frame = CloseFrame {
+            code,
+            reason: "".into(),
+        };
+        // A peer that no longer reads must not hold up the end.
+        let _ = timeout(ping, sink.send(Message::Close(Some(frame)))).await;
         end
     }
 }
@@ -426,7 +456,10 @@
             }
             Some(Ok(Message::Ping(_) | Message::Pong(_))) => {}
             Some(Ok(Message::Text(_) | Message::Frame(_))) => return End::Malformed,
-            Some(Ok(Message::Close(_))) => return End::Idle,
+            Some(Ok(Message::Close(frame))) => {
+                let away = frame.is_some_and(|frame| frame.code == CloseCode::Away);
+                return if away { End::Away } else { End::Idle };
+            }
             Some(Err(Failure::Capacity(_) | Failure::Utf8(_))) => return End::Malformed,
             Some(Err(Failure::Protocol(error))) => {
                 use tokio_tungstenite::tungstenite::error::ProtocolError;
@@ -479,13 +512,26 @@
 }
 
 /// Returns when nothing was received for `silence`.
-async fn watch(pulse: &Pulse, silence: Duration) {
-    loop {
-        let quiet = pulse.last().elapsed();
-        if quiet >= silence {
-            return;
+///
+/// Time during which this process itself was paused does not count, as the peer's frames of that
+/// time are still to be read.
+async fn watch<F: Fn()>(link: &Link, pulse: &Pulse, silence: Duration, doubt: F) {
+    let step = silence / 12;
+    let mut quiet = Duration::ZERO;
+    let mut last = pulse.last();
+    while quiet < silence {
+        sleep(step).await;
+        quiet += step;
+        let latest = pulse.last();
+        if latest != last {
+            last = latest;
+            quiet = Duration::ZERO;
+        }
+        let doubted = quiet >= silence / 2;
+        let before = link.doubted.swap(doubted, Relaxed);
+        if doubted && !before {
+            doubt();
         }
-        sleep(silence - quiet).await;
     }
 }
 
--- a/src/peer/mesh.rs
+++ b/src/peer/mesh.rs
@@ -278,8 +278,11 @@
             return Err(Unreachable::Unknown);
         }
         let peer = peers.entry(to.clone()).or_default();
-        let open = peer.links.iter().rev().find(|link| !link.is_closed());
-        if let Some(link) = open {
+        let links = || peer.links.iter().rev();
+        let link = links()
+            .find(|link| link.is_healthy())
+            .or_else(|| links().find(|link| !link.is_closed()));
+        if let Some(link) = link {
             return link.post(id, bytes, pending).map_err(|(reason, _)| reason);
         }
         if !peer.dialing {
@@ -329,14 +332,14 @@
         last
     }
 
-    /// Ends an attempt to connect that made no link.
-    fn failed(&self, to: &Instance) {
+    /// Ends an attempt to connect that made no link; returns whether another link works.
+    fn failed(&self, to: &Instance) -> bool {
         let mut peers = self.peers();
         let peer = peers.entry(to.clone()).or_default();
         peer.dialing = false;
         // The peer may have connected to us meanwhile.
-        if !peer.links.is_empty() {
-            return;
+        if peer.links.iter().any(|link| link.is_healthy()) {
+            return true;
         }
         let settings = &self.shared.settings;
         let step = settings.backoff * (1 << peer.failures.min(10));
@@ -348,6 +351,7 @@
         for waiting in peer.waiting.drain(..) {
             waiting.fail(Unreachable::Down);
         }
+        false
     }
 
     /// Forgets instances without links that are no longer worth an attempt.
@@ -431,7 +435,8 @@
     async fn dial(self: Rc<Self>, to: Instance) {
         let shared = self.shared();
         let Some(address) = shared.roster.snapshot().address(&to).map(str::to_owned) else {
-            return self.mesh.failed(&to);
+            self.mesh.failed(&to);
+            return;
         };
         let meter = shared.meter.clone();
         let dialed = handshake::dial(&shared.settings, meter, self.own(), &to, &address).await;
@@ -449,9 +454,10 @@
                 } else {
                     log::debug!("peer: no link to {to} at {address}: {fault}");
                 }
-                self.mesh.failed(&to);
-                let now = Time::now();
-                shared.roster.update(|view| view.unreachable(now, &to));
+                if !self.mesh.failed(&to) {
+                    let now = Time::now();
+                    shared.roster.update(|view| view.unreachable(now, &to));
+                }
             }
         }
     }
@@ -470,7 +476,8 @@
         self.mesh.attach(&link);
         let now = Time::now();
         shared.roster.update(|view| view.connected(now, &entry));
-        let end = pump.run(&*self, &shared.stop).await;
+        let doubt = || self.verify(&link.peer);
+        let end = pump.run(&*self, doubt, &shared.stop).await;
         let last = self.mesh.detach(&link);
         match end {
             End::Malformed => {
@@ -482,21 +489,23 @@
                 log::warn!("peer: replaced the silent link with {}", link.peer);
             }
             End::Lost => log::debug!("peer: lost the link with {}", link.peer),
-            End::Idle | End::Stopped => {}
+            End::Idle | End::Away | End::Stopped => {}
         }
-        let stopped = shared.stop.is_closed();
-        if last && !stopped && matches!(end, End::Lost | End::Silent) {
-            self.check(&link.peer);
+        if last && matches!(end, End::Lost | End::Silent | End::Away) {
+            self.verify(&link.peer);
         }
     }
 
-    /// Connects again at once to an instance whose last link was lost; a failure is evidence
-    /// that it stopped.
-    fn check(&self, peer: &Instance) {
+    /// Connects to an instance whose link was lost or is silent.
+    ///
+    /// A failure is evidence that the instance stopped; it comes before the silence reaches its
+    /// limit, so that an instance that stopped is out of use within 3 s.
+    fn verify(&self, peer: &Instance) {
         let mut peers = self.mesh.peers();
-        let peer_state = peers.entry(peer.clone()).or_default();
-        if !peer_state.dialing && peer_state.links.is_empty() {
-            peer_state.dialing = true;
+        let state = peers.entry(peer.clone()).or_default();
+        let healthy = state.links.iter().any(|link| link.is_healthy());
+        if !state.dialing && !healthy {
+            state.dialing = true;
             let _ = self.shared().dials.send(peer.clone());
         }
     }
--- a/src/peer/reply.rs
+++ b/src/peer/reply.rs
@@ -114,7 +114,10 @@
             last: false,
             body,
         };
-        self.link.push(&frame).await.map_err(|_| Closed)
+        self.link.push(&frame).await.map_err(|reason| {
+            log::debug!("peer: a reply to {} was not sent: {reason}", self.link.peer);
+            Closed
+        })
     }
 
     /// Sends the last reply without waiting.
@@ -140,13 +143,18 @@
         }
         self.finished = true;
         self.link.forget(self.id);
-        let frame = Frame {
+        let last = |body| Frame {
             id: self.id,
             reply: true,
             last: true,
             body,
         };
-        self.link.push_now(&frame).map_err(|_| Closed)
+        self.link.push_now(&last(body)).map_err(|reason| {
+            // The requester must not wait for a reply that was too large to be sent.
+            let _ = self.link.push_now(&last(Body::Empty));
+            log::debug!("peer: a reply to {} was not sent: {reason}", self.link.peer);
+            Closed
+        })
     }
 }
 
@@ -237,20 +245,20 @@
         let Some(reply) = std::task::ready!(self.queue.poll_recv(cx)) else {
             return self.end(Error::Lost);
         };
-        match reply.body {
-            Err(error) => self.end(error),
-            Ok(Body::Unsupported) => self.end(Error::Unsupported),
-            Ok(Body::Empty) if reply.last => {
-                self.finished = true;
-                Poll::Ready(None)
-            }
-            Ok(body) => {
-                self.finished = reply.last;
-                if !reply.last {
-                    self.refill();
-                }
-                Poll::Ready(Some(Ok(body)))
-            }
+        let body = match reply.body {
+            Err(error) => return self.end(error),
+            Ok(Body::Unsupported) => return self.end(Error::Unsupported),
+            Ok(body) => body,
+        };
+        self.finished = reply.last;
+        if !reply.last {
+            self.refill();
+        }
+        match body {
+            Body::Empty if reply.last => Poll::Ready(None),
+            // The peer replied, so that the request was not ignored.
+            Body::Unknown => self.end(Error::Empty),
+            body => Poll::Ready(Some(Ok(body))),
         }
     }
 }
--- a/src/peer/settings.rs
+++ b/src/peer/settings.rs
@@ -33,7 +33,8 @@
     /// Address of the peer port as others reach it; the listening address if absent.
     #[serde(default)]
     pub address: Option<String>,
-    /// Secret that all instances of the deployment share.
+    /// Secret that all instances of the deployment share. Links are not encrypted yet, so that it
+    /// keeps out other deployments and strangers, but no one who can read the network.
     pub secret: Secret,
     /// Keys for encrypted links; not used yet, links are plain TCP.
     #[serde(default)]
@@ -59,7 +60,7 @@
     /// Time between two rounds of gossip.
     #[serde(default = "default_gossip", with = "humantime_serde")]
     pub gossip: Duration,
-    /// Bytes that may wait in the queue of one link, in units of 1 KiB per frame begun.
+    /// Bytes that may wait in the queue of one link; each frame counts in full units of 1 KiB.
     #[serde(default = "default_queue")]
     pub queue_bytes: usize,
     /// Largest frame in bytes.
@@ -68,7 +69,7 @@
 }
 
 fn default_handshake() -> Duration {
-    Duration::from_secs(2)
+    Duration::from_secs(1)
 }
 
 fn default_ping() -> Duration {
@@ -131,6 +132,12 @@
             frame_bytes: default_frame(),
         }
     }
+
+    /// Returns the address of the peer port as others reach it.
+    pub fn advertised(&self) -> String {
+        let listen = || self.listen.to_string();
+        self.address.clone().unwrap_or_else(listen)
+    }
 }
 
 /// Files with the keys for encrypted links; not used yet.
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -177,9 +177,12 @@
     /// No reply follows.
     #[serde(rename = "em")]
     Empty,
-    /// The request was ignored, as its kind is not known; also stands for any unknown kind.
+    /// The request was ignored, as its kind is not known.
     #[serde(rename = "un")]
     Unsupported,
+    /// A body that could not be understood.
+    #[serde(rename = "?")]
+    Unknown,
 }
 
 /// State of an instance and what changed lately.
@@ -219,6 +222,9 @@
     /// Whether the receiver need not forward it.
     #[serde(rename = "q", default, skip_serializing_if = "std::ops::Not::not")]
     pub quiet: bool,
+    /// Groups of entries that the sender asks for.
+    #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
+    pub wanted: Vec<u8>,
 }
 
 impl News {
@@ -256,12 +262,12 @@
         buffer
     }
 
-    /// Decodes a frame; a body that is not understood becomes [`Body::Unsupported`].
+    /// Decodes a frame; a body that is not understood becomes [`Body::Unknown`].
     pub fn decode(bytes: &[u8]) -> Result<Self, Malformed> {
         let mut rest = io::Cursor::new(bytes);
         let (id, flags): (u64, u8) = ciborium::from_reader(&mut rest)
             .map_err(|error| Malformed::Header(error.to_string()))?;
-        let body = ciborium::from_reader(&mut rest).unwrap_or(Body::Unsupported);
+        let body = ciborium::from_reader(&mut rest).unwrap_or(Body::Unknown);
         Ok(Self {
             id,
             reply: flags & REPLY != 0,
--- a/tests/peer_mesh.rs
+++ b/tests/peer_mesh.rs
@@ -2,22 +2,41 @@
 
 use std::{
     cell::RefCell,
+    net::SocketAddr,
     rc::Rc,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use futures_util::{
+    future::join_all,
+    SinkExt,
+    StreamExt, //
 };
 
 use gypsumlever::{
+    clock::Time,
     executor::request::Event,
     member::{
+        Entry,
         Listed,
-        Roster, //
+        Roster,
+        State, //
     },
     name::{
         Instance,
+        Pool,
+        Upstream,
         Zone, //
     },
     peer::{
-        wire::Body,
+        wire::{
+            Body,
+            Frame,
+            Hello, //
+        },
         Error,
         Handler,
         Mesh,
@@ -27,8 +46,25 @@
     },
 };
 use tokio::{
-    net::TcpListener,
-    time::sleep, //
+    io::{
+        copy_bidirectional,
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    sync::watch,
+    time::{
+        sleep,
+        timeout, //
+    },
+};
+use tokio_tungstenite::{
+    client_async,
+    tungstenite::Message,
+    WebSocketStream, //
 };
 
 const LIMIT: Duration = Duration::from_secs(5);
@@ -74,6 +110,7 @@
     mesh: Mesh,
     roster: Roster,
     node: Node,
+    listen: SocketAddr,
     listed: Listed,
 }
 
@@ -83,21 +120,23 @@
 
 async fn party(name: &str, change: impl Fn(&mut Settings)) -> Party {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
+    let listen = listener.local_addr().unwrap();
     let zone = Zone::try_from("a").unwrap();
-    let mut settings = Settings::new("test", instance(name), zone.clone(), address, "secret");
+    let mut settings = Settings::new("test", instance(name), zone.clone(), listen, "secret");
     change(&mut settings);
-    let roster = Roster::start(instance(name), zone.clone(), &address.to_string());
+    let address = settings.advertised();
+    let roster = Roster::start(instance(name), zone.clone(), &address);
     let node = Node::default();
     let mesh = Mesh::run(settings, listener, node.clone(), roster.clone());
     Party {
         mesh,
         roster,
         node,
+        listen,
         listed: Listed {
             instance: instance(name),
             zone,
-            address: address.to_string(),
+            address,
             leaving: false,
         },
     }
@@ -115,9 +154,7 @@
 fn meet(parties: &[Party]) {
     let list: Vec<_> = parties.iter().map(|party| party.listed.clone()).collect();
     for party in parties {
-        party
-            .roster
-            .update(|view| view.listed(gypsumlever::clock::Time::now(), &list));
+        party.roster.update(|view| view.listed(Time::now(), &list));
     }
 }
 
@@ -184,3 +221,488 @@
     assert_eq!(replies.next().await, Some(Ok(Body::Held)));
     assert_eq!(replies.next().await, None);
 }
+
+/// Settings with short times, so that a test of silence does not take long.
+fn quick(settings: &mut Settings) {
+    settings.ping = Duration::from_millis(200);
+    settings.silence = Duration::from_millis(1_000);
+    settings.handshake = Duration::from_millis(500);
+    settings.backoff = Duration::from_millis(20);
+    settings.backoff_limit = Duration::from_millis(50);
+    settings.gossip = Duration::from_millis(50);
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Wire {
+    Forward,
+    Freeze,
+    Cut,
+}
+
+/// Relay that can freeze or cut the connections that it has, while new ones work.
+struct Relay {
+    wires: Rc<RefCell<watch::Sender<Wire>>>,
+}
+
+impl Relay {
+    fn start(listener: TcpListener, target: String) -> Self {
+        let wires = Rc::new(RefCell::new(watch::channel(Wire::Forward).0));
+        let shared = wires.clone();
+        actix_web::rt::spawn(async move {
+            while let Ok((mut from, _)) = listener.accept().await {
+                let mut wire = shared.borrow().subscribe();
+                let target = target.clone();
+                actix_web::rt::spawn(async move {
+                    let Ok(mut to) = TcpStream::connect(target).await else {
+                        return;
+                    };
+                    tokio::select! {
+                        _ = copy_bidirectional(&mut from, &mut to) => return,
+                        _ = wire.wait_for(|wire| *wire != Wire::Forward) => {}
+                    }
+                    let _ = wire.wait_for(|wire| *wire == Wire::Cut).await;
+                });
+            }
+        });
+        Self { wires }
+    }
+
+    fn set(&self, wire: Wire) {
+        let old = self.wires.replace(watch::channel(Wire::Forward).0);
+        old.send_replace(wire);
+        // A frozen connection stays open until the end of the test.
+        std::mem::forget(old);
+    }
+}
+
+/// Two instances, of which the first reaches the second through a relay only.
+async fn relayed(change: impl Fn(&mut Settings)) -> (Vec<Party>, Relay) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let one = party("one", &change).await;
+    let two = party("two", |settings| {
+        change(settings);
+        settings.address = Some(address.clone());
+    })
+    .await;
+    let relay = Relay::start(listener, two.listen.to_string());
+    let parties = vec![one, two];
+    let list = [parties[1].listed.clone()];
+    parties[0]
+        .roster
+        .update(|view| view.listed(Time::now(), &list));
+    (parties, relay)
+}
+
+#[actix_web::test]
+async fn request_over_silent_link() {
+    let (p, relay) = relayed(quick).await;
+    let two = instance("two");
+    assert_eq!(
+        p[0].mesh.request(&two, fetch(0), LIMIT).await,
+        Ok(Body::Held)
+    );
+    relay.set(Wire::Freeze);
+    let lost = p[0].mesh.request(&two, fetch(0), LIMIT).await;
+    assert_eq!(lost, Err(Error::Lost));
+    assert_eq!(
+        p[0].mesh.request(&two, fetch(0), LIMIT).await,
+        Ok(Body::Held)
+    );
+    until("both ends see the silence", || {
+        p[0].mesh.stats().silent > 0 && p[1].mesh.stats().silent > 0
+    })
+    .await;
+}
+
+#[actix_web::test]
+async fn request_moves_from_doubted_link() {
+    // A request made while a link is silent must not wait for the end of that link.
+    let (p, relay) = relayed(|settings| {
+        quick(settings);
+        settings.silence = Duration::from_secs(4);
+    })
+    .await;
+    let two = instance("two");
+    assert_eq!(
+        p[0].mesh.request(&two, fetch(0), LIMIT).await,
+        Ok(Body::Held)
+    );
+    relay.set(Wire::Freeze);
+    until("a second link", || p[0].mesh.stats().links >= 2).await;
+    assert_eq!(p[0].mesh.stats().silent, 0);
+    assert_eq!(
+        p[0].mesh.request(&two, fetch(0), LIMIT).await,
+        Ok(Body::Held)
+    );
+}
+
+#[actix_web::test]
+async fn request_over_lost_link() {
+    let (p, relay) = relayed(quick).await;
+    let two = instance("two");
+    let mut stream = p[0].mesh.open(&two, fetch(1_000_000)).unwrap();
+    assert_eq!(stream.next().await, Some(Ok(text(0))));
+    let kept = p[1].node.kept.clone();
+    let cut = async {
+        until("request arrives", || !kept.borrow().is_empty()).await;
+        relay.set(Wire::Cut);
+    };
+    let body = Body::Withdraw { grant: 0 };
+    let (reply, ()) = tokio::join!(p[0].mesh.request(&two, body, LIMIT), cut);
+    assert_eq!(reply, Err(Error::Lost));
+    assert!(Error::Lost.delivered());
+    let error = loop {
+        match stream.next().await {
+            Some(Ok(_)) => {}
+            other => break other,
+        }
+    };
+    assert_eq!(error, Some(Err(Error::Lost)));
+    until("responder sees the loss", || kept.borrow()[0].is_closed()).await;
+    assert_eq!(
+        p[0].mesh.request(&two, fetch(0), LIMIT).await,
+        Ok(Body::Held)
+    );
+}
+
+#[actix_web::test]
+async fn open_slow_reader() {
+    // A reader that takes nothing must not make the responder buffer or stall other requests.
+    let p = parties(&["one", "two"]).await;
+    let two = instance("two");
+    let mut stream = p[0].mesh.open(&two, fetch(1_000_000)).unwrap();
+    let sent = p[1].node.sent.clone();
+    until("window is used up", || *sent.borrow() >= 32).await;
+    for _ in 0..50 {
+        let reply = p[0].mesh.request(&two, fetch(0), LIMIT).await;
+        assert_eq!(reply, Ok(Body::Held));
+    }
+    assert_eq!(*sent.borrow(), 32);
+    for offset in 0..100 {
+        assert_eq!(stream.next().await, Some(Ok(text(offset))));
+    }
+}
+
+#[actix_web::test]
+async fn open_dropped_sends_cancel() {
+    let p = parties(&["one", "two"]).await;
+    let kept = p[1].node.kept.clone();
+    let stream = p[0]
+        .mesh
+        .open(&instance("two"), Body::Withdraw { grant: 0 });
+    until("request arrives", || !kept.borrow().is_empty()).await;
+    assert!(!kept.borrow()[0].is_closed());
+    drop(stream);
+    until("cancel arrives", || kept.borrow()[0].is_closed()).await;
+}
+
+#[actix_web::test]
+async fn request_both_sides_connect() {
+    let p = parties(&["one", "two"]).await;
+    for _ in 0..20 {
+        let there = (0..20).map(|_| p[0].mesh.request(&p[1].listed.instance, fetch(0), LIMIT));
+        let back = (0..20).map(|_| p[1].mesh.request(&p[0].listed.instance, fetch(0), LIMIT));
+        let (there, back) = tokio::join!(join_all(there), join_all(back));
+        assert!(there
+            .iter()
+            .chain(&back)
+            .all(|reply| *reply == Ok(Body::Held)));
+    }
+}
+
+#[actix_web::test]
+async fn send_full_queue() {
+    let (p, relay) = relayed(|settings| settings.queue_bytes = 1 << 20).await;
+    let two = instance("two");
+    assert_eq!(
+        p[0].mesh.request(&two, fetch(0), LIMIT).await,
+        Ok(Body::Held)
+    );
+    relay.set(Wire::Freeze);
+    let bytes = vec![0; 100_000];
+    let chunk = Body::Chunk {
+        partition: 0,
+        offset: 0,
+        bytes: bytes.into(),
+    };
+    let mut sent = 0;
+    while p[0].mesh.send(&two, chunk.clone()).is_ok() {
+        sent += 1;
+        assert!(sent < 20, "the queue holds more than 1 MiB");
+    }
+    assert_eq!(p[0].mesh.send(&two, chunk), Err(Unreachable::Full));
+    assert!(p[0].mesh.stats().full > 0);
+    let large = Body::Chunk {
+        partition: 0,
+        offset: 0,
+        bytes: vec![0; 5 << 20].into(),
+    };
+    assert_eq!(p[0].mesh.send(&two, large), Err(Unreachable::Large));
+}
+
+#[actix_web::test]
+async fn request_down_then_up() {
+    let p = party("one", quick).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let two = Listed {
+        address: address.to_string(),
+        instance: instance("two"),
+        ..p.listed.clone()
+    };
+    let name = two.instance.clone();
+    p.roster.update(|view| view.listed(Time::now(), &[two]));
+    let started = Instant::now();
+    let reply = p.mesh.request(&name, fetch(0), LIMIT).await;
+    let Err(error) = reply else {
+        panic!("no instance listens");
+    };
+    assert!(matches!(error, Error::Unsent(_)) && !error.delivered());
+    assert!(started.elapsed() < Duration::from_secs(2));
+    assert_eq!(p.roster.snapshot().live(&p.listed.zone).len(), 1);
+    let back = party("two", |settings| settings.listen = address).await;
+    let relay = TcpListener::bind(address).await.unwrap();
+    actix_web::rt::spawn(async move {
+        while let Ok((mut from, _)) = relay.accept().await {
+            let mut to = TcpStream::connect(back.listen).await.unwrap();
+            actix_web::rt::spawn(async move { copy_bidirectional(&mut from, &mut to).await });
+        }
+    });
+    for _ in 0..100 {
+        if p.mesh.request(&name, fetch(0), LIMIT).await == Ok(Body::Held) {
+            return;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    panic!("no link after the instance came back");
+}
+
+fn hello() -> Hello {
+    Hello {
+        version: 1,
+        lowest: 1,
+        cluster: "test".into(),
+        entry: Entry {
+            instance: instance("raw"),
+            incarnation: 1,
+            state: State::Live,
+            zone: Zone::try_from("a").unwrap(),
+            address: "127.0.0.1:1".into(),
+        },
+        secret: "secret".into(),
+    }
+}
+
+type Raw = WebSocketStream<TcpStream>;
+
+async fn raw(party: &Party, first: Message) -> (Raw, Option<Message>) {
+    let stream = TcpStream::connect(&party.listed.address).await.unwrap();
+    let (mut socket, _) = client_async("ws://localhost/", stream).await.unwrap();
+    socket.send(first).await.unwrap();
+    let reply = receive(&mut socket).await;
+    (socket, reply)
+}
+
+/// Returns the next message with content, or `None` at the end of the connection.
+async fn receive(socket: &mut Raw) -> Option<Message> {
+    loop {
+        match timeout(LIMIT, socket.next()).await.unwrap() {
+            Some(Ok(Message::Ping(_) | Message::Pong(_))) => {}
+            Some(Ok(message)) => return Some(message),
+            Some(Err(_)) | None => return None,
+        }
+    }
+}
+
+fn binary(bytes: Vec<u8>) -> Message {
+    Message::Binary(bytes.into())
+}
+
+#[actix_web::test]
+async fn hello_table_of_faults() {
+    let p = party("one", quick).await;
+    let change = |change: fn(&mut Hello)| {
+        let mut hello = hello();
+        change(&mut hello);
+        binary(hello.encode())
+    };
+    let cases = [
+        ("right", change(|_| {}), true),
+        ("next version", change(|h| h.version = 2), true),
+        (
+            "version after next",
+            change(|h| (h.version, h.lowest) = (3, 2)),
+            false,
+        ),
+        (
+            "old version",
+            change(|h| (h.version, h.lowest) = (0, 0)),
+            false,
+        ),
+        (
+            "wrong secret",
+            change(|h| h.secret = "Secret".into()),
+            false,
+        ),
+        ("no secret", change(|h| h.secret = String::new()), false),
+        (
+            "wrong cluster",
+            change(|h| h.cluster = "prod".into()),
+            false,
+        ),
+        (
+            "own name",
+            change(|h| h.entry.instance = instance("one")),
+            false,
+        ),
+        ("garbage", binary(vec![0xff; 64]), false),
+        ("text", Message::Text("hello".into()), false),
+    ];
+    let mut refused = 0;
+    for (case, message, accepted) in cases {
+        let (_socket, reply) = raw(&p, message).await;
+        let linked = matches!(reply, Some(Message::Binary(_)));
+        assert_eq!(linked, accepted, "{case}");
+        refused += u64::from(!accepted);
+        until(case, || p.mesh.stats().refused == refused).await;
+    }
+}
+
+#[actix_web::test]
+async fn accept_table_of_strangers() {
+    // Each connection is closed and counted, although it never becomes a link.
+    let p = party("one", quick).await;
+    let cases: [(&str, &[u8]); 3] = [
+        ("silence", b""),
+        ("garbage", &[0xaa; 100_000]),
+        ("plain HTTP", b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"),
+    ];
+    for (count, (case, bytes)) in cases.into_iter().enumerate() {
+        let mut stream = TcpStream::connect(&p.listed.address).await.unwrap();
+        let _ = stream.write_all(bytes).await;
+        let mut rest = Vec::new();
+        let ended = timeout(LIMIT, stream.read_to_end(&mut rest)).await;
+        assert!(ended.is_ok(), "{case}");
+        until(case, || p.mesh.stats().refused == count as u64 + 1).await;
+    }
+}
+
+#[actix_web::test]
+async fn link_table_of_garbage() {
+    let p = party("one", |settings| {
+        quick(settings);
+        settings.frame_bytes = 10_000;
+    })
+    .await;
+    let cases = [
+        ("garbage", binary(vec![0xff; 64])),
+        ("empty", binary(Vec::new())),
+        ("text", Message::Text("call".into())),
+        ("oversized", binary(vec![0; 20_000])),
+    ];
+    for (count, (case, message)) in cases.into_iter().enumerate() {
+        let (mut socket, _) = raw(&p, binary(hello().encode())).await;
+        let _ = socket.send(message).await;
+        let deadline = Instant::now() + LIMIT;
+        while receive(&mut socket).await.is_some() {
+            assert!(Instant::now() < deadline, "{case}");
+        }
+        until(case, || p.mesh.stats().malformed == count as u64 + 1).await;
+    }
+}
+
+#[actix_web::test]
+async fn link_skips_next_version() {
+    let p = party("one", quick).await;
+    let (mut socket, _) = raw(&p, binary(hello().encode())).await;
+    let ask = |id: u64, body: &[u8]| {
+        let mut bytes = vec![0x82, id as u8, 0];
+        bytes.extend_from_slice(body);
+        binary(bytes)
+    };
+    // {"zz": {"a": [1]}}, and {"fe": {"p": 0, "f": 0, "new": "x"}}.
+    let kind = b"\xa1\x62zz\xa1\x61a\x81\x01";
+    let field = b"\xa1\x62fe\xa3\x61p\x00\x61f\x00\x63new\x61x";
+    for (id, body, expected) in [
+        (1, &kind[..], Body::Unsupported),
+        (2, &field[..], Body::Held),
+        (3, &fetch_bytes()[..], Body::Held),
+    ] {
+        socket.send(ask(id, body)).await.unwrap();
+        let reply = loop {
+            let Some(Message::Binary(bytes)) = receive(&mut socket).await else {
+                panic!("the link ended");
+            };
+            let frame = Frame::decode(&bytes).unwrap();
+            if frame.reply {
+                break frame;
+            }
+        };
+        assert_eq!((reply.id, reply.body), (id, expected));
+    }
+    assert_eq!(p.mesh.stats().unsupported, 1);
+}
+
+fn fetch_bytes() -> Vec<u8> {
+    let frame = Frame {
+        id: 1,
+        reply: false,
+        last: false,
+        body: fetch(0),
+    };
+    frame.encode()[3..].to_vec()
+}
+
+async fn crowd(count: usize) -> Vec<Party> {
+    let mut parties = Vec::new();
+    for index in 0..count {
+        parties.push(party(&format!("i{index}"), quick).await);
+    }
+    meet(&parties);
+    parties
+}
+
+#[actix_web::test]
+async fn gossip_spreads_departures() {
+    let p = crowd(9).await;
+    let pool = Pool::try_from("advice").unwrap();
+    let upstream = Upstream::try_from("engine-3").unwrap();
+    let now = Time::now();
+    p[4].roster
+        .update(|view| view.upstream(now, &pool, &upstream, true, now.0));
+    p[7].roster.update(|view| view.leave(now));
+    until("all know that the upstream is leaving", || {
+        p.iter()
+            .all(|p| p.roster.snapshot().is_leaving(&pool, &upstream))
+    })
+    .await;
+    until("all know that the instance is leaving", || {
+        p.iter().all(|p| p.roster.snapshot().live_count() == 8)
+    })
+    .await;
+}
+
+#[actix_web::test]
+async fn gossip_beats_stale_list() {
+    // The list names an instance that is dead and omits one that is live.
+    let mut p = crowd(6).await;
+    until("links are made", || p.iter().all(|p| p.mesh.links() > 0)).await;
+    let dead = p.pop().unwrap();
+    dead.mesh.stop();
+    let new = party("new", quick).await;
+    let list: Vec<_> = p.iter().map(|p| p.listed.clone()).collect();
+    new.roster.update(|view| view.listed(Time::now(), &list));
+    p.push(new);
+    let started = Instant::now();
+    until("all agree on who is live", || {
+        p.iter().all(|p| {
+            let snapshot = p.roster.snapshot();
+            let live = snapshot.live(&p.listed.zone);
+            live.len() == 6 && !live.contains(&dead.listed.instance)
+        })
+    })
+    .await;
+    assert!(started.elapsed() < Duration::from_secs(3));
+}
