--- a/src/member/consul.rs
+++ b/src/member/consul.rs
@@ -1,1 +1,184 @@
 //! The platform's list over Consul's health API.
+
+use std::time::Duration;
+
+use anyhow::{
+    anyhow,
+    bail, //
+};
+use serde::Deserialize;
+use tokio::time::timeout;
+
+use super::list::{
+    List,
+    Listed, //
+};
+use crate::{
+    hash::Map,
+    name::{
+        Instance,
+        Zone, //
+    },
+};
+
+/// Largest list in bytes; one entry has about 1 KiB.
+const LIMIT: usize = 8 << 20;
+
+/// Client of `GET /v1/health/service/{name}`.
+///
+/// The instance is the service's `ID`. The zone is `zone` in the metadata of the service or of
+/// the node, or else the datacenter. The peer port is `peer_port` in the service's metadata, or
+/// else the service's port. An instance is leaving if its metadata say `state: leaving`, if it
+/// has the tag `leaving`, or in maintenance mode. One with another failed check is not listed.
+#[derive(Clone)]
+pub struct Client {
+    http: awc::Client,
+    url: String,
+    limit: Duration,
+}
+
+impl Client {
+    /// Makes a client of the service `name` at an address such as `127.0.0.1:8500`.
+    pub fn new(address: &str, name: &str, limit: Duration) -> Self {
+        Self {
+            http: awc::Client::builder().timeout(limit).finish(),
+            url: format!("http://{address}/v1/health/service/{name}"),
+            limit,
+        }
+    }
+
+    async fn fetch(&self) -> anyhow::Result<Vec<Listed>> {
+        let mut response = self
+            .http
+            .get(&self.url)
+            .send()
+            .await
+            .map_err(|error| anyhow!("{error}"))?;
+        if !response.status().is_success() {
+            bail!("status {}", response.status());
+        }
+        let body = response.body().limit(LIMIT).await;
+        let body = body.map_err(|error| anyhow!("{error}"))?;
+        parse(&body)
+    }
+}
+
+impl List for Client {
+    async fn list(&self) -> anyhow::Result<Vec<Listed>> {
+        timeout(self.limit, self.fetch())
+            .await
+            .unwrap_or_else(|_| Err(anyhow!("no answer within {:?}", self.limit)))
+    }
+}
+
+/// Reads the answer; entries that can't be used are left out.
+pub fn parse(body: &[u8]) -> anyhow::Result<Vec<Listed>> {
+    let raw: Vec<serde_json::Value> = serde_json::from_slice(body)?;
+    let mut listed = Vec::with_capacity(raw.len());
+    for value in raw {
+        match serde_json::from_value::<Health>(value).map_err(anyhow::Error::from) {
+            Ok(health) if health.failed() => {}
+            Ok(health) => match health.listed() {
+                Ok(instance) => listed.push(instance),
+                Err(error) => log::debug!("member: entry of the list left out: {error}"),
+            },
+            Err(error) => log::debug!("member: entry of the list left out: {error}"),
+        }
+    }
+    Ok(listed)
+}
+
+#[derive(Default)]
+#[derive(Deserialize)]
+#[serde(default, rename_all = "PascalCase")]
+struct Health {
+    node: Node,
+    service: Service,
+    checks: Option<Vec<Check>>,
+}
+
+#[derive(Default)]
+#[derive(Deserialize)]
+#[serde(default, rename_all = "PascalCase")]
+struct Node {
+    address: String,
+    datacenter: String,
+    meta: Option<Map<String, String>>,
+}
+
+#[derive(Default)]
+#[derive(Deserialize)]
+#[serde(default, rename_all = "PascalCase")]
+struct Service {
+    #[serde(rename = "ID")]
+    id: String,
+    address: String,
+    port: u16,
+    tags: Option<Vec<String>>,
+    meta: Option<Map<String, String>>,
+}
+
+#[derive(Default)]
+#[derive(Deserialize)]
+#[serde(default, rename_all = "PascalCase")]
+struct Check {
+    #[serde(rename = "CheckID")]
+    id: String,
+    status: String,
+}
+
+impl Check {
+    fn is_maintenance(&self) -> bool {
+        self.id == "_node_maintenance" || self.id.starts_with("_service_maintenance")
+    }
+}
+
+fn get<'a>(meta: &'a Option<Map<String, String>>, key: &str) -> Option<&'a str> {
+    meta.as_ref()?.get(key).map(String::as_str)
+}
+
+impl Health {
+    fn checks(&self) -> &[Check] {
+        self.checks.as_deref().unwrap_or_default()
+    }
+
+    fn failed(&self) -> bool {
+        let failed = |check: &Check| check.status == "critical" && !check.is_maintenance();
+        self.checks().iter().any(failed)
+    }
+
+    fn leaving(&self) -> bool {
+        let tags = self.service.tags.as_deref().unwrap_or_default();
+        tags.iter().any(|tag| tag == "leaving")
+            || get(&self.service.meta, "state") == Some("leaving")
+            || self.checks().iter().any(Check::is_maintenance)
+    }
+
+    fn listed(&self) -> anyhow::Result<Listed> {
+        let zone = get(&self.service.meta, "zone")
+            .or_else(|| get(&self.node.meta, "zone"))
+            .unwrap_or(&self.node.datacenter);
+        let host = [&self.service.address, &self.node.address];
+        let host = host.into_iter().find(|host| !host.is_empty());
+        let host = host.ok_or_else(|| anyhow!("no address"))?;
+        let port = match get(&self.service.meta, "peer_port") {
+            Some(port) => port.parse()?,
+            None => self.service.port,
+        };
+        if port == 0 {
+            bail!("no port");
+        }
+        // An IPv6 address needs brackets before a port.
+        let address = if host.contains(':') {
+            format!("[{host}]:{port}")
+        } else {
+            format!("{host}:{port}")
+        };
+        Ok(Listed {
+            instance: Instance::try_from(self.service.id.as_str())?,
+            zone: Zone::try_from(zone)?,
+            address,
+            leaving: self.leaving(),
+        })
+    }
+}
