--- a/src/upstream/chat.rs
+++ b/src/upstream/chat.rs
@@ -41,7 +41,7 @@
 /// Client of model engines; each thread has its own.
 #[derive(Clone)]
 pub struct Client {
-    pool: Pool,
+    pub(super) pool: Pool,
 }
 
 impl Client {
@@ -52,7 +52,7 @@
         }
     }
 
-    async fn json<T>(&self, address: &str, path: &str) -> Result<T, Failure>
+    pub(super) async fn json<T>(&self, address: &str, path: &str) -> Result<T, Failure>
     where
         T: for<'de> Deserialize<'de>,
     {
@@ -135,9 +135,8 @@
             .pool
             .post(address, &path)
             .content_type("application/json");
-        let mut body = self.pool.send(address, request, text.into(), SHORT).await?;
-        body.whole(MAX_BODY).await?;
-        Ok(())
+        let answer = self.pool.send(address, request, text.into(), SHORT).await?;
+        answer.skip().await
     }
 }
 
--- a/src/upstream/http.rs
+++ b/src/upstream/http.rs
@@ -362,6 +362,11 @@
         Ok(whole.freeze())
     }
 
+    /// Reads a body that says nothing.
+    pub(super) async fn skip(mut self) -> Result<(), Failure> {
+        self.whole(MAX_BODY).await.map(drop)
+    }
+
     /// Returns the beginning of the body of an error.
     async fn message(mut self) -> Result<String, Failure> {
         let mut message = Vec::new();
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -4,6 +4,8 @@
 pub mod http;
 pub mod rest;
 pub mod sse;
+pub mod sweep;
+pub mod watch;
 
 use std::time::Duration;
 
--- /dev/null
+++ b/src/upstream/watch.rs
@@ -0,0 +1,124 @@
+//! Load reports of upstreams, read at intervals.
+
+use std::time::Duration;
+
+use futures_util::{
+    stream::FuturesUnordered,
+    StreamExt as _, //
+};
+use rand::{
+    Rng,
+    RngExt as _, //
+};
+use tokio::time::{
+    sleep,
+    timeout, //
+};
+
+use crate::name::Upstream;
+
+use super::{
+    sweep::Target,
+    Engine,
+    Failure,
+    Load, //
+};
+
+/// Failed reads in a row after which an upstream counts as silent.
+const SILENT: u32 = 3;
+
+/// Longest time for one read.
+const LIMIT: Duration = Duration::from_secs(2);
+
+/// What a read of a report shows.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// A newer report.
+    Load(Load),
+    /// The upstream is leaving and has to receive no new work.
+    Leaving,
+    /// The upstream reports that it is no longer leaving, for example after a restart.
+    Back,
+    /// No report could be read several times in a row.
+    Silent,
+}
+
+/// State of one upstream's reports.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Watch {
+    latest: Option<u64>,
+    leaving: bool,
+    failures: u32,
+}
+
+impl Watch {
+    /// Applies the outcome of a read.
+    ///
+    /// A report that is older than one seen before was delayed and says nothing new.
+    pub fn apply(&mut self, read: Result<Load, Failure>) -> Vec<Event> {
+        let Ok(load) = read else {
+            self.failures = self.failures.saturating_add(1);
+            let silent = (self.failures == SILENT).then_some(Event::Silent);
+            return silent.into_iter().collect();
+        };
+        self.failures = 0;
+        if self.latest.is_some_and(|latest| load.at < latest) {
+            return Vec::new();
+        }
+        self.latest = Some(load.at);
+        let mut events = Vec::new();
+        if load.leaving != self.leaving {
+            self.leaving = load.leaving;
+            events.push(if load.leaving {
+                Event::Leaving
+            } else {
+                Event::Back
+            });
+        }
+        events.push(Event::Load(load));
+        events
+    }
+}
+
+/// Returns a time from 80 to 120 % of the interval, so that readers do not fall into step.
+pub fn jitter(interval: Duration, rng: &mut impl Rng) -> Duration {
+    interval.mul_f64(rng.random_range(0.8..1.2))
+}
+
+/// Reads the reports of all targets until it is dropped.
+///
+/// Each target has its own rhythm and at most one read under way, so that a silent one delays no
+/// other. The first reads are spread over one interval.
+pub async fn run<E: Engine>(
+    engine: &E,
+    targets: &[Target],
+    interval: Duration,
+    notice: impl Fn(&Upstream, Event),
+) {
+    let notice = &notice;
+    let mut readers: FuturesUnordered<_> = targets
+        .iter()
+        .map(|target| read(engine, target, interval, notice))
+        .collect();
+    while readers.next().await.is_some() {}
+}
+
+async fn read<E: Engine>(
+    engine: &E,
+    target: &Target,
+    interval: Duration,
+    notice: &impl Fn(&Upstream, Event),
+) {
+    let mut watch = Watch::default();
+    let mut wait = interval.mul_f64(rand::rng().random_range(0.0..1.0));
+    loop {
+        sleep(wait).await;
+        let read = timeout(LIMIT, engine.load(&target.address))
+            .await
+            .unwrap_or_else(|_| Err(Failure::Unknown("no report in time".into())));
+        for event in watch.apply(read) {
+            notice(&target.name, event);
+        }
+        wait = jitter(interval, &mut rand::rng());
+    }
+}
