upstream: give orders so that engines hold what the settings say

Orders follow from the settings only and carry a fencing number. Engines that ignore it get orders only for names that contain their version: these replace nothing and commute, so that instances with older and newer settings can't undo each other's work.

--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod chat;
 pub mod http;
+pub mod order;
+pub mod place;
 pub mod rest;
 pub mod sse;
 pub mod sweep;
--- /dev/null
+++ b/src/upstream/order.rs
@@ -0,0 +1,153 @@
+//! Commands to engines: load models and adapters, change role.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use serde_json::{
+    json,
+    Value, //
+};
+
+use super::{
+    chat::Client,
+    Failure,
+    Limits, //
+};
+
+/// Time limits of commands; engines read gigabytes of weights before they answer.
+const LIMITS: Limits = Limits {
+    first: Duration::from_secs(300),
+    progress: Duration::from_secs(30),
+    total: Duration::from_secs(600),
+};
+
+/// A command to an engine.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub enum Order {
+    /// Loads a version of a model.
+    Model {
+        /// Name under which the engine serves the model.
+        name: String,
+        /// Version of the weights.
+        version: String,
+    },
+    /// Loads a version of an adapter.
+    Adapter {
+        /// Name under which the engine serves the adapter.
+        name: String,
+        /// Version of the weights.
+        version: String,
+        /// Model that the adapter belongs to.
+        model: String,
+    },
+    /// Changes the engine's role.
+    Role(Role),
+}
+
+/// Part of a call that an engine runs.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Role {
+    /// Prompts only.
+    Prefill,
+    /// Generation only.
+    Decode,
+    /// Whole calls.
+    Both,
+}
+
+/// What proves that a command is not stale and who gives it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Warrant {
+    /// Fencing number; engines that enforce it refuse one lower than the highest they have seen.
+    pub fence: u64,
+    /// Name of the sender, for engines that verify it.
+    pub sender: Option<String>,
+}
+
+/// A model or adapter that an engine holds.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Held {
+    /// Name under which the engine serves it.
+    #[serde(rename = "id")]
+    pub name: String,
+    /// Version of the weights, if the engine reports it.
+    #[serde(default)]
+    pub version: Option<String>,
+    /// Model that an adapter belongs to.
+    #[serde(default)]
+    pub parent: Option<String>,
+}
+
+/// An engine that takes commands.
+#[allow(async_fn_in_trait)]
+pub trait Orders {
+    /// Gives a command; returns once the engine has carried it out.
+    async fn give(&self, address: &str, order: &Order, warrant: &Warrant) -> Result<(), Failure>;
+
+    /// Lists the models and adapters that the engine holds.
+    async fn held(&self, address: &str) -> Result<Vec<Held>, Failure>;
+}
+
+impl Order {
+    /// Returns the path that the command is posted to.
+    fn path(&self) -> &'static str {
+        match self {
+            Self::Model { .. } => "/v1/models/load",
+            Self::Adapter { .. } => "/v1/load_lora_adapter",
+            Self::Role(_) => "/v1/role",
+        }
+    }
+
+    fn body(&self) -> Value {
+        match self {
+            Self::Model { name, version } => json!({ "model": name, "version": version }),
+            Self::Adapter {
+                name,
+                version,
+                model,
+            } => json!({
+                "lora_name": name,
+                "lora_path": format!("{name}/{version}"),
+                "base_model_name": model,
+                "version": version,
+            }),
+            Self::Role(role) => json!({ "role": role }),
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct List {
+    data: Vec<Held>,
+}
+
+impl Orders for Client {
+    async fn give(&self, address: &str, order: &Order, warrant: &Warrant) -> Result<(), Failure> {
+        let mut request = self
+            .pool
+            .post_fresh(address, order.path())
+            .content_type("application/json")
+            .insert_header(("Fencing-Number", warrant.fence.to_string()));
+        if let Some(sender) = &warrant.sender {
+            request = request.insert_header(("Sender", sender.as_str()));
+        }
+        let body = Bytes::from(order.body().to_string());
+        self.pool
+            .send(address, request, body, LIMITS)
+            .await?
+            .skip()
+            .await
+    }
+
+    async fn held(&self, address: &str) -> Result<Vec<Held>, Failure> {
+        let list: List = self.json(address, "/v1/models").await?;
+        Ok(list.data)
+    }
+}
--- /dev/null
+++ b/src/upstream/place.rs
@@ -0,0 +1,291 @@
+//! Orders that make engines hold the models and adapters of the settings.
+
+use std::time::Duration;
+
+use futures_util::{
+    stream::{
+        self,
+        FuturesUnordered, //
+    },
+    StreamExt as _, //
+};
+use tokio::time::{
+    interval_at,
+    Instant,
+    MissedTickBehavior, //
+};
+
+use crate::{
+    clock::Time,
+    config::{
+        self,
+        Kind, //
+    },
+    hash::{
+        Map,
+        Set, //
+    },
+    name::Upstream, //
+};
+
+use super::{
+    order::{
+        Held,
+        Order,
+        Orders,
+        Warrant, //
+    },
+    Failure,
+};
+
+/// Time for which an order that failed or had no effect is not repeated; loading takes minutes.
+const PATIENCE: Duration = Duration::from_secs(120);
+
+/// Time without orders after an engine said that this instance's fencing number is stale.
+const STALE: Duration = Duration::from_secs(600);
+
+/// Time after which a refusal without `Retry-After` is tried again.
+const AGAIN: Duration = Duration::from_secs(30);
+
+/// Engines that are listed at the same time.
+const PARALLEL: usize = 16;
+
+/// Returns the orders after which an engine would hold everything in the settings.
+///
+/// Adapters follow once their model is held. Orders to one engine may be repeated, and those of two
+/// instances with different settings may be reordered on their way. An engine that ignores fencing
+/// numbers therefore gets orders only for names that contain their version: these never replace
+/// what the engine holds, and give the same result in any order.
+pub fn missing(pool: &config::Pool, upstream: &config::Upstream, held: &[Held]) -> Vec<Order> {
+    let mut orders = Vec::new();
+    for model in &pool.models {
+        match judge(upstream, held, &model.name, &model.version) {
+            Verdict::Held => {}
+            Verdict::Other => continue,
+            Verdict::Missing => {
+                orders.push(Order::Model {
+                    name: model.name.clone(),
+                    version: model.version.clone(),
+                });
+                continue;
+            }
+        }
+        for adapter in &model.adapters {
+            if judge(upstream, held, &adapter.name, &adapter.version) == Verdict::Missing {
+                orders.push(Order::Adapter {
+                    name: adapter.name.clone(),
+                    version: adapter.version.clone(),
+                    model: model.name.clone(),
+                });
+            }
+        }
+    }
+    orders
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Verdict {
+    Held,
+    Missing,
+    /// Not held, and no order for it is safe.
+    Other,
+}
+
+fn judge(upstream: &config::Upstream, held: &[Held], name: &str, version: &str) -> Verdict {
+    let found = held.iter().find(|held| held.name == name);
+    let right = |held: &Held| held.version.as_deref().is_none_or(|held| held == version);
+    if found.is_some_and(right) {
+        return Verdict::Held;
+    }
+    if upstream.fenced || versioned(name, version) {
+        Verdict::Missing
+    } else {
+        // Without a version in the name, one that is held but not the right one may be newer.
+        found.map_or(Verdict::Other, |_| Verdict::Held)
+    }
+}
+
+/// Returns whether a name such as `saddle-advice@3` ends with its version.
+pub fn versioned(name: &str, version: &str) -> bool {
+    let stem = name.strip_suffix(version).unwrap_or_default();
+    !version.is_empty() && stem.ends_with(|c: char| !c.is_alphanumeric())
+}
+
+/// Memory of the orders given.
+#[derive(Debug, Default)]
+pub struct Place {
+    engines: Map<Upstream, Last>,
+    /// Time before which no order is given at all, so that the weight store keeps its rate.
+    next: Time,
+}
+
+/// The last order that an engine got.
+#[derive(Debug)]
+struct Last {
+    order: Order,
+    given: Time,
+    /// How often it has been repeated.
+    repeats: u32,
+    /// Time before which the engine gets no order; the end of time while one is under way.
+    rest: Time,
+}
+
+impl Last {
+    /// Returns whether an order may be given now.
+    ///
+    /// One that an engine carries out without ever showing the result is repeated ever more rarely.
+    fn allows(&self, now: Time, order: &Order) -> bool {
+        let pause = PATIENCE * (1 << self.repeats.min(5));
+        now >= self.rest && (self.order != *order || now >= self.given + pause)
+    }
+}
+
+/// An order and the engine that gets it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Task {
+    /// Name of the engine.
+    pub upstream: Upstream,
+    /// Its address.
+    pub address: String,
+    /// Whether it verifies the sender.
+    pub verifies_sender: bool,
+    /// The order.
+    pub order: Order,
+}
+
+/// Returns the time between two loads of one instance when `instances` share the weight store.
+pub fn interval(weights: &config::Weights, instances: usize) -> Duration {
+    let loads = weights.loads_per_minute.max(1);
+    Duration::from_secs(60) * instances.max(1) as u32 / loads
+}
+
+impl Place {
+    /// Returns the next order, if one is due.
+    ///
+    /// `engines` are those that this instance looks after, with what they hold. An engine gets one
+    /// order at a time.
+    pub fn decide(
+        &mut self,
+        now: Time,
+        interval: Duration,
+        pool: &config::Pool,
+        engines: &[(&config::Upstream, Vec<Held>)],
+    ) -> Option<Task> {
+        if now < self.next {
+            return None;
+        }
+        let task = engines.iter().find_map(|(upstream, held)| {
+            let order = missing(pool, upstream, held).into_iter().next()?;
+            let last = self.engines.get(&upstream.name);
+            let due = last.is_none_or(|last| last.allows(now, &order));
+            due.then(|| Task {
+                upstream: upstream.name.clone(),
+                address: upstream.address.clone(),
+                verifies_sender: upstream.verifies_sender,
+                order,
+            })
+        })?;
+        self.next = now + interval;
+        let before = self.engines.get(&task.upstream);
+        let repeats = before
+            .filter(|last| last.order == task.order)
+            .map_or(0, |last| last.repeats.saturating_add(1));
+        let last = Last {
+            order: task.order.clone(),
+            given: now,
+            repeats,
+            rest: Time(u64::MAX),
+        };
+        self.engines.insert(task.upstream.clone(), last);
+        Some(task)
+    }
+
+    /// Notes the outcome of an order.
+    pub fn settle(&mut self, now: Time, upstream: &Upstream, outcome: &Result<(), Failure>) {
+        let rest = match outcome {
+            Ok(()) => Duration::ZERO,
+            Err(Failure::Refused { retry_after, .. }) => {
+                // The weight store is over its rate, which concerns every load.
+                let wait = retry_after.unwrap_or(AGAIN);
+                self.next = self.next.max(now + wait);
+                wait
+            }
+            Err(Failure::Failed {
+                status: 409 | 412, ..
+            }) => STALE,
+            Err(Failure::NotSent(_)) => AGAIN,
+            Err(Failure::Failed { .. } | Failure::Unknown(_)) => PATIENCE,
+        };
+        if let Some(last) = self.engines.get_mut(upstream) {
+            last.rest = now + rest;
+        }
+    }
+}
+
+/// What an instance may do about the engines at the moment.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Time between two loads, see [`interval`].
+    pub interval: Duration,
+    /// Proof for the orders.
+    pub warrant: Warrant,
+    /// Engines that this instance looks after.
+    pub owned: Set<Upstream>,
+}
+
+/// Gives the orders that are due until it is dropped; `plan` is asked at each tick.
+pub async fn run<O: Orders>(
+    orders: &O,
+    pools: &[config::Pool],
+    tick: Duration,
+    plan: impl Fn() -> Plan,
+    notice: impl Fn(&Task, &Result<(), Failure>),
+) {
+    let mut place = Place::default();
+    let mut running = FuturesUnordered::new();
+    let mut ticks = interval_at(Instant::now(), tick);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {
+                let plan = plan();
+                for pool in pools {
+                    let engines = held(orders, pool, &plan.owned).await;
+                    let task = place.decide(Time::now(), plan.interval, pool, &engines);
+                    running.extend(task.map(|task| give(orders, task, plan.warrant.clone())));
+                }
+            }
+            Some((task, outcome)) = running.next(), if !running.is_empty() => {
+                place.settle(Time::now(), &task.upstream, &outcome);
+                notice(&task, &outcome);
+            }
+        }
+    }
+}
+
+/// Lists what the owned engines of a pool hold; those that do not answer are left out.
+async fn held<'a, O: Orders>(
+    orders: &O,
+    pool: &'a config::Pool,
+    owned: &Set<Upstream>,
+) -> Vec<(&'a config::Upstream, Vec<Held>)> {
+    let engines = pool.upstreams.iter();
+    let engines =
+        engines.filter(|upstream| pool.kind == Kind::Model && owned.contains(&upstream.name));
+    stream::iter(engines)
+        .map(|upstream| async move { (upstream, orders.held(&upstream.address).await) })
+        .buffered(PARALLEL)
+        .filter_map(|(upstream, held)| async move { Some((upstream, held.ok()?)) })
+        .collect()
+        .await
+}
+
+async fn give<O: Orders>(
+    orders: &O,
+    task: Task,
+    mut warrant: Warrant,
+) -> (Task, Result<(), Failure>) {
+    warrant.sender = warrant.sender.filter(|_| task.verifies_sender);
+    let outcome = orders.give(&task.address, &task.order, &warrant).await;
+    (task, outcome)
+}
--- a/tests/upstream_chat.rs
+++ b/tests/upstream_chat.rs
@@ -3,13 +3,21 @@
 use actix_web::{
     web,
     App,
+    HttpRequest,
     HttpResponse,
     HttpServer, //
 };
 use gypsumlever::upstream::{
     chat::Client,
+    order::{
+        Order,
+        Orders as _,
+        Role,
+        Warrant, //
+    },
     Engine as _,
     Event,
+    Failure,
     Limits,
     Message,
     Prompt,
@@ -70,11 +78,45 @@
         .json(json!([{ "id": 3, "cache_key": "gypsumlever/p1", "tokens": 11, "n_ctx": 9 }]))
 }
 
+/// Answers 200 only to a right command.
+async fn command(request: HttpRequest, body: web::Json<Value>) -> HttpResponse {
+    let header = |name| {
+        request
+            .headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+    };
+    let right = match request.path() {
+        "/v1/models/load" => json!({ "model": "m", "version": "2" }),
+        "/v1/role" => json!({ "role": "prefill" }),
+        _ => json!({
+            "lora_name": "a", "lora_path": "a/2", "base_model_name": "m", "version": "2",
+        }),
+    };
+    if *body != right || header("Sender") != Some("entry-1") {
+        return HttpResponse::BadRequest().finish();
+    }
+    match header("Fencing-Number") {
+        Some("7") => HttpResponse::Ok().finish(),
+        _ => HttpResponse::Conflict().finish(),
+    }
+}
+
+async fn models() -> HttpResponse {
+    HttpResponse::Ok().json(json!({ "object": "list", "data": [
+        { "id": "m", "object": "model" }, { "id": "a", "version": "2", "parent": "m" },
+    ] }))
+}
+
 async fn engine() -> String {
     let server = HttpServer::new(|| {
         App::new()
             .route("/v1/chat/completions", web::post().to(complete))
             .route("/slots/{id}", web::post().to(erase))
+            .route("/v1/models/load", web::post().to(command))
+            .route("/v1/load_lora_adapter", web::post().to(command))
+            .route("/v1/role", web::post().to(command))
+            .route("/v1/models", web::get().to(models))
             .route("/load", web::get().to(load))
             .route("/slots", web::get().to(slots))
     })
@@ -132,3 +174,37 @@
     assert_eq!(slots, std::slice::from_ref(&slot));
     assert_eq!(client.release(&address, &slot).await, Ok(()));
 }
+
+#[actix_web::test]
+async fn give_with_fence() {
+    let address = engine().await;
+    let client = Client::default();
+    let (name, version, model) = ("a".to_owned(), "2".to_owned(), "m".to_owned());
+    let orders = [
+        Order::Model {
+            name: model.clone(),
+            version: version.clone(),
+        },
+        Order::Adapter {
+            name,
+            version,
+            model,
+        },
+        Order::Role(Role::Prefill),
+    ];
+    for order in &orders {
+        for fence in [6, 7] {
+            let sender = Some("entry-1".into());
+            let outcome = client
+                .give(&address, order, &Warrant { fence, sender })
+                .await;
+            let stale = matches!(outcome, Err(Failure::Failed { status: 409, .. }));
+            assert_eq!(outcome.is_ok(), fence == 7, "{order:?}");
+            assert_eq!(stale, fence == 6, "{order:?}");
+        }
+    }
+    let held = client.held(&address).await.expect("list");
+    assert_eq!((held[0].name.as_str(), &held[0].version), ("m", &None));
+    assert_eq!(held[1].version.as_deref(), Some("2"));
+    assert_eq!(held[1].parent.as_deref(), Some("m"));
+}
--- /dev/null
+++ b/tests/upstream_place.rs
@@ -0,0 +1,328 @@
+//! Guards against orders that undo newer ones, that flood the weight store or that never end.
+
+use std::{
+    cell::RefCell,
+    time::Duration, //
+};
+
+use gypsumlever::{
+    clock::Time,
+    config::Pool,
+    hash::Set,
+    upstream::{
+        order::{
+            Held,
+            Order,
+            Orders,
+            Warrant, //
+        },
+        place::{
+            self,
+            Place,
+            Plan, //
+        },
+        Failure,
+    },
+};
+use serde_json::json;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Returns a pool with a model, two adapters and engines that enforce fencing numbers or not.
+fn pool(version: &str, names: [&str; 3], fenced: &[bool]) -> Pool {
+    let upstreams: Vec<_> = (0..)
+        .zip(fenced)
+        .map(|(at, fenced): (usize, _)| {
+            json!({
+                "name": format!("e{at}"), "address": format!("e{at}"), "zone": "a",
+                "fenced": fenced, "verifies_sender": fenced,
+            })
+        })
+        .collect();
+    let adapters = [1, 2].map(|at| json!({ "name": names[at], "version": version }));
+    serde_json::from_value(json!({
+        "name": "p", "kind": "model", "upstreams": upstreams,
+        "models": [{ "name": names[0], "version": version, "adapters": adapters }],
+    }))
+    .expect("pool")
+}
+
+const PLAIN: [&str; 3] = ["m", "a", "b"];
+
+fn held(name: &str, version: &str) -> Held {
+    Held {
+        name: name.into(),
+        version: Some(version.into()),
+        parent: None,
+    }
+}
+
+fn model(name: &str, version: &str) -> Order {
+    Order::Model {
+        name: name.into(),
+        version: version.into(),
+    }
+}
+
+fn adapter(name: &str, version: &str, model: &str) -> Order {
+    Order::Adapter {
+        name: name.into(),
+        version: version.into(),
+        model: model.into(),
+    }
+}
+
+#[test]
+fn missing_table_of_engines() {
+    let versioned = ["m@2", "a@2", "b-2"];
+    let cases = [
+        (true, PLAIN, vec![], vec![model("m", "2")]),
+        (true, PLAIN, vec![held("m", "1")], vec![model("m", "2")]),
+        (
+            true,
+            PLAIN,
+            vec![held("m", "2"), held("a", "1")],
+            vec![adapter("a", "2", "m"), adapter("b", "2", "m")],
+        ),
+        (
+            true,
+            PLAIN,
+            vec![held("m", "2"), held("a", "2"), held("b", "2")],
+            vec![],
+        ),
+        // Engines that ignore fencing numbers never have anything replaced.
+        (false, PLAIN, vec![], vec![]),
+        (false, PLAIN, vec![held("m", "1"), held("a", "3")], vec![]),
+        (
+            false,
+            versioned,
+            vec![held("m", "1")],
+            vec![model("m@2", "2")],
+        ),
+        (
+            false,
+            versioned,
+            vec![held("m@2", "2"), held("a@1", "1")],
+            vec![adapter("a@2", "2", "m@2"), adapter("b-2", "2", "m@2")],
+        ),
+        (
+            false,
+            ["m", "a@2", "b@2"],
+            vec![held("m", "1"), held("a@2", "2")],
+            vec![adapter("b@2", "2", "m")],
+        ),
+    ];
+    for (fenced, names, held, orders) in cases {
+        let pool = pool("2", names, &[fenced]);
+        let found = place::missing(&pool, &pool.upstreams[0], &held);
+        assert_eq!(found, orders, "{fenced} {held:?}");
+    }
+}
+
+/// `m12` is not version 2 of `m1`.
+#[test]
+fn versioned_table_of_names() {
+    let cases = [
+        ("m@2", true),
+        ("m-2", true),
+        ("m12", false),
+        ("m", false),
+        ("2", false),
+    ];
+    for (name, versioned) in cases {
+        assert_eq!(place::versioned(name, "2"), versioned, "{name}");
+    }
+    assert!(!place::versioned("m@", ""));
+}
+
+/// Orders of instances with older and newer settings, in any order and repeated, give the same.
+#[test]
+fn missing_without_fence_commutes() {
+    let old = pool("1", ["m@1", "a@1", "b@1"], &[false]);
+    let new = pool("2", ["m@2", "a@2", "b@2"], &[false]);
+    let apply = |steps: &[&Pool]| {
+        let mut list: Vec<Held> = Vec::new();
+        for pool in steps {
+            for order in place::missing(pool, &pool.upstreams[0], &list) {
+                if let Order::Model { name, version } | Order::Adapter { name, version, .. } = order
+                {
+                    list.retain(|held| held.name != name);
+                    list.push(held(&name, &version));
+                }
+            }
+        }
+        list.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+        list
+    };
+    let all = apply(&[&old, &old, &new, &new]);
+    assert_eq!(all.len(), 6);
+    assert_eq!(apply(&[&new, &old, &new, &old, &old]), all);
+    assert_eq!(apply(&[&new, &new, &new, &old, &old, &old]), all);
+}
+
+#[test]
+fn decide_keeps_rate() {
+    let pool = pool("2", PLAIN, &[true, true, true]);
+    let engines: Vec<_> = pool
+        .upstreams
+        .iter()
+        .map(|upstream| (upstream, vec![]))
+        .collect();
+    let mut place = Place::default();
+    let mut given = Vec::new();
+    for second in 0..100 {
+        let now = Time::default() + SECOND * second;
+        if let Some(task) = place.decide(now, SECOND * 10, &pool, &engines) {
+            given.push((second, task.upstream.to_string()));
+        }
+    }
+    let right = [(0, "e0"), (10, "e1"), (20, "e2")];
+    assert_eq!(given, right.map(|(second, name)| (second, name.to_owned())));
+}
+
+/// Time until an engine gets the next order after the outcome of one.
+#[test]
+fn settle_table_of_outcomes() {
+    let failed = |status| Failure::Failed {
+        status,
+        message: String::new(),
+    };
+    let refused = |wait: Option<u64>| Failure::Refused {
+        status: 503,
+        retry_after: wait.map(Duration::from_secs),
+    };
+    let cases = [
+        (Ok(()), 0, 120),
+        (Err(refused(Some(77))), 77, 120),
+        (Err(refused(None)), 30, 120),
+        (Err(failed(409)), 600, 600),
+        (Err(failed(400)), 120, 120),
+        (Err(Failure::NotSent(String::new())), 30, 120),
+        (Err(Failure::Unknown(String::new())), 120, 120),
+    ];
+    for (outcome, other, same) in cases {
+        for (held, seconds) in [(vec![held("m", "2")], other), (vec![], same)] {
+            let pool = pool("2", PLAIN, &[true]);
+            let engine = &pool.upstreams[0];
+            let mut place = Place::default();
+            let now = Time::default();
+            let interval = Duration::ZERO;
+            let first = place.decide(now, interval, &pool, &[(engine, vec![])]);
+            assert_eq!(first.map(|task| task.order), Some(model("m", "2")));
+            let busy = place.decide(now + SECOND * 9_999, interval, &pool, &[(engine, vec![])]);
+            assert_eq!(busy, None, "an order is under way");
+            place.settle(now, &engine.name, &outcome);
+            let engines = [(engine, held)];
+            let due =
+                |place: &mut Place, after| place.decide(now + after, interval, &pool, &engines);
+            if seconds > 0 {
+                let early = due(&mut place, SECOND * seconds - Duration::from_millis(1));
+                assert_eq!(early, None, "{outcome:?}");
+            }
+            assert!(due(&mut place, SECOND * seconds).is_some(), "{outcome:?}");
+        }
+    }
+}
+
+/// An engine that never shows what it loaded must not use up the weight store's rate.
+#[test]
+fn decide_without_effect() {
+    let pool = pool("2", PLAIN, &[true]);
+    let engines = [(&pool.upstreams[0], vec![])];
+    let mut place = Place::default();
+    let mut count = 0;
+    for second in 0..86_400 {
+        let now = Time::default() + SECOND * second;
+        if place.decide(now, SECOND, &pool, &engines).is_some() {
+            place.settle(now, &pool.upstreams[0].name, &Ok(()));
+            count += 1;
+        }
+    }
+    assert_eq!(count, 27);
+}
+
+#[test]
+fn interval_is_shared() {
+    let weights = serde_json::from_value(json!({ "address": "w", "loads_per_minute": 6 }));
+    let weights = weights.expect("weights");
+    assert_eq!(place::interval(&weights, 1), SECOND * 10);
+    assert_eq!(place::interval(&weights, 23), SECOND * 230);
+}
+
+/// Engines in memory that carry out every order.
+#[derive(Default)]
+struct Fake(RefCell<Vec<(String, Order, Warrant)>>);
+
+impl Orders for Fake {
+    async fn give(&self, address: &str, order: &Order, warrant: &Warrant) -> Result<(), Failure> {
+        let given = (address.to_owned(), order.clone(), warrant.clone());
+        self.0.borrow_mut().push(given);
+        Ok(())
+    }
+
+    async fn held(&self, address: &str) -> Result<Vec<Held>, Failure> {
+        let orders = self.0.borrow();
+        let own = orders.iter().filter(|(given, ..)| given == address);
+        let held = own.filter_map(|(_, order, _)| match order {
+            Order::Model { name, version } | Order::Adapter { name, version, .. } => {
+                Some(held(name, version))
+            }
+            Order::Role(_) => None,
+        });
+        Ok(held.collect())
+    }
+}
+
+/// Owned engines converge to the settings; others are left alone.
+#[actix_web::test]
+async fn run_converges() {
+    let pools = [pool("2", ["m@2", "a@2", "b@2"], &[true, false, true])];
+    let owned: Set<_> = pools[0].upstreams[..2]
+        .iter()
+        .map(|upstream| upstream.name.clone())
+        .collect();
+    let plan = || Plan {
+        interval: Duration::ZERO,
+        warrant: Warrant {
+            fence: 7,
+            sender: Some("i".into()),
+        },
+        owned: owned.clone(),
+    };
+    let fake = Fake::default();
+    let count = RefCell::new(0);
+    let (done, finished) = tokio::sync::oneshot::channel();
+    let done = RefCell::new(Some(done));
+    let tick = Duration::from_millis(1);
+    let run = place::run(&fake, &pools, tick, plan, |_, _| {
+        *count.borrow_mut() += 1;
+        if *count.borrow() == 6 {
+            done.take().map(|done| done.send(()));
+        }
+    });
+    tokio::select! {
+        () = run => {}
+        finished = tokio::time::timeout(SECOND * 10, finished) => {
+            finished.expect("orders").expect("orders");
+        }
+    }
+    let given = fake.0.take();
+    for (address, sender) in [("e0", Some("i")), ("e1", None)] {
+        let own: Vec<_> = given
+            .iter()
+            .filter(|(given, ..)| given == address)
+            .collect();
+        let orders: Vec<_> = own.iter().map(|(_, order, _)| order.clone()).collect();
+        let right = [
+            model("m@2", "2"),
+            adapter("a@2", "2", "m@2"),
+            adapter("b@2", "2", "m@2"),
+        ];
+        assert_eq!(orders, right, "{address}");
+        let warrants = own
+            .iter()
+            .map(|(_, _, warrant)| (warrant.fence, warrant.sender.as_deref()));
+        assert!(warrants.into_iter().all(|found| found == (7, sender)));
+    }
+    assert_eq!(given.len(), 6);
+}
