config: never repeat a secret that stands in place of its name

An operator who writes the secret itself into secret_env would have found it in the error message. Names of variables now consist of capitals, digits and underscores, and other texts are not repeated.

--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -307,13 +307,19 @@
 
     fn secret(&mut self, raw: &Raw, secrets: impl Fn(&str) -> Option<String>) -> Secret {
         let name = &raw.peers.secret_env;
+        // A secret that stands here by mistake must not be repeated in the message.
+        let right = |c: char| c.is_ascii_uppercase() || c.is_ascii_digit() || c == '_';
+        if name.is_empty() || !name.chars().all(right) {
+            let message =
+                "must name an environment variable in capitals, such as GYPSUMLEVER_PEER_SECRET";
+            self.require(false, "peers.secret_env", message);
+            return Secret::from(String::new());
+        }
         let value = secrets(name).unwrap_or_default();
         self.require(
             value.len() >= MIN_SECRET,
             "peers.secret_env",
-            format!(
-                "environment variable {name:?} must be set and have at least {MIN_SECRET} bytes"
-            ),
+            format!("environment variable {name} must be set and have at least {MIN_SECRET} bytes"),
         );
         Secret::from(value)
     }
--- a/tests/config_load.rs
+++ b/tests/config_load.rs
@@ -1,5 +1,7 @@
 //! Guards against settings that are accepted although wrong, and against faults without a place.
 
+use std::path::Path;
+
 use gypsumlever::config::{
     raw::Raw,
     Config,
@@ -80,6 +82,10 @@
 fn parse_missing_secret() {
     let faults = Config::parse("a.yaml", SAMPLE, |_| None).expect_err("secret is missing");
     assert_eq!(faults.list[0].path, "peers.secret_env");
+    // A secret in the place of the variable's name is not repeated in messages.
+    let text = SAMPLE.replacen("GYPSUMLEVER_PEER_SECRET", "hunter-2", 1);
+    let faults = Config::parse("a.yaml", &text, |_| None).expect_err("no name");
+    assert!(!faults.to_string().contains("hunter"), "{faults}");
     let config = Config::parse("a.yaml", SAMPLE, secret).expect("sample is right");
     assert!(!format!("{config:?}").contains("only for tests"));
 }
@@ -97,3 +103,16 @@
     };
     assert_eq!(dear.cost(u64::MAX, u64::MAX).0, u64::MAX);
 }
+
+#[test]
+fn check_file() {
+    let sample = Path::new(env!("CARGO_MANIFEST_DIR")).join("gypsumlever.yaml");
+    assert!(Config::check(&sample).is_ok());
+    let faults = Config::load(Path::new("missing.yaml")).expect_err("no file");
+    assert!(
+        faults
+            .to_string()
+            .starts_with("missing.yaml: can't be read: "),
+        "{faults}"
+    );
+}
