upstream: bound answers and keep connections after refusals

An engine that ignores max_tokens could fill the memory of an instance; the text of an answer is now bounded by 8 MiB. After a 429 or 503 the rest of the answer is read in the background, so that an upstream over its limit does not have to take a new connection for each refusal. A call without a key sends no empty Idempotency-Key.

--- a/src/upstream/chat.rs
+++ b/src/upstream/chat.rs
@@ -31,6 +31,9 @@
 /// Longest line or event of a stream.
 pub const MAX_EVENT: usize = 256 << 10;
 
+/// Longest text of an answer; no engine generates as much within the limit of tokens.
+pub const MAX_TEXT: usize = 8 << 20;
+
 /// Time limits of reports and orders, which engines answer immediately.
 const SHORT: Limits = Limits {
     first: Duration::from_secs(2),
@@ -38,7 +41,7 @@
     total: Duration::from_secs(5),
 };
 
-/// Client of model engines; each thread has its own.
+/// Client of model engines; each thread has its own and has to be an actix arbiter.
 #[derive(Clone)]
 pub struct Client {
     pub(super) pool: Pool,
@@ -146,6 +149,8 @@
     body: Option<Body>,
     parser: Parser,
     usage: Option<Usage>,
+    /// Bytes of text so far.
+    length: usize,
 }
 
 #[derive(Deserialize)]
@@ -211,6 +216,7 @@
             body: Some(body),
             parser: Parser::new(MAX_EVENT),
             usage: None,
+            length: 0,
         }
     }
 
@@ -222,6 +228,12 @@
                 return self.usage.map(Event::Done).map(Some).ok_or_else(missing);
             }
             if let Some(text) = self.chunk(&data)? {
+                self.length += text.len();
+                if self.length > MAX_TEXT {
+                    return Err(unknown(format_args!(
+                        "answer is longer than {MAX_TEXT} bytes"
+                    )));
+                }
                 return Ok(Some(Event::Text(text)));
             }
         }
@@ -231,6 +243,7 @@
     /// Applies a chunk and returns its text.
     fn chunk(&mut self, data: &str) -> Result<Option<String>, Failure> {
         let chunk: Chunk = serde_json::from_str(data).map_err(unknown)?;
+        // The status says that the call was accepted; the failure came afterwards.
         if let Some(fault) = chunk.error {
             return Err(Failure::Failed {
                 status: 200,
--- a/src/upstream/http.rs
+++ b/src/upstream/http.rs
@@ -61,7 +61,10 @@
     }, //
 };
 
-use crate::hash::Map;
+use crate::{
+    config,
+    hash::Map, //
+};
 
 use super::{
     Failure,
@@ -80,6 +83,9 @@
 /// Time for the end of a body to arrive after its last event, so that the connection is reusable.
 const DRAIN: Duration = Duration::from_secs(1);
 
+/// Bytes that are read for the same purpose.
+const MAX_DRAIN: usize = 64 << 10;
+
 /// Age of an unused address after which its connections are dropped.
 const UNUSED: Duration = Duration::from_secs(300);
 
@@ -105,6 +111,16 @@
     }
 }
 
+impl From<&config::Timings> for Settings {
+    fn from(timings: &config::Timings) -> Self {
+        Self {
+            connect: timings.connect,
+            idle: timings.idle,
+            ..Self::default()
+        }
+    }
+}
+
 /// Connections of one thread to upstreams.
 #[derive(Clone)]
 pub(super) struct Pool(Rc<Inner>);
@@ -301,10 +317,13 @@
         }
         match status {
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
-                Err(Failure::Refused {
+                let refused = Failure::Refused {
                     status: status.as_u16(),
                     retry_after: retry_after(&self.response),
-                })
+                };
+                // An upstream that is over its limit should not have to take a new connection.
+                self.finish();
+                Err(refused)
             }
             // A gateway says nothing about what happened behind it.
             StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => {
@@ -383,7 +402,8 @@
     /// Reads the end of the body, so that the connection can be used again.
     pub(super) fn finish(mut self) {
         let mut drain = Box::pin(async move {
-            let _ = timeout_at(Instant::now() + DRAIN, self.part()).await;
+            let whole = timeout_at(Instant::now() + DRAIN, self.whole(MAX_DRAIN));
+            let _ = whole.await;
         });
         if drain.as_mut().now_or_never().is_none() {
             drop(actix::spawn(drain));
--- a/src/upstream/rest.rs
+++ b/src/upstream/rest.rs
@@ -15,7 +15,7 @@
     Service, //
 };
 
-/// Client of services; each thread has its own.
+/// Client of services; each thread has its own and has to be an actix arbiter.
 #[derive(Clone)]
 pub struct Client {
     pool: Pool,
@@ -37,9 +37,10 @@
         body: Bytes,
         limits: Limits,
     ) -> Result<Bytes, Failure> {
-        let request = request
-            .content_type("application/json")
-            .insert_header(("Idempotency-Key", key));
+        let mut request = request.content_type("application/json");
+        if !key.is_empty() {
+            request = request.insert_header(("Idempotency-Key", key));
+        }
         let mut answer = self.pool.send(address, request, body, limits).await?;
         let vacant = answer.vacant();
         let delimited = answer.delimited();
--- a/src/upstream/sweep.rs
+++ b/src/upstream/sweep.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     clock::Time,
+    config,
     hash::Map,
     name::{
         Program,
@@ -180,6 +181,15 @@
     pub address: String,
 }
 
+impl From<&config::Upstream> for Target {
+    fn from(upstream: &config::Upstream) -> Self {
+        Self {
+            name: upstream.name.clone(),
+            address: upstream.address.clone(),
+        }
+    }
+}
+
 /// What a round did.
 #[derive(Debug, Default, PartialEq)]
 pub struct Report {
