--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -2,8 +2,12 @@
 
 pub mod chat;
 pub mod http;
+pub mod order;
+pub mod place;
 pub mod rest;
 pub mod sse;
+pub mod sweep;
+pub mod watch;
 
 use std::time::Duration;
 
