--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,5 +1,6 @@
 //! Assembly, start and drain of an instance.
 
+mod custody;
 mod intake;
 mod upkeep;
 
@@ -27,7 +28,11 @@
     Addr, //
 };
 use actix_web::{
-    dev::ServerHandle,
+    dev::{
+        ServerHandle,
+        Service as _, //
+    },
+    http::ConnectionType,
     web,
     App as WebApp,
     HttpServer, //
@@ -251,6 +256,7 @@
             last: Arc::new(AtomicU64::new(1)),
         };
         upkeep::start(&app);
+        custody::start(&app);
         let (server, address) = serve(&app)?;
         Ok(Self {
             app,
@@ -301,8 +307,22 @@
     let config = app.shared().config.clone();
     let data = web::Data::new(app.clone());
     let server = HttpServer::new(move || {
+        let ready = data.ready.clone();
         WebApp::new()
             .app_data(data.clone())
+            .wrap_fn(move |request, service| {
+                let ready = ready.load(Ordering::Relaxed);
+                let answer = service.call(request);
+                async move {
+                    let mut answer = answer.await?;
+                    if !ready {
+                        // Callers must not reuse a connection that the stop is about to close.
+                        let head = answer.response_mut().head_mut();
+                        head.set_connection_type(ConnectionType::Close);
+                    }
+                    Ok(answer)
+                }
+            })
             .configure(api::configure)
     })
     .workers(config.listen.workers.unwrap_or(WORKERS))
--- a/src/daemon/upkeep.rs
+++ b/src/daemon/upkeep.rs
@@ -18,8 +18,8 @@
     ledger::program,
     member::{
         consul,
-        snapshot::Status,
-        List, //
+        list,
+        snapshot::Status, //
     },
     metrics::Level,
     name::Instance,
@@ -29,7 +29,7 @@
 use super::intake::FETCH;
 
 /// Period of the upkeep.
-const PERIOD: Duration = Duration::from_millis(500);
+pub(super) const PERIOD: Duration = Duration::from_millis(500);
 
 /// Time without a caught-up replica after which peers are asked for their state.
 const ASK_PEERS: Duration = Duration::from_secs(2);
@@ -39,7 +39,11 @@
     actix_web::rt::spawn(tick(app.clone()));
     actix_web::rt::spawn(get_ready(app.clone()));
     actix_web::rt::spawn(follow_view(app.clone()));
-    actix_web::rt::spawn(poll_list(app.clone()));
+    let config = &app.shared().config;
+    let (address, service) = (&config.list.address, &config.list.service);
+    let list = consul::Client::new(address, service, config.timings.silence);
+    let roster = app.shared().roster.clone();
+    actix_web::rt::spawn(list::follow(list, roster, config.timings.list));
 }
 
 /// Shares the append budget of the log among the live instances.
@@ -64,22 +68,6 @@
     }
 }
 
-/// Reads the platform's list; the last one stands while the list can't be read.
-async fn poll_list(app: App) {
-    let config = app.shared().config.clone();
-    let client = consul::Client::new(&config.list.address, &config.list.service);
-    loop {
-        match client.list().await {
-            Ok(listed) => {
-                let now = Time::now();
-                app.shared().roster.update(|view| view.listed(now, &listed));
-            }
-            Err(error) => log::debug!("daemon: list of instances can't be read: {error}"),
-        }
-        sleep(config.timings.list).await;
-    }
-}
-
 /// Drops held turns that the log has decided.
 fn drop_decided(app: &App) {
     let shared = app.shared();
@@ -188,9 +176,12 @@
     let mut gone = Set::default();
     loop {
         let snapshot = snapshots.borrow_and_update().clone();
-        for departure in snapshot.departures().iter().filter(|d| d.leaving) {
-            let upstream = departure.upstream.clone();
-            app.dispatcher.do_send(Leaving { upstream });
+        for departure in snapshot.departures() {
+            app.dispatcher.do_send(Leaving {
+                pool: departure.pool.clone(),
+                upstream: departure.upstream.clone(),
+                leaving: departure.leaving,
+            });
         }
         let now: Set<Instance> = snapshot
             .peers()
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -123,13 +123,17 @@
     pub load: Load,
 }
 
-/// Says that an upstream is leaving.
+/// Says that an upstream is leaving, or that it is back.
 #[derive(Debug)]
 #[derive(Message)]
 #[rtype(result = "()")]
 pub struct Leaving {
+    /// Pool of the upstream.
+    pub pool: Pool,
     /// The upstream.
     pub upstream: Upstream,
+    /// Whether it is leaving.
+    pub leaving: bool,
 }
 
 /// Says that instances have gone; their grants are freed.
@@ -379,10 +383,18 @@
 impl Handler<Leaving> for Dispatcher {
     type Result = ();
 
-    fn handle(&mut self, message: Leaving, _ctx: &mut Context<Self>) {
-        for section in self.sections.values_mut() {
-            section.pool.leaving(&message.upstream);
+    fn handle(&mut self, message: Leaving, ctx: &mut Context<Self>) {
+        let Some(section) = self.sections.get_mut(&message.pool) else {
+            return;
+        };
+        let Some(target) = section.targets.get(&message.upstream) else {
+            return;
+        };
+        match message.leaving {
+            true => section.pool.leaving(&message.upstream),
+            false => section.pool.upsert(message.upstream, target.limits),
         }
+        self.decide(&message.pool, ctx);
     }
 }
 
--- a/src/executor/attempt.rs
+++ b/src/executor/attempt.rs
@@ -39,6 +39,7 @@
         Report, //
     },
     upstream::{
+        sweep,
         Engine,
         Event,
         Failure,
@@ -165,11 +166,7 @@
                     model: pool.model().unwrap_or(pool.name.as_str()).to_owned(),
                     messages: all,
                     max_tokens: *max_tokens,
-                    cache_key: request
-                        .program
-                        .as_ref()
-                        .map(prompt::cache_key)
-                        .unwrap_or_default(),
+                    cache_key: request.program.as_ref().map(sweep::key).unwrap_or_default(),
                 });
                 Ok((work, worst))
             }
--- a/src/executor/commit.rs
+++ b/src/executor/commit.rs
@@ -78,7 +78,9 @@
     pub(super) fn look_up(self: Rc<Self>, request: Request) -> Rc<Job> {
         let job = Job::new(0, None);
         let result = job.clone();
+        let tracked = self.shared.track();
         actix_web::rt::spawn(async move {
+            let _tracked = tracked;
             let end = self.looked_up(&job, request).await;
             self.count(&end);
             job.finish(end);
@@ -132,6 +134,7 @@
         program: Program,
         plan: Plan,
     ) {
+        let _tracked = self.shared.track();
         let end = self.performed(&job, request, &program, &plan).await;
         self.count(&end);
         job.finish(end);
--- a/src/executor/gateway.rs
+++ b/src/executor/gateway.rs
@@ -89,6 +89,7 @@
     /// A home that is lost while the call runs is replaced by the next one, which joins the
     /// committed turn, runs an idempotent call again, or knows from the claim that it must not.
     pub async fn run(&self, request: Request, from: u64, sink: mpsc::Sender<Event>) {
+        let _tracked = self.shared.track();
         let Some(program) = request.program.clone() else {
             self.pool.run(request, from, sink);
             return;
--- a/src/executor/mod.rs
+++ b/src/executor/mod.rs
@@ -99,12 +99,28 @@
 }
 
 impl Shared {
+    /// Counts a call as running until the returned value is dropped.
+    pub fn track(&self) -> Tracked {
+        self.running.fetch_add(1, Ordering::Relaxed);
+        Tracked(self.running.clone())
+    }
+
     /// Returns the time for which ended programs are remembered.
     pub fn memory(&self) -> Duration {
         self.ledger.settings().memory
     }
 }
 
+/// A running call; an instance that stops waits for it.
+#[derive(Debug)]
+pub struct Tracked(Arc<AtomicUsize>);
+
+impl Drop for Tracked {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Runs a call, or joins it if it is running, and sends its events.
 #[derive(Debug)]
 #[derive(Message)]
--- a/src/executor/prompt.rs
+++ b/src/executor/prompt.rs
@@ -2,28 +2,14 @@
 
 use crate::{
     ledger::record::Turn,
-    name::Program,
     upstream::Message, //
 };
 
 use super::request::Call;
 
-/// Prefix of the keys under which engines cache our prompts; other keys are not ours.
-pub const CACHE_PREFIX: &str = "gypsumlever/";
-
 /// Tokens that an engine adds to each message for its role and delimiters, as an upper bound.
 const MESSAGE_TOKENS: u64 = 16;
 
-/// Returns the key under which engines cache the prefix of a program.
-pub fn cache_key(program: &Program) -> String {
-    format!("{CACHE_PREFIX}{program}")
-}
-
-/// Returns the program of a cache key, if the key is ours.
-pub fn program(cache_key: &str) -> Option<Program> {
-    Program::try_from(cache_key.strip_prefix(CACHE_PREFIX)?).ok()
-}
-
 /// Returns the messages of a program's history.
 ///
 /// A turn that can't be read as a call contributes its raw text, so that nothing is left out.
--- a/src/executor/release.rs
+++ b/src/executor/release.rs
@@ -3,21 +3,19 @@
 use crate::{
     name::Program,
     upstream::{
+        sweep,
         Engine,
         Service, //
     },
 };
 
-use super::{
-    prompt,
-    Inner, //
-};
+use super::Inner;
 
 impl<E: Engine + 'static, S: Service + 'static> Inner<E, S> {
     /// Releases what engines hold for a program; what fails here is found by the sweep.
     pub(super) async fn release(&self, program: &Program) {
         let addresses = self.placed.borrow_mut().remove(program).unwrap_or_default();
-        let key = prompt::cache_key(program);
+        let key = sweep::key(program);
         for address in addresses {
             let Ok(slots) = self.engine.slots(&address).await else {
                 continue;
