--- a/src/api/calls.rs
+++ b/src/api/calls.rs
@@ -77,6 +77,12 @@
 /// Time without an event after which a comment is sent, so that connections don't look dead.
 const KEEP_ALIVE: Duration = Duration::from_secs(10);
 
+/// Age of a program up to which a replica that is behind may not know it.
+const NEW: Duration = Duration::from_secs(30);
+
+/// Longest wait for a replica that is behind.
+const REPLICA_LAG: Duration = Duration::from_secs(1);
+
 /// Tokens that a model call generates at most if it does not say.
 const DEFAULT_TOKENS: u32 = 1_024;
 
@@ -334,19 +340,20 @@
     http: HttpRequest,
 ) -> HttpResponse {
     let id = app.request_id();
-    match call_request(&app, &id, &path, body.into_inner(), &http) {
+    match call_request(&app, &id, &path, body.into_inner(), &http).await {
         Ok(request) => run(app, request, 0, &http).await,
         Err(refusal) => app.refuse(&id, &refusal),
     }
 }
 
 /// Returns a program under way and checks that the caller may use it.
-fn owned(
+async fn owned(
     app: &App,
     path: &str,
     http: &HttpRequest,
 ) -> Result<(Program, Customer, Class, Time), Refusal> {
     let program = Program::try_from(path).map_err(|fault| bad(format!("program: {fault}")))?;
+    wait_for_start(app, &program).await?;
     let state = app.shared().ledger.state();
     let Some(found) = state.program(&program) else {
         return Err(absent(app, &state, &program));
@@ -357,6 +364,25 @@
     Ok((program, customer, found.class().clone(), found.deadline()))
 }
 
+/// Waits for the start of a program that is so new that the replica may be behind.
+async fn wait_for_start(app: &App, program: &Program) -> Result<(), Refusal> {
+    let ledger = &app.shared().ledger;
+    let known = || ledger.state().program(program).is_some();
+    let age = program::created(program).map(|created| Time::now().since(created));
+    if known() || age.is_none_or(|age| age > NEW) {
+        return Ok(());
+    }
+    let mut applied = ledger.watch();
+    let started = async { while !known() && applied.changed().await.is_ok() {} };
+    let waited = tokio::time::timeout(REPLICA_LAG, started).await;
+    if waited.is_err() && !ledger.available() {
+        let detail = "the log is down, and the program may have started meanwhile";
+        let after = ledger.settings().backoff_most;
+        return Err(refuse(Reason::LogUnavailable, detail, Some(after)));
+    }
+    Ok(())
+}
+
 fn absent(app: &App, state: &crate::ledger::State, program: &Program) -> Refusal {
     let ended = state
         .accounts()
@@ -367,14 +393,14 @@
     admit::missing(program, app.shared().memory(), Time::now())
 }
 
-fn call_request(
+async fn call_request(
     app: &App,
     id: &str,
     path: &str,
     new: NewCall,
     http: &HttpRequest,
 ) -> Result<Request, Refusal> {
-    let (program, customer, class, deadline) = owned(app, path, http)?;
+    let (program, customer, class, deadline) = owned(app, path, http).await?;
     if new
         .customer
         .as_ref()
@@ -542,7 +568,7 @@
     from: u64,
     http: &HttpRequest,
 ) -> Result<mpsc::Receiver<Event>, Refusal> {
-    let (program, _, _, _) = owned(app, name, http)?;
+    let (program, _, _, _) = owned(app, name, http).await?;
     let (sink, events) = mpsc::channel(SINK);
     let join = Join {
         program: program.clone(),
@@ -597,7 +623,7 @@
 }
 
 async fn shown(app: &App, path: &str, http: &HttpRequest) -> Result<History, Refusal> {
-    let (program, customer, class, deadline) = owned(app, path, http)?;
+    let (program, customer, class, deadline) = owned(app, path, http).await?;
     let turns = app.gateway.history(&program).await?;
     let item = |(turn, found): (u32, &std::sync::Arc<crate::ledger::record::Turn>)| Item {
         turn,
@@ -645,7 +671,7 @@
     reason: Ending,
     http: &HttpRequest,
 ) -> Result<Ending, Refusal> {
-    let (program, customer, _, _) = owned(app, path, http)?;
+    let (program, customer, _, _) = owned(app, path, http).await?;
     let shard = app.gateway.pool().shard(Some(&program));
     if reason == Ending::Cancelled {
         let cancel = Cancel {
@@ -675,7 +701,7 @@
 ) -> HttpResponse {
     let id = app.request_id();
     let (name, _turn) = path.into_inner();
-    let program = match owned(&app, &name, &http) {
+    let program = match owned(&app, &name, &http).await {
         Ok((program, ..)) => program,
         Err(refusal) => return app.refuse(&id, &refusal),
     };
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -38,6 +38,7 @@
     HttpServer, //
 };
 use anyhow::Context;
+use tokio::time::timeout;
 
 use crate::{
     api::{
@@ -102,6 +103,9 @@
 /// Longest wait for records that nobody waits for, when the instance stops.
 const FLUSH: Duration = Duration::from_secs(5);
 
+/// Longest wait of a request for the first catch-up of a starting instance.
+const CATCH_UP: Duration = Duration::from_secs(5);
+
 /// Time between two looks at what still runs while the instance drains.
 const DRAIN_STEP: Duration = Duration::from_millis(50);
 
@@ -307,13 +311,19 @@
     let config = app.shared().config.clone();
     let data = web::Data::new(app.clone());
     let server = HttpServer::new(move || {
-        let ready = data.ready.clone();
+        let (ready, ledger) = (data.ready.clone(), data.shared().ledger.clone());
         WebApp::new()
             .app_data(data.clone())
             .wrap_fn(move |request, service| {
                 let ready = ready.load(Ordering::Relaxed);
+                let ledger = ledger.clone();
+                let probe = matches!(request.path(), "/livez" | "/readyz" | "/metrics");
                 let answer = service.call(request);
                 async move {
+                    if !probe && !ready && !ledger.caught_up() {
+                        // A replica that has not caught up would not know programs that exist.
+                        let _ = timeout(CATCH_UP, ledger.wait_caught_up()).await;
+                    }
                     let mut answer = answer.await?;
                     if !ready {
                         // Callers must not reuse a connection that the stop is about to close.
--- a/src/executor/turn.rs
+++ b/src/executor/turn.rs
@@ -6,6 +6,8 @@
     time::Duration, //
 };
 
+use uuid::Uuid;
+
 use crate::{
     clock::Time,
     config,
@@ -96,7 +98,11 @@
         if let Some(job) = self.repeated(&request, &program, digest)? {
             return Ok(Entered::Job(job));
         }
-        let view = self.view(&request, &program, digest)?;
+        let mut view = self.view(&request, &program, digest)?;
+        if request.turn.is_some_and(|turn| turn > view.plan.index) {
+            self.catch_up(&request, &program).await?;
+            view = self.view(&request, &program, digest)?;
+        }
         if let Some(answer) = self.answered(&request, &program, &view).await? {
             return Ok(Entered::Committed(answer));
         }
@@ -168,6 +174,21 @@
         })
     }
 
+    /// Waits until the replica has applied all that the log held when this was called.
+    ///
+    /// Without it, a replica that is behind could answer "not run" to a repeat of a call that ran.
+    /// The record that is appended for it is of no effect, as no claim has the nil identifier.
+    async fn catch_up(&self, request: &Request, program: &Program) -> Result<(), Refusal> {
+        let body = Body::Void {
+            program: program.clone(),
+            index: 0,
+            claim: Uuid::nil(),
+        };
+        let record = self.shared.ledger.record(&request.customer, body);
+        self.shared.ledger.commit(record).await?;
+        Ok(())
+    }
+
     /// Returns the answer if the call is committed or held already.
     async fn answered(
         &self,
--- /dev/null
+++ b/tests/failure_instances.rs
@@ -0,0 +1,288 @@
+//! History, at-most-once calls and stops under kills and pauses of instances.
+
+mod support;
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use actix_web::rt::time::sleep;
+use serde_json::{
+    json,
+    Value, //
+};
+use standin::{
+    engine,
+    service, //
+};
+use support::{
+    Cluster,
+    Shape, //
+};
+
+/// Returns the index of a program's home.
+async fn home(cluster: &Cluster, program: &str) -> usize {
+    let (_, rows) = cluster.get(0, "/v1/programs").await;
+    let rows = rows.as_array().cloned().unwrap_or_default();
+    let row = rows
+        .iter()
+        .find(|row| row["program"] == program)
+        .expect("a row");
+    let name = row["home"].as_str().expect("a home");
+    cluster
+        .nodes
+        .iter()
+        .position(|node| node.name == name)
+        .expect("an instance")
+}
+
+fn other(cluster: &Cluster, than: usize) -> usize {
+    (than + 1) % cluster.nodes.len()
+}
+
+/// Guards against lost, doubled or mixed turns when the home is killed between turns.
+#[actix_web::test]
+async fn history_home_killed_between_turns() {
+    let mut cluster = Cluster::start(Shape {
+        instances: 3,
+        engines: 2,
+        ..Shape::default()
+    })
+    .await;
+    cluster.with_contract().await;
+    let program = cluster.program(0).await;
+    let home = home(&cluster, &program).await;
+    let entry = other(&cluster, home);
+    let mut said = Vec::new();
+    for turn in 0..2 {
+        let (status, body) = cluster.say(home, &program, &format!("k{turn}"), "q").await;
+        assert_eq!(status, 200, "{body}");
+        said.push(body["content"].clone());
+    }
+    cluster.nodes[home].kill();
+    let killed = Instant::now();
+    let (status, body) = cluster.say(entry, &program, "k2", "q").await;
+    assert_eq!(status, 200, "{body}");
+    assert!(
+        killed.elapsed() < Duration::from_secs(5),
+        "took {:?}",
+        killed.elapsed()
+    );
+    said.push(body["content"].clone());
+    let (_, history) = cluster.get(entry, &format!("/v1/programs/{program}")).await;
+    let turns = history["turns"].as_array().expect("turns");
+    let answers: Vec<&Value> = turns.iter().map(|turn| &turn["answer"]).collect();
+    assert_eq!(answers, said.iter().collect::<Vec<_>>());
+}
+
+/// Guards against an answer that is cut off when the home is killed in mid-stream.
+#[actix_web::test]
+async fn history_home_killed_in_stream() {
+    let slow = engine::Config {
+        speed: 0.5,
+        ..engine::Config::default()
+    };
+    let shape = Shape {
+        instances: 3,
+        engines: 2,
+        engine: slow,
+        ..Shape::default()
+    };
+    let mut cluster = Cluster::start(shape).await;
+    cluster.with_contract().await;
+    let program = cluster.program(0).await;
+    let home = home(&cluster, &program).await;
+    let entry = other(&cluster, home);
+    let pid = cluster.nodes[home].pid().to_string();
+    actix_web::rt::spawn(async move {
+        sleep(Duration::from_millis(150)).await;
+        let _ = std::process::Command::new("kill")
+            .args(["-s", "KILL", &pid])
+            .status();
+    });
+    let (status, body) = cluster.say(entry, &program, "k", "q").await;
+    assert_eq!((status, &body["turn"]), (200, &json!(0)), "{body}");
+    let (_, history) = cluster.get(entry, &format!("/v1/programs/{program}")).await;
+    assert_eq!(history["turns"][0]["answer"], body["content"]);
+    assert_eq!(history["turns"].as_array().map(Vec::len), Some(1));
+    cluster.nodes[home].kill();
+}
+
+/// Guards against a second send of a non-idempotent call when its instance is killed or paused at
+/// any moment of the call, and the caller repeats it through another instance.
+#[actix_web::test]
+async fn once_holder_killed_or_paused() {
+    let shape = Shape {
+        instances: 3,
+        ..Shape::default()
+    };
+    let mut cluster = Cluster::start(shape).await;
+    cluster.with_contract().await;
+    cluster.services[0].set_faults(service::Faults {
+        all: Some(service::Kind::HangAfter.into()),
+        ..service::Faults::default()
+    });
+    for (round, (delay, signal)) in [
+        (0, "STOP"),
+        (40, "STOP"),
+        (120, "STOP"),
+        (10, "KILL"),
+        (150, "KILL"),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let key = format!("deposit-{round}");
+        let alive = cluster
+            .nodes
+            .iter()
+            .position(|node| node.pid() != 0)
+            .expect("an instance");
+        let program = cluster.program(alive).await;
+        let home = home(&cluster, &program).await;
+        let entry = other(&cluster, home);
+        let path = format!("/v1/programs/{program}/calls");
+        let body = json!({
+            "type": "tool", "pool": "workshop-orders", "operation": "capture-deposit",
+            "body": { "deposit": key },
+        });
+        let request = cluster.http.post(cluster.url(home, &path));
+        let request = request.insert_header(("Idempotency-Key", key.as_str()));
+        let first = request.timeout(Duration::from_secs(1)).send_json(&body);
+        let stop = async {
+            sleep(Duration::from_millis(delay)).await;
+            cluster.nodes[home].signal(signal);
+        };
+        let (_, ()) = futures_util::join!(first, stop);
+        let mut last = (0, json!(null));
+        for _ in 0..4 {
+            last = cluster.capture(entry, &program, &key).await;
+            if last.1["ran"] == "unknown" && last.1["retry_after_ms"].is_null() {
+                break;
+            }
+            sleep(Duration::from_millis(500)).await;
+        }
+        if signal == "STOP" {
+            cluster.nodes[home].signal("CONT");
+        } else {
+            cluster.nodes[home].kill();
+            cluster.nodes[home].start();
+            cluster.wait_ready(home).await;
+        }
+        cluster.wait_joined().await;
+        sleep(Duration::from_millis(300)).await;
+        let sent = cluster.captures(&key);
+        assert!(sent <= 1, "round {round}: sent {sent} times");
+        if last.1["ran"] == "no" {
+            assert_eq!(sent, 0, "round {round}: {} was told not run", last.1);
+        }
+    }
+}
+
+/// Guards against requests that are cut off by a rolling restart of all instances under load.
+#[actix_web::test]
+async fn stop_rolling_restart_under_load() {
+    let shape = Shape {
+        instances: 3,
+        engines: 2,
+        ..Shape::default()
+    };
+    let mut cluster = Cluster::start(shape).await;
+    cluster.with_contract().await;
+    let addresses: Vec<String> = cluster
+        .nodes
+        .iter()
+        .map(|node| node.callers.clone())
+        .collect();
+    let stop = std::rc::Rc::new(std::cell::Cell::new(false));
+    let tasks: Vec<_> = (0..12)
+        .map(|worker| actix_web::rt::spawn(load(worker, addresses.clone(), stop.clone())))
+        .collect();
+    sleep(Duration::from_millis(300)).await;
+    for at in 0..cluster.nodes.len() {
+        cluster.nodes[at].signal("TERM");
+        let ended = {
+            let end = Instant::now() + Duration::from_secs(20);
+            loop {
+                if cluster.nodes[at].wait(Duration::ZERO + Duration::from_millis(1)) {
+                    break true;
+                }
+                if Instant::now() > end {
+                    break false;
+                }
+                sleep(Duration::from_millis(10)).await;
+            }
+        };
+        assert!(
+            ended,
+            "instance {at} did not end by itself:\n{}",
+            cluster.nodes[at].log()
+        );
+        cluster.nodes[at].start();
+        cluster.wait_ready(at).await;
+        cluster.wait_joined().await;
+    }
+    stop.set(true);
+    let mut calls = 0;
+    for task in tasks {
+        let (done, failed) = task.await.expect("a worker");
+        assert!(failed.is_empty(), "cut off: {failed:?}");
+        calls += done;
+    }
+    assert!(calls > 100, "only {calls} calls were made");
+}
+
+/// Calls through instances that are ready, as a load balancer does; returns what was cut off.
+async fn load(
+    worker: usize,
+    addresses: Vec<String>,
+    stop: std::rc::Rc<std::cell::Cell<bool>>,
+) -> (usize, Vec<String>) {
+    let http = awc::Client::builder()
+        .timeout(Duration::from_secs(20))
+        .finish();
+    let (mut done, mut failed) = (0, Vec::new());
+    let mut turn = worker;
+    while !stop.get() {
+        turn += 1;
+        let address = &addresses[turn % addresses.len()];
+        let ready = http.get(format!("http://{address}/readyz")).send().await;
+        if !ready.is_ok_and(|answer| answer.status().is_success()) {
+            sleep(Duration::from_millis(5)).await;
+            continue;
+        }
+        let body = json!({ "customer": "sirag" });
+        let started = http
+            .post(format!("http://{address}/v1/programs"))
+            .send_json(&body)
+            .await;
+        let Ok(mut started) = started else {
+            failed.push(format!("start at {address}"));
+            continue;
+        };
+        let started: Value = started.json().await.unwrap_or_default();
+        let Some(program) = started["program"].as_str() else {
+            failed.push(format!("start at {address}: {started}"));
+            continue;
+        };
+        let call = json!({
+            "type": "model", "pool": "saddle-advice", "max_tokens": 32,
+            "messages": [{ "role": "user", "content": "q" }],
+        });
+        let url = format!("http://{address}/v1/programs/{program}/calls");
+        match http.post(url).send_json(&call).await {
+            Ok(mut answer) => {
+                let status = answer.status();
+                let body: Value = answer.json().await.unwrap_or_default();
+                if status.is_success() {
+                    done += 1;
+                } else {
+                    failed.push(format!("call at {address}: {status} {body}"));
+                }
+            }
+            Err(error) => failed.push(format!("call at {address}: {error}")),
+        }
+    }
+    (done, failed)
+}
