standin: Count calls to leaving upstreams and limit the engine's queue

Cause: that a leaving upstream gets no work after a few seconds has to be judged by its books; engines may refuse calls when many wait.

Change: books tell since when an upstream leaves, the calls received since and the time of the last. Setting max_waiting of the engine. Setting linger_ms of the log, which joins records for waiting readers.

--- a/standin/src/engine/books.rs
+++ b/standin/src/engine/books.rs
@@ -11,7 +11,10 @@
 use serde::Serialize;
 
 use super::Command;
-use crate::Map;
+use crate::{
+    Leaving,
+    Map, //
+};
 
 /// Books of the engine.
 #[derive(Clone, Debug, Default)]
@@ -22,7 +25,7 @@
     /// Calls that were refused with status 503.
     pub refused: u64,
     /// Calls that were received while the engine was leaving.
-    pub received_leaving: u64,
+    pub leaving: Leaving,
     /// Calls that ended with a whole answer.
     pub completed: u64,
     /// Calls whose client disconnected.
--- a/standin/src/engine/chat.rs
+++ b/standin/src/engine/chat.rs
@@ -81,7 +81,7 @@
     engine.change(|inner| {
         inner.receive();
         let fate = inner.faults.fate();
-        if fate.refuse {
+        if fate.refuse || inner.is_full() {
             inner.refuse();
             return Err(Refusal::Overloaded(inner.faults.retry_after));
         }
--- a/standin/src/engine/mod.rs
+++ b/standin/src/engine/mod.rs
@@ -77,6 +77,8 @@
     pub prefill_chunk: u64,
     /// Most requests in the batch.
     pub max_batch: usize,
+    /// Requests that may wait; more are refused with status 503.
+    pub max_waiting: Option<usize>,
     /// Tokens that fit in the memory for running requests and cached prefixes.
     pub cache_tokens: u64,
     /// Tokens of an answer if the request has no `max_tokens`.
@@ -115,6 +117,7 @@
             prefill_per_token_us: 40.0,
             prefill_chunk: 4_096,
             max_batch: 64,
+            max_waiting: None,
             cache_tokens: 600_000,
             default_tokens: 256,
             answer_tokens: None,
@@ -167,7 +170,7 @@
     }
 
     fn set_faults(&self, faults: Faults) {
-        self.change(|inner| inner.faults = faults);
+        self.change(|inner| inner.set_faults(faults));
     }
 
     fn network(faults: &Faults) -> &Network {
--- a/standin/src/engine/state.rs
+++ b/standin/src/engine/state.rs
@@ -181,12 +181,22 @@
         };
     }
 
+    /// Replaces the faults.
+    pub(super) fn set_faults(&mut self, faults: Faults) {
+        self.books.leaving.set(faults.leaving);
+        self.faults = faults;
+    }
+
+    /// Returns whether the queue is full.
+    pub(super) fn is_full(&self) -> bool {
+        let limit = self.config.max_waiting;
+        limit.is_some_and(|limit| self.waiting.len() + self.foreign.waiting >= limit)
+    }
+
     /// Counts a received call.
     pub(super) fn receive(&mut self) {
         self.books.received += 1;
-        if self.faults.leaving {
-            self.books.received_leaving += 1;
-        }
+        self.books.leaving.receive();
     }
 
     /// Counts a refused call.
--- /dev/null
+++ b/standin/src/leaving/mod.rs
@@ -0,0 +1,32 @@
+//! Calls to an upstream that is leaving.
+
+use serde::Serialize;
+
+use crate::now;
+
+/// How much work an upstream got while it was leaving.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Serialize)]
+pub struct Leaving {
+    /// When the upstream began to leave, in microseconds since the Unix epoch.
+    pub since: Option<u64>,
+    /// Calls that were received from then on.
+    pub received: u64,
+    /// Time in microseconds from then to the last received call.
+    pub last_us: u64,
+}
+
+impl Leaving {
+    /// Notes whether the upstream is leaving.
+    pub(crate) fn set(&mut self, leaving: bool) {
+        self.since = leaving.then(|| self.since.unwrap_or_else(now));
+    }
+
+    /// Counts a received call.
+    pub(crate) fn receive(&mut self) {
+        if let Some(since) = self.since {
+            self.received += 1;
+            self.last_us = now().saturating_sub(since);
+        }
+    }
+}
--- a/standin/src/log/mod.rs
+++ b/standin/src/log/mod.rs
@@ -58,6 +58,9 @@
     pub instance_timeout_ms: u64,
     /// Value of `fetch.min.bytes` for consumers that don't set it.
     pub fetch_min_bytes: i64,
+    /// Time in milliseconds that a waiting read lets pass after an append. With many
+    /// readers and appends it saves answers that carry one record each.
+    pub linger_ms: u64,
     /// Seed of the random faults.
     pub seed: u64,
 }
@@ -73,6 +76,7 @@
             appends_per_second: None,
             instance_timeout_ms: 300_000,
             fetch_min_bytes: 1,
+            linger_ms: 0,
             seed: 0,
         }
     }
--- a/standin/src/log/routes.rs
+++ b/standin/src/log/routes.rs
@@ -316,10 +316,11 @@
 
 /// Waits until enough is there to read or the time is over.
 async fn fetch(log: &Arc<Log>, group: &str, name: &str, limits: &Limits) -> Result<Peek, Problem> {
-    let (min, timeout) = {
+    let (min, timeout, linger) = {
         let mut inner = log.inner();
+        let linger = inner.linger();
         let consumer = inner.consumer(group, name)?;
-        (consumer.min_bytes, consumer.timeout_ms)
+        (consumer.min_bytes, consumer.timeout_ms, linger)
     };
     let timeout = Duration::from_millis(limits.timeout.unwrap_or(timeout));
     let deadline = Instant::now() + timeout;
@@ -334,7 +335,10 @@
             log.inner().advance(group, name, &peek)?;
             return Ok(peek);
         }
-        let _ = time::timeout(left, appended.changed()).await;
+        let news = time::timeout(left, appended.changed()).await;
+        if news.is_ok() && !linger.is_zero() {
+            time::sleep(linger.min(left)).await;
+        }
     }
 }
 
--- a/standin/src/log/store.rs
+++ b/standin/src/log/store.rs
@@ -200,6 +200,11 @@
         self.faults.retention.unwrap_or(self.config.retention)
     }
 
+    /// Returns the time that a waiting read lets pass after an append.
+    pub(super) fn linger(&self) -> Duration {
+        Duration::from_millis(self.config.linger_ms)
+    }
+
     /// Decides what happens to an append request that has been read.
     pub(super) fn admit(&mut self, zone: Option<&str>) -> Result<Fate, Problem> {
         if let Some(zone) = zone {
--- a/standin/src/service/books.rs
+++ b/standin/src/service/books.rs
@@ -4,6 +4,7 @@
 use serde_json::Value;
 
 use super::Kind;
+use crate::Leaving;
 
 /// Books of the service.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -12,7 +13,7 @@
     /// Calls that were received.
     pub received: u64,
     /// Calls that were received while the service was leaving.
-    pub received_leaving: u64,
+    pub leaving: Leaving,
     /// Calls that took effect.
     pub effects: u64,
     /// Calls that were answered with status 200.
--- a/standin/src/service/mod.rs
+++ b/standin/src/service/mod.rs
@@ -202,6 +202,7 @@
 
     fn set_faults(&self, faults: Faults) {
         let mut inner = self.inner();
+        inner.books.leaving.set(faults.leaving);
         inner.faults = faults;
         inner.note();
         drop(inner);
--- a/standin/src/service/routes.rs
+++ b/standin/src/service/routes.rs
@@ -107,9 +107,7 @@
     fn receive(&self, path: String, key: Option<String>, body: Value) -> Receipt {
         let mut inner = self.inner();
         inner.books.received += 1;
-        if inner.faults.leaving {
-            inner.books.received_leaving += 1;
-        }
+        inner.books.leaving.receive();
         let fault = inner.fault(&path).map(|fault| fault.kind);
         let room = inner.books.calls.len() < inner.config.calls_kept;
         let call = room.then_some(inner.books.calls.len());
--- a/standin/tests/engine.rs
+++ b/standin/tests/engine.rs
@@ -169,10 +169,8 @@
 #[actix_web::test]
 async fn slots_erase_one() {
     let (server, caller) = start(config());
-    server.set_foreign(Foreign {
-        slots: vec![("old/1".to_owned(), 50)],
-        ..Default::default()
-    });
+    let foreign = json!({"slots": [["old/1", 50]]});
+    assert_eq!(caller.post("/control/foreign", foreign).await.status(), 204);
     caller
         .post(CHAT, call("p/1", &user("abcd"), 3))
         .await
@@ -371,7 +369,9 @@
     assert_eq!(late["running"], 7);
     assert!(late["at"].as_u64().expect("time") <= standin::now() - 400_000);
     caller.post(CHAT, call("p/1", &user("a"), 1)).await.body();
-    assert_eq!(server.books().received_leaving, 1);
+    let leaving = server.books().leaving;
+    assert_eq!(leaving.received, 1);
+    assert!(leaving.last_us >= 400_000);
 }
 
 #[actix_web::test]
@@ -448,6 +448,23 @@
     assert_eq!(caller.post(CHAT, long).await.status(), 400);
 }
 
+#[actix_web::test]
+async fn completions_over_the_queue_limit() {
+    let (server, caller) = start(Config {
+        max_waiting: Some(2),
+        ..config()
+    });
+    server.set_foreign(Foreign {
+        waiting: 2,
+        ..Default::default()
+    });
+    let body = call("p/1", &user("a"), 1);
+    assert_eq!(caller.post(CHAT, body.clone()).await.status(), 503);
+    server.set_foreign(Foreign::default());
+    assert_eq!(caller.post(CHAT, body).await.status(), 200);
+    assert_eq!((server.books().refused, server.books().calls.len()), (1, 1));
+}
+
 #[actix_web::test]
 async fn cache_events_have_gaps() {
     let (_server, caller) = start(Config {
--- a/standin/tests/network.rs
+++ b/standin/tests/network.rs
@@ -95,7 +95,12 @@
     let server = start();
     let mut old = Caller::new(server.address());
     assert_eq!(old.post("/x", json!({})).await.status(), 200);
-    server.mute_connections();
+    let control = Caller::new(server.control());
+    let action = json!({"action": "mute"});
+    assert_eq!(
+        control.post("/control/connections", action).await.status(),
+        204
+    );
     old.limit = Duration::from_millis(150);
     assert_eq!(old.post("/x", json!({})).await, Seen::Silent);
     let new = Caller::new(server.address());
