--- a/src/ledger/account.rs
+++ b/src/ledger/account.rs
@@ -78,7 +78,7 @@
 /// What is kept of an ended program for a while.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
-struct Tomb {
+pub struct Tomb {
     start: u64,
     /// Fingerprint of the record that ended it.
     id: u64,
@@ -113,6 +113,24 @@
     }
 }
 
+/// An ended program or a settled tranche, as a snapshot repeats it.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub enum Gone {
+    /// A program and what is kept of it.
+    Program(Program, Tomb),
+    /// A tranche and the fingerprint of the record that settled it.
+    Tranche(Uuid, u64),
+}
+
+/// Ended programs and settled tranches of a snapshot that is not complete yet.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
+struct Staged {
+    as_of: u64,
+    gone: Vec<(Time, Gone)>,
+}
+
 /// A customer's contract, budget and set of programs.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -130,6 +148,7 @@
     keys: Map<u64, Program>,
     /// Members of `ended` and `settled` in the order in which they are forgotten.
     past: VecDeque<(Time, Past)>,
+    staged: Staged,
     /// Whether the account is known from its beginning or from a snapshot.
     pub(crate) sound: bool,
     /// Log time at which the account was last written in full.
@@ -361,7 +380,6 @@
             };
         }
         let Some(held) = self.tranches.get(&tranche) else {
-            self.note_settled(id, tranche, now, memory);
             return Outcome::Rejected(Reason::UnknownTranche);
         };
         if held.author != *author {
@@ -373,21 +391,10 @@
         self.outstanding = self.outstanding.saturating_sub(held.amount);
         self.spent = self.spent.saturating_add(spent);
         self.tranches.remove(&tranche);
-        self.remember_settled(id, tranche, now, memory);
-        Outcome::Accepted
-    }
-
-    /// Notes a settlement whose reservation may lie before the begin of this reader's log.
-    fn note_settled(&mut self, id: &Uuid, tranche: Uuid, now: Time, memory: Duration) {
-        if !self.sound {
-            self.remember_settled(id, tranche, now, memory);
-        }
-    }
-
-    fn remember_settled(&mut self, id: &Uuid, tranche: Uuid, now: Time, memory: Duration) {
         self.settled.insert(tranche, fingerprint(id));
         let until = now.max(minted(&tranche).unwrap_or_default()) + memory;
         self.past.push_back((until, Past::Tranche(tranche)));
+        Outcome::Accepted
     }
 
     /// Ends a program and its descendants, whose names are added to `gone`.
@@ -408,17 +415,6 @@
             };
         }
         if !self.running.contains_key(program) {
-            if !self.sound {
-                // The start may lie before the begin of this reader's log.
-                let (start, key) = (0, None);
-                let tomb = Tomb {
-                    start,
-                    id,
-                    reason,
-                    key,
-                };
-                self.bury(program.clone(), tomb, now, memory);
-            }
             return Outcome::Rejected(Reason::UnknownProgram);
         }
         let mut open = vec![(program.clone(), reason)];
@@ -437,19 +433,15 @@
                 reason,
                 key: run.key,
             };
-            self.bury(program.clone(), tomb, now, memory);
+            let until = now.max(created(&program).unwrap_or_default()) + memory;
+            self.ended.insert(program.clone(), tomb);
+            self.past.push_back((until, Past::Program(program.clone())));
             gone.push(program);
         }
         Outcome::Accepted
     }
 
-    fn bury(&mut self, program: Program, tomb: Tomb, now: Time, memory: Duration) {
-        let until = now.max(created(&program).unwrap_or_default()) + memory;
-        self.ended.insert(program.clone(), tomb);
-        self.past.push_back((until, Past::Program(program)));
-    }
-
-    /// Returns what a snapshot repeats: everything but what has ended.
+    /// Returns what a snapshot repeats besides [`Self::gone`].
     pub(crate) fn image(&self) -> Self {
         let keys = self.keys.iter();
         let live = |(_, program): &(&u64, &Program)| self.running.contains_key(*program);
@@ -458,26 +450,65 @@
             ended: Map::default(),
             past: VecDeque::new(),
             keys: keys.filter(live).map(|(k, p)| (*k, p.clone())).collect(),
+            staged: Staged::default(),
             ..self.clone()
         }
     }
 
-    /// Takes over a snapshot; what this reader knows to have ended stays so.
-    pub(crate) fn install(&mut self, image: &Self, sound: bool, now: Time) {
-        let known = std::mem::take(self);
+    /// Returns what has ended and when each is forgotten.
+    pub(crate) fn gone(&self) -> Vec<(Time, Gone)> {
+        let gone = |(until, past): &(Time, Past)| {
+            let gone = match past {
+                Past::Program(name) => Gone::Program(name.clone(), *self.ended.get(name)?),
+                Past::Tranche(id) => Gone::Tranche(*id, *self.settled.get(id)?),
+            };
+            Some((*until, gone))
+        };
+        self.past.iter().filter_map(gone).collect()
+    }
+
+    /// Keeps a part of a snapshot until [`Self::install`] completes it.
+    pub(crate) fn stage(&mut self, as_of: u64, gone: &[(Time, Gone)]) {
+        if self.staged.as_of != as_of {
+            let gone = Vec::new();
+            self.staged = Staged { as_of, gone };
+        }
+        self.staged.gone.extend_from_slice(gone);
+    }
+
+    /// Takes over a snapshot with `count` members of [`Self::gone`]; returns false if some are
+    /// missing.
+    pub(crate) fn install(&mut self, image: &Self, as_of: u64, count: u64, now: Time) -> bool {
+        let staged = std::mem::take(&mut self.staged);
+        let gone = match staged.as_of == as_of {
+            true => staged.gone,
+            false => Vec::new(),
+        };
+        if gone.len() as u64 != count {
+            return false;
+        }
         *self = Self {
-            settled: known.settled,
-            ended: known.ended,
-            past: known.past,
-            sound,
+            sound: true,
             refreshed: now,
             ..image.clone()
         };
-        for (program, tomb) in &self.ended {
-            if let Some(key) = tomb.key {
-                self.keys.entry(key).or_insert_with(|| program.clone());
-            }
+        for (until, gone) in gone {
+            let past = match gone {
+                Gone::Program(name, tomb) => {
+                    if let Some(key) = tomb.key {
+                        self.keys.insert(key, name.clone());
+                    }
+                    self.ended.insert(name.clone(), tomb);
+                    Past::Program(name)
+                }
+                Gone::Tranche(id, by) => {
+                    self.settled.insert(id, by);
+                    Past::Tranche(id)
+                }
+            };
+            self.past.push_back((until, past));
         }
+        true
     }
 
     /// Forgets what ended long ago.
--- /dev/null
+++ b/src/ledger/allocator.rs
@@ -0,0 +1,323 @@
+//! Reserves and settles tranches through the log.
+
+use std::sync::{
+    Arc,
+    Mutex,
+    MutexGuard, //
+};
+
+use thiserror::Error;
+use tokio::sync::watch;
+
+use crate::{
+    clock::Time,
+    hash::Map,
+    ledger::{
+        purse::{
+            Hold,
+            Purse,
+            Sizing,
+            Used, //
+        },
+        record::{
+            Body,
+            Record, //
+        },
+        Ledger,
+        Outcome,
+        Reason,
+        Refusal, //
+    },
+    money::Money,
+    name::Customer,
+};
+
+/// Reservations that a waiting attempt outlasts; others may use up each of them first.
+const TRIES: u32 = 8;
+
+/// Reason why an attempt gets no money.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Error)]
+pub enum Denied {
+    /// The budget does not cover the attempt.
+    #[error("budget has {left} left")]
+    Budget {
+        /// What may still be reserved.
+        left: Money,
+    },
+    /// A rule other than the budget forbids the reservation.
+    #[error("reservation was refused: {0}")]
+    Rule(Reason),
+    /// The log is needed for another tranche and does not take it.
+    #[error(transparent)]
+    Log(Refusal),
+    /// Other attempts used up each tranche that was reserved.
+    #[error("other attempts used up the reserved money")]
+    Contended,
+}
+
+/// A customer's purse and the reservation under way.
+#[derive(Debug)]
+struct Desk {
+    purse: Purse,
+    reserving: bool,
+    /// Worst-case costs of the attempts that wait for money.
+    waiting: Vec<Money>,
+    /// Result of the last reservation.
+    finished: watch::Sender<Result<(), Denied>>,
+}
+
+impl Desk {
+    /// Returns the sum that waits for money.
+    fn need(&self) -> Money {
+        let waiting = self.waiting.iter().copied();
+        waiting.fold(Money(0), Money::saturating_add)
+    }
+
+    /// Returns the size of a tranche that covers at least one waiting attempt out of `left`.
+    fn rest(&self, left: Money) -> Option<Money> {
+        let free = self.purse.free();
+        let least = *self.waiting.iter().min()?;
+        let size = self.need().saturating_sub(free).min(left);
+        (size > Money(0) && free.saturating_add(size) >= least).then_some(size)
+    }
+}
+
+#[derive(Debug)]
+struct Inner {
+    ledger: Ledger,
+    sizing: Sizing,
+    desks: Mutex<Map<Customer, Desk>>,
+}
+
+/// Purses of all customers on this instance.
+#[derive(Clone, Debug)]
+pub struct Allocator {
+    inner: Arc<Inner>,
+}
+
+impl Allocator {
+    /// Makes an allocator without tranches.
+    pub fn new(ledger: Ledger, sizing: Sizing) -> Self {
+        let desks = Mutex::default();
+        Self {
+            inner: Arc::new(Inner {
+                ledger,
+                sizing,
+                desks,
+            }),
+        }
+    }
+
+    /// Sets aside the worst-case cost of an attempt, and reserves a tranche if that is needed.
+    ///
+    /// It must be called on a tokio runtime, on which reservations run on their own.
+    pub async fn take(&self, customer: &Customer, worst: Money) -> Result<Hold, Denied> {
+        let mut first = true;
+        for _ in 0..TRIES {
+            let mut finished = match self.try_take(customer, worst, first) {
+                Ok(hold) => return Ok(hold),
+                Err(finished) => finished,
+            };
+            first = false;
+            let waiting = Waiting::new(self, customer, worst);
+            self.reserve_if_wanted(customer);
+            // The sender is kept with the customer's purse.
+            let _ = finished.changed().await;
+            drop(waiting);
+            let result = finished.borrow().clone();
+            if let Err(denied) = result {
+                // Another attempt may have returned enough meanwhile.
+                return self.try_take(customer, worst, false).map_err(|_| denied);
+            }
+        }
+        Err(Denied::Contended)
+    }
+
+    /// Returns what an attempt did not spend.
+    pub fn settle(&self, customer: &Customer, hold: Hold, actual: Money) {
+        let (beyond, used) = self.with(customer, |desk| {
+            let beyond = desk.purse.settle(hold, actual);
+            (beyond, desk.purse.retire(Time::now()))
+        });
+        if beyond > Money(0) {
+            log::error!("ledger: an attempt of {customer} cost {beyond} more than its worst case");
+        }
+        self.give_back(customer, used);
+    }
+
+    /// Returns what a customer may spend on this instance without another reservation.
+    pub fn free(&self, customer: &Customer) -> Money {
+        self.with(customer, |desk| desk.purse.free())
+    }
+
+    /// Settles the tranches that are used up or idle; to be called about once a second.
+    pub fn tick(&self, now: Time) {
+        self.retire(|purse| purse.retire(now));
+    }
+
+    /// Settles all tranches on which there is no hold, for a stop.
+    pub fn close(&self) {
+        self.retire(Purse::close);
+    }
+
+    fn retire(&self, mut used: impl FnMut(&mut Purse) -> Vec<Used>) {
+        let mut retired = Vec::new();
+        let mut desks = self.lock();
+        for (customer, desk) in desks.iter_mut() {
+            retired.push((customer.clone(), used(&mut desk.purse)));
+        }
+        drop(desks);
+        for (customer, used) in retired {
+            self.give_back(&customer, used);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Map<Customer, Desk>> {
+        self.inner.desks.lock().unwrap_or_else(|p| p.into_inner())
+    }
+
+    fn with<T>(&self, customer: &Customer, work: impl FnOnce(&mut Desk) -> T) -> T {
+        let mut desks = self.lock();
+        let desk = desks.entry(customer.clone()).or_insert_with(|| Desk {
+            purse: Purse::new(self.inner.sizing, Time::now()),
+            reserving: false,
+            waiting: Vec::new(),
+            finished: watch::Sender::new(Ok(())),
+        });
+        work(desk)
+    }
+
+    fn try_take(
+        &self,
+        customer: &Customer,
+        worst: Money,
+        first: bool,
+    ) -> Result<Hold, watch::Receiver<Result<(), Denied>>> {
+        let taken = self.with(customer, |desk| {
+            if first {
+                desk.purse.ask(Time::now(), worst);
+            }
+            desk.purse
+                .try_take(worst)
+                .ok_or_else(|| desk.finished.subscribe())
+        });
+        if taken.is_ok() {
+            self.reserve_if_wanted(customer);
+        }
+        taken
+    }
+
+    /// Starts a reservation if one is wanted and none is under way.
+    fn reserve_if_wanted(&self, customer: &Customer) {
+        let left = self.inner.ledger.state().budget(customer).left();
+        let wanted = self.with(customer, |desk| {
+            if desk.reserving {
+                return None;
+            }
+            let wanted = desk.purse.wanted(Time::now(), desk.need(), left);
+            desk.reserving = wanted.is_some();
+            if wanted.is_none() && !desk.waiting.is_empty() {
+                // Money came back between the attempt's try and its wait.
+                let _ = desk.finished.send_replace(Ok(()));
+            }
+            wanted
+        });
+        if let Some(amount) = wanted {
+            let (this, customer) = (self.clone(), customer.clone());
+            tokio::spawn(async move { this.reserve(&customer, amount).await });
+        }
+    }
+
+    async fn reserve(&self, customer: &Customer, amount: Money) {
+        let mut result = self.commit(customer, amount).await;
+        if let Err(Denied::Budget { left }) = result {
+            // Some of what waits may still fit although what was wanted does not.
+            let rest = self.with(customer, |desk| desk.rest(left));
+            if let Some(rest) = rest {
+                result = self.commit(customer, rest).await;
+            }
+        }
+        self.with(customer, |desk| {
+            desk.reserving = false;
+            let _ = desk.finished.send_replace(result);
+        });
+    }
+
+    /// Reserves one tranche.
+    async fn commit(&self, customer: &Customer, amount: Money) -> Result<(), Denied> {
+        let ledger = &self.inner.ledger;
+        let record = ledger.record(customer, Body::Reserve { amount });
+        match ledger.commit(record.clone()).await {
+            Ok(Outcome::Accepted | Outcome::Duplicate) => {
+                self.with(customer, |desk| desk.purse.add(record.id, amount));
+                Ok(())
+            }
+            Ok(Outcome::Rejected(Reason::BudgetExhausted { left })) => Err(Denied::Budget { left }),
+            Ok(Outcome::Rejected(reason)) => Err(Denied::Rule(reason)),
+            Ok(Outcome::Conflict(_)) => Err(Denied::Contended),
+            Err(refusal) => {
+                if matches!(refusal, Refusal::Unknown { .. }) {
+                    self.abandon(customer, record);
+                }
+                Err(Denied::Log(refusal))
+            }
+        }
+    }
+
+    /// Returns a tranche that may or may not have been reserved.
+    ///
+    /// The reservation is appended again first, so that a late copy of it is a duplicate.
+    fn abandon(&self, customer: &Customer, record: Record) {
+        let used = Used {
+            tranche: record.id,
+            spent: Money(0),
+        };
+        match self.inner.ledger.commit_later(record) {
+            Ok(()) => self.give_back(customer, vec![used]),
+            Err(refusal) => log::warn!("ledger: a tranche may stay reserved: {refusal}"),
+        }
+    }
+
+    fn give_back(&self, customer: &Customer, used: Vec<Used>) {
+        let ledger = &self.inner.ledger;
+        for Used { tranche, spent } in used {
+            let record = ledger.record(customer, Body::Settle { tranche, spent });
+            if let Err(refusal) = ledger.commit_later(record) {
+                log::warn!("ledger: a tranche counts as spent: {refusal}");
+            }
+        }
+    }
+}
+
+/// An attempt that waits for money.
+struct Waiting<'a> {
+    allocator: &'a Allocator,
+    customer: &'a Customer,
+    worst: Money,
+}
+
+impl<'a> Waiting<'a> {
+    fn new(allocator: &'a Allocator, customer: &'a Customer, worst: Money) -> Self {
+        allocator.with(customer, |desk| {
+            desk.waiting.push(worst);
+        });
+        Self {
+            allocator,
+            customer,
+            worst,
+        }
+    }
+}
+
+impl Drop for Waiting<'_> {
+    /// Runs also when the attempt is cancelled while it waits.
+    fn drop(&mut self) {
+        self.allocator.with(self.customer, |desk| {
+            let place = desk.waiting.iter().position(|worst| *worst == self.worst);
+            if let Some(place) = place {
+                desk.waiting.swap_remove(place);
+            }
+        });
+    }
+}
--- a/src/ledger/follower.rs
+++ b/src/ledger/follower.rs
@@ -1,6 +1,9 @@
 //! Applies the records of a partition in log order.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::Instant, //
+};
 
 use bytes::Bytes;
 use tokio::time::sleep;
@@ -67,7 +70,7 @@
                 }
                 Err(Failure::Expired { begin }) => self.lapse(begin),
                 Err(failure) => {
-                    health.failed(Part::Follower);
+                    health.failed(Part::Follower, Instant::now());
                     let partition = self.partition;
                     log::warn!("ledger: read of partition {partition} failed: {failure}");
                     sleep(self.backoff.delay()).await;
--- a/src/ledger/health.rs
+++ b/src/ledger/health.rs
@@ -48,8 +48,9 @@
         self.set(part, |_| None);
     }
 
-    pub(crate) fn failed(&self, part: Part) {
-        self.set(part, |since| since.or_else(|| Some(Instant::now())));
+    /// Notes a failure of an operation that began to fail at `start`.
+    pub(crate) fn failed(&self, part: Part, start: Instant) {
+        self.set(part, |since| since.or(Some(start)));
     }
 
     fn set(&self, part: Part, change: impl Fn(Option<Instant>) -> Option<Instant>) {
--- a/src/ledger/keeper.rs
+++ b/src/ledger/keeper.rs
@@ -96,13 +96,8 @@
     }
 
     async fn refresh_account(&self, customer: &Customer) -> Result<bool, Refusal> {
-        let image = || {
-            let state = self.state();
-            let account = state.account(customer)?;
-            let entity = Entity::Account(account.image());
-            Some((state.applied_for(customer).checked_sub(1)?, entity))
-        };
-        self.write(customer, image).await
+        self.write(customer, || self.state().snapshot_account(customer))
+            .await
     }
 
     async fn refresh_program(&self, customer: &Customer, name: &Program) -> Result<bool, Refusal> {
@@ -115,45 +110,35 @@
             }
         };
         for entity in self.texts(name, &turns) {
-            let body = self.snapshot(customer, entity);
-            self.commit(self.record(customer, body)).await?;
+            let body = self.state().snapshot(customer, entity);
+            if let Some(body) = body {
+                self.commit(self.record(customer, body)).await?;
+            }
         }
-        let image = || {
-            let state = self.state();
-            let program = state.program(name)?.clone();
-            let name = name.clone();
-            let entity = Entity::Program { name, program };
-            Some((state.applied_for(customer).checked_sub(1)?, entity))
-        };
-        self.write(customer, image).await
+        self.write(customer, || {
+            self.state().snapshot_program(name).into_iter().collect()
+        })
+        .await
     }
 
-    /// Commits a snapshot, again if the entity changed meanwhile.
+    /// Commits the records of a snapshot, again if the entity changed meanwhile.
     async fn write(
         &self,
         customer: &Customer,
-        image: impl Fn() -> Option<(u64, Entity)>,
+        image: impl Fn() -> Vec<Body>,
     ) -> Result<bool, Refusal> {
         for _ in 0..TRIES {
-            let Some((as_of, entity)) = image() else {
-                return Ok(false);
-            };
-            let entity = Arc::new(entity);
-            let record = self.record(customer, Body::Snapshot { as_of, entity });
-            match self.commit(record).await? {
-                Outcome::Rejected(Reason::Stale) => {}
-                outcome => return Ok(outcome.took_effect()),
+            let mut outcome = Outcome::Rejected(Reason::UnknownProgram);
+            for body in image() {
+                outcome = self.commit(self.record(customer, body)).await?;
+            }
+            if outcome != Outcome::Rejected(Reason::Stale) {
+                return Ok(outcome.took_effect());
             }
         }
         Ok(false)
     }
 
-    fn snapshot(&self, customer: &Customer, entity: Entity) -> Body {
-        let as_of = self.state().applied_for(customer).saturating_sub(1);
-        let entity = Arc::new(entity);
-        Body::Snapshot { as_of, entity }
-    }
-
     /// Splits a history into entities that fit into an append.
     fn texts(&self, name: &Program, turns: &[Arc<Turn>]) -> Vec<Entity> {
         let most = self.settings().batch_bytes / 2;
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -1,6 +1,7 @@
 //! Records in log order and the state that follows from them.
 
 pub mod account;
+pub mod allocator;
 mod backoff;
 mod cache;
 pub mod codec;
@@ -11,6 +12,7 @@
 mod keeper;
 pub mod outcome;
 pub mod program;
+pub mod purse;
 mod queue;
 pub mod record;
 pub mod settings;
@@ -24,9 +26,13 @@
     Serialize, //
 };
 
-use crate::name;
+use crate::{
+    clock::Time,
+    name, //
+};
 
 pub use self::{
+    allocator::Allocator,
     handle::{
         Ledger,
         Refusal, //
@@ -36,6 +42,7 @@
         Reason,
         Winner, //
     },
+    purse::Purse,
     settings::Settings,
     state::State, //
 };
@@ -44,8 +51,16 @@
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub enum Entity {
+    /// A part of what has ended of a customer's account; [`Entity::Account`] with the same
+    /// `as_of` follows.
+    Gone(Vec<(Time, account::Gone)>),
     /// A customer's account.
-    Account(account::Account),
+    Account {
+        /// The account without what has ended.
+        account: account::Account,
+        /// Number of members of the parts before.
+        gone: u64,
+    },
     /// A program under way, with the offsets of its turns' texts.
     Program {
         /// Name of the program.
--- /dev/null
+++ b/src/ledger/purse.rs
@@ -0,0 +1,249 @@
+//! Tranches of a customer's budget that this instance may spend.
+
+use std::{
+    collections::VecDeque,
+    sync::Arc,
+    time::Duration, //
+};
+
+use uuid::Uuid;
+
+use crate::{
+    clock::Time,
+    money::Money, //
+};
+
+/// How tranches are sized.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Sizing {
+    /// Span of demand that a new tranche covers.
+    pub span: Duration,
+    /// Span of demand below which the next tranche is reserved ahead; it must cover the time that
+    /// the log takes.
+    pub lead: Duration,
+    /// Largest part of what the contract has left that one tranche takes ahead of demand, as a
+    /// divisor; it leaves something for the other instances.
+    pub divisor: u64,
+    /// Time without demand after which unused tranches are returned.
+    pub idle: Duration,
+}
+
+impl Default for Sizing {
+    fn default() -> Self {
+        Self {
+            span: Duration::from_secs(10),
+            lead: Duration::from_secs(2),
+            divisor: 64,
+            idle: Duration::from_secs(15),
+        }
+    }
+}
+
+/// Money set aside for one attempt.
+///
+/// A hold that is dropped without [`Purse::settle`] counts as spent in full.
+#[derive(Debug)]
+#[must_use]
+pub struct Hold {
+    amount: Money,
+    parts: Vec<Part>,
+}
+
+#[derive(Debug)]
+struct Part {
+    tranche: Uuid,
+    amount: Money,
+    /// Keeps the tranche from being settled while the hold exists.
+    _open: Arc<()>,
+}
+
+impl Hold {
+    /// Returns what is set aside.
+    pub fn amount(&self) -> Money {
+        self.amount
+    }
+}
+
+/// A tranche that may be settled.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Used {
+    /// Identifier of the tranche's record.
+    pub tranche: Uuid,
+    /// What was spent of it.
+    pub spent: Money,
+}
+
+#[derive(Debug)]
+struct Tranche {
+    id: Uuid,
+    amount: Money,
+    free: Money,
+    /// Each hold on the tranche has a clone.
+    open: Arc<()>,
+}
+
+impl Tranche {
+    fn is_held(&self) -> bool {
+        Arc::strong_count(&self.open) > 1
+    }
+
+    fn used(&self) -> Used {
+        Used {
+            tranche: self.id,
+            spent: self.amount.saturating_sub(self.free),
+        }
+    }
+}
+
+/// Tranches of one customer's budget.
+#[derive(Debug)]
+pub struct Purse {
+    sizing: Sizing,
+    /// Oldest first; the oldest is used up first.
+    tranches: VecDeque<Tranche>,
+    /// Money asked for, decayed over [`Sizing::span`].
+    demand: f64,
+    decayed: Time,
+    /// Time and size of the last attempt.
+    asked: Time,
+    last: Money,
+}
+
+impl Purse {
+    /// Makes an empty purse.
+    pub fn new(sizing: Sizing, now: Time) -> Self {
+        Self {
+            sizing,
+            tranches: VecDeque::new(),
+            demand: 0.0,
+            decayed: now,
+            asked: now,
+            last: Money(0),
+        }
+    }
+
+    /// Returns what may still be set aside.
+    pub fn free(&self) -> Money {
+        let free = self.tranches.iter().map(|tranche| tranche.free);
+        free.fold(Money(0), Money::saturating_add)
+    }
+
+    /// Adds a tranche whose reservation was accepted.
+    pub fn add(&mut self, id: Uuid, amount: Money) {
+        if self.tranches.iter().any(|tranche| tranche.id == id) {
+            return;
+        }
+        self.tranches.push_back(Tranche {
+            id,
+            amount,
+            free: amount,
+            open: Arc::default(),
+        });
+    }
+
+    /// Notes that an attempt of at most `worst` is wanted; repeated tries of it are not noted.
+    pub fn ask(&mut self, now: Time, worst: Money) {
+        self.decay(now);
+        self.demand += worst.0 as f64;
+        self.asked = self.asked.max(now);
+        self.last = worst;
+    }
+
+    /// Sets aside the worst-case cost of an attempt.
+    pub fn try_take(&mut self, worst: Money) -> Option<Hold> {
+        if self.free() < worst {
+            return None;
+        }
+        let mut rest = worst;
+        let mut parts = Vec::new();
+        for tranche in &mut self.tranches {
+            let amount = rest.min(tranche.free);
+            if amount == Money(0) {
+                continue;
+            }
+            tranche.free = tranche.free.saturating_sub(amount);
+            rest = rest.saturating_sub(amount);
+            parts.push(Part {
+                tranche: tranche.id,
+                amount,
+                _open: tranche.open.clone(),
+            });
+        }
+        Some(Hold {
+            amount: worst,
+            parts,
+        })
+    }
+
+    /// Returns what an attempt did not spend; returns what it spent beyond its hold.
+    pub fn settle(&mut self, hold: Hold, actual: Money) -> Money {
+        let mut unpaid = actual;
+        for part in hold.parts {
+            let paid = unpaid.min(part.amount);
+            unpaid = unpaid.saturating_sub(paid);
+            let tranche = self.tranches.iter_mut().find(|t| t.id == part.tranche);
+            if let Some(tranche) = tranche {
+                let back = part.amount.saturating_sub(paid);
+                tranche.free = tranche.free.saturating_add(back);
+            }
+        }
+        unpaid
+    }
+
+    /// Returns the size of the tranche that should be reserved now, if one should.
+    ///
+    /// `need` is what waits for money; `left` is what the contract has left.
+    pub fn wanted(&mut self, now: Time, need: Money, left: Money) -> Option<Money> {
+        self.decay(now);
+        let free = self.free();
+        let rate = self.demand / self.sizing.span.as_secs_f64().max(0.001);
+        let over = |span: Duration| Money((rate * span.as_secs_f64()) as u64);
+        let ahead = free < over(self.sizing.lead);
+        if free >= need && !ahead {
+            return None;
+        }
+        let share = Money(left.0 / self.sizing.divisor.max(1));
+        let ahead = over(self.sizing.span).saturating_sub(free).min(share);
+        // Near the end of the budget, tranches that cover no attempt would only load the log.
+        let ahead = match ahead < self.last {
+            true => Money(0),
+            false => ahead,
+        };
+        let size = ahead.max(need.saturating_sub(free));
+        (size > Money(0)).then_some(size)
+    }
+
+    /// Removes the tranches that are used up, and all unused ones after a time without demand.
+    pub fn retire(&mut self, now: Time) -> Vec<Used> {
+        let idle = now.since(self.asked) >= self.sizing.idle;
+        self.drain(|tranche| idle || tranche.free == Money(0))
+    }
+
+    /// Removes all tranches on which there is no hold.
+    pub fn close(&mut self) -> Vec<Used> {
+        self.drain(|_| true)
+    }
+
+    /// Returns whether there is no tranche.
+    pub fn is_empty(&self) -> bool {
+        self.tranches.is_empty()
+    }
+
+    fn drain(&mut self, done: impl Fn(&Tranche) -> bool) -> Vec<Used> {
+        let mut used = Vec::new();
+        self.tranches.retain(|tranche| {
+            let retired = !tranche.is_held() && done(tranche);
+            if retired {
+                used.push(tranche.used());
+            }
+            !retired
+        });
+        used
+    }
+
+    fn decay(&mut self, now: Time) {
+        let spans = now.since(self.decayed).as_secs_f64() / self.sizing.span.as_secs_f64();
+        self.demand *= (-spans).exp();
+        self.decayed = self.decayed.max(now);
+    }
+}
--- a/src/ledger/state.rs
+++ b/src/ledger/state.rs
@@ -23,7 +23,8 @@
     ledger::{
         account::{
             Account,
-            Budget, //
+            Budget,
+            Gone, //
         },
         codec,
         outcome::{
@@ -51,6 +52,9 @@
 /// applies the records in between again instead of ignoring the snapshot.
 const RECENT: u64 = 10_000;
 
+/// Ended programs and settled tranches in one record, about 150 bytes each.
+const PART: usize = 1_000;
+
 /// Returns the partition that holds a customer's records.
 pub fn partition(customer: &Customer, partitions: u32) -> u32 {
     (hash::stable(customer.as_str().as_bytes()) % u64::from(partitions.max(1))) as u32
@@ -160,7 +164,7 @@
     }
 
     /// Notes that the records of a partition before `begin` expired before they were read.
-    pub(crate) fn lapse(&mut self, partition: u32, begin: u64) {
+    pub fn lapse(&mut self, partition: u32, begin: u64) {
         if let Some(shard) = self.shards.get_mut(partition as usize) {
             shard.begin = begin;
             shard.next = begin;
@@ -238,6 +242,43 @@
         account.is_some_and(|account| shard.is_sound(account, &self.horizon))
     }
 
+    /// Returns the records' bodies that together are a snapshot of a customer's account.
+    ///
+    /// They have to be appended in this order.
+    pub fn snapshot_account(&self, customer: &Customer) -> Vec<Body> {
+        let Some(account) = self.account(customer) else {
+            return Vec::new();
+        };
+        let gone = account.gone();
+        let parts = gone.chunks(PART);
+        let mut entities: Vec<_> = parts.map(|part| Entity::Gone(part.to_vec())).collect();
+        entities.push(Entity::Account {
+            account: account.image(),
+            gone: gone.len() as u64,
+        });
+        let bodies = entities.into_iter();
+        bodies
+            .filter_map(|entity| self.snapshot(customer, entity))
+            .collect()
+    }
+
+    /// Returns a snapshot of a program under way.
+    ///
+    /// It says where the texts of the turns are and does not repeat them.
+    pub fn snapshot_program(&self, name: &name::Program) -> Option<Body> {
+        let program = self.program(name)?.clone();
+        let customer = program.customer().clone();
+        let name = name.clone();
+        self.snapshot(&customer, Entity::Program { name, program })
+    }
+
+    /// Returns a snapshot as of the last record applied; `None` if there is none.
+    pub(crate) fn snapshot(&self, customer: &Customer, entity: Entity) -> Option<Body> {
+        let as_of = self.applied_for(customer).checked_sub(1)?;
+        let entity = Arc::new(entity);
+        Some(Body::Snapshot { as_of, entity })
+    }
+
     /// Encodes the state of a partition for another instance.
     pub fn export(&self, partition: u32) -> Option<Bytes> {
         let shard = self.shard(partition)?;
@@ -276,8 +317,9 @@
             | Body::Claim { program, .. }
             | Body::Void { program, .. } => self.apply_program(offset, record, program),
             Body::Snapshot { as_of, entity } => match &**entity {
-                Entity::Account(image) => {
-                    self.install_account(offset, &record.customer, *as_of, image, horizon)
+                Entity::Gone(gone) => self.stage(&record.customer, *as_of, gone),
+                Entity::Account { account, gone } => {
+                    self.install_account(offset, &record.customer, *as_of, account, *gone, horizon)
                 }
                 Entity::Program { name, program } => {
                     self.install_program(&record.customer, *as_of, name, program)
@@ -295,15 +337,11 @@
     /// Returns whether a customer's account is known to be complete.
     ///
     /// A reader whose log begins late knows an account by its snapshot. Each account is repeated
-    /// at a third of the retention, and what ended before the begin is forgotten everywhere after
-    /// `memory`; after both, an account without a snapshot began in this reader's log.
+    /// at a third of the retention, so that after twice that time an account without a snapshot
+    /// began in this reader's log.
     pub(crate) fn is_sound(&self, account: &Account, horizon: &Horizon) -> bool {
-        account.sound || self.begin == 0 || self.is_old(horizon.memory + horizon.refresh())
-    }
-
-    /// Returns whether this reader knows the last `span` of log time completely.
-    fn is_old(&self, span: Duration) -> bool {
-        self.begin_time > Time(0) && self.time >= self.begin_time + span
+        let age = self.time.since(self.begin_time);
+        account.sound || self.begin == 0 || age >= horizon.refresh() * 2
     }
 
     fn apply_program(&mut self, offset: u64, record: &Record, name: &name::Program) -> Outcome {
@@ -347,13 +385,19 @@
         let mut gone = Vec::new();
         let outcome = account.apply(record, now, horizon.memory, &mut gone);
         let outcome = outcome.unwrap_or(Outcome::Rejected(Reason::Stale));
-        if outcome == Outcome::Accepted {
-            if let Body::Start(start) = &record.body {
+        if let Body::Start(start) = &record.body {
+            // An account that is not complete can't refuse a start; its snapshot will decide.
+            let open = !account.sound && !matches!(outcome, Outcome::Duplicate);
+            if outcome == Outcome::Accepted || open {
                 let customer = record.customer.clone();
                 let program = Program::new(customer, start, record.at, offset, now);
-                self.programs.insert(start.program.clone(), program);
+                let slot = self.programs.entry(start.program.clone());
+                slot.or_insert(program);
             }
         }
+        if let (Body::End { program, .. }, false) = (&record.body, account.sound) {
+            gone.push(program.clone());
+        }
         // An account without a contract is kept only if it may be the rest of an older one.
         if new && (outcome == Outcome::Accepted || self.begin > 0) {
             self.accounts.insert(record.customer.clone(), fresh);
@@ -380,12 +424,29 @@
         }
     }
 
+    fn stage(&mut self, customer: &Customer, as_of: u64, gone: &[(Time, Gone)]) -> Outcome {
+        if self.begin > as_of {
+            return Outcome::Rejected(Reason::BeforeBegin);
+        }
+        let now = self.time;
+        let fresh = || Account::new(false, now);
+        if self.begin > 0 {
+            let account = self.accounts.entry(customer.clone());
+            let account = account.or_insert_with(fresh);
+            if !account.sound {
+                account.stage(as_of, gone);
+            }
+        }
+        Outcome::Accepted
+    }
+
     fn install_account(
         &mut self,
         offset: u64,
         customer: &Customer,
         as_of: u64,
         image: &Account,
+        gone: u64,
         horizon: &Horizon,
     ) -> Outcome {
         if as_of + RECENT < offset {
@@ -395,15 +456,18 @@
             return Outcome::Rejected(Reason::BeforeBegin);
         }
         let now = self.time;
-        let complete = self.is_old(horizon.memory);
-        let known = self.accounts.get_mut(customer);
-        if let Some(account) = known.filter(|account| account.sound) {
-            account.refreshed = now;
-            return Outcome::Accepted;
-        }
-        let mut account = self.accounts.get(customer).cloned().unwrap_or_default();
+        let mut account = match self.accounts.get_mut(customer) {
+            Some(account) if account.sound => {
+                account.refreshed = now;
+                return Outcome::Accepted;
+            }
+            Some(account) => account.clone(),
+            None => Account::new(false, now),
+        };
         let version = account.version();
-        account.install(image, complete, now);
+        if !account.install(image, as_of, gone, now) {
+            return Outcome::Rejected(Reason::Stale);
+        }
         for (at, time, record) in &self.recent {
             if *at > as_of && record.customer == *customer {
                 account.apply(record, *time, horizon.memory, &mut Vec::new());
@@ -412,12 +476,10 @@
         if account.version() < version {
             return Outcome::Rejected(Reason::Stale);
         }
-        let stays = |name: &name::Program, program: &mut Program| {
-            program.customer() != customer || account.is_running(name)
-        };
-        self.programs.retain(stays);
-        self.missed
-            .retain(|name, (_, of)| of != customer || account.is_running(name));
+        let stays =
+            |name: &name::Program, of: &Customer| of != customer || account.is_running(name);
+        self.programs.retain(|name, p| stays(name, p.customer()));
+        self.missed.retain(|name, (_, of)| stays(name, of));
         self.accounts.insert(customer.clone(), account);
         Outcome::Accepted
     }
--- a/src/ledger/writer.rs
+++ b/src/ledger/writer.rs
@@ -79,6 +79,7 @@
         let shared = self.shared.clone();
         let lane = shared.lane(self.partition);
         loop {
+            let start = Instant::now();
             let Err(failure) = self.append(&batch).await else {
                 lane.health.succeeded(Part::Writer);
                 self.backoff.reset();
@@ -91,7 +92,7 @@
             for entry in &mut batch {
                 entry.failed(unknown);
             }
-            self.fail(&failure).await;
+            self.fail(&failure, start).await;
             if unknown {
                 self.settle().await;
             }
@@ -120,9 +121,10 @@
     }
 
     /// Notes a failure and waits before the next try.
-    async fn fail(&mut self, failure: &Failure) {
-        self.shared.lane(self.partition).health.failed(Part::Writer);
+    async fn fail(&mut self, failure: &Failure, start: Instant) {
         let partition = self.partition;
+        let health = &self.shared.lane(partition).health;
+        health.failed(Part::Writer, start);
         log::warn!("ledger: append to partition {partition} failed: {failure}");
         sleep(self.backoff.delay()).await;
     }
@@ -146,10 +148,11 @@
         let lane = self.shared.clone();
         let lane = lane.lane(self.partition);
         loop {
+            let start = Instant::now();
             let bounds = self.log.bounds(self.partition);
             match limit(self.shared.settings.step, bounds).await {
                 Ok(_) => break,
-                Err(failure) => self.fail(&failure).await,
+                Err(failure) => self.fail(&failure, start).await,
             }
             if !lane.queue.is_empty() {
                 return;
