--- a/src/ledger/handle.rs
+++ b/src/ledger/handle.rs
@@ -333,9 +333,13 @@
     }
 
     /// Takes over the state of a partition from a peer if it is newer than ours.
+    ///
+    /// The partition counts as caught up afterwards; the caller has to see first that no
+    /// reachable peer has a newer state.
     pub fn import(&self, partition: u32, bytes: bytes::Bytes) -> Result<(), Mismatch> {
         self.shared.state_mut().import(partition, &bytes)?;
         self.shared.publish_applied();
+        self.shared.set_caught_up(partition, true);
         Ok(())
     }
 
--- a/tests/ledger_commit.rs
+++ b/tests/ledger_commit.rs
@@ -1,25 +1,15 @@
 //! Guards the effects of commits: each takes effect once or is refused with the right certainty.
 
-use std::{
-    future::Future,
-    sync::Arc,
-    time::Duration, //
-};
+mod ledger_support;
+
+use std::time::Duration;
 
 use gypsumlever::{
-    clock::Time,
-    contract::{
-        Contract,
-        Raw, //
-    },
     ledger::{
         codec,
-        program,
         record::{
-            Body,
             Ran,
-            Start,
-            Turn, //
+            Record, //
         },
         Ledger,
         Outcome,
@@ -32,98 +22,12 @@
         Service, //
     },
     money::Money,
-    name::{
-        Class,
-        Customer,
-        Instance,
-        Program,
-        Zone, //
-    },
-};
-use tokio::{
-    task::LocalSet,
-    time::{
-        sleep,
-        timeout, //
-    },
 };
-
-fn run<T>(test: impl Future<Output = T>) -> T {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .unwrap();
-    let test = async { timeout(Duration::from_secs(20), test).await.unwrap() };
-    LocalSet::new().block_on(&runtime, test)
-}
-
-fn customer() -> Customer {
-    Customer::try_from("sirag").unwrap()
-}
-
-fn settings(instance: &str) -> Settings {
-    let ms = Duration::from_millis;
-    Settings {
-        interval: ms(2),
-        step: ms(300),
-        detection: ms(30),
-        poll: ms(100),
-        backoff: ms(2),
-        backoff_most: ms(10),
-        ..Settings::new(Instance::try_from(instance).unwrap())
-    }
-}
-
-fn publish(version: u64) -> Body {
-    let raw = Raw {
-        customer: "sirag".into(),
-        budget_micros: 1_000,
-        share: 1,
-        programs: 10,
-        ..Raw::default()
-    };
-    Body::Publish {
-        version,
-        contract: Arc::new(Contract::try_from(raw).unwrap()),
-    }
-}
-
-fn start() -> (Program, Body) {
-    let zone = Zone::try_from("az1").unwrap();
-    let program = program::identifier(&zone, Time::now(), &mut rand::rng()).unwrap();
-    let start = Start {
-        program: program.clone(),
-        class: Class::try_from("fitting").unwrap(),
-        parent: None,
-        key: None,
-        deadline: Time::now() + Duration::from_secs(60),
-    };
-    (program, Body::Start(start))
-}
-
-fn turn(program: &Program, index: u32, answer: &str) -> Body {
-    Body::Turn {
-        program: program.clone(),
-        index,
-        turn: Arc::new(Turn {
-            key: None,
-            digest: 0,
-            request: "{}".into(),
-            answer: answer.into(),
-            ran: Ran::Yes,
-            cost: Money(1),
-            tokens: 1,
-        }),
-    }
-}
-
-async fn accept(ledger: &Ledger, body: Body) {
-    let record = ledger.record(&customer(), body);
-    assert_eq!(ledger.commit(record).await, Ok(Outcome::Accepted));
-}
+use ledger_support::*;
+use tokio::time::sleep;
 
 /// Number of copies of a record in the log.
-fn copies(log: &Memory, record: &gypsumlever::ledger::record::Record) -> usize {
+fn copies(log: &Memory, record: &Record) -> usize {
     let records = log.records(0);
     let same = |(_, bytes): &&(u64, bytes::Bytes)| codec::decode(bytes).unwrap().id == record.id;
     records.iter().filter(same).count()
@@ -144,14 +48,13 @@
         run(async {
             let log = Memory::new(1);
             let ledger = Ledger::start(log.clone(), settings("a"));
-            accept(&ledger, publish(1)).await;
+            accept(&ledger, publish(1, 1_000)).await;
             let name = format!("{faults:?}");
             log.fail(faults);
-            let reserve = Body::Reserve { amount: Money(10) };
-            let record = ledger.record(&customer(), reserve);
+            let record = ledger.record(&customer(), reserve(10));
             let outcome = ledger.commit(record.clone()).await;
             assert_eq!(outcome, Ok(Outcome::Accepted), "{name}");
-            accept(&ledger, Body::Reserve { amount: Money(5) }).await;
+            accept(&ledger, reserve(5)).await;
             assert_eq!(copies(&log, &record), expected, "{name}");
             let budget = ledger.state().budget(&customer());
             assert_eq!(budget.outstanding, Money(15), "{name}");
@@ -165,10 +68,9 @@
         run(async {
             let log = Memory::new(1);
             let ledger = Ledger::start(log.clone(), settings("a"));
-            accept(&ledger, publish(1)).await;
+            accept(&ledger, publish(1, 1_000)).await;
             log.set_service(service);
-            let reserve = || Body::Reserve { amount: Money(10) };
-            let record = ledger.record(&customer(), reserve());
+            let record = ledger.record(&customer(), reserve(10));
             match ledger.commit(record.clone()).await {
                 Err(Refusal::NotApplied { .. }) => assert!(certain),
                 // The follower may notice the outage before the record is sent.
@@ -176,14 +78,14 @@
                 other => panic!("{other:?}"),
             }
             assert!(!ledger.available());
-            let second = ledger.record(&customer(), reserve());
+            let second = ledger.record(&customer(), reserve(10));
             let refused = ledger.commit(second).await;
             assert!(matches!(refused, Err(Refusal::NotApplied { .. })));
             log.set_service(Service::Up);
             while !ledger.available() {
                 sleep(Duration::from_millis(2)).await;
             }
-            accept(&ledger, reserve()).await;
+            accept(&ledger, reserve(10)).await;
             // A record that was given up is not sent after the outage.
             assert_eq!(copies(&log, &record), 0);
         });
@@ -195,12 +97,11 @@
     run(async {
         let log = Memory::new(1);
         let ledger = Ledger::start(log.clone(), settings("a"));
-        accept(&ledger, publish(1)).await;
-        let (program, body) = start();
-        accept(&ledger, body).await;
+        accept(&ledger, publish(1, 1_000)).await;
+        let program = begin(&ledger).await;
         log.set_service(Service::Silent);
         for index in 0..20 {
-            let record = ledger.record(&customer(), turn(&program, index, "x"));
+            let record = ledger.record(&customer(), turn(&program, index));
             assert_eq!(ledger.commit_later(record), Ok(()));
         }
         sleep(Duration::from_millis(50)).await;
@@ -220,13 +121,13 @@
         let other = log.share();
         let a = Ledger::start(log.clone(), settings("a"));
         let b = Ledger::start(other.clone(), settings("b"));
-        accept(&a, publish(1)).await;
+        accept(&a, publish(1, 1_000)).await;
         for round in 0..20 {
             let faults = [Fault::AnswerLost, Fault::Late, Fault::RequestLost];
             log.fail([faults[round % 3]]);
             other.fail([faults[(round + 1) % 3]]);
-            let one = a.record(&customer(), publish(round as u64 + 2));
-            let two = b.record(&customer(), publish(round as u64 + 2));
+            let one = a.record(&customer(), publish(round as u64 + 2, 1_000));
+            let two = b.record(&customer(), publish(round as u64 + 2, 1_000));
             let (one, two) = tokio::join!(a.commit(one), b.commit(two));
             let won = [one, two].map(|outcome| outcome.unwrap().took_effect());
             assert!(won[0] != won[1], "round {round}");
@@ -245,11 +146,14 @@
             ..settings("a")
         };
         let ledger = Ledger::start(log.clone(), small);
-        accept(&ledger, publish(1)).await;
-        let (program, body) = start();
-        accept(&ledger, body).await;
+        accept(&ledger, publish(1, 1_000)).await;
+        let program = begin(&ledger).await;
         for index in 0..30 {
-            accept(&ledger, turn(&program, index, &format!("answer {index}"))).await;
+            accept(
+                &ledger,
+                turn_with(&program, index, Ran::Yes, &format!("answer {index}")),
+            )
+            .await;
         }
         let history = ledger.history(&program).await.unwrap();
         let answers: Vec<_> = history.iter().map(|turn| turn.answer.as_str()).collect();
--- /dev/null
+++ b/tests/ledger_keep.rs
@@ -0,0 +1,121 @@
+//! Guards live state against the end of the log's retention, and the start of an instance.
+
+mod ledger_support;
+
+use std::time::Duration;
+
+use gypsumlever::{
+    clock::Time,
+    ledger::{
+        record::Ran,
+        Ledger,
+        Settings, //
+    },
+    log::memory::{
+        Memory,
+        Service, //
+    },
+};
+use ledger_support::*;
+
+fn retained(instance: &str) -> Settings {
+    Settings {
+        retention: Duration::from_secs(300),
+        // Histories are read from the log.
+        cache_bytes: 500,
+        // Texts need more than one record.
+        batch_bytes: 4_000,
+        ..settings(instance)
+    }
+}
+
+#[test]
+fn refresh_keeps_live_state_beyond_retention() {
+    run(async {
+        let log = Memory::new(1);
+        let a = Ledger::start(log.clone(), retained("a"));
+        accept(&a, publish(1, 1_000)).await;
+        accept(&a, publish(2, 900)).await;
+        accept(&a, reserve(10)).await;
+        let ended = begin(&a).await;
+        let live = begin(&a).await;
+        for index in 0..20 {
+            let answer = format!("{index} {}", "x".repeat(300));
+            accept(&a, turn_with(&live, index, Ran::Yes, &answer)).await;
+        }
+        accept(&a, claim(&live, 20)).await;
+        accept(&a, end(&ended)).await;
+        let old = a.history(&live).await.unwrap();
+        let begin = a.applied()[0];
+        // A record between the begin and the snapshots; each snapshot is as of it or a later one.
+        accept(&a, reserve(1)).await;
+        let now = Time::now();
+        assert_eq!(a.refresh(now, &|_: &str| true).await, Ok(0));
+        let later = now + Duration::from_secs(100);
+        assert_eq!(a.refresh(later, &|_: &str| false).await, Ok(0));
+        assert_eq!(a.refresh(later, &|_: &str| true).await, Ok(2));
+        log.expire(0, begin);
+
+        let b = Ledger::start(log.share(), retained("b"));
+        b.wait_caught_up().await;
+        assert_eq!(b.history(&live).await.unwrap(), old);
+        assert_eq!(a.history(&live).await.unwrap(), old);
+        let (ours, theirs) = (b.state(), a.state());
+        assert_eq!(ours.contract(&customer()), theirs.contract(&customer()));
+        assert_eq!(ours.budget(&customer()), theirs.budget(&customer()));
+        assert_eq!(ours.program(&live), theirs.program(&live));
+        assert!(ours.program(&ended).is_none());
+        assert!(ours.ended(&customer(), &ended).is_some());
+    });
+}
+
+#[test]
+fn import_lets_an_instance_start_without_log() {
+    run(async {
+        let log = Memory::new(1);
+        let a = Ledger::start(log.clone(), settings("a"));
+        accept(&a, publish(1, 1_000)).await;
+        let program = begin(&a).await;
+        let down = log.share();
+        down.set_service(Service::Silent);
+        let b = Ledger::start(down.clone(), settings("b"));
+        assert!(!b.caught_up());
+        let state = a.export(0).unwrap();
+        assert_eq!(b.import(0, state.clone()), Ok(()));
+        assert!(b.caught_up());
+        // The same state is not newer.
+        assert!(b.import(0, state).is_err());
+        assert_eq!(b.applied(), a.applied());
+        assert!(b.state().program(&program).is_some());
+        accept(&a, turn(&program, 0)).await;
+        down.set_service(Service::Up);
+        until(|| b.applied() == a.applied()).await;
+        assert_eq!(b.state().program(&program).unwrap().next(), 1);
+    });
+}
+
+#[test]
+fn follow_goes_on_after_records_expired_unread() {
+    run(async {
+        let log = Memory::new(1);
+        let cut = log.share();
+        let a = Ledger::start(log.clone(), retained("a"));
+        let b = Ledger::start(cut.clone(), retained("b"));
+        accept(&a, publish(1, 1_000)).await;
+        let program = begin(&a).await;
+        until(|| b.applied() == a.applied()).await;
+        cut.set_service(Service::Silent);
+        accept(&a, end(&program)).await;
+        accept(&a, publish(2, 900)).await;
+        let begin = a.applied()[0];
+        accept(&a, reserve(1)).await;
+        let later = Time::now() + Duration::from_secs(100);
+        assert_eq!(a.refresh(later, &|_: &str| true).await, Ok(1));
+        log.expire(0, begin);
+        cut.set_service(Service::Up);
+        until(|| b.applied() == a.applied()).await;
+        // The end of the program expired unread; the account's snapshot tells of it.
+        assert!(b.state().program(&program).is_none());
+        assert_eq!(b.state().account(&customer()).unwrap().version(), 2);
+    });
+}
--- /dev/null
+++ b/tests/ledger_purse.rs
@@ -0,0 +1,176 @@
+//! Guards a customer's budget against spending beyond what was reserved.
+
+mod ledger_support;
+
+use std::time::Duration;
+
+use gypsumlever::{
+    clock::Time,
+    ledger::{
+        allocator::Denied,
+        purse::{
+            Hold,
+            Purse,
+            Sizing,
+            Used, //
+        },
+        Allocator,
+        Ledger,
+        Refusal, //
+    },
+    log::memory::{
+        Fault,
+        Memory,
+        Service, //
+    },
+    money::Money,
+};
+use ledger_support::*;
+
+fn purse() -> Purse {
+    Purse::new(Sizing::default(), START)
+}
+
+#[test]
+fn settle_returns_what_was_not_spent() {
+    // Hold, actual cost, then free money and what is reported as unpaid.
+    let cases = [(8, 3, 7, 0), (8, 8, 2, 0), (8, 9, 2, 1), (10, 0, 10, 0)];
+    for (held, actual, free, unpaid) in cases {
+        let mut purse = purse();
+        // The hold spans both tranches.
+        purse.add(id(0, 1), Money(4));
+        purse.add(id(0, 2), Money(6));
+        let hold = purse.try_take(Money(held)).unwrap();
+        assert_eq!(purse.settle(hold, Money(actual)), Money(unpaid));
+        assert_eq!(purse.free(), Money(free), "{held} {actual}");
+    }
+    assert!(purse().try_take(Money(1)).is_none());
+}
+
+#[test]
+fn close_counts_dropped_holds_as_spent() {
+    let mut purse = purse();
+    let tranche = id(0, 1);
+    purse.add(tranche, Money(10));
+    drop(purse.try_take(Money(4)));
+    let hold = purse.try_take(Money(5)).unwrap();
+    // The tranche can't be settled while an attempt may still spend from it.
+    assert_eq!(purse.close(), []);
+    purse.settle(hold, Money(1));
+    let spent = Money(5);
+    assert_eq!(purse.close(), [Used { tranche, spent }]);
+    assert!(purse.is_empty());
+}
+
+#[test]
+fn retire_returns_idle_tranches() {
+    let mut purse = purse();
+    let tranche = id(0, 1);
+    purse.add(tranche, Money(10));
+    purse.ask(START, Money(4));
+    assert_eq!(purse.retire(START + Duration::from_secs(14)), []);
+    let used = purse.retire(START + Duration::from_secs(15));
+    let spent = Money(0);
+    assert_eq!(used, [Used { tranche, spent }]);
+}
+
+#[test]
+fn wanted_table_of_sizes() {
+    // Free money, size and number of recent attempts, need, left in the contract, tranche.
+    let cases = [
+        ("nothing asked", 0, 0, 0, 0, 6_400, None),
+        ("need only", 0, 0, 0, 10, 6_400, Some(10)),
+        ("need beyond the share", 0, 10, 1, 500, 6_400, Some(500)),
+        ("demand", 0, 10, 5, 10, 6_400, Some(50)),
+        ("share of a small rest", 0, 10, 50, 10, 6_400, Some(100)),
+        ("enough free", 200, 10, 50, 10, 64_000, None),
+        ("ahead of demand", 99, 10, 50, 10, 64_000, Some(401)),
+        ("rest below one attempt", 5, 10, 50, 0, 576, None),
+    ];
+    for (name, free, size, count, need, left, wanted) in cases {
+        let mut purse = purse();
+        purse.add(id(0, 1), Money(free));
+        for _ in 0..count {
+            purse.ask(START, Money(size));
+        }
+        let amount = purse.wanted(START, Money(need), Money(left));
+        assert_eq!(amount, wanted.map(Money), "{name}");
+    }
+}
+
+#[test]
+fn take_of_two_instances_stays_within_budget() {
+    run(async {
+        let log = Memory::new(1);
+        let other = log.share();
+        let ledgers = [
+            Ledger::start(log.clone(), settings("a")),
+            Ledger::start(other.clone(), settings("b")),
+        ];
+        accept(&ledgers[0], publish(1, 1_000)).await;
+        let allocators = ledgers
+            .clone()
+            .map(|l| Allocator::new(l, Sizing::default()));
+        let faults = [Fault::AnswerLost, Fault::Late, Fault::NotApplied];
+        log.fail(faults.repeat(4));
+        other.fail(faults.repeat(4));
+        let mut spent = 0;
+        let mut denied = [false; 2];
+        while !denied.iter().all(|denied| *denied) {
+            let (one, two) = (&allocators[0], &allocators[1]);
+            let (customer, worst) = (customer(), Money(20));
+            let taken = tokio::join!(one.take(&customer, worst), two.take(&customer, worst));
+            let taken: [Result<Hold, Denied>; 2] = taken.into();
+            for (at, taken) in taken.into_iter().enumerate() {
+                match taken {
+                    Ok(hold) => {
+                        spent += 15;
+                        allocators[at].settle(&customer, hold, Money(15));
+                    }
+                    Err(Denied::Budget { .. }) => denied[at] = true,
+                    // A reservation may run into the faults.
+                    Err(Denied::Log(_)) => {}
+                    Err(other) => panic!("{other:?}"),
+                }
+            }
+        }
+        for allocator in &allocators {
+            allocator.close();
+        }
+        let budget = || ledgers[0].state().budget(&customer());
+        until(|| budget().outstanding == Money(0)).await;
+        assert_eq!(budget().spent, Money(spent));
+        // What is left is less than both instances need for one more attempt.
+        assert!((1_000 - 60..=1_000).contains(&spent), "{spent}");
+    });
+}
+
+#[test]
+fn take_refused_while_log_is_down() {
+    run(async {
+        let log = Memory::new(1);
+        let ledger = Ledger::start(log.clone(), settings("a"));
+        accept(&ledger, publish(1, 1_000)).await;
+        let allocator = Allocator::new(ledger.clone(), Sizing::default());
+        let hold = allocator.take(&customer(), Money(10)).await.unwrap();
+        log.set_service(Service::Silent);
+        // Money that is reserved already is spent without the log.
+        allocator.settle(&customer(), hold, Money(4));
+        let hold = allocator.take(&customer(), Money(6)).await.unwrap();
+        let denied = allocator.take(&customer(), Money(100)).await;
+        assert!(matches!(denied, Err(Denied::Log(_))), "{denied:?}");
+        until(|| !ledger.available()).await;
+        let denied = allocator.take(&customer(), Money(100)).await.unwrap_err();
+        let refused = |refusal: &Refusal| matches!(refusal, Refusal::NotApplied { .. });
+        assert!(
+            matches!(&denied, Denied::Log(r) if refused(r)),
+            "{denied:?}"
+        );
+        allocator.settle(&customer(), hold, Money(6));
+        allocator.tick(Time::now());
+        log.set_service(Service::Up);
+        // The tranche whose reservation had an unknown outcome is returned.
+        let budget = || ledger.state().budget(&customer());
+        until(|| budget().outstanding == Money(0) && budget().spent == Money(10)).await;
+    });
+}
--- a/tests/ledger_support/mod.rs
+++ b/tests/ledger_support/mod.rs
@@ -15,6 +15,7 @@
         Server, //
     },
     ledger::{
+        program::identifier,
         record::{
             Body,
             Ending,
@@ -24,6 +25,8 @@
             Turn, //
         },
         state::Horizon,
+        Ledger,
+        Outcome,
         Settings,
         State, //
     },
@@ -32,12 +35,16 @@
         Class,
         Customer,
         Instance,
-        Program, //
+        Program,
+        Zone, //
     },
 };
 use tokio::{
     task::LocalSet,
-    time::timeout, //
+    time::{
+        sleep,
+        timeout, //
+    },
 };
 use uuid::{
     Builder,
@@ -72,6 +79,27 @@
     }
 }
 
+/// Commits a record that has to be accepted.
+pub async fn accept(ledger: &Ledger, body: Body) {
+    let record = ledger.record(&customer(), body);
+    assert_eq!(ledger.commit(record).await, Ok(Outcome::Accepted));
+}
+
+/// Starts a program that is created now.
+pub async fn begin(ledger: &Ledger) -> Program {
+    let zone = Zone::try_from("az1").unwrap();
+    let program = identifier(&zone, Time::now(), &mut rand::rng()).unwrap();
+    accept(ledger, start(&program, None, None)).await;
+    program
+}
+
+/// Waits until a condition holds.
+pub async fn until(mut condition: impl FnMut() -> bool) {
+    while !condition() {
+        sleep(Duration::from_millis(2)).await;
+    }
+}
+
 pub fn state() -> State {
     State::new(1, HORIZON)
 }
