--- a/src/ledger/keeper.rs
+++ b/src/ledger/keeper.rs
@@ -115,23 +115,25 @@
                 self.commit(self.record(customer, body)).await?;
             }
         }
-        self.write(customer, || self.state().snapshot_program(name))
-            .await
+        self.write(customer, || {
+            self.state().snapshot_program(name).into_iter().collect()
+        })
+        .await
     }
 
-    /// Commits a snapshot, again if the entity changed meanwhile.
+    /// Commits the records of a snapshot, again if the entity changed meanwhile.
     async fn write(
         &self,
         customer: &Customer,
-        image: impl Fn() -> Option<Body>,
+        image: impl Fn() -> Vec<Body>,
     ) -> Result<bool, Refusal> {
         for _ in 0..TRIES {
-            let Some(body) = image() else {
-                return Ok(false);
-            };
-            match self.commit(self.record(customer, body)).await? {
-                Outcome::Rejected(Reason::Stale) => {}
-                outcome => return Ok(outcome.took_effect()),
+            let mut outcome = Outcome::Rejected(Reason::UnknownProgram);
+            for body in image() {
+                outcome = self.commit(self.record(customer, body)).await?;
+            }
+            if outcome != Outcome::Rejected(Reason::Stale) {
+                return Ok(outcome.took_effect());
             }
         }
         Ok(false)
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -26,7 +26,10 @@
     Serialize, //
 };
 
-use crate::name;
+use crate::{
+    clock::Time,
+    name, //
+};
 
 pub use self::{
     allocator::Allocator,
@@ -48,8 +51,16 @@
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub enum Entity {
+    /// A part of what has ended of a customer's account; [`Entity::Account`] with the same
+    /// `as_of` follows.
+    Gone(Vec<(Time, account::Gone)>),
     /// A customer's account.
-    Account(account::Account),
+    Account {
+        /// The account without what has ended.
+        account: account::Account,
+        /// Number of members of the parts before.
+        gone: u64,
+    },
     /// A program under way, with the offsets of its turns' texts.
     Program {
         /// Name of the program.
--- a/tests/ledger_replica.rs
+++ b/tests/ledger_replica.rs
@@ -43,7 +43,7 @@
     Start(u64, Option<u64>, Option<u8>),
     Turn(u64, u32),
     Claim(u64, u32),
-    Void(u64, u32, usize),
+    Void(usize),
     Reserve(u64),
     Settle(usize, u64),
     End(u64),
@@ -59,17 +59,17 @@
             .prop_map(|(p, parent, key)| Op::Start(p, parent, key)),
         6 => (p(), 0..4_u32).prop_map(|(p, i)| Op::Turn(p, i)),
         5 => (p(), 0..4_u32).prop_map(|(p, i)| Op::Claim(p, i)),
-        4 => (p(), 0..4_u32, any::<usize>()).prop_map(|(p, i, c)| Op::Void(p, i, c)),
+        4 => any::<usize>().prop_map(Op::Void),
         4 => (1..15_u64).prop_map(Op::Reserve),
-        4 => (any::<usize>(), 0..15_u64).prop_map(|(t, s)| Op::Settle(t, s)),
+        5 => (any::<usize>(), 0..8_u64).prop_map(|(t, s)| Op::Settle(t, s)),
         1 => p().prop_map(Op::End),
-        5 => any::<usize>().prop_map(Op::Again),
+        9 => any::<usize>().prop_map(Op::Again),
     ]
 }
 
 /// Generated steps: operation, seconds since the last one, author.
 fn steps(most: usize) -> impl Strategy<Value = Vec<(Op, u64, bool)>> {
-    vec((op(), 0..6_u64, any::<bool>()), 1..most)
+    vec((op(), 0..9_u64, any::<bool>()), 1..most)
 }
 
 /// Makes records; ids of claims and tranches refer to earlier records.
@@ -89,15 +89,12 @@
         self.names[slot as usize].clone()
     }
 
-    fn pick(&self, seed: usize, wanted: fn(&Body) -> bool) -> Uuid {
+    fn pick(&self, seed: usize, wanted: fn(&Body) -> bool) -> Option<&Record> {
         let found: Vec<_> = self.made.iter().filter(|r| wanted(&r.body)).collect();
-        match found.is_empty() {
-            true => Uuid::nil(),
-            false => found[seed % found.len()].id,
-        }
+        found.get(seed % found.len().max(1)).copied()
     }
 
-    fn make(&mut self, (op, seconds, author): (Op, u64, bool)) -> Record {
+    fn make(&mut self, (op, seconds, mut author): (Op, u64, bool)) -> Record {
         self.second += seconds;
         let body = match op {
             Op::Publish(version, budget) => publish(version, budget),
@@ -111,14 +108,27 @@
             }
             Op::Turn(p, index) => turn(&self.current(p), index),
             Op::Claim(p, index) => claim(&self.current(p), index),
-            Op::Void(p, index, seed) => {
-                let id = self.pick(seed, |body| matches!(body, Body::Claim { .. }));
-                void(&self.current(p), index, id)
-            }
             Op::Reserve(amount) => reserve(amount),
+            Op::Void(seed) => match self.pick(seed, |body| matches!(body, Body::Claim { .. })) {
+                Some(Record {
+                    id,
+                    author: holder,
+                    body: Body::Claim { program, index },
+                    ..
+                }) => {
+                    author |= holder.as_str() == "a";
+                    void(program, *index, *id)
+                }
+                _ => reserve(1),
+            },
             Op::Settle(seed, spent) => {
-                let id = self.pick(seed, |body| matches!(body, Body::Reserve { .. }));
-                settle(id, spent)
+                match self.pick(seed, |body| matches!(body, Body::Reserve { .. })) {
+                    Some(tranche) => {
+                        author |= tranche.author.as_str() == "a";
+                        settle(tranche.id, spent)
+                    }
+                    None => reserve(1),
+                }
             }
             Op::End(p) => end(&self.current(p)),
             Op::Again(seed) if !self.made.is_empty() => {
@@ -260,8 +270,8 @@
 
 #[test]
 fn apply_snapshots_after_expiry_agrees_with_full_log() {
-    let inputs = (steps(60), steps(60), steps(60), 0..4_usize);
-    property(300, inputs, |(lost, early, late, lag)| {
+    let inputs = (steps(60), steps(60), steps(10), steps(60), 0..4_usize);
+    property(300, inputs, |(lost, early, between, late, lag)| {
         let mut maker = Maker::default();
         let mut full = Full {
             log: Vec::new(),
@@ -275,13 +285,19 @@
         for step in early {
             full.push(maker.make(step));
         }
-        // What ended before the begin is forgotten everywhere by now.
-        maker.second += HORIZON.memory.as_secs() + 1;
-        full.push(maker.make((Op::Reserve(1), 0, true)));
+        // The account changes while its snapshot is on its way.
+        let snapshots = full.snapshots(&mut maker);
+        for step in between {
+            full.push(maker.make(step));
+        }
+        for snapshot in snapshots {
+            full.push(snapshot);
+        }
+        let accounts = full.log.len();
         for snapshot in full.snapshots(&mut maker) {
             full.push(snapshot);
         }
-        let settled = full.log.len();
+        let programs = full.log.len();
         // Snapshots that were taken before other records and reach the log after them.
         let mut waiting = Vec::new();
         for (number, step) in late.into_iter().enumerate() {
@@ -304,7 +320,14 @@
             if offset as u64 >= begin {
                 reader.apply(offset as u64, record);
             }
-            if offset + 1 >= settled {
+            if offset + 1 >= accounts {
+                let account = |state: &State| {
+                    let account = state.account(&customer()).unwrap();
+                    (account.version(), account.budget(), account.running())
+                };
+                prop_assert_eq!(account(&reader), account(&complete));
+            }
+            if offset + 1 >= programs {
                 prop_assert_eq!(sight(&reader), sight(&complete), "offset {}", offset);
             }
         }
@@ -339,11 +362,24 @@
         assert_eq!(outcome, Outcome::Rejected(reason), "{name}");
         assert_eq!(sight(&full.state), before, "{name}");
     }
+    // A reader that does not know the program yet has seen that it changed.
+    let mut full = setup();
+    let mut reader = state();
+    reader.lapse(0, 3);
+    let touch = |number| record(0, number, "a", turn(&p, 0));
+    reader.apply(3, &touch(3));
+    full.push(touch(3));
+    let account = full.state.snapshot_account(&customer()).remove(0);
+    let program = full.state.snapshot_program(&p).unwrap();
+    assert!(reader.apply(4, &record(0, 4, "a", account)).took_effect());
+    reader.apply(5, &touch(5));
+    let outcome = reader.apply(6, &record(0, 6, "a", program));
+    assert_eq!(outcome, Outcome::Rejected(Reason::Stale));
     // The reader's log begins after the state that the snapshots show.
     let full = setup();
     let mut reader = state();
     reader.lapse(0, 3);
-    let account = full.state.snapshot_account(&customer()).unwrap();
+    let account = full.state.snapshot_account(&customer()).remove(0);
     let program = full.state.snapshot_program(&p).unwrap();
     for (offset, body) in (3..).zip([account, program]) {
         let outcome = reader.apply(offset, &record(0, offset, "a", body));
