--- a/examples/policy/main.rs
+++ b/examples/policy/main.rs
@@ -265,37 +265,41 @@
 /// Variants of the settings that were weighed.
 fn sweep(workload: &Workload, full: f64, seeds: usize) {
     let mut cases = vec![standard()];
-    for part in [0.01, 0.02, 0.1, 0.2, 0.4] {
-        cases.push(Case::with(&format!("pressure {part}"), |s| {
-            s.admit.pressure = part
+    for (part, ahead) in [
+        (0.1, 0.02),
+        (0.4, 0.02),
+        (0.2, 0.005),
+        (0.2, 0.05),
+        (0.2, 0.2),
+        (0.4, 0.1),
+    ] {
+        cases.push(Case::with(&format!("pressure {part}, {ahead}"), |s| {
+            s.admit.pressure = part;
+            s.admit.ahead = ahead;
         }));
     }
     for lead in [5_000, 80_000] {
         cases.push(Case::with(&format!("lead {lead}"), |s| s.queue.lead = lead));
     }
-    for wait in [0, 10, 20, 100] {
-        cases.push(Case::with(&format!("wait_us {wait}"), |s| {
-            s.route.wait_us = wait
-        }));
-    }
-    for bound in [1.0, 1.25, 2.0] {
-        cases.push(Case::with(&format!("bound {bound}"), |s| {
-            s.route.bound = bound
+    for short in [1.0, 16.0] {
+        cases.push(Case::with(&format!("short {short}"), |s| {
+            s.queue.short = short
         }));
     }
-    for tolerance in [1.5, 2.0, 5.0] {
-        cases.push(Case::with(&format!("tolerance {tolerance}"), |s| {
-            s.window.tolerance = tolerance
-        }));
-    }
-    for first in [1_000, 4_000] {
-        cases.push(Case::with(&format!("levels from {first}"), |s| {
-            s.queue.levels = vec![first, first * 4, first * 16, first * 64];
+    for wait in [20, 100, 200] {
+        cases.push(Case::with(&format!("wait_us {wait}"), |s| {
+            s.route.wait_us = wait
         }));
     }
-    for slow in [1.5, 3.0] {
-        cases.push(Case::with(&format!("slow {slow}"), |s| s.route.slow = slow));
-    }
+    cases.push(Case::with("wait 200, 4000", |s| {
+        s.route.wait_us = 200;
+        s.route.wait_ms = 4_000;
+    }));
+    cases.push(Case::with("bound 2", |s| s.route.bound = 2.0));
+    cases.push(Case::with("tolerance 5", |s| s.window.tolerance = 5.0));
+    cases.push(Case::with("slow 3", |s| s.route.slow = 3.0));
+    cases.push(Case::with("guard 0", |s| s.queue.guard = 0));
+    cases.push(Case::with("depth 128", |s| s.queue.depth = 128));
     for (title, part, scene) in [
         ("75 %", 0.75, Scene::default()),
         ("100 %", 1.0, Scene::default()),
--- a/src/policy/admit/mod.rs
+++ b/src/policy/admit/mod.rs
@@ -19,6 +19,8 @@
     pub fastest: Duration,
     /// Part of its time that the customer's oldest call has spent waiting, from 0 to 1.
     pub pressure: f64,
+    /// Whether the customer was served more than its share.
+    pub ahead: bool,
     /// Age of the customer's oldest call.
     pub age: Duration,
 }
@@ -42,11 +44,16 @@
     /// A program that starts under pressure takes service from those under way, and then neither
     /// meets its deadline.
     pub pressure: f64,
+    /// The same for a customer that was served more than its share.
+    pub ahead: f64,
 }
 
 impl Default for Settings {
     fn default() -> Self {
-        Self { pressure: 0.05 }
+        Self {
+            pressure: 0.2,
+            ahead: 0.02,
+        }
     }
 }
 
@@ -66,7 +73,12 @@
     fn check(&self, now: Time, call: &Call, view: View) -> Option<Duration> {
         let hopeless = now + view.fastest > call.deadline;
         let starts = call.program.is_some() && call.attained == 0 && call.prefix == 0;
-        let crowded = starts && !call.interactive && view.pressure > self.settings.pressure;
+        let limit = if view.ahead {
+            self.settings.ahead
+        } else {
+            self.settings.pressure
+        };
+        let crowded = starts && !call.interactive && view.pressure > limit;
         (hopeless || crowded).then(|| back(view.age))
     }
 }
--- a/src/policy/pool/mod.rs
+++ b/src/policy/pool/mod.rs
@@ -253,6 +253,7 @@
         let view = admit::View {
             fastest: self.pace.fastest(call),
             pressure: self.queue.pressure(now, &call.customer),
+            ahead: self.queue.ahead(&call.customer),
             age,
         };
         let full = self.queue.len() >= self.settings.length
@@ -402,6 +403,9 @@
     }
 
     /// Takes the next call that has a place.
+    ///
+    /// A call leaves its prefix only for a place that no other call near the head of the queue can
+    /// use without such a loss; with a long queue there nearly always is one.
     fn next(
         &mut self,
         now: Time,
@@ -411,6 +415,17 @@
         if !places.iter().any(|place| place.running < place.window) {
             return None;
         }
+        let stays = self.pick(now, places, false, rng);
+        stays.or_else(|| self.pick(now, places, true, rng))
+    }
+
+    fn pick(
+        &mut self,
+        now: Time,
+        places: &[Place],
+        may_move: bool,
+        rng: &mut impl Rng,
+    ) -> Option<(Entry, usize, &'static str)> {
         let reserved = self.interactive.is_some_and(|at| now.since(at) < RESERVED);
         let reserve = if reserved {
             self.settings.window.reserve
@@ -428,7 +443,8 @@
                     && !call.excluded.contains(&place.upstream)
             };
             match router.choose(now, call, entry.since, places, open, rng) {
-                Choice::Send { index, why } => {
+                Choice::Send { moves: true, .. } if !may_move => Verdict::Skip,
+                Choice::Send { index, why, .. } => {
                     found = Some((index, why));
                     Verdict::Take
                 }
--- a/src/policy/queue/fair.rs
+++ b/src/policy/queue/fair.rs
@@ -307,6 +307,13 @@
         })
     }
 
+    fn ahead(&self, customer: &Customer) -> bool {
+        let limit = self.limit();
+        self.lines
+            .get(customer)
+            .is_some_and(|line| line.served > limit.floor + limit.lead / 2.0)
+    }
+
     fn age(&self, now: Time, customer: &Customer) -> Duration {
         self.oldest(customer)
             .map_or(Duration::ZERO, |entry| now.since(entry.since))
--- a/src/policy/queue/fifo.rs
+++ b/src/policy/queue/fifo.rs
@@ -70,6 +70,10 @@
         0.0
     }
 
+    fn ahead(&self, _: &Customer) -> bool {
+        false
+    }
+
     fn age(&self, now: Time, _: &Customer) -> Duration {
         self.entries
             .front()
--- a/src/policy/queue/mod.rs
+++ b/src/policy/queue/mod.rs
@@ -75,6 +75,9 @@
     /// Returns the part of its time that the customer's oldest call has spent waiting, from 0 to 1.
     fn pressure(&self, now: Time, customer: &Customer) -> f64;
 
+    /// Returns whether the customer was served more than its share while calls wait.
+    fn ahead(&self, customer: &Customer) -> bool;
+
     /// Returns the age of the customer's oldest call.
     fn age(&self, now: Time, customer: &Customer) -> Duration;
 
--- a/src/policy/route/affine.rs
+++ b/src/policy/route/affine.rs
@@ -108,6 +108,7 @@
                 return Choice::Send {
                     index,
                     why: "prefix held",
+                    moves: false,
                 };
             }
             let until = since + self.settings.wait(call.prefix);
@@ -120,7 +121,11 @@
             None => "least loaded",
         };
         match self.least(call, places, open, rng) {
-            Some(index) => Choice::Send { index, why },
+            Some(index) => Choice::Send {
+                index,
+                why,
+                moves: home.is_some(),
+            },
             None => Choice::None,
         }
     }
--- a/src/policy/route/cycle.rs
+++ b/src/policy/route/cycle.rs
@@ -41,6 +41,7 @@
                 return Choice::Send {
                     index,
                     why: "next in turn",
+                    moves: false,
                 };
             }
         }
--- a/src/policy/route/mod.rs
+++ b/src/policy/route/mod.rs
@@ -50,6 +50,8 @@
         index: usize,
         /// Why this place.
         why: &'static str,
+        /// Whether the call leaves a healthy upstream that holds its prefix.
+        moves: bool,
     },
     /// The call waits for a better place, until the time given at most.
     Wait {
