--- a/src/member/gossip.rs
+++ b/src/member/gossip.rs
@@ -61,7 +61,7 @@
         Self {
             near: 4,
             far: 2,
-            fanout: 4,
+            fanout: 6,
             repeats: 4,
             batch: 32,
             rotation: Duration::from_secs(10),
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -322,7 +322,7 @@
             return;
         };
         let reply = Reply {
-            body: Ok(frame.body),
+            body: Ok(Box::new(frame.body)),
             last: frame.last,
         };
         // A peer that ignores the window loses the request, not the link.
--- a/src/peer/mesh.rs
+++ b/src/peer/mesh.rs
@@ -74,6 +74,9 @@
 /// Connections that may be in their handshake at the same time.
 const HANDSHAKES: usize = 64;
 
+/// Lines per second about refused connections.
+const WARNINGS: u32 = 5;
+
 /// Time for which changes are collected before they are told.
 const COLLECT: Duration = Duration::from_millis(20);
 
@@ -172,6 +175,7 @@
             gossip: std::cell::RefCell::new(Gossip::default()),
             handler,
             handshakes: Cell::new(0),
+            warned: Cell::default(),
         });
         actix_web::rt::spawn(driver.clone().listen(listener));
         actix_web::rt::spawn(driver.clone().connect(orders));
@@ -371,6 +375,8 @@
     gossip: std::cell::RefCell<Gossip>,
     handler: H,
     handshakes: Cell<usize>,
+    /// Second of the last warning, and warnings in it.
+    warned: Cell<(u64, u32)>,
 }
 
 impl<H: Handler + 'static> Driver<H> {
@@ -382,6 +388,17 @@
         self.shared().roster.read(|view| view.own().clone())
     }
 
+    /// Logs what strangers can cause, so the number of lines has to be limited.
+    fn warn(&self, line: fmt::Arguments<'_>) {
+        let second = Time::now().0 / 1_000_000;
+        let (last, count) = self.warned.get();
+        let count = if last == second { count + 1 } else { 1 };
+        self.warned.set((second, count));
+        if count <= WARNINGS {
+            log::warn!("peer: {line}");
+        }
+    }
+
     async fn listen(self: Rc<Self>, listener: TcpListener) {
         loop {
             let accepted = tokio::select! {
@@ -415,7 +432,7 @@
             }
             Err(fault) => {
                 shared.meter.refused.one();
-                log::warn!("peer: refused a connection from {from:?}: {fault}");
+                self.warn(format_args!("refused a connection from {from:?}: {fault}"));
             }
         }
     }
@@ -450,7 +467,7 @@
             Err(fault) => {
                 shared.meter.dial_failures.one();
                 if fault.refused() {
-                    log::warn!("peer: no link to {to} at {address}: {fault}");
+                    self.warn(format_args!("no link to {to} at {address}: {fault}"));
                 } else {
                     log::debug!("peer: no link to {to} at {address}: {fault}");
                 }
@@ -482,7 +499,10 @@
         match end {
             End::Malformed => {
                 shared.meter.malformed.one();
-                log::warn!("peer: closed the link with {}: not a frame", link.peer);
+                self.warn(format_args!(
+                    "closed the link with {}: not a frame",
+                    link.peer
+                ));
             }
             End::Silent => {
                 shared.meter.silent.one();
--- a/src/peer/reply.rs
+++ b/src/peer/reply.rs
@@ -165,9 +165,11 @@
 }
 
 /// A reply on its way to the requester.
+///
+/// The body is boxed, as each request allocates room for 32 replies.
 #[derive(Debug)]
 pub(super) struct Reply {
-    pub(super) body: Result<Body, Error>,
+    pub(super) body: Result<Box<Body>, Error>,
     pub(super) last: bool,
 }
 
@@ -247,8 +249,8 @@
         };
         let body = match reply.body {
             Err(error) => return self.end(error),
-            Ok(Body::Unsupported) => return self.end(Error::Unsupported),
-            Ok(body) => body,
+            Ok(body) if *body == Body::Unsupported => return self.end(Error::Unsupported),
+            Ok(body) => *body,
         };
         self.finished = reply.last;
         if !reply.last {
--- /dev/null
+++ b/tests/gossip_net/mod.rs
@@ -0,0 +1,386 @@
+//! Members that exchange messages in memory, to measure the choice of messages.
+
+use std::{
+    cmp::Reverse,
+    collections::BinaryHeap,
+    time::Duration, //
+};
+
+use gypsumlever::{
+    clock::Time,
+    hash::Map,
+    member::{
+        gossip::Tuning,
+        Entry,
+        Gossip,
+        State,
+        View, //
+    },
+    name::{
+        Instance,
+        Pool,
+        Upstream,
+        Zone, //
+    },
+    peer::wire::{
+        Body,
+        Frame,
+        Heartbeat,
+        News, //
+    },
+};
+use rand::{
+    rngs::StdRng,
+    seq::IteratorRandom,
+    RngExt,
+    SeedableRng, //
+};
+
+/// One way between two instances.
+const HOP: Duration = Duration::from_millis(1);
+
+/// Time for which a member collects changes, as `Mesh` does.
+const COLLECT: Duration = Duration::from_millis(20);
+
+/// Bytes of a message besides the frame: IPv4 20, TCP with timestamps 32, WebSocket 8.
+const OVERHEAD: usize = 60;
+
+/// How changes are told.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Way {
+    /// The code in `member::gossip`.
+    Gossip(Tuning),
+    /// Each second the whole table to a random member, which replies with its own.
+    Tables,
+    /// Each second a heartbeat to all.
+    All,
+    /// A binomial tree from each origin, with the heartbeats of `member::gossip` as repair.
+    Tree {
+        /// Whether a sender that can't reach a child tells the child's subtree itself.
+        takeover: bool,
+    },
+}
+
+enum Event {
+    Round,
+    Spread,
+    Deliver {
+        from: usize,
+        body: Box<Body>,
+        span: usize,
+    },
+}
+
+struct Member {
+    view: View,
+    gossip: Gossip,
+    missing: bool,
+    spreads: bool,
+}
+
+/// The members and the messages on their way.
+pub struct Net {
+    way: Way,
+    members: Vec<Member>,
+    index: Map<Instance, usize>,
+    queue: BinaryHeap<Reverse<(Time, u64, usize)>>,
+    events: Map<u64, Event>,
+    next: u64,
+    pub now: Time,
+    rng: StdRng,
+    loss: f64,
+    pub messages: u64,
+    pub bytes: u64,
+}
+
+pub fn pool() -> Pool {
+    Pool::try_from("advice").unwrap()
+}
+
+impl Net {
+    /// Makes `size` members in 3 zones that know each other; some are missing without notice.
+    pub fn new(size: usize, way: Way, missing: f64, loss: f64, seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let start = Time(1_796_330_000_000_000);
+        let entries: Vec<_> = (0..size)
+            .map(|index| Entry {
+                instance: Instance::try_from(format!("entry-{index:04}")).unwrap(),
+                incarnation: 1_796_330_000,
+                state: State::Live,
+                zone: Zone::try_from(format!("cairo-{}", index % 3)).unwrap(),
+                address: format!("10.0.{}.{}:7001", index / 256, index % 256).into(),
+            })
+            .collect();
+        let gone: Vec<_> = (0..size).sample(&mut rng, (size as f64 * missing) as usize);
+        let tuning = match way {
+            Way::Gossip(tuning) => tuning,
+            _ => Tuning::default(),
+        };
+        let mut net = Self {
+            way,
+            members: Vec::new(),
+            index: Map::default(),
+            queue: BinaryHeap::new(),
+            events: Map::default(),
+            next: 0,
+            now: start,
+            rng,
+            loss,
+            messages: 0,
+            bytes: 0,
+        };
+        for (index, own) in entries.iter().enumerate() {
+            let mut view = View::new(own.clone());
+            for other in &entries {
+                view.merge(start, other);
+            }
+            view.take_fresh();
+            view.report(10, vec![1_000_000]);
+            net.index.insert(own.instance.clone(), index);
+            net.members.push(Member {
+                view,
+                gossip: Gossip::new(tuning),
+                missing: gone.contains(&index),
+                spreads: false,
+            });
+            let offset = Duration::from_micros(net.rng.random_range(0..1_000_000));
+            net.schedule(offset, index, Event::Round);
+        }
+        net
+    }
+
+    /// Returns the number of members that are not missing.
+    pub fn present(&self) -> usize {
+        self.members.iter().filter(|m| !m.missing).count()
+    }
+
+    fn schedule(&mut self, delay: Duration, to: usize, event: Event) {
+        self.next += 1;
+        self.events.insert(self.next, event);
+        self.queue.push(Reverse((self.now + delay, self.next, to)));
+    }
+
+    fn send(&mut self, from: usize, to: usize, body: Body, size: usize, span: usize) {
+        self.messages += 1;
+        self.bytes += (size + OVERHEAD) as u64;
+        if !self.rng.random_bool(self.loss) {
+            self.schedule(
+                HOP,
+                to,
+                Event::Deliver {
+                    from,
+                    body: Box::new(body),
+                    span,
+                },
+            );
+        }
+    }
+
+    fn post(&mut self, from: usize, messages: Vec<(Instance, Body)>) {
+        for (to, body) in messages {
+            let size = size(&body);
+            self.send(from, self.index[&to], body, size, 0);
+        }
+    }
+
+    /// Runs until `end`, or until `done` says so after an event of a member.
+    pub fn run(&mut self, span: Duration, mut done: impl FnMut(usize, &View, Time) -> bool) {
+        let end = self.now + span;
+        while let Some(Reverse((at, number, member))) = self.queue.pop() {
+            if at > end {
+                self.queue.push(Reverse((at, number, member)));
+                break;
+            }
+            self.now = at;
+            let event = self.events.remove(&number).unwrap();
+            if self.members[member].missing {
+                continue;
+            }
+            self.act(member, event);
+            if done(member, &self.members[member].view, at) {
+                return;
+            }
+        }
+        self.now = end;
+    }
+
+    fn act(&mut self, at: usize, event: Event) {
+        match event {
+            Event::Round => self.round(at),
+            Event::Spread => self.spread(at),
+            Event::Deliver { from, body, span } => self.deliver(at, from, *body, span),
+        }
+        let member = &mut self.members[at];
+        if member.view.has_fresh() && !member.spreads {
+            member.spreads = true;
+            self.schedule(COLLECT, at, Event::Spread);
+        }
+    }
+
+    fn round(&mut self, at: usize) {
+        let pause = Duration::from_micros(self.rng.random_range(900_000..1_100_000));
+        self.schedule(pause, at, Event::Round);
+        match self.way {
+            Way::Gossip(_) | Way::Tree { .. } => {
+                let member = &mut self.members[at];
+                let messages = member
+                    .gossip
+                    .round(self.now, &mut member.view, &mut self.rng);
+                self.post(at, messages);
+            }
+            Way::Tables => {
+                let to = self.rng.random_range(0..self.members.len());
+                let body = Body::Rumor(self.table(at, vec![1]));
+                let size = size(&body);
+                self.send(at, to, body, size, 0);
+            }
+            Way::All => {
+                let body = Body::Heartbeat(Heartbeat {
+                    entry: self.members[at].view.own().clone(),
+                    load: 10,
+                    applied: vec![1_000_000],
+                    highest: vec![1_000_000],
+                    digest: self.members[at].view.digest(),
+                    news: News {
+                        departures: self.members[at].view.snapshot().departures().to_vec(),
+                        ..News::default()
+                    },
+                });
+                let size = size(&body);
+                for to in 0..self.members.len() {
+                    if to != at {
+                        self.send(at, to, body.clone(), size, 0);
+                    }
+                }
+            }
+        }
+    }
+
+    fn table(&self, at: usize, wanted: Vec<u8>) -> News {
+        let view = &self.members[at].view;
+        let snapshot = view.snapshot();
+        let mut entries: Vec<_> = snapshot.peers().map(|peer| peer.entry.clone()).collect();
+        entries.push(view.own().clone());
+        News {
+            entries,
+            departures: snapshot.departures().to_vec(),
+            quiet: true,
+            wanted,
+        }
+    }
+
+    fn spread(&mut self, at: usize) {
+        let member = &mut self.members[at];
+        member.spreads = false;
+        match self.way {
+            Way::Gossip(_) => {
+                let messages = member
+                    .gossip
+                    .spread(self.now, &mut member.view, &mut self.rng);
+                self.post(at, messages);
+            }
+            Way::Tree { .. } => {
+                // The origin starts its tree; receivers forward at once in `deliver`.
+                let messages = member
+                    .gossip
+                    .spread(self.now, &mut member.view, &mut self.rng);
+                if let Some((_, body)) = messages.into_iter().next() {
+                    self.branch(at, &body, self.members.len());
+                }
+            }
+            Way::Tables | Way::All => {
+                member.view.take_fresh();
+            }
+        }
+    }
+
+    /// Tells the `span` members that follow on the ring, this one included, by halves.
+    fn branch(&mut self, at: usize, body: &Body, span: usize) {
+        let takeover = self.way == (Way::Tree { takeover: true });
+        let size = size(body);
+        let mut span = span;
+        while span > 1 {
+            let far = span / 2;
+            let mut child = (at + span - far) % self.members.len();
+            let mut left = far;
+            while takeover && left > 1 && self.members[child].missing {
+                child = (child + 1) % self.members.len();
+                left -= 1;
+            }
+            self.send(at, child, body.clone(), size, left);
+            span -= far;
+        }
+    }
+
+    fn deliver(&mut self, at: usize, from: usize, body: Body, span: usize) {
+        if span > 1 {
+            self.branch(at, &body, span);
+        }
+        let table = matches!(self.way, Way::Tables);
+        if let (true, Body::Rumor(news)) = (table, &body) {
+            if !news.wanted.is_empty() {
+                let back = Body::Rumor(self.table(at, Vec::new()));
+                let size = size(&back);
+                self.send(at, from, back, size, 0);
+            }
+        }
+        let body = match (self.way, body) {
+            (Way::Tables, Body::Rumor(news)) => Body::Rumor(News {
+                wanted: Vec::new(),
+                ..news
+            }),
+            (_, body) => body,
+        };
+        let name = self.members[from].view.own().instance.clone();
+        let member = &mut self.members[at];
+        let answers = member
+            .gossip
+            .receive(self.now, &mut member.view, &name, body);
+        if matches!(self.way, Way::Tree { .. }) && !member.spreads {
+            // The tree replaces the rumors; the heartbeats still repeat the change.
+            let _ = member
+                .gossip
+                .spread(self.now, &mut member.view, &mut self.rng);
+        }
+        if !matches!(self.way, Way::All | Way::Tables) {
+            self.post(at, answers);
+        }
+    }
+
+    /// Lets one member learn of a departure; returns the times at which the others do, in
+    /// milliseconds, for those that do within 30 s.
+    pub fn change(&mut self, name: &str) -> Vec<f64> {
+        let upstream = Upstream::try_from(name).unwrap();
+        let present = (0..self.members.len()).filter(|at| !self.members[*at].missing);
+        let origin = present.choose(&mut self.rng).unwrap();
+        let start = self.now;
+        let member = &mut self.members[origin];
+        member
+            .view
+            .upstream(start, &pool(), &upstream, true, start.0);
+        member.spreads = true;
+        self.schedule(COLLECT, origin, Event::Spread);
+        let mut known = vec![false; self.members.len()];
+        known[origin] = true;
+        let mut times = Vec::new();
+        let count = self.present() - 1;
+        self.run(Duration::from_secs(30), |at, view, now| {
+            if !known[at] && view.departure(&pool(), &upstream).is_some() {
+                known[at] = true;
+                times.push(now.since(start).as_secs_f64() * 1_000.0);
+            }
+            times.len() == count
+        });
+        times
+    }
+}
+
+fn size(body: &Body) -> usize {
+    let frame = Frame {
+        id: 0,
+        reply: false,
+        last: false,
+        body: body.clone(),
+    };
+    frame.encode().len()
+}
--- /dev/null
+++ b/tests/member_gossip.rs
@@ -0,0 +1,114 @@
+//! Guards against gossip that misses members, is slow, or costs more with each instance.
+
+mod gossip_net;
+
+use std::time::Duration;
+
+use gossip_net::{
+    Net,
+    Way, //
+};
+use gypsumlever::member::gossip::Tuning;
+
+#[test]
+fn change_reaches_all_members() {
+    for (size, missing, loss) in [
+        (2, 0.0, 0.0),
+        (3, 0.0, 0.05),
+        (23, 0.1, 0.05),
+        (100, 0.1, 0.05),
+    ] {
+        let mut net = Net::new(size, Way::Gossip(Tuning::default()), missing, loss, 1);
+        net.run(Duration::from_secs(5), |_, _, _| false);
+        let times = net.change("engine-1");
+        assert_eq!(times.len(), net.present() - 1, "{size}");
+        let last = times.last().copied().unwrap_or_default();
+        assert!(last < 5_000.0, "{size} members: {last} ms");
+    }
+}
+
+#[test]
+fn round_cost_does_not_grow() {
+    // The limit for all control traffic is 9 KB/s per instance.
+    for size in [3, 23, 100, 300] {
+        let mut net = Net::new(size, Way::Gossip(Tuning::default()), 0.0, 0.0, 1);
+        net.run(Duration::from_secs(20), |_, _, _| false);
+        let bytes = net.bytes as f64 / size as f64 / 20.0;
+        let messages = net.messages as f64 / size as f64 / 20.0;
+        assert!(bytes < 450.0, "{size} members: {bytes} B/s");
+        assert!(messages < 2.2, "{size} members: {messages}/s");
+    }
+}
+
+/// Number of changes measured; all to all with many members takes minutes for each.
+fn changes(size: usize, way: Way) -> usize {
+    if way == Way::All && size > 500 {
+        1
+    } else {
+        10
+    }
+}
+
+/// Measures one way with a fixed seed; returns a row of `docs/gossip.md` and the members missed.
+fn measure(label: &str, size: usize, way: Way, faults: bool) -> (String, usize) {
+    let (missing, loss) = if faults { (0.1, 0.05) } else { (0.0, 0.0) };
+    let mut net = Net::new(size, way, missing, loss, 42);
+    net.run(Duration::from_secs(5), |_, _, _| false);
+    let present = net.present() as f64;
+    let before = (net.messages, net.bytes);
+    net.run(Duration::from_secs(10), |_, _, _| false);
+    let messages = (net.messages - before.0) as f64 / 10.0 / present;
+    let bytes = (net.bytes - before.1) as f64 / 10.0 / present;
+    let (before, start) = (net.bytes, net.now);
+    let (mut times, mut missed) = (Vec::new(), 0);
+    let changes = changes(size, way);
+    for number in 0..changes {
+        let reached = net.change(&format!("engine-{number}"));
+        missed += net.present() - 1 - reached.len();
+        times.extend(reached);
+        net.run(Duration::from_secs(10), |_, _, _| false);
+    }
+    let spent = net.now.since(start).as_secs_f64();
+    let told = (net.bytes - before) as f64 / present - bytes * spent;
+    let told = told / changes as f64;
+    times.sort_by(f64::total_cmp);
+    let mean = times.iter().sum::<f64>() / times.len() as f64;
+    let [p50, p99] = [0.5, 0.99].map(|share| times[(times.len() as f64 * share) as usize]);
+    let max = times[times.len() - 1];
+    let faults = if faults { "yes" } else { "no" };
+    let row = format!(
+        "| {label} | {size} | {faults} | {messages:.1} | {bytes:.0} | {told:.0} | {mean:.0} | {p50:.0} | {p99:.0} | {max:.0} | {missed} |"
+    );
+    (row, missed)
+}
+
+#[test]
+fn ways_compared() {
+    let gossip = |fanout| {
+        Way::Gossip(Tuning {
+            fanout,
+            ..Tuning::default()
+        })
+    };
+    let ways = [
+        ("gossip, fan-out 3", gossip(3)),
+        ("gossip, fan-out 4", gossip(4)),
+        ("gossip, fan-out 6", gossip(6)),
+        ("whole tables", Way::Tables),
+        ("all to all", Way::All),
+        ("trees", Way::Tree { takeover: false }),
+        ("trees, takeover", Way::Tree { takeover: true }),
+    ];
+    let sizes = std::env::var("GOSSIP_SIZES").unwrap_or_else(|_| "3 23".to_owned());
+    let chosen = std::env::var("GOSSIP_WAY").unwrap_or_default();
+    for size in sizes.split_whitespace() {
+        let size = size.parse().unwrap();
+        for (label, way) in ways.iter().filter(|(label, _)| label.starts_with(&chosen)) {
+            for faults in [false, true] {
+                let (row, missed) = measure(label, size, *way, faults);
+                println!("{row}");
+                assert_eq!(missed, 0, "{label} {size}");
+            }
+        }
+    }
+}
--- a/tests/peer_wire.rs
+++ b/tests/peer_wire.rs
@@ -1,5 +1,7 @@
 //! Guards against frames that stop the process, end a link needlessly or cost too much.
 
+use std::time::Duration;
+
 use gypsumlever::{
     clock::Time,
     executor::request::{
@@ -36,6 +38,7 @@
             News, //
         },
         Secret,
+        Settings, //
     },
     policy::call,
 };
@@ -279,6 +282,25 @@
     }
 }
 
+#[test]
+fn settings_from_yaml() {
+    let base = "{cluster: c, instance: i, zone: z, listen: '127.0.0.1:7001', secret: s";
+    let settings: Settings = serde_saphyr::from_str(&format!("{base}}}")).unwrap();
+    assert_eq!(settings.silence, Duration::from_secs(3));
+    assert_eq!(settings.advertised(), "127.0.0.1:7001");
+    let given = format!("{base}, silence: 5s, address: 'h:1'}}");
+    let settings: Settings = serde_saphyr::from_str(&given).unwrap();
+    assert_eq!(settings.silence, Duration::from_secs(5));
+    assert_eq!(settings.advertised(), "h:1");
+    for wrong in ["silence: 5", "silense: 5s", "listen: x"] {
+        let text = format!("{base}, {wrong}}}");
+        assert!(
+            serde_saphyr::from_str::<Settings>(&text).is_err(),
+            "{wrong}"
+        );
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(6),
