upstream: reserve the port that refuses connections in a test

The port of a listener that was dropped could be taken by another test before the client connected: both_no_connection failed in 2 of 24 runs with 8 copies of the tests side by side.

--- a/tests/upstream_faults.rs
+++ b/tests/upstream_faults.rs
@@ -410,14 +410,17 @@
 /// Only a call of which no byte can have left may be reported as not sent.
 #[actix_web::test]
 async fn both_no_connection() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
-    let refusing = listener.local_addr().expect("address").to_string();
-    drop(listener);
+    let bound = || {
+        let socket = TcpSocket::new_v4().expect("socket");
+        let any = "127.0.0.1:0".parse().expect("address");
+        socket.bind(any).expect("bind");
+        socket
+    };
+    // A port that is taken but not listened on refuses connections.
+    let closed = bound();
+    let refusing = closed.local_addr().expect("address").to_string();
     // A listener that accepts nothing: once its backlog is full, connections time out.
-    let socket = TcpSocket::new_v4().expect("socket");
-    socket
-        .bind("127.0.0.1:0".parse().expect("address"))
-        .expect("bind");
+    let socket = bound();
     let full = socket.listen(1).expect("listen");
     let address = full.local_addr().expect("address");
     let mut waiting = Vec::new();
