upstream: release slots right after they were listed

A round listed all engines before it released anything, so that one slow engine left seconds in which another could reuse a slot for cache of somebody else. Each engine is now listed and released from in one go.

Test: upstream_sweep (5 pass).

--- a/src/upstream/sweep.rs
+++ b/src/upstream/sweep.rs
@@ -1,6 +1,9 @@
 //! Cleanup of cache that engines hold for programs that have ended.
 
-use std::time::Duration;
+use std::{
+    cell::RefCell,
+    time::Duration, //
+};
 
 use futures_util::{
     stream,
@@ -108,7 +111,9 @@
 
     /// Lists the cache of engines and releases what [`Sweep::decide`] says.
     ///
-    /// What could not be released is listed again in the next round.
+    /// Each engine's slots are released right after they were listed, because the engine may use
+    /// them for other cache at any time. What could not be released is listed again in the next
+    /// round.
     pub async fn round<E: Engine>(
         &mut self,
         engine: &E,
@@ -116,33 +121,28 @@
         targets: &[Target],
         state: impl Fn(&Program) -> State,
     ) -> Report {
-        let lists = stream::iter(targets)
-            .map(|target| async move { (target, engine.slots(&target.address).await) })
-            .buffer_unordered(PARALLEL)
-            .collect::<Vec<_>>()
-            .await;
-        let mut report = Report::default();
-        let mut work = Vec::new();
-        for (target, list) in lists {
-            match list {
-                Ok(slots) => {
-                    report.slots += slots.len();
-                    work.push((target, self.decide(times, &target.name, &slots, &state)));
+        let sweep = RefCell::new(self);
+        let report = RefCell::new(Report::default());
+        let (sweep, report_of, state) = (&sweep, &report, &state);
+        stream::iter(targets)
+            .for_each_concurrent(PARALLEL, |target| async move {
+                let slots = match engine.slots(&target.address).await {
+                    Ok(slots) => slots,
+                    Err(failure) => return report_of.borrow_mut().fail(target, failure),
+                };
+                let due = sweep
+                    .borrow_mut()
+                    .decide(times, &target.name, &slots, state);
+                let (released, failure) = release(engine, target, due).await;
+                let mut report = report_of.borrow_mut();
+                report.slots += slots.len();
+                report.released += released;
+                if let Some(failure) = failure {
+                    report.fail(target, failure);
                 }
-                Err(failure) => report.failures.push((target.name.clone(), failure)),
-            }
-        }
-        let done = stream::iter(work)
-            .map(|(target, slots)| async move { (target, release(engine, target, slots).await) })
-            .buffer_unordered(PARALLEL)
-            .collect::<Vec<_>>()
+            })
             .await;
-        for (target, (released, failure)) in done {
-            report.released += released;
-            let failed = failure.map(|failure| (target.name.clone(), failure));
-            report.failures.extend(failed);
-        }
-        report
+        report.into_inner()
     }
 }
 
@@ -200,3 +200,9 @@
     /// Engines that failed.
     pub failures: Vec<(Upstream, Failure)>,
 }
+
+impl Report {
+    fn fail(&mut self, target: &Target, failure: Failure) {
+        self.failures.push((target.name.clone(), failure));
+    }
+}
