upstream: accept load reports after a clock was set back

Reports older than the last one are ignored as delayed. An upstream whose clock was set back by an hour would have been ignored for an hour, also when it was leaving. Reports older by more than a minute are accepted.

--- a/src/upstream/watch.rs
+++ b/src/upstream/watch.rs
@@ -30,6 +30,9 @@
 /// Longest time for one read.
 const LIMIT: Duration = Duration::from_secs(2);
 
+/// Reports, which lag by seconds, that are older by more come from a clock that was set back.
+const STEP: Duration = Duration::from_secs(60);
+
 /// What a read of a report shows.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -62,7 +65,10 @@
             return silent.into_iter().collect();
         };
         self.failures = 0;
-        if self.latest.is_some_and(|latest| load.at < latest) {
+        let older = self
+            .latest
+            .map_or(0, |latest| latest.saturating_sub(load.at));
+        if older > 0 && Duration::from_micros(older) <= STEP {
             return Vec::new();
         }
         self.latest = Some(load.at);
--- a/tests/upstream_watch.rs
+++ b/tests/upstream_watch.rs
@@ -46,6 +46,7 @@
 fn apply_table_of_reads() {
     let fail = || Err(Failure::Unknown("no answer".into()));
     let mut watch = Watch::default();
+    let hour = 3_600_000_000;
     let reads = [
         (Ok(load(1, false)), vec![Event::Load(load(1, false))]),
         (
@@ -68,6 +69,12 @@
         (fail(), vec![]),
         (fail(), vec![]),
         (fail(), vec![Event::Silent]),
+        // A clock that was set back must not hide that the upstream leaves.
+        (Ok(load(hour, false)), vec![Event::Load(load(hour, false))]),
+        (
+            Ok(load(6, true)),
+            vec![Event::Leaving, Event::Load(load(6, true))],
+        ),
     ];
     for (number, (read, events)) in reads.into_iter().enumerate() {
         assert_eq!(watch.apply(read), events, "read {number}");
