upstream: treat interim answers as unknown outcomes

awc returns 103 and other interim answers as final ones, which were reported as failures of the upstream although the call may still run.

--- a/src/upstream/http.rs
+++ b/src/upstream/http.rs
@@ -329,6 +329,8 @@
             StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => {
                 Err(unknown(format_args!("status {status}")))
             }
+            // `awc` takes an interim answer for the final one.
+            _ if status.is_informational() => Err(unknown(format_args!("status {status}"))),
             _ => Err(Failure::Failed {
                 status: status.as_u16(),
                 message: self.message().await?,
--- a/tests/upstream_faults.rs
+++ b/tests/upstream_faults.rs
@@ -289,6 +289,7 @@
         ("404", status("404 x", ""), Failed(404)),
         ("500 cut off", part(length, Close), Unknown),
         ("502 of a gateway", status("502 x", ""), Unknown),
+        ("interim", status("103 x", ""), Unknown),
         ("redirect", status(moved, ""), Failed(307)),
     ]
 }
