--- a/tests/ledger_replica.rs
+++ b/tests/ledger_replica.rs
@@ -113,7 +113,7 @@
                 Some(Record {
                     id,
                     author: holder,
-                    body: Body::Claim { program, index },
+                    body: Body::Claim { program, index, .. },
                     ..
                 }) => {
                     author |= holder.as_str() == "a";
