standin: Let a consumer's reads begin with another partition each time

Cause: with small reads, a busy first partition kept all others from being read.

Change: the order of the assigned partitions rotates with each read.

--- a/standin/src/log/consumer.rs
+++ b/standin/src/log/consumer.rs
@@ -118,11 +118,23 @@
     pub timeout_ms: u64,
     /// Assigned partitions; a position is `None` until the first read.
     pub positions: BTreeMap<Place, Option<u64>>,
+    /// Reads so far; they begin with another partition each time.
+    pub reads: usize,
     /// Time of the last request.
     pub used: Instant,
 }
 
 impl Consumer {
+    /// Returns the positions in the order in which the next read visits them.
+    pub fn order(&self) -> Vec<(Place, Option<u64>)> {
+        let mut order: Vec<_> = self.positions.clone().into_iter().collect();
+        if !order.is_empty() {
+            let first = self.reads % order.len();
+            order.rotate_left(first);
+        }
+        order
+    }
+
     /// Replaces the assigned partitions; kept ones keep their position.
     pub fn assign(&mut self, places: Vec<Place>) {
         let old = std::mem::take(&mut self.positions);
--- a/standin/src/log/store.rs
+++ b/standin/src/log/store.rs
@@ -253,6 +253,7 @@
             min_bytes: number(request.min_bytes).unwrap_or(self.config.fetch_min_bytes),
             timeout_ms: number(request.timeout_ms).map_or(1_000, |ms| ms.max(0) as u64),
             positions: Default::default(),
+            reads: 0,
             used: Instant::now(),
         };
         let key = (group.to_owned(), name.clone());
@@ -317,7 +318,7 @@
     pub(super) fn peek(&mut self, group: &str, name: &str, max: usize) -> Result<Peek, Problem> {
         let consumer = self.consumer(group, name)?;
         let (format, reset) = (consumer.format, consumer.reset);
-        let positions = consumer.positions.clone();
+        let positions = consumer.order();
         let mut peek = Peek::default();
         for (place, position) in positions {
             let partition = self.partition(&place.topic, place.partition)?;
@@ -343,6 +344,7 @@
     /// Moves the positions behind what was read.
     pub(super) fn advance(&mut self, group: &str, name: &str, peek: &Peek) -> Result<(), Problem> {
         let consumer = self.consumer(group, name)?;
+        consumer.reads += 1;
         for (place, next) in &peek.positions {
             if let Some(position) = consumer.positions.get_mut(place) {
                 *position = Some(*next);
--- a/standin/tests/engine.rs
+++ b/standin/tests/engine.rs
@@ -113,6 +113,17 @@
     assert_eq!(server.books().completed, 2);
     let other = Answer::new(&user("another")).text(9);
     assert_ne!(other, expected);
+
+    let (_server, caller) = start(Config {
+        answer_tokens: Some((5, 5)),
+        ..config()
+    });
+    for (limit, tokens, reason) in [(4, 4, "length"), (9, 5, "stop")] {
+        let body = caller.post(CHAT, call("p/2", &prompt, limit)).await.body();
+        let choice = &body["choices"][0];
+        assert_eq!(choice["message"]["content"], expected[..4 * tokens]);
+        assert_eq!(choice["finish_reason"], reason);
+    }
 }
 
 #[actix_web::test]
--- a/standin/tests/log.rs
+++ b/standin/tests/log.rs
@@ -291,6 +291,39 @@
     assert_eq!(offsets(read), [3]);
 }
 
+#[actix_web::test]
+async fn records_of_several_partitions() {
+    let (server, caller) = start(Config {
+        partitions: 3,
+        ..Default::default()
+    });
+    caller
+        .post("/consumers/g", json!({"name": "i"}))
+        .await
+        .body();
+    let places = [0, 2].map(|partition| json!({"topic": "t", "partition": partition}));
+    let body = json!({"partitions": places});
+    let base = "/consumers/g/instances/i";
+    let assign = format!("{base}/assignments");
+    assert_eq!(caller.post(&assign, body.clone()).await.status(), 204);
+    let begin = format!("{base}/positions/beginning");
+    assert_eq!(caller.post(&begin, body).await.status(), 204);
+    for partition in 0..3 {
+        server.append("t", partition, vec![vec![7; 100]; 2]);
+    }
+    // A busy partition must not keep a small read from the others.
+    let mut seen = Vec::new();
+    for _ in 0..4 {
+        let read = records(&caller, BINARY, "timeout=100&max_bytes=100")
+            .await
+            .body();
+        seen.push((read[0]["partition"].clone(), read[0]["offset"].clone()));
+    }
+    let expected = [(0, 0), (2, 0), (0, 1), (2, 1)];
+    let expected = expected.map(|(partition, offset)| (json!(partition), json!(offset)));
+    assert_eq!(seen, expected);
+}
+
 #[actix_web::test]
 async fn records_out_of_range() {
     // Reset policy, offset, offsets that are read or the status.
