Withdraw records with unknown outcomes, and test commits further

A claim or a reservation whose commit had an unknown outcome could take effect after the void or the settlement that takes it back. The record is now appended again before that, so that a late copy is a duplicate. The Kafka client makes another consumer at once when the proxy refuses a read of an expired one. Tests of commits: groups, other threads, bounds, random faults on two instances.

--- a/src/ledger/allocator.rs
+++ b/src/ledger/allocator.rs
@@ -19,10 +19,7 @@
             Sizing,
             Used, //
         },
-        record::{
-            Body,
-            Record, //
-        },
+        record::Body,
         Ledger,
         Outcome,
         Reason,
@@ -258,27 +255,15 @@
             Ok(Outcome::Conflict(_)) => Err(Denied::Contended),
             Err(refusal) => {
                 if matches!(refusal, Refusal::Unknown { .. }) {
-                    self.abandon(customer, record);
+                    if let Err(refusal) = ledger.withdraw(record) {
+                        log::warn!("ledger: a tranche may stay reserved: {refusal}");
+                    }
                 }
                 Err(Denied::Log(refusal))
             }
         }
     }
 
-    /// Returns a tranche that may or may not have been reserved.
-    ///
-    /// The reservation is appended again first, so that a late copy of it is a duplicate.
-    fn abandon(&self, customer: &Customer, record: Record) {
-        let used = Used {
-            tranche: record.id,
-            spent: Money(0),
-        };
-        match self.inner.ledger.commit_later(record) {
-            Ok(()) => self.give_back(customer, vec![used]),
-            Err(refusal) => log::warn!("ledger: a tranche may stay reserved: {refusal}"),
-        }
-    }
-
     fn give_back(&self, customer: &Customer, used: Vec<Used>) {
         let ledger = &self.inner.ledger;
         for Used { tranche, spent } in used {
--- a/src/ledger/handle.rs
+++ b/src/ledger/handle.rs
@@ -65,6 +65,7 @@
         Outcome,
     },
     log::Log,
+    money::Money,
     name::{
         Customer,
         Program, //
@@ -281,6 +282,31 @@
         }
     }
 
+    /// Takes back a claim or a reservation whose commit had an unknown outcome and that was not
+    /// used.
+    ///
+    /// The record is appended again first, because a copy that arrives after its withdrawal would
+    /// take effect, whereas it is a duplicate after both.
+    pub fn withdraw(&self, record: Record) -> Result<(), Refusal> {
+        let id = record.id;
+        let back = match &record.body {
+            Body::Claim { program, index } => Body::Void {
+                program: program.clone(),
+                index: *index,
+                claim: id,
+            },
+            Body::Reserve { .. } => Body::Settle {
+                tranche: id,
+                spent: Money(0),
+            },
+            // Nothing else can be taken back.
+            _ => return Ok(()),
+        };
+        let back = self.record(&record.customer, back);
+        self.commit_later(record)?;
+        self.commit_later(back)
+    }
+
     /// Returns the turns of a program under way, in order.
     pub async fn history(&self, program: &Program) -> Result<Vec<Arc<Turn>>, Missing> {
         let (customer, turns) = {
--- a/src/log/kafka.rs
+++ b/src/log/kafka.rs
@@ -386,12 +386,15 @@
     }
 
     async fn read(&self, partition: u32, from: u64, wait: Duration) -> Result<Batch, Failure> {
-        let consumer = match self.take(partition, from) {
-            Some(consumer) => consumer,
-            None => self.subscribe(partition).await?,
-        };
-        // A consumer whose read failed, for example because it expired, is dropped; the next
-        // read makes another one.
+        if let Some(consumer) = self.take(partition, from) {
+            // A consumer whose read failed is dropped. The proxy refuses reads of one that has
+            // expired.
+            match self.consume(consumer, partition, from, wait).await {
+                Err(Failure::NotApplied(_)) => {}
+                other => return other,
+            }
+        }
+        let consumer = self.subscribe(partition).await?;
         self.consume(consumer, partition, from, wait).await
     }
 
--- a/tests/ledger_commit.rs
+++ b/tests/ledger_commit.rs
@@ -2,8 +2,12 @@
 
 mod ledger_support;
 
-use std::time::Duration;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
+use futures_util::future::join_all;
 use gypsumlever::{
     ledger::{
         codec,
@@ -24,6 +28,11 @@
     money::Money,
 };
 use ledger_support::*;
+use rand::{
+    rngs::SmallRng,
+    RngExt,
+    SeedableRng, //
+};
 use tokio::time::sleep;
 
 /// Number of copies of a record in the log.
@@ -67,7 +76,7 @@
     for (service, certain) in [(Service::Refusing, true), (Service::Silent, false)] {
         run(async {
             let log = Memory::new(1);
-            let ledger = Ledger::start(log.clone(), settings("a"));
+            let ledger = Ledger::start(log.clone(), hasty("a"));
             accept(&ledger, publish(1, 1_000)).await;
             log.set_service(service);
             let record = ledger.record(&customer(), reserve(10));
@@ -161,3 +170,133 @@
         assert_eq!(answers, expected);
     });
 }
+
+#[test]
+fn commit_in_groups() {
+    run(async {
+        let log = Memory::new(1);
+        let slow = Settings {
+            interval: Duration::from_millis(400),
+            batch_records: 60,
+            ..settings("a")
+        };
+        let ledger = Ledger::start(log.clone(), slow);
+        accept(&ledger, publish(1, 1_000)).await;
+        let commits = (0..100).map(|_| accept(&ledger, reserve(1)));
+        let begun = Instant::now();
+        join_all(commits).await;
+        // The first append was just made, so that two groups wait for an interval each.
+        assert_eq!(log.appends(), 3);
+        assert!(begun.elapsed() >= Duration::from_millis(600));
+        ledger.set_interval(Duration::from_millis(1));
+        let begun = Instant::now();
+        accept(&ledger, reserve(1)).await;
+        assert!(begun.elapsed() < Duration::from_millis(300));
+    });
+}
+
+#[test]
+fn commit_from_another_thread() {
+    run(async {
+        let ledger = Ledger::start(Memory::new(1), settings("a"));
+        let other = ledger.clone();
+        let work = async move { accept(&other, publish(1, 10)).await };
+        tokio::task::spawn_blocking(|| run(work)).await.unwrap();
+        assert!(ledger.state().contract(&customer()).is_some());
+    });
+}
+
+#[test]
+fn commit_bounds_what_waits() {
+    run(async {
+        let log = Memory::new(1);
+        log.set_latency(Duration::from_millis(50));
+        let small = Settings {
+            queue: 2,
+            batch_records: 1,
+            later_bytes: 1_000,
+            batch_bytes: 800,
+            ..settings("a")
+        };
+        let ledger = Ledger::start(log.clone(), small);
+        let commit = || ledger.commit(ledger.record(&customer(), reserve(1)));
+        let refused = join_all((0..10).map(|_| commit())).await;
+        let full = |r: &&Result<_, _>| matches!(r, Err(Refusal::Full { .. }));
+        assert!(refused.iter().filter(full).count() >= 7, "{refused:?}");
+        let later = || ledger.commit_later(ledger.record(&customer(), reserve(1)));
+        assert!((0..20).any(|_| matches!(later(), Err(Refusal::Full { .. }))));
+        let program = program(0, 1);
+        let large = turn_with(&program, 0, Ran::Yes, &"x".repeat(1_000));
+        let refused = ledger.commit(ledger.record(&customer(), large)).await;
+        assert!(matches!(refused, Err(Refusal::TooLarge(_))));
+    });
+}
+
+#[test]
+fn commit_random_faults_have_one_effect() {
+    let faults = [
+        Fault::NotApplied,
+        Fault::AnswerLost,
+        Fault::Late,
+        Fault::RequestLost,
+    ];
+    for seed in 0..8 {
+        run(async {
+            let mut rng = SmallRng::seed_from_u64(seed);
+            let log = Memory::new(1);
+            let logs = [log.share(), log.share()];
+            let [a, b] = ["a", "b"].map(settings);
+            let ledgers = [
+                Ledger::start(logs[0].clone(), a),
+                Ledger::start(logs[1].clone(), b), //
+            ];
+            accept(&ledgers[0], publish(1, 500)).await;
+            let (mut least, mut most) = (0, 0);
+            for _ in 0..30 {
+                for log in &logs {
+                    log.fail([faults[rng.random_range(0..4)]]);
+                }
+                let commits = (0..10).map(|at| {
+                    let ledger = &ledgers[at % 2];
+                    ledger.commit(ledger.record(&customer(), reserve(2)))
+                });
+                for result in join_all(commits).await {
+                    match result {
+                        Ok(outcome) if outcome.took_effect() => {
+                            (least, most) = (least + 2, most + 2)
+                        }
+                        Err(Refusal::Unknown { .. }) => most += 2,
+                        _ => {}
+                    }
+                }
+            }
+            accept(&ledgers[0], publish(2, 500)).await;
+            until(|| ledgers[0].applied() == ledgers[1].applied()).await;
+            let budgets = ledgers.clone().map(|l| l.state().budget(&customer()));
+            assert_eq!(budgets[0], budgets[1], "seed {seed}");
+            let outstanding = budgets[0].outstanding.0;
+            assert!((least..=most).contains(&outstanding), "seed {seed}");
+            assert_eq!(outstanding, 500, "seed {seed}");
+        });
+    }
+}
+
+#[test]
+fn withdraw_of_claim_with_unknown_outcome() {
+    run(async {
+        let log = Memory::new(1);
+        let ledger = Ledger::start(log.clone(), settings("a"));
+        accept(&ledger, publish(1, 10)).await;
+        let program = begin(&ledger).await;
+        let record = ledger.record(&customer(), claim(&program, 0));
+        log.fail([Fault::Late]);
+        log.set_latency(Duration::from_millis(1));
+        let commit = ledger.commit(record.clone());
+        // The caller gives up while the request is under way.
+        let _ = tokio::time::timeout(Duration::from_millis(2), commit).await;
+        assert_eq!(ledger.withdraw(record), Ok(()));
+        assert!(ledger.flush(Duration::from_secs(5)).await);
+        accept(&ledger, reserve(1)).await;
+        assert!(ledger.state().program(&program).unwrap().claim().is_none());
+    });
+}
--- a/tests/ledger_purse.rs
+++ b/tests/ledger_purse.rs
@@ -149,7 +149,7 @@
 fn take_refused_while_log_is_down() {
     run(async {
         let log = Memory::new(1);
-        let ledger = Ledger::start(log.clone(), settings("a"));
+        let ledger = Ledger::start(log.clone(), hasty("a"));
         accept(&ledger, publish(1, 1_000)).await;
         let allocator = Allocator::new(ledger.clone(), Sizing::default());
         let hold = allocator.take(&customer(), Money(10)).await.unwrap();
