--- a/src/api/calls.rs
+++ b/src/api/calls.rs
@@ -77,12 +77,6 @@
 /// Time without an event after which a comment is sent, so that connections don't look dead.
 const KEEP_ALIVE: Duration = Duration::from_secs(10);
 
-/// Age of a program up to which a replica that is behind may not know it.
-const NEW: Duration = Duration::from_secs(30);
-
-/// Longest wait for a replica that is behind.
-const REPLICA_LAG: Duration = Duration::from_secs(1);
-
 /// Tokens that a model call generates at most if it does not say.
 const DEFAULT_TOKENS: u32 = 1_024;
 
@@ -327,6 +321,7 @@
         class,
         program: None,
         turn: None,
+        seen: 0,
         key,
         deadline,
         call: Call::try_from(new)?,
@@ -353,7 +348,7 @@
     http: &HttpRequest,
 ) -> Result<(Program, Customer, Class, Time), Refusal> {
     let program = Program::try_from(path).map_err(|fault| bad(format!("program: {fault}")))?;
-    wait_for_start(app, &program).await?;
+    app.shared().wait_for(&program, 0).await?;
     let state = app.shared().ledger.state();
     let Some(found) = state.program(&program) else {
         return Err(absent(app, &state, &program));
@@ -364,30 +359,8 @@
     Ok((program, customer, found.class().clone(), found.deadline()))
 }
 
-/// Waits for the start of a program that is so new that the replica may be behind.
-async fn wait_for_start(app: &App, program: &Program) -> Result<(), Refusal> {
-    let ledger = &app.shared().ledger;
-    let known = || ledger.state().program(program).is_some();
-    let age = program::created(program).map(|created| Time::now().since(created));
-    if known() || age.is_none_or(|age| age > NEW) {
-        return Ok(());
-    }
-    let mut applied = ledger.watch();
-    let started = async { while !known() && applied.changed().await.is_ok() {} };
-    let waited = tokio::time::timeout(REPLICA_LAG, started).await;
-    if waited.is_err() && !ledger.available() {
-        let detail = "the log is down, and the program may have started meanwhile";
-        let after = ledger.settings().backoff_most;
-        return Err(refuse(Reason::LogUnavailable, detail, Some(after)));
-    }
-    Ok(())
-}
-
 fn absent(app: &App, state: &crate::ledger::State, program: &Program) -> Refusal {
-    let ended = state
-        .accounts()
-        .find_map(|(_, account)| account.ended(program));
-    if let Some(ending) = ended {
+    if let Some(ending) = admit::ending(state, program) {
         return admit::ended(ending);
     }
     admit::missing(program, app.shared().memory(), Time::now())
@@ -422,6 +395,7 @@
         id: id.to_owned(),
         customer,
         class,
+        seen: seen(app, &program),
         program: Some(program),
         turn,
         key,
@@ -430,6 +404,12 @@
     })
 }
 
+/// Returns the number of turns that this instance's replica knows.
+fn seen(app: &App, program: &Program) -> u32 {
+    let state = app.shared().ledger.state();
+    state.program(program).map_or(0, program::Program::next)
+}
+
 fn idempotent(app: &App, call: &Call) -> bool {
     let Call::Service {
         pool, operation, ..
--- a/src/daemon/custody.rs
+++ b/src/daemon/custody.rs
@@ -16,6 +16,7 @@
         Kind, //
     },
     dispatch::Loaded,
+    executor::admit,
     hash::Set,
     ledger,
     name::{
@@ -119,13 +120,7 @@
     if ledger.program(program).is_some() {
         return State::Live;
     }
-    let ended = ledger
-        .accounts()
-        .any(|(_, account)| account.ended(program).is_some());
-    match ended {
-        true => State::Ended,
-        false => State::Unknown,
-    }
+    admit::ending(ledger, program).map_or(State::Unknown, |_| State::Ended)
 }
 
 /// Finds engine memory that releases missed.
--- a/src/daemon/upkeep.rs
+++ b/src/daemon/upkeep.rs
@@ -38,6 +38,7 @@
 pub(super) fn start(app: &App) {
     actix_web::rt::spawn(tick(app.clone()));
     actix_web::rt::spawn(get_ready(app.clone()));
+    actix_web::rt::spawn(follow_peers(app.clone()));
     actix_web::rt::spawn(follow_view(app.clone()));
     let config = &app.shared().config;
     let (address, service) = (&config.list.address, &config.list.service);
@@ -148,6 +149,26 @@
         .all(|(highest, applied)| applied >= highest)
 }
 
+/// Takes newer state from peers while this instance can't read the log.
+///
+/// A zone may be cut off from the platform but not from its peers; new versions of contracts then
+/// arrive through them.
+async fn follow_peers(app: App) {
+    let shared = app.shared();
+    loop {
+        sleep(PERIOD).await;
+        let behind = || {
+            let applied = shared.ledger.applied();
+            let snapshot = shared.roster.snapshot();
+            let pairs = snapshot.highest().iter().zip(&applied);
+            pairs.clone().any(|(highest, applied)| applied < highest)
+        };
+        if !shared.ledger.available() && shared.ledger.caught_up() && behind() {
+            copy_from_peers(&app).await;
+        }
+    }
+}
+
 async fn fetch(app: &App, peer: &Instance, partition: u32) -> bool {
     let shared = app.shared();
     let applied = shared.ledger.applied();
--- a/src/executor/admit.rs
+++ b/src/executor/admit.rs
@@ -82,6 +82,13 @@
     Err(missing(name, memory, now))
 }
 
+/// Returns why a program ended, whoever its customer is.
+pub fn ending(state: &State, name: &Program) -> Option<Ending> {
+    state
+        .accounts()
+        .find_map(|(_, account)| account.ended(name))
+}
+
 /// Makes the refusal of a program that is not known, by its age.
 pub fn missing(name: &Program, memory: Duration, now: Time) -> Refusal {
     match program::created(name) {
--- a/src/executor/commit.rs
+++ b/src/executor/commit.rs
@@ -253,7 +253,7 @@
             Err(error) => {
                 if matches!(error, LogRefusal::Unknown { .. }) {
                     // The claim may still get into the log; nothing was sent under it.
-                    self.void_later(request, program, plan, &record);
+                    let _ = self.shared.ledger.withdraw(record);
                 }
                 Err(error.into())
             }
@@ -275,11 +275,6 @@
         self.shared.ledger.record(&request.customer, body)
     }
 
-    fn void_later(&self, request: &Request, program: &Program, plan: &Plan, claim: &Record) {
-        let record = self.void_record(request, program, plan, claim);
-        let _ = self.shared.ledger.commit_later(record);
-    }
-
     async fn void(&self, request: &Request, program: &Program, plan: &Plan, claim: &Claimed) {
         let record = self.void_record(request, program, plan, &claim.record);
         if self.shared.ledger.commit(record.clone()).await.is_err() {
--- a/src/executor/mod.rs
+++ b/src/executor/mod.rs
@@ -35,7 +35,10 @@
     Handler,
     Message, //
 };
-use tokio::sync::mpsc;
+use tokio::{
+    sync::mpsc,
+    time::timeout, //
+};
 
 use crate::{
     clock::Time,
@@ -47,6 +50,7 @@
     },
     ledger::{
         allocator::Allocator,
+        program,
         Ledger, //
     },
     member::Roster,
@@ -65,13 +69,22 @@
     },
 };
 
+use admit::refuse;
 use job::Job;
 use overlay::Overlay;
 use request::{
     Event,
+    Reason,
+    Refusal,
     Request, //
 };
 
+/// Age of a program up to which a replica that is behind may not know it.
+const NEW: Duration = Duration::from_secs(30);
+
+/// Longest wait for a replica that is behind.
+const REPLICA_LAG: Duration = Duration::from_secs(1);
+
 /// Events that may wait for a slow caller.
 pub const SINK: usize = 16;
 
@@ -105,6 +118,32 @@
         Tracked(self.running.clone())
     }
 
+    /// Waits until the replica knows `turns` turns of a program, or the start of a new program.
+    ///
+    /// Another instance may have answered a caller before this replica applied the same records.
+    pub async fn wait_for(&self, name: &Program, turns: u32) -> Result<(), Refusal> {
+        let recent = program::created(name).is_some_and(|at| Time::now().since(at) < NEW);
+        let known = || {
+            let state = self.ledger.state();
+            match state.program(name) {
+                Some(found) => found.next() >= turns,
+                None => !recent || admit::ending(&state, name).is_some(),
+            }
+        };
+        if known() {
+            return Ok(());
+        }
+        let mut applied = self.ledger.watch();
+        let reached = async { while !known() && applied.changed().await.is_ok() {} };
+        let waited = timeout(REPLICA_LAG, reached).await;
+        if waited.is_err() && !self.ledger.available() {
+            let detail = "the log is down, and the program may have changed meanwhile";
+            let after = self.ledger.settings().backoff_most;
+            return Err(refuse(Reason::LogUnavailable, detail, Some(after)));
+        }
+        Ok(())
+    }
+
     /// Returns the time for which ended programs are remembered.
     pub fn memory(&self) -> Duration {
         self.ledger.settings().memory
--- a/src/executor/request.rs
+++ b/src/executor/request.rs
@@ -37,6 +37,9 @@
     pub program: Option<Program>,
     /// Number of the turn that the caller expects; the next one if absent.
     pub turn: Option<u32>,
+    /// Turns that the entry instance knows; a home that knows fewer has to wait for its replica.
+    #[serde(default)]
+    pub seen: u32,
     /// Caller's idempotency key.
     pub key: Option<String>,
     /// Time by which the answer is useful.
--- a/src/executor/turn.rs
+++ b/src/executor/turn.rs
@@ -94,6 +94,7 @@
         request: Request,
         program: Program,
     ) -> Result<Entered, Refusal> {
+        self.shared.wait_for(&program, request.seen).await?;
         let digest = digest(&request.customer, &request.call);
         if let Some(job) = self.repeated(&request, &program, digest)? {
             return Ok(Entered::Job(job));
--- a/src/ledger/allocator.rs
+++ b/src/ledger/allocator.rs
@@ -149,7 +149,12 @@
     }
 
     /// Settles the tranches that are used up or idle; to be called about once a second.
+    ///
+    /// While the log is down, the tranches stay, as nothing could be reserved in their place.
     pub fn tick(&self, now: Time) {
+        if !self.inner.ledger.available() {
+            return;
+        }
         self.retire(|purse| purse.retire(now));
     }
 
--- a/src/ledger/handle.rs
+++ b/src/ledger/handle.rs
@@ -295,7 +295,7 @@
     pub fn withdraw(&self, record: Record) -> Result<(), Refusal> {
         let id = record.id;
         let back = match &record.body {
-            Body::Claim { program, index } => Body::Void {
+            Body::Claim { program, index, .. } => Body::Void {
                 program: program.clone(),
                 index: *index,
                 claim: id,
--- a/src/ledger/purse.rs
+++ b/src/ledger/purse.rs
@@ -24,6 +24,9 @@
     /// Largest part of what the contract has left that one tranche takes ahead of demand, as a
     /// divisor; it leaves something for the other instances.
     pub divisor: u64,
+    /// Part of what the contract has left that a new tranche takes at least, as a divisor; it is
+    /// what the instance can spend while the log is down.
+    pub floor: u64,
     /// Time without demand after which unused tranches are returned.
     pub idle: Duration,
 }
@@ -34,6 +37,8 @@
             span: Duration::from_secs(10),
             lead: Duration::from_secs(2),
             divisor: 64,
+            // With 23 instances, at most 9 % of a budget waits on instances that need little.
+            floor: 256,
             idle: Duration::from_secs(15),
         }
     }
@@ -203,7 +208,9 @@
             return None;
         }
         let share = Money(left.0 / self.sizing.divisor.max(1));
-        let ahead = over(self.sizing.span).saturating_sub(free).min(share);
+        let floor = Money(left.0 / self.sizing.floor.max(1));
+        let ahead = over(self.sizing.span).saturating_sub(free);
+        let ahead = ahead.max(floor).min(share);
         // Near the end of the budget, tranches that cover no attempt would only load the log.
         let ahead = match ahead < self.last {
             true => Money(0),
--- a/tests/peer_wire.rs
+++ b/tests/peer_wire.rs
@@ -93,6 +93,7 @@
             class: Class::try_from("chat").unwrap(),
             program: Some(program.clone()),
             turn: Some(3),
+            seen: 3,
             key: None,
             deadline: Time(5),
             call: Call::Service {
