--- a/src/ledger/follower.rs
+++ b/src/ledger/follower.rs
@@ -12,12 +12,12 @@
     ledger::{
         backoff::Backoff,
         codec,
-        handle::Shared,
         health::Part,
         record::{
             Body,
             Record, //
         },
+        shared::Shared,
         writer::limit,
         Outcome, //
     },
--- a/src/ledger/handle.rs
+++ b/src/ledger/handle.rs
@@ -2,16 +2,8 @@
 
 use std::{
     sync::{
-        atomic::{
-            AtomicU64,
-            Ordering, //
-        },
         Arc,
-        Mutex,
-        MutexGuard,
-        RwLock,
-        RwLockReadGuard,
-        RwLockWriteGuard, //
+        RwLockReadGuard, //
     },
     time::Duration,
 };
@@ -19,7 +11,6 @@
 use thiserror::Error;
 use tokio::{
     sync::{
-        mpsc,
         oneshot,
         watch, //
     },
@@ -34,10 +25,8 @@
 use crate::{
     clock::Time,
     ledger::{
-        cache::Cache,
         codec,
         follower::Follower,
-        health::Health,
         history::{
             Fetch,
             Found,
@@ -45,19 +34,19 @@
             Reader,
             Wanted, //
         },
-        queue::{
-            Entry,
-            Queue, //
-        },
+        queue::Entry,
         record::{
             Body,
             Record,
             Turn, //
         },
         settings::Settings,
+        shared::{
+            Lane,
+            Shared, //
+        },
         state::{
             partition,
-            Horizon,
             Mismatch,
             State, //
         },
@@ -72,9 +61,6 @@
     },
 };
 
-/// Requests for texts per partition that wait for the reader.
-const FETCHES: usize = 256;
-
 /// Reason why a commit has no outcome.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Error)]
@@ -102,99 +88,6 @@
     TooLarge(usize),
 }
 
-/// What belongs to one partition.
-#[derive(Debug)]
-pub(crate) struct Lane {
-    pub(crate) queue: Queue,
-    pub(crate) health: Health,
-    fetches: mpsc::Sender<Fetch>,
-}
-
-/// What the handles and the tasks of a ledger share.
-#[derive(Debug)]
-pub(crate) struct Shared {
-    pub(crate) settings: Settings,
-    state: RwLock<State>,
-    cache: Mutex<Cache>,
-    lanes: Vec<Lane>,
-    interval: AtomicU64,
-    /// Offset of the next record of each partition.
-    pub(crate) applied: watch::Sender<Vec<u64>>,
-    caught_up: watch::Sender<Vec<bool>>,
-}
-
-impl Shared {
-    /// Also returns the receivers of requests for texts, one per partition.
-    fn new(settings: Settings) -> (Self, Vec<mpsc::Receiver<Fetch>>) {
-        let partitions = settings.partitions.max(1);
-        let lane = |_| {
-            let (fetches, receiver) = mpsc::channel(FETCHES);
-            let lane = Lane {
-                queue: Queue::default(),
-                health: Health::new(settings.detection),
-                fetches,
-            };
-            (lane, receiver)
-        };
-        let (lanes, receivers) = (0..partitions).map(lane).unzip();
-        let horizon = Horizon {
-            memory: settings.memory,
-            retention: settings.retention,
-        };
-        let shared = Self {
-            state: RwLock::new(State::new(partitions, horizon)),
-            cache: Mutex::new(Cache::new(settings.cache_bytes)),
-            lanes,
-            interval: AtomicU64::new(settings.interval.as_micros() as u64),
-            applied: watch::Sender::new(vec![0; partitions as usize]),
-            caught_up: watch::Sender::new(vec![false; partitions as usize]),
-            settings,
-        };
-        (shared, receivers)
-    }
-
-    pub(crate) fn state(&self) -> RwLockReadGuard<'_, State> {
-        self.state.read().unwrap_or_else(|p| p.into_inner())
-    }
-
-    pub(crate) fn state_mut(&self) -> RwLockWriteGuard<'_, State> {
-        self.state.write().unwrap_or_else(|p| p.into_inner())
-    }
-
-    pub(crate) fn cache(&self) -> MutexGuard<'_, Cache> {
-        self.cache.lock().unwrap_or_else(|p| p.into_inner())
-    }
-
-    pub(crate) fn lane(&self, partition: u32) -> &Lane {
-        &self.lanes[partition as usize]
-    }
-
-    pub(crate) fn interval(&self) -> Duration {
-        Duration::from_micros(self.interval.load(Ordering::Relaxed))
-    }
-
-    pub(crate) fn publish_applied(&self) {
-        let state = self.state();
-        let offsets = (0..state.partitions()).map(|partition| state.applied(partition));
-        let offsets: Vec<_> = offsets.collect();
-        drop(state);
-        self.applied.send_if_modified(|applied| {
-            let changed = *applied != offsets;
-            *applied = offsets;
-            changed
-        });
-    }
-
-    pub(crate) fn set_caught_up(&self, partition: u32, value: bool) {
-        self.caught_up.send_if_modified(|caught_up| {
-            let caught_up = &mut caught_up[partition as usize];
-            let changed = *caught_up != value;
-            *caught_up = value;
-            changed
-        });
-    }
-}
-
 /// Handle of the ledger.
 #[derive(Clone, Debug)]
 pub struct Ledger {
@@ -383,8 +276,7 @@
     ///
     /// It is `partitions * live instances / append budget`.
     pub fn set_interval(&self, interval: Duration) {
-        let micros = interval.as_micros() as u64;
-        self.shared.interval.store(micros, Ordering::Relaxed);
+        self.shared.set_interval(interval);
     }
 
     /// Returns whether the log answers for every partition.
--- a/src/ledger/history.rs
+++ b/src/ledger/history.rs
@@ -15,11 +15,11 @@
     ledger::{
         backoff::Backoff,
         codec,
-        handle::Shared,
         record::{
             Body,
             Turn, //
         },
+        shared::Shared,
         writer::limit,
         Entity, //
     },
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -16,6 +16,8 @@
 mod queue;
 pub mod record;
 pub mod settings;
+mod shard;
+mod shared;
 pub mod state;
 mod writer;
 
--- /dev/null
+++ b/src/ledger/shard.rs
@@ -0,0 +1,299 @@
+//! State of one partition.
+
+use std::{
+    collections::VecDeque,
+    sync::Arc, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    clock::Time,
+    hash::Map,
+    ledger::{
+        account::{
+            Account,
+            Gone, //
+        },
+        outcome::{
+            Outcome,
+            Reason, //
+        },
+        program::Program,
+        record::{
+            Body,
+            Record,
+            Turn, //
+        },
+        state::Horizon,
+        Entity, //
+    },
+    name::{
+        self,
+        Customer, //
+    },
+};
+
+/// Most offsets between the state that a snapshot of an account shows and the snapshot itself.
+///
+/// A busy account changes with nearly each append. A reader that installs its snapshot therefore
+/// applies the records in between again instead of ignoring the snapshot.
+const RECENT: u64 = 10_000;
+
+/// State of one partition.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub(crate) struct Shard {
+    /// Offset from which on every record was seen.
+    pub(crate) begin: u64,
+    /// Offset of the next record.
+    pub(crate) next: u64,
+    /// Latest time of a record.
+    pub(crate) time: Time,
+    pub(crate) accounts: Map<Customer, Account>,
+    pub(crate) programs: Map<name::Program, Program>,
+    /// Time of the first record, if the reader's log begins late.
+    begin_time: Time,
+    /// Programs that are not known here, and the offset of the last record about each.
+    missed: Map<name::Program, (u64, Customer)>,
+    /// Records about accounts of the last [`RECENT`] offsets, if the reader's log begins late.
+    recent: VecDeque<(u64, Time, Record)>,
+}
+
+impl Shard {
+    /// Goes on at `begin` after the records before it expired unread.
+    pub(crate) fn lapse(&mut self, begin: u64) {
+        self.begin = begin;
+        self.next = begin;
+        self.begin_time = Time(0);
+        self.recent.clear();
+        for account in self.accounts.values_mut() {
+            account.sound = false;
+        }
+    }
+
+    pub(crate) fn apply(&mut self, offset: u64, record: &Record, horizon: &Horizon) -> Outcome {
+        self.next = offset + 1;
+        self.time = self.time.max(record.at);
+        if self.begin > 0 && self.begin_time == Time(0) {
+            self.begin_time = self.time;
+        }
+        match &record.body {
+            Body::Turn { program, .. }
+            | Body::Claim { program, .. }
+            | Body::Void { program, .. } => self.apply_program(offset, record, program),
+            Body::Snapshot { as_of, entity } => match &**entity {
+                Entity::Gone(gone) => self.stage(&record.customer, *as_of, gone),
+                Entity::Account { account, gone } => {
+                    self.install_account(offset, &record.customer, *as_of, account, *gone, horizon)
+                }
+                Entity::Program { name, program } => {
+                    self.install_program(&record.customer, *as_of, name, program)
+                }
+                Entity::Texts {
+                    program,
+                    first,
+                    turns,
+                } => self.move_texts(offset, &record.customer, program, *first, turns),
+            },
+            _ => self.apply_account(offset, record, horizon),
+        }
+    }
+
+    /// Returns whether a customer's account is known to be complete.
+    ///
+    /// A reader whose log begins late knows an account by its snapshot. Each account is repeated
+    /// at a third of the retention, so that after twice that time an account without a snapshot
+    /// began in this reader's log.
+    pub(crate) fn is_sound(&self, account: &Account, horizon: &Horizon) -> bool {
+        let age = self.time.since(self.begin_time);
+        account.sound || self.begin == 0 || age >= horizon.refresh() * 2
+    }
+
+    fn apply_program(&mut self, offset: u64, record: &Record, name: &name::Program) -> Outcome {
+        let found = self.programs.get_mut(name);
+        let Some(program) = found.filter(|p| *p.customer() == record.customer) else {
+            return self.miss(offset, &record.customer, name);
+        };
+        program.touched = offset;
+        match &record.body {
+            Body::Turn { index, turn, .. } => {
+                program.turn(offset, &record.id, &record.author, *index, turn)
+            }
+            Body::Claim { index, .. } => {
+                program.claim_turn(record.id, &record.author, record.at, *index)
+            }
+            Body::Void { claim, .. } => program.void(&record.id, &record.author, claim),
+            _ => Outcome::Rejected(Reason::UnknownProgram),
+        }
+    }
+
+    /// Notes a record about a program that is not known here.
+    fn miss(&mut self, offset: u64, customer: &Customer, name: &name::Program) -> Outcome {
+        let account = self.accounts.get(customer);
+        if let Some(reason) = account.and_then(|account| account.ended(name)) {
+            return Outcome::Rejected(Reason::Ended(reason));
+        }
+        if self.begin > 0 {
+            let missed = (offset, customer.clone());
+            self.missed.insert(name.clone(), missed);
+        }
+        Outcome::Rejected(Reason::UnknownProgram)
+    }
+
+    fn apply_account(&mut self, offset: u64, record: &Record, horizon: &Horizon) -> Outcome {
+        let now = self.time;
+        self.remember(offset, record);
+        let mut fresh = Account::new(self.begin == 0, now);
+        let known = self.accounts.get_mut(&record.customer);
+        let new = known.is_none();
+        let account = known.unwrap_or(&mut fresh);
+        let mut gone = Vec::new();
+        let outcome = account.apply(record, now, horizon.memory, &mut gone);
+        let outcome = outcome.unwrap_or(Outcome::Rejected(Reason::Stale));
+        if let Body::Start(start) = &record.body {
+            // An account that is not complete can't refuse a start; its snapshot will decide.
+            let open = !account.sound && !matches!(outcome, Outcome::Duplicate);
+            if outcome == Outcome::Accepted || open {
+                let customer = record.customer.clone();
+                let program = Program::new(customer, start, record.at, offset, now);
+                let slot = self.programs.entry(start.program.clone());
+                slot.or_insert(program);
+            }
+        }
+        if let (Body::End { program, .. }, false) = (&record.body, account.sound) {
+            gone.push(program.clone());
+        }
+        // An account without a contract is kept only if it may be the rest of an older one.
+        if new && (outcome == Outcome::Accepted || self.begin > 0) {
+            self.accounts.insert(record.customer.clone(), fresh);
+        }
+        for program in &gone {
+            self.programs.remove(program);
+            self.missed.remove(program);
+        }
+        outcome
+    }
+
+    /// Keeps a record about an account, to apply it again on top of a snapshot.
+    fn remember(&mut self, offset: u64, record: &Record) {
+        if self.begin == 0 {
+            return;
+        }
+        self.recent.push_back((offset, self.time, record.clone()));
+        while self
+            .recent
+            .front()
+            .is_some_and(|(kept, ..)| kept + RECENT < offset)
+        {
+            self.recent.pop_front();
+        }
+    }
+
+    fn stage(&mut self, customer: &Customer, as_of: u64, gone: &[(Time, Gone)]) -> Outcome {
+        if self.begin > as_of {
+            return Outcome::Rejected(Reason::BeforeBegin);
+        }
+        let now = self.time;
+        let fresh = || Account::new(false, now);
+        if self.begin > 0 {
+            let account = self.accounts.entry(customer.clone());
+            let account = account.or_insert_with(fresh);
+            if !account.sound {
+                account.stage(as_of, gone);
+            }
+        }
+        Outcome::Accepted
+    }
+
+    fn install_account(
+        &mut self,
+        offset: u64,
+        customer: &Customer,
+        as_of: u64,
+        image: &Account,
+        gone: u64,
+        horizon: &Horizon,
+    ) -> Outcome {
+        if as_of + RECENT < offset {
+            return Outcome::Rejected(Reason::Stale);
+        }
+        if self.begin > as_of {
+            return Outcome::Rejected(Reason::BeforeBegin);
+        }
+        let now = self.time;
+        let mut account = match self.accounts.get_mut(customer) {
+            Some(account) if account.sound => {
+                account.refreshed = now;
+                return Outcome::Accepted;
+            }
+            Some(account) => account.clone(),
+            None => Account::new(false, now),
+        };
+        let version = account.version();
+        if !account.install(image, as_of, gone, now) {
+            return Outcome::Rejected(Reason::Stale);
+        }
+        for (at, time, record) in &self.recent {
+            if *at > as_of && record.customer == *customer {
+                account.apply(record, *time, horizon.memory, &mut Vec::new());
+            }
+        }
+        if account.version() < version {
+            return Outcome::Rejected(Reason::Stale);
+        }
+        let stays =
+            |name: &name::Program, of: &Customer| of != customer || account.is_running(name);
+        self.programs.retain(|name, p| stays(name, p.customer()));
+        self.missed.retain(|name, (_, of)| stays(name, of));
+        self.accounts.insert(customer.clone(), account);
+        Outcome::Accepted
+    }
+
+    fn install_program(
+        &mut self,
+        customer: &Customer,
+        as_of: u64,
+        name: &name::Program,
+        image: &Program,
+    ) -> Outcome {
+        if self.begin > as_of {
+            return Outcome::Rejected(Reason::BeforeBegin);
+        }
+        let account = self.accounts.get(customer);
+        let running = account.is_some_and(|account| account.is_running(name));
+        if !running || image.customer() != customer {
+            return Outcome::Rejected(Reason::UnknownProgram);
+        }
+        let known = self.programs.get(name).map(|program| program.touched);
+        let touched = known.max(self.missed.get(name).map(|(touched, _)| *touched));
+        if touched.is_some_and(|touched| touched > as_of) {
+            return Outcome::Rejected(Reason::Stale);
+        }
+        let mut program = image.clone();
+        program.refreshed = self.time;
+        self.programs.insert(name.clone(), program);
+        self.missed.remove(name);
+        Outcome::Accepted
+    }
+
+    fn move_texts(
+        &mut self,
+        offset: u64,
+        customer: &Customer,
+        name: &name::Program,
+        first: u32,
+        turns: &[(u64, Arc<Turn>)],
+    ) -> Outcome {
+        let found = self.programs.get_mut(name);
+        let Some(program) = found.filter(|p| p.customer() == customer) else {
+            return self.miss(offset, customer, name);
+        };
+        program.touched = offset;
+        program.move_texts(offset, first, turns.iter().map(|(print, _)| *print));
+        Outcome::Accepted
+    }
+}
--- /dev/null
+++ b/src/ledger/shared.rs
@@ -0,0 +1,135 @@
+//! What the handles and the tasks of a ledger share.
+
+use std::{
+    sync::{
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        },
+        Mutex,
+        MutexGuard,
+        RwLock,
+        RwLockReadGuard,
+        RwLockWriteGuard, //
+    },
+    time::Duration,
+};
+
+use tokio::sync::{
+    mpsc,
+    watch, //
+};
+
+use crate::ledger::{
+    cache::Cache,
+    health::Health,
+    history::Fetch,
+    queue::Queue,
+    settings::Settings,
+    state::{
+        Horizon,
+        State, //
+    },
+};
+
+/// Requests for texts per partition that wait for the reader.
+const FETCHES: usize = 256;
+
+/// What belongs to one partition.
+#[derive(Debug)]
+pub(crate) struct Lane {
+    pub(crate) queue: Queue,
+    pub(crate) health: Health,
+    pub(crate) fetches: mpsc::Sender<Fetch>,
+}
+
+/// What the handles and the tasks of a ledger share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    state: RwLock<State>,
+    cache: Mutex<Cache>,
+    pub(crate) lanes: Vec<Lane>,
+    interval: AtomicU64,
+    /// Offset of the next record of each partition.
+    pub(crate) applied: watch::Sender<Vec<u64>>,
+    pub(crate) caught_up: watch::Sender<Vec<bool>>,
+}
+
+impl Shared {
+    /// Also returns the receivers of requests for texts, one per partition.
+    pub(crate) fn new(settings: Settings) -> (Self, Vec<mpsc::Receiver<Fetch>>) {
+        let partitions = settings.partitions.max(1);
+        let lane = |_| {
+            let (fetches, receiver) = mpsc::channel(FETCHES);
+            let lane = Lane {
+                queue: Queue::default(),
+                health: Health::new(settings.detection),
+                fetches,
+            };
+            (lane, receiver)
+        };
+        let (lanes, receivers) = (0..partitions).map(lane).unzip();
+        let horizon = Horizon {
+            memory: settings.memory,
+            retention: settings.retention,
+        };
+        let shared = Self {
+            state: RwLock::new(State::new(partitions, horizon)),
+            cache: Mutex::new(Cache::new(settings.cache_bytes)),
+            lanes,
+            interval: AtomicU64::new(settings.interval.as_micros() as u64),
+            applied: watch::Sender::new(vec![0; partitions as usize]),
+            caught_up: watch::Sender::new(vec![false; partitions as usize]),
+            settings,
+        };
+        (shared, receivers)
+    }
+
+    pub(crate) fn state(&self) -> RwLockReadGuard<'_, State> {
+        self.state.read().unwrap_or_else(|p| p.into_inner())
+    }
+
+    pub(crate) fn state_mut(&self) -> RwLockWriteGuard<'_, State> {
+        self.state.write().unwrap_or_else(|p| p.into_inner())
+    }
+
+    pub(crate) fn cache(&self) -> MutexGuard<'_, Cache> {
+        self.cache.lock().unwrap_or_else(|p| p.into_inner())
+    }
+
+    pub(crate) fn lane(&self, partition: u32) -> &Lane {
+        &self.lanes[partition as usize]
+    }
+
+    pub(crate) fn interval(&self) -> Duration {
+        Duration::from_micros(self.interval.load(Ordering::Relaxed))
+    }
+
+    pub(crate) fn set_interval(&self, interval: Duration) {
+        let micros = interval.as_micros() as u64;
+        self.interval.store(micros, Ordering::Relaxed);
+    }
+
+    /// Tells those who wait how far the state has come.
+    pub(crate) fn publish_applied(&self) {
+        let state = self.state();
+        let offsets = (0..state.partitions()).map(|partition| state.applied(partition));
+        let offsets: Vec<_> = offsets.collect();
+        drop(state);
+        self.applied.send_if_modified(|applied| {
+            let changed = *applied != offsets;
+            *applied = offsets;
+            changed
+        });
+    }
+
+    pub(crate) fn set_caught_up(&self, partition: u32, value: bool) {
+        self.caught_up.send_if_modified(|caught_up| {
+            let caught_up = &mut caught_up[partition as usize];
+            let changed = *caught_up != value;
+            *caught_up = value;
+            changed
+        });
+    }
+}
--- a/src/ledger/writer.rs
+++ b/src/ledger/writer.rs
@@ -18,9 +18,9 @@
 use crate::{
     ledger::{
         backoff::Backoff,
-        handle::Shared,
         health::Part,
         queue::Entry, //
+        shared::Shared,
     },
     log::{
         Failure,
