--- a/examples/policy/main.rs
+++ b/examples/policy/main.rs
@@ -265,41 +265,39 @@
 /// Variants of the settings that were weighed.
 fn sweep(workload: &Workload, full: f64, seeds: usize) {
     let mut cases = vec![standard()];
-    for (part, ahead) in [
-        (0.1, 0.02),
-        (0.4, 0.02),
-        (0.2, 0.005),
-        (0.2, 0.05),
-        (0.2, 0.2),
-        (0.4, 0.1),
+    for (part, ahead, lead) in [
+        (0.4, 0.02, 20_000),
+        (0.4, 0.02, 40_000),
+        (0.4, 0.05, 10_000),
+        (0.4, 0.05, 40_000),
+        (0.4, 0.1, 20_000),
+        (0.8, 0.05, 20_000),
     ] {
-        cases.push(Case::with(&format!("pressure {part}, {ahead}"), |s| {
+        let name = format!("pressure {part}, ahead {ahead}, lead {lead}");
+        cases.push(Case::with(&name, |s| {
             s.admit.pressure = part;
             s.admit.ahead = ahead;
+            s.queue.lead = lead;
         }));
     }
-    for lead in [5_000, 80_000] {
-        cases.push(Case::with(&format!("lead {lead}"), |s| s.queue.lead = lead));
-    }
     for short in [1.0, 16.0] {
         cases.push(Case::with(&format!("short {short}"), |s| {
             s.queue.short = short
         }));
     }
-    for wait in [20, 100, 200] {
-        cases.push(Case::with(&format!("wait_us {wait}"), |s| {
-            s.route.wait_us = wait
+    for (us, ms) in [(50, 1_000), (200, 10_000)] {
+        cases.push(Case::with(&format!("wait {us} us, {ms} ms"), |s| {
+            s.route.wait_us = us;
+            s.route.wait_ms = ms;
         }));
     }
-    cases.push(Case::with("wait 200, 4000", |s| {
-        s.route.wait_us = 200;
-        s.route.wait_ms = 4_000;
-    }));
     cases.push(Case::with("bound 2", |s| s.route.bound = 2.0));
-    cases.push(Case::with("tolerance 5", |s| s.window.tolerance = 5.0));
     cases.push(Case::with("slow 3", |s| s.route.slow = 3.0));
-    cases.push(Case::with("guard 0", |s| s.queue.guard = 0));
-    cases.push(Case::with("depth 128", |s| s.queue.depth = 128));
+    cases.push(Case::with("guard 16", |s| s.queue.guard = 16));
+    cases.push(Case::with("hedge 2", |s| s.pace.hedge = 2.0));
+    cases.push(Case::with("levels from 4000", |s| {
+        s.queue.levels = vec![4_000, 16_000, 64_000, 256_000];
+    }));
     for (title, part, scene) in [
         ("75 %", 0.75, Scene::default()),
         ("100 %", 1.0, Scene::default()),
