member: survive wrong clocks of upstreams

The version of a departure is the time of the upstream's report. With a clock an hour behind, the entry expired before it was told; with one far ahead, it never did. The own time stands in for it beyond five minutes of difference.

--- a/src/member/gossip.rs
+++ b/src/member/gossip.rs
@@ -310,15 +310,15 @@
     }
 }
 
-/// Returns whether a change has to be told before others.
+/// Returns whether a change has to be told before suspicions.
 ///
-/// A refutation that comes late lets others give up an instance that is alive, and an upstream
-/// that is leaving still gets work where it is not known.
+/// A refutation that comes late lets others give up an instance that is alive, and an instance or
+/// upstream that is leaving still gets work where that is not known.
 fn is_urgent(view: &View, change: &Change) -> bool {
     match change {
         Change::Instance(instance) => {
             let entry = view.entry(instance);
-            entry.is_some_and(|entry| entry.state == State::Live)
+            entry.is_some_and(|entry| matches!(entry.state, State::Live | State::Leaving))
         }
         Change::Upstream(..) => true,
     }
--- a/src/member/view.rs
+++ b/src/member/view.rs
@@ -55,6 +55,9 @@
 /// Time for which the departure of an upstream is remembered after its last report.
 const DEPARTED: Duration = Duration::from_secs(3_600);
 
+/// Difference of clocks up to which the time of an upstream's report is used.
+const SKEW: Duration = Duration::from_secs(300);
+
 /// Groups of entries whose digests are compared separately, so that two views that differ
 /// exchange a part of their entries only.
 pub const GROUPS: usize = 64;
@@ -435,7 +438,8 @@
 
     /// Takes a report about an upstream; returns whether it was news.
     ///
-    /// `version` is the time of the upstream's own report in microseconds.
+    /// `version` is the time of the upstream's own report in microseconds. The own time stands in
+    /// for it if the upstream's clock is wrong, as the entry would never expire or at once.
     pub fn upstream(
         &mut self,
         now: Time,
@@ -449,6 +453,9 @@
         if known.map_or(!leaving, |departure| departure.leaving == leaving) {
             return false;
         }
+        let reported = Time(version);
+        let skew = now.since(reported).max(reported.since(now));
+        let version = if skew > SKEW { now.0 } else { version };
         self.merge_departure(
             now,
             &Departure {
--- a/src/peer/mesh.rs
+++ b/src/peer/mesh.rs
@@ -1,7 +1,10 @@
 //! Links to all instances that this one talks with.
 
 use std::{
-    cell::Cell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
     collections::VecDeque,
     fmt,
     rc::Rc,
@@ -40,7 +43,8 @@
         End,
         Link,
         Pending,
-        Pump, //
+        Pump,
+        Socket, //
     },
     meter::{
         Meter,
@@ -63,7 +67,8 @@
     member::{
         Entry,
         Gossip,
-        Roster, //
+        Roster,
+        View, //
     },
     name::Instance,
 };
@@ -172,7 +177,7 @@
         let mesh = Self { shared };
         let driver = Rc::new(Driver {
             mesh: mesh.clone(),
-            gossip: std::cell::RefCell::new(Gossip::default()),
+            gossip: RefCell::new(Gossip::default()),
             handler,
             handshakes: Cell::new(0),
             warned: Cell::default(),
@@ -372,7 +377,7 @@
 /// Runs the links on their thread.
 struct Driver<H> {
     mesh: Mesh,
-    gossip: std::cell::RefCell<Gossip>,
+    gossip: RefCell<Gossip>,
     handler: H,
     handshakes: Cell<usize>,
     /// Second of the last warning, and warnings in it.
@@ -480,7 +485,7 @@
     }
 
     /// Runs a link until it ends.
-    async fn link(self: Rc<Self>, socket: super::link::Socket, entry: Entry) {
+    async fn link(self: Rc<Self>, socket: Socket, entry: Entry) {
         let shared = self.shared();
         let pump: Pump = Link::open(
             entry.instance.clone(),
@@ -557,7 +562,7 @@
 
     fn gossip<F>(&self, act: F)
     where
-        F: FnOnce(&mut Gossip, &mut crate::member::View) -> Vec<(Instance, Body)>,
+        F: FnOnce(&mut Gossip, &mut View) -> Vec<(Instance, Body)>,
     {
         let mut gossip = self.gossip.borrow_mut();
         let messages = self.shared().roster.update(|view| act(&mut gossip, view));
--- a/tests/member_view.rs
+++ b/tests/member_view.rs
@@ -312,6 +312,19 @@
     assert_eq!(view.digest(), self::view().digest());
 }
 
+#[test]
+fn upstream_wrong_clock() {
+    let pool = Pool::try_from("advice").unwrap();
+    let upstream = Upstream::try_from("e1").unwrap();
+    for version in [0, u64::MAX] {
+        let mut view = view();
+        assert!(view.upstream(at(0), &pool, &upstream, true, version));
+        assert!(view.upstream(at(1), &pool, &upstream, false, version));
+        view.tick(at(2) + Duration::from_secs(7_200));
+        assert_eq!(view.departure(&pool, &upstream), None);
+    }
+}
+
 #[test]
 fn home_follows_zone_of_program() {
     let mut view = view();
--- a/tests/peer_mesh.rs
+++ b/tests/peer_mesh.rs
@@ -198,6 +198,19 @@
     }
 }
 
+#[actix_web::test]
+async fn request_from_other_thread() {
+    // HTTP workers use the handle from threads of their own.
+    let p = parties(&["one", "two"]).await;
+    let mesh = p[0].mesh.clone();
+    let worker = std::thread::spawn(move || {
+        let two = instance("two");
+        actix_web::rt::System::new().block_on(mesh.request(&two, fetch(0), LIMIT))
+    });
+    until("the worker is done", || worker.is_finished()).await;
+    assert_eq!(worker.join().unwrap(), Ok(Body::Held));
+}
+
 #[actix_web::test]
 async fn send_reaches_handler_in_order() {
     let p = parties(&["one", "two"]).await;
