peer: end idle links without losing requests

A request that crossed the end of an idle link had an unknown outcome, which request_while_links_go_idle shows without the change. The side that finds a link idle makes no more requests on it, and the other one closes it.

--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -71,6 +71,9 @@
 /// Requests of one peer that may be open at the same time.
 const OPEN_REQUESTS: usize = 8_192;
 
+/// Time for which a retired link stays open, so that frames on their way arrive.
+const GRACE: Duration = Duration::from_millis(200);
+
 /// Unit in which the bytes of a queue are counted.
 const UNIT: usize = 1_024;
 
@@ -133,6 +136,10 @@
     pending: Mutex<Map<u64, Pending>>,
     inlets: Mutex<Map<u64, Arc<Inlet>>>,
     closed: AtomicBool,
+    /// Whether no more requests are made, as one side found the link idle.
+    retired: AtomicBool,
+    /// Whether the peer waits for this side to close the link.
+    dismissed: AtomicBool,
     /// Whether nothing was received for longer than a peer that works stays silent.
     doubted: AtomicBool,
     used: Mutex<Instant>,
@@ -173,6 +180,8 @@
             pending: Mutex::default(),
             inlets: Mutex::default(),
             closed: AtomicBool::new(false),
+            retired: AtomicBool::new(false),
+            dismissed: AtomicBool::new(false),
             doubted: AtomicBool::new(false),
             used: Mutex::new(Instant::now()),
         };
@@ -194,7 +203,25 @@
 
     /// Returns whether the peer is expected to answer on this link.
     pub(super) fn is_healthy(&self) -> bool {
-        !self.is_closed() && !self.doubted.load(Relaxed)
+        self.is_open() && !self.doubted.load(Relaxed)
+    }
+
+    /// Returns whether requests may be made on this link.
+    pub(super) fn is_open(&self) -> bool {
+        !self.is_closed() && !self.retired.load(Relaxed)
+    }
+
+    /// Makes no more requests, and asks the peer to close the link once it has seen that.
+    ///
+    /// A request that crosses the end of a link would have an unknown outcome.
+    fn retire(&self) {
+        self.retired.store(true, Relaxed);
+        let _ = self.push_now(&Frame {
+            id: 0,
+            reply: false,
+            last: false,
+            body: Body::Retire,
+        });
     }
 
     fn units(&self, bytes: &[u8]) -> u32 {
@@ -366,6 +393,10 @@
                     inlet.add(credit);
                 }
             }
+            Body::Retire => {
+                self.retired.store(true, Relaxed);
+                self.dismissed.store(true, Relaxed);
+            }
             Body::Unknown => {
                 meter.unsupported.one();
                 self.refuse(frame.id);
@@ -535,13 +566,26 @@
     }
 }
 
-/// Returns when no request was made or open for `idle`.
+/// Returns when the link is no longer needed.
+///
+/// A link that is unused for `idle` is retired, and the peer closes it. If the peer does not, it is
+/// closed after another `idle`.
 async fn rest(link: &Link, idle: Duration) {
+    let grace = (idle / 8).min(GRACE);
+    let mut limit = idle;
     loop {
         let unused = lock(&link.used).elapsed();
-        if unused >= idle && !link.busy() {
-            return;
+        let dismissed = link.dismissed.load(Relaxed);
+        if dismissed {
+            limit = grace;
+        }
+        if unused >= limit && !link.busy() {
+            if dismissed || link.retired.load(Relaxed) {
+                return;
+            }
+            link.retire();
+            limit = idle * 2;
         }
-        sleep(idle.saturating_sub(unused).max(idle / 8)).await;
+        sleep(grace).await;
     }
 }
--- a/src/peer/mesh.rs
+++ b/src/peer/mesh.rs
@@ -290,7 +290,7 @@
         let links = || peer.links.iter().rev();
         let link = links()
             .find(|link| link.is_healthy())
-            .or_else(|| links().find(|link| !link.is_closed()));
+            .or_else(|| links().find(|link| link.is_open()));
         if let Some(link) = link {
             return link.post(id, bytes, pending).map_err(|(reason, _)| reason);
         }
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -174,6 +174,9 @@
         #[serde(rename = "b")]
         bytes: Bytes,
     },
+    /// The sender makes no more requests on this link; the receiver closes it once it is unused.
+    #[serde(rename = "re")]
+    Retire,
     /// No reply follows.
     #[serde(rename = "em")]
     Empty,
--- a/tests/peer_mesh.rs
+++ b/tests/peer_mesh.rs
@@ -424,6 +424,33 @@
     }
 }
 
+#[actix_web::test]
+async fn request_while_links_go_idle() {
+    // A request that crosses the end of an idle link must not be lost.
+    let mut p = Vec::new();
+    for name in ["one", "two"] {
+        let change = |settings: &mut Settings| {
+            settings.idle = Duration::from_millis(20);
+            settings.gossip = Duration::from_secs(60);
+        };
+        p.push(party(name, change).await);
+    }
+    meet(&p);
+    for step in 0..100 {
+        let (from, to) = (step % 2, (step + 1) % 2);
+        let reply = p[from]
+            .mesh
+            .request(&p[to].listed.instance, fetch(0), LIMIT);
+        assert_eq!(reply.await, Ok(Body::Held));
+        sleep(Duration::from_millis(20 + step as u64 % 10)).await;
+    }
+    assert!(p[0].mesh.stats().links > 5, "links never went idle");
+    until("all links are closed", || {
+        p.iter().all(|p| p.mesh.links() == 0)
+    })
+    .await;
+}
+
 #[actix_web::test]
 async fn send_full_queue() {
     let (p, relay) = relayed(|settings| settings.queue_bytes = 1 << 20).await;
--- a/tests/peer_wire.rs
+++ b/tests/peer_wire.rs
@@ -154,6 +154,7 @@
             offset: 2,
             bytes: vec![0; 300].into(),
         },
+        Body::Retire,
         Body::Empty,
         Body::Unsupported,
         Body::Unknown,
@@ -322,7 +323,7 @@
     }
 
     #[test]
-    fn decode_damaged(kind in 0_usize..19, at in 0_usize..200, byte in any::<u8>()) {
+    fn decode_damaged(kind in 0_usize..20, at in 0_usize..200, byte in any::<u8>()) {
         let mut bytes = frame(bodies().remove(kind)).encode();
         let at = at % bytes.len();
         bytes[at] = byte;
