--- a/src/ledger/account.rs
+++ b/src/ledger/account.rs
@@ -66,7 +66,7 @@
 /// A program under way, as its account knows it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
-struct Run {
+pub struct Run {
     /// Fingerprint of the start's record.
     id: u64,
     /// Hash of the idempotency key.
@@ -113,22 +113,24 @@
     }
 }
 
-/// An ended program or a settled tranche, as a snapshot repeats it.
+/// A member of an account, as a snapshot repeats it.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
-pub enum Gone {
-    /// A program and what is kept of it.
-    Program(Program, Tomb),
-    /// A tranche and the fingerprint of the record that settled it.
-    Tranche(Uuid, u64),
+pub enum Member {
+    /// A program under way.
+    Running(Program, Run),
+    /// A program that ended, what is kept of it, and when it is forgotten.
+    Ended(Program, Tomb, Time),
+    /// A settled tranche, the fingerprint of the record that settled it, and when it is forgotten.
+    Settled(Uuid, u64, Time),
 }
 
-/// Ended programs and settled tranches of a snapshot that is not complete yet.
+/// Members of a snapshot that is not complete yet.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Deserialize, Serialize)]
 struct Staged {
     as_of: u64,
-    gone: Vec<(Time, Gone)>,
+    members: Vec<Member>,
 }
 
 /// A customer's contract, budget and set of programs.
@@ -441,50 +443,50 @@
         Outcome::Accepted
     }
 
-    /// Returns what a snapshot repeats besides [`Self::gone`].
+    /// Returns what a snapshot repeats besides [`Self::members`].
     pub(crate) fn image(&self) -> Self {
-        let keys = self.keys.iter();
-        let live = |(_, program): &(&u64, &Program)| self.running.contains_key(*program);
         Self {
             settled: Map::default(),
+            running: Map::default(),
             ended: Map::default(),
             past: VecDeque::new(),
-            keys: keys.filter(live).map(|(k, p)| (*k, p.clone())).collect(),
+            keys: Map::default(),
             staged: Staged::default(),
             ..self.clone()
         }
     }
 
-    /// Returns what has ended and when each is forgotten.
-    pub(crate) fn gone(&self) -> Vec<(Time, Gone)> {
-        let gone = |(until, past): &(Time, Past)| {
-            let gone = match past {
-                Past::Program(name) => Gone::Program(name.clone(), *self.ended.get(name)?),
-                Past::Tranche(id) => Gone::Tranche(*id, *self.settled.get(id)?),
-            };
-            Some((*until, gone))
-        };
-        self.past.iter().filter_map(gone).collect()
+    /// Returns the programs under way and, in the order in which it is forgotten, what has ended.
+    pub(crate) fn members(&self) -> Vec<Member> {
+        let running = self.running.iter();
+        let running = running.map(|(name, run)| Member::Running(name.clone(), run.clone()));
+        let past = self.past.iter().filter_map(|(until, past)| match past {
+            Past::Program(name) => {
+                let tomb = *self.ended.get(name)?;
+                Some(Member::Ended(name.clone(), tomb, *until))
+            }
+            Past::Tranche(id) => Some(Member::Settled(*id, *self.settled.get(id)?, *until)),
+        });
+        running.chain(past).collect()
     }
 
     /// Keeps a part of a snapshot until [`Self::install`] completes it.
-    pub(crate) fn stage(&mut self, as_of: u64, gone: &[(Time, Gone)]) {
+    pub(crate) fn stage(&mut self, as_of: u64, members: &[Member]) {
         if self.staged.as_of != as_of {
-            let gone = Vec::new();
-            self.staged = Staged { as_of, gone };
+            let members = Vec::new();
+            self.staged = Staged { as_of, members };
         }
-        self.staged.gone.extend_from_slice(gone);
+        self.staged.members.extend_from_slice(members);
     }
 
-    /// Takes over a snapshot with `count` members of [`Self::gone`]; returns false if some are
-    /// missing.
+    /// Takes over a snapshot with `count` members; returns false if some are missing.
     pub(crate) fn install(&mut self, image: &Self, as_of: u64, count: u64, now: Time) -> bool {
         let staged = std::mem::take(&mut self.staged);
-        let gone = match staged.as_of == as_of {
-            true => staged.gone,
+        let members = match staged.as_of == as_of {
+            true => staged.members,
             false => Vec::new(),
         };
-        if gone.len() as u64 != count {
+        if members.len() as u64 != count {
             return false;
         }
         *self = Self {
@@ -492,25 +494,35 @@
             refreshed: now,
             ..image.clone()
         };
-        for (until, gone) in gone {
-            let past = match gone {
-                Gone::Program(name, tomb) => {
-                    if let Some(key) = tomb.key {
-                        self.keys.insert(key, name.clone());
-                    }
-                    self.ended.insert(name.clone(), tomb);
-                    Past::Program(name)
-                }
-                Gone::Tranche(id, by) => {
-                    self.settled.insert(id, by);
-                    Past::Tranche(id)
-                }
-            };
-            self.past.push_back((until, past));
+        for member in members {
+            self.add(member);
         }
         true
     }
 
+    fn add(&mut self, member: Member) {
+        let (key, name) = match member {
+            Member::Running(name, run) => {
+                let key = run.key;
+                self.running.insert(name.clone(), run);
+                (key, name)
+            }
+            Member::Ended(name, tomb, until) => {
+                self.ended.insert(name.clone(), tomb);
+                self.past.push_back((until, Past::Program(name.clone())));
+                (tomb.key, name)
+            }
+            Member::Settled(id, by, until) => {
+                self.settled.insert(id, by);
+                self.past.push_back((until, Past::Tranche(id)));
+                return;
+            }
+        };
+        if let Some(key) = key {
+            self.keys.insert(key, name);
+        }
+    }
+
     /// Forgets what ended long ago.
     fn forget(&mut self, now: Time) {
         while self.past.front().is_some_and(|(until, _)| *until < now) {
--- a/src/ledger/keeper.rs
+++ b/src/ledger/keeper.rs
@@ -1,10 +1,12 @@
 //! Writes live state again before its records expire.
 
 use std::{
+    fmt,
     sync::Arc,
     time::Duration, //
 };
 
+use futures_util::future::join_all;
 use tokio::time::sleep;
 
 use crate::{
@@ -39,6 +41,15 @@
     Program(Customer, Program),
 }
 
+impl fmt::Display for Due {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Account(customer) => write!(f, "account of {customer}"),
+            Self::Program(_, program) => write!(f, "program {program}"),
+        }
+    }
+}
+
 /// A part of a history that fits into an append.
 struct Part {
     first: u32,
@@ -69,10 +80,16 @@
         }
         let mut written = 0;
         for due in self.due(now, owns) {
-            written += usize::from(match &due {
-                Due::Account(customer) => self.refresh_account(customer).await?,
-                Due::Program(customer, program) => self.refresh_program(customer, program).await?,
-            });
+            let done = match &due {
+                Due::Account(customer) => self.refresh_account(customer).await,
+                Due::Program(customer, program) => self.refresh_program(customer, program).await,
+            };
+            match done {
+                Ok(done) => written += usize::from(done),
+                // One entity that can't be written must not keep the others from it.
+                Err(error @ Refusal::TooLarge(_)) => log::error!("ledger: {due}: {error}"),
+                Err(refusal) => return Err(refusal),
+            }
         }
         Ok(written)
     }
@@ -128,9 +145,12 @@
         image: impl Fn() -> Vec<Body>,
     ) -> Result<bool, Refusal> {
         for _ in 0..TRIES {
+            // All are queued at once, so that few other records come between them.
+            let records = image().into_iter().map(|body| self.record(customer, body));
+            let outcomes = join_all(records.map(|record| self.commit(record))).await;
             let mut outcome = Outcome::Rejected(Reason::UnknownProgram);
-            for body in image() {
-                outcome = self.commit(self.record(customer, body)).await?;
+            for result in outcomes {
+                outcome = result?;
             }
             if outcome != Outcome::Rejected(Reason::Stale) {
                 return Ok(outcome.took_effect());
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -28,10 +28,7 @@
     Serialize, //
 };
 
-use crate::{
-    clock::Time,
-    name, //
-};
+use crate::name;
 
 pub use self::{
     allocator::Allocator,
@@ -53,15 +50,14 @@
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub enum Entity {
-    /// A part of what has ended of a customer's account; [`Entity::Account`] with the same
-    /// `as_of` follows.
-    Gone(Vec<(Time, account::Gone)>),
+    /// A part of an account's members; [`Entity::Account`] with the same `as_of` follows.
+    Members(Vec<account::Member>),
     /// A customer's account.
     Account {
-        /// The account without what has ended.
+        /// The account without its members.
         account: account::Account,
-        /// Number of members of the parts before.
-        gone: u64,
+        /// Number of members in the parts before.
+        members: u64,
     },
     /// A program under way, with the offsets of its turns' texts.
     Program {
--- a/src/ledger/shard.rs
+++ b/src/ledger/shard.rs
@@ -16,7 +16,7 @@
     ledger::{
         account::{
             Account,
-            Gone, //
+            Member, //
         },
         outcome::{
             Outcome,
@@ -86,9 +86,10 @@
             | Body::Claim { program, .. }
             | Body::Void { program, .. } => self.apply_program(offset, record, program),
             Body::Snapshot { as_of, entity } => match &**entity {
-                Entity::Gone(gone) => self.stage(&record.customer, *as_of, gone),
-                Entity::Account { account, gone } => {
-                    self.install_account(offset, &record.customer, *as_of, account, *gone, horizon)
+                Entity::Members(members) => self.stage(&record.customer, *as_of, members),
+                Entity::Account { account, members } => {
+                    let image = (account, *members);
+                    self.install_account(offset, &record.customer, *as_of, image, horizon)
                 }
                 Entity::Program { name, program } => {
                     self.install_program(&record.customer, *as_of, name, program)
@@ -193,7 +194,7 @@
         }
     }
 
-    fn stage(&mut self, customer: &Customer, as_of: u64, gone: &[(Time, Gone)]) -> Outcome {
+    fn stage(&mut self, customer: &Customer, as_of: u64, members: &[Member]) -> Outcome {
         if self.begin > as_of {
             return Outcome::Rejected(Reason::BeforeBegin);
         }
@@ -203,7 +204,7 @@
             let account = self.accounts.entry(customer.clone());
             let account = account.or_insert_with(fresh);
             if !account.sound {
-                account.stage(as_of, gone);
+                account.stage(as_of, members);
             }
         }
         Outcome::Accepted
@@ -214,8 +215,7 @@
         offset: u64,
         customer: &Customer,
         as_of: u64,
-        image: &Account,
-        gone: u64,
+        (image, members): (&Account, u64),
         horizon: &Horizon,
     ) -> Outcome {
         if as_of + RECENT < offset {
@@ -234,7 +234,7 @@
             None => Account::new(false, now),
         };
         let version = account.version();
-        if !account.install(image, as_of, gone, now) {
+        if !account.install(image, as_of, members, now) {
             return Outcome::Rejected(Reason::Stale);
         }
         for (at, time, record) in &self.recent {
--- a/src/ledger/state.rs
+++ b/src/ledger/state.rs
@@ -34,7 +34,7 @@
     },
 };
 
-/// Ended programs and settled tranches in one record, about 150 bytes each.
+/// Members of an account in one record of a snapshot, about 150 bytes each.
 const PART: usize = 1_000;
 
 /// Returns the partition that holds a customer's records.
@@ -205,12 +205,12 @@
         let Some(account) = self.account(customer) else {
             return Vec::new();
         };
-        let gone = account.gone();
-        let parts = gone.chunks(PART);
-        let mut entities: Vec<_> = parts.map(|part| Entity::Gone(part.to_vec())).collect();
+        let members = account.members();
+        let parts = members.chunks(PART);
+        let mut entities: Vec<_> = parts.map(|part| Entity::Members(part.to_vec())).collect();
         entities.push(Entity::Account {
             account: account.image(),
-            gone: gone.len() as u64,
+            members: members.len() as u64,
         });
         let bodies = entities.into_iter();
         bodies
--- a/tests/ledger_replica.rs
+++ b/tests/ledger_replica.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use gypsumlever::{
+    contract::Server,
     hash::{
         Map,
         Set, //
@@ -78,6 +79,8 @@
     second: u64,
     made: Vec<Record>,
     names: Vec<Program>,
+    /// Numbers of the programs' next turns.
+    next: Map<Program, u32>,
 }
 
 impl Maker {
@@ -106,8 +109,14 @@
                 let key = key.map(|key| key.to_string());
                 start(&name, parent.as_ref(), key.as_deref())
             }
-            Op::Turn(p, index) => turn(&self.current(p), index),
-            Op::Claim(p, index) => claim(&self.current(p), index),
+            Op::Turn(p, index) => {
+                let name = self.current(p);
+                turn(&name, self.index(&name, index))
+            }
+            Op::Claim(p, index) => {
+                let name = self.current(p);
+                claim(&name, self.index(&name, index))
+            }
             Op::Reserve(amount) => reserve(amount),
             Op::Void(seed) => match self.pick(seed, |body| matches!(body, Body::Claim { .. })) {
                 Some(Record {
@@ -142,6 +151,14 @@
         record
     }
 
+    /// Half of the numbers stand for the next turn's.
+    fn index(&self, name: &Program, number: u32) -> u32 {
+        match number < 2 {
+            true => number,
+            false => self.next.get(name).copied().unwrap_or(0),
+        }
+    }
+
     fn current(&mut self, p: u64) -> Program {
         let slot = p + PROGRAMS * (self.second / 60);
         self.name(slot)
@@ -203,7 +220,8 @@
         let mut imported = None;
         let mut accepted = Set::default();
         let mut open: Map<(Program, u32), Uuid> = Map::default();
-        for (offset, step) in (0..).zip(steps) {
+        let first = (Op::Publish(1, 40), 0, true);
+        for (offset, step) in (0..).zip([first].into_iter().chain(steps)) {
             let record = maker.make(step);
             let before = sight(&state);
             let outcome = state.apply(offset, &record);
@@ -230,6 +248,9 @@
                 Body::Claim { program, index } => {
                     prop_assert_eq!(open.insert((program, index), record.id), None);
                 }
+                Body::Turn { program, index, .. } => {
+                    maker.next.insert(program, index + 1);
+                }
                 Body::Void { claim, .. } => open.retain(|_, id| *id != claim),
                 _ => {
                     let used = |sight: &Sight| sight.spent + sight.outstanding;
@@ -369,19 +390,21 @@
     let touch = |number| record(0, number, "a", turn(&p, 0));
     reader.apply(3, &touch(3));
     full.push(touch(3));
-    let account = full.state.snapshot_account(&customer()).remove(0);
     let program = full.state.snapshot_program(&p).unwrap();
-    assert!(reader.apply(4, &record(0, 4, "a", account)).took_effect());
-    reader.apply(5, &touch(5));
-    let outcome = reader.apply(6, &record(0, 6, "a", program));
+    for (offset, body) in (4..).zip(full.state.snapshot_account(&customer())) {
+        let outcome = reader.apply(offset, &record(0, offset, "a", body));
+        assert_eq!(outcome, Outcome::Accepted);
+    }
+    reader.apply(6, &touch(6));
+    let outcome = reader.apply(7, &record(0, 7, "a", program));
     assert_eq!(outcome, Outcome::Rejected(Reason::Stale));
     // The reader's log begins after the state that the snapshots show.
     let full = setup();
     let mut reader = state();
     reader.lapse(0, 3);
-    let account = full.state.snapshot_account(&customer()).remove(0);
-    let program = full.state.snapshot_program(&p).unwrap();
-    for (offset, body) in (3..).zip([account, program]) {
+    let mut bodies = full.state.snapshot_account(&customer());
+    bodies.extend(full.state.snapshot_program(&p));
+    for (offset, body) in (3..).zip(bodies) {
         let outcome = reader.apply(offset, &record(0, offset, "a", body));
         assert_eq!(outcome, Outcome::Rejected(Reason::BeforeBegin));
     }
@@ -434,3 +457,31 @@
     assert!(self::state().import(1, &bytes).is_err());
     assert!(HORIZON.refresh() > Duration::ZERO);
 }
+
+#[test]
+fn snapshot_account_of_many_programs_fits_into_appends() {
+    const MANY: u64 = 2_500;
+    let mut full = Full {
+        log: Vec::new(),
+        state: state(),
+    };
+    let contract = contract(10, MANY as u32, Server::Gypsumlever);
+    let version = 1;
+    full.push(record(0, 0, "a", Body::Publish { version, contract }));
+    for number in 1..=MANY {
+        let body = start(&program(0, number), None, Some(&number.to_string()));
+        assert_eq!(full.push(record(0, number, "a", body)), Outcome::Accepted);
+    }
+    let begin = full.log.len() as u64;
+    full.push(record(0, MANY + 1, "a", reserve(1)));
+    let mut reader = state();
+    reader.lapse(0, begin);
+    let bodies = full.state.snapshot_account(&customer());
+    for (number, body) in (MANY + 2..).zip(bodies) {
+        let record = record(0, number, "a", body);
+        assert!(codec::encode(&record).len() < settings("a").batch_bytes);
+        assert_eq!(reader.apply(number, &record), Outcome::Accepted);
+    }
+    let running = reader.account(&customer()).unwrap().running();
+    assert_eq!(running as u64, MANY);
+}
