--- a/src/ledger/handle.rs
+++ b/src/ledger/handle.rs
@@ -130,6 +130,9 @@
     }
 
     /// Appends a record and waits until log order has decided.
+    ///
+    /// A future that is dropped does not take the record back; whoever commits a claim or a
+    /// reservation has to wait for the outcome, and to [`Self::withdraw`] it if that is unknown.
     pub async fn commit(&self, record: Record) -> Result<Outcome, Refusal> {
         let lane = self.lane(&record.customer);
         let retry_after = self.shared.settings.backoff_most;
--- a/tests/ledger_commit.rs
+++ b/tests/ledger_commit.rs
@@ -282,21 +282,50 @@
 }
 
 #[test]
-fn withdraw_of_claim_with_unknown_outcome() {
+fn commit_given_up_in_the_queue_is_never_sent() {
     run(async {
         let log = Memory::new(1);
-        let ledger = Ledger::start(log.clone(), settings("a"));
+        let single = Settings {
+            batch_records: 1,
+            ..hasty("a")
+        };
+        let ledger = Ledger::start(log.clone(), single);
+        accept(&ledger, publish(1, 10)).await;
+        log.set_latency(Duration::from_millis(60));
+        log.set_service(Service::Silent);
+        let records = [1, 2].map(|amount| ledger.record(&customer(), reserve(amount)));
+        let [first, second] = records.clone().map(|record| ledger.commit(record));
+        let (first, second) = tokio::join!(first, second);
+        assert!(matches!(first, Err(Refusal::Unknown { .. })));
+        // The first record was under way all the time, so that the second one was never sent.
+        assert!(matches!(second, Err(Refusal::NotApplied { .. })));
+        log.set_latency(Duration::ZERO);
+        log.set_service(Service::Up);
+        until(|| ledger.available()).await;
+        accept(&ledger, reserve(3)).await;
+        assert_eq!(records.map(|record| copies(&log, &record)), [0, 0]);
+    });
+}
+
+#[test]
+fn withdraw_of_claim_that_arrives_late() {
+    run(async {
+        let log = Memory::new(1);
+        let ledger = Ledger::start(log.clone(), hasty("a"));
         accept(&ledger, publish(1, 10)).await;
         let program = begin(&ledger).await;
         let record = ledger.record(&customer(), claim(&program, 0));
+        log.set_latency(Duration::from_millis(60));
         log.fail([Fault::Late]);
-        log.set_latency(Duration::from_millis(1));
-        let commit = ledger.commit(record.clone());
-        // The caller gives up while the request is under way.
-        let _ = tokio::time::timeout(Duration::from_millis(2), commit).await;
-        assert_eq!(ledger.withdraw(record), Ok(()));
+        let outcome = ledger.commit(record.clone()).await;
+        assert!(matches!(outcome, Err(Refusal::Unknown { .. })));
+        log.set_latency(Duration::ZERO);
+        assert_eq!(ledger.withdraw(record.clone()), Ok(()));
         assert!(ledger.flush(Duration::from_secs(5)).await);
+        until(|| ledger.available()).await;
         accept(&ledger, reserve(1)).await;
+        // The late copy came after the void.
+        assert_eq!(copies(&log, &record), 2);
         assert!(ledger.state().program(&program).unwrap().claim().is_none());
     });
 }
--- a/tests/ledger_purse.rs
+++ b/tests/ledger_purse.rs
@@ -169,8 +169,18 @@
         allocator.settle(&customer(), hold, Money(6));
         allocator.tick(Time::now());
         log.set_service(Service::Up);
-        // The tranche whose reservation had an unknown outcome is returned.
         let budget = || ledger.state().budget(&customer());
         until(|| budget().outstanding == Money(0) && budget().spent == Money(10)).await;
+        // A reservation that arrives after its refusal is returned as well.
+        until(|| ledger.available()).await;
+        log.set_latency(Duration::from_millis(60));
+        log.fail([Fault::Late]);
+        let denied = allocator.take(&customer(), Money(50)).await;
+        assert!(matches!(denied, Err(Denied::Log(Refusal::Unknown { .. }))));
+        log.set_latency(Duration::ZERO);
+        until(|| ledger.available()).await;
+        accept(&ledger, publish(2, 900)).await;
+        until(|| budget().outstanding == Money(0)).await;
+        assert_eq!(budget().spent, Money(10));
     });
 }
