--- a/src/daemon/upkeep.rs
+++ b/src/daemon/upkeep.rs
@@ -14,15 +14,23 @@
         Gone,
         Leaving, //
     },
+    executor::Release,
     hash::Set,
-    ledger::program,
+    ledger::{
+        program,
+        record, //
+    },
     member::{
         consul,
         list,
         snapshot::Status, //
     },
     metrics::Level,
-    name::Instance,
+    name::{
+        Customer,
+        Instance,
+        Program, //
+    },
     peer::wire::Body,
 };
 
@@ -31,6 +39,9 @@
 /// Period of the upkeep.
 pub(super) const PERIOD: Duration = Duration::from_millis(500);
 
+/// Time between two looks for programs that are older than their contract allows.
+const OVERDUE: Duration = Duration::from_secs(2);
+
 /// Time without a caught-up replica after which peers are asked for their state.
 const ASK_PEERS: Duration = Duration::from_secs(2);
 
@@ -39,6 +50,7 @@
     actix_web::rt::spawn(tick(app.clone()));
     actix_web::rt::spawn(get_ready(app.clone()));
     actix_web::rt::spawn(follow_peers(app.clone()));
+    actix_web::rt::spawn(end_overdue(app.clone()));
     actix_web::rt::spawn(follow_view(app.clone()));
     let config = &app.shared().config;
     let (address, service) = (&config.list.address, &config.list.service);
@@ -69,6 +81,52 @@
     }
 }
 
+/// Ends programs that are older than their contract allows, even if their callers never return.
+///
+/// Their engine memory and their place among the customer's programs would otherwise stay taken.
+async fn end_overdue(app: App) {
+    let shared = app.shared();
+    loop {
+        sleep(OVERDUE).await;
+        if !shared.ledger.available() {
+            continue;
+        }
+        for (customer, name) in overdue(&app) {
+            let body = record::Body::End {
+                program: name.clone(),
+                reason: record::Ending::TimeLimit,
+            };
+            let record = shared.ledger.record(&customer, body);
+            if shared.ledger.commit(record).await.is_err() {
+                break;
+            }
+            log::info!("daemon: program {name} reached its time limit");
+            let shard = app.gateway.pool().shard(Some(&name));
+            shard.do_send(Release { program: name });
+        }
+    }
+}
+
+/// Returns the programs of this home that have lived longer than their contract allows.
+fn overdue(app: &App) -> Vec<(Customer, Program)> {
+    let shared = app.shared();
+    let snapshot = shared.roster.snapshot();
+    let state = shared.ledger.state();
+    let now = Time::now();
+    let late = |program: &program::Program| {
+        let contract = state.contract(program.customer())?;
+        let age = now.since(program.started());
+        (age.as_secs() >= contract.limits().seconds).then(|| program.customer().clone())
+    };
+    let own = &shared.config.instance;
+    let mine = |name: &Program| snapshot.home(name).is_none_or(|home| home == own);
+    state
+        .programs()
+        .filter_map(|(name, program)| Some((late(program)?, name.clone())))
+        .filter(|(_, name)| mine(name))
+        .collect()
+}
+
 /// Drops held turns that the log has decided.
 fn drop_decided(app: &App) {
     let shared = app.shared();
--- a/src/executor/prompt.rs
+++ b/src/executor/prompt.rs
@@ -1,12 +1,18 @@
 //! Prompts from a program's history.
 
 use crate::{
-    ledger::record::Turn,
+    ledger::record::{
+        Ran,
+        Turn, //
+    },
     upstream::Message, //
 };
 
 use super::request::Call;
 
+/// What a model is told about a call whose outcome is unknown.
+const UNKNOWN: &str = "The outcome of this call is unknown; it must not be repeated.";
+
 /// Tokens that an engine adds to each message for its role and delimiters, as an upper bound.
 const MESSAGE_TOKENS: u64 = 16;
 
@@ -16,6 +22,10 @@
 pub fn messages(history: &[std::sync::Arc<Turn>]) -> Vec<Message> {
     let mut messages = Vec::new();
     for turn in history {
+        if turn.ran != Ran::Yes {
+            messages.push(message("tool", UNKNOWN));
+            continue;
+        }
         match serde_json::from_str::<Call>(&turn.request) {
             Ok(Call::Model { messages: new, .. }) => {
                 messages.extend(new);
