Return the money of calls that were not sent, and prove two owners of one program

Cause: a call that got no upstream, or no claim, dropped its hold, which counts as spent; at the peak, refusals would have used up budgets. Change: the hold is settled with zero on those paths; the attempt loop is split into smaller functions; a test with two instances that can't reach each other. Conclusion: only attempts that may have reached an upstream cost money.

--- a/src/executor/attempt.rs
+++ b/src/executor/attempt.rs
@@ -88,6 +88,15 @@
 }
 
 impl Work {
+    /// Returns whether a failed attempt certainly cost nothing.
+    fn costs_nothing(&self, failure: &Failure) -> bool {
+        match failure {
+            Failure::NotSent(_) => true,
+            Failure::Refused { .. } => self.idempotent(),
+            Failure::Failed { .. } | Failure::Unknown(_) => false,
+        }
+    }
+
     fn idempotent(&self) -> bool {
         match self {
             Self::Model(_) => true,
@@ -209,21 +218,22 @@
         task: &Task,
         first: Hold,
     ) -> Result<Outcome, Refusal> {
-        let mut hold = Some(first);
+        let mut hold = first;
         let mut excluded = Vec::new();
         let mut lost = Money(0);
-        for attempt in 1.. {
-            let covered = match hold.take() {
-                Some(hold) => hold,
-                None => self.cover(&task.request.customer, task.worst).await?,
+        loop {
+            let lease = match self.lease(job, task, &excluded).await {
+                Ok(lease) => lease,
+                Err(refusal) => {
+                    self.settle(task, hold, Money(0));
+                    return Err(refusal);
+                }
             };
-            let lease = self.lease(job, task, &excluded, lost).await?;
             let upstream = lease.upstream.clone();
-            let miss = match self.send(job, task, lease).await {
+            let failure = match self.send(job, task, lease).await {
                 Ok((content, usage)) => {
-                    let cost = self.price(task, &usage);
-                    let cost = Money(cost.0.min(task.worst.0));
-                    self.settle(task, covered, cost);
+                    let cost = self.price(task, &usage).min(task.worst);
+                    self.settle(task, hold, cost);
                     let cost = cost.saturating_add(lost);
                     return Ok(Outcome {
                         content,
@@ -231,55 +241,40 @@
                         cost,
                     });
                 }
-                Err(miss) => miss,
-            };
-            let safe = task.work.idempotent();
-            let failure = match miss {
-                Miss::Stale => {
-                    self.settle(task, covered, Money(0));
-                    let detail = "the claim became too old before the call could be sent";
-                    return Err(refuse(
-                        Reason::DeadlineUnreachable,
-                        detail,
-                        Some(RETRY_AFTER),
-                    ));
-                }
-                Miss::Cancelled => {
-                    drop(covered);
-                    return Err(cancelled(safe));
+                Err(Miss::Stale) => {
+                    self.settle(task, hold, Money(0));
+                    return Err(stale());
                 }
-                Miss::Upstream(failure) => failure,
+                // The upstream may have done the work; the dropped hold counts as spent.
+                Err(Miss::Cancelled) => return Err(cancelled(task.work.idempotent())),
+                Err(Miss::Upstream(failure)) => failure,
             };
-            match &failure {
-                Failure::NotSent(_) => hold = Some(covered),
-                Failure::Refused { .. } if safe => hold = Some(covered),
-                // The upstream may have done the work, so that its highest cost counts as spent.
-                _ => {
-                    drop(covered);
-                    lost = lost.saturating_add(task.worst);
-                }
-            }
-            let repeatable = safe || matches!(failure, Failure::NotSent(_));
-            let again = repeatable
-                && attempt < MOST_ATTEMPTS
-                && Time::now() < task.deadline
-                && self
-                    .shared
-                    .broker
-                    .retry(task.request.call.pool(), &task.request.customer)
-                    .await;
-            if !again {
-                if let Some(unused) = hold.take() {
-                    self.settle(task, unused, Money(0));
+            let free = task.work.costs_nothing(&failure);
+            excluded.push(upstream);
+            if !self.may_retry(task, &failure, excluded.len()).await {
+                if free {
+                    self.settle(task, hold, Money(0));
                 }
-                return Err(failed(&failure, safe));
+                return Err(failed(&failure, task.work.idempotent()));
             }
             self.shared.metrics.retried(Retry::from(&failure));
             log::info!("executor: {} retries after {failure}", task.request.id);
             job.restart();
-            excluded.push(upstream);
+            if !free {
+                lost = lost.saturating_add(task.worst);
+                hold = self.cover(&task.request.customer, task.worst).await?;
+            }
+        }
+    }
+
+    /// Returns whether a failed call may be sent again, and takes the retry from its budget.
+    async fn may_retry(&self, task: &Task, failure: &Failure, attempts: usize) -> bool {
+        let repeatable = task.work.idempotent() || matches!(failure, Failure::NotSent(_));
+        if !repeatable || attempts >= MOST_ATTEMPTS || Time::now() >= task.deadline {
+            return false;
         }
-        unreachable!("the loop ends after the last attempt")
+        let pool = task.request.call.pool();
+        self.shared.broker.retry(pool, &task.request.customer).await
     }
 
     fn price(&self, task: &Task, usage: &Usage) -> Money {
@@ -301,7 +296,6 @@
         job: &Rc<Job>,
         task: &Task,
         excluded: &[Upstream],
-        _lost: Money,
     ) -> Result<Lease, Refusal> {
         let (prefix, cost) = match &task.work {
             Work::Model(prompt) => {
@@ -454,6 +448,11 @@
     limits.first = limits.first.min(left);
 }
 
+fn stale() -> Refusal {
+    let detail = "the claim became too old before the call could be sent";
+    refuse(Reason::DeadlineUnreachable, detail, Some(RETRY_AFTER))
+}
+
 fn cancelled(idempotent: bool) -> Refusal {
     let mut refusal = refuse(Reason::Cancelled, "the caller cancelled the call", None);
     refusal.ran = Ran::Unknown;
--- a/src/executor/commit.rs
+++ b/src/executor/commit.rs
@@ -27,6 +27,7 @@
         Refusal as LogRefusal,
     },
     metrics::Span,
+    money::Money,
     name::{
         Instance,
         Program, //
@@ -175,7 +176,14 @@
         }
         let hold = self.cover(&request.customer, worst).await?;
         let claim = match operation.filter(|operation| !operation.idempotent) {
-            Some(_) => Some(self.claim(&request, program, plan).await?),
+            Some(_) => match self.claim(&request, program, plan).await {
+                Ok(claimed) => Some(claimed),
+                Err(refusal) => {
+                    let purses = &self.shared.purses;
+                    purses.settle(&request.customer, hold, Money(0));
+                    return Err(refusal);
+                }
+            },
             None => None,
         };
         let task = Task {
--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -71,6 +71,19 @@
     calls: usize,
 }
 
+impl Notes {
+    /// Notes the version that a process shows.
+    fn see(&mut self, process: (String, u32), version: u64) {
+        let highest = self.versions.entry(process.clone()).or_default();
+        let reverted = version < *highest;
+        *highest = version.max(*highest);
+        if reverted {
+            self.reverted
+                .push(format!("{process:?} went back to {version}"));
+        }
+    }
+}
+
 struct World {
     cluster: RefCell<Cluster>,
     notes: RefCell<Notes>,
@@ -221,15 +234,8 @@
             let entry: Value = found.json().await.unwrap_or_default();
             if let Some(version) = entry["version"].as_u64() {
                 let pid = world.cluster.borrow().nodes[at].pid();
-                let mut notes = world.notes.borrow_mut();
-                let key = (world.addresses[at].clone(), pid);
-                let highest = notes.versions.entry(key).or_default();
-                let reverted = version < *highest;
-                *highest = version.max(*highest);
-                if reverted {
-                    notes.reverted.push(format!("{url} went back to {version}"));
-                }
-                drop(notes);
+                let process = (world.addresses[at].clone(), pid);
+                world.notes.borrow_mut().see(process, version);
                 let raw = json!({ "customer": "sirag", "budget_micros": budget, "share": share });
                 let request = world.http.put(&url);
                 let request = request.insert_header(("If-Match", format!("\"{version}\"")));
@@ -387,17 +393,21 @@
         task.await.expect("a task");
     }
     println!("chaos: faults {trail:?}");
-    judge(&world, budget).await;
+    let world = Rc::into_inner(world).expect("all tasks have ended");
+    judge(
+        &world.cluster.into_inner(),
+        &world.notes.into_inner(),
+        budget,
+    )
+    .await;
 }
 
 /// Checks all invariants after the faults.
-async fn judge(world: &World, budget: u64) {
-    let cluster = world.cluster.borrow();
+async fn judge(cluster: &Cluster, notes: &Notes, budget: u64) {
     for at in 0..cluster.nodes.len() {
         cluster.wait_ready(at).await;
     }
     cluster.wait_joined().await;
-    let notes = world.notes.borrow();
     println!(
         "chaos: {} calls, {} programs, {} deposits of which {} captured and {} refused",
         notes.calls,
@@ -421,8 +431,8 @@
     for key in &notes.refused {
         assert_eq!(cluster.captures(key), 0, "deposit {key} was told not run");
     }
-    check_histories(&cluster, &notes).await;
-    check_memory(&cluster, &notes).await;
+    check_histories(cluster, notes).await;
+    check_memory(cluster, notes).await;
     let costs = cluster
         .engines
         .iter()
--- a/tests/failure_agreement.rs
+++ b/tests/failure_agreement.rs
@@ -194,6 +194,28 @@
     );
 }
 
+/// Guards against refused calls that use up the budget although nothing was sent.
+#[actix_web::test]
+async fn budget_untouched_by_refusals() {
+    let cluster = Cluster::start(Shape::default()).await;
+    assert_eq!(cluster.publish(0, 1, &contract(3_000, 1)).await.0, 200);
+    cluster.wait_contract("sirag", 1).await;
+    let program = cluster.program(0).await;
+    cluster.engines[0].set_faults(engine::Faults {
+        refuse: true,
+        ..engine::Faults::default()
+    });
+    for at in 0..40 {
+        let (status, body) = cluster
+            .say(0, &program, &format!("refused-{at}"), "q")
+            .await;
+        assert_eq!((status, &body["ran"]), (503, &json!("no")), "{body}");
+    }
+    cluster.engines[0].set_faults(engine::Faults::default());
+    let (status, body) = cluster.say(0, &program, "k", "q").await;
+    assert_eq!(status, 200, "{body}");
+}
+
 /// Guards against an upstream that is leaving and still gets new work after a few seconds.
 #[actix_web::test]
 async fn departure_of_an_engine() {
--- a/tests/failure_instances.rs
+++ b/tests/failure_instances.rs
@@ -180,6 +180,68 @@
     }
 }
 
+/// Guards against two instances that can't reach each other and both serve a program: the log
+/// decides on one turn, both callers of one call get it, and a deposit is sent at most once.
+#[actix_web::test]
+async fn history_two_owners() {
+    let mut cluster = Cluster::prepare(&Shape {
+        instances: 2,
+        engines: 2,
+        ..Shape::default()
+    });
+    cluster.nodes[1].secret = "another-secret".into();
+    for at in 0..2 {
+        cluster.nodes[at].start();
+        cluster.wait_ready(at).await;
+    }
+    cluster.with_contract().await;
+    // The list names both instances until each has found that it can't reach the other.
+    sleep(Duration::from_secs(4)).await;
+    for round in 0..10 {
+        let program = cluster.program(0).await;
+        let same = (
+            cluster.say(0, &program, "k", "q"),
+            cluster.say(1, &program, "k", "q"),
+        );
+        let (one, two) = futures_util::join!(same.0, same.1);
+        assert_eq!((one.0, two.0), (200, 200), "{one:?} {two:?}");
+        assert_eq!(
+            one.1["content"], two.1["content"],
+            "both callers get the committed turn"
+        );
+        let other = (
+            cluster.say(0, &program, "a", "one"),
+            cluster.say(1, &program, "b", "two"),
+        );
+        let (one, two) = futures_util::join!(other.0, other.1);
+        let (_, history) = cluster.get(0, &format!("/v1/programs/{program}")).await;
+        let turns = history["turns"].as_array().cloned().unwrap_or_default();
+        for (status, body) in [&one, &two] {
+            match status {
+                200 => {
+                    let turn = body["turn"].as_u64().expect("a turn") as usize;
+                    assert_eq!(turns[turn]["answer"], body["content"], "{history}");
+                }
+                _ => assert_ne!(
+                    body["ran"], "no",
+                    "a call that ran was told not run: {body}"
+                ),
+            }
+        }
+        let key = format!("split-{round}");
+        let once = (
+            cluster.capture(0, &program, &key),
+            cluster.capture(1, &program, &key),
+        );
+        let (one, two) = futures_util::join!(once.0, once.1);
+        assert_eq!(cluster.captures(&key), 1, "{one:?} {two:?}");
+        assert!(
+            [&one, &two].iter().any(|answer| answer.0 == 200),
+            "{one:?} {two:?}"
+        );
+    }
+}
+
 /// Guards against requests that are cut off by a rolling restart of all instances under load.
 #[actix_web::test]
 async fn stop_rolling_restart_under_load() {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -79,6 +79,8 @@
     pub zone: String,
     pub callers: String,
     pub peers: String,
+    /// Secret of the links; instances with different ones can't reach each other.
+    pub secret: String,
     config: PathBuf,
     child: Option<Child>,
 }
@@ -129,7 +131,7 @@
         let child = Command::new(env!("CARGO_BIN_EXE_gypsumleverd"))
             .arg("--config")
             .arg(&self.config)
-            .env("GYPSUMLEVER_PEER_SECRET", SECRET)
+            .env("GYPSUMLEVER_PEER_SECRET", &self.secret)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
@@ -245,6 +247,7 @@
                     zone: (*zone).to_owned(),
                     callers,
                     peers,
+                    secret: SECRET.to_owned(),
                     config,
                     child: None,
                 });
