Keep the last turn of an ended program readable

A program that reaches a limit ends together with its last turn; a caller whose connection was lost then could not fetch that response. The tombstone keeps where the turn is, and texts leave the cache by age instead of with the end. An end in the name of another customer dropped the program from a reader whose log begins late; the customer is now compared, and a test covers it.

--- a/src/ledger/account.rs
+++ b/src/ledger/account.rs
@@ -84,6 +84,19 @@
     id: u64,
     reason: Ending,
     key: Option<u64>,
+    last: Option<Last>,
+}
+
+/// Where the last turn of an ended program is.
+///
+/// The caller may still have to fetch the response that came with the end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Last {
+    /// Number of the turn.
+    pub index: u32,
+    /// Offset of the record that holds its text.
+    pub offset: u64,
 }
 
 /// Something that is forgotten when its time has come.
@@ -210,6 +223,17 @@
         self.ended.get(program).map(|tomb| tomb.reason)
     }
 
+    /// Returns where the last turn of an ended program is, while that is remembered.
+    pub fn last(&self, program: &Program) -> Option<Last> {
+        self.ended.get(program)?.last
+    }
+
+    pub(crate) fn set_last(&mut self, program: &Program, last: Last) {
+        if let Some(tomb) = self.ended.get_mut(program) {
+            tomb.last = Some(last);
+        }
+    }
+
     /// Returns the program that was started with an idempotency key.
     pub fn keyed(&self, key: &str) -> Option<&Program> {
         self.keys.get(&hash::stable(key.as_bytes()))
@@ -434,6 +458,7 @@
                 id,
                 reason,
                 key: run.key,
+                last: None,
             };
             let until = now.max(created(&program).unwrap_or_default()) + memory;
             self.ended.insert(program.clone(), tomb);
--- a/src/ledger/cache.rs
+++ b/src/ledger/cache.rs
@@ -62,6 +62,10 @@
         }
     }
 
+    pub(crate) fn find(&self, program: &Program, index: u32) -> Option<Arc<Turn>> {
+        self.lines.get(program)?.turns.get(&index).cloned()
+    }
+
     pub(crate) fn get(&mut self, program: &Program, count: u32) -> Vec<Option<Arc<Turn>>> {
         let Some(line) = self.lines.get(program) else {
             return vec![None; count as usize];
@@ -72,10 +76,6 @@
         found
     }
 
-    pub(crate) fn remove(&mut self, program: &Program) {
-        self.drop_line(program);
-    }
-
     fn drop_line(&mut self, program: &Program) {
         if let Some(line) = self.lines.remove(program) {
             self.order.remove(&line.used);
--- a/src/ledger/follower.rs
+++ b/src/ledger/follower.rs
@@ -143,17 +143,16 @@
     }
 
     fn resolve(&self, record: &Record, outcome: Outcome) {
-        if outcome == Outcome::Accepted {
-            let mut cache = self.shared.cache();
-            match &record.body {
-                Body::Turn {
-                    program,
-                    index,
-                    turn,
-                } => cache.insert(program, *index, turn),
-                Body::End { program, .. } => cache.remove(program),
-                _ => {}
-            }
+        if let (
+            Outcome::Accepted,
+            Body::Turn {
+                program,
+                index,
+                turn,
+            },
+        ) = (&outcome, &record.body)
+        {
+            self.shared.cache().insert(program, *index, turn);
         }
         let queue = &self.shared.lane(self.partition).queue;
         queue.resolve(&record.id, outcome);
--- a/src/ledger/handle.rs
+++ b/src/ledger/handle.rs
@@ -25,6 +25,7 @@
 use crate::{
     clock::Time,
     ledger::{
+        account::Last,
         codec,
         follower::Follower,
         history::{
@@ -228,6 +229,24 @@
         complete.ok_or_else(|| Missing::Unavailable("a turn is missing".into()))
     }
 
+    /// Returns the last turn of a program that ended, with its number, while that is remembered.
+    pub async fn last_turn(
+        &self,
+        customer: &Customer,
+        program: &Program,
+    ) -> Result<Option<(u32, Arc<Turn>)>, Missing> {
+        let account = |state: &State| state.account(customer).map(|a| a.last(program));
+        let Some(Last { index, offset }) = account(&self.state()).flatten() else {
+            return Ok(None);
+        };
+        let cached = self.shared.cache().find(program, index);
+        if let Some(turn) = cached {
+            return Ok(Some((index, turn)));
+        }
+        let wanted = vec![Wanted { index, offset }];
+        Ok(self.fetch(customer, program, wanted).await?.pop())
+    }
+
     async fn fetch(
         &self,
         customer: &Customer,
--- a/src/ledger/shard.rs
+++ b/src/ledger/shard.rs
@@ -16,6 +16,7 @@
     ledger::{
         account::{
             Account,
+            Last,
             Member, //
         },
         outcome::{
@@ -173,12 +174,28 @@
             self.accounts.insert(record.customer.clone(), fresh);
         }
         for program in &gone {
-            self.programs.remove(program);
-            self.missed.remove(program);
+            self.remove(&record.customer, program);
         }
         outcome
     }
 
+    /// Drops a program that ended and keeps where its last turn is.
+    fn remove(&mut self, customer: &Customer, name: &name::Program) {
+        let known = self.programs.get(name);
+        let Some(program) = known.filter(|program| program.customer() == customer) else {
+            return;
+        };
+        let last = program.turns().last().map(|turn| Last {
+            index: program.next() - 1,
+            offset: turn.offset(),
+        });
+        if let (Some(last), Some(account)) = (last, self.accounts.get_mut(customer)) {
+            account.set_last(name, last);
+        }
+        self.programs.remove(name);
+        self.missed.remove(name);
+    }
+
     /// Keeps a record about an account, to apply it again on top of a snapshot.
     fn remember(&mut self, offset: u64, record: &Record) {
         if self.begin == 0 {
--- a/tests/ledger_commit.rs
+++ b/tests/ledger_commit.rs
@@ -151,7 +151,7 @@
     run(async {
         let log = Memory::new(1);
         let small = Settings {
-            cache_bytes: 1_000,
+            cache_bytes: 100,
             ..settings("a")
         };
         let ledger = Ledger::start(log.clone(), small);
@@ -168,6 +168,11 @@
         let answers: Vec<_> = history.iter().map(|turn| turn.answer.as_str()).collect();
         let expected: Vec<_> = (0..30).map(|index| format!("answer {index}")).collect();
         assert_eq!(answers, expected);
+        // The caller may fetch the response that came with the end.
+        accept(&ledger, end(&program)).await;
+        let last = ledger.last_turn(&customer(), &program).await.unwrap();
+        let last = last.map(|(index, turn)| (index, turn.answer.clone()));
+        assert_eq!(last, Some((29, "answer 29".into())));
     });
 }
 
--- a/tests/ledger_state.rs
+++ b/tests/ledger_state.rs
@@ -222,21 +222,25 @@
 }
 
 #[test]
-fn apply_claim_of_another_customer() {
+fn apply_records_of_another_customer() {
     let p = program(0, 1);
-    let mut state = state();
-    let own = |number, body| record(0, number, "a", body);
-    state.apply(0, &own(0, publish(1, 10)));
-    state.apply(1, &own(1, start(&p, None, None)));
-    let foreign = |number, body| Record {
-        customer: "cascade".try_into().unwrap(),
-        ..own(number, body)
-    };
-    for (number, body) in [(2, turn(&p, 0)), (3, claim(&p, 0)), (4, end(&p))] {
-        let outcome = state.apply(number, &foreign(number, body));
-        assert_eq!(outcome, Rejected(Reason::UnknownProgram));
+    // The second reader's log begins late, so that it can't be sure of its accounts.
+    for begin in [0, 1] {
+        let mut state = state();
+        state.lapse(0, begin);
+        let own = |number, body| record(0, number, "a", body);
+        state.apply(1, &own(1, publish(1, 10)));
+        state.apply(2, &own(2, start(&p, None, None)));
+        let foreign = |number, body| Record {
+            customer: "cascade".try_into().unwrap(),
+            ..own(number, body)
+        };
+        for (number, body) in [(3, turn(&p, 0)), (4, claim(&p, 0)), (5, end(&p))] {
+            let outcome = state.apply(number, &foreign(number, body));
+            assert_eq!(outcome, Rejected(Reason::UnknownProgram));
+        }
+        assert_eq!(state.program(&p).map(|p| p.next()), Some(0));
     }
-    assert_eq!(state.program(&p).unwrap().next(), 0);
 }
 
 #[test]
