config: Let other modules locate faults in YAML files

gypsumctl checks contracts before it sends them and has to name file, line and field as the daemon does for its settings. Two functions become public; nothing else changes.

--- a/src/config/place.rs
+++ b/src/config/place.rs
@@ -138,7 +138,7 @@
 }
 
 /// Sets the lines of faults from their paths; a missing setting gets the line of its parent.
-pub(super) fn locate(text: &str, faults: &mut [Fault]) {
+pub fn locate(text: &str, faults: &mut [Fault]) {
     let places = places(text);
     for fault in faults {
         let parent = |place: &&Place| fault.path.starts_with(&place.path);
@@ -151,7 +151,7 @@
 }
 
 /// Turns an error of the parser into a fault with path and line.
-pub(super) fn fault(text: &str, error: &Error) -> Fault {
+pub fn fault(text: &str, error: &Error) -> Fault {
     let error = error.without_snippet();
     let (line, column) = error
         .location()
