Add the command-line tool for operators

Operators had no tool; contracts and refusals were reachable by hand-made HTTP requests only. gypsumctl publishes, amends, compares and watches contracts, shows instances, upstreams, programs and queues, and explains refusals. Contracts are checked with file, line and field before they are sent. A lost answer is repeated on the next server, which the version precondition makes harmless.

The list of instances has no callers' addresses, so `why`, `queues` and `upstreams` assume the port of the asked server for all instances.

--- a/src/bin/gypsumctl.rs
+++ b/src/bin/gypsumctl.rs
@@ -1,3 +1,16 @@
 //! The command-line tool for operators.
 
-fn main() {}
+use std::{
+    io,
+    process::ExitCode, //
+};
+
+use gypsumlever::ctl;
+
+fn main() -> ExitCode {
+    let arguments = std::env::args_os().skip(1).collect();
+    let variable = std::env::var(ctl::VARIABLE).ok();
+    let (mut out, mut notes) = (io::stdout(), io::stderr());
+    let run = ctl::run(arguments, variable, &mut out, &mut notes);
+    ExitCode::from(actix_web::rt::System::new().block_on(run))
+}
--- /dev/null
+++ b/src/ctl/failure.rs
@@ -0,0 +1,82 @@
+//! Why a command did not do its work, and the exit codes.
+
+use serde_json::{
+    json,
+    Value, //
+};
+use thiserror::Error;
+
+use crate::api::problem::Problem;
+
+use super::{
+    advice,
+    print, //
+};
+
+/// Reason why a command failed.
+#[derive(Debug)]
+#[derive(Error)]
+pub enum Failure {
+    /// The command did not succeed.
+    #[error("{0}")]
+    Failed(String),
+    /// The command line or a file is wrong.
+    #[error("{0}")]
+    Usage(String),
+    /// Another change was accepted first.
+    #[error("{message}")]
+    Conflict {
+        /// Explanation for people.
+        message: String,
+        /// Version in effect.
+        version: u64,
+    },
+    /// The system refused the request.
+    #[error(
+        "{server} refused the request: {} ({})\nran: {}; {}\nwhat to do: {}",
+        .problem.detail,
+        print::word(&.problem.reason),
+        advice::ran(.problem.ran),
+        advice::again(.problem.retry_after_ms),
+        advice::of(.problem.reason).action
+    )]
+    Refused {
+        /// Server that refused.
+        server: String,
+        /// The refusal.
+        problem: Box<Problem>,
+    },
+    /// No server could be asked.
+    #[error("{0}")]
+    Unreachable(String),
+}
+
+impl Failure {
+    /// Returns the exit code.
+    pub fn code(&self) -> u8 {
+        match self {
+            Self::Failed(_) => 1,
+            Self::Usage(_) => 2,
+            Self::Conflict { .. } => 3,
+            Self::Refused { .. } => 4,
+            Self::Unreachable(_) => 5,
+        }
+    }
+
+    /// Returns the failure for programs that read the output.
+    pub fn json(&self) -> Value {
+        let mut value = json!({ "error": self.to_string(), "exit": self.code() });
+        match self {
+            Self::Conflict { version, .. } => value["version"] = json!(version),
+            Self::Refused { problem, .. } => value["problem"] = json!(problem),
+            _ => {}
+        }
+        value
+    }
+}
+
+impl From<anyhow::Error> for Failure {
+    fn from(error: anyhow::Error) -> Self {
+        Self::Failed(format!("{error:#}"))
+    }
+}
--- /dev/null
+++ b/src/ctl/file.rs
@@ -0,0 +1,92 @@
+//! Contracts in files of operators.
+
+use std::{
+    fs,
+    path::Path, //
+};
+
+use crate::{
+    config::{
+        self,
+        place,
+        Faults, //
+    },
+    contract::{
+        Contract,
+        Fault,
+        Raw, //
+    },
+    name::{
+        Class,
+        MAX_BYTES, //
+    },
+};
+
+use super::failure::Failure;
+
+/// Reads a contract and checks it as an instance would.
+pub fn read(path: &Path) -> Result<Raw, Failure> {
+    let file = path.display().to_string();
+    let text = fs::read_to_string(path)
+        .map_err(|error| Failure::Usage(format!("{file} can't be read: {error}")))?;
+    parse(&file, &text).map_err(|faults| Failure::Usage(faults.to_string()))
+}
+
+/// Checks the text of a file.
+pub fn parse(file: &str, text: &str) -> Result<Raw, Faults> {
+    let faults = |fault| Faults {
+        file: file.to_owned(),
+        list: vec![fault],
+    };
+    let raw: Raw =
+        serde_saphyr::from_str(text).map_err(|error| faults(place::fault(text, &error)))?;
+    match Contract::try_from(raw.clone()) {
+        Ok(_) => Ok(raw),
+        Err(fault) => {
+            let mut list = [located(&raw, &fault)];
+            place::locate(text, &mut list);
+            let [fault] = list;
+            Err(faults(fault))
+        }
+    }
+}
+
+/// Returns a fault with the path of the field.
+fn located(raw: &Raw, fault: &Fault) -> config::Fault {
+    let (path, message) = match fault {
+        Fault::Customer(invalid) => (
+            "customer".to_owned(),
+            format!("{invalid}; at most {MAX_BYTES} bytes are allowed"),
+        ),
+        Fault::Share(_) => ("share".to_owned(), message(fault)),
+        Fault::Zero("classes.deadline_ms") => {
+            let at = raw.classes.iter().position(|work| work.deadline_ms == 0);
+            let path = format!("classes[{}].deadline_ms", at.unwrap_or(0));
+            (path, message(fault))
+        }
+        Fault::Zero(field) => ((*field).to_owned(), message(fault)),
+        Fault::Twice(class) => {
+            let path = format!("classes[{}].class", second(raw, class));
+            (path, format!("{class} is listed twice; remove one entry"))
+        }
+        Fault::Digest => ("key_sha256".to_owned(), message(fault)),
+    };
+    config::Fault {
+        path,
+        line: 0,
+        message,
+    }
+}
+
+/// Returns the message without the field that it begins with.
+fn message(fault: &Fault) -> String {
+    let text = fault.to_string();
+    let message = text.split_once(": ").map(|(_, message)| message.to_owned());
+    message.unwrap_or(text)
+}
+
+fn second(raw: &Raw, class: &Class) -> usize {
+    let found = raw.classes.iter().enumerate();
+    let mut found = found.filter(|(_, work)| work.class == *class);
+    found.nth(1).map_or(0, |(at, _)| at)
+}
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -1,1 +1,108 @@
 //! Commands of the command-line tool.
+
+pub mod advice;
+pub mod client;
+pub mod contract;
+pub mod failure;
+pub mod file;
+pub mod flags;
+pub mod print;
+pub mod view;
+pub mod why;
+
+use std::{
+    ffi::OsString,
+    io::Write, //
+};
+
+use anyhow::Context as _;
+
+use client::Client;
+use failure::Failure;
+use flags::{
+    Gypsumctl,
+    GypsumctlCmd, //
+};
+use print::{
+    Format,
+    Printer, //
+};
+
+/// Environment variable with the servers, separated by commas.
+pub const VARIABLE: &str = "GYPSUMLEVER_SERVER";
+
+/// Runs one command and returns the exit code.
+pub async fn run(
+    arguments: Vec<OsString>,
+    variable: Option<String>,
+    out: &mut dyn Write,
+    notes: &mut dyn Write,
+) -> u8 {
+    let flags = match Gypsumctl::from_vec(arguments) {
+        Ok(flags) => flags,
+        Err(help) if help.is_help() => {
+            let _ = writeln!(out, "{help}");
+            return 0;
+        }
+        Err(error) => {
+            let _ = writeln!(notes, "gypsumctl: {error}; see gypsumctl --help");
+            return Failure::Usage(String::new()).code();
+        }
+    };
+    let format = flags.output.unwrap_or_default();
+    let result = match connect(&flags, variable) {
+        Ok(client) => {
+            let mut printer = Printer::new(format, out, notes);
+            command(flags.subcommand, &client, &mut printer).await
+        }
+        Err(failure) => Err(failure),
+    };
+    let Err(failure) = result else {
+        return 0;
+    };
+    let _ = match format {
+        Format::Table => writeln!(notes, "gypsumctl: {failure}"),
+        Format::Json => writeln!(notes, "{}", failure.json()),
+    };
+    failure.code()
+}
+
+fn connect(flags: &Gypsumctl, variable: Option<String>) -> Result<Client, Failure> {
+    let given = match (flags.server.is_empty(), variable) {
+        (false, _) => flags.server.clone(),
+        (true, Some(list)) => list.split(',').map(|name| name.trim().to_owned()).collect(),
+        (true, None) => Vec::new(),
+    };
+    Client::new(given, flags.timeout.unwrap_or_default())
+}
+
+async fn command(
+    command: GypsumctlCmd,
+    client: &Client,
+    printer: &mut Printer<'_>,
+) -> Result<(), Failure> {
+    match command {
+        GypsumctlCmd::Contract(of) => contract::run(of.subcommand, client, printer).await,
+        GypsumctlCmd::Instances(_) => view::instances(client, printer).await,
+        GypsumctlCmd::Upstreams(_) => view::upstreams(client, printer).await,
+        GypsumctlCmd::Queues(_) => view::queues(client, printer).await,
+        GypsumctlCmd::Programs(of) => view::programs(of.customer, client, printer).await,
+        GypsumctlCmd::Why(of) => why::run(&of.request, client, printer).await,
+    }
+}
+
+/// Checks a part of a path, so that a typing error never reaches another route.
+fn segment(kind: &str, text: &str) -> Result<(), Failure> {
+    let right = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    if !text.is_empty() && text.chars().all(right) {
+        return Ok(());
+    }
+    Err(Failure::Usage(format!(
+        "{kind} {text:?} is not a name; names consist of a-z, A-Z, 0-9, '-', '_' and '.'"
+    )))
+}
+
+/// Formats a value as indented JSON.
+fn pretty(value: &impl serde::Serialize) -> anyhow::Result<String> {
+    serde_json::to_string_pretty(value).context("the output can't be written as JSON")
+}
--- /dev/null
+++ b/src/ctl/view.rs
@@ -0,0 +1,172 @@
+//! Views of instances, upstreams, programs and queues.
+
+use std::collections::BTreeMap;
+
+use serde::de::DeserializeOwned;
+
+use crate::{
+    api::operate::{
+        Instance,
+        Row,
+        Upstream, //
+    },
+    name::Pool,
+    policy::pool::Stats,
+};
+
+use super::{
+    client::Client,
+    failure::Failure,
+    print::{
+        self,
+        or_dash,
+        Printer, //
+    },
+    segment,
+};
+
+/// Rows to which an instance cuts the list of programs.
+const MOST_ROWS: usize = 1_000;
+
+pub(super) async fn instances(client: &Client, printer: &mut Printer<'_>) -> Result<(), Failure> {
+    let answer = client.get::<Vec<Instance>>("/v1/instances").await?;
+    let row = |row: &Instance| {
+        let asked = if row.own { "asked" } else { "" };
+        [
+            row.instance.clone(),
+            row.zone.clone(),
+            row.address.clone(),
+            row.status.clone(),
+            asked.to_owned(),
+        ]
+    };
+    let header = ["INSTANCE", "ZONE", "PEER ADDRESS", "STATUS", ""];
+    let text = print::table(header, answer.content.iter().map(row).collect());
+    Ok(printer.show(&text, &answer.value)?)
+}
+
+pub(super) async fn programs(
+    customer: Option<String>,
+    client: &Client,
+    printer: &mut Printer<'_>,
+) -> Result<(), Failure> {
+    let mut path = "/v1/programs".to_owned();
+    if let Some(customer) = customer {
+        segment("customer", &customer)?;
+        path = format!("{path}?customer={customer}");
+    }
+    let answer = client.get::<Vec<Row>>(&path).await?;
+    let row = |row: &Row| {
+        [
+            row.program.to_string(),
+            row.customer.to_string(),
+            row.class.clone(),
+            row.turns.to_string(),
+            row.tokens.to_string(),
+            row.spent_micros.to_string(),
+            or_dash(&row.home),
+        ]
+    };
+    let header = [
+        "PROGRAM", "CUSTOMER", "CLASS", "TURNS", "TOKENS", "SPENT", "HOME",
+    ];
+    let text = print::table(header, answer.content.iter().map(row).collect());
+    if answer.content.len() >= MOST_ROWS {
+        printer.note(&format!("only the first {MOST_ROWS} programs are listed"));
+    }
+    Ok(printer.show(&text, &answer.value)?)
+}
+
+/// Gets a path from every known server and notes those that gave no answer.
+async fn gather<T: DeserializeOwned>(
+    path: &str,
+    client: &Client,
+    printer: &mut Printer<'_>,
+) -> Result<Vec<T>, Failure> {
+    let mut found = Vec::new();
+    let mut first = None;
+    for (_, answer) in client.get_all::<T>(path).await {
+        match answer {
+            Ok(answer) => found.push(answer.content),
+            Err(failure) => {
+                printer.note(&format!("the view is not complete: {failure}"));
+                first = first.or(Some(failure));
+            }
+        }
+    }
+    match first {
+        Some(failure) if found.is_empty() => Err(failure),
+        _ => Ok(found),
+    }
+}
+
+pub(super) async fn upstreams(client: &Client, printer: &mut Printer<'_>) -> Result<(), Failure> {
+    let views: Vec<Vec<Upstream>> = gather("/v1/upstreams", client, printer).await?;
+    let rows = merge_upstreams(views);
+    let row = |row: &Upstream| {
+        let state = if row.leaving { "leaving" } else { "serving" };
+        [
+            row.pool.clone(),
+            row.upstream.clone(),
+            row.zone.clone(),
+            row.address.clone(),
+            state.to_owned(),
+            or_dash(&row.running),
+            or_dash(&row.window),
+            or_dash(&row.foreign),
+        ]
+    };
+    let header = [
+        "POOL", "UPSTREAM", "ZONE", "ADDRESS", "STATE", "RUNNING", "WINDOW", "FOREIGN",
+    ];
+    let text = print::table(header, rows.iter().map(row).collect());
+    Ok(printer.show(&text, &rows)?)
+}
+
+/// Joins the views of several instances.
+///
+/// Each instance counts the calls that it dispatched itself, so the calls in flight add up.
+fn merge_upstreams(views: Vec<Vec<Upstream>>) -> Vec<Upstream> {
+    let mut merged: BTreeMap<(String, String), Upstream> = BTreeMap::new();
+    for row in views.into_iter().flatten() {
+        let key = (row.pool.clone(), row.upstream.clone());
+        let Some(known) = merged.get_mut(&key) else {
+            merged.insert(key, row);
+            continue;
+        };
+        known.leaving |= row.leaving;
+        known.running = match (known.running, row.running) {
+            (Some(one), Some(other)) => Some(one.saturating_add(other)),
+            (one, other) => one.or(other),
+        };
+        known.window = known.window.max(row.window);
+        known.foreign = known.foreign.max(row.foreign);
+    }
+    merged.into_values().collect()
+}
+
+pub(super) async fn queues(client: &Client, printer: &mut Printer<'_>) -> Result<(), Failure> {
+    let views: Vec<BTreeMap<Pool, Stats>> = gather("/v1/queues", client, printer).await?;
+    let mut merged: BTreeMap<Pool, Stats> = BTreeMap::new();
+    for (pool, stats) in views.into_iter().flatten() {
+        let known = merged.entry(pool).or_default();
+        for (customer, count) in stats.queues {
+            *known.queues.entry(customer).or_default() += count;
+        }
+        for (decision, count) in stats.decisions {
+            *known.decisions.entry(decision).or_default() += count;
+        }
+    }
+    let mut rows = Vec::new();
+    for (pool, stats) in &merged {
+        if stats.queues.is_empty() {
+            rows.push([pool.to_string(), "-".to_owned(), "0".to_owned()]);
+        }
+        let row = |(customer, count): (&crate::name::Customer, &usize)| {
+            [pool.to_string(), customer.to_string(), count.to_string()]
+        };
+        rows.extend(stats.queues.iter().map(row));
+    }
+    let text = print::table(["POOL", "CUSTOMER", "WAITING"], rows);
+    Ok(printer.show(&text, &merged)?)
+}
