api: Answer calls of ended programs without a wait

A call of a program that ended within 30 s waited a second for its start to reach the replica, because only programs under way counted as known.

--- a/src/api/calls.rs
+++ b/src/api/calls.rs
@@ -367,7 +367,15 @@
 /// Waits for the start of a program that is so new that the replica may be behind.
 async fn wait_for_start(app: &App, program: &Program) -> Result<(), Refusal> {
     let ledger = &app.shared().ledger;
-    let known = || ledger.state().program(program).is_some();
+    let known = || {
+        let state = ledger.state();
+        let ended = || {
+            state
+                .accounts()
+                .any(|(_, account)| account.ended(program).is_some())
+        };
+        state.program(program).is_some() || ended()
+    };
     let age = program::created(program).map(|created| Time::now().since(created));
     if known() || age.is_none_or(|age| age > NEW) {
         return Ok(());
