--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -69,6 +69,8 @@
     versions: BTreeMap<(String, u32), u64>,
     reverted: Vec<String>,
     calls: usize,
+    /// Acknowledged turns with their durability.
+    trail: Vec<String>,
 }
 
 impl Notes {
@@ -206,15 +208,20 @@
     let turn = answer["turn"].as_u64().expect("a turn");
     let content = answer["content"].as_str().expect("content").to_owned();
     let mut notes = world.notes.borrow_mut();
-    let first = notes
-        .answers
-        .entry(program.into())
-        .or_default()
-        .insert(turn, content);
+    let entry = format!(
+        "{program} {turn} {key} {} of {}",
+        answer["durability"], answer["request"]
+    );
+    let acknowledged = notes.answers.entry(program.into()).or_default();
+    let first = acknowledged.insert(turn, content);
+    let of_program = notes.trail.iter().filter(|line| line.contains(program));
     assert_eq!(
-        first, None,
-        "turn {turn} of {program} was acknowledged for two calls"
+        first,
+        None,
+        "turn {turn} was acknowledged for two calls, now {entry}; before {:?}",
+        of_program.collect::<Vec<_>>(),
     );
+    notes.trail.push(entry);
     notes
         .questions
         .entry(program.into())
