--- a/tests/ledger_commit.rs
+++ b/tests/ledger_commit.rs
@@ -2,19 +2,29 @@
 
 mod ledger_support;
 
-use std::time::{
-    Duration,
-    Instant, //
+use std::{
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
+use bytes::Bytes;
 use futures_util::future::join_all;
 use gypsumlever::{
+    contract::{
+        Contract,
+        Raw, //
+    },
     ledger::{
         codec,
         record::{
+            Body,
             Ran,
             Record, //
         },
+        state::partition,
         Ledger,
         Outcome,
         Refusal,
@@ -26,6 +36,7 @@
         Service, //
     },
     money::Money,
+    name::Customer,
 };
 use ledger_support::*;
 use rand::{
@@ -38,7 +49,7 @@
 /// Number of copies of a record in the log.
 fn copies(log: &Memory, record: &Record) -> usize {
     let records = log.records(0);
-    let same = |(_, bytes): &&(u64, bytes::Bytes)| codec::decode(bytes).unwrap().id == record.id;
+    let same = |(_, bytes): &&(u64, Bytes)| codec::decode(bytes).unwrap().id == record.id;
     records.iter().filter(same).count()
 }
 
@@ -334,3 +345,41 @@
         assert!(ledger.state().program(&program).unwrap().claim().is_none());
     });
 }
+
+#[test]
+fn commit_to_several_partitions() {
+    run(async {
+        let log = Memory::new(3);
+        let several = Settings {
+            partitions: 3,
+            ..settings("a")
+        };
+        let ledger = Ledger::start(log.clone(), several);
+        for number in 0..9 {
+            let name = format!("customer-{number}");
+            let customer = Customer::try_from(name.as_str()).unwrap();
+            let raw = Raw {
+                customer: name,
+                share: 1,
+                programs: 1,
+                ..Raw::default()
+            };
+            let contract = Arc::new(Contract::try_from(raw).unwrap());
+            let version = 1;
+            let record = ledger.record(&customer, Body::Publish { version, contract });
+            assert_eq!(ledger.commit(record).await, Ok(Outcome::Accepted));
+        }
+        assert_eq!(ledger.state().accounts().count(), 9);
+        assert!((0..3).all(|partition| !log.records(partition).is_empty()));
+        // Neither junk nor a record in a wrong partition stops the follower or changes the state.
+        let record = ledger.record(&customer(), publish(1, 10));
+        for partition in 0..3 {
+            log.push(partition, Bytes::from_static(b"junk"));
+        }
+        let right = partition(&customer(), 3);
+        log.push((right + 1) % 3, codec::encode(&record));
+        until(|| ledger.applied().iter().sum::<u64>() == 13).await;
+        assert!(ledger.state().contract(&customer()).is_none());
+        accept(&ledger, publish(1, 10)).await;
+    });
+}
