Confirm turns with all instances before they are acknowledged during a log outage

Change: a turn is held by two peers and confirmed by every live instance; who confirms it commits nothing else in its place until the log has decided. Instances also ask for confirmation for 5 s after an outage, a start or a pause. Holders pass turns on when their log is back; live state is written again before it expires. Conclusion: the acknowledgement 'replicated' means held by three instances and confirmed by all that are reachable.

--- a/src/daemon/intake.rs
+++ b/src/daemon/intake.rs
@@ -23,11 +23,18 @@
         Withdraw, //
     },
     executor::{
+        admit::may_follow,
         overlay::Overlay,
-        request::Event,
+        request::{
+            Event,
+            Reason, //
+        },
         SINK, //
     },
-    ledger::Ledger,
+    ledger::{
+        record::Record,
+        Ledger, //
+    },
     name::Instance,
     peer::{
         wire::Body,
@@ -65,6 +72,24 @@
     }
 }
 
+impl Intake {
+    /// Returns whether a turn may be the next one of its program, as far as this instance knows,
+    /// and promises that nothing here takes its place.
+    fn agrees(&self, record: &Record) -> bool {
+        may_follow(&self.ledger.state(), record) && self.overlay.promise(record)
+    }
+}
+
+fn verdict(agrees: bool) -> Body {
+    match agrees {
+        true => Body::Held,
+        false => Body::Deny {
+            reason: Reason::OutOfOrder,
+            retry_after_ms: None,
+        },
+    }
+}
+
 impl Handler for Intake {
     fn handle(&self, from: Instance, body: Body, reply: Responder) {
         match body {
@@ -92,10 +117,12 @@
             }
             Body::Withdraw { grant } => self.dispatcher.do_send(Withdraw { id: grant }),
             Body::Hold(record) => {
-                let held = self.overlay.insert(&record) && self.ledger.commit_later(record).is_ok();
-                if held {
-                    let _ = reply.finish(Body::Held);
-                }
+                let held = self.agrees(&record) && self.overlay.insert(&record);
+                let _ = reply.finish(verdict(held));
+            }
+            Body::Discard(record) => self.overlay.remove(&record),
+            Body::Confirm(record) => {
+                let _ = reply.finish(verdict(self.agrees(&record)));
             }
             Body::Fetch { partition, from } => {
                 let exported = self.ledger.export(partition);
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -236,6 +236,9 @@
             overlay,
             metrics: Metrics::new()?,
             running: Arc::new(AtomicUsize::new(0)),
+            // An instance may start while turns are held by others.
+            outage: Arc::new(AtomicU64::new(Time::now().0)),
+            ticked: Arc::new(AtomicU64::new(Time::now().0)),
         };
         let connections = http::Settings {
             connect: config.timings.connect,
--- a/src/daemon/upkeep.rs
+++ b/src/daemon/upkeep.rs
@@ -14,8 +14,14 @@
         Gone,
         Leaving, //
     },
-    executor::Release,
-    hash::Set,
+    executor::{
+        Release,
+        PAUSE, //
+    },
+    hash::{
+        self,
+        Set, //
+    },
     ledger::{
         program,
         record, //
@@ -51,6 +57,7 @@
     actix_web::rt::spawn(get_ready(app.clone()));
     actix_web::rt::spawn(follow_peers(app.clone()));
     actix_web::rt::spawn(end_overdue(app.clone()));
+    actix_web::rt::spawn(app.shared().ledger.clone().keep(owner(app)));
     actix_web::rt::spawn(follow_view(app.clone()));
     let config = &app.shared().config;
     let (address, service) = (&config.list.address, &config.list.service);
@@ -72,15 +79,38 @@
         let now = Time::now();
         shared.ledger.set_interval(interval(&app));
         shared.purses.tick(now);
+        let last = Time(shared.ticked.swap(now.0, Ordering::Relaxed));
+        if !shared.ledger.available() || now.since(last) > PAUSE {
+            shared.outage.store(now.0, Ordering::Relaxed);
+        }
         let running = shared.running.load(Ordering::Relaxed) as u32;
         let applied = shared.ledger.applied();
         shared.roster.update(|view| view.report(running, applied));
+        if shared.ledger.available() {
+            let ledger = &shared.ledger;
+            shared
+                .overlay
+                .pass_on(|record| ledger.commit_later(record.clone()).is_ok());
+        }
         drop_decided(&app);
         levels(&app);
         sleep(PERIOD).await;
     }
 }
 
+/// Returns whether this instance writes a customer's live state again before its records expire.
+///
+/// Two instances that both believe so write it twice, which changes nothing.
+fn owner(app: &App) -> impl Fn(&str) -> bool {
+    let app = app.clone();
+    move |key| {
+        let snapshot = app.shared().roster.snapshot();
+        let live = snapshot.zones().flat_map(|zone| snapshot.live(zone));
+        let owner = hash::rendezvous(key.as_bytes(), live);
+        owner.is_none_or(|owner| *owner == app.shared().config.instance)
+    }
+}
+
 /// Ends programs that are older than their contract allows, even if their callers never return.
 ///
 /// Their engine memory and their place among the customer's programs would otherwise stay taken.
--- a/src/executor/admit.rs
+++ b/src/executor/admit.rs
@@ -12,8 +12,10 @@
         self,
         program,
         record::{
+            Body,
             Ending,
-            Ran, //
+            Ran,
+            Record, //
         },
         State, //
     },
@@ -89,6 +91,21 @@
         .find_map(|(_, account)| account.ended(name))
 }
 
+/// Returns whether the state allows a turn to be committed later.
+pub fn may_follow(state: &State, record: &Record) -> bool {
+    let Body::Turn { program, index, .. } = &record.body else {
+        return false;
+    };
+    match state.program(program) {
+        Some(found) => {
+            let claim = found.claim().filter(|_| found.next() == *index);
+            found.next() <= *index && claim.is_none_or(|claim| claim.author == record.author)
+        }
+        // The start may not have reached this replica yet.
+        None => state.ended(&record.customer, program).is_none(),
+    }
+}
+
 /// Makes the refusal of a program that is not known, by its age.
 pub fn missing(name: &Program, memory: Duration, now: Time) -> Refusal {
     match program::created(name) {
--- a/src/executor/commit.rs
+++ b/src/executor/commit.rs
@@ -330,7 +330,6 @@
         let (record, _) = self.turn_record(task, program, plan, Ran::Unknown, &outcome);
         if self.shared.ledger.commit(record.clone()).await.is_err() {
             self.shared.overlay.insert(&record);
-            let _ = self.shared.ledger.commit_later(record);
         }
     }
 
@@ -345,13 +344,12 @@
     ) -> Result<Answer, Refusal> {
         let (record, turn) = self.turn_record(task, program, plan, Ran::Yes, &outcome);
         let started = Instant::now();
-        let ahead = self.shared.overlay.turns(program, 0).is_empty();
-        let committed = if ahead {
-            self.shared.ledger.commit(record.clone()).await
-        } else {
-            // Earlier turns wait for the log, and the log takes turns in order only.
-            Err(LogRefusal::NotApplied { retry_after: SOON })
-        };
+        if !self.shared.overlay.begin(&record) {
+            return Err(unconfirmed());
+        }
+        let committed = self.append(program, &record).await;
+        self.shared.overlay.end(&record);
+        let committed = committed?;
         self.shared.metrics.took(Span::Commit, started.elapsed());
         let durability = match committed {
             Ok(decided) if decided.took_effect() => Durability::Committed,
@@ -372,7 +370,12 @@
                     detail: format!("the call ran, but its turn was not accepted: {decided:?}"),
                 });
             }
-            Err(_) => self.replicate(program, record).await,
+            Err(_) => match self.replicate(program, &record).await {
+                Some(durability) => durability,
+                // The claim keeps the call's place, so that nothing can contradict its turn.
+                None if task.claimed_until.is_some() => Durability::None,
+                None => return Err(unconfirmed()),
+            },
         };
         let usage = admit::Usage {
             turns: plan.index + 1,
@@ -393,6 +396,23 @@
         })
     }
 
+    /// Appends a turn to the log if all earlier ones are in it.
+    async fn append(
+        &self,
+        program: &Program,
+        record: &Record,
+    ) -> Result<Result<outcome::Outcome, LogRefusal>, Refusal> {
+        if !self.shared.overlay.turns(program, 0).is_empty() {
+            // Earlier turns wait for the log, and the log takes turns in order only.
+            return Ok(Err(LogRefusal::NotApplied { retry_after: SOON }));
+        }
+        if self.shared.unsettled() && !self.confirmed(record, &[]).await {
+            self.discard(record);
+            return Err(unconfirmed());
+        }
+        Ok(self.shared.ledger.commit(record.clone()).await)
+    }
+
     /// Answers with the turn that another instance committed first.
     async fn superseded(
         &self,
@@ -419,22 +439,66 @@
         })
     }
 
-    /// Keeps a turn on peers until the log takes it.
-    async fn replicate(&self, program: &Program, record: Record) -> Durability {
-        if !self.shared.overlay.insert(&record) {
-            return Durability::None;
+    /// Keeps a turn on peers until the log takes it; returns `None` if that can't be promised.
+    ///
+    /// The turn is held first and confirmed by all other instances then, so that of two homes that
+    /// do this at the same time at least one learns of the other.
+    async fn replicate(&self, program: &Program, record: &Record) -> Option<Durability> {
+        if !self.shared.overlay.insert(record) {
+            return None;
+        }
+        if self.shared.roster.snapshot().live_count() <= 1 {
+            return Some(Durability::None);
         }
-        let _ = self.shared.ledger.commit_later(record.clone());
-        let mut held = 0;
+        let mut holders = Vec::new();
         for holder in self.holders(program) {
             let body = wire::Body::Hold(record.clone());
             let reply = self.shared.mesh.request(&holder, body, HOLD).await;
-            held += usize::from(matches!(reply, Ok(wire::Body::Held)));
-            if held == HOLDERS {
-                return Durability::Replicated;
+            if matches!(reply, Ok(wire::Body::Held)) {
+                holders.push(holder);
+            }
+            if holders.len() == HOLDERS {
+                break;
             }
         }
-        Durability::None
+        if holders.is_empty() || !self.confirmed(record, &holders).await {
+            self.discard(record);
+            return None;
+        }
+        Some(match holders.len() {
+            HOLDERS => Durability::Replicated,
+            _ => Durability::None,
+        })
+    }
+
+    /// Takes back a turn that may be held or confirmed but was not acknowledged.
+    fn discard(&self, record: &Record) {
+        self.shared.overlay.remove(record);
+        let snapshot = self.shared.roster.snapshot();
+        for peer in snapshot.peers().filter(|peer| peer.status.usable()) {
+            // A holder that is not reached appends the turn later; the caller was told that the
+            // outcome is unknown.
+            let body = wire::Body::Discard(record.clone());
+            let _ = self.shared.mesh.send(&peer.entry.instance, body);
+        }
+    }
+
+    /// Returns whether no other instance knows of anything that contradicts a turn.
+    ///
+    /// Every instance that may be alive has to answer; a home that was paused or cut off would
+    /// otherwise go on from a history that is out of date.
+    async fn confirmed(&self, record: &Record, asked: &[Instance]) -> bool {
+        let snapshot = self.shared.roster.snapshot();
+        let others = snapshot.peers().filter(|peer| peer.status.usable());
+        let others = others.map(|peer| &peer.entry.instance);
+        let answers = others.filter(|name| !asked.contains(name)).map(|name| {
+            let body = wire::Body::Confirm(record.clone());
+            self.shared.mesh.request(name, body, HOLD)
+        });
+        let answers = futures_util::future::join_all(answers).await;
+        answers
+            .iter()
+            .all(|answer| matches!(answer, Ok(wire::Body::Held)))
     }
 
     /// Returns the instances that should hold a turn, best first: the program's next homes, with
@@ -457,6 +521,16 @@
     }
 }
 
+/// Makes the answer to a call whose turn can't be kept while the log is down.
+fn unconfirmed() -> Refusal {
+    Refusal {
+        reason: Reason::LogUnavailable,
+        ran: Ran::Unknown,
+        retry_after_ms: Some(SOON.as_millis() as u64),
+        detail: "the log is down, and other instances could not confirm the turn".into(),
+    }
+}
+
 impl From<LogRefusal> for Refusal {
     fn from(error: LogRefusal) -> Self {
         let after = match &error {
--- a/src/executor/mod.rs
+++ b/src/executor/mod.rs
@@ -19,6 +19,7 @@
     rc::Rc,
     sync::{
         atomic::{
+            AtomicU64,
             AtomicUsize,
             Ordering, //
         },
@@ -85,6 +86,13 @@
 /// Longest wait for a replica that is behind.
 const REPLICA_LAG: Duration = Duration::from_secs(1);
 
+/// Time after an outage of the log in which other instances may still hold turns; twice the longest
+/// delay between their tries to append them.
+const SETTLE: Duration = Duration::from_secs(5);
+
+/// Time without upkeep after which the process must have been paused.
+pub const PAUSE: Duration = Duration::from_millis(1_500);
+
 /// Events that may wait for a slow caller.
 pub const SINK: usize = 16;
 
@@ -109,6 +117,10 @@
     pub metrics: Metrics,
     /// Calls that are running, on all executors.
     pub running: Arc<AtomicUsize>,
+    /// Time in microseconds at which the log was last seen to be unavailable.
+    pub outage: Arc<AtomicU64>,
+    /// Time in microseconds of the last periodic upkeep.
+    pub ticked: Arc<AtomicU64>,
 }
 
 impl Shared {
@@ -118,6 +130,15 @@
         Tracked(self.running.clone())
     }
 
+    /// Returns whether turns may be held by instances because the log was down a moment ago.
+    pub fn unsettled(&self) -> bool {
+        let now = Time::now();
+        let last = Time(self.outage.load(Ordering::Relaxed));
+        let ticked = Time(self.ticked.load(Ordering::Relaxed));
+        let paused = now.since(ticked) > PAUSE;
+        paused || !self.ledger.available() || now.since(last) < SETTLE
+    }
+
     /// Waits until the replica knows `turns` turns of a program, or the start of a new program.
     ///
     /// Another instance may have answered a caller before this replica applied the same records.
--- a/src/executor/overlay.rs
+++ b/src/executor/overlay.rs
@@ -7,9 +7,13 @@
         Mutex,
         MutexGuard, //
     },
+    time::Duration,
 };
 
+use uuid::Uuid;
+
 use crate::{
+    clock::Time,
     hash::Map,
     ledger::record::{
         Body,
@@ -19,13 +23,59 @@
     name::Program,
 };
 
+/// Time for which a confirmed turn keeps its place if its instance is never heard of again.
+const PROMISE: Duration = Duration::from_secs(60);
+
 /// Most records that one instance holds; more are refused, so that an outage can't fill the memory.
 const MOST: usize = 20_000;
 
+#[derive(Debug)]
+struct Held {
+    record: Record,
+    /// Whether the ledger has been asked to append it.
+    passed_on: bool,
+}
+
 #[derive(Debug, Default)]
 struct Inner {
-    turns: Map<Program, BTreeMap<u32, Record>>,
+    turns: Map<Program, BTreeMap<u32, Held>>,
+    /// Number of held turns.
     count: usize,
+    /// Turns that this instance has confirmed for others; nothing else may take their places.
+    promises: Map<Program, Promise>,
+    /// Turns that this instance is committing.
+    commits: Map<Program, (u32, Uuid)>,
+}
+
+/// The turn that an instance has confirmed.
+#[derive(Clone, Copy, Debug)]
+struct Promise {
+    index: u32,
+    id: Uuid,
+    at: Time,
+}
+
+impl Inner {
+    /// Returns whether anything else is known to be at or after the place of a turn.
+    fn contradicts(&self, program: &Program, index: u32, id: Uuid, now: Time) -> bool {
+        let held = self.turns.get(program);
+        let held = held.is_some_and(|held| held.range(index..).any(|(_, h)| h.record.id != id));
+        let promise = self.promises.get(program);
+        let promised = promise.is_some_and(|promise| {
+            promise.index >= index && promise.id != id && now.since(promise.at) < PROMISE
+        });
+        let commit = self.commits.get(program);
+        let committing = commit.is_some_and(|(at, other)| *at >= index && *other != id);
+        held || promised || committing
+    }
+}
+
+/// Returns the program, number and identifier of a turn's record.
+fn place(record: &Record) -> Option<(&Program, u32, Uuid)> {
+    match &record.body {
+        Body::Turn { program, index, .. } => Some((program, *index, record.id)),
+        _ => None,
+    }
 }
 
 /// Turns that are not in the log yet, by program and number.
@@ -42,22 +92,86 @@
         self.inner.lock().unwrap_or_else(|error| error.into_inner())
     }
 
-    /// Holds a turn's record; returns false if there is no room, or if it is not a turn.
+    /// Holds a turn's record; returns false if there is no room, if it is not a turn, or if
+    /// anything contradicts it.
     pub fn insert(&self, record: &Record) -> bool {
-        let Body::Turn { program, index, .. } = &record.body else {
+        let Some((program, index, id)) = place(record) else {
             return false;
         };
         let mut inner = self.inner();
-        if inner.count >= MOST {
+        if inner.count >= MOST || inner.contradicts(program, index, id, Time::now()) {
             return false;
         }
         let turns = inner.turns.entry(program.clone()).or_default();
-        if turns.insert(*index, record.clone()).is_none() {
+        let held = Held {
+            record: record.clone(),
+            passed_on: false,
+        };
+        if turns.insert(index, held).is_none() {
             inner.count += 1;
         }
         true
     }
 
+    /// Confirms a turn for another instance; returns false if anything contradicts it.
+    ///
+    /// From then on this instance commits nothing else in its place.
+    pub fn promise(&self, record: &Record) -> bool {
+        let (Some((program, index, id)), at) = (place(record), Time::now()) else {
+            return false;
+        };
+        let mut inner = self.inner();
+        if inner.contradicts(program, index, id, at) {
+            return false;
+        }
+        inner
+            .promises
+            .insert(program.clone(), Promise { index, id, at });
+        true
+    }
+
+    /// Begins to commit a turn of this instance; returns false if anything contradicts it.
+    pub fn begin(&self, record: &Record) -> bool {
+        let Some((program, index, id)) = place(record) else {
+            return false;
+        };
+        let mut inner = self.inner();
+        if inner.contradicts(program, index, id, Time::now()) {
+            return false;
+        }
+        inner.commits.insert(program.clone(), (index, id));
+        true
+    }
+
+    /// Ends to commit a turn of this instance.
+    pub fn end(&self, record: &Record) {
+        if let Some((program, ..)) = place(record) {
+            self.inner().commits.remove(program);
+        }
+    }
+
+    /// Drops one record.
+    pub fn remove(&self, record: &Record) {
+        let Some((program, index, id)) = place(record) else {
+            return;
+        };
+        let mut inner = self.inner();
+        if inner
+            .promises
+            .get(program)
+            .is_some_and(|promise| promise.id == id)
+        {
+            inner.promises.remove(program);
+        }
+        let Some(turns) = inner.turns.get_mut(program) else {
+            return;
+        };
+        if turns.get(&index).is_some_and(|held| held.record.id == id) {
+            turns.remove(&index);
+            inner.count -= 1;
+        }
+    }
+
     /// Returns the held turns of a program that follow its `next` committed turns without a gap.
     pub fn turns(&self, program: &Program, next: u32) -> Vec<Arc<Turn>> {
         let inner = self.inner();
@@ -68,18 +182,35 @@
             .range(next..)
             .zip(next..)
             .take_while(|((index, _), expected)| *index == expected);
-        let turn = |record: &Record| match &record.body {
+        let turn = |held: &Held| match &held.record.body {
             Body::Turn { turn, .. } => Some(turn.clone()),
             _ => None,
         };
         consecutive
-            .filter_map(|((_, record), _)| turn(record))
+            .filter_map(|((_, held), _)| turn(held))
             .collect()
     }
 
+    /// Passes on the records that have not been passed on, in the order of their turns, until
+    /// `append` fails.
+    pub fn pass_on(&self, append: impl Fn(&Record) -> bool) {
+        let mut inner = self.inner();
+        let held = inner.turns.values_mut().flat_map(BTreeMap::values_mut);
+        for held in held.filter(|held| !held.passed_on) {
+            held.passed_on = append(&held.record);
+            if !held.passed_on {
+                return;
+            }
+        }
+    }
+
     /// Drops the turns that the log has decided: those below `next`.
     pub fn decided(&self, program: &Program, next: u32) {
         let mut inner = self.inner();
+        let promise = inner.promises.get(program);
+        if promise.is_some_and(|promise| promise.index < next) {
+            inner.promises.remove(program);
+        }
         let Some(mut held) = inner.turns.remove(program) else {
             return;
         };
@@ -95,9 +226,11 @@
         self.decided(program, u32::MAX);
     }
 
-    /// Returns the programs that have held turns.
+    /// Returns the programs that have held or confirmed turns.
     pub fn programs(&self) -> Vec<Program> {
-        self.inner().turns.keys().cloned().collect()
+        let inner = self.inner();
+        let names = inner.turns.keys().chain(inner.promises.keys());
+        names.cloned().collect()
     }
 
     /// Returns the number of held turns.
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -148,7 +148,13 @@
     /// Asks the receiver to hold a record until the log is available; `Held` replies.
     #[serde(rename = "ho")]
     Hold(Record),
-    /// The record is held.
+    /// The record need not be held any longer.
+    #[serde(rename = "di")]
+    Discard(Record),
+    /// Asks whether the receiver knows of anything that contradicts a turn; `Held` or `Deny` replies.
+    #[serde(rename = "co")]
+    Confirm(Record),
+    /// The record is held, or nothing contradicts it.
     #[serde(rename = "he")]
     Held,
     /// Asks for the state of a partition; `Chunk` frames reply.
