--- a/examples/quickstart/main.rs
+++ b/examples/quickstart/main.rs
@@ -47,7 +47,8 @@
     shown.await.context("the demonstration took too long")?
 }
 
-async fn show() -> Result<()> {
+/// Shows every step; fails with the first step that fails.
+pub async fn show() -> Result<()> {
     let begin = Instant::now();
     step("Start stand-ins for the platform's log and list, a model engine and a service.");
     let log = log::start(log::Config::default())?;
