--- a/src/ctl/why.rs
+++ b/src/ctl/why.rs
@@ -31,6 +31,8 @@
     let mut missed = Vec::new();
     for (server, answer) in client.get_all::<Problem>(&path).await {
         match answer {
+            // One instance may answer at two addresses.
+            Ok(answer) if found.iter().any(|(_, known)| *known == answer.content) => {}
             Ok(answer) => found.push((server, answer.content)),
             // The instance is there and keeps no refusal of this request.
             Err(Failure::Refused { problem, .. }) if problem.reason == Reason::BadRequest => {
--- a/tests/ctl_faults.rs
+++ b/tests/ctl_faults.rs
@@ -345,3 +345,35 @@
         run.notes
     );
 }
+
+/// The instance that keeps a refusal is rarely the one that the operator names.
+#[actix_web::test]
+async fn why_learned_instance() {
+    let list = INSTANCES.replace("127.0.0.1:7081", "127.0.0.2:7081");
+    let absent = problem(400, "bad_request", "no", "null", "-");
+    let path = "GET /v1/refusals/entry-1-7";
+    let named = Fake::start(&[("GET /v1/instances", 200, &list), (path, 400, &absent)]);
+    let other = named.address.replace("127.0.0.1", "127.0.0.2");
+    let found = problem(503, "queue_full", "no", "900", "4000 calls wait");
+    let learned = Fake::start_at(&other, &[(path, 200, &found)]);
+    let run = run_with(&["why", "entry-1-7"], Some(&named.address)).await;
+    assert_eq!(run.code, 0, "{}", run.notes);
+    assert!(run.out.contains(&other), "{}", run.out);
+    assert!(run.out.contains("queue_full"), "{}", run.out);
+    // Both addresses give the same refusal, which has to be shown once.
+    named.set(path, 200, &found);
+    let run = run_with(&["why", "entry-1-7"], Some(&named.address)).await;
+    assert_eq!(run.out.matches("queue_full").count(), 1, "{}", run.out);
+    learned.stop().await;
+    let run = run_with(&["why", "entry-1-7"], Some(&named.address)).await;
+    assert_eq!(run.code, 0, "{}", run.notes);
+    named.set(path, 400, &absent);
+    let run = run_with(&["why", "entry-1-7"], Some(&named.address)).await;
+    assert_eq!(run.code, 5, "{}", run.notes);
+    assert!(
+        run.notes.contains(&format!("not asked: {other}")),
+        "{}",
+        run.notes
+    );
+    named.stop().await;
+}
--- a/tests/ctl_support/mod.rs
+++ b/tests/ctl_support/mod.rs
@@ -34,6 +34,10 @@
 
 impl Fake {
     pub fn start(answers: &[(&str, u16, &str)]) -> Self {
+        Self::start_at("127.0.0.1:0", answers)
+    }
+
+    pub fn start_at(address: &str, answers: &[(&str, u16, &str)]) -> Self {
         let list = answers.iter();
         let list = list.map(|(path, status, body)| ((*path).to_owned(), (*status, (*body).into())));
         let answers: Answers = Arc::new(Mutex::new(list.collect()));
@@ -58,7 +62,7 @@
         })
         .workers(1)
         .disable_signals()
-        .bind("127.0.0.1:0")
+        .bind(address)
         .expect("a free port");
         let address = server.addrs()[0].to_string();
         let server = server.run();
