Refuse new programs by the wait that their kind has to expect

The gate compared the oldest wait of the customer with a part of the deadline, so that short programs were refused because long ones waited. It now multiplies the age of the oldest call of the same class by the calls that such a program makes.

--- a/examples/policy/main.rs
+++ b/examples/policy/main.rs
@@ -266,23 +266,25 @@
 fn sweep(workload: &Workload, full: f64, seeds: usize) {
     let mut cases = vec![standard()];
     for (part, ahead, lead) in [
-        (0.4, 0.02, 20_000),
-        (0.4, 0.02, 40_000),
-        (0.4, 0.05, 10_000),
-        (0.4, 0.05, 40_000),
-        (0.4, 0.1, 20_000),
-        (0.8, 0.05, 20_000),
+        (1.0, 0.1, 20_000),
+        (1.0, 0.1, 40_000),
+        (1.0, 0.25, 40_000),
+        (1.0, 0.5, 20_000),
+        (0.5, 0.25, 20_000),
+        (0.5, 0.1, 40_000),
+        (2.0, 0.1, 40_000),
+        (1.0, 0.05, 40_000),
     ] {
-        let name = format!("pressure {part}, ahead {ahead}, lead {lead}");
+        let name = format!("waiting {part}, ahead {ahead}, lead {lead}");
         cases.push(Case::with(&name, |s| {
-            s.admit.pressure = part;
+            s.admit.waiting = part;
             s.admit.ahead = ahead;
             s.queue.lead = lead;
         }));
     }
     for short in [1.0, 16.0] {
         cases.push(Case::with(&format!("short {short}"), |s| {
-            s.queue.short = short
+            s.queue.short = short;
         }));
     }
     for (us, ms) in [(50, 1_000), (200, 10_000)] {
@@ -293,7 +295,7 @@
     }
     cases.push(Case::with("bound 2", |s| s.route.bound = 2.0));
     cases.push(Case::with("slow 3", |s| s.route.slow = 3.0));
-    cases.push(Case::with("guard 16", |s| s.queue.guard = 16));
+    cases.push(Case::with("guard 8", |s| s.queue.guard = 8));
     cases.push(Case::with("hedge 2", |s| s.pace.hedge = 2.0));
     cases.push(Case::with("levels from 4000", |s| {
         s.queue.levels = vec![4_000, 16_000, 64_000, 256_000];
--- a/src/policy/admit/mod.rs
+++ b/src/policy/admit/mod.rs
@@ -17,12 +17,12 @@
 pub struct View {
     /// Shortest time that a call of this kind was seen to take.
     pub fastest: Duration,
-    /// Part of its time that the customer's oldest call has spent waiting, from 0 to 1.
-    pub pressure: f64,
+    /// Calls that a program of this kind is expected to make.
+    pub calls: f64,
+    /// Age of the customer's oldest waiting call of this kind.
+    pub age: Duration,
     /// Whether the customer was served more than its share.
     pub ahead: bool,
-    /// Age of the customer's oldest call.
-    pub age: Duration,
 }
 
 /// A rule that refuses calls; `Some` is the time after which the caller may come back.
@@ -39,11 +39,11 @@
 #[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Settings {
-    /// Pressure from which the customer's new programs are refused.
+    /// Part of a new program's time that it may be expected to wait.
     ///
-    /// A program that starts under pressure takes service from those under way, and then neither
-    /// meets its deadline.
-    pub pressure: f64,
+    /// A program that starts although it will wait longer takes service from those under way, and
+    /// then neither meets its deadline.
+    pub waiting: f64,
     /// The same for a customer that was served more than its share.
     pub ahead: f64,
 }
@@ -51,8 +51,8 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            pressure: 0.4,
-            ahead: 0.05,
+            waiting: 1.0,
+            ahead: 0.25,
         }
     }
 }
@@ -76,9 +76,11 @@
         let limit = if view.ahead {
             self.settings.ahead
         } else {
-            self.settings.pressure
+            self.settings.waiting
         };
-        let crowded = starts && !call.interactive && view.pressure > limit;
+        let slack = call.deadline.since(now).as_secs_f64();
+        let wait = view.calls * view.age.as_secs_f64();
+        let crowded = starts && !call.interactive && wait > limit * slack;
         (hopeless || crowded).then(|| back(view.age))
     }
 }
--- a/src/policy/pace/mod.rs
+++ b/src/policy/pace/mod.rs
@@ -73,6 +73,8 @@
     fastest: f64,
     /// Tokens that a call cost.
     cost: f64,
+    /// Tokens that its program had been served when a call was asked for.
+    attained: f64,
     /// Time between two signs of progress.
     gap: f64,
 }
@@ -202,6 +204,22 @@
         })
     }
 
+    /// Notes that a call was asked for.
+    pub fn asked(&mut self, call: &Call) {
+        let usual = self.kinds.entry(&kind(call));
+        usual.attained += 0.02 * (call.attained as f64 - usual.attained);
+    }
+
+    /// Returns the number of calls that a program of this kind is expected to make.
+    ///
+    /// An average call finds its program half done.
+    pub fn calls(&self, call: &Call) -> f64 {
+        let usual = self.kinds.get(&kind(call)).filter(|usual| usual.count > 0);
+        usual.map_or(1.0, |usual| {
+            1.0 + 2.0 * usual.attained / usual.cost.max(1.0)
+        })
+    }
+
     /// Returns the shortest time that a call of this kind was seen to take.
     pub fn fastest(&self, call: &Call) -> Duration {
         let usual = self
--- a/src/policy/pool/mod.rs
+++ b/src/policy/pool/mod.rs
@@ -236,6 +236,7 @@
         if call.interactive {
             self.interactive = Some(now);
         }
+        self.pace.asked(&call);
         self.queue.remove(id);
         let entry = Entry {
             id,
@@ -249,12 +250,12 @@
     }
 
     fn refuse(&self, now: Time, call: &Call) -> Option<Deny> {
-        let age = self.queue.age(now, &call.customer);
+        let age = self.queue.age(now, &call.customer, &call.class);
         let view = admit::View {
             fastest: self.pace.fastest(call),
-            pressure: self.queue.pressure(now, &call.customer),
-            ahead: self.queue.ahead(&call.customer),
+            calls: self.pace.calls(call),
             age,
+            ahead: self.queue.ahead(&call.customer),
         };
         let full = self.queue.len() >= self.settings.length
             || self.queue.count(&call.customer) >= self.settings.per_customer;
--- a/src/policy/queue/fair.rs
+++ b/src/policy/queue/fair.rs
@@ -19,7 +19,10 @@
 use crate::{
     clock::Time,
     hash::Map,
-    name::Customer, //
+    name::{
+        Class,
+        Customer, //
+    },
 };
 
 /// Place of an entry among its customer's.
@@ -42,6 +45,8 @@
     order: BTreeSet<Key>,
     /// Sequence and id of the entries, oldest first.
     ages: BTreeSet<(u64, u64)>,
+    /// The same for each class.
+    classes: Map<Class, BTreeSet<(u64, u64)>>,
 }
 
 #[derive(Debug)]
@@ -224,11 +229,6 @@
             line.served > 0.0
         });
     }
-
-    fn oldest(&self, customer: &Customer) -> Option<&Entry> {
-        let (_, id) = self.lines.get(customer)?.ages.first()?;
-        Some(&self.stored[id].entry)
-    }
 }
 
 impl Order for Queue {
@@ -259,7 +259,10 @@
             line.served = line.served.max(floor - 2.0 * lead);
         }
         line.order.insert(key);
-        line.ages.insert((key.sequence, entry.id));
+        let age = (key.sequence, entry.id);
+        line.ages.insert(age);
+        let class = entry.call.class.clone();
+        line.classes.entry(class).or_default().insert(age);
         self.starts.insert((entry.latest, entry.id));
         self.stored.insert(entry.id, Stored { entry, key });
     }
@@ -269,6 +272,12 @@
         if let Some(line) = self.lines.get_mut(&entry.call.customer) {
             line.order.remove(&key);
             line.ages.remove(&(key.sequence, id));
+            if let Some(ages) = line.classes.get_mut(&entry.call.class) {
+                ages.remove(&(key.sequence, id));
+                if ages.is_empty() {
+                    line.classes.remove(&entry.call.class);
+                }
+            }
         }
         self.starts.remove(&(entry.latest, id));
         Some(entry)
@@ -314,13 +323,6 @@
         self.starts.first().map(|(latest, _)| *latest)
     }
 
-    fn pressure(&self, now: Time, customer: &Customer) -> f64 {
-        self.oldest(customer).map_or(0.0, |entry| {
-            let slack = entry.latest.since(entry.since).as_secs_f64();
-            (now.since(entry.since).as_secs_f64() / slack.max(1e-6)).min(1.0)
-        })
-    }
-
     fn ahead(&self, customer: &Customer) -> bool {
         let limit = self.limit();
         self.lines
@@ -328,9 +330,13 @@
             .is_some_and(|line| line.served > limit.floor + limit.lead / 2.0)
     }
 
-    fn age(&self, now: Time, customer: &Customer) -> Duration {
-        self.oldest(customer)
-            .map_or(Duration::ZERO, |entry| now.since(entry.since))
+    fn age(&self, now: Time, customer: &Customer, class: &Class) -> Duration {
+        let line = self.lines.get(customer);
+        let ages = line.and_then(|line| line.classes.get(class));
+        ages.and_then(BTreeSet::first)
+            .map_or(Duration::ZERO, |(_, id)| {
+                now.since(self.stored[id].entry.since)
+            })
     }
 
     fn count(&self, customer: &Customer) -> usize {
--- a/src/policy/queue/fifo.rs
+++ b/src/policy/queue/fifo.rs
@@ -13,7 +13,10 @@
 };
 use crate::{
     clock::Time,
-    name::Customer, //
+    name::{
+        Class,
+        Customer, //
+    },
 };
 
 /// A queue in the order of arrival.
@@ -66,15 +69,11 @@
         self.entries.iter().map(|entry| entry.latest).min()
     }
 
-    fn pressure(&self, _: Time, _: &Customer) -> f64 {
-        0.0
-    }
-
     fn ahead(&self, _: &Customer) -> bool {
         false
     }
 
-    fn age(&self, now: Time, _: &Customer) -> Duration {
+    fn age(&self, now: Time, _: &Customer, _: &Class) -> Duration {
         self.entries
             .front()
             .map_or(Duration::ZERO, |entry| now.since(entry.since))
--- a/src/policy/queue/mod.rs
+++ b/src/policy/queue/mod.rs
@@ -16,8 +16,11 @@
 };
 use crate::{
     clock::Time,
-    name::Customer,
-    policy::call::Call, //
+    name::{
+        Class,
+        Customer, //
+    },
+    policy::call::Call,
 };
 
 /// A call that waits.
@@ -72,14 +75,11 @@
     /// Returns the earliest of the latest starts.
     fn expiry(&self) -> Option<Time>;
 
-    /// Returns the part of its time that the customer's oldest call has spent waiting, from 0 to 1.
-    fn pressure(&self, now: Time, customer: &Customer) -> f64;
-
     /// Returns whether the customer was served more than its share while calls wait.
     fn ahead(&self, customer: &Customer) -> bool;
 
-    /// Returns the age of the customer's oldest call.
-    fn age(&self, now: Time, customer: &Customer) -> Duration;
+    /// Returns the age of the customer's oldest call of a class.
+    fn age(&self, now: Time, customer: &Customer, class: &Class) -> Duration;
 
     /// Returns the number of entries of a customer.
     fn count(&self, customer: &Customer) -> usize;
@@ -123,7 +123,7 @@
             levels: vec![2_000, 8_000, 32_000, 128_000],
             lead: 20_000,
             short: 4.0,
-            guard: 8,
+            guard: 16,
             patience_ms: 2_000,
             depth: 32,
             interactive: true,
