Tell why a call got its upstream, and time a decision

Operators ask where a call went and why. The queue computes the floor of all customers only when it needs it.

--- a/examples/policy/main.rs
+++ b/examples/policy/main.rs
@@ -3,6 +3,7 @@
 //! `docs/MEASUREMENTS.md` explains the model and holds the results.
 
 mod case;
+mod cost;
 mod engine;
 mod measure;
 mod run;
@@ -189,6 +190,13 @@
         .unwrap_or(10);
     let what = arguments.first().map_or("all", String::as_str);
     let begin = Instant::now();
+    if what == "cost" {
+        for (waiting, customers) in [(0, 10), (1_000, 10), (10_000, 100), (10_000, 2_300)] {
+            let time = cost::decision(waiting, customers).as_nanos() as f64 / 1e3;
+            println!("{waiting} calls of {customers} customers wait: {time:.1} us a decision");
+        }
+        return;
+    }
     for workload in [&SIRAG, &CASCADE] {
         if arguments.get(2).is_some_and(|name| name != workload.name) {
             continue;
--- a/src/policy/admit/mod.rs
+++ b/src/policy/admit/mod.rs
@@ -72,7 +72,6 @@
 
     fn check(&self, now: Time, call: &Call, view: View) -> Option<Duration> {
         let hopeless = now + view.fastest > call.deadline;
-        let starts = call.program.is_some() && call.attained == 0 && call.prefix == 0;
         let limit = if view.ahead {
             self.settings.ahead
         } else {
@@ -80,11 +79,16 @@
         };
         let slack = call.deadline.since(now).as_secs_f64();
         let wait = view.calls * view.age.as_secs_f64();
-        let crowded = starts && !call.interactive && wait > limit * slack;
+        let crowded = starts(call) && !call.interactive && wait > limit * slack;
         (hopeless || crowded).then(|| back(view.age))
     }
 }
 
+/// Returns whether the call is the first of its program.
+pub fn starts(call: &Call) -> bool {
+    call.program.is_some() && call.attained == 0 && call.prefix == 0
+}
+
 /// Time to come back while the oldest waiting call has this age.
 pub fn back(age: Duration) -> Duration {
     age.clamp(Duration::from_millis(500), Duration::from_secs(30))
--- a/src/policy/pool/mod.rs
+++ b/src/policy/pool/mod.rs
@@ -133,6 +133,8 @@
 struct Grant {
     entry: Entry,
     upstream: Upstream,
+    /// Why the call got this upstream.
+    reason: &'static str,
     at: Time,
     /// Time of the latest sign of progress.
     progress: Option<Time>,
@@ -255,7 +257,7 @@
             fastest: self.pace.fastest(call),
             calls: self.pace.calls(call),
             age,
-            ahead: self.queue.ahead(&call.customer),
+            ahead: admit::starts(call) && self.queue.ahead(&call.customer),
         };
         let full = self.queue.len() >= self.settings.length
             || self.queue.count(&call.customer) >= self.settings.per_customer;
@@ -321,7 +323,7 @@
                 id: entry.id,
                 upstream: upstream.clone(),
             });
-            self.grant(now, entry, upstream);
+            self.grant(now, entry, upstream, reason);
         }
         decisions
     }
@@ -460,7 +462,7 @@
         Some((entry, index, why))
     }
 
-    fn grant(&mut self, now: Time, entry: Entry, upstream: Upstream) {
+    fn grant(&mut self, now: Time, entry: Entry, upstream: Upstream, reason: &'static str) {
         let id = entry.id;
         self.router.sent(now, &entry.call, &upstream);
         if let Some(server) = self.servers.get_mut(&upstream) {
@@ -476,6 +478,7 @@
         let grant = Grant {
             entry,
             upstream,
+            reason,
             at: now,
             progress: None,
             lease,
@@ -565,6 +568,12 @@
         self.queue.is_empty() && self.hedges.take(customer)
     }
 
+    /// Returns where a call in flight was sent, and why there.
+    pub fn why(&self, id: u64) -> Option<(&Upstream, &'static str)> {
+        let grant = self.grants.get(&id)?;
+        Some((&grant.upstream, grant.reason))
+    }
+
     /// Returns what operators see.
     pub fn stats(&self) -> Stats {
         let member = |name: &Upstream, server: &Server<P::Window, P::Foreign>| Member {
--- a/src/policy/queue/fair.rs
+++ b/src/policy/queue/fair.rs
@@ -249,14 +249,18 @@
         }
         self.sequence += 1;
         let key = self.key(&entry);
-        let Limit { floor, lead, .. } = self.limit();
+        let idle = |line: &Line| line.ages.is_empty();
+        let returns = self.lines.get(&entry.call.customer).is_none_or(idle);
+        let claim = returns.then(|| self.limit()).map(|limit| {
+            // A customer without waiting calls keeps a claim, or one whose calls wait one at a
+            // time would lose its share with each of them. The claim must exceed one lead, from
+            // which on the others wait.
+            limit.floor - 2.0 * limit.lead
+        });
         let line = self.lines.entry(entry.call.customer.clone()).or_default();
         line.share = f64::from(entry.call.share.max(1));
-        if line.ages.is_empty() {
-            // A customer without waiting calls keeps a claim, or one whose calls wait one at a time
-            // would lose its share with each of them. The claim must exceed one lead, from which on
-            // the others wait.
-            line.served = line.served.max(floor - 2.0 * lead);
+        if let Some(claim) = claim {
+            line.served = line.served.max(claim);
         }
         line.order.insert(key);
         let age = (key.sequence, entry.id);
--- a/tests/policy_pool.rs
+++ b/tests/policy_pool.rs
@@ -275,6 +275,7 @@
     let first = pool.poll(T0, &mut rng());
     pool.ask(T0, 1, call());
     assert_eq!(pool.poll(T0, &mut rng()), first);
+    assert_eq!(pool.why(1), Some((&upstream(0), "least loaded")));
     assert_eq!(pool.stats().upstreams[&upstream(0)].running, 1);
 }
 
