--- a/examples/policy/main.rs
+++ b/examples/policy/main.rs
@@ -3,6 +3,7 @@
 //! `docs/MEASUREMENTS.md` explains the model and holds the results.
 
 mod case;
+mod cost;
 mod engine;
 mod measure;
 mod run;
@@ -25,6 +26,7 @@
         baseline,
         central,
         standard,
+        unaware,
         Case, //
     },
     measure::{
@@ -188,6 +190,13 @@
         .unwrap_or(10);
     let what = arguments.first().map_or("all", String::as_str);
     let begin = Instant::now();
+    if what == "cost" {
+        for (waiting, customers) in [(0, 10), (1_000, 10), (10_000, 100), (10_000, 2_300)] {
+            let time = cost::decision(waiting, customers).as_nanos() as f64 / 1e3;
+            println!("{waiting} calls of {customers} customers wait: {time:.1} us a decision");
+        }
+        return;
+    }
     for workload in [&SIRAG, &CASCADE] {
         if arguments.get(2).is_some_and(|name| name != workload.name) {
             continue;
@@ -210,13 +219,29 @@
     println!("\n{:.0} s", begin.elapsed().as_secs_f64());
 }
 
+/// Runs beside requests of another system, 2 per second and engine in every other 10 s.
+fn beside(workload: &Workload, full: f64, seeds: usize) {
+    let cases = [standard(), unaware(), baseline()];
+    for (title, rate) in [("alone", 0.0), ("beside another system", 2.0)] {
+        let results = compare(workload, &cases, full * 0.5, rate, Scene::default(), seeds);
+        let title = format!("{}, demand 50 % of capacity, {title}", workload.name);
+        table(&title, &cases, &results, &[1, 2, 6, 10, 11, 16]);
+    }
+}
+
 const LATENCY: [usize; 11] = [0, 1, 2, 3, 6, 7, 8, 10, 11, 12, 14];
 
 fn measures(workload: &Workload, full: f64, seeds: usize) {
+    beside(workload, full, seeds);
     let cases = [standard(), baseline(), central()];
     let scenes = [
         ("75 % of capacity", 0.75, Scene::default()),
         ("50 % of capacity", 0.5, Scene::default()),
+        (
+            "50 %, one in five engines slowed 5 times",
+            0.5,
+            SLOW_ENGINES,
+        ),
         (
             "75 %, one in five engines slowed 5 times",
             0.75,
@@ -246,7 +271,7 @@
             0.75,
             SLOW_ENGINES,
         ),
-        ("150 %", 1.5, Scene::default()),
+        ("150 %, steady", 1.5, STEADY),
     ] {
         let results = compare(workload, &cases, full * part, 0.0, scene, seeds);
         let title = format!(
@@ -266,23 +291,22 @@
 fn sweep(workload: &Workload, full: f64, seeds: usize) {
     let mut cases = vec![standard()];
     for (part, ahead, lead) in [
-        (0.4, 0.02, 20_000),
-        (0.4, 0.02, 40_000),
-        (0.4, 0.05, 10_000),
-        (0.4, 0.05, 40_000),
-        (0.4, 0.1, 20_000),
-        (0.8, 0.05, 20_000),
+        (1.0, 0.1, 20_000),
+        (4.0, 0.05, 20_000),
+        (4.0, 0.25, 20_000),
+        (4.0, 0.1, 10_000),
+        (4.0, 0.1, 40_000),
     ] {
-        let name = format!("pressure {part}, ahead {ahead}, lead {lead}");
+        let name = format!("waiting {part}, ahead {ahead}, lead {lead}");
         cases.push(Case::with(&name, |s| {
-            s.admit.pressure = part;
+            s.admit.waiting = part;
             s.admit.ahead = ahead;
             s.queue.lead = lead;
         }));
     }
-    for short in [1.0, 16.0] {
+    for short in [1.0, 4.0] {
         cases.push(Case::with(&format!("short {short}"), |s| {
-            s.queue.short = short
+            s.queue.short = short;
         }));
     }
     for (us, ms) in [(50, 1_000), (200, 10_000)] {
@@ -292,11 +316,11 @@
         }));
     }
     cases.push(Case::with("bound 2", |s| s.route.bound = 2.0));
-    cases.push(Case::with("slow 3", |s| s.route.slow = 3.0));
-    cases.push(Case::with("guard 16", |s| s.queue.guard = 16));
+    cases.push(Case::with("slow 2", |s| s.route.slow = 2.0));
+    cases.push(Case::with("guard 8", |s| s.queue.guard = 8));
     cases.push(Case::with("hedge 2", |s| s.pace.hedge = 2.0));
-    cases.push(Case::with("levels from 4000", |s| {
-        s.queue.levels = vec![4_000, 16_000, 64_000, 256_000];
+    cases.push(Case::with("levels from 2000", |s| {
+        s.queue.levels = vec![2_000, 8_000, 32_000, 128_000];
     }));
     for (title, part, scene) in [
         ("75 %", 0.75, Scene::default()),
--- a/src/policy/pool/mod.rs
+++ b/src/policy/pool/mod.rs
@@ -133,6 +133,8 @@
 struct Grant {
     entry: Entry,
     upstream: Upstream,
+    /// Why the call got this upstream.
+    reason: &'static str,
     at: Time,
     /// Time of the latest sign of progress.
     progress: Option<Time>,
@@ -236,6 +238,7 @@
         if call.interactive {
             self.interactive = Some(now);
         }
+        self.pace.asked(&call);
         self.queue.remove(id);
         let entry = Entry {
             id,
@@ -249,12 +252,12 @@
     }
 
     fn refuse(&self, now: Time, call: &Call) -> Option<Deny> {
-        let age = self.queue.age(now, &call.customer);
+        let age = self.queue.age(now, &call.customer, &call.class);
         let view = admit::View {
             fastest: self.pace.fastest(call),
-            pressure: self.queue.pressure(now, &call.customer),
-            ahead: self.queue.ahead(&call.customer),
+            calls: self.pace.calls(call),
             age,
+            ahead: admit::starts(call) && self.queue.ahead(&call.customer),
         };
         let full = self.queue.len() >= self.settings.length
             || self.queue.count(&call.customer) >= self.settings.per_customer;
@@ -320,7 +323,7 @@
                 id: entry.id,
                 upstream: upstream.clone(),
             });
-            self.grant(now, entry, upstream);
+            self.grant(now, entry, upstream, reason);
         }
         decisions
     }
@@ -459,7 +462,7 @@
         Some((entry, index, why))
     }
 
-    fn grant(&mut self, now: Time, entry: Entry, upstream: Upstream) {
+    fn grant(&mut self, now: Time, entry: Entry, upstream: Upstream, reason: &'static str) {
         let id = entry.id;
         self.router.sent(now, &entry.call, &upstream);
         if let Some(server) = self.servers.get_mut(&upstream) {
@@ -475,6 +478,7 @@
         let grant = Grant {
             entry,
             upstream,
+            reason,
             at: now,
             progress: None,
             lease,
@@ -564,6 +568,12 @@
         self.queue.is_empty() && self.hedges.take(customer)
     }
 
+    /// Returns where a call in flight was sent, and why there.
+    pub fn why(&self, id: u64) -> Option<(&Upstream, &'static str)> {
+        let grant = self.grants.get(&id)?;
+        Some((&grant.upstream, grant.reason))
+    }
+
     /// Returns what operators see.
     pub fn stats(&self) -> Stats {
         let member = |name: &Upstream, server: &Server<P::Window, P::Foreign>| Member {
