--- /dev/null
+++ b/examples/load/crest.rs
@@ -0,0 +1,330 @@
+//! Programs of a deployment at a demand that swings within seconds.
+
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use actix_web::rt::{
+    spawn,
+    time::sleep, //
+};
+use futures_util::future::join_all;
+use serde_json::json;
+use standin::{
+    engine,
+    service, //
+};
+
+use crate::{
+    client,
+    deploy::{
+        self,
+        Deployment,
+        Plan,
+        SERVICES, //
+    },
+    flags::Crest,
+    report::{
+        self,
+        Times, //
+    },
+};
+
+/// Programs of the two deployments, as the measurements of policy draw them.
+#[allow(dead_code)]
+#[path = "../policy/workload.rs"]
+mod workload;
+
+use workload::{
+    Program,
+    Step,
+    Workload,
+    CUSTOMERS, //
+};
+
+/// Tries of a call that was refused without having run.
+const TRIES: u32 = 5;
+
+/// Longest wait for programs after the last arrival.
+const DRAIN: Duration = Duration::from_secs(60);
+
+#[derive(Default)]
+struct Books {
+    programs: BTreeMap<&'static str, Times>,
+    waits: BTreeMap<&'static str, Times>,
+    /// Programs that arrived at the peak of a swing.
+    peak: Option<Times>,
+    refusals: BTreeMap<String, u64>,
+    arrived: u64,
+    done: u64,
+    late: u64,
+    abandoned: u64,
+}
+
+#[derive(Clone)]
+struct Run {
+    deployment: Rc<Deployment>,
+    workload: &'static Workload,
+    books: Rc<RefCell<Books>>,
+    speed: f64,
+}
+
+fn customer(number: usize) -> String {
+    format!("customer-{number}")
+}
+
+fn note(times: &mut BTreeMap<&'static str, Times>, name: &'static str, time: Duration) {
+    let entry = times.entry(name).or_insert_with(report::times);
+    entry.saturating_record(time.as_micros() as u64);
+}
+
+impl Run {
+    fn scaled(&self, micros: u64) -> Duration {
+        Duration::from_secs_f64(micros as f64 / 1e6 / self.speed)
+    }
+
+    fn refused(&self, reason: String) {
+        let mut books = self.books.borrow_mut();
+        *books.refusals.entry(reason).or_default() += 1;
+    }
+
+    /// Makes one call, again when it was refused; returns the time to its first part.
+    async fn call(
+        &self,
+        node: usize,
+        path: &str,
+        body: &serde_json::Value,
+        token: &str,
+    ) -> Option<Duration> {
+        let begun = Instant::now();
+        for _ in 0..TRIES {
+            let url = deploy::url(&self.deployment.nodes[node], path);
+            let tried = begun.elapsed();
+            let called = client::stream(self.deployment.http.post(url), body, token).await;
+            if called.text.contains("event: answer") {
+                return Some(tried + called.first.unwrap_or_default());
+            }
+            let reason = client::reason(&called.text);
+            let no = called.text.contains("\"ran\":\"no\"");
+            self.refused(reason);
+            if !no {
+                return None;
+            }
+            sleep(Duration::from_millis(300)).await;
+        }
+        None
+    }
+
+    async fn lookup(&self, program: &Program, node: usize) -> bool {
+        let kind = &self.workload.kinds[program.kind];
+        let body = json!({
+            "type": "service", "pool": SERVICES, "operation": "stitch-status",
+            "customer": customer(program.customer), "class": kind.name.replace(' ', "-"),
+            "body": { "order": program.start },
+        });
+        let wait = self.call(node, "/v1/calls", &body, "event: answer").await;
+        if let Some(wait) = wait {
+            let books = &mut *self.books.borrow_mut();
+            note(&mut books.waits, kind.name, wait);
+        }
+        wait.is_some()
+    }
+
+    async fn steps(&self, program: &Program, node: usize) -> bool {
+        let kind = &self.workload.kinds[program.kind];
+        let class = kind.name.replace(' ', "-");
+        let entry = &self.deployment.nodes[node];
+        let name = customer(program.customer);
+        let (_, started) = self.deployment.program(entry, &name, &class).await;
+        let Some(id) = started["program"].as_str() else {
+            let reason = started["reason"].as_str().unwrap_or("no_answer").to_owned();
+            self.refused(reason);
+            return false;
+        };
+        let path = format!("/v1/programs/{id}/calls");
+        for (number, (pause, step)) in program.steps.iter().enumerate() {
+            sleep(self.scaled(*pause)).await;
+            let (body, token) = match step {
+                Step::Model { new, answer } => {
+                    // The stand-in counts four bytes as a token.
+                    let text = format!("{id} {number} {}", "word".repeat(*new as usize));
+                    let messages = json!([{ "role": "user", "content": text }]);
+                    (client::model(&messages, *answer), "event: text")
+                }
+                Step::Service { .. } => (
+                    json!({ "type": "service", "pool": SERVICES, "operation": "workshop-order", "body": { "number": number } }),
+                    "event: answer",
+                ),
+            };
+            let Some(wait) = self.call(node, &path, &body, token).await else {
+                return false;
+            };
+            if matches!(step, Step::Model { .. }) {
+                let books = &mut *self.books.borrow_mut();
+                note(&mut books.waits, kind.name, wait);
+            }
+        }
+        let end = format!("/v1/programs/{id}/end");
+        let request = self.deployment.http.post(deploy::url(entry, &end));
+        client::answer(request.send_json(&json!({})).await).await;
+        true
+    }
+
+    async fn program(self, program: Program, node: usize) {
+        self.books.borrow_mut().arrived += 1;
+        let kind = &self.workload.kinds[program.kind];
+        let begun = Instant::now();
+        let done = match kind.turns.1 {
+            0 => self.lookup(&program, node).await,
+            _ => self.steps(&program, node).await,
+        };
+        let time = begun.elapsed();
+        let books = &mut *self.books.borrow_mut();
+        if !done {
+            books.abandoned += 1;
+            return;
+        }
+        books.done += 1;
+        books.late += u64::from(time > self.scaled(kind.deadline));
+        note(&mut books.programs, kind.name, time);
+        if program.peak && !kind.short {
+            let peak = books.peak.get_or_insert_with(report::times);
+            peak.saturating_record(time.as_micros() as u64);
+        }
+    }
+
+    async fn contracts(&self) {
+        let class = |kind: &workload::Kind| {
+            let deadline = self.scaled(kind.deadline).as_millis() as u64;
+            json!({
+                "class": kind.name.replace(' ', "-"),
+                "deadline_ms": deadline.max(500),
+                "interactive": kind.interactive,
+            })
+        };
+        let classes: Vec<_> = self.workload.kinds.iter().map(class).collect();
+        for (number, (share, _)) in CUSTOMERS.iter().enumerate() {
+            let classes = json!(classes);
+            let name = customer(number);
+            self.deployment.contract(&name, *share, &classes).await;
+        }
+    }
+
+    fn slow(&self, factor: f64) {
+        for engine in self.deployment.engines.iter().step_by(5) {
+            engine.set_faults(engine::Faults {
+                slow: factor,
+                ..engine::Faults::default()
+            });
+        }
+    }
+
+    fn report(&self) {
+        let books = self.books.borrow();
+        for (name, times) in &books.programs {
+            report::line(&format!("program, {name}"), times);
+        }
+        for (name, times) in &books.waits {
+            report::line(&format!("first part of the answer, {name}"), times);
+        }
+        if let Some(peak) = &books.peak {
+            report::line("program, long work that arrived at the peak", peak);
+        }
+        println!(
+            "arrived {}, done {}, of them late {}, abandoned {}, open {}",
+            books.arrived,
+            books.done,
+            books.late,
+            books.abandoned,
+            books.arrived - books.done - books.abandoned
+        );
+        println!("refusals by reason: {:?}", books.refusals);
+        let engines = self.deployment.engines.iter().map(|engine| engine.books());
+        let engines: Vec<_> = engines.collect();
+        let cost = engines.iter().fold(engine::Cost::default(), |sum, books| {
+            sum.plus(books.cost(""))
+        });
+        println!(
+            "engines: {} calls, {} prompt tokens, {:.1} % of them cached, {} generated, largest delay of a step {:.0} ms",
+            cost.calls,
+            cost.prompt_tokens,
+            cost.cached_tokens as f64 / cost.prompt_tokens.max(1) as f64 * 100.0,
+            cost.completion_tokens,
+            engines.iter().map(|books| books.behind_us).max().unwrap_or(0) as f64 / 1e3
+        );
+    }
+}
+
+fn plan(workload: &Workload, speed: f64) -> Plan {
+    let zones = workload.engines.len();
+    let instances = |at| (23 + zones - 1 - at) / zones;
+    let mut paths = standin::Map::default();
+    paths.insert("/stitch-status".to_owned(), (12_500.0 / speed) as u64);
+    paths.insert("/workshop-order".to_owned(), (400_000.0 / speed) as u64);
+    Plan {
+        zones: (0..zones)
+            .map(|at| (instances(at), workload.engines[at], workload.services[at]))
+            .collect(),
+        engine: engine::Config {
+            speed,
+            calls_kept: 0,
+            ..engine::Config::default()
+        },
+        service: service::Config {
+            path_latency_us: paths,
+            calls_kept: 0,
+            ..service::Config::default()
+        },
+        workers: 1,
+        metered: false,
+    }
+}
+
+pub async fn run(flags: &Crest) {
+    let workload = match flags.deployment.as_str() {
+        "sirag" => &workload::SIRAG,
+        "cascade" => &workload::CASCADE,
+        other => return eprintln!("load: deployment {other} is neither sirag nor cascade"),
+    };
+    let speed = flags.speed.unwrap_or(5.0);
+    let seconds = flags.seconds.unwrap_or(30);
+    let rate = flags.rate.unwrap_or(60.0);
+    let run = Run {
+        deployment: Rc::new(Deployment::start(&plan(workload, speed)).await),
+        workload,
+        books: Rc::default(),
+        speed,
+    };
+    run.contracts().await;
+    if let Some(factor) = flags.slow {
+        run.slow(factor);
+    }
+    let arrivals = workload::arrivals(workload, rate, false, flags.seed.unwrap_or(1));
+    let (begun, mut tasks) = (Instant::now(), Vec::new());
+    let cpu = run.deployment.cpu();
+    let zones = workload.engines.len();
+    for (number, program) in arrivals.into_iter().enumerate() {
+        let due = Duration::from_micros(program.start);
+        if due.as_secs() >= seconds {
+            break;
+        }
+        sleep(due.saturating_sub(begun.elapsed())).await;
+        // The balancer hands programs out in turn, without regard to zones.
+        let node = number * zones % run.deployment.nodes.len();
+        tasks.push(spawn(run.clone().program(program, node)));
+    }
+    let all = join_all(tasks);
+    let _ = actix_web::rt::time::timeout(DRAIN, all).await;
+    let time = begun.elapsed().as_secs_f64();
+    run.report();
+    println!(
+        "instances: {:.2} % of a core each on average",
+        (run.deployment.cpu() - cpu) / time / run.deployment.nodes.len() as f64 * 100.0
+    );
+}
--- /dev/null
+++ b/examples/load/short_calls.rs
@@ -0,0 +1,182 @@
+//! Highest rate of one-shot lookups that one instance holds with bounded latency.
+
+use std::{
+    sync::{
+        atomic::{
+            AtomicU64,
+            Ordering::Relaxed, //
+        },
+        Arc,
+    },
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use actix_web::rt::{
+    spawn,
+    time::sleep,
+    System, //
+};
+use serde_json::json;
+use standin::{
+    engine,
+    service, //
+};
+use std::{
+    cell::RefCell,
+    rc::Rc, //
+};
+
+use crate::{
+    client,
+    deploy::{
+        self,
+        Deployment,
+        Plan,
+        SERVICES, //
+    },
+    flags::ShortCalls,
+    report::{
+        self,
+        Times, //
+    },
+};
+
+/// Threads that make calls.
+const THREADS: u64 = 3;
+
+/// Calls of a thread under way over which it counts a call as failed instead of making it.
+const MOST: u64 = 2_000;
+
+/// A rate is held if this part of the calls succeeds and their p99 is below the limit.
+const HELD: (f64, f64) = (0.999, 50.0);
+
+/// Result of one rate.
+struct Measured {
+    offered: u64,
+    done: u64,
+    times: Times,
+    cpu: f64,
+}
+
+impl Measured {
+    fn held(&self) -> bool {
+        self.done as f64 >= self.offered as f64 * HELD.0 && report::ms(&self.times, 99.0) < HELD.1
+    }
+}
+
+fn plan(workers: usize) -> Plan {
+    Plan {
+        zones: vec![(1, 1, 5)],
+        engine: engine::Config::default(),
+        service: service::Config {
+            calls_kept: 0,
+            ..service::Config::default()
+        },
+        workers,
+        metered: false,
+    }
+}
+
+/// Makes calls at a rate from one thread; latency counts from the time a call was due.
+async fn calls(url: String, rate: f64, seconds: u64) -> (u64, u64, Times) {
+    let http = client::client();
+    let times = Rc::new(RefCell::new(report::times()));
+    let (under_way, done) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
+    let body = Rc::new(json!({
+        "type": "service", "pool": SERVICES, "operation": "stitch-status", "customer": "sirag",
+        "class": "lookup", "body": { "order": 4711 },
+    }));
+    let begun = Instant::now();
+    let offered = (rate * seconds as f64) as u64;
+    let mut next = 0;
+    while next < offered {
+        while next < offered && begun.elapsed().as_secs_f64() >= next as f64 / rate {
+            let due = begun + Duration::from_secs_f64(next as f64 / rate);
+            next += 1;
+            if under_way.load(Relaxed) >= MOST {
+                continue;
+            }
+            under_way.fetch_add(1, Relaxed);
+            let (times, body, http) = (times.clone(), body.clone(), http.clone());
+            let (under_way, done, url) = (under_way.clone(), done.clone(), url.clone());
+            spawn(async move {
+                let (status, _) = client::answer(http.post(url).send_json(&*body).await).await;
+                under_way.fetch_sub(1, Relaxed);
+                if status == 200 {
+                    done.fetch_add(1, Relaxed);
+                    let time = due.elapsed().as_micros() as u64;
+                    times.borrow_mut().saturating_record(time);
+                }
+            });
+        }
+        sleep(Duration::from_millis(1)).await;
+    }
+    let limit = Instant::now() + Duration::from_secs(3);
+    while under_way.load(Relaxed) > 0 && Instant::now() < limit {
+        sleep(Duration::from_millis(5)).await;
+    }
+    let times = times.borrow().clone();
+    (offered, done.load(Relaxed), times)
+}
+
+async fn measure(deployment: &Deployment, rate: u64, seconds: u64) -> Measured {
+    let url = deploy::url(&deployment.nodes[0], "/v1/calls");
+    let (before, begun) = (deployment.cpu(), Instant::now());
+    let threads: Vec<_> = (0..THREADS)
+        .map(|_| {
+            let url = url.clone();
+            let rate = rate as f64 / THREADS as f64;
+            thread::spawn(move || System::new().block_on(calls(url, rate, seconds)))
+        })
+        .collect();
+    while threads.iter().any(|thread| !thread.is_finished()) {
+        sleep(Duration::from_millis(20)).await;
+    }
+    let mut measured = Measured {
+        offered: 0,
+        done: 0,
+        times: report::times(),
+        cpu: (deployment.cpu() - before) / begun.elapsed().as_secs_f64(),
+    };
+    for thread in threads {
+        let (offered, done, times) = thread.join().expect("calls end");
+        measured.offered += offered;
+        measured.done += done;
+        measured.times.add(times).expect("same precision");
+    }
+    measured
+}
+
+pub async fn run(flags: &ShortCalls) {
+    let (from, to) = (flags.from.unwrap_or(1_000), flags.to.unwrap_or(8_000));
+    let seconds = flags.seconds.unwrap_or(4);
+    let mut rates = Vec::new();
+    for _ in 0..flags.runs.unwrap_or(5) {
+        let deployment = Deployment::start(&plan(flags.workers.unwrap_or(2))).await;
+        let classes = json!([{ "class": "lookup", "deadline_ms": 2_000, "interactive": true }]);
+        deployment.contract("sirag", 1, &classes).await;
+        measure(&deployment, 500, 1).await;
+        let mut held = 0;
+        for rate in (from..=to).step_by(1_000) {
+            let measured = measure(&deployment, rate, seconds).await;
+            let name = format!(
+                "rate {rate}/s, done {} of {}, daemon {:.0} % of a core",
+                measured.done,
+                measured.offered,
+                measured.cpu * 100.0
+            );
+            report::line(&name, &measured.times);
+            if !measured.held() {
+                break;
+            }
+            held = rate;
+        }
+        println!("held: {held} calls/s");
+        rates.push(held as f64);
+    }
+    report::spread("held", "calls/s", rates);
+}
