load: Call engines apart from the daemon's directly

Direct calls to the daemon's own engines count as load that is not ours, so its windows shrank to 8 to 12 and 2.1 % of the calls waited for a place (metric queue_wait): added p99 6.3 and 12.7 ms in two trials of 12 s.

--- a/examples/load/deploy.rs
+++ b/examples/load/deploy.rs
@@ -298,6 +298,22 @@
         client::answer(self.http.get(url(node, path)).send().await).await
     }
 
+    /// Returns the part of a time series of an instance that is above a bound in seconds.
+    pub async fn above(&self, node: &Node, span: &str, bound: &str) -> f64 {
+        let Ok(mut response) = self.http.get(url(node, "/metrics")).send().await else {
+            return f64::NAN;
+        };
+        let body = response.body().await.unwrap_or_default();
+        let text = String::from_utf8_lossy(&body).into_owned();
+        let find = |bound: &str| {
+            let name = format!("gypsumlever_{span}_seconds_bucket{{le=\"{bound}\"}} ");
+            let line = text.lines().find_map(|line| line.strip_prefix(&name));
+            line.and_then(|line| line.parse::<f64>().ok())
+                .unwrap_or(0.0)
+        };
+        1.0 - find(bound) / find("+Inf")
+    }
+
     /// Returns the CPU seconds of all instances.
     pub fn cpu(&self) -> f64 {
         let pids = self.nodes.iter().map(Node::pid);
--- a/examples/load/first_token.rs
+++ b/examples/load/first_token.rs
@@ -18,6 +18,7 @@
 use serde_json::json;
 use standin::{
     engine,
+    server::Server,
     service, //
 };
 
@@ -49,6 +50,9 @@
 #[derive(Clone)]
 struct Run {
     deployment: Rc<Deployment>,
+    /// Engines that are called directly. Calls past the daemon to its own engines would be load
+    /// that is not ours, for which it rightly reduces its windows.
+    apart: Rc<Vec<Server<engine::Engine>>>,
     direct: Rc<RefCell<Times>>,
     through: Rc<RefCell<Times>>,
     failed: Rc<RefCell<Vec<String>>>,
@@ -56,19 +60,23 @@
     end: Instant,
 }
 
+fn engines() -> engine::Config {
+    engine::Config {
+        step_us: 5_000,
+        step_per_request_us: 0,
+        prefill_per_token_us: 0.0,
+        max_batch: 1_000,
+        cache_tokens: 100_000_000,
+        calls_kept: 0,
+        ..engine::Config::default()
+    }
+}
+
 /// The step is constant, so that both paths see the same engine whatever the batch holds.
 fn plan(workers: usize) -> Plan {
     Plan {
         zones: vec![(1, ENGINES, 1)],
-        engine: engine::Config {
-            step_us: 5_000,
-            step_per_request_us: 0,
-            prefill_per_token_us: 0.0,
-            max_batch: 1_000,
-            cache_tokens: 100_000_000,
-            calls_kept: 0,
-            ..engine::Config::default()
-        },
+        engine: engines(),
         service: service::Config::default(),
         workers,
         metered: false,
@@ -77,7 +85,8 @@
 
 impl Run {
     async fn direct(&self, number: usize, turn: usize, messages: &serde_json::Value) {
-        let engine = &self.deployment.engines[(number + turn) % ENGINES];
+        let apart = self.apart.get((number + turn) % ENGINES);
+        let engine = apart.unwrap_or(&self.deployment.engines[(number + turn) % ENGINES]);
         let url = format!("http://{}/v1/chat/completions", engine.address());
         let body = json!({
             "model": MODELS,
@@ -145,8 +154,15 @@
         let deployment = Deployment::start(&plan(flags.workers.unwrap_or(2))).await;
         deployment.contract("sirag", 1, &json!([])).await;
         let warm = Instant::now() + Duration::from_secs(3);
+        let apart = match flags.shared {
+            true => Vec::new(),
+            false => (0..ENGINES)
+                .map(|_| engine::start(engines()).expect("engine"))
+                .collect(),
+        };
         let run = Run {
             deployment: Rc::new(deployment),
+            apart: Rc::new(apart),
             direct: Rc::new(RefCell::new(report::times())),
             through: Rc::new(RefCell::new(report::times())),
             failed: Rc::default(),
@@ -158,7 +174,7 @@
         let tasks = (0..programs).map(|number| spawn(run.clone().program(number)));
         join_all(tasks.collect::<Vec<_>>()).await;
         let cpu = (run.deployment.cpu() - before) / begun.elapsed().as_secs_f64();
-        let (direct, through) = (run.direct.borrow(), run.through.borrow());
+        let (direct, through) = (run.direct.borrow().clone(), run.through.borrow().clone());
         report::line("direct ", &direct);
         report::line("through", &through);
         let added = |part| report::ms(&through, part) - report::ms(&direct, part);
@@ -172,6 +188,11 @@
             process::resident(run.deployment.nodes[0].pid()),
             run.failed.borrow().len()
         );
+        let node = &run.deployment.nodes[0];
+        for span in ["queue_wait", "commit"] {
+            let slow = run.deployment.above(node, span, "0.001").await;
+            println!("{span} above 1 ms: {:.1} %", slow * 100.0);
+        }
         if let Some(failed) = run.failed.borrow().first() {
             println!("first failure: {failed}");
         }
--- a/examples/load/main.rs
+++ b/examples/load/main.rs
@@ -22,6 +22,8 @@
         cmd load {
             /// Time to first token through a daemon against the engines directly.
             cmd first-token {
+                /// Call the daemon's own engines directly, not others of the same kind.
+                optional --shared
                 /// Programs at a time.
                 optional --programs programs: usize
                 /// Seconds of one run.
