Take test ports from below the kernel's range for outgoing connections

Cause: a port that was free when it was picked was taken by an outgoing connection before the daemon listened on it (budget_many_spenders_and_a_death, 'Address already in use'). Change: ports from 12000 to 31999, checked before use. Conclusion: the failure was in the test's set-up.

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -161,9 +161,20 @@
     pub http: awc::Client,
 }
 
+/// Returns an address that nothing listens on.
+///
+/// The ports are below the range from which the kernel takes those of outgoing connections, which
+/// could otherwise take one before the daemon listens on it.
 fn free_address() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address").to_string()
+    static LAST: AtomicU32 = AtomicU32::new(0);
+    let first = std::process::id().wrapping_mul(97);
+    loop {
+        let number = first.wrapping_add(LAST.fetch_add(1, Ordering::Relaxed));
+        let address = format!("127.0.0.1:{}", 12_000 + number % 20_000);
+        if TcpListener::bind(&address).is_ok() {
+            return address;
+        }
+    }
 }
 
 fn upstreams(prefix: &str, list: &[(String, String)]) -> String {
