--- a/examples/policy/measure.rs
+++ b/examples/policy/measure.rs
@@ -62,6 +62,24 @@
     served.iter().zip(&CUSTOMERS).map(off).fold(0.0, f64::max)
 }
 
+/// Part of the tokens that each customer was served, and of its programs that were refused, in per
+/// cent.
+pub fn customers(workload: &Workload, programs: &[Program], out: &Outcome) -> [(f64, f64); 3] {
+    let total: f64 = out.served.iter().sum();
+    let mut counts = [(0.0, 0.0); 3];
+    for (program, fate) in programs.iter().zip(&out.fates) {
+        if !workload.kinds[program.kind].interactive {
+            counts[program.customer].0 += 1.0;
+            counts[program.customer].1 += f64::from(u8::from(fate.refused));
+        }
+    }
+    let part = |index: usize| {
+        let (count, refused) = counts[index];
+        (100.0 * out.served[index] / total, 100.0 * refused / count)
+    };
+    [part(0), part(1), part(2)]
+}
+
 /// Measures a run; programs that were refused or failed count as infinitely late.
 pub fn measure(workload: &Workload, programs: &[Program], out: &Outcome) -> Values {
     let (mut all, mut peak, mut short, mut long) = (vec![], vec![], vec![], vec![]);
--- a/src/policy/queue/mod.rs
+++ b/src/policy/queue/mod.rs
@@ -120,8 +120,8 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            levels: vec![4_000, 16_000, 64_000, 256_000],
-            lead: 20_000,
+            levels: vec![4_000, 64_000],
+            lead: 40_000,
             short: 16.0,
             guard: 16,
             patience_ms: 2_000,
--- a/src/policy/route/affine.rs
+++ b/src/policy/route/affine.rs
@@ -58,10 +58,14 @@
         open: impl Fn(&Place) -> bool,
         rng: &mut impl Rng,
     ) -> Option<usize> {
-        // One call at a time tests whether a slow upstream has recovered; it must be one that a
-        // second upstream can take over.
+        // One call at a time tests whether a slow upstream has recovered. While all others are full
+        // it gets the part of its window that it can serve. Only calls that a second upstream can
+        // take over go there.
+        let full = !places.iter().any(|place| open(place) && !self.slow(place));
         let usable = |place: &Place| {
-            !self.slow(place) || (place.running == 0 && !call.interactive && call.idempotent)
+            let part = (f64::from(place.window) / place.slowness) as u32;
+            let part = if full { part.max(1) } else { 1 };
+            !self.slow(place) || (place.running < part && !call.interactive && call.idempotent)
         };
         let mut best: Option<(f64, usize)> = None;
         let start = rng.random_range(0..places.len().max(1));
