Follow and cancel calls on other instances, and give every setting and metric its effect

Cause: a call could be followed and cancelled at its home only, a cancel ignored the turn, request identifiers repeated after a restart, the last answer of an ended program could not be fetched, and some settings and metrics had no effect. Change: frames to follow and to abort a call; identifiers carry the process's suffix; the last answer stays readable; listen.metrics, memory.customer_calls and log.addresses work; peers.seeds, memory.link_frames and metrics that nothing recorded are gone; what does not exist is answered with 404 not_found.

--- a/src/api/calls.rs
+++ b/src/api/calls.rs
@@ -30,14 +30,13 @@
             refuse, //
         },
         request::{
+            Answer,
             Call,
             Event,
             Reason,
             Refusal,
             Request, //
         },
-        Cancel,
-        Join,
         Release,
         SINK, //
     },
@@ -548,19 +547,26 @@
     from: u64,
     http: &HttpRequest,
 ) -> Result<mpsc::Receiver<Event>, Refusal> {
-    let (program, _, _, _) = owned(app, name, http).await?;
     let (sink, events) = mpsc::channel(SINK);
-    let join = Join {
-        program: program.clone(),
-        turn,
-        from,
-        sink: sink.clone(),
+    let program = match owned(app, name, http).await {
+        Ok((program, ..)) => program,
+        Err(refusal) if refusal.reason == Reason::ProgramEnded => {
+            let answer = last_answer(app, name, turn, http).await.ok_or(refusal)?;
+            deliver(&sink, answer, from);
+            return Ok(events);
+        }
+        Err(refusal) => return Err(refusal),
     };
-    let shard = app.gateway.pool().shard(Some(&program));
-    if shard.send(join).await.unwrap_or(false) {
+    if app.gateway.join(&program, turn, from, sink.clone()).await {
         return Ok(events);
     }
     let answer = app.gateway.kept(&program, turn).await?;
+    deliver(&sink, answer, from);
+    Ok(events)
+}
+
+/// Sends a whole answer, its text from byte `from` on.
+fn deliver(sink: &mpsc::Sender<Event>, answer: Answer, from: u64) {
     let text = answer.content.get(from as usize..).unwrap_or_default();
     let texts = (!text.is_empty()).then(|| Event::Text {
         offset: from,
@@ -570,7 +576,20 @@
         // The channel has room for both events.
         let _ = sink.try_send(event);
     }
-    Ok(events)
+}
+
+/// Returns the answer of the last turn of an ended program, which its caller may have missed.
+async fn last_answer(app: &App, name: &str, turn: u32, http: &HttpRequest) -> Option<Answer> {
+    let program = Program::try_from(name).ok()?;
+    let customer = {
+        let state = app.shared().ledger.state();
+        let mut accounts = state.accounts();
+        let (customer, account) =
+            accounts.find(|(_, account)| account.ended(&program).is_some())?;
+        authorize(http, account.contract()?).ok()?;
+        customer.clone()
+    };
+    app.gateway.last(&customer, &program, turn).await
 }
 
 /// A program with its history.
@@ -672,10 +691,7 @@
     };
     let shard = app.gateway.pool().shard(Some(&program));
     if reason == Ending::Cancelled {
-        let cancel = Cancel {
-            program: program.clone(),
-        };
-        let _ = shard.send(cancel).await;
+        app.gateway.cancel(&program, None).await;
     }
     let body = Body::End {
         program: program.clone(),
@@ -698,12 +714,11 @@
     http: HttpRequest,
 ) -> HttpResponse {
     let id = app.request_id();
-    let (name, _turn) = path.into_inner();
+    let (name, turn) = path.into_inner();
     let program = match owned(&app, &name, &http).await {
         Ok((program, ..)) => program,
         Err(refusal) => return app.refuse(&id, &refusal),
     };
-    let shard = app.gateway.pool().shard(Some(&program));
-    let cancelled = shard.send(Cancel { program }).await.unwrap_or(false);
+    let cancelled = app.gateway.cancel(&program, Some(turn)).await;
     HttpResponse::Ok().json(serde_json::json!({ "cancelled": cancelled }))
 }
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -79,7 +79,7 @@
     /// Returns a new identifier of a request; it names the instance that can explain it.
     pub fn request_id(&self) -> String {
         let number = self.last.fetch_add(1, Ordering::Relaxed);
-        format!("{}-{number}", self.shared().config.instance)
+        format!("{}-{number}", self.shared().ledger.settings().instance)
     }
 
     /// Makes the response of a refused request and keeps it for operators.
@@ -143,7 +143,7 @@
 
 async fn not_found(app: web::Data<App>, request: HttpRequest) -> HttpResponse {
     let detail = format!("{} {} does not exist", request.method(), request.path());
-    let refusal = refuse(Reason::BadRequest, detail, None);
+    let refusal = refuse(Reason::NotFound, detail, None);
     app.refuse(&app.request_id(), &refusal)
 }
 
--- a/src/api/operate.rs
+++ b/src/api/operate.rs
@@ -193,7 +193,7 @@
         Some(problem) => HttpResponse::Ok().json(problem),
         None => {
             let detail = format!("this instance has no refusal of request {path}");
-            let refusal = refuse(Reason::BadRequest, detail, None);
+            let refusal = refuse(Reason::NotFound, detail, None);
             app.refuse(&app.request_id(), &refusal)
         }
     }
--- a/src/api/problem.rs
+++ b/src/api/problem.rs
@@ -50,7 +50,9 @@
         Reason::BadRequest | Reason::UnknownPool => StatusCode::BAD_REQUEST,
         Reason::WrongKey => StatusCode::UNAUTHORIZED,
         Reason::BudgetExhausted => StatusCode::PAYMENT_REQUIRED,
-        Reason::UnknownCustomer | Reason::UnknownProgram => StatusCode::NOT_FOUND,
+        Reason::UnknownCustomer | Reason::UnknownProgram | Reason::NotFound => {
+            StatusCode::NOT_FOUND
+        }
         Reason::ProgramEnded | Reason::OutOfOrder | Reason::TurnInProgress | Reason::Cancelled => {
             StatusCode::CONFLICT
         }
--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -96,10 +96,7 @@
         zone: raw.zone,
         zones: raw.zones,
         listen: raw.listen,
-        peers: Peers {
-            secret,
-            seeds: raw.peers.seeds,
-        },
+        peers: Peers { secret },
         log: raw.log,
         list: raw.list,
         pools: raw.pools,
@@ -150,9 +147,6 @@
             "must be at least 1; leave it out for one worker for each core",
         );
         self.tls("peers.tls", raw.peers.tls.as_ref());
-        for (at, seed) in raw.peers.seeds.iter().enumerate() {
-            self.address(format!("peers.seeds[{at}]"), seed);
-        }
     }
 
     fn platform(&mut self, raw: &Raw) {
@@ -299,7 +293,6 @@
             ("history_bytes", memory.history_bytes as u64),
             ("queue_calls", memory.queue_calls as u64),
             ("customer_calls", memory.customer_calls as u64),
-            ("link_frames", memory.link_frames as u64),
             ("log_records", memory.log_records as u64),
         ];
         self.positive("memory", &bounds);
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -71,8 +71,6 @@
 pub struct Peers {
     /// Secret that every instance of the cluster presents.
     pub secret: Secret,
-    /// Peer addresses that are tried in addition to the list of instances.
-    pub seeds: Vec<String>,
 }
 
 /// Checked settings of the daemon.
--- a/src/config/raw.rs
+++ b/src/config/raw.rs
@@ -138,9 +138,6 @@
 pub struct Peers {
     /// Environment variable that holds the secret.
     pub secret_env: String,
-    /// See [`super::Peers::seeds`].
-    #[serde(default)]
-    pub seeds: Vec<String>,
     /// Certificates for links; not supported yet.
     #[serde(default)]
     pub tls: Option<Tls>,
@@ -436,8 +433,6 @@
     pub queue_calls: usize,
     /// Calls that one customer has waiting in the queue of one pool.
     pub customer_calls: usize,
-    /// Frames that wait on one link.
-    pub link_frames: usize,
     /// Records that wait for the log.
     pub log_records: usize,
 }
@@ -448,7 +443,6 @@
             history_bytes: 128 << 20,
             queue_calls: 10_000,
             customer_calls: 2_000,
-            link_frames: 4_096,
             log_records: 10_000,
         }
     }
--- a/src/ctl/advice.rs
+++ b/src/ctl/advice.rs
@@ -109,6 +109,10 @@
             "Another change was accepted first, or the ledger's rules forbid this one.",
             "Look at the version in effect with `gypsumctl contract diff`, then amend that version.",
         ),
+        Reason::NotFound => (
+            "The route or the resource does not exist.",
+            "Compare the path with docs/api.md, and the version of the tool with the daemon's.",
+        ),
     };
     Advice { meaning, action }
 }
--- a/src/ctl/why.rs
+++ b/src/ctl/why.rs
@@ -35,7 +35,7 @@
             Ok(answer) if found.iter().any(|(_, known)| *known == answer.content) => {}
             Ok(answer) => found.push((server, answer.content)),
             // The instance is there and keeps no refusal of this request.
-            Err(Failure::Refused { problem, .. }) if problem.reason == Reason::BadRequest => {
+            Err(Failure::Refused { problem, .. }) if problem.reason == Reason::NotFound => {
                 asked.push(server);
             }
             Err(failure) => missed.push(failure),
--- a/src/daemon/intake.rs
+++ b/src/daemon/intake.rs
@@ -29,6 +29,8 @@
             Event,
             Reason, //
         },
+        Cancel,
+        Join,
         SINK, //
     },
     ledger::{
@@ -102,6 +104,39 @@
                 entry.pool().run(request, 0, sink);
                 actix_web::rt::spawn(relay(events, reply));
             }
+            Body::Follow {
+                program,
+                turn,
+                from,
+            } => {
+                let Some(entry) = self.entry.get() else {
+                    return;
+                };
+                let (sink, events) = mpsc::channel(SINK);
+                let shard = entry.pool().shard(Some(&program)).clone();
+                let join = Join {
+                    program,
+                    turn,
+                    from,
+                    sink,
+                };
+                actix_web::rt::spawn(async move {
+                    if shard.send(join).await.unwrap_or(false) {
+                        relay(events, reply).await;
+                    }
+                });
+            }
+            Body::Abort { program, turn } => {
+                let Some(entry) = self.entry.get() else {
+                    return;
+                };
+                let shard = entry.pool().shard(Some(&program)).clone();
+                actix_web::rt::spawn(async move {
+                    if shard.send(Cancel { program, turn }).await.unwrap_or(false) {
+                        let _ = reply.finish(Body::Held);
+                    }
+                });
+            }
             Body::Ask { pool, call } => {
                 let (sender, verdict) = oneshot::channel();
                 let ask = Ask {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -63,6 +63,7 @@
         overlay::Overlay,
         Shared, //
     },
+    hash,
     ledger::{
         self,
         allocator::Allocator,
@@ -149,9 +150,15 @@
         .collect()
 }
 
+/// Returns the address of the log that this instance uses; the instances share all addresses.
+fn log_address(config: &Config) -> &str {
+    let hash = hash::stable(config.instance.as_str().as_bytes()) as usize;
+    &config.log.addresses[hash % config.log.addresses.len()]
+}
+
 fn ledger(config: &Config, author: Instance) -> Ledger {
     let client = kafka::Client::new(kafka::Settings {
-        url: format!("http://{}", config.log.addresses[0]),
+        url: format!("http://{}", log_address(config)),
         topic: config.log.topic.clone(),
         instance: author.clone(),
         zone: config.zone.clone(),
@@ -189,6 +196,7 @@
     let pools = pools.map(|pool| (pool.name.clone(), targets(config, pool)));
     let settings = pool::Settings {
         length: config.memory.queue_calls,
+        per_customer: config.memory.customer_calls,
         ..pool::Settings::default()
     };
     Dispatcher::new(pools, &settings, rand::random()).start()
@@ -265,6 +273,9 @@
         upkeep::start(&app);
         custody::start(&app);
         let (server, address) = serve(&app)?;
+        if let Some(address) = app.shared().config.listen.metrics {
+            serve_metrics(&app, address)?;
+        }
         Ok(Self {
             app,
             server,
@@ -357,3 +368,19 @@
     );
     Ok((handle, address))
 }
+
+/// Serves the probes and the metrics at an address of their own.
+fn serve_metrics(app: &App, address: SocketAddr) -> anyhow::Result<()> {
+    let data = web::Data::new(app.clone());
+    let server = HttpServer::new(move || {
+        WebApp::new()
+            .app_data(data.clone())
+            .configure(api::probe::configure)
+    })
+    .workers(1)
+    .disable_signals()
+    .bind(address)
+    .with_context(|| format!("metrics' port {address} can't be opened"))?;
+    actix_web::rt::spawn(server.run());
+    Ok(())
+}
--- a/src/daemon/upkeep.rs
+++ b/src/daemon/upkeep.rs
@@ -29,7 +29,8 @@
     member::{
         consul,
         list,
-        snapshot::Status, //
+        snapshot::Status,
+        State, //
     },
     metrics::Level,
     name::{
@@ -178,6 +179,14 @@
     let snapshot = shared.roster.snapshot();
     let levels = [
         (Level::Ready, u64::from(app.ready.load(Ordering::Relaxed))),
+        (
+            Level::Leaving,
+            u64::from(snapshot.own().state == State::Leaving),
+        ),
+        (
+            Level::Programs,
+            shared.ledger.state().programs().count() as u64,
+        ),
         (Level::LogUp, u64::from(shared.ledger.available())),
         (Level::Held, shared.overlay.len() as u64),
         (Level::Instances, snapshot.live_count() as u64),
--- a/src/executor/gateway.rs
+++ b/src/executor/gateway.rs
@@ -9,11 +9,16 @@
         program,
         record::Turn, //
     },
+    metrics::Retry,
     name::{
+        Customer,
         Instance,
         Program, //
     },
-    peer::wire::Body,
+    peer::{
+        wire::Body,
+        Replies, //
+    },
     upstream::{
         Engine,
         Service, //
@@ -34,6 +39,8 @@
         Request, //
     },
     turn::replay,
+    Cancel,
+    Join,
     Pool,
     Shared, //
 };
@@ -104,11 +111,86 @@
                 return;
             }
             log::info!("executor: {} leaves home {home}, which is lost", request.id);
+            self.shared.metrics.retried(Retry::Home);
             tried.push(home);
         }
         self.pool.run(request, from, sink);
     }
 
+    /// Sends the events of a running call, wherever it runs; returns false if it is not running.
+    pub async fn join(
+        &self,
+        program: &Program,
+        turn: u32,
+        from: u64,
+        sink: mpsc::Sender<Event>,
+    ) -> bool {
+        let join = Join {
+            program: program.clone(),
+            turn,
+            from,
+            sink: sink.clone(),
+        };
+        let shard = self.pool.shard(Some(program));
+        if shard.send(join).await.unwrap_or(false) {
+            return true;
+        }
+        let body = Body::Follow {
+            program: program.clone(),
+            turn,
+            from,
+        };
+        let Some(mut replies) = self.ask_home(program, body) else {
+            return false;
+        };
+        // A home on which the call is not running says so with its first reply.
+        let Some(Ok(Body::Event(first))) = replies.next().await else {
+            return false;
+        };
+        actix_web::rt::spawn(async move {
+            let mut event = Some(first);
+            while let Some(next) = event {
+                if sink.send(next).await.is_err() {
+                    return;
+                }
+                event = match replies.next().await {
+                    Some(Ok(Body::Event(next))) => Some(next),
+                    _ => None,
+                };
+            }
+        });
+        true
+    }
+
+    /// Cancels a running call, wherever it runs; returns whether it was running.
+    pub async fn cancel(&self, program: &Program, turn: Option<u32>) -> bool {
+        let cancel = Cancel {
+            program: program.clone(),
+            turn,
+        };
+        let shard = self.pool.shard(Some(program));
+        if shard.send(cancel).await.unwrap_or(false) {
+            return true;
+        }
+        let body = Body::Abort {
+            program: program.clone(),
+            turn,
+        };
+        let Some(mut replies) = self.ask_home(program, body) else {
+            return false;
+        };
+        matches!(replies.next().await, Some(Ok(Body::Held)))
+    }
+
+    /// Sends a request to a program's home if that is another instance.
+    fn ask_home(&self, program: &Program, body: Body) -> Option<Replies> {
+        let home = self.home(program, &[])?;
+        if home == self.shared.config.instance {
+            return None;
+        }
+        self.shared.mesh.open(&home, body).ok()
+    }
+
     /// Returns the history of a program, turns that are not in the log yet included.
     pub async fn history(&self, program: &Program) -> Result<Vec<Arc<Turn>>, Refusal> {
         let read = self.shared.ledger.history(program).await;
@@ -121,6 +203,18 @@
         Ok(turns)
     }
 
+    /// Returns the answer of the last turn of a program that has ended.
+    pub async fn last(&self, customer: &Customer, program: &Program, turn: u32) -> Option<Answer> {
+        let ledger = &self.shared.ledger;
+        let (index, found) = ledger.last_turn(customer, program).await.ok()??;
+        if index != turn {
+            return None;
+        }
+        let stopped = ledger.state().ended(customer, program);
+        let answer = replay(turn, &found, found.digest, Durability::Committed).ok()?;
+        Some(Answer { stopped, ..answer })
+    }
+
     /// Returns the answer of a turn that has ended.
     pub async fn kept(&self, program: &Program, turn: u32) -> Result<Answer, Refusal> {
         let turns = self.history(program).await?;
--- a/src/executor/mod.rs
+++ b/src/executor/mod.rs
@@ -201,6 +201,8 @@
 pub struct Cancel {
     /// The program.
     pub program: Program,
+    /// Number of the turn; the running one if absent.
+    pub turn: Option<u32>,
 }
 
 /// Joins the running call of a turn; returns false if it is not running here.
@@ -282,6 +284,8 @@
 
     fn handle(&mut self, cancel: Cancel, _ctx: &mut Context<Self>) -> bool {
         let job = self.inner.running(&cancel.program);
+        let wanted = |job: &Rc<Job>| cancel.turn.is_none() || cancel.turn == job.turn;
+        let job = job.filter(wanted);
         job.inspect(|job| job.cancel()).is_some()
     }
 }
--- a/src/executor/request.rs
+++ b/src/executor/request.rs
@@ -193,4 +193,6 @@
     NotReady,
     /// Another change was accepted first.
     Conflict,
+    /// The route or the resource does not exist.
+    NotFound,
 }
--- a/src/metrics/label.rs
+++ b/src/metrics/label.rs
@@ -88,6 +88,7 @@
     UnknownPool: "unknown_pool",
     NotReady: "not_ready",
     Conflict: "conflict",
+    NotFound: "not_found",
 });
 
 names! {
@@ -97,10 +98,7 @@
         Refused: "refused", "The upstream refused the call.";
         Failed: "failed", "The upstream failed the call.";
         Unknown: "unknown", "No whole answer came in time.";
-        Hedge: "hedge", "The upstream was slow, and a second one was asked.";
         Home: "home", "The program's home could not be reached.";
-        Dispatcher: "dispatcher", "The pool's dispatcher could not be reached.";
-        Append: "append", "The outcome of an append to the log was unknown.";
     }
 }
 
@@ -130,7 +128,6 @@
     Span, "span", {
         FirstToken: "first_token", "Time from the arrival of a model call to its first token.";
         Call: "call", "Time from the arrival of a call to its whole answer.";
-        Program: "program", "Time from the start of a program to its end.";
         QueueWait: "queue_wait", "Time that a call waited for an upstream.";
         Commit: "commit", "Time until log order had decided a record.";
     }
@@ -142,16 +139,11 @@
         Ready: "ready", "Whether the instance serves: 1 or 0.";
         Leaving: "leaving", "Whether the instance is stopping: 1 or 0.";
         LogUp: "log_up", "Whether the log accepts appends: 1 or 0.";
-        LogLag: "log_lag", "Records of the log that are not applied yet.";
-        LogPending: "log_pending", "Records that wait to be appended.";
         Held: "held_turns", "Replicated turns that wait for the log.";
         Instances: "instances", "Live instances, this one included.";
         Links: "links", "Links to other instances.";
-        Upstreams: "upstreams", "Upstreams that take new work.";
         Running: "running_calls", "Calls that run on upstreams.";
-        Queued: "queued_calls", "Calls that wait in the queues of this instance.";
         Programs: "programs", "Programs under way in the replica.";
-        HistoryBytes: "history_bytes", "Bytes of histories in memory.";
     }
 }
 
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -27,6 +27,7 @@
     },
     name::{
         Pool,
+        Program,
         Upstream, //
     },
     policy::call,
@@ -89,6 +90,29 @@
     /// Part of the answer to a call.
     #[serde(rename = "ev")]
     Event(Event),
+    /// Asks for the events of a running call; `Event` frames reply, or `Empty` if it is not running.
+    #[serde(rename = "fo")]
+    Follow {
+        /// Program of the call.
+        #[serde(rename = "p")]
+        program: Program,
+        /// Number of the turn.
+        #[serde(rename = "t")]
+        turn: u32,
+        /// Byte of the answer's text at which the events begin.
+        #[serde(rename = "f")]
+        from: u64,
+    },
+    /// Asks to cancel a running call; `Held` replies if it was running, otherwise `Empty`.
+    #[serde(rename = "ab")]
+    Abort {
+        /// Program of the call.
+        #[serde(rename = "p")]
+        program: Program,
+        /// Number of the turn; the running one if absent.
+        #[serde(rename = "t")]
+        turn: Option<u32>,
+    },
     /// The requester gave up the request with the frame's number.
     #[serde(rename = "x")]
     Cancel,
--- a/tests/ctl_faults.rs
+++ b/tests/ctl_faults.rs
@@ -150,7 +150,7 @@
         "null",
         "customer sirag has no contract",
     );
-    let absent = problem(400, "bad_request", "no", "null", "no refusal");
+    let absent = problem(404, "not_found", "no", "null", "no refusal");
     let path = file("faults.yaml", CONTRACT);
     let show: &[&str] = &["contract", "show", "sirag"];
     let amend: &[&str] = &["contract", "amend", &path, "--expected", "1"];
@@ -265,7 +265,7 @@
         (
             "GET /v1/refusals/entry-1-7",
             400,
-            &problem(400, "bad_request", "no", "null", "-"),
+            &problem(404, "not_found", "no", "null", "-"),
         ),
     ]);
     let path = file("other.yaml", CONTRACT);
@@ -350,7 +350,7 @@
 #[actix_web::test]
 async fn why_learned_instance() {
     let list = INSTANCES.replace("127.0.0.1:7081", "127.0.0.2:7081");
-    let absent = problem(400, "bad_request", "no", "null", "-");
+    let absent = problem(404, "not_found", "no", "null", "-");
     let path = "GET /v1/refusals/entry-1-7";
     let named = Fake::start(&[("GET /v1/instances", 200, &list), (path, 400, &absent)]);
     let other = named.address.replace("127.0.0.1", "127.0.0.2");
--- a/tests/ctl_output.rs
+++ b/tests/ctl_output.rs
@@ -27,7 +27,7 @@
         "null",
         "12 micro-units are left",
     );
-    let absent = problem(400, "bad_request", "no", "null", "no refusal");
+    let absent = problem(404, "not_found", "no", "null", "no refusal");
     let list = format!("[{ENTRY}]");
     Fake::start(&[
         ("GET /v1/contracts/sirag", 200, ENTRY),
--- a/tests/failure_limits.rs
+++ b/tests/failure_limits.rs
@@ -236,8 +236,8 @@
             "unknown route",
             "/v2/calls".to_owned(),
             json!({}),
-            400,
-            "bad_request",
+            404,
+            "not_found",
         ),
         (
             "too early",
--- a/tests/metrics_scrape.rs
+++ b/tests/metrics_scrape.rs
@@ -49,7 +49,7 @@
     let clone = metrics.clone();
     clone.refused(Reason::QueueFull);
     clone.refused(Reason::QueueFull);
-    clone.retried(Retry::Hedge);
+    clone.retried(Retry::Home);
     clone.called(Outcome::Done);
     clone.took(Span::FirstToken, Duration::from_millis(30));
     clone.set(Level::Programs, 5);
@@ -62,7 +62,7 @@
     let text = metrics.scrape().expect("text");
     let cases = [
         ("gypsumlever_refusals_total{reason=\"queue_full\"}", 2.0),
-        ("gypsumlever_retries_total{reason=\"hedge\"}", 1.0),
+        ("gypsumlever_retries_total{reason=\"home\"}", 1.0),
         ("gypsumlever_upstream_calls_total{outcome=\"done\"}", 1.0),
         ("gypsumlever_tokens_total{kind=\"cached\"}", 4.0),
         ("gypsumlever_first_token_seconds_bucket{le=\"0.02\"}", 0.0),
