--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -335,6 +335,9 @@
             })
             .configure(api::configure)
     })
+    // The head and the first event of a stream are two small writes; without this the second
+    // waits up to 40 ms for the delayed acknowledgement of the first.
+    .tcp_nodelay(true)
     .workers(config.listen.workers.unwrap_or(WORKERS))
     .disable_signals()
     .shutdown_timeout(config.timings.drain.as_secs())
