Split the handlers of programs and of streams from those of calls

Cause: api/calls.rs had grown to 720 lines with three jobs. Change: programs.rs has start, history and end; stream.rs has whole answers and event streams; calls.rs keeps calls and lookups. No behaviour changes. Conclusion: each file has one job.

--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -5,7 +5,9 @@
 pub mod operate;
 pub mod probe;
 pub mod problem;
+pub mod programs;
 pub mod refusals;
+pub mod stream;
 
 use std::sync::{
     atomic::{
@@ -131,6 +133,11 @@
     }
 }
 
+/// Makes the refusal of a malformed request.
+fn bad(detail: impl Into<String>) -> Refusal {
+    refuse(Reason::BadRequest, detail, None)
+}
+
 /// Answers a body that is not the expected JSON.
 fn malformed(error: JsonPayloadError, request: &HttpRequest) -> actix_web::Error {
     let refusal = refuse(Reason::BadRequest, error.to_string(), None);
@@ -157,6 +164,7 @@
         .app_data(json)
         .app_data(web::PayloadConfig::new(MAX_BODY))
         .configure(calls::configure)
+        .configure(programs::configure)
         .configure(contracts::configure)
         .configure(operate::configure)
         .configure(probe::configure)
