Offer the baseline policy in a build of the daemon, and drop the second placement

Cause: the policy could be compared with first come, first served in process only, and placement stood twice: in policy::place, which nothing called, and in upstream::place, which the daemon uses. Change: pool::Baseline, chosen by the feature 'baseline'; policy::place and its tests are removed, as upstream::place has its own rules and tests. Conclusion: the load tool can compare real daemons (GYPSUMLEVERD names the binary).

--- a/examples/load/deploy.rs
+++ b/examples/load/deploy.rs
@@ -136,8 +136,12 @@
     }
 }
 
-/// Returns the daemon that was built with the same profile as this tool.
+/// Returns the daemon that `GYPSUMLEVERD` names, or the one that was built with the same profile as
+/// this tool.
 fn daemon() -> PathBuf {
+    if let Some(path) = std::env::var_os("GYPSUMLEVERD") {
+        return PathBuf::from(path);
+    }
     let own = std::env::current_exe().expect("own path");
     let folder = own.parent().and_then(Path::parent).expect("target folder");
     let path = folder.join("gypsumleverd");
--- a/examples/policy/case.rs
+++ b/examples/policy/case.rs
@@ -7,6 +7,7 @@
         Ignore, //
     },
     pool::{
+        Baseline,
         Policy,
         Settings,
         Standard, //
@@ -59,8 +60,6 @@
 type Gate = <Standard as Policy>::Gate;
 
 policies! {
-    /// Sends every call at once, round robin; the engines serve in order of arrival.
-    Baseline: Fifo, Cycle, Fixed, Ignore, Open;
     /// One queue in order of arrival, with adaptive windows, round robin.
     Central: Fifo, Cycle, Window, foreign::Load, Open;
     NoQueue: Fifo, Router, Window, foreign::Load, Gate;
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -135,6 +135,11 @@
         .iter()
         .filter(|upstream| upstream.zone == config.zone);
     let limits = match pool.kind {
+        // The baseline sends every call at once; the engines serve in order of arrival.
+        _ if cfg!(feature = "baseline") => pool::Limits {
+            initial: u32::MAX,
+            most: u32::MAX,
+        },
         Kind::Model => pool::Limits::default(),
         // A service answers at once and needs no short queue for the sake of priorities.
         Kind::Tool | Kind::Service => pool::Limits {
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -53,6 +53,14 @@
 /// Longest time without a look at the queues, so that no missed wake-up holds a call for long.
 const LONGEST_SLEEP: Duration = Duration::from_millis(200);
 
+/// Policy of the queues; the feature `baseline` replaces it for measurements.
+#[cfg(not(feature = "baseline"))]
+pub type Scheduling = pool::Standard;
+
+/// Policy of the queues in a build for measurements.
+#[cfg(feature = "baseline")]
+pub type Scheduling = pool::Baseline;
+
 /// Answer to a call that asked for an upstream.
 pub type Verdict = Result<Grant, Deny>;
 
@@ -163,7 +171,7 @@
 }
 
 struct Section {
-    pool: pool::Pool,
+    pool: pool::Pool<Scheduling>,
     targets: BTreeMap<Upstream, Target>,
 }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -7,7 +7,6 @@
 pub mod call;
 pub mod foreign;
 pub mod pace;
-pub mod place;
 pub mod pool;
 pub mod queue;
 pub mod recent;
--- a/src/policy/pool/mod.rs
+++ b/src/policy/pool/mod.rs
@@ -39,7 +39,8 @@
         admit::{
             self,
             Check,
-            Gate, //
+            Gate,
+            Open, //
         },
         call::{
             Call,
@@ -49,6 +50,7 @@
         pace::Pace,
         queue::{
             Entry,
+            Fifo,
             Order,
             Queue,
             Verdict, //
@@ -56,12 +58,14 @@
         retry::Budget,
         route::{
             Choice,
+            Cycle,
             Place,
             Route,
             Router, //
         },
         window::{
             Control,
+            Fixed,
             Window, //
         },
     },
@@ -97,6 +101,18 @@
     type Gate = Gate;
 }
 
+/// First come, first served with round robin and no bound, as a baseline of measurements.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Baseline;
+
+impl Policy for Baseline {
+    type Queue = Fifo;
+    type Router = Cycle;
+    type Window = Fixed;
+    type Foreign = foreign::Ignore;
+    type Gate = Open;
+}
+
 /// A refusal; the call did not run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
