--- a/src/executor/commit.rs
+++ b/src/executor/commit.rs
@@ -230,7 +230,7 @@
 
     /// Claims the right to send a non-idempotent call.
     ///
-    /// The age is counted from before the append on a clock that includes suspended time.
+    /// The age is counted from before the append, and goes on while the process is paused.
     async fn claim(
         &self,
         request: &Request,
@@ -347,7 +347,8 @@
         if !self.shared.overlay.begin(&record) {
             return Err(unconfirmed());
         }
-        let committed = self.append(program, &record).await;
+        let claimed = task.claimed_until.is_some();
+        let committed = self.append(program, &record, claimed).await;
         self.shared.overlay.end(&record);
         let committed = committed?;
         self.shared.metrics.took(Span::Commit, started.elapsed());
@@ -373,7 +374,7 @@
             Err(_) => match self.replicate(program, &record).await {
                 Some(durability) => durability,
                 // The claim keeps the call's place, so that nothing can contradict its turn.
-                None if task.claimed_until.is_some() => Durability::None,
+                None if claimed => Durability::None,
                 None => return Err(unconfirmed()),
             },
         };
@@ -401,12 +402,15 @@
         &self,
         program: &Program,
         record: &Record,
+        claimed: bool,
     ) -> Result<Result<outcome::Outcome, LogRefusal>, Refusal> {
         if !self.shared.overlay.turns(program, 0).is_empty() {
             // Earlier turns wait for the log, and the log takes turns in order only.
             return Ok(Err(LogRefusal::NotApplied { retry_after: SOON }));
         }
-        if self.shared.unsettled() && !self.confirmed(record, &[]).await {
+        // A claim in the log keeps the turn's place already.
+        let open = !claimed && self.shared.unsettled();
+        if open && !self.confirmed(record, &[]).await {
             self.discard(record);
             return Err(unconfirmed());
         }
--- a/src/executor/turn.rs
+++ b/src/executor/turn.rs
@@ -259,8 +259,7 @@
         view: &View,
         claim: &Claim,
     ) -> Refusal {
-        let limits = config::raw::SERVICE_LIMITS.total;
-        let longest = self.shared.config.timings.claim_age + limits + CLAIM_MARGIN;
+        let longest = self.shared.config.timings.claim_age + self.longest() + CLAIM_MARGIN;
         let lost = Time::now().since(claim.at) > longest || self.lost(claim);
         if lost {
             let turn = Turn {
@@ -294,6 +293,13 @@
         refuse(Reason::TurnInProgress, detail, Some(SOON))
     }
 
+    /// Returns the longest time that a call of any pool may take.
+    fn longest(&self) -> Duration {
+        let pools = self.shared.config.pools.iter();
+        let totals = pools.map(|pool| pool.limits().total);
+        totals.max().unwrap_or_default()
+    }
+
     /// Returns whether the holder of a claim can't finish its call any more.
     ///
     /// A wrong answer costs the result of the call, never a second send.
--- a/tests/ctl_docs.rs
+++ b/tests/ctl_docs.rs
@@ -1,5 +1,7 @@
 //! Guards against pages that differ from what the daemon does.
 
+mod support;
+
 use std::{
     fs,
     net::TcpListener,
@@ -68,11 +70,6 @@
     }
 }
 
-fn free() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address").to_string()
-}
-
 /// Runs the daemon with the sample settings, whose addresses are replaced.
 fn daemon(places: &[(&str, String)]) -> Daemon {
     let mut text = SETTINGS.to_owned();
@@ -214,11 +211,11 @@
     });
     let engine = engine.expect("engine");
     let service = service::start(service::Config::default()).expect("service");
-    let callers = free();
+    let callers = support::free_address();
     let _daemon = daemon(&[
         ("127.0.0.1:8080", callers.clone()),
-        ("127.0.0.1:7080", free()),
-        ("127.0.0.1:9090", free()),
+        ("127.0.0.1:7080", support::free_address()),
+        ("127.0.0.1:9090", support::free_address()),
         ("127.0.0.1:8082", log.address().to_string()),
         ("127.0.0.1:8500", list.address().to_string()),
         ("127.0.0.1:8001", engine.address().to_string()),
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -165,7 +165,7 @@
 ///
 /// The ports are below the range from which the kernel takes those of outgoing connections, which
 /// could otherwise take one before the daemon listens on it.
-fn free_address() -> String {
+pub fn free_address() -> String {
     static LAST: AtomicU32 = AtomicU32::new(0);
     let first = std::process::id().wrapping_mul(97);
     loop {
