--- a/tests/ctl_docs.rs
+++ b/tests/ctl_docs.rs
@@ -4,7 +4,6 @@
 
 use std::{
     fs,
-    net::TcpListener,
     path::PathBuf,
     process::{
         Child,
