Use the field's terms for some modules and types, and take state from the newest peer

Cause: names such as purse, desk, custody, intake, parcel and pump are not terms of the field; a starting instance could take the state of an old peer first; the append interval ignored the number of partitions. Change: quota, entry, upstreams, inbound, outgoing and runner; peers are asked newest first; the interval is instances times partitions over the budget. Conclusion: no behaviour changes but for the order of peers and several partitions.

--- a/src/daemon/intake.rs
+++ b/src/daemon/inbound.rs
@@ -51,14 +51,14 @@
 const CHUNK: usize = 256 << 10;
 
 /// Hands the frames of other instances to the parts that they are for.
-pub(super) struct Intake {
+pub(super) struct Inbound {
     entry: Arc<OnceLock<Entry>>,
     dispatcher: Addr<Dispatcher>,
     ledger: Ledger,
     overlay: Overlay,
 }
 
-impl Intake {
+impl Inbound {
     pub(super) fn new(
         entry: Arc<OnceLock<Entry>>,
         dispatcher: Addr<Dispatcher>,
@@ -74,7 +74,7 @@
     }
 }
 
-impl Intake {
+impl Inbound {
     /// Returns whether a turn may be the next one of its program, as far as this instance knows,
     /// and promises that nothing here takes its place.
     fn agrees(&self, record: &Record) -> bool {
@@ -92,7 +92,7 @@
     }
 }
 
-impl Handler for Intake {
+impl Handler for Inbound {
     fn handle(&self, from: Instance, body: Body, reply: Responder) {
         match body {
             Body::Call(request) => {
--- a/src/daemon/upkeep.rs
+++ b/src/daemon/maintenance.rs
@@ -1,6 +1,7 @@
 //! Periodic work of an instance.
 
 use std::{
+    cmp::Reverse,
     sync::atomic::Ordering,
     time::Duration, //
 };
@@ -29,7 +30,10 @@
     member::{
         consul,
         list,
-        snapshot::Status,
+        snapshot::{
+            Snapshot,
+            Status, //
+        },
         State, //
     },
     metrics::Level,
@@ -41,9 +45,9 @@
     peer::wire::Body,
 };
 
-use super::intake::FETCH;
+use super::inbound::FETCH;
 
-/// Period of the upkeep.
+/// Period of the maintenance.
 pub(super) const PERIOD: Duration = Duration::from_millis(500);
 
 /// Time between two looks for programs that are older than their contract allows.
@@ -70,8 +74,9 @@
 /// Shares the append budget of the log among the live instances.
 fn interval(app: &App) -> Duration {
     let live = app.shared().roster.snapshot().live_count().max(1);
-    let budget = f64::from(app.shared().config.log.appends_per_second.max(1));
-    Duration::from_secs_f64(live as f64 / budget)
+    let log = &app.shared().config.log;
+    let writers = live as f64 * f64::from(log.partitions.max(1));
+    Duration::from_secs_f64(writers / f64::from(log.appends_per_second.max(1)))
 }
 
 async fn tick(app: App) {
@@ -79,7 +84,7 @@
         let shared = app.shared();
         let now = Time::now();
         shared.ledger.set_interval(interval(&app));
-        shared.purses.tick(now);
+        shared.quotas.tick(now);
         let last = Time(shared.ticked.swap(now.0, Ordering::Relaxed));
         if !shared.ledger.available() || now.since(last) > PAUSE {
             shared.outage.store(now.0, Ordering::Relaxed);
@@ -224,16 +229,11 @@
     let shared = app.shared();
     let snapshot = shared.roster.snapshot();
     let highest = snapshot.highest().to_vec();
-    let peers: Vec<Instance> = snapshot
-        .peers()
-        .filter(|peer| peer.status.usable())
-        .map(|peer| peer.entry.instance.clone())
-        .collect();
-    if peers.is_empty() || highest.iter().all(|offset| *offset == 0) {
+    if highest.iter().all(|offset| *offset == 0) {
         return false;
     }
     for partition in 0..shared.config.log.partitions {
-        for peer in &peers {
+        for peer in newest_first(&snapshot, partition) {
             if fetch(app, peer, partition).await {
                 break;
             }
@@ -246,6 +246,16 @@
         .all(|(highest, applied)| applied >= highest)
 }
 
+/// Returns the usable peers, those with the newest state of a partition first.
+///
+/// The first state that is taken counts as caught up, so that an old one must not come first.
+fn newest_first(snapshot: &Snapshot, partition: u32) -> Vec<&Instance> {
+    let usable = snapshot.peers().filter(|peer| peer.status.usable());
+    let mut peers: Vec<_> = usable.collect();
+    peers.sort_by_key(|peer| Reverse(peer.applied.get(partition as usize).copied()));
+    peers.into_iter().map(|peer| &peer.entry.instance).collect()
+}
+
 /// Takes newer state from peers while this instance can't read the log.
 ///
 /// A zone may be cut off from the platform but not from its peers; new versions of contracts then
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,8 +1,8 @@
 //! Assembly, start and drain of an instance.
 
-mod custody;
-mod intake;
-mod upkeep;
+mod inbound;
+mod maintenance;
+mod upstreams;
 
 use std::{
     net::SocketAddr,
@@ -67,7 +67,7 @@
     ledger::{
         self,
         allocator::Allocator,
-        purse::Sizing,
+        quota::Sizing,
         Ledger, //
     },
     log::kafka,
@@ -223,7 +223,7 @@
         let dispatcher = dispatcher(&config);
         let overlay = Overlay::default();
         let entry = Arc::new(OnceLock::new());
-        let handler = intake::Intake::new(
+        let handler = inbound::Inbound::new(
             entry.clone(),
             dispatcher.clone(),
             ledger.clone(),
@@ -240,7 +240,7 @@
             dispatcher.clone(),
         );
         let shared = Shared {
-            purses: Allocator::new(ledger.clone(), Sizing::default()),
+            quotas: Allocator::new(ledger.clone(), Sizing::default()),
             config: config.clone(),
             ledger,
             broker,
@@ -275,8 +275,8 @@
             ready: Arc::new(AtomicBool::new(false)),
             last: Arc::new(AtomicU64::new(1)),
         };
-        upkeep::start(&app);
-        custody::start(&app);
+        maintenance::start(&app);
+        upstreams::start(&app);
         let (server, address) = serve(&app)?;
         if let Some(address) = app.shared().config.listen.metrics {
             serve_metrics(&app, address)?;
@@ -317,7 +317,7 @@
             tokio::time::sleep(DRAIN_STEP).await;
         }
         self.server.stop(true).await;
-        shared.purses.close();
+        shared.quotas.close();
         if !shared.ledger.flush(FLUSH).await {
             log::warn!("daemon: some records did not reach the log before the stop");
         }
--- a/src/daemon/custody.rs
+++ b/src/daemon/upstreams.rs
@@ -38,7 +38,7 @@
     },
 };
 
-use super::upkeep::PERIOD;
+use super::maintenance::PERIOD;
 
 /// Starts the work on the current thread.
 pub(super) fn start(app: &App) {
--- a/src/executor/attempt.rs
+++ b/src/executor/attempt.rs
@@ -19,7 +19,7 @@
     executor::prompt,
     ledger::{
         allocator::Denied,
-        purse::Hold,
+        quota::Hold,
         record::Ran, //
     },
     metrics::{
@@ -199,13 +199,13 @@
 
     /// Covers the highest cost of one attempt from the customer's budget.
     pub(super) async fn cover(&self, customer: &Customer, worst: Money) -> Result<Hold, Refusal> {
-        let taken = self.shared.purses.take(customer, worst).await;
+        let taken = self.shared.quotas.take(customer, worst).await;
         taken.map_err(|error| error.into())
     }
 
     fn settle(&self, task: &Task, hold: Hold, spent: Money) {
         self.shared
-            .purses
+            .quotas
             .settle(&task.request.customer, hold, spent);
     }
 
--- a/src/executor/commit.rs
+++ b/src/executor/commit.rs
@@ -179,8 +179,8 @@
             Some(_) => match self.claim(&request, program, plan).await {
                 Ok(claimed) => Some(claimed),
                 Err(refusal) => {
-                    let purses = &self.shared.purses;
-                    purses.settle(&request.customer, hold, Money(0));
+                    let quotas = &self.shared.quotas;
+                    quotas.settle(&request.customer, hold, Money(0));
                     return Err(refusal);
                 }
             },
--- a/src/executor/mod.rs
+++ b/src/executor/mod.rs
@@ -90,7 +90,7 @@
 /// delay between their tries to append them.
 const SETTLE: Duration = Duration::from_secs(5);
 
-/// Time without upkeep after which the process must have been paused.
+/// Time without maintenance after which the process must have been paused.
 pub const PAUSE: Duration = Duration::from_millis(1_500);
 
 /// Events that may wait for a slow caller.
@@ -104,7 +104,7 @@
     /// Agreed state.
     pub ledger: Ledger,
     /// Tranches of the customers' budgets.
-    pub purses: Allocator,
+    pub quotas: Allocator,
     /// Access to upstreams.
     pub broker: Broker,
     /// View of members.
@@ -119,7 +119,7 @@
     pub running: Arc<AtomicUsize>,
     /// Time in microseconds at which the log was last seen to be unavailable.
     pub outage: Arc<AtomicU64>,
-    /// Time in microseconds of the last periodic upkeep.
+    /// Time in microseconds of the last periodic maintenance.
     pub ticked: Arc<AtomicU64>,
 }
 
--- a/src/ledger/account.rs
+++ b/src/ledger/account.rs
@@ -78,7 +78,7 @@
 /// What is kept of an ended program for a while.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
-pub struct Tomb {
+pub struct Tombstone {
     start: u64,
     /// Fingerprint of the record that ended it.
     id: u64,
@@ -133,7 +133,7 @@
     /// A program under way.
     Running(Program, Run),
     /// A program that ended, what is kept of it, and when it is forgotten.
-    Ended(Program, Tomb, Time),
+    Ended(Program, Tombstone, Time),
     /// A settled tranche, the fingerprint of the record that settled it, and when it is forgotten.
     Settled(Uuid, u64, Time),
 }
@@ -159,7 +159,7 @@
     tranches: Map<Uuid, Tranche>,
     settled: Map<Uuid, u64>,
     running: Map<Program, Run>,
-    ended: Map<Program, Tomb>,
+    ended: Map<Program, Tombstone>,
     keys: Map<u64, Program>,
     /// Members of `ended` and `settled` in the order in which they are forgotten.
     past: VecDeque<(Time, Past)>,
@@ -220,7 +220,7 @@
 
     /// Returns why a program ended, while that is remembered.
     pub fn ended(&self, program: &Program) -> Option<Ending> {
-        self.ended.get(program).map(|tomb| tomb.reason)
+        self.ended.get(program).map(|tombstone| tombstone.reason)
     }
 
     /// Returns where the last turn of an ended program is, while that is remembered.
@@ -229,8 +229,8 @@
     }
 
     pub(crate) fn set_last(&mut self, program: &Program, last: Last) {
-        if let Some(tomb) = self.ended.get_mut(program) {
-            tomb.last = Some(last);
+        if let Some(tombstone) = self.ended.get_mut(program) {
+            tombstone.last = Some(last);
         }
     }
 
@@ -306,7 +306,11 @@
     ) -> Outcome {
         let id = fingerprint(id);
         let known = self.running.get(&start.program).map(|run| run.id);
-        let known = known.or_else(|| self.ended.get(&start.program).map(|tomb| tomb.start));
+        let known = known.or_else(|| {
+            self.ended
+                .get(&start.program)
+                .map(|tombstone| tombstone.start)
+        });
         match known {
             Some(known) if known == id => return Outcome::Duplicate,
             Some(_) => return Outcome::Conflict(Winner::Program(start.program.clone())),
@@ -434,10 +438,10 @@
         gone: &mut Vec<Program>,
     ) -> Outcome {
         let id = fingerprint(id);
-        if let Some(tomb) = self.ended.get(program) {
-            return match tomb.id == id {
+        if let Some(tombstone) = self.ended.get(program) {
+            return match tombstone.id == id {
                 true => Outcome::Duplicate,
-                false => Outcome::Conflict(Winner::Ended(tomb.reason)),
+                false => Outcome::Conflict(Winner::Ended(tombstone.reason)),
             };
         }
         if !self.running.contains_key(program) {
@@ -453,7 +457,7 @@
             }
             let ended = |child| (child, Ending::ParentEnded);
             open.extend(run.children.into_iter().map(ended));
-            let tomb = Tomb {
+            let tombstone = Tombstone {
                 start: run.id,
                 id,
                 reason,
@@ -461,7 +465,7 @@
                 last: None,
             };
             let until = now.max(created(&program).unwrap_or_default()) + memory;
-            self.ended.insert(program.clone(), tomb);
+            self.ended.insert(program.clone(), tombstone);
             self.past.push_back((until, Past::Program(program.clone())));
             gone.push(program);
         }
@@ -487,8 +491,8 @@
         let running = running.map(|(name, run)| Member::Running(name.clone(), run.clone()));
         let past = self.past.iter().filter_map(|(until, past)| match past {
             Past::Program(name) => {
-                let tomb = *self.ended.get(name)?;
-                Some(Member::Ended(name.clone(), tomb, *until))
+                let tombstone = *self.ended.get(name)?;
+                Some(Member::Ended(name.clone(), tombstone, *until))
             }
             Past::Tranche(id) => Some(Member::Settled(*id, *self.settled.get(id)?, *until)),
         });
@@ -532,10 +536,10 @@
                 self.running.insert(name.clone(), run);
                 (key, name)
             }
-            Member::Ended(name, tomb, until) => {
-                self.ended.insert(name.clone(), tomb);
+            Member::Ended(name, tombstone, until) => {
+                self.ended.insert(name.clone(), tombstone);
                 self.past.push_back((until, Past::Program(name.clone())));
-                (tomb.key, name)
+                (tombstone.key, name)
             }
             Member::Settled(id, by, until) => {
                 self.settled.insert(id, by);
@@ -562,7 +566,10 @@
     }
 
     fn forget_program(&mut self, program: &Program) {
-        let key = self.ended.remove(program).and_then(|tomb| tomb.key);
+        let key = self
+            .ended
+            .remove(program)
+            .and_then(|tombstone| tombstone.key);
         if let Some(key) = key {
             if self.keys.get(&key) == Some(program) {
                 self.keys.remove(&key);
--- a/src/ledger/allocator.rs
+++ b/src/ledger/allocator.rs
@@ -13,9 +13,9 @@
     clock::Time,
     hash::Map,
     ledger::{
-        purse::{
+        quota::{
             Hold,
-            Purse,
+            Quota,
             Sizing,
             Used, //
         },
@@ -53,10 +53,10 @@
     Contended,
 }
 
-/// A customer's purse and the reservation under way.
+/// A customer's quota and the reservation under way.
 #[derive(Debug)]
-struct Desk {
-    purse: Purse,
+struct Entry {
+    quota: Quota,
     reserving: bool,
     /// Worst-case costs of the attempts that wait for money.
     waiting: Vec<Money>,
@@ -64,7 +64,7 @@
     finished: watch::Sender<Result<(), Denied>>,
 }
 
-impl Desk {
+impl Entry {
     /// Returns the sum that waits for money.
     fn need(&self) -> Money {
         let waiting = self.waiting.iter().copied();
@@ -73,7 +73,7 @@
 
     /// Returns the size of a tranche that covers at least one waiting attempt out of `left`.
     fn rest(&self, left: Money) -> Option<Money> {
-        let free = self.purse.free();
+        let free = self.quota.free();
         let least = *self.waiting.iter().min()?;
         let size = self.need().saturating_sub(free).min(left);
         (size > Money(0) && free.saturating_add(size) >= least).then_some(size)
@@ -84,7 +84,7 @@
 struct Inner {
     ledger: Ledger,
     sizing: Sizing,
-    desks: Mutex<Map<Customer, Desk>>,
+    entries: Mutex<Map<Customer, Entry>>,
 }
 
 /// Purses of all customers on this instance.
@@ -96,12 +96,12 @@
 impl Allocator {
     /// Makes an allocator without tranches.
     pub fn new(ledger: Ledger, sizing: Sizing) -> Self {
-        let desks = Mutex::default();
+        let entries = Mutex::default();
         Self {
             inner: Arc::new(Inner {
                 ledger,
                 sizing,
-                desks,
+                entries,
             }),
         }
     }
@@ -119,7 +119,7 @@
             first = false;
             let waiting = Waiting::new(self, customer, worst);
             self.reserve_if_wanted(customer);
-            // The sender is kept with the customer's purse.
+            // The sender is kept with the customer's quota.
             let _ = finished.changed().await;
             drop(waiting);
             let result = finished.borrow().clone();
@@ -133,9 +133,9 @@
 
     /// Returns what an attempt did not spend.
     pub fn settle(&self, customer: &Customer, hold: Hold, actual: Money) {
-        let (beyond, used) = self.with(customer, |desk| {
-            let beyond = desk.purse.settle(hold, actual);
-            (beyond, desk.purse.retire(Time::now()))
+        let (beyond, used) = self.with(customer, |entry| {
+            let beyond = entry.quota.settle(hold, actual);
+            (beyond, entry.quota.retire(Time::now()))
         });
         if beyond > Money(0) {
             log::error!("ledger: an attempt of {customer} cost {beyond} more than its worst case");
@@ -145,7 +145,7 @@
 
     /// Returns what a customer may spend on this instance without another reservation.
     pub fn free(&self, customer: &Customer) -> Money {
-        self.with(customer, |desk| desk.purse.free())
+        self.with(customer, |entry| entry.quota.free())
     }
 
     /// Settles the tranches that are used up or idle; to be called about once a second.
@@ -155,39 +155,39 @@
         if !self.inner.ledger.available() {
             return;
         }
-        self.retire(|purse| purse.retire(now));
+        self.retire(|quota| quota.retire(now));
     }
 
     /// Settles all tranches on which there is no hold, for a stop.
     pub fn close(&self) {
-        self.retire(Purse::close);
+        self.retire(Quota::close);
     }
 
-    fn retire(&self, mut used: impl FnMut(&mut Purse) -> Vec<Used>) {
+    fn retire(&self, mut used: impl FnMut(&mut Quota) -> Vec<Used>) {
         let mut retired = Vec::new();
-        let mut desks = self.lock();
-        for (customer, desk) in desks.iter_mut() {
-            retired.push((customer.clone(), used(&mut desk.purse)));
+        let mut entries = self.lock();
+        for (customer, entry) in entries.iter_mut() {
+            retired.push((customer.clone(), used(&mut entry.quota)));
         }
-        drop(desks);
+        drop(entries);
         for (customer, used) in retired {
             self.give_back(&customer, used);
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Map<Customer, Desk>> {
-        self.inner.desks.lock().unwrap_or_else(|p| p.into_inner())
+    fn lock(&self) -> MutexGuard<'_, Map<Customer, Entry>> {
+        self.inner.entries.lock().unwrap_or_else(|p| p.into_inner())
     }
 
-    fn with<T>(&self, customer: &Customer, work: impl FnOnce(&mut Desk) -> T) -> T {
-        let mut desks = self.lock();
-        let desk = desks.entry(customer.clone()).or_insert_with(|| Desk {
-            purse: Purse::new(self.inner.sizing, Time::now()),
+    fn with<T>(&self, customer: &Customer, work: impl FnOnce(&mut Entry) -> T) -> T {
+        let mut entries = self.lock();
+        let entry = entries.entry(customer.clone()).or_insert_with(|| Entry {
+            quota: Quota::new(self.inner.sizing, Time::now()),
             reserving: false,
             waiting: Vec::new(),
             finished: watch::Sender::new(Ok(())),
         });
-        work(desk)
+        work(entry)
     }
 
     fn try_take(
@@ -196,13 +196,14 @@
         worst: Money,
         first: bool,
     ) -> Result<Hold, watch::Receiver<Result<(), Denied>>> {
-        let taken = self.with(customer, |desk| {
+        let taken = self.with(customer, |entry| {
             if first {
-                desk.purse.ask(Time::now(), worst);
+                entry.quota.ask(Time::now(), worst);
             }
-            desk.purse
+            entry
+                .quota
                 .try_take(worst)
-                .ok_or_else(|| desk.finished.subscribe())
+                .ok_or_else(|| entry.finished.subscribe())
         });
         if taken.is_ok() {
             self.reserve_if_wanted(customer);
@@ -213,15 +214,15 @@
     /// Starts a reservation if one is wanted and none is under way.
     fn reserve_if_wanted(&self, customer: &Customer) {
         let left = self.inner.ledger.state().budget(customer).left();
-        let wanted = self.with(customer, |desk| {
-            if desk.reserving {
+        let wanted = self.with(customer, |entry| {
+            if entry.reserving {
                 return None;
             }
-            let wanted = desk.purse.wanted(Time::now(), desk.need(), left);
-            desk.reserving = wanted.is_some();
-            if wanted.is_none() && !desk.waiting.is_empty() {
+            let wanted = entry.quota.wanted(Time::now(), entry.need(), left);
+            entry.reserving = wanted.is_some();
+            if wanted.is_none() && !entry.waiting.is_empty() {
                 // Money came back between the attempt's try and its wait.
-                let _ = desk.finished.send_replace(Ok(()));
+                let _ = entry.finished.send_replace(Ok(()));
             }
             wanted
         });
@@ -235,14 +236,14 @@
         let mut result = self.commit(customer, amount).await;
         if let Err(Denied::Budget { left }) = result {
             // Some of what waits may still fit although what was wanted does not.
-            let rest = self.with(customer, |desk| desk.rest(left));
+            let rest = self.with(customer, |entry| entry.rest(left));
             if let Some(rest) = rest {
                 result = self.commit(customer, rest).await;
             }
         }
-        self.with(customer, |desk| {
-            desk.reserving = false;
-            let _ = desk.finished.send_replace(result);
+        self.with(customer, |entry| {
+            entry.reserving = false;
+            let _ = entry.finished.send_replace(result);
         });
     }
 
@@ -252,7 +253,7 @@
         let record = ledger.record(customer, Body::Reserve { amount });
         match ledger.commit(record.clone()).await {
             Ok(Outcome::Accepted | Outcome::Duplicate) => {
-                self.with(customer, |desk| desk.purse.add(record.id, amount));
+                self.with(customer, |entry| entry.quota.add(record.id, amount));
                 Ok(())
             }
             Ok(Outcome::Rejected(Reason::BudgetExhausted { left })) => Err(Denied::Budget { left }),
@@ -289,8 +290,8 @@
 
 impl<'a> Waiting<'a> {
     fn new(allocator: &'a Allocator, customer: &'a Customer, worst: Money) -> Self {
-        allocator.with(customer, |desk| {
-            desk.waiting.push(worst);
+        allocator.with(customer, |entry| {
+            entry.waiting.push(worst);
         });
         Self {
             allocator,
@@ -303,10 +304,10 @@
 impl Drop for Waiting<'_> {
     /// Runs also when the attempt is cancelled while it waits.
     fn drop(&mut self) {
-        self.allocator.with(self.customer, |desk| {
-            let place = desk.waiting.iter().position(|worst| *worst == self.worst);
+        self.allocator.with(self.customer, |entry| {
+            let place = entry.waiting.iter().position(|worst| *worst == self.worst);
             if let Some(place) = place {
-                desk.waiting.swap_remove(place);
+                entry.waiting.swap_remove(place);
             }
         });
     }
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -12,8 +12,8 @@
 mod keeper;
 pub mod outcome;
 pub mod program;
-pub mod purse;
 mod queue;
+pub mod quota;
 pub mod record;
 pub mod settings;
 mod shard;
@@ -41,7 +41,7 @@
         Reason,
         Winner, //
     },
-    purse::Purse,
+    quota::Quota,
     settings::Settings,
     state::State, //
 };
--- a/src/ledger/purse.rs
+++ b/src/ledger/quota.rs
@@ -46,7 +46,7 @@
 
 /// Money set aside for one attempt.
 ///
-/// A hold that is dropped without [`Purse::settle`] counts as spent in full.
+/// A hold that is dropped without [`Quota::settle`] counts as spent in full.
 #[derive(Debug)]
 #[must_use]
 pub struct Hold {
@@ -102,7 +102,7 @@
 
 /// Tranches of one customer's budget.
 #[derive(Debug)]
-pub struct Purse {
+pub struct Quota {
     sizing: Sizing,
     /// Oldest first; the oldest is used up first.
     tranches: VecDeque<Tranche>,
@@ -114,8 +114,8 @@
     last: Money,
 }
 
-impl Purse {
-    /// Makes an empty purse.
+impl Quota {
+    /// Makes an empty quota.
     pub fn new(sizing: Sizing, now: Time) -> Self {
         Self {
             sizing,
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -101,7 +101,7 @@
 
 /// An encoded frame and the room that it takes in a queue.
 #[derive(Debug)]
-struct Parcel {
+struct Outgoing {
     id: Option<u64>,
     bytes: Bytes,
     _room: Option<OwnedSemaphorePermit>,
@@ -128,7 +128,7 @@
 #[derive(Debug)]
 pub(super) struct Link {
     pub(super) peer: Instance,
-    queue: mpsc::UnboundedSender<Parcel>,
+    queue: mpsc::UnboundedSender<Outgoing>,
     /// Bounds the bytes in the queue, in units of [`UNIT`].
     room: Arc<Semaphore>,
     units: u32,
@@ -150,9 +150,9 @@
 }
 
 /// The receiving half of one connection.
-pub(super) struct Pump {
+pub(super) struct Runner {
     pub(super) link: Arc<Link>,
-    parcels: mpsc::UnboundedReceiver<Parcel>,
+    outgoing: mpsc::UnboundedReceiver<Outgoing>,
     socket: Socket,
     pulse: Pulse,
     meter: Arc<Meter>,
@@ -168,8 +168,8 @@
         socket: Socket,
         settings: &Settings,
         meter: Arc<Meter>,
-    ) -> Pump {
-        let (queue, parcels) = mpsc::unbounded_channel();
+    ) -> Runner {
+        let (queue, outgoing) = mpsc::unbounded_channel();
         let units = (settings.queue_bytes / UNIT).max(1);
         let link = Self {
             peer,
@@ -185,9 +185,9 @@
             doubted: AtomicBool::new(false),
             used: Mutex::new(Instant::now()),
         };
-        Pump {
+        Runner {
             link: Arc::new(link),
-            parcels,
+            outgoing,
             pulse: socket.get_ref().pulse(),
             socket,
             meter,
@@ -234,12 +234,12 @@
         bytes: Vec<u8>,
         room: Option<OwnedSemaphorePermit>,
     ) -> Result<(), Unreachable> {
-        let parcel = Parcel {
+        let frame = Outgoing {
             id,
             bytes: bytes.into(),
             _room: room,
         };
-        self.queue.send(parcel).map_err(|_| Unreachable::Down)
+        self.queue.send(frame).map_err(|_| Unreachable::Down)
     }
 
     /// Sends a frame; waits for room in the queue.
@@ -426,7 +426,7 @@
     }
 }
 
-impl Pump {
+impl Runner {
     /// Runs the connection until it ends.
     ///
     /// `doubt` is called when the peer has been silent for half of the limit.
@@ -437,7 +437,7 @@
     {
         let Self {
             link,
-            mut parcels,
+            mut outgoing,
             socket,
             pulse,
             meter,
@@ -448,7 +448,7 @@
         let (mut sink, stream) = socket.split();
         let end = tokio::select! {
             end = read(&link, stream, &meter, handler) => end,
-            end = write(&link, &mut sink, &mut parcels, &meter, ping) => end,
+            end = write(&link, &mut sink, &mut outgoing, &meter, ping) => end,
             () = watch(&link, &pulse, silence, doubt) => End::Silent,
             () = rest(&link, idle) => End::Idle,
             _ = stop.acquire() => End::Stopped,
@@ -507,32 +507,32 @@
 async fn write(
     link: &Link,
     sink: &mut SplitSink<Socket, Message>,
-    parcels: &mut mpsc::UnboundedReceiver<Parcel>,
+    outgoing: &mut mpsc::UnboundedReceiver<Outgoing>,
     meter: &Meter,
     ping: Duration,
 ) -> End {
     loop {
         let due = tokio::time::Instant::now() + ping;
-        let Ok(parcel) = timeout_at(due, parcels.recv()).await else {
+        let Ok(frame) = timeout_at(due, outgoing.recv()).await else {
             // A pong that nobody asked for needs no answer, so it costs half of a ping.
             if sink.send(Message::Pong(Bytes::new())).await.is_err() {
                 return End::Lost;
             }
             continue;
         };
-        let Some(mut parcel) = parcel else {
+        let Some(mut frame) = frame else {
             return End::Stopped;
         };
         loop {
-            if link.mark(parcel.id) {
+            if link.mark(frame.id) {
                 meter.frames_out.one();
-                let message = Message::Binary(std::mem::take(&mut parcel.bytes));
+                let message = Message::Binary(std::mem::take(&mut frame.bytes));
                 if sink.feed(message).await.is_err() {
                     return End::Lost;
                 }
             }
-            match parcels.try_recv() {
-                Ok(next) => parcel = next,
+            match outgoing.try_recv() {
+                Ok(next) => frame = next,
                 Err(_) => break,
             }
         }
--- a/src/peer/mesh.rs
+++ b/src/peer/mesh.rs
@@ -43,7 +43,7 @@
         End,
         Link,
         Pending,
-        Pump,
+        Runner,
         Socket, //
     },
     meter::{
@@ -487,19 +487,19 @@
     /// Runs a link until it ends.
     async fn link(self: Rc<Self>, socket: Socket, entry: Entry) {
         let shared = self.shared();
-        let pump: Pump = Link::open(
+        let runner: Runner = Link::open(
             entry.instance.clone(),
             socket,
             &shared.settings,
             shared.meter.clone(),
         );
-        let link = pump.link.clone();
+        let link = runner.link.clone();
         shared.meter.links.one();
         self.mesh.attach(&link);
         let now = Time::now();
         shared.roster.update(|view| view.connected(now, &entry));
         let doubt = || self.verify(&link.peer);
-        let end = pump.run(&*self, doubt, &shared.stop).await;
+        let end = runner.run(&*self, doubt, &shared.stop).await;
         let last = self.mesh.detach(&link);
         match end {
             End::Malformed => {
--- a/src/policy/pace/mod.rs
+++ b/src/policy/pace/mod.rs
@@ -59,9 +59,9 @@
     }
 }
 
-/// Usual measures of one kind of work.
+/// Baseline measures of one kind of work.
 #[derive(Clone, Copy, Debug, Default)]
-struct Usual {
+struct Baseline {
     /// Number of finished calls, as far as it matters.
     count: u32,
     /// Time per generated token.
@@ -91,7 +91,7 @@
     ratio
 }
 
-impl Usual {
+impl Baseline {
     fn done(&mut self, report: &Report) -> f64 {
         let total = report.total_us.max(1) as f64;
         let cost = report.served() as f64;
@@ -128,7 +128,7 @@
 #[derive(Debug)]
 pub struct Pace {
     settings: Settings,
-    kinds: Recent<(Customer, Class), Usual>,
+    kinds: Recent<(Customer, Class), Baseline>,
     levels: Map<Upstream, Level>,
 }
 
--- a/tests/ledger_purse.rs
+++ b/tests/ledger_quota.rs
@@ -8,9 +8,9 @@
     clock::Time,
     ledger::{
         allocator::Denied,
-        purse::{
+        quota::{
             Hold,
-            Purse,
+            Quota,
             Sizing,
             Used, //
         },
@@ -27,8 +27,8 @@
 };
 use ledger_support::*;
 
-fn purse() -> Purse {
-    Purse::new(Sizing::default(), START)
+fn quota() -> Quota {
+    Quota::new(Sizing::default(), START)
 }
 
 #[test]
@@ -36,40 +36,40 @@
     // Hold, actual cost, then free money and what is reported as unpaid.
     let cases = [(8, 3, 7, 0), (8, 8, 2, 0), (8, 9, 2, 1), (10, 0, 10, 0)];
     for (held, actual, free, unpaid) in cases {
-        let mut purse = purse();
+        let mut quota = quota();
         // The hold spans both tranches.
-        purse.add(id(0, 1), Money(4));
-        purse.add(id(0, 2), Money(6));
-        let hold = purse.try_take(Money(held)).unwrap();
-        assert_eq!(purse.settle(hold, Money(actual)), Money(unpaid));
-        assert_eq!(purse.free(), Money(free), "{held} {actual}");
+        quota.add(id(0, 1), Money(4));
+        quota.add(id(0, 2), Money(6));
+        let hold = quota.try_take(Money(held)).unwrap();
+        assert_eq!(quota.settle(hold, Money(actual)), Money(unpaid));
+        assert_eq!(quota.free(), Money(free), "{held} {actual}");
     }
-    assert!(purse().try_take(Money(1)).is_none());
+    assert!(quota().try_take(Money(1)).is_none());
 }
 
 #[test]
 fn close_counts_dropped_holds_as_spent() {
-    let mut purse = purse();
+    let mut quota = quota();
     let tranche = id(0, 1);
-    purse.add(tranche, Money(10));
-    drop(purse.try_take(Money(4)));
-    let hold = purse.try_take(Money(5)).unwrap();
+    quota.add(tranche, Money(10));
+    drop(quota.try_take(Money(4)));
+    let hold = quota.try_take(Money(5)).unwrap();
     // The tranche can't be settled while an attempt may still spend from it.
-    assert_eq!(purse.close(), []);
-    purse.settle(hold, Money(1));
+    assert_eq!(quota.close(), []);
+    quota.settle(hold, Money(1));
     let spent = Money(5);
-    assert_eq!(purse.close(), [Used { tranche, spent }]);
-    assert!(purse.is_empty());
+    assert_eq!(quota.close(), [Used { tranche, spent }]);
+    assert!(quota.is_empty());
 }
 
 #[test]
 fn retire_returns_idle_tranches() {
-    let mut purse = purse();
+    let mut quota = quota();
     let tranche = id(0, 1);
-    purse.add(tranche, Money(10));
-    purse.ask(START, Money(4));
-    assert_eq!(purse.retire(START + Duration::from_secs(14)), []);
-    let used = purse.retire(START + Duration::from_secs(15));
+    quota.add(tranche, Money(10));
+    quota.ask(START, Money(4));
+    assert_eq!(quota.retire(START + Duration::from_secs(14)), []);
+    let used = quota.retire(START + Duration::from_secs(15));
     let spent = Money(0);
     assert_eq!(used, [Used { tranche, spent }]);
 }
@@ -89,12 +89,12 @@
         ("rest below one attempt", 5, 10, 50, 0, 576, None),
     ];
     for (name, free, size, count, need, left, wanted) in cases {
-        let mut purse = purse();
-        purse.add(id(0, 1), Money(free));
+        let mut quota = quota();
+        quota.add(id(0, 1), Money(free));
         for _ in 0..count {
-            purse.ask(START, Money(size));
+            quota.ask(START, Money(size));
         }
-        let amount = purse.wanted(START, Money(need), Money(left));
+        let amount = quota.wanted(START, Money(need), Money(left));
         assert_eq!(amount, wanted.map(Money), "{name}");
     }
 }
