--- a/tests/failure_agreement.rs
+++ b/tests/failure_agreement.rs
@@ -245,6 +245,58 @@
     );
 }
 
+/// Returns the first kept offset and the end offset of the log.
+fn bounds(cluster: &Cluster) -> (u64, u64) {
+    cluster.log.books().topics["gypsumlever"].partitions[0]
+}
+
+/// Guards against contracts and programs that are lost when the log's records expire: an instance
+/// that starts later knows them, with their versions, from what was written again.
+#[actix_web::test]
+async fn retention_of_the_log() {
+    let retention = log::Retention {
+        age_ms: Some(30_000),
+        ..log::Retention::default()
+    };
+    let mut cluster = Cluster::start(Shape {
+        instances: 2,
+        log: log::Config {
+            retention,
+            ..log::Config::default()
+        },
+        // Live state is written again after 20 s; the log keeps records for less than it promised.
+        retention: "1m",
+        ..Shape::default()
+    })
+    .await;
+    cluster.with_contract().await;
+    assert_eq!(cluster.publish(0, 2, &contract(5_000_000, 7)).await.0, 200);
+    let program = cluster.program(0).await;
+    let (status, said) = cluster.say(0, &program, "k0", "q").await;
+    assert_eq!(status, 200, "{said}");
+    let (_, written) = bounds(&cluster);
+    cluster.nodes[1].kill();
+    sleep(Duration::from_secs(45)).await;
+    let (begin, _) = bounds(&cluster);
+    assert!(
+        begin >= written,
+        "original records are kept still: {begin} < {written}"
+    );
+    cluster.nodes[1].start();
+    cluster.wait_ready(1).await;
+    let (_, entry) = cluster.get(1, "/v1/contracts/sirag").await;
+    assert_eq!(
+        (&entry["version"], &entry["contract"]["share"]),
+        (&json!(2), &json!(7)),
+        "{entry}"
+    );
+    let (status, history) = cluster.get(1, &format!("/v1/programs/{program}")).await;
+    assert_eq!(status, 200, "{history}");
+    assert_eq!(history["turns"][0]["answer"], said["content"], "{history}");
+    let (status, body) = cluster.say(1, &program, "k1", "q").await;
+    assert_eq!((status, &body["turn"]), (200, &json!(1)), "{body}");
+}
+
 /// Guards against work that stops although it needs no agreement, and against lost turns, while
 /// the log is down and instances are replaced.
 #[actix_web::test]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -52,6 +52,8 @@
     pub log: log::Config,
     /// Settings of the engines.
     pub engine: engine::Config,
+    /// Retention of the log's records as the daemons know it.
+    pub retention: &'static str,
     /// Extra settings of the daemon in YAML, at the top level.
     pub extra: String,
 }
@@ -68,6 +70,7 @@
                 speed: 20.0,
                 ..engine::Config::default()
             },
+            retention: "7d",
             extra: String::new(),
         }
     }
@@ -246,8 +249,9 @@
                     false => format!("{timings}{}", shape.extra),
                 };
                 let text = format!(
-                    "cluster: test\ninstance: {name}\nzone: {zone}\nzones: [{zones}]\nlisten: {{ callers: \"{callers}\", peers: \"{peers}\", workers: 2 }}\npeers: {{ secret_env: GYPSUMLEVER_PEER_SECRET }}\nlog: {{ addresses: [\"{}\"] }}\nlist: {{ address: \"{}\" }}\n{pools}{extra}",
+                    "cluster: test\ninstance: {name}\nzone: {zone}\nzones: [{zones}]\nlisten: {{ callers: \"{callers}\", peers: \"{peers}\", workers: 2 }}\npeers: {{ secret_env: GYPSUMLEVER_PEER_SECRET }}\nlog: {{ addresses: [\"{}\"], retention: {} }}\nlist: {{ address: \"{}\" }}\n{pools}{extra}",
                     log.address(),
+                    shape.retention,
                     list.address(),
                 );
                 let config = folder.join(format!("{name}.yaml"));
