Let one piece of code read histories and find ended programs, and see every held turn

Cause: a reading of the whole change. Three places read a history, two looked for an ended program. One check was wrong: whether a program has held turns was asked as 'held turns from number 0 on', which is never true once a turn is committed, so that after an outage a turn could be appended before an earlier held one and be refused as out of order although it had run. Behaviour: besides the check, a repeated end for a customer that moved to the old system now returns the first ending, and a call whose program ended before its first turn is refused before it runs. Conclusion: no test or bound was changed.

--- a/src/api/calls.rs
+++ b/src/api/calls.rs
@@ -41,6 +41,7 @@
     bad,
     idempotency_key,
     programs::{
+        already_ended,
         class,
         owned, //
     },
@@ -299,15 +300,7 @@
 
 /// Returns the answer of the last turn of an ended program, which its caller may have missed.
 async fn last_answer(app: &App, name: &str, turn: u32, http: &HttpRequest) -> Option<Answer> {
-    let program = Program::try_from(name).ok()?;
-    let customer = {
-        let state = app.shared().ledger.state();
-        let mut accounts = state.accounts();
-        let (customer, account) =
-            accounts.find(|(_, account)| account.ended(&program).is_some())?;
-        authorize(http, account.contract()?).ok()?;
-        customer.clone()
-    };
+    let (program, customer, _) = already_ended(app, name, http)?;
     app.gateway.last(&customer, &program, turn).await
 }
 
--- a/src/api/programs.rs
+++ b/src/api/programs.rs
@@ -41,7 +41,6 @@
             Ran,
             Start, //
         },
-        Refusal as LogRefusal,
     },
     name::{
         Class,
@@ -148,10 +147,7 @@
             })
         }
         Ok(outcome) => Err(not_started(&outcome)),
-        Err(error @ LogRefusal::Unknown { .. }) => {
-            // A start runs nothing, and a repeat with the same key finds the same program.
-            Err(Refusal::from(error))
-        }
+        // A start runs nothing, and a repeat with the same key finds the same program.
         Err(error) => Err(error.into()),
     }
 }
@@ -231,7 +227,7 @@
 
 async fn shown(app: &App, path: &str, http: &HttpRequest) -> Result<History, Refusal> {
     let (program, customer, class, deadline) = owned(app, path, http).await?;
-    let turns = app.gateway.history(&program).await?;
+    let turns = app.shared().history(&program).await?;
     let item = |(turn, found): (u32, &std::sync::Arc<crate::ledger::record::Turn>)| Item {
         turn,
         request: serde_json::from_str(&found.request).unwrap_or_default(),
@@ -272,16 +268,19 @@
     }
 }
 
-/// Returns how a program of the caller ended.
-fn already_ended(app: &App, path: &str, http: &HttpRequest) -> Option<Ending> {
+/// Returns an ended program of the caller, its customer and how it ended.
+pub(super) fn already_ended(
+    app: &App,
+    path: &str,
+    http: &HttpRequest,
+) -> Option<(Program, Customer, Ending)> {
     let program = Program::try_from(path).ok()?;
     let state = app.shared().ledger.state();
     let mut accounts = state.accounts();
     let found = accounts.find_map(|(name, account)| Some((name, account.ended(&program)?)));
     let (customer, ending) = found?;
-    let contract = admit::contract_of(&state, customer).ok()?;
-    authorize(http, contract).ok()?;
-    Some(ending)
+    authorize(http, state.contract(customer)?).ok()?;
+    Some((program, customer.clone(), ending))
 }
 
 async fn finished(
@@ -293,7 +292,8 @@
     let (program, customer, _, _) = match owned(app, path, http).await {
         // The answer to an earlier end may have been lost.
         Err(refusal) if refusal.reason == Reason::ProgramEnded => {
-            return already_ended(app, path, http).ok_or(refusal);
+            let (_, _, ending) = already_ended(app, path, http).ok_or(refusal)?;
+            return Ok(ending);
         }
         found => found?,
     };
--- a/src/daemon/upstreams.rs
+++ b/src/daemon/upstreams.rs
@@ -85,17 +85,15 @@
             }
         };
         tokio::select! {
-            _ = futures_util::future::join_all(readers) => changed_later().await,
+            _ = futures_util::future::join_all(readers) => {
+                // There was nothing to read; ownership is looked at again later.
+                sleep(PERIOD).await;
+            }
             () = changed => {}
         }
     }
 }
 
-/// Waits before ownership is looked at again, when there is nothing to read.
-async fn changed_later() {
-    sleep(PERIOD).await;
-}
-
 async fn watch_pool(app: &App, config: &Arc<Config>, pool: &config::Pool) {
     let client = chat::Client::default();
     let targets: Vec<Target> = here(config, pool).map(Target::from).collect();
--- a/src/executor/commit.rs
+++ b/src/executor/commit.rs
@@ -211,15 +211,7 @@
     }
 
     async fn history(&self, program: &Program, plan: &Plan) -> Result<Vec<Arc<Turn>>, Refusal> {
-        let next = {
-            let state = self.shared.ledger.state();
-            state.program(program).map_or(0, |found| found.next())
-        };
-        let mut turns = Vec::new();
-        if next > 0 {
-            turns = self.committed(program).await?;
-        }
-        turns.extend(self.shared.overlay.turns(program, turns.len() as u32));
+        let mut turns = self.shared.history(program).await?;
         if turns.len() < plan.index as usize {
             let detail = "history of the program is not complete on this instance";
             return Err(refuse(Reason::LogUnavailable, detail, Some(SOON)));
@@ -268,23 +260,13 @@
         }
     }
 
-    fn void_record(
-        &self,
-        request: &Request,
-        program: &Program,
-        plan: &Plan,
-        claim: &Record,
-    ) -> Record {
+    async fn void(&self, request: &Request, program: &Program, plan: &Plan, claim: &Claimed) {
         let body = Body::Void {
             program: program.clone(),
             index: plan.index,
-            claim: claim.id,
+            claim: claim.record.id,
         };
-        self.shared.ledger.record(&request.customer, body)
-    }
-
-    async fn void(&self, request: &Request, program: &Program, plan: &Plan, claim: &Claimed) {
-        let record = self.void_record(request, program, plan, &claim.record);
+        let record = self.shared.ledger.record(&request.customer, body);
         if self.shared.ledger.commit(record.clone()).await.is_err() {
             let _ = self.shared.ledger.commit_later(record);
         }
@@ -404,7 +386,7 @@
         record: &Record,
         claimed: bool,
     ) -> Result<Result<outcome::Outcome, LogRefusal>, Refusal> {
-        if !self.shared.overlay.turns(program, 0).is_empty() {
+        if self.shared.overlay.holds(program) {
             // Earlier turns wait for the log, and the log takes turns in order only.
             return Ok(Err(LogRefusal::NotApplied { retry_after: SOON }));
         }
--- a/src/executor/gateway.rs
+++ b/src/executor/gateway.rs
@@ -1,14 +1,9 @@
 //! Finds the instance that runs a call and forwards the call to it.
 
-use std::sync::Arc;
-
 use tokio::sync::mpsc;
 
 use crate::{
-    ledger::{
-        program,
-        record::Turn, //
-    },
+    ledger::program,
     metrics::Retry,
     name::{
         Customer,
@@ -191,18 +186,6 @@
         self.shared.mesh.open(&home, body).ok()
     }
 
-    /// Returns the history of a program, turns that are not in the log yet included.
-    pub async fn history(&self, program: &Program) -> Result<Vec<Arc<Turn>>, Refusal> {
-        let read = self.shared.ledger.history(program).await;
-        let mut turns = read.map_err(|error| {
-            let after = self.shared.ledger.settings().backoff_most;
-            let detail = format!("history can't be read: {error}");
-            refuse(Reason::LogUnavailable, detail, Some(after))
-        })?;
-        turns.extend(self.shared.overlay.turns(program, turns.len() as u32));
-        Ok(turns)
-    }
-
     /// Returns the answer of the last turn of a program that has ended.
     pub async fn last(&self, customer: &Customer, program: &Program, turn: u32) -> Option<Answer> {
         let ledger = &self.shared.ledger;
@@ -217,7 +200,7 @@
 
     /// Returns the answer of a turn that has ended.
     pub async fn kept(&self, program: &Program, turn: u32) -> Result<Answer, Refusal> {
-        let turns = self.history(program).await?;
+        let turns = self.shared.history(program).await?;
         let Some(found) = turns.get(turn as usize) else {
             let detail = format!("turn {turn} has not ended; the next one is {}", turns.len());
             return Err(refuse(Reason::TurnInProgress, detail, Some(SOON)));
--- a/src/executor/mod.rs
+++ b/src/executor/mod.rs
@@ -52,6 +52,7 @@
     ledger::{
         allocator::Allocator,
         program,
+        record::Turn,
         Ledger, //
     },
     member::Roster,
@@ -165,6 +166,22 @@
         Ok(())
     }
 
+    /// Returns the committed turns of a program.
+    pub async fn committed(&self, program: &Program) -> Result<Vec<Arc<Turn>>, Refusal> {
+        self.ledger.history(program).await.map_err(|error| {
+            let after = self.ledger.settings().backoff_most;
+            let detail = format!("history can't be read: {error}");
+            refuse(Reason::LogUnavailable, detail, Some(after))
+        })
+    }
+
+    /// Returns the history of a program, turns that are not in the log yet included.
+    pub async fn history(&self, program: &Program) -> Result<Vec<Arc<Turn>>, Refusal> {
+        let mut turns = self.committed(program).await?;
+        turns.extend(self.overlay.turns(program, turns.len() as u32));
+        Ok(turns)
+    }
+
     /// Returns the time for which ended programs are remembered.
     pub fn memory(&self) -> Duration {
         self.ledger.settings().memory
--- a/src/executor/overlay.rs
+++ b/src/executor/overlay.rs
@@ -191,6 +191,13 @@
             .collect()
     }
 
+    /// Returns whether any turn of a program is held.
+    pub fn holds(&self, program: &Program) -> bool {
+        let inner = self.inner();
+        let held = inner.turns.get(program);
+        held.is_some_and(|held| !held.is_empty())
+    }
+
     /// Passes on the records that have not been passed on, in the order of their turns, until
     /// `append` fails.
     pub fn pass_on(&self, append: impl Fn(&Record) -> bool) {
--- a/src/executor/turn.rs
+++ b/src/executor/turn.rs
@@ -221,22 +221,13 @@
 
     /// Reads one committed turn.
     pub(super) async fn read(&self, program: &Program, index: u32) -> Result<Arc<Turn>, Refusal> {
-        let turns = self.committed(program).await?;
+        let turns = self.shared.committed(program).await?;
         turns.get(index as usize).cloned().ok_or_else(|| {
             let detail = "history is no longer kept";
             refuse(Reason::UnknownProgram, detail, None)
         })
     }
 
-    /// Reads the committed turns of a program.
-    pub(super) async fn committed(&self, program: &Program) -> Result<Vec<Arc<Turn>>, Refusal> {
-        self.shared.ledger.history(program).await.map_err(|error| {
-            let after = self.shared.ledger.settings().backoff_most;
-            let detail = format!("history can't be read: {error}");
-            refuse(Reason::LogUnavailable, detail, Some(after))
-        })
-    }
-
     fn in_order(&self, request: &Request, view: &View) -> Result<(), Refusal> {
         let next = view.plan.index;
         match request.turn {
