--- a/src/clock/mod.rs
+++ b/src/clock/mod.rs
@@ -5,8 +5,10 @@
         Add,
         Sub, //
     },
+    sync::OnceLock,
     time::{
         Duration,
+        Instant,
         SystemTime,
         UNIX_EPOCH, //
     },
@@ -17,6 +19,9 @@
     Serialize, //
 };
 
+/// Microseconds of an hour.
+const HOUR_US: u64 = 3_600_000_000;
+
 /// A point in time in microseconds since the Unix epoch.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[derive(Deserialize, Serialize)]
@@ -32,6 +37,14 @@
         Self(since.as_micros() as u64)
     }
 
+    /// Returns the time since the first call in this process, from a clock that never steps.
+    ///
+    /// Begins after an hour, so that a time before the first call can be told from none.
+    pub fn monotonic() -> Self {
+        static START: OnceLock<Instant> = OnceLock::new();
+        Self(HOUR_US) + START.get_or_init(Instant::now).elapsed()
+    }
+
     /// Returns the time since `earlier`, or zero if `earlier` is later.
     pub fn since(self, earlier: Self) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
--- /dev/null
+++ b/src/gateway/balance.rs
@@ -0,0 +1,185 @@
+//! Choice of the upstream of a request.
+//!
+//! Answers two load patterns: turns whose prompts share long prefixes, which cost most where no
+//! prefix is kept, and short calls to a few upstreams that slow down without notice.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc, //
+};
+
+use rand::{
+    Rng,
+    RngExt, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use super::{
+    call::{
+        Prefix,
+        Prompt, //
+    },
+    load::Load,
+    registry::Server,
+};
+use crate::{
+    clock::Time,
+    hash::{
+        self,
+        Map, //
+    },
+};
+
+/// Part of the most tokens of an answer that is generated on average.
+const GENERATED: f64 = 0.45;
+
+/// Growth of the time of a step with the part of the slots that is in use.
+const CROWDING: f64 = 0.4;
+
+/// Part of a shared prefix that an upstream is taken to keep if it is the first choice of all
+/// instances for that prefix, but nothing is known about it.
+const PRESUMED: f64 = 0.6;
+
+/// Cost of an upstream that is avoided, in milliseconds: more than any load.
+const AVOIDED: f64 = 10_000.0;
+
+/// Rates of upstreams and costs of places.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// Tokens of a prompt that an engine reads in a millisecond; from the engines' data sheet.
+    pub read_tokens_per_ms: f64,
+    /// Milliseconds of a step of an engine that runs one request; from the data sheet.
+    pub step_ms: f64,
+    /// Milliseconds of a call to a plain service; from the operators' sheet.
+    pub call_ms: f64,
+    /// Milliseconds of delay that are accepted to keep a turn in its availability zone.
+    pub turn_zone_ms: f64,
+    /// Milliseconds of delay that are accepted to keep another call in its availability zone.
+    pub call_zone_ms: f64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            read_tokens_per_ms: 205.0,
+            step_ms: 1.27,
+            call_ms: 30.0,
+            turn_zone_ms: 15.0,
+            call_zone_ms: 2.0,
+        }
+    }
+}
+
+/// What the choice depends on beside the upstreams.
+pub struct Request<'a> {
+    /// Time of the decision.
+    pub now: Time,
+    /// Availability zone of this instance.
+    pub zone: &'a str,
+    /// Prompt and its prefixes; `None` for a call to a plain service.
+    pub prompt: Option<(&'a Prompt, &'a [Prefix])>,
+    /// Upstreams that did not take the request.
+    pub excluded: &'a [SocketAddr],
+}
+
+/// A chosen upstream.
+#[derive(Clone, Debug)]
+pub struct Choice {
+    /// The upstream.
+    pub server: Rc<Server>,
+    /// Tokens of the prompt that it has to read.
+    pub unread: u64,
+    /// Expected time until the end of the answer, in milliseconds.
+    pub cost_ms: f64,
+    /// Whether all of its slots are in use, as far as known.
+    pub full: bool,
+}
+
+/// Picks the upstream with the least expected time.
+pub fn pick<'a>(
+    settings: &Settings,
+    request: &Request<'_>,
+    servers: impl Iterator<Item = &'a Rc<Server>>,
+    loads: &Map<SocketAddr, Load>,
+    rng: &mut impl Rng,
+) -> Option<Choice> {
+    let fresh = Load::default();
+    let candidates: Vec<_> = servers
+        .filter(|server| !request.excluded.contains(&server.address))
+        .collect();
+    let home = home(request, &candidates);
+    let choice = |server: &&Rc<Server>| {
+        let load = loads.get(&server.address).unwrap_or(&fresh);
+        let presumed = home.as_deref() == Some(&*server.id);
+        let mut choice = estimate(settings, request, server, load, presumed);
+        // Instances that know the same must not all choose the same upstream.
+        choice.cost_ms *= rng.random_range(0.97..1.03);
+        choice
+    };
+    candidates
+        .iter()
+        .map(choice)
+        .min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
+}
+
+/// Returns the upstream that all instances of the zone prefer for a new prompt with this prefix.
+fn home(request: &Request<'_>, candidates: &[&Rc<Server>]) -> Option<String> {
+    let (_, prefixes) = request.prompt?;
+    let key = prefixes.first()?.key.to_be_bytes();
+    let local = candidates
+        .iter()
+        .filter(|server| &*server.zone == request.zone)
+        .map(|server| &*server.id);
+    hash::rendezvous(&key, local).map(ToOwned::to_owned)
+}
+
+fn estimate(
+    settings: &Settings,
+    request: &Request<'_>,
+    server: &Rc<Server>,
+    load: &Load,
+    presumed: bool,
+) -> Choice {
+    let now = request.now;
+    let slots = f64::from(server.slots);
+    let running = load.running(now);
+    let pace = load.pace(now);
+    let away = &*server.zone != request.zone;
+    let mut cost_ms = 0.0;
+    let mut unread = 0;
+    if let Some((prompt, prefixes)) = request.prompt {
+        let mut kept = load.kept(prefixes);
+        if kept == 0 && presumed {
+            kept = prefixes
+                .first()
+                .map_or(0, |prefix| (f64::from(prefix.tokens) * PRESUMED) as u32);
+        }
+        unread = u64::from(prompt.tokens.saturating_sub(kept));
+        let reading = (unread + load.reading()) as f64 / settings.read_tokens_per_ms;
+        let crowd = 1.0 + CROWDING * (running / slots).min(1.0);
+        let writing = f64::from(prompt.most) * GENERATED * settings.step_ms * crowd;
+        let turns_ahead = ((running + 1.0 - slots) / slots).max(0.0);
+        cost_ms += pace * (reading + writing * (1.0 + turns_ahead));
+        cost_ms += if away { settings.turn_zone_ms } else { 0.0 };
+    } else {
+        let ahead = (running + 1.0 - slots).max(0.0) / slots;
+        // Free slots beyond the first are no faster, but a full upstream is near.
+        let crowd = 0.2 * running / slots;
+        cost_ms += settings.call_ms * pace * (1.0 + ahead + crowd);
+        cost_ms += if away { settings.call_zone_ms } else { 0.0 };
+    }
+    if load.avoided(now) {
+        cost_ms += AVOIDED;
+    }
+    Choice {
+        server: server.clone(),
+        unread,
+        cost_ms,
+        full: running >= slots,
+    }
+}
--- /dev/null
+++ b/src/gateway/call.rs
@@ -0,0 +1,91 @@
+//! What a request says about itself.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use thiserror::Error;
+
+use crate::hash;
+
+/// Name of the header that can't be read.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Error)]
+#[error("header {0} is missing or invalid")]
+pub struct Invalid(pub String);
+
+/// A request of a caller, decoded from its headers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Call {
+    /// Identifier that the caller gave; each attempt of the caller has its own.
+    pub id: Arc<str>,
+    /// Time that the caller waits.
+    pub patience: Option<Duration>,
+    /// Program that the request belongs to.
+    pub work: Option<Work>,
+    /// Prompt of a model call.
+    pub prompt: Option<Prompt>,
+    /// Event after which the caller resumes a stream.
+    pub after: Option<u64>,
+}
+
+/// Program that a request belongs to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Work {
+    /// Identifier of the program.
+    pub program: Arc<str>,
+    /// Identifier of the line of turns.
+    pub session: Option<Arc<str>>,
+    /// Time until the program should have finished.
+    pub finish: Option<Duration>,
+    /// Tokens that all turns of the program may generate.
+    pub budget: Option<u64>,
+}
+
+/// Prompt of a model call.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Prompt {
+    /// Tokens of the prompt.
+    pub tokens: u32,
+    /// Most tokens that are generated.
+    pub most: u32,
+    /// Parts of the prompt in order; other requests begin with the same parts.
+    pub parts: Vec<Part>,
+}
+
+/// Part of a prompt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Part {
+    /// Identifier of its content.
+    pub id: u64,
+    /// Its tokens.
+    pub tokens: u32,
+}
+
+/// Prefix of a prompt: all parts up to one of them.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Prefix {
+    /// Hash of the identifiers of the parts.
+    pub key: u64,
+    /// Tokens of the parts.
+    pub tokens: u32,
+}
+
+impl Prompt {
+    /// Returns the prefixes of the prompt, shortest first.
+    pub fn prefixes(&self) -> Vec<Prefix> {
+        let mut prefix = Prefix { key: 0, tokens: 0 };
+        let extend = |part: &Part| {
+            let mut bytes = [0; 16];
+            bytes[..8].copy_from_slice(&prefix.key.to_be_bytes());
+            bytes[8..].copy_from_slice(&part.id.to_be_bytes());
+            prefix = Prefix {
+                key: hash::stable(&bytes),
+                tokens: prefix.tokens + part.tokens,
+            };
+            prefix
+        };
+        self.parts.iter().map(extend).collect()
+    }
+}
--- /dev/null
+++ b/src/gateway/connection.rs
@@ -0,0 +1,309 @@
+//! One HTTP/1.1 connection to an upstream.
+//!
+//! `awc` hides its connections. Here they are in sight: an answer that belongs to an earlier
+//! request is skipped, an answer that comes before the body was written is taken, and a request of
+//! which no byte left is known not to have run.
+
+use std::{
+    io,
+    net::SocketAddr,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use actix_http::{
+    body::BodySize,
+    h1::{
+        ClientCodec,
+        ClientPayloadCodec,
+        Message,
+        MessageType, //
+    },
+    header,
+    RequestHead,
+    RequestHeadType,
+    ResponseHead, //
+};
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
+use socket2::{
+    SockRef,
+    TcpKeepalive, //
+};
+use thiserror::Error;
+use tokio::{
+    io::{
+        AsyncReadExt as _,
+        AsyncWriteExt as _, //
+    },
+    net::TcpStream,
+    time::timeout,
+};
+use tokio_util::codec::{
+    Decoder as _,
+    Encoder as _, //
+};
+
+/// Longest time to make a connection: many round trips between zones, far less than a deadline.
+const CONNECT: Duration = Duration::from_millis(250);
+
+/// Time without an acknowledgement after which a connection is broken; many round trips.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(800);
+
+/// Time without traffic after which the other side is probed; the shortest that the kernel has.
+const PROBE: Duration = Duration::from_secs(1);
+
+/// Bytes that one read may take.
+const READ: usize = 16 << 10;
+
+/// Answers to earlier requests that are skipped before a connection is given up.
+const EXTRA: usize = 2;
+
+/// Reason why an exchange failed.
+#[derive(Debug)]
+#[derive(Error)]
+pub enum Fault {
+    /// No connection could be made; nothing was sent.
+    #[error("connection failed: {0}")]
+    Connect(io::Error),
+    /// The connection broke before the first byte of the request was taken.
+    #[error("connection broke before the request was sent: {0}")]
+    Unsent(io::Error),
+    /// The connection broke.
+    #[error("connection broke: {0}")]
+    Broken(io::Error),
+    /// The connection was closed before the answer was complete.
+    #[error("answer was cut off")]
+    Truncated,
+    /// The bytes are no answer to the request.
+    #[error("answer is invalid: {0}")]
+    Invalid(String),
+}
+
+enum Codec {
+    Head(ClientCodec),
+    Body(ClientPayloadCodec),
+    /// The connection has carried its last answer.
+    Spent,
+}
+
+/// A connection.
+pub struct Connection {
+    stream: TcpStream,
+    codec: Codec,
+    buffer: BytesMut,
+    /// Whether the answer ends with the connection.
+    until_close: bool,
+    /// Whether the upstream keeps the connection open after this answer.
+    kept: bool,
+    /// When the upstream closes the connection if it stays unused; `None` if it did not say.
+    lifetime: Option<Duration>,
+    /// When the latest answer was complete.
+    idle_since: Instant,
+}
+
+fn codec() -> ClientCodec {
+    ClientCodec::default()
+}
+
+fn invalid(error: impl ToString) -> Fault {
+    Fault::Invalid(error.to_string())
+}
+
+/// Returns the time for which a kept connection may stay unused.
+fn lifetime(head: &ResponseHead) -> Option<Duration> {
+    let text = head.headers().get("keep-alive")?.to_str().ok()?;
+    let seconds = text
+        .split(',')
+        .find_map(|item| item.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
+
+fn closes(head: &ResponseHead) -> bool {
+    let value = head.headers().get(header::CONNECTION);
+    value
+        .and_then(|value| value.to_str().ok())
+        .is_some_and(|value| value.to_ascii_lowercase().contains("close"))
+}
+
+impl Connection {
+    /// Connects to an upstream.
+    pub async fn open(address: SocketAddr) -> Result<Self, Fault> {
+        let stream = timeout(CONNECT, TcpStream::connect(address))
+            .await
+            .map_err(|_| Fault::Connect(io::ErrorKind::TimedOut.into()))?
+            .map_err(Fault::Connect)?;
+        let socket = SockRef::from(&stream);
+        let keepalive = TcpKeepalive::new()
+            .with_time(PROBE)
+            .with_interval(PROBE)
+            .with_retries(1);
+        socket
+            .set_tcp_nodelay(true)
+            .and_then(|()| socket.set_tcp_keepalive(&keepalive))
+            .and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED)))
+            .map_err(Fault::Connect)?;
+        Ok(Self {
+            stream,
+            codec: Codec::Head(codec()),
+            buffer: BytesMut::new(),
+            until_close: false,
+            kept: true,
+            lifetime: None,
+            idle_since: Instant::now(),
+        })
+    }
+
+    /// Sends a request and waits for the head of the answer that `ours` accepts.
+    ///
+    /// The body is written while the answer is awaited, because an upstream may answer before it
+    /// has read the body; such a connection is not used again.
+    pub async fn send(
+        &mut self,
+        head: RequestHead,
+        body: &Bytes,
+        ours: impl Fn(&ResponseHead) -> bool,
+    ) -> Result<ResponseHead, Fault> {
+        let Codec::Head(codec) = &mut self.codec else {
+            return Err(invalid("the connection is in use"));
+        };
+        let length = match body.len() {
+            0 => BodySize::None,
+            length => BodySize::Sized(length as u64),
+        };
+        let mut out = BytesMut::with_capacity(1_024 + body.len());
+        let head = Message::Item((RequestHeadType::Owned(head), length));
+        codec.encode(head, &mut out).map_err(Fault::Unsent)?;
+        out.extend_from_slice(body);
+        let total = out.len();
+        self.kept = false;
+        let mut skipped = 0;
+        loop {
+            let Codec::Head(codec) = &mut self.codec else {
+                return Err(invalid("the connection is in use"));
+            };
+            if let Some(head) = codec.decode(&mut self.buffer).map_err(invalid)? {
+                let interim = head.status.is_informational();
+                if !interim && ours(&head) {
+                    self.kept = out.is_empty();
+                    break self.begin(&head).map(|()| head);
+                }
+                if !interim {
+                    skipped += 1;
+                    self.begin(&head)?;
+                    while self.chunk().await?.is_some() {}
+                }
+                if skipped > EXTRA || !matches!(self.codec, Codec::Head(_)) {
+                    break Err(invalid("answers belong to other requests"));
+                }
+                continue;
+            }
+            if self.buffer.capacity() - self.buffer.len() < READ / 4 {
+                self.buffer.reserve(READ);
+            }
+            let (mut reader, mut writer) = self.stream.split();
+            tokio::select! {
+                written = writer.write_buf(&mut out), if !out.is_empty() => match written {
+                    Err(error) if out.len() == total => break Err(Fault::Unsent(error)),
+                    Err(error) => break Err(Fault::Broken(error)),
+                    Ok(_) => {}
+                },
+                read = reader.read_buf(&mut self.buffer) => match read {
+                    Ok(0) if out.len() == total => {
+                        break Err(Fault::Unsent(io::ErrorKind::ConnectionAborted.into()));
+                    }
+                    Ok(0) => break Err(Fault::Truncated),
+                    Ok(_) => {}
+                    Err(error) if out.len() == total => break Err(Fault::Unsent(error)),
+                    Err(error) => break Err(Fault::Broken(error)),
+                },
+            }
+        }
+    }
+
+    /// Notes the head of an answer, and expects its body.
+    fn begin(&mut self, head: &ResponseHead) -> Result<(), Fault> {
+        if let Some(lifetime) = lifetime(head) {
+            self.lifetime = Some(lifetime);
+        }
+        let Codec::Head(codec) = std::mem::replace(&mut self.codec, Codec::Spent) else {
+            return Err(invalid("the connection is in use"));
+        };
+        self.until_close = codec.message_type() == MessageType::Stream;
+        self.kept &= !self.until_close && !closes(head);
+        self.codec = match codec.message_type() {
+            MessageType::None => Codec::Head(codec),
+            _ => Codec::Body(codec.into_payload_codec()),
+        };
+        self.idle_since = Instant::now();
+        Ok(())
+    }
+
+    /// Returns the next part of the body, or `None` after the whole body.
+    pub async fn chunk(&mut self) -> Result<Option<Bytes>, Fault> {
+        loop {
+            let Codec::Body(codec) = &mut self.codec else {
+                return Ok(None);
+            };
+            match codec.decode(&mut self.buffer).map_err(invalid)? {
+                Some(Some(chunk)) if chunk.is_empty() => continue,
+                Some(Some(chunk)) => return Ok(Some(chunk)),
+                Some(None) => {
+                    self.finish();
+                    return Ok(None);
+                }
+                None => {}
+            }
+            if self.buffer.capacity() - self.buffer.len() < READ / 4 {
+                self.buffer.reserve(READ);
+            }
+            match self.stream.read_buf(&mut self.buffer).await {
+                Ok(0) if self.until_close => {
+                    self.codec = Codec::Spent;
+                    return Ok(None);
+                }
+                Ok(0) => return Err(Fault::Truncated),
+                Ok(_) => {}
+                Err(error) => return Err(Fault::Broken(error)),
+            }
+        }
+    }
+
+    fn finish(&mut self) {
+        self.idle_since = Instant::now();
+        let codec = std::mem::replace(&mut self.codec, Codec::Spent);
+        if let Codec::Body(codec) = codec {
+            self.codec = Codec::Head(codec.into_message_codec());
+        }
+    }
+
+    /// Returns whether another request may follow the latest answer.
+    ///
+    /// Bytes after an answer belong to no request; the connection that carried them is closed.
+    pub fn reusable(&self) -> bool {
+        self.kept && self.buffer.is_empty() && matches!(self.codec, Codec::Head(_))
+    }
+
+    /// Returns how long the connection has been unused.
+    pub fn idle(&self) -> Duration {
+        self.idle_since.elapsed()
+    }
+
+    /// Returns the time for which the upstream keeps an unused connection, if it said so.
+    pub fn lifetime(&self) -> Option<Duration> {
+        self.lifetime
+    }
+
+    /// Returns whether the upstream has neither closed the unused connection nor sent anything.
+    pub fn quiet(&self) -> bool {
+        let mut byte = [0];
+        match self.stream.try_read(&mut byte) {
+            Err(error) => error.kind() == io::ErrorKind::WouldBlock,
+            Ok(_) => false,
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/count.rs
@@ -0,0 +1,120 @@
+//! Counters and histograms of a gateway instance.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use anyhow::Context as _;
+use opentelemetry::{
+    metrics::{
+        Counter,
+        Histogram,
+        MeterProvider as _, //
+    },
+    KeyValue,
+};
+use opentelemetry_sdk::{
+    metrics::SdkMeterProvider,
+    Resource, //
+};
+use prometheus::{
+    Encoder as _,
+    Registry,
+    TextEncoder, //
+};
+
+/// Bounds of the histograms in seconds, from a fast lookup to the longest deadline.
+const BOUNDS: [f64; 13] = [
+    0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0, 8.0,
+];
+
+/// Instruments of a gateway instance; clones share them.
+#[derive(Clone)]
+pub struct Count(Arc<Inner>);
+
+struct Inner {
+    registry: Registry,
+    /// Keeps the instruments connected to the registry.
+    _provider: SdkMeterProvider,
+    refusals: Counter<u64>,
+    retries: Counter<u64>,
+    answers: Counter<u64>,
+    first: Histogram<f64>,
+    total: Histogram<f64>,
+}
+
+impl Count {
+    /// Returns instruments that count from zero.
+    pub fn new() -> anyhow::Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .with_namespace("gypsumlever_gateway")
+            .without_target_info()
+            .scope_info_enabled(false)
+            .build()
+            .context("metrics can't be exported")?;
+        let provider = SdkMeterProvider::builder()
+            .with_resource(Resource::builder_empty().build())
+            .with_reader(exporter)
+            .build();
+        let meter = provider.meter("gypsumlever_gateway");
+        let counter = |name: &'static str, text: &'static str| {
+            meter.u64_counter(name).with_description(text).build()
+        };
+        let histogram = |name: &'static str, text: &'static str| {
+            meter
+                .f64_histogram(name)
+                .with_description(text)
+                .with_unit("s")
+                .with_boundaries(BOUNDS.to_vec())
+                .build()
+        };
+        let inner = Inner {
+            refusals: counter("refusals", "Requests answered by the gateway, by reason."),
+            retries: counter("retries", "Sends made again, by reason."),
+            answers: counter(
+                "answers",
+                "Answers of upstreams that were passed on, by kind.",
+            ),
+            first: histogram("first", "Time until the first event of a stream."),
+            total: histogram("total", "Time until the end of an answer."),
+            registry,
+            _provider: provider,
+        };
+        Ok(Self(Arc::new(inner)))
+    }
+
+    /// Counts a request that the gateway answered itself.
+    pub fn refused(&self, reason: &'static str) {
+        self.0.refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts a send that was made again.
+    pub fn retried(&self, reason: &'static str) {
+        self.0.retries.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts an answer that was passed on.
+    pub fn answered(&self, kind: &'static str) {
+        self.0.answers.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Records the time until the first event of a stream.
+    pub fn first(&self, time: Duration) {
+        self.0.first.record(time.as_secs_f64(), &[]);
+    }
+
+    /// Records the time until the end of an answer.
+    pub fn total(&self, time: Duration) {
+        self.0.total.record(time.as_secs_f64(), &[]);
+    }
+
+    /// Returns all metrics in the text format of Prometheus.
+    pub fn scrape(&self) -> anyhow::Result<String> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.0.registry.gather(), &mut text)?;
+        Ok(String::from_utf8(text)?)
+    }
+}
--- /dev/null
+++ b/src/gateway/events.rs
@@ -0,0 +1,103 @@
+//! Framing of event streams: whole events with their identifiers.
+
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
+use thiserror::Error;
+
+/// Longest event, in bytes; the longest of the platform's sheets is 660.
+const LONGEST: usize = 256 << 10;
+
+/// Reason why bytes are no event stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Error)]
+pub enum Fault {
+    /// An event has no end.
+    #[error("an event is longer than {LONGEST} bytes")]
+    Long,
+    /// An event has no identifier, or not a greater one than the event before it.
+    #[error("events are not in order")]
+    Order,
+}
+
+/// An event, with the bytes that stand for it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Event {
+    /// Identifier; greater than that of the event before it.
+    pub id: u64,
+    /// The bytes, with the empty line at the end.
+    pub bytes: Bytes,
+}
+
+/// Splits the bytes of a stream into events.
+#[derive(Debug, Default)]
+pub struct Splitter {
+    buffer: BytesMut,
+    /// Bytes of the buffer that hold no end of an event.
+    scanned: usize,
+    last: Option<u64>,
+}
+
+impl Splitter {
+    /// Returns a splitter that expects events after `last`, or any.
+    pub fn after(last: Option<u64>) -> Self {
+        Self {
+            last,
+            ..Self::default()
+        }
+    }
+
+    /// Appends bytes of the stream.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Returns the next whole event.
+    pub fn event(&mut self) -> Result<Option<Event>, Fault> {
+        let Some(end) = self.end() else {
+            self.scanned = self.buffer.len();
+            return match self.buffer.len() > LONGEST {
+                true => Err(Fault::Long),
+                false => Ok(None),
+            };
+        };
+        self.scanned = 0;
+        let bytes = self.buffer.split_to(end).freeze();
+        let id = identifier(&bytes).ok_or(Fault::Order)?;
+        if self.last.is_some_and(|last| id <= last) {
+            return Err(Fault::Order);
+        }
+        self.last = Some(id);
+        Ok(Some(Event { id, bytes }))
+    }
+
+    /// Returns the length of the first event.
+    fn end(&self) -> Option<usize> {
+        let from = self.scanned.saturating_sub(3);
+        let rest = &self.buffer[from..];
+        let newlines = (0..rest.len()).filter(|at| rest[*at] == b'\n');
+        newlines
+            .filter_map(|at| match &rest[at + 1..] {
+                [b'\n', ..] => Some(at + 2),
+                [b'\r', b'\n', ..] => Some(at + 3),
+                _ => None,
+            })
+            .map(|length| from + length)
+            .next()
+    }
+
+    /// Returns whether bytes of an unfinished event wait.
+    pub fn partial(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+}
+
+/// Returns the identifier of an event.
+fn identifier(event: &[u8]) -> Option<u64> {
+    event
+        .split(|byte| *byte == b'\n')
+        .find_map(|line| line.strip_prefix(b"id:"))
+        .and_then(|value| std::str::from_utf8(value).ok())
+        .and_then(|value| value.trim().parse().ok())
+}
--- /dev/null
+++ b/src/gateway/follow.rs
@@ -0,0 +1,158 @@
+//! Follows the configuration and the registry of upstreams.
+
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
+
+use tokio::time::sleep;
+
+use super::{
+    feed::{
+        Feed,
+        Page, //
+    },
+    registry::{
+        Change,
+        Effect, //
+    },
+    route::Table,
+    state::Gateway,
+};
+use crate::{
+    clock::Time,
+    log::Failure, //
+};
+
+/// Time for which a read waits for a change. A connection that went silent is noticed after this
+/// and the time of one call, which together stay near the 2 s that a change may take.
+const WAIT: Duration = Duration::from_millis(1_500);
+
+/// Time between reads of the registry. Servers report themselves all the time; a leaving one must
+/// get no requests after 2 s.
+const PAUSE: Duration = Duration::from_millis(600);
+
+/// Time between tries while the store can't be reached.
+const RETRY: Duration = Duration::from_millis(200);
+
+/// What is done with the items of a feed.
+trait Sink<T> {
+    /// Takes a whole state.
+    fn replace(&self, items: Vec<T>);
+
+    /// Takes changes.
+    fn change(&self, items: Vec<T>);
+
+    /// Notes that the feed can't be read.
+    fn troubled(&self);
+}
+
+struct Tables<D, L>(Rc<Gateway<D, L>>);
+
+impl<D, L> Sink<Table> for Tables<D, L> {
+    fn replace(&self, items: Vec<Table>) {
+        self.change(items);
+    }
+
+    fn change(&self, items: Vec<Table>) {
+        for table in items {
+            let version = table.version();
+            match self.0.configure(table) {
+                true => log::info!(version; "config: configuration is in force"),
+                false => log::debug!(version; "config: older configuration is ignored"),
+            }
+        }
+    }
+
+    fn troubled(&self) {}
+}
+
+struct Servers<D, L>(Rc<Gateway<D, L>>);
+
+impl<D, L> Servers<D, L> {
+    fn apply(&self, change: Change) {
+        let id = match &change {
+            Change::Present(server) => server.id.clone(),
+            Change::Unreadable(id) | Change::Absent(id) => id.clone(),
+        };
+        let upstream = &*id;
+        let effect = self
+            .0
+            .registry
+            .borrow_mut()
+            .apply(Time::monotonic(), change);
+        match effect {
+            Effect::None => {}
+            Effect::Added => log::info!(upstream; "registry: upstream takes requests"),
+            Effect::Draining => log::debug!(upstream; "registry: upstream is draining"),
+            Effect::Gone => log::info!(upstream; "registry: upstream is gone"),
+            Effect::Lapsed => {
+                log::warn!(upstream; "registry: entry lapsed while the store was in trouble");
+            }
+            Effect::Stale => log::debug!(upstream; "registry: older report is ignored"),
+        }
+    }
+}
+
+impl<D, L> Sink<Change> for Servers<D, L> {
+    fn replace(&self, items: Vec<Change>) {
+        let count = items.len();
+        let mut registry = self.0.registry.borrow_mut();
+        registry.replace(Time::monotonic(), items);
+        self.0.registered.set(true);
+        log::info!(count; "registry: entries were read");
+    }
+
+    fn change(&self, items: Vec<Change>) {
+        items.into_iter().for_each(|change| self.apply(change));
+    }
+
+    fn troubled(&self) {
+        self.0.registry.borrow_mut().troubled(Time::monotonic());
+    }
+}
+
+/// Follows the configuration; never returns.
+pub async fn tables<D, L>(gateway: Rc<Gateway<D, L>>, feed: impl Feed<Item = Table>) {
+    follow("configuration", &feed, &Tables(gateway), Duration::ZERO).await;
+}
+
+/// Follows the registry of upstreams; never returns.
+pub async fn servers<D, L>(gateway: Rc<Gateway<D, L>>, feed: impl Feed<Item = Change>) {
+    follow("registry", &feed, &Servers(gateway), PAUSE).await;
+}
+
+async fn follow<F: Feed>(name: &str, feed: &F, sink: &impl Sink<F::Item>, pause: Duration) {
+    let mut position: Option<u64> = None;
+    let mut lost = false;
+    loop {
+        let page = match position {
+            None => feed.snapshot().await,
+            Some(from) => feed.changes(from, WAIT).await,
+        };
+        match page {
+            Ok(Page { items, next }) => {
+                if std::mem::take(&mut lost) {
+                    log::info!(feed = name; "store: feed can be read again");
+                }
+                match position {
+                    None => sink.replace(items),
+                    Some(_) => sink.change(items),
+                }
+                position = Some(next);
+                sleep(pause).await;
+            }
+            Err(Failure::Expired { begin }) => {
+                log::warn!(feed = name, begin; "store: history is gone; reading the whole state");
+                position = None;
+            }
+            Err(failure) => {
+                if !std::mem::replace(&mut lost, true) {
+                    log::warn!(feed = name, failure:%; "store: feed can't be read");
+                }
+                sink.troubled();
+                sleep(RETRY).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/forward.rs
@@ -0,0 +1,446 @@
+//! Sends requests to upstreams, and answers calls that are not streams.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use actix_http::{
+    header::{
+        self,
+        HeaderMap,
+        HeaderName, //
+    },
+    Method,
+    RequestHead,
+    ResponseHead,
+    StatusCode,
+    Uri, //
+};
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
+use tokio::time::{
+    sleep,
+    timeout_at, //
+};
+
+use super::{
+    balance::{
+        self,
+        Choice, //
+    },
+    call::{
+        Call,
+        Prefix, //
+    },
+    connection::{
+        Connection,
+        Fault, //
+    },
+    dialect::{
+        Dialect,
+        Dispatch, //
+    },
+    proof::{
+        Sends,
+        Unrun, //
+    },
+    registry::Server,
+    route::{
+        Kind,
+        Route, //
+    },
+    state::{
+        Busy,
+        Flight,
+        Gateway, //
+    },
+};
+use crate::clock::Time;
+
+/// Longest answer to a call that is not a stream, in bytes; it is kept until it is complete.
+const ANSWER: usize = 8 << 20;
+
+/// Time without an answer after which an idempotent call is sent to another upstream: the longest
+/// usual work on a slowed upstream, with a short queue.
+const PATIENCE: Duration = Duration::from_millis(300);
+
+/// Part of its time for which a call waits for a place after all upstreams refused it.
+const PERSISTENCE: f64 = 0.35;
+
+/// Pause before upstreams that refused a call are asked again.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Time after which a refused caller may come back, when it isn't known better.
+const COME_BACK: Duration = Duration::from_millis(150);
+
+/// Headers that concern one connection only.
+const HOP: [HeaderName; 10] = [
+    header::CONNECTION,
+    header::TRANSFER_ENCODING,
+    header::CONTENT_LENGTH,
+    header::UPGRADE,
+    header::TE,
+    header::TRAILER,
+    header::EXPECT,
+    header::DATE,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+];
+
+/// Returns whether a header concerns one connection only.
+pub fn hop(name: &HeaderName) -> bool {
+    HOP.contains(name)
+}
+
+/// A request of a caller that is to be answered.
+pub struct Job<D, L> {
+    /// What the request says of itself.
+    pub call: Call,
+    /// Route of the request.
+    pub route: Rc<Route>,
+    /// Service that runs it.
+    pub service: Arc<str>,
+    /// Prefixes of the prompt, shortest first.
+    pub prefixes: Vec<Prefix>,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers that are passed on.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// When the request came.
+    pub arrived: Instant,
+    /// When it has to have its final answer.
+    pub deadline: Instant,
+    /// Counts the request as being answered.
+    pub busy: Busy<D, L>,
+}
+
+/// An answer by the gateway itself.
+#[derive(Debug)]
+pub struct Refusal {
+    /// Status.
+    pub status: StatusCode,
+    /// Stable reason.
+    pub reason: &'static str,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    fn new(status: StatusCode, reason: &'static str) -> Self {
+        Self {
+            status,
+            reason,
+            retry_after: None,
+        }
+    }
+
+    /// Promises that the request has not run; the caller may come back.
+    pub fn unrun(_: &Unrun, reason: &'static str, retry_after: Duration) -> Self {
+        Self {
+            retry_after: Some(retry_after),
+            ..Self::new(StatusCode::SERVICE_UNAVAILABLE, reason)
+        }
+    }
+
+    /// Refuses a turn of a program that has spent its tokens; the turn has not run.
+    pub fn spent(_: &Unrun) -> Self {
+        Self::new(StatusCode::PAYMENT_REQUIRED, "budget_spent")
+    }
+
+    /// Says that the outcome is unknown.
+    pub fn unknown(reason: &'static str) -> Self {
+        Self::new(StatusCode::BAD_GATEWAY, reason)
+    }
+
+    /// Says that there was no answer in time.
+    pub fn late() -> Self {
+        Self::new(StatusCode::GATEWAY_TIMEOUT, "timeout")
+    }
+
+    /// Refuses a request that will never be served.
+    pub fn invalid(status: StatusCode, reason: &'static str) -> Self {
+        Self::new(status, reason)
+    }
+
+    /// Refuses with a promise if the request has not run, and with none otherwise.
+    pub fn after(sends: &Sends, reason: &'static str) -> Self {
+        match sends.unrun() {
+            Some(proof) => Self::unrun(&proof, reason, COME_BACK),
+            None => Self::unknown(reason),
+        }
+    }
+}
+
+/// An upstream's answer that has begun.
+pub struct Live<D, L> {
+    /// Connection that carries it.
+    pub connection: Connection,
+    /// Its head.
+    pub head: ResponseHead,
+    /// Counts it as load.
+    pub flight: Flight<D, L>,
+    /// The upstream.
+    pub server: Rc<Server>,
+}
+
+/// Result of a send.
+pub enum Sent<D, L> {
+    /// An answer began.
+    Live(Box<Live<D, L>>),
+    /// The upstream did not run the request and won't.
+    NotRun(&'static str),
+    /// The request may have run.
+    Lost(&'static str),
+}
+
+/// An answer with its whole body.
+pub struct Whole {
+    /// Its head.
+    pub head: ResponseHead,
+    /// Its body.
+    pub body: Bytes,
+}
+
+impl<D: Dialect, L> Gateway<D, L> {
+    /// Picks the upstream of a job.
+    pub fn choose(&self, job: &Job<D, L>, excluded: &[SocketAddr]) -> Option<Choice> {
+        let request = balance::Request {
+            now: Time::monotonic(),
+            zone: &self.settings.zone,
+            prompt: job
+                .call
+                .prompt
+                .as_ref()
+                .map(|prompt| (prompt, &job.prefixes[..])),
+            excluded,
+        };
+        self.pick(&job.service, &request)
+    }
+
+    /// Sends a request to an upstream and waits until `limit` for the head of the answer.
+    pub async fn send(
+        self: &Rc<Self>,
+        job: &Job<D, L>,
+        choice: &Choice,
+        after: Option<u64>,
+        sends: &mut Sends,
+        limit: Instant,
+    ) -> Sent<D, L> {
+        let server = &choice.server;
+        let address = server.address;
+        let once = !job.route.kind.repeatable();
+        let flight = Flight::new(self, address, choice.unread);
+        let mut fresh = false;
+        loop {
+            let taken = match fresh {
+                true => Connection::open(address).await,
+                false => self.pool.take(address, once).await,
+            };
+            let mut connection = match taken {
+                Ok(connection) => connection,
+                Err(fault) => {
+                    self.unreachable(job, server, &fault);
+                    return Sent::NotRun("unreachable");
+                }
+            };
+            let head = self.head(job, server, after);
+            sends.started(address);
+            let ours = |head: &ResponseHead| {
+                let id = D::reply(&head.headers).id;
+                id.map_or(!head.status.is_success(), |id| id == &*job.call.id)
+            };
+            let exchange = connection.send(head, &job.body, ours);
+            match timeout_at(limit.into(), exchange).await {
+                Ok(Ok(head)) => {
+                    self.load(address, super::load::Load::reached);
+                    let live = Live {
+                        connection,
+                        head,
+                        flight,
+                        server: server.clone(),
+                    };
+                    return self.judge(job, live, sends).await;
+                }
+                Ok(Err(Fault::Unsent(error))) => {
+                    sends.refused();
+                    self.pool.discard(address);
+                    if std::mem::replace(&mut fresh, true) {
+                        self.unreachable(job, server, &Fault::Unsent(error));
+                        return Sent::NotRun("unreachable");
+                    }
+                }
+                Ok(Err(fault)) => {
+                    self.pool.discard(address);
+                    log::warn!(
+                        request = &*job.call.id, upstream = &*server.id, fault:%;
+                        "forward: answer was lost"
+                    );
+                    return Sent::Lost("answer_lost");
+                }
+                Err(_) => {
+                    self.pool.discard(address);
+                    return Sent::Lost("silent");
+                }
+            }
+        }
+    }
+
+    fn unreachable(&self, job: &Job<D, L>, server: &Server, fault: &Fault) {
+        self.pool.discard(server.address);
+        self.load(server.address, |load| load.unreachable(Time::monotonic()));
+        log::warn!(
+            request = &*job.call.id, upstream = &*server.id, fault:%;
+            "forward: upstream can't be reached"
+        );
+    }
+
+    fn head(&self, job: &Job<D, L>, server: &Server, after: Option<u64>) -> RequestHead {
+        let mut head = RequestHead::default();
+        head.method = job.method.clone();
+        head.uri = job.uri.clone();
+        head.headers = job.headers.clone();
+        let dispatch = Dispatch {
+            upstream: &server.id,
+            left: job.deadline.saturating_duration_since(Instant::now()),
+            after,
+        };
+        D::dispatch(&mut head.headers, &dispatch);
+        head
+    }
+
+    /// Finds out what the head of an answer says about the request.
+    async fn judge(&self, job: &Job<D, L>, mut live: Live<D, L>, sends: &mut Sends) -> Sent<D, L> {
+        let reply = D::reply(&live.head.headers);
+        if let Some(load) = reply.load {
+            self.report(live.server.address, load);
+        }
+        let status = live.head.status;
+        let refused = reply.not_run || status == StatusCode::MISDIRECTED_REQUEST;
+        if refused {
+            sends.refused();
+            live.flight.read();
+            // A short body is read so that the connection can be used again.
+            let limit = Instant::now() + PAUSE;
+            if let Ok(Ok(_)) = timeout_at(limit.into(), body(&mut live.connection)).await {
+                self.pool.put(live.server.address, live.connection);
+            }
+            log::info!(
+                request = &*job.call.id, upstream = &*live.server.id, status = status.as_u16();
+                "forward: upstream did not run the request"
+            );
+            return match status {
+                StatusCode::MISDIRECTED_REQUEST => Sent::NotRun("other_upstream"),
+                _ => Sent::NotRun("upstream_full"),
+            };
+        }
+        let promise = [
+            StatusCode::REQUEST_TIMEOUT,
+            StatusCode::TOO_MANY_REQUESTS,
+            StatusCode::SERVICE_UNAVAILABLE,
+        ];
+        if promise.contains(&status) || (status.is_success() && !reply.signed) {
+            // The status would promise the caller what the upstream did not state.
+            return Sent::Lost("unproven");
+        }
+        Sent::Live(Box::new(live))
+    }
+
+    /// Answers a call that is not a stream.
+    pub async fn call(self: &Rc<Self>, job: &Job<D, L>) -> Result<Whole, Refusal> {
+        let mut sends = Sends::default();
+        let mut excluded = Vec::new();
+        let patience = job.deadline.saturating_duration_since(job.arrived);
+        let persist = job.arrived + patience.mul_f64(PERSISTENCE);
+        loop {
+            if Instant::now() >= job.deadline {
+                return Err(match sends.unrun() {
+                    Some(proof) => Refusal::unrun(&proof, "deadline", COME_BACK),
+                    None => Refusal::late(),
+                });
+            }
+            let Some(choice) = self.choose(job, &excluded) else {
+                if excluded.is_empty() || Instant::now() >= persist {
+                    return Err(Refusal::after(&sends, "no_upstream"));
+                }
+                excluded.clear();
+                sleep(PAUSE).await;
+                continue;
+            };
+            let attempts = sends.attempts() as u32;
+            let may_repeat = job.route.kind == Kind::Idempotent;
+            if attempts > 0 && (!may_repeat || attempts >= job.route.attempts) {
+                return Err(Refusal::unknown("answer_lost"));
+            }
+            let last = !may_repeat || attempts + 1 >= job.route.attempts;
+            let limit = match last {
+                true => job.deadline,
+                false => job.deadline.min(Instant::now() + PATIENCE),
+            };
+            let address = choice.server.address;
+            let reason = match self.exchange(job, &choice, &mut sends, limit).await {
+                Ok(whole) => return Ok(whole),
+                Err(reason) => reason,
+            };
+            self.count.retried(reason);
+            excluded.push(address);
+        }
+    }
+
+    /// Sends a call to an upstream and reads the whole answer.
+    async fn exchange(
+        self: &Rc<Self>,
+        job: &Job<D, L>,
+        choice: &Choice,
+        sends: &mut Sends,
+        limit: Instant,
+    ) -> Result<Whole, &'static str> {
+        let mut live = match self.send(job, choice, None, sends, limit).await {
+            Sent::Live(live) => live,
+            Sent::NotRun(reason) | Sent::Lost(reason) => return Err(reason),
+        };
+        match timeout_at(limit.into(), body(&mut live.connection)).await {
+            Ok(Ok(body)) => {
+                self.pool.put(live.server.address, live.connection);
+                Ok(Whole {
+                    head: live.head,
+                    body,
+                })
+            }
+            Ok(Err(fault)) => {
+                log::warn!(
+                    request = &*job.call.id, upstream = &*live.server.id, fault:%;
+                    "forward: answer was cut off"
+                );
+                Err("answer_cut")
+            }
+            Err(_) => Err("silent"),
+        }
+    }
+}
+
+/// Reads a whole body.
+pub async fn body(connection: &mut Connection) -> Result<Bytes, Fault> {
+    let Some(first) = connection.chunk().await? else {
+        return Ok(Bytes::new());
+    };
+    let mut whole = BytesMut::from(first);
+    while let Some(chunk) = connection.chunk().await? {
+        if whole.len() + chunk.len() > ANSWER {
+            return Err(Fault::Invalid("the answer is too long".into()));
+        }
+        whole.extend_from_slice(&chunk);
+    }
+    Ok(whole.freeze())
+}
--- /dev/null
+++ b/src/gateway/front.rs
@@ -0,0 +1,388 @@
+//! The listeners: requests of callers, checks of readiness and scrapes of metrics.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use actix_http::{
+    header::{
+        HeaderMap,
+        HeaderValue, //
+    },
+    HttpService,
+    ResponseHead, //
+};
+use actix_service::{
+    map_config,
+    IntoServiceFactory,
+    Service,
+    ServiceFactory, //
+};
+use actix_web::{
+    dev::AppConfig,
+    http::{
+        header,
+        StatusCode, //
+    },
+    web::{
+        self,
+        Data, //
+    },
+    App,
+    HttpRequest,
+    HttpResponse,
+    HttpResponseBuilder, //
+};
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
+use futures_util::{
+    stream::unfold,
+    StreamExt as _, //
+};
+use socket2::{
+    Domain,
+    Protocol,
+    Socket,
+    Type, //
+};
+use tokio::net::TcpListener;
+
+use super::{
+    call::{
+        Call,
+        Prompt, //
+    },
+    dialect::Dialect,
+    forward::{
+        hop,
+        Job,
+        Refusal,
+        Whole, //
+    },
+    proof::Sends,
+    relay::{
+        Begun,
+        Cut,
+        Relay, //
+    },
+    route::Kind,
+    state::{
+        Busy,
+        Gateway, //
+    },
+};
+use crate::log::Log;
+
+/// Time for which an unused connection of a caller is kept: longer than any limit that the
+/// operator sets, so that no request crosses a close.
+const KEPT: Duration = Duration::from_secs(300);
+
+/// Time that a caller has for the head of its first request on a connection.
+const HEAD: Duration = Duration::from_secs(15);
+
+/// Connections that wait to be accepted; a crest of callers comes within milliseconds.
+const BACKLOG: i32 = 1_024;
+
+/// Time after which to come back to an instance that does not know its configuration yet.
+const STARTING: Duration = Duration::from_millis(300);
+
+/// Time that a caller waits if it does not say so.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// State that handlers share; they all run on one thread.
+type Shared<D, L> = Data<Rc<Gateway<D, L>>>;
+
+/// Opens a listener.
+pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM,
+        Some(Protocol::TCP),
+    )?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
+
+/// Serves callers; returns if the listener fails.
+pub async fn callers<D: Dialect, L: Log + 'static>(
+    gateway: Rc<Gateway<D, L>>,
+    listener: TcpListener,
+) -> anyhow::Result<()> {
+    let state = Data::new(gateway);
+    let app = App::new()
+        .app_data(state)
+        .default_service(web::to(serve::<D, L>));
+    accept(listener, app).await
+}
+
+/// Serves checks of readiness and scrapes of metrics; returns if the listener fails.
+pub async fn operators<D: Dialect, L: Log + 'static>(
+    gateway: Rc<Gateway<D, L>>,
+    listener: TcpListener,
+) -> anyhow::Result<()> {
+    let state = Data::new(gateway);
+    let app = App::new()
+        .app_data(state)
+        .route(D::READINESS, web::get().to(ready::<D, L>))
+        .route("/metrics", web::get().to(metrics::<D, L>));
+    accept(listener, app).await
+}
+
+/// Accepts connections on the current thread.
+///
+/// An instance has half a core, so that further worker threads would only cost switches.
+async fn accept<F, S>(listener: TcpListener, app: F) -> anyhow::Result<()>
+where
+    F: IntoServiceFactory<S, actix_http::Request> + 'static,
+    S: ServiceFactory<
+            actix_http::Request,
+            Config = AppConfig,
+            Response = actix_web::dev::ServiceResponse,
+            Error = actix_web::Error,
+            InitError = (),
+        > + 'static,
+    S::Future: 'static,
+    S::Service: 'static,
+{
+    let service = HttpService::build()
+        .keep_alive(KEPT)
+        .client_request_timeout(HEAD)
+        .tcp_nodelay(true)
+        .h1_allow_half_closed(false)
+        .finish(map_config(app, |()| AppConfig::default()))
+        .tcp()
+        .new_service(())
+        .await
+        .map_err(|()| anyhow::anyhow!("the HTTP service can't be made"))?;
+    let service = Rc::new(service);
+    loop {
+        let (stream, _) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                log::warn!(error:%; "front: connection can't be accepted");
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                continue;
+            }
+        };
+        let served = service.call(stream);
+        actix_web::rt::spawn(async move {
+            if let Err(error) = served.await {
+                log::debug!(error:%; "front: connection of a caller failed");
+            }
+        });
+    }
+}
+
+async fn ready<D: Dialect, L: Log + 'static>(gateway: Shared<D, L>) -> HttpResponse {
+    match gateway.ready() {
+        true => HttpResponse::Ok().finish(),
+        false => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
+async fn metrics<D: Dialect, L: Log + 'static>(gateway: Shared<D, L>) -> HttpResponse {
+    match gateway.count.scrape() {
+        Ok(text) => HttpResponse::Ok().content_type("text/plain").body(text),
+        Err(error) => {
+            log::error!(error:%; "metrics: metrics can't be written");
+            HttpResponse::InternalServerError().finish()
+        }
+    }
+}
+
+async fn serve<D: Dialect, L: Log + 'static>(
+    gateway: Shared<D, L>,
+    request: HttpRequest,
+    payload: web::Payload,
+) -> HttpResponse {
+    let gateway = gateway.get_ref().clone();
+    let id = request.headers().get("request-id");
+    let id = id.and_then(|id| id.to_str().ok()).unwrap_or("").to_owned();
+    match answer(&gateway, &request, payload).await {
+        Ok(response) => response,
+        Err(refusal) => refuse(&gateway, &id, &refusal),
+    }
+}
+
+fn refuse<D, L>(gateway: &Gateway<D, L>, id: &str, refusal: &Refusal) -> HttpResponse {
+    gateway.count.refused(refusal.reason);
+    let (status, reason) = (refusal.status.as_u16(), refusal.reason);
+    log::info!(request = id, status, reason; "front: request is refused");
+    let mut response = HttpResponse::build(refusal.status);
+    if let Some(wait) = refusal.retry_after {
+        let seconds = format!("{:.3}", wait.as_secs_f64());
+        response.insert_header((header::RETRY_AFTER, seconds));
+    }
+    finish(gateway, &mut response);
+    response.body(refusal.reason)
+}
+
+/// Asks callers to leave a process that is about to end.
+fn finish<D, L>(gateway: &Gateway<D, L>, response: &mut HttpResponseBuilder) {
+    if gateway.stopping() {
+        response.force_close();
+    }
+}
+
+async fn answer<D: Dialect, L: Log + 'static>(
+    gateway: &Rc<Gateway<D, L>>,
+    request: &HttpRequest,
+    payload: web::Payload,
+) -> Result<HttpResponse, Refusal> {
+    let arrived = Instant::now();
+    let busy = Busy::new(gateway);
+    let headers = request.headers();
+    let unsent = Sends::default();
+    let Some(table) = gateway.table() else {
+        let proof = unsent.unrun();
+        return Err(proof.map_or_else(Refusal::late, |proof| {
+            Refusal::unrun(&proof, "starting", STARTING)
+        }));
+    };
+    if headers.contains_key(header::TRANSFER_ENCODING)
+        && headers.contains_key(header::CONTENT_LENGTH)
+    {
+        return Err(Refusal::invalid(StatusCode::BAD_REQUEST, "two_lengths"));
+    }
+    let invalid = |_| Refusal::invalid(StatusCode::BAD_REQUEST, "invalid_header");
+    let call = D::call(headers).map_err(invalid)?;
+    let host = headers
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok());
+    let route = table
+        .route(host.unwrap_or(""), request.path())
+        .ok_or(Refusal::invalid(StatusCode::NOT_FOUND, "no_route"))?;
+    let body = read(payload, table.limits().body).await?;
+    let patience = call.patience.unwrap_or(PATIENCE).min(route.timeout);
+    let service = route.service(key(&call)).clone();
+    let tokens_per_event = table
+        .service(&service)
+        .and_then(|service| service.engine.as_ref())
+        .map_or(1, |engine| engine.tokens_per_event);
+    let job = Job {
+        prefixes: call
+            .prompt
+            .as_ref()
+            .map(Prompt::prefixes)
+            .unwrap_or_default(),
+        call,
+        route: route.clone(),
+        service,
+        method: request.method().clone(),
+        uri: request.uri().clone(),
+        headers: end_to_end(headers),
+        body,
+        arrived,
+        deadline: arrived + patience,
+        busy,
+    };
+    match job.route.kind {
+        Kind::Streaming { .. } => stream(gateway, job, tokens_per_event.into()).await,
+        Kind::Idempotent | Kind::Once => {
+            let whole = gateway.call(&job).await?;
+            gateway.count.total(arrived.elapsed());
+            Ok(pass_on::<D, L>(gateway, whole))
+        }
+    }
+}
+
+/// Returns the number by which a request's share of a split route is chosen; requests of one line
+/// of turns go to the same service.
+fn key(call: &Call) -> u64 {
+    let session = call.work.as_ref().and_then(|work| work.session.as_ref());
+    crate::hash::stable(session.unwrap_or(&call.id).as_bytes())
+}
+
+async fn read(mut payload: web::Payload, most: usize) -> Result<Bytes, Refusal> {
+    let cut = |_| Refusal::invalid(StatusCode::BAD_REQUEST, "body_cut");
+    let Some(first) = payload.next().await else {
+        return Ok(Bytes::new());
+    };
+    let first = first.map_err(cut)?;
+    let mut whole = BytesMut::from(first);
+    while let Some(chunk) = payload.next().await {
+        whole.extend_from_slice(&chunk.map_err(cut)?);
+        if whole.len() > most {
+            return Err(Refusal::invalid(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "body_too_long",
+            ));
+        }
+    }
+    Ok(whole.freeze())
+}
+
+/// Returns the headers that are not for one connection only.
+fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let named = headers
+        .get_all(header::CONNECTION)
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect::<Vec<_>>();
+    let mut kept = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        if !hop(name) && !named.iter().any(|other| other == name.as_str()) {
+            kept.append(name.clone(), value.clone());
+        }
+    }
+    kept
+}
+
+/// Begins an answer with the status and headers of an upstream's answer.
+fn begin<D: Dialect, L>(gateway: &Gateway<D, L>, head: &ResponseHead) -> HttpResponseBuilder {
+    let mut response = HttpResponse::build(head.status);
+    for (name, value) in &head.headers {
+        if !hop(name) && !D::internal(name) {
+            response.append_header((name.clone(), value.clone()));
+        }
+    }
+    finish(gateway, &mut response);
+    response
+}
+
+fn pass_on<D: Dialect, L>(gateway: &Gateway<D, L>, whole: Whole) -> HttpResponse {
+    gateway.count.answered("whole");
+    begin(gateway, &whole.head).body(whole.body)
+}
+
+async fn stream<D: Dialect, L: Log + 'static>(
+    gateway: &Rc<Gateway<D, L>>,
+    job: Job<D, L>,
+    tokens_per_event: u64,
+) -> Result<HttpResponse, Refusal> {
+    let (head, relay) = match Relay::begin(gateway.clone(), job, tokens_per_event).await? {
+        Begun::Stream(head, relay) => (head, relay),
+        Begun::Whole(whole) => return Ok(pass_on::<D, L>(gateway, whole)),
+    };
+    gateway.count.answered("stream");
+    let events = unfold(relay, |mut relay| async move {
+        match relay.next().await {
+            Ok(Some(event)) => Some((Ok(event), relay)),
+            Ok(None) => None,
+            Err(Cut(reason)) => {
+                let request = relay.request();
+                log::warn!(request, reason; "front: stream is broken off");
+                Some((Err(std::io::Error::other(reason)), relay))
+            }
+        }
+    });
+    let mut response = begin(gateway, &head);
+    if !head.headers.contains_key(header::CONTENT_TYPE) {
+        response.insert_header((
+            header::CONTENT_TYPE,
+            HeaderValue::from_static("text/event-stream"),
+        ));
+    }
+    Ok(response.streaming(Box::pin(events)))
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,30 @@
+//! Forwarding of callers' HTTP requests and event streams to upstreams.
+//!
+//! A gateway instance decides by itself: it follows the configuration and the registry of
+//! upstreams, keeps its own picture of each upstream's load, and shares only the token accounts of
+//! programs with other instances, through the log. `docs/platform.md` gives the reasons.
+//!
+//! Decisions are pure ([`route`], [`registry`], [`load`], [`balance`], [`account`]); sockets are in
+//! [`connection`], [`pool`], [`forward`], [`relay`] and [`front`].
+
+pub mod account;
+pub mod balance;
+pub mod call;
+pub mod connection;
+pub mod count;
+pub mod dialect;
+pub mod events;
+pub mod feed;
+pub mod follow;
+pub mod forward;
+pub mod front;
+pub mod keeper;
+pub mod life;
+pub mod load;
+pub mod pool;
+pub mod proof;
+pub mod registry;
+pub mod relay;
+pub mod route;
+pub mod settings;
+pub mod state;
--- /dev/null
+++ b/src/gateway/registry.rs
@@ -0,0 +1,205 @@
+//! The servers that exist, as they report themselves.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration, //
+};
+
+use crate::{
+    clock::Time,
+    hash::{
+        Map,
+        Set, //
+    },
+};
+
+/// Time after the return of the store within which live servers have reported themselves again;
+/// stated by the platform.
+const RETURN: Duration = Duration::from_secs(2);
+
+/// Time before an entry went, within which trouble with the store may be the reason; the store's
+/// view of an outage and ours differ by about one retry of the feed.
+const SUSPICION: Duration = Duration::from_millis(1_500);
+
+/// What a server says of itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Server {
+    /// Unique identifier; a restarted server may keep it.
+    pub id: Arc<str>,
+    /// Service that it runs.
+    pub service: Arc<str>,
+    /// Address; a later server may get the same one.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: Arc<str>,
+    /// Requests that it runs at a time; at least 1.
+    pub slots: u32,
+    /// Whether it takes no new requests.
+    pub draining: bool,
+    /// When it started, in Unix milliseconds; 0 if unknown.
+    pub started: u64,
+    /// Number of the report since the start.
+    pub report: u64,
+}
+
+/// A change of the registry.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// A server reported itself.
+    Present(Server),
+    /// The entry of a server can't be read.
+    Unreadable(Arc<str>),
+    /// The entry of a server is gone.
+    Absent(Arc<str>),
+}
+
+/// Result of a change.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Effect {
+    /// Nothing that matters for sending changed.
+    None,
+    /// A server came, or changed what matters for sending.
+    Added,
+    /// A server takes no new requests from now on.
+    Draining,
+    /// A server is gone.
+    Gone,
+    /// An entry went while the store was in trouble; the server may live.
+    Lapsed,
+    /// An older report than the known one came.
+    Stale,
+}
+
+struct Record {
+    server: Rc<Server>,
+    /// Whether the entry went while the store was in trouble.
+    lapsed: bool,
+}
+
+/// The servers that may get requests.
+#[derive(Default)]
+pub struct Registry {
+    records: Map<Arc<str>, Record>,
+    /// Latest failure of a call to the store.
+    trouble: Option<Time>,
+}
+
+impl Registry {
+    /// Notes that a call to the store failed.
+    pub fn troubled(&mut self, now: Time) {
+        self.trouble = Some(now);
+    }
+
+    fn within(&self, now: Time, span: Duration) -> bool {
+        self.trouble.is_some_and(|at| now.since(at) < span)
+    }
+
+    /// Applies a change.
+    pub fn apply(&mut self, now: Time, change: Change) -> Effect {
+        match change {
+            Change::Present(server) => self.present(server),
+            Change::Unreadable(id) => self.remove(&id),
+            Change::Absent(id) => self.absent(now, &id),
+        }
+    }
+
+    /// Applies a whole state; servers that it lacks are absent.
+    pub fn replace(&mut self, now: Time, changes: Vec<Change>) {
+        let mut named = Set::default();
+        for change in changes {
+            if let Change::Present(server) = &change {
+                named.insert(server.id.clone());
+            }
+            self.apply(now, change);
+        }
+        let known: Vec<_> = self.records.keys().cloned().collect();
+        for id in known.into_iter().filter(|id| !named.contains(id)) {
+            self.absent(now, &id);
+        }
+    }
+
+    fn present(&mut self, server: Server) -> Effect {
+        let old = self.records.get(&server.id);
+        if let Some(Record { server: old, .. }) = old {
+            if (server.started, server.report) < (old.started, old.report) {
+                return Effect::Stale;
+            }
+        }
+        let effect = match old {
+            _ if server.draining => Effect::Draining,
+            Some(old) if !old.lapsed && same(&old.server, &server) => Effect::None,
+            _ => Effect::Added,
+        };
+        let record = Record {
+            server: Rc::new(server),
+            lapsed: false,
+        };
+        self.records.insert(record.server.id.clone(), record);
+        effect
+    }
+
+    fn remove(&mut self, id: &str) -> Effect {
+        match self.records.remove(id) {
+            Some(_) => Effect::Gone,
+            None => Effect::None,
+        }
+    }
+
+    fn absent(&mut self, now: Time, id: &str) -> Effect {
+        if !self.within(now, RETURN + SUSPICION) {
+            return self.remove(id);
+        }
+        match self.records.get_mut(id) {
+            Some(record) if record.server.draining => self.remove(id),
+            Some(record) => {
+                record.lapsed = true;
+                Effect::Lapsed
+            }
+            None => Effect::None,
+        }
+    }
+
+    /// Returns the servers of a service that may get requests.
+    pub fn usable<'a>(
+        &'a self,
+        now: Time,
+        service: &'a str,
+    ) -> impl Iterator<Item = &'a Rc<Server>> {
+        let lapsed = self.within(now, RETURN);
+        self.records
+            .values()
+            .filter(move |record| !record.lapsed || lapsed)
+            .map(|record| &record.server)
+            .filter(move |server| !server.draining && &*server.service == service)
+    }
+
+    /// Returns whether a server may still get requests.
+    pub fn knows(&self, now: Time, server: &Server) -> bool {
+        let lapsed = self.within(now, RETURN);
+        self.records.get(&server.id).is_some_and(|record| {
+            record.server.started == server.started
+                && !record.server.draining
+                && (!record.lapsed || lapsed)
+        })
+    }
+
+    /// Returns the number of entries.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Returns whether there are no entries.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+}
+
+/// Returns whether two reports of a server mean the same for sending.
+fn same(old: &Server, new: &Server) -> bool {
+    old.started == new.started
+        && old.address == new.address
+        && old.service == new.service
+        && old.draining == new.draining
+}
--- /dev/null
+++ b/src/gateway/relay.rs
@@ -0,0 +1,392 @@
+//! Passes streams of events on, over more than one send where one breaks.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use actix_http::ResponseHead;
+use bytes::Bytes;
+use tokio::time::timeout_at;
+
+use super::{
+    account::Turn,
+    balance::Choice,
+    dialect::Dialect,
+    events::Splitter,
+    forward::{
+        body,
+        Job,
+        Live,
+        Refusal,
+        Sent,
+        Whole, //
+    },
+    keeper::{
+        Answer,
+        Keeper,
+        Request, //
+    },
+    proof::Sends,
+    registry::Server,
+    route::Kind,
+    state::Gateway,
+};
+use crate::{
+    clock::Time,
+    log::Log, //
+};
+
+/// Time without the first event after which a stream is sent again: a long prompt on a slowed
+/// engine, with a queue; callers leave after 2 s or more.
+const FIRST: Duration = Duration::from_millis(1_000);
+
+/// Time without a further event after which a stream is sent again; a pause of 300 ms is on time.
+const NEXT: Duration = Duration::from_millis(700);
+
+/// Times that a broken stream is sent again.
+const RESUMES: u32 = 4;
+
+/// Part of the time until the deadline for which a turn waits after all upstreams refused it.
+const PERSISTENCE: f64 = 0.4;
+
+/// Pause before upstreams that refused a turn are asked again.
+const PAUSE: Duration = Duration::from_millis(25);
+
+/// Tokens of a program that a turn may generate, until the guard is dropped.
+struct Lease<L: Log + 'static> {
+    keeper: Rc<Keeper<L>>,
+    program: std::sync::Arc<str>,
+    turn: Turn,
+    used: u64,
+    /// Whether the log denied the turn, so that there is nothing to close.
+    denied: bool,
+}
+
+impl<L: Log + 'static> Drop for Lease<L> {
+    fn drop(&mut self) {
+        if !self.denied {
+            self.keeper.close(&self.program, self.turn, self.used);
+        }
+    }
+}
+
+/// How a stream begins.
+pub enum Begun<D: Dialect, L: Log + 'static> {
+    /// Events follow the head.
+    Stream(ResponseHead, Box<Relay<D, L>>),
+    /// The upstream answered with something else.
+    Whole(Whole),
+}
+
+/// A stream that is passed on.
+pub struct Relay<D: Dialect, L: Log + 'static> {
+    gateway: Rc<Gateway<D, L>>,
+    job: Job<D, L>,
+    sends: Sends,
+    live: Option<Box<Live<D, L>>>,
+    splitter: Splitter,
+    /// Event that was handed out last.
+    last: Option<u64>,
+    /// Upstream of the latest send, unless it has ended.
+    latest: Option<Rc<Server>>,
+    resumes: u32,
+    lease: Option<Lease<L>>,
+    /// First event, which was read before the answer began.
+    first: Option<Bytes>,
+    tokens_per_event: u64,
+    events: u64,
+}
+
+/// Reason why a stream ended early.
+#[derive(Clone, Copy, Debug)]
+pub struct Cut(pub &'static str);
+
+impl<D: Dialect, L: Log + 'static> Relay<D, L> {
+    /// Begins to answer a request with a stream.
+    pub async fn begin(
+        gateway: Rc<Gateway<D, L>>,
+        job: Job<D, L>,
+        tokens_per_event: u64,
+    ) -> Result<Begun<D, L>, Refusal> {
+        let mut relay = Self {
+            last: job.call.after,
+            splitter: Splitter::after(job.call.after),
+            gateway,
+            job,
+            sends: Sends::default(),
+            live: None,
+            latest: None,
+            resumes: 0,
+            lease: None,
+            first: None,
+            tokens_per_event,
+            events: 0,
+        };
+        let mut question = relay.reserve();
+        if let Some(request) = question.take_if(|request| !request.likely) {
+            relay.admit(request).await?;
+        }
+        let head = match relay.connect().await? {
+            Some(head) => head,
+            None => return relay.whole().await.map(Begun::Whole),
+        };
+        relay.first = match relay.next().await {
+            Ok(first) => first,
+            Err(Cut(reason)) => return Err(relay.failed(reason)),
+        };
+        if let Some(request) = question {
+            relay.admit(request).await?;
+        }
+        relay.gateway.count.first(relay.job.arrived.elapsed());
+        Ok(Begun::Stream(head, Box::new(relay)))
+    }
+
+    /// Asks whether the program's budget holds the turn.
+    fn reserve(&mut self) -> Option<Request> {
+        let work = self.job.call.work.as_ref()?;
+        let budget = work.budget?;
+        let most = self.job.call.prompt.as_ref()?.most.into();
+        let turn = rand::random();
+        let keeper = &self.gateway.keeper;
+        let request = keeper.open(&work.program, turn, most, budget);
+        self.lease = Some(Lease {
+            keeper: keeper.clone(),
+            program: work.program.clone(),
+            turn,
+            used: 0,
+            denied: false,
+        });
+        Some(request)
+    }
+
+    /// Waits for the answer of the account.
+    async fn admit(&mut self, request: Request) -> Result<(), Refusal> {
+        let answer = timeout_at(self.job.deadline.into(), request.answer).await;
+        let answer = match answer {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(_)) | Err(_) => Answer::Unavailable,
+        };
+        if answer == Answer::Granted {
+            return Ok(());
+        }
+        if let Some(lease) = self.lease.as_mut().filter(|_| answer == Answer::Spent) {
+            lease.denied = true;
+        }
+        let proof = self.sends.unrun();
+        Err(match (answer, proof) {
+            (Answer::Spent, Some(proof)) => Refusal::spent(&proof),
+            (Answer::Spent, None) => Refusal::unknown("budget_spent"),
+            _ => Refusal::after(&self.sends, "account_unavailable"),
+        })
+    }
+
+    fn failed(&self, reason: &'static str) -> Refusal {
+        match Instant::now() >= self.job.deadline {
+            true if self.sends.unrun().is_none() => Refusal::late(),
+            _ => Refusal::after(&self.sends, reason),
+        }
+    }
+
+    fn resumable(&self) -> bool {
+        self.job.route.kind == Kind::Streaming { resumable: true }
+    }
+
+    /// Picks the upstream of the next send.
+    ///
+    /// A broken stream goes on at the upstream that has its prompt, and elsewhere only if that one
+    /// has ended or the route allows more upstreams.
+    fn choose(&self, excluded: &[SocketAddr]) -> Option<Choice> {
+        let now = Time::monotonic();
+        let latest = self.latest.as_ref().filter(|server| {
+            !excluded.contains(&server.address) && self.gateway.registry.borrow().knows(now, server)
+        });
+        if let Some(server) = latest {
+            return Some(Choice {
+                server: server.clone(),
+                unread: 0,
+                cost_ms: 0.0,
+                full: false,
+            });
+        }
+        let choice = self.gateway.choose(&self.job, excluded)?;
+        let more = (self.sends.attempts() as u32) < self.job.route.attempts;
+        (more || self.sends.ran_on(choice.server.address)).then_some(choice)
+    }
+
+    /// Finds an upstream that answers; returns the head if it is that of a stream.
+    async fn connect(&mut self) -> Result<Option<ResponseHead>, Refusal> {
+        let mut excluded = Vec::new();
+        let patience = self.job.deadline.saturating_duration_since(Instant::now());
+        let persist = Instant::now() + patience.mul_f64(PERSISTENCE);
+        loop {
+            if Instant::now() >= self.job.deadline {
+                return Err(self.failed("deadline"));
+            }
+            let Some(choice) = self.choose(&excluded) else {
+                if excluded.is_empty() || Instant::now() >= persist {
+                    return Err(self.failed("no_upstream"));
+                }
+                excluded.clear();
+                tokio::time::sleep(PAUSE).await;
+                continue;
+            };
+            let address = choice.server.address;
+            let after = (self.last != self.job.call.after)
+                .then_some(self.last)
+                .flatten();
+            let limit = self.job.deadline.min(Instant::now() + FIRST);
+            let sent = self
+                .gateway
+                .send(&self.job, &choice, after, &mut self.sends, limit)
+                .await;
+            match sent {
+                Sent::Live(live) => {
+                    self.latest = Some(live.server.clone());
+                    self.splitter = Splitter::after(self.last);
+                    let head = live.head.status.is_success().then(|| copy(&live.head));
+                    if head.is_some() {
+                        let prefixes = &self.job.prefixes;
+                        self.gateway.load(address, |load| load.keep(prefixes));
+                    }
+                    self.live = Some(live);
+                    return Ok(head);
+                }
+                Sent::NotRun(reason) => {
+                    self.gateway.count.retried(reason);
+                    if reason == "unreachable" {
+                        self.sends.ended(address);
+                    }
+                    if self
+                        .latest
+                        .take_if(|latest| latest.address == address)
+                        .is_some()
+                    {
+                        continue;
+                    }
+                    excluded.push(address);
+                }
+                Sent::Lost(reason) => {
+                    self.latest = Some(choice.server);
+                    self.again(reason)
+                        .map_err(|Cut(reason)| self.failed(reason))?;
+                }
+            }
+        }
+    }
+
+    /// Counts a send that is made again, unless there were too many.
+    fn again(&mut self, reason: &'static str) -> Result<(), Cut> {
+        self.live = None;
+        if !self.resumable() || self.resumes >= RESUMES || Instant::now() >= self.job.deadline {
+            return Err(Cut(reason));
+        }
+        self.resumes += 1;
+        self.gateway.count.retried(reason);
+        let upstream = self.latest.as_ref().map_or("", |server| &*server.id);
+        log::info!(
+            request = &*self.job.call.id, upstream, reason, last = self.last.unwrap_or(0);
+            "relay: stream is resumed"
+        );
+        Ok(())
+    }
+
+    /// Reads an answer that is not a stream.
+    async fn whole(&mut self) -> Result<Whole, Refusal> {
+        let Some(mut live) = self.live.take() else {
+            return Err(self.failed("no_upstream"));
+        };
+        let read = timeout_at(self.job.deadline.into(), body(&mut live.connection)).await;
+        let Ok(Ok(body)) = read else {
+            return Err(Refusal::unknown("answer_cut"));
+        };
+        self.gateway.pool.put(live.server.address, live.connection);
+        Ok(Whole {
+            head: live.head,
+            body,
+        })
+    }
+
+    /// Returns the next event, or `None` after the whole stream.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, Cut> {
+        if let Some(first) = self.first.take() {
+            return Ok(Some(first));
+        }
+        loop {
+            let Some(live) = &mut self.live else {
+                self.reconnect().await?;
+                continue;
+            };
+            match self.splitter.event() {
+                Ok(Some(event)) => {
+                    live.flight.read();
+                    return Ok(Some(self.hand_out(event.id, event.bytes)));
+                }
+                Ok(None) => {}
+                Err(_) => {
+                    self.again("garbled")?;
+                    continue;
+                }
+            }
+            let pause = match self.events {
+                0 => FIRST,
+                _ => NEXT,
+            };
+            let limit = self.job.deadline.min(Instant::now() + pause);
+            match timeout_at(limit.into(), live.connection.chunk()).await {
+                Ok(Ok(Some(chunk))) => self.splitter.push(&chunk),
+                Ok(Ok(None)) if !self.splitter.partial() => {
+                    self.finish();
+                    return Ok(None);
+                }
+                Ok(Ok(None)) => self.again("cut_in_event")?,
+                Ok(Err(_)) => self.again("cut")?,
+                Err(_) => self.again("stalled")?,
+            }
+        }
+    }
+
+    fn hand_out(&mut self, id: u64, bytes: Bytes) -> Bytes {
+        self.last = Some(id);
+        self.events += 1;
+        if let Some(lease) = &mut self.lease {
+            lease.used += self.tokens_per_event;
+        }
+        bytes
+    }
+
+    fn finish(&mut self) {
+        if let Some(live) = self.live.take() {
+            self.gateway.pool.put(live.server.address, live.connection);
+        }
+        self.gateway.count.total(self.job.arrived.elapsed());
+    }
+
+    /// Goes on after a break.
+    async fn reconnect(&mut self) -> Result<(), Cut> {
+        let head = self
+            .connect()
+            .await
+            .map_err(|refusal| Cut(refusal.reason))?;
+        match head {
+            Some(_) => Ok(()),
+            None => Err(Cut("upstream_failed")),
+        }
+    }
+
+    /// Returns the request that is answered.
+    pub fn request(&self) -> &str {
+        &self.job.call.id
+    }
+}
+
+/// Copies the head of an answer.
+fn copy(head: &ResponseHead) -> ResponseHead {
+    let mut copied = ResponseHead::new(head.status);
+    copied.headers = head.headers.clone();
+    copied
+}
--- /dev/null
+++ b/src/gateway/route.rs
@@ -0,0 +1,171 @@
+//! The route table: which service may run a request, and within which limits.
+
+use std::{
+    cmp::Reverse,
+    rc::Rc,
+    sync::Arc,
+    time::Duration, //
+};
+
+use crate::hash::Map;
+
+/// How often a request may run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// The request may run more than once.
+    Idempotent,
+    /// The request runs at most once.
+    Once,
+    /// The answer is a stream of events.
+    Streaming {
+        /// Whether another run may go on after an event.
+        resumable: bool,
+    },
+}
+
+impl Kind {
+    /// Returns whether a request that may have run may be sent again.
+    pub fn repeatable(self) -> bool {
+        match self {
+            Self::Idempotent => true,
+            Self::Once => false,
+            Self::Streaming { resumable } => resumable,
+        }
+    }
+}
+
+/// Part of a route's requests that goes to a service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Share {
+    /// The service.
+    pub service: Arc<str>,
+    /// Its weight beside the other services of the route.
+    pub weight: f64,
+}
+
+/// A route.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Unique name.
+    pub name: Arc<str>,
+    /// Host of the requests.
+    pub host: Arc<str>,
+    /// Beginning of their paths.
+    pub prefix: Arc<str>,
+    /// How often a request may run.
+    pub kind: Kind,
+    /// Longest time until the final answer.
+    pub timeout: Duration,
+    /// Time within which an answer, or the first event of a stream, is on time.
+    pub target: Duration,
+    /// Rank among the routes; 0 is the most urgent.
+    pub priority: u8,
+    /// Services that run the requests; at least one.
+    pub shares: Vec<Share>,
+    /// Most upstreams that may run one request; at least 1.
+    pub attempts: u32,
+}
+
+impl Route {
+    /// Picks a service by a number that is uniform over all `u64`.
+    pub fn service(&self, key: u64) -> &Arc<str> {
+        let total: f64 = self.shares.iter().map(|share| share.weight).sum();
+        let mut rest = key as f64 / u64::MAX as f64 * total;
+        for share in &self.shares {
+            rest -= share.weight;
+            if rest <= 0.0 && share.weight > 0.0 {
+                return &share.service;
+            }
+        }
+        &self.shares[0].service
+    }
+}
+
+/// Model engines of a service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Engine {
+    /// Tokens that one event of a stream stands for; at least 1.
+    pub tokens_per_event: u32,
+    /// Tokens that the memory of one engine holds.
+    pub cache_tokens: u64,
+}
+
+/// A service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    /// Unique name.
+    pub name: Arc<str>,
+    /// Connections that one upstream accepts from all callers together.
+    pub connections: Option<u32>,
+    /// What is known of its model engines, if it has any.
+    pub engine: Option<Engine>,
+}
+
+/// Bounds of what a caller may send.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Limits {
+    /// Longest body, in bytes.
+    pub body: usize,
+}
+
+/// One version of the configuration.
+#[derive(Clone, Debug)]
+pub struct Table {
+    version: u64,
+    /// Routes of each host, longest prefix first.
+    hosts: Map<Arc<str>, Vec<Rc<Route>>>,
+    services: Map<Arc<str>, Service>,
+    limits: Limits,
+}
+
+impl Table {
+    /// Makes a table.
+    pub fn new(
+        version: u64,
+        routes: Vec<Route>,
+        services: impl IntoIterator<Item = Service>,
+        limits: Limits,
+    ) -> Self {
+        let mut hosts: Map<Arc<str>, Vec<Rc<Route>>> = Map::default();
+        for route in routes {
+            let of_host = hosts.entry(route.host.clone()).or_default();
+            of_host.push(Rc::new(route));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| Reverse(route.prefix.len()));
+        }
+        Self {
+            version,
+            hosts,
+            services: services
+                .into_iter()
+                .map(|service| (service.name.clone(), service))
+                .collect(),
+            limits,
+        }
+    }
+
+    /// Returns the version; later ones are greater.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the bounds of what a caller may send.
+    pub fn limits(&self) -> Limits {
+        self.limits
+    }
+
+    /// Returns a service.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.get(name)
+    }
+
+    /// Returns the route of a request: of those of the host, the one with the longest prefix.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
+        let host = host.split(':').next().unwrap_or(host);
+        let routes = self.hosts.get(host)?;
+        routes
+            .iter()
+            .find(|route| path.starts_with(route.prefix.as_ref()))
+    }
+}
--- /dev/null
+++ b/src/gateway/settings.rs
@@ -0,0 +1,105 @@
+//! Settings of a gateway instance.
+
+use std::{
+    fmt,
+    net::SocketAddr,
+    path::Path,
+    sync::Arc, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use super::balance;
+use crate::config;
+
+/// Longest grace period, in seconds; more is a mistake of unit.
+const MOST_GRACE_S: f64 = 3_600.0;
+
+/// Settings, as they stand in the file.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Unique name of this instance.
+    pub instance: Arc<str>,
+    /// Availability zone of this instance.
+    pub zone: Arc<str>,
+    /// Addresses to listen on.
+    pub listen: Listen,
+    /// The platform's store.
+    pub store: Store,
+    /// How requests are placed on upstreams.
+    #[serde(default)]
+    pub balance: balance::Settings,
+    /// Time from SIGTERM until the platform kills the process, in seconds.
+    pub grace_s: f64,
+    /// Logs.
+    #[serde(default)]
+    pub logs: config::Logs,
+}
+
+/// Addresses to listen on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// Callers.
+    pub callers: SocketAddr,
+    /// Checks of readiness by the balancer.
+    pub ready: SocketAddr,
+    /// Scrapes of metrics.
+    pub metrics: SocketAddr,
+}
+
+/// The platform's store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Store {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Partitions of each of its topics.
+    pub partitions: u32,
+}
+
+/// Reason why settings are not used.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Fault(String);
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl Settings {
+    /// Reads and checks a file; a fault names the file, and the line and field where known.
+    pub fn load(path: &Path) -> Result<Self, Fault> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|error| Fault(format!("{}: {error}", path.display())))?;
+        Self::try_from(text.as_str())
+            .map_err(|fault| Fault(format!("{}: {}", path.display(), fault.0)))
+    }
+}
+
+impl TryFrom<&str> for Settings {
+    type Error = Fault;
+
+    fn try_from(text: &str) -> Result<Self, Fault> {
+        let settings: Self =
+            serde_saphyr::from_str(text).map_err(|error| Fault(error.to_string()))?;
+        if settings.instance.is_empty() {
+            return Err(Fault("instance: must not be empty".into()));
+        }
+        if !(0.0..=MOST_GRACE_S).contains(&settings.grace_s) {
+            return Err(Fault(format!("grace_s: must be 0 to {MOST_GRACE_S}")));
+        }
+        if settings.store.partitions == 0 {
+            return Err(Fault("store.partitions: must be at least 1".into()));
+        }
+        Ok(settings)
+    }
+}
--- /dev/null
+++ b/src/gateway/state.rs
@@ -0,0 +1,189 @@
+//! What a gateway instance knows, shared by all requests of its thread.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    marker::PhantomData,
+    net::SocketAddr,
+    rc::Rc, //
+};
+
+use super::{
+    balance::{
+        self,
+        Choice, //
+    },
+    count::Count,
+    keeper::Keeper,
+    load::{
+        Load,
+        Report, //
+    },
+    pool::Pool,
+    registry::Registry,
+    route::Table,
+    settings::Settings,
+};
+use crate::{
+    clock::Time,
+    hash::Map, //
+};
+
+/// State of an instance.
+pub struct Gateway<D, L> {
+    /// Settings.
+    pub settings: Settings,
+    /// Configuration in force.
+    table: RefCell<Option<Rc<Table>>>,
+    /// Upstreams that exist.
+    pub registry: RefCell<Registry>,
+    /// Whether the registry was read since the start.
+    pub registered: Cell<bool>,
+    loads: RefCell<Map<SocketAddr, Load>>,
+    /// Kept connections.
+    pub pool: Pool,
+    /// Token accounts of programs.
+    pub keeper: Rc<Keeper<L>>,
+    /// Metrics.
+    pub count: Count,
+    stopping: Cell<bool>,
+    /// Requests that are being answered.
+    busy: Cell<usize>,
+    dialect: PhantomData<D>,
+}
+
+impl<D, L> Gateway<D, L> {
+    /// Makes the state of an instance that knows nothing yet.
+    pub fn new(settings: Settings, keeper: Rc<Keeper<L>>, count: Count) -> Self {
+        Self {
+            settings,
+            table: RefCell::default(),
+            registry: RefCell::default(),
+            registered: Cell::new(false),
+            loads: RefCell::default(),
+            pool: Pool::default(),
+            keeper,
+            count,
+            stopping: Cell::new(false),
+            busy: Cell::new(0),
+            dialect: PhantomData,
+        }
+    }
+
+    /// Returns the configuration in force.
+    pub fn table(&self) -> Option<Rc<Table>> {
+        self.table.borrow().clone()
+    }
+
+    /// Puts a configuration in force, unless a later one is; returns whether it did.
+    pub fn configure(&self, table: Table) -> bool {
+        let mut current = self.table.borrow_mut();
+        let newer = current
+            .as_ref()
+            .is_none_or(|current| table.version() > current.version());
+        if newer {
+            *current = Some(Rc::new(table));
+        }
+        newer
+    }
+
+    /// Returns whether the balancer may send callers here.
+    pub fn ready(&self) -> bool {
+        !self.stopping.get() && self.registered.get() && self.table.borrow().is_some()
+    }
+
+    /// Returns whether the process is about to end.
+    pub fn stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    /// Tells the balancer to send callers elsewhere; requests are still served.
+    pub fn stop(&self) {
+        self.stopping.set(true);
+    }
+
+    /// Returns the number of requests that are being answered.
+    pub fn busy(&self) -> usize {
+        self.busy.get()
+    }
+
+    /// Picks the upstream of a request.
+    pub fn pick(&self, service: &str, request: &balance::Request<'_>) -> Option<Choice> {
+        let registry = self.registry.borrow();
+        balance::pick(
+            &self.settings.balance,
+            request,
+            registry.usable(request.now, service),
+            &self.loads.borrow(),
+            &mut rand::rng(),
+        )
+    }
+
+    /// Changes what is known of the load of an upstream.
+    pub fn load<R>(&self, upstream: SocketAddr, change: impl FnOnce(&mut Load) -> R) -> R {
+        change(self.loads.borrow_mut().entry(upstream).or_default())
+    }
+
+    /// Takes the load report of an upstream.
+    pub fn report(&self, upstream: SocketAddr, report: Report) {
+        let now = Time::monotonic();
+        self.load(upstream, |load| load.report(now, report));
+    }
+
+    /// Forgets the load of upstreams that are gone, and closes old connections.
+    pub fn sweep(&self) {
+        self.pool.sweep();
+    }
+}
+
+/// A request that is being answered, for as long as the guard lives.
+pub struct Busy<D, L>(Rc<Gateway<D, L>>);
+
+impl<D, L> Busy<D, L> {
+    /// Counts a request.
+    pub fn new(gateway: &Rc<Gateway<D, L>>) -> Self {
+        gateway.busy.set(gateway.busy.get() + 1);
+        Self(gateway.clone())
+    }
+}
+
+impl<D, L> Drop for Busy<D, L> {
+    fn drop(&mut self) {
+        self.0.busy.set(self.0.busy.get() - 1);
+    }
+}
+
+/// A send in flight, counted as load of its upstream for as long as the guard lives.
+pub struct Flight<D, L> {
+    gateway: Rc<Gateway<D, L>>,
+    upstream: SocketAddr,
+    /// Tokens that the upstream still has to read.
+    unread: u64,
+}
+
+impl<D, L> Flight<D, L> {
+    /// Counts a send.
+    pub fn new(gateway: &Rc<Gateway<D, L>>, upstream: SocketAddr, unread: u64) -> Self {
+        gateway.load(upstream, |load| load.sent(unread));
+        Self {
+            gateway: gateway.clone(),
+            upstream,
+            unread,
+        }
+    }
+
+    /// Notes that the upstream has read the prompt.
+    pub fn read(&mut self) {
+        let unread = std::mem::take(&mut self.unread);
+        self.gateway.load(self.upstream, |load| load.read(unread));
+    }
+}
+
+impl<D, L> Drop for Flight<D, L> {
+    fn drop(&mut self) {
+        self.read();
+        self.gateway.load(self.upstream, Load::ended);
+    }
+}
--- a/src/logs/mod.rs
+++ b/src/logs/mod.rs
@@ -2,7 +2,11 @@
 
 use log::LevelFilter as Most;
 use logforth::{
-    append::Stderr,
+    append::{
+        asynchronous::AsyncBuilder,
+        Stderr,
+        Stdout, //
+    },
     bridge::log::LogBridge,
     filter::rustlog::{
         RustLogFilter,
@@ -16,7 +20,7 @@
         Level as Severity,
         LevelFilter, //
     },
-    Layout,
+    Append, Layout,
 };
 
 use crate::config::{
@@ -25,9 +29,28 @@
     Logs, //
 };
 
+/// Lines that wait to be written; further ones are dropped rather than waited for.
+const WAITING: usize = 1_024;
+
 /// Starts logging to standard error; fails if it has been started before.
 pub fn start(settings: &Logs) -> Result<(), log::SetLoggerError> {
     let append = Stderr::default().with_layout(layout(settings.format));
+    begin(settings, append)
+}
+
+/// Starts logging to standard output from a thread of its own, so that a slow reader blocks no
+/// request.
+pub fn start_stdout(settings: &Logs) -> Result<(), log::SetLoggerError> {
+    let stdout = Stdout::default().with_layout(layout(settings.format));
+    let append = AsyncBuilder::new("logs")
+        .buffered_lines_limit(Some(WAITING))
+        .overflow_drop_incoming()
+        .append(stdout)
+        .build();
+    begin(settings, append)
+}
+
+fn begin(settings: &Logs, append: impl Append) -> Result<(), log::SetLoggerError> {
     let logger = logforth::core::builder()
         .dispatch(|dispatch| dispatch.filter(filter(settings.level)).append(append))
         .build();
--- /dev/null
+++ b/src/platform/feed.rs
@@ -0,0 +1,172 @@
+//! What the operator and the servers publish in the store, as feeds of the gateway's own types.
+
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
+
+use bytes::{
+    Buf as _,
+    Bytes, //
+};
+
+use super::{
+    store::{
+        Store,
+        Topic, //
+    },
+    wire,
+};
+use crate::{
+    gateway::{
+        feed::{
+            Feed,
+            Page, //
+        },
+        registry::Change,
+        route::Table, //
+    },
+    log::{
+        Failure,
+        Log as _, //
+    },
+};
+
+/// Topic of the operator.
+const OPERATOR: &str = "keyed.op";
+
+/// Key of the newest configuration.
+const CONFIGURATION: &str = "config";
+
+/// Topic in which servers report themselves.
+const SERVERS: &str = "keyed.servers";
+
+/// Splits a record of a keyed topic into key and value; a key without a value was dropped.
+fn keyed(mut record: Bytes) -> Option<(String, Bytes)> {
+    if record.is_empty() {
+        return None;
+    }
+    let length = usize::from(record.get_u8());
+    if record.len() < length {
+        return None;
+    }
+    let key = record.split_to(length);
+    Some((String::from_utf8_lossy(&key).into_owned(), record))
+}
+
+/// One keyed topic of the store.
+struct Keyed {
+    store: Rc<Store>,
+    topic: Topic,
+    name: &'static str,
+}
+
+impl Keyed {
+    fn new(store: Rc<Store>, name: &'static str) -> Self {
+        Self {
+            topic: Topic::new(store.clone(), name),
+            store,
+            name,
+        }
+    }
+
+    async fn newest(&self) -> Result<(Vec<(String, Bytes)>, u64), Failure> {
+        self.store.newest(self.name).await
+    }
+
+    async fn changes(
+        &self,
+        from: u64,
+        wait: Duration,
+    ) -> Result<(Vec<(String, Bytes)>, u64), Failure> {
+        let batch = self.topic.read(0, from, wait).await?;
+        let records = batch.records.into_iter().filter_map(|(offset, record)| {
+            let split = keyed(record);
+            if split.is_none() {
+                log::warn!(topic = self.name, offset; "store: record has no key");
+            }
+            split
+        });
+        Ok((records.collect(), batch.next))
+    }
+}
+
+/// Configurations of the operator.
+pub struct Configuration(Keyed);
+
+impl Configuration {
+    /// Returns the feed of a store.
+    pub fn new(store: Rc<Store>) -> Self {
+        Self(Keyed::new(store, OPERATOR))
+    }
+}
+
+fn tables((records, next): (Vec<(String, Bytes)>, u64)) -> Page<Table> {
+    let table = |(key, value): (String, Bytes)| {
+        if key != CONFIGURATION || value.is_empty() {
+            return None;
+        }
+        let table = Table::try_from(&value[..]);
+        if let Err(error) = &table {
+            log::error!(error:%; "config: configuration is invalid; the last one stays in force");
+        }
+        table.ok()
+    };
+    Page {
+        items: records.into_iter().filter_map(table).collect(),
+        next,
+    }
+}
+
+impl Feed for Configuration {
+    type Item = Table;
+
+    async fn snapshot(&self) -> Result<Page<Table>, Failure> {
+        self.0.newest().await.map(tables)
+    }
+
+    async fn changes(&self, from: u64, wait: Duration) -> Result<Page<Table>, Failure> {
+        self.0.changes(from, wait).await.map(tables)
+    }
+}
+
+/// Reports of the servers of all services.
+pub struct Servers(Keyed);
+
+impl Servers {
+    /// Returns the feed of a store.
+    pub fn new(store: Rc<Store>) -> Self {
+        Self(Keyed::new(store, SERVERS))
+    }
+}
+
+fn servers((records, next): (Vec<(String, Bytes)>, u64)) -> Page<Change> {
+    let change = |(id, value): (String, Bytes)| {
+        if value.is_empty() {
+            return Change::Absent(id.into());
+        }
+        match wire::server(&id, &value) {
+            Ok(server) => Change::Present(server),
+            Err(error) => {
+                log::warn!(upstream = id.as_str(), error:%; "registry: entry can't be used");
+                Change::Unreadable(id.into())
+            }
+        }
+    };
+    Page {
+        items: records.into_iter().map(change).collect(),
+        next,
+    }
+}
+
+impl Feed for Servers {
+    type Item = Change;
+
+    async fn snapshot(&self) -> Result<Page<Change>, Failure> {
+        self.0.newest().await.map(servers)
+    }
+
+    async fn changes(&self, from: u64, wait: Duration) -> Result<Page<Change>, Failure> {
+        self.0.changes(from, wait).await.map(servers)
+    }
+}
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,259 @@
+//! Client of the platform's metadata store.
+
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration, //
+};
+
+use awc::{
+    http::StatusCode,
+    ClientRequest, //
+};
+use base64::{
+    prelude::BASE64_STANDARD,
+    Engine as _, //
+};
+use bytes::{
+    Buf as _,
+    BufMut as _,
+    Bytes,
+    BytesMut, //
+};
+use tokio::time::timeout;
+
+use super::wire;
+use crate::{
+    log::{
+        Batch,
+        Bounds,
+        Failure,
+        Log, //
+    },
+    upstream::http, //
+};
+
+/// Longest time for a call, beyond the time that it asks the store to wait; the store answers in
+/// 4 ms, and in 60 times as long on its slow days.
+const CALL: Duration = Duration::from_millis(700);
+
+/// Longest time to make a connection.
+const CONNECT: Duration = Duration::from_millis(400);
+
+/// Longest answer, in bytes; a read is limited to [`READ_KB`].
+const ANSWER: usize = 4 << 20;
+
+/// Most data that one read returns, in KiB; the store's own default.
+const READ_KB: usize = 1_024;
+
+/// The store, as one instance reaches it.
+pub struct Store {
+    address: RefCell<SocketAddr>,
+    client: RefCell<awc::Client>,
+}
+
+fn client() -> awc::Client {
+    http::client(&http::Settings {
+        connect: CONNECT,
+        ..http::Settings::default()
+    })
+}
+
+fn lost(error: impl ToString) -> Failure {
+    Failure::Unknown(error.to_string())
+}
+
+impl Store {
+    /// Returns a client; no connection is made yet.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address: RefCell::new(address),
+            client: RefCell::new(client()),
+        }
+    }
+
+    /// Changes the address.
+    pub fn relocate(&self, address: SocketAddr) {
+        if self.address.replace(address) != address {
+            self.client.replace(client());
+        }
+    }
+
+    fn url(&self, call: &str) -> String {
+        format!("http://{}/v1/{call}", self.address.borrow())
+    }
+
+    fn get(&self, call: &str) -> ClientRequest {
+        let url = self.url(call);
+        self.client.borrow().get(url)
+    }
+
+    fn post(&self, call: &str) -> ClientRequest {
+        let url = self.url(call);
+        self.client.borrow().post(url)
+    }
+
+    /// Sends a request and reads the whole answer.
+    async fn call(
+        &self,
+        request: ClientRequest,
+        body: Bytes,
+        wait: Duration,
+    ) -> Result<(StatusCode, Bytes), Failure> {
+        let exchange = async {
+            let mut response = request.send_body(body).await.map_err(lost)?;
+            let bytes = response.body().limit(ANSWER).await.map_err(lost)?;
+            Ok((response.status(), bytes))
+        };
+        match timeout(wait + CALL, exchange).await {
+            Ok(result) => result,
+            Err(_) => {
+                // The other connections may have gone silent with this one.
+                self.client.replace(client());
+                Err(lost("no answer in time"))
+            }
+        }
+    }
+
+    /// Returns the newest record of each key of a topic, and the offset to read on from.
+    pub async fn newest(&self, topic: &str) -> Result<(Vec<(String, Bytes)>, u64), Failure> {
+        let mut records = Vec::new();
+        let mut next = None;
+        loop {
+            let mut call = format!("log-newest?topic={topic}&part=0");
+            if let Some((key, _)) = records.last() {
+                call.push_str(&format!("&after={key}"));
+            }
+            let (status, body) = self
+                .call(self.get(&call), Bytes::new(), Duration::ZERO)
+                .await?;
+            if status != StatusCode::OK {
+                return Err(Failure::NotApplied(format!("status {status}")));
+            }
+            let page: wire::Newest = serde_json::from_slice(&body).map_err(lost)?;
+            // Pages are no snapshot: what changes after the first one is read again from its end.
+            next.get_or_insert(page.end);
+            let empty = page.items.is_empty();
+            for item in page.items {
+                match BASE64_STANDARD.decode(&item.value) {
+                    Ok(value) => records.push((item.key, value.into())),
+                    Err(error) => {
+                        log::warn!(key = item.key.as_str(), error:%; "store: value is not base64");
+                        records.push((item.key, Bytes::new()));
+                    }
+                }
+            }
+            if !page.more || empty {
+                return Ok((records, next.unwrap_or(page.end)));
+            }
+        }
+    }
+}
+
+/// A topic of the store.
+#[derive(Clone)]
+pub struct Topic {
+    store: Rc<Store>,
+    name: Arc<str>,
+}
+
+impl Topic {
+    /// Returns a topic, which the store makes on its first use.
+    pub fn new(store: Rc<Store>, name: &str) -> Self {
+        Self {
+            store,
+            name: name.into(),
+        }
+    }
+}
+
+/// Splits the answer of a read: the end, the first offset that is kept, and records with lengths.
+fn records(mut body: Bytes, from: u64) -> Option<(Bounds, Batch)> {
+    if body.len() < 16 {
+        return None;
+    }
+    let bounds = Bounds {
+        end: body.get_u64(),
+        begin: body.get_u64(),
+    };
+    let mut batch = Batch {
+        records: Vec::new(),
+        next: from,
+    };
+    while body.len() >= 4 {
+        let length = body.get_u32() as usize;
+        if body.len() < length {
+            return None;
+        }
+        batch.records.push((batch.next, body.split_to(length)));
+        batch.next += 1;
+    }
+    body.is_empty().then_some((bounds, batch))
+}
+
+impl Topic {
+    async fn fetch(
+        &self,
+        partition: u32,
+        from: u64,
+        wait: Duration,
+    ) -> Result<(Bounds, Batch), Failure> {
+        let name = &self.name;
+        let wait_ms = wait.as_millis();
+        let call = format!(
+            "log-read?topic={name}&part={partition}&from={from}&maxKb={READ_KB}&waitMs={wait_ms}"
+        );
+        let store = &self.store;
+        let (status, body) = store.call(store.get(&call), Bytes::new(), wait).await?;
+        match status {
+            StatusCode::OK => {
+                records(body, from).ok_or_else(|| lost("records have invalid lengths"))
+            }
+            StatusCode::GONE => {
+                let expired: wire::Expired = serde_json::from_slice(&body).map_err(lost)?;
+                Err(Failure::Expired {
+                    begin: expired.first,
+                })
+            }
+            _ => Err(Failure::NotApplied(format!("status {status}"))),
+        }
+    }
+}
+
+impl Log for Topic {
+    async fn append(&self, partition: u32, records: &[Bytes]) -> Result<u64, Failure> {
+        let mut body = BytesMut::new();
+        for record in records {
+            body.put_u32(record.len() as u32);
+            body.put_slice(record);
+        }
+        let call = format!("log-append?topic={}&part={partition}", self.name);
+        let store = &self.store;
+        let request = store.post(&call);
+        let (status, body) = store.call(request, body.freeze(), Duration::ZERO).await?;
+        if status != StatusCode::OK {
+            return Err(Failure::NotApplied(format!("status {status}")));
+        }
+        let appended: wire::Appended = serde_json::from_slice(&body).map_err(lost)?;
+        Ok(appended.offset)
+    }
+
+    async fn read(&self, partition: u32, from: u64, wait: Duration) -> Result<Batch, Failure> {
+        self.fetch(partition, from, wait)
+            .await
+            .map(|(_, batch)| batch)
+    }
+
+    async fn bounds(&self, partition: u32) -> Result<Bounds, Failure> {
+        match self.fetch(partition, 0, Duration::ZERO).await {
+            Ok((bounds, _)) => Ok(bounds),
+            Err(Failure::Expired { begin }) => {
+                let (bounds, _) = self.fetch(partition, begin, Duration::ZERO).await?;
+                Ok(bounds)
+            }
+            Err(failure) => Err(failure),
+        }
+    }
+}
--- a/src/upstream/http.rs
+++ b/src/upstream/http.rs
@@ -162,7 +162,8 @@
     }
 }
 
-fn client(settings: &Settings) -> awc::Client {
+/// Returns a client that sends small parts immediately and never sends a request again.
+pub fn client(settings: &Settings) -> awc::Client {
     let connector = Connector::new()
         .connector(Dialer(Dial::new(Resolver::default()).service()))
         .timeout(settings.connect)
