Refuse turns while the log can't be reached

Cause: each instance that could not reach the log granted a third of a program's budget.

Change: such turns are refused with a promise; no grant without the log.

Conclusion: correct but dear. Instances need a second way to the log and an agreed keeper of each account during an outage.

--- a/src/gateway/account.rs
+++ b/src/gateway/account.rs
@@ -20,12 +20,6 @@
 /// within the routes' retention of 60 s.
 const FORGET: Duration = Duration::from_secs(150);
 
-/// Part of what a program has left that one instance may grant while it can't reach the log.
-///
-/// Turns of a program enter through few instances: that of its client, one of another zone, and
-/// one after a retry. Together they stay within what is left.
-const OFFLINE: f64 = 1.0 / 3.0;
-
 /// Identifier of a program in the log.
 pub type Program = u64;
 
@@ -95,9 +89,6 @@
     turns: Map<Turn, State>,
     /// Sum of the charges of all turns.
     charged: u64,
-    /// Charge when this instance last heard from the log; grants without the log are measured
-    /// from here.
-    known: u64,
     touched: Time,
 }
 
@@ -124,17 +115,8 @@
 }
 
 impl Book {
-    /// Applies a record of the log; a repeated one changes nothing.
+    /// Applies a record; a repeated one changes nothing.
     pub fn apply(&mut self, now: Time, entry: &Entry) {
-        self.enter(now, entry);
-        let (Entry::Open { program, .. } | Entry::Close { program, .. }) = *entry;
-        if let Some(account) = self.programs.get_mut(&program) {
-            account.known = account.charged;
-        }
-    }
-
-    /// Applies a record of this instance before the log has it.
-    pub fn enter(&mut self, now: Time, entry: &Entry) {
         match *entry {
             Entry::Open {
                 program,
@@ -185,19 +167,6 @@
         }
     }
 
-    /// Returns whether a turn may run while the log can't be reached.
-    pub fn offline(&self, program: Program, most: u64, budget: u64) -> Verdict {
-        let (charged, known) = self
-            .programs
-            .get(&program)
-            .map_or((0, 0), |account| (account.charged, account.known));
-        let left = budget.saturating_sub(known) as f64 * OFFLINE;
-        match (charged - known.min(charged) + most) as f64 <= left {
-            true => Verdict::Granted,
-            false => Verdict::Spent,
-        }
-    }
-
     /// Returns the tokens that are charged to a program.
     pub fn charged(&self, program: Program) -> u64 {
         self.programs
--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -87,8 +87,6 @@
     entry: Entry,
     program: Program,
     turn: Turn,
-    most: u64,
-    budget: u64,
     reply: oneshot::Sender<Answer>,
 }
 
@@ -167,8 +165,6 @@
             entry,
             program,
             turn,
-            most,
-            budget,
             reply,
         };
         let headroom = most.saturating_mul(HEADROOM);
@@ -192,7 +188,7 @@
             turn,
             used,
         };
-        partition.book.borrow_mut().enter(Time::monotonic(), &entry);
+        partition.book.borrow_mut().apply(Time::monotonic(), &entry);
         partition.backlog.borrow_mut().push_back(entry);
         partition.wake.notify_one();
     }
@@ -340,29 +336,10 @@
             .send(verdict.map_or(Answer::Unavailable, Answer::from));
     }
 
-    /// Decides about a turn while the log can't be reached.
+    /// Refuses a turn while the log can't be reached: another instance may have spent the budget.
     fn decide_offline(&self, open: Open) {
-        let answer = match self.loaded.get() {
-            true => Answer::from(
-                self.book
-                    .borrow()
-                    .offline(open.program, open.most, open.budget),
-            ),
-            false => Answer::Unavailable,
-        };
-        if answer == Answer::Granted {
-            let entry = Entry::Open {
-                program: open.program,
-                turn: open.turn,
-                most: open.most,
-                budget: open.budget,
-                forced: true,
-            };
-            self.book.borrow_mut().enter(Time::monotonic(), &entry);
-            self.backlog.borrow_mut().push_back(entry);
-        }
         // The caller may have left.
-        let _ = open.reply.send(answer);
+        let _ = open.reply.send(Answer::Unavailable);
     }
 
     /// Answers the turns that wait while the log can't be reached.
