Give each partition of the accounts a home, with a second way to the log

Change: instances know each other by announcements in the store and the gossip of member; a home answers for its partitions over peer links; an instance that is turned away appends through others; in an outage of the majority the home grants from memory and a second instance holds the grant.

A majority of all known instances decides now.

Programs of a cut zone still fail while it is cut.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -218,7 +218,7 @@
     pub fn choose(&self, job: &Job<D, L>, excluded: &[SocketAddr]) -> Option<Choice> {
         let request = balance::Request {
             now: Time::monotonic(),
-            zone: &self.settings.zone,
+            zone: self.settings.zone.as_str(),
             prompt: job
                 .call
                 .prompt
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -1,6 +1,7 @@
 //! The listeners: requests of callers, checks of readiness and scrapes of metrics.
 
 use std::{
+    future::Future,
     net::SocketAddr,
     rc::Rc,
     time::{
@@ -118,11 +119,11 @@
     gateway: Rc<Gateway<D, L>>,
     listener: TcpListener,
 ) -> anyhow::Result<()> {
-    let state = Data::new(gateway);
+    let state = Data::new(gateway.clone());
     let app = App::new()
         .app_data(state)
         .default_service(web::to(serve::<D, L>));
-    accept(listener, app).await
+    accept(listener, app, move || gateway.closed()).await
 }
 
 /// Serves checks of readiness and scrapes of metrics; returns if the listener fails.
@@ -135,14 +136,19 @@
         .app_data(state)
         .route(D::READINESS, web::get().to(ready::<D, L>))
         .route("/metrics", web::get().to(metrics::<D, L>));
-    accept(listener, app).await
+    accept(listener, app, std::future::pending::<()>).await
 }
 
 /// Accepts connections on the current thread.
 ///
 /// An instance has half a core, so that further worker threads would only cost switches.
-async fn accept<F, S>(listener: TcpListener, app: F) -> anyhow::Result<()>
+async fn accept<F, S, C>(
+    listener: TcpListener,
+    app: F,
+    closed: impl Fn() -> C + 'static,
+) -> anyhow::Result<()>
 where
+    C: Future<Output = ()> + 'static,
     F: IntoServiceFactory<S, actix_http::Request> + 'static,
     S: ServiceFactory<
             actix_http::Request,
@@ -159,6 +165,7 @@
         .client_request_timeout(HEAD)
         .tcp_nodelay(true)
         .h1_allow_half_closed(false)
+        .graceful_shutdown_signal(closed)
         .finish(map_config(app, |()| AppConfig::default()))
         .tcp()
         .new_service(())
--- /dev/null
+++ b/src/gateway/home.rs
@@ -0,0 +1,355 @@
+//! The home of an account: the one instance that all others ask about it.
+//!
+//! The log decides; a home saves reads, because it writes nearly all records of its partitions
+//! itself, and it can go on during an outage of the log, because all turns ask it.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use tokio::sync::oneshot;
+
+use super::{
+    account::{
+        Entry,
+        Program,
+        Turn, //
+    },
+    keeper::{
+        self,
+        Keeper,
+        Request, //
+    },
+    path::Peers,
+};
+use crate::{
+    clock::Time,
+    hash::{
+        self,
+        Map, //
+    },
+    log::Log,
+    name::Instance,
+    peer::{
+        wire::Body,
+        Handler,
+        Responder, //
+    },
+    policy::recent::Recent,
+};
+
+/// Longest time for the answer of a home; a slow store takes 240 ms.
+const ASK: Duration = Duration::from_millis(450);
+
+/// Time for which a home that gave no answer is not asked.
+const AVOID: Duration = Duration::from_secs(1);
+
+/// Programs whose charge is remembered; a program lasts for seconds.
+const PROGRAMS: usize = 4_096;
+
+/// Turns' most that have to be left for a turn to start before its account was asked.
+const HEADROOM: u64 = 2;
+
+/// Question of another instance.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub enum Question {
+    /// May a turn run?
+    #[serde(rename = "o")]
+    Open {
+        /// The program.
+        #[serde(rename = "p")]
+        program: Program,
+        /// The turn.
+        #[serde(rename = "t")]
+        turn: Turn,
+        /// Most tokens that the turn generates.
+        #[serde(rename = "m")]
+        most: u64,
+        /// Tokens that all turns of the program may generate.
+        #[serde(rename = "b")]
+        budget: u64,
+    },
+    /// A turn has ended; no answer is needed.
+    #[serde(rename = "c")]
+    Close {
+        /// The program.
+        #[serde(rename = "p")]
+        program: Program,
+        /// The turn.
+        #[serde(rename = "t")]
+        turn: Turn,
+        /// Tokens that were handed out.
+        #[serde(rename = "u")]
+        used: u64,
+    },
+    /// Keep a turn that was granted without the log, and append it when the log is back.
+    #[serde(rename = "h")]
+    Hold(Entry),
+    /// Can you reach the log?
+    #[serde(rename = "q")]
+    Reach,
+    /// Append records on your own way to the log.
+    #[serde(rename = "a")]
+    Append {
+        /// Partition.
+        #[serde(rename = "p")]
+        partition: u32,
+        /// The records.
+        #[serde(rename = "r")]
+        records: Vec<Bytes>,
+    },
+    /// Read records on your own way to the log.
+    #[serde(rename = "r")]
+    Read {
+        /// Partition.
+        #[serde(rename = "p")]
+        partition: u32,
+        /// First offset.
+        #[serde(rename = "f")]
+        from: u64,
+    },
+}
+
+/// Answer to another instance.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub enum Answer {
+    /// Whether the turn may run, and what is charged to the program now.
+    #[serde(rename = "o")]
+    Opened(keeper::Answer, u64),
+    /// Offset of the first appended record.
+    #[serde(rename = "a")]
+    Appended(u64),
+    /// Records that were read.
+    #[serde(rename = "r")]
+    Records {
+        /// Records with their offsets.
+        #[serde(rename = "r")]
+        records: Vec<(u64, Bytes)>,
+        /// Offset to read from next.
+        #[serde(rename = "n")]
+        next: u64,
+    },
+    /// The turn is held.
+    #[serde(rename = "h")]
+    Held,
+    /// This instance reaches the log.
+    #[serde(rename = "q")]
+    Reaches,
+    /// This instance can't reach the log either.
+    #[serde(rename = "x")]
+    Refused,
+}
+
+/// Accounts, as the requests of an instance see them.
+pub struct Home<L> {
+    keeper: Rc<Keeper<L>>,
+    peers: RefCell<Option<Rc<Peers>>>,
+    /// Charges that homes told lately.
+    charges: RefCell<Recent<Program, u64>>,
+    /// Homes that gave no answer, and until when they are not asked.
+    avoided: RefCell<Map<Instance, Time>>,
+    /// Revision of the view that the adopted partitions were chosen by.
+    adopted: Cell<Option<u64>>,
+}
+
+impl<L: Log + 'static> Home<L> {
+    /// Returns accounts without other instances.
+    pub fn new(keeper: Rc<Keeper<L>>) -> Self {
+        Self {
+            keeper,
+            peers: RefCell::default(),
+            charges: RefCell::new(Recent::new(PROGRAMS)),
+            avoided: RefCell::default(),
+            adopted: Cell::new(None),
+        }
+    }
+
+    /// Adds the other instances.
+    pub fn connect(&self, peers: Peers) {
+        self.peers.replace(Some(Rc::new(peers)));
+    }
+
+    /// Returns the instance that keeps a partition, or `None` if it is this one.
+    fn of(&self, partition: usize) -> Option<(Rc<Peers>, Instance)> {
+        let peers = self.peers.borrow().clone()?;
+        let snapshot = peers.roster.snapshot();
+        let own = &snapshot.own().instance;
+        let others = snapshot.zones().flat_map(|zone| snapshot.live(zone));
+        let key = (partition as u64).to_be_bytes();
+        let names = others
+            .chain(std::iter::once(own))
+            .map(|instance| instance.as_str());
+        let home = hash::rendezvous(&key, names)?;
+        if home == own.as_str() {
+            return None;
+        }
+        let home = Instance::try_from(home).ok()?;
+        Some((peers, home))
+    }
+
+    /// Reads the partitions that this instance has become the home of, to know them in an outage.
+    pub fn adopt(&self) {
+        let Some(peers) = self.peers.borrow().clone() else {
+            return;
+        };
+        let revision = peers.roster.read(crate::member::View::revision);
+        if self.adopted.replace(Some(revision)) == Some(revision) {
+            return;
+        }
+        for partition in 0..self.keeper.partitions() {
+            self.keeper.adopt(partition, self.of(partition).is_none());
+        }
+    }
+
+    /// Asks whether a turn may run.
+    pub fn open(self: &Rc<Self>, program: &str, turn: Turn, most: u64, budget: u64) -> Request {
+        let program = keeper::identify(program);
+        let partition = self.keeper.partition_of(program);
+        let Some((peers, home)) = self.of(partition) else {
+            return self.keeper.open(program, turn, most, budget);
+        };
+        if self.avoids(&home) {
+            return self.keeper.open(program, turn, most, budget);
+        }
+        let charged = self.charges.borrow().get(&program).copied().unwrap_or(0);
+        let likely = charged + HEADROOM * most <= budget;
+        let (reply, answer) = oneshot::channel();
+        let this = self.clone();
+        actix_web::rt::spawn(async move {
+            let question = Question::Open {
+                program,
+                turn,
+                most,
+                budget,
+            };
+            let answer = match peers.ask(&home, question, ASK).await {
+                Some(Answer::Opened(answer, charged)) => {
+                    this.charges.borrow_mut().insert(program, charged);
+                    answer
+                }
+                _ => {
+                    log::warn!(home = home.as_str(); "account: home gave no answer");
+                    this.avoid(home);
+                    let request = this.keeper.open(program, turn, most, budget);
+                    let answer = request.answer.await;
+                    answer.unwrap_or(keeper::Answer::Unavailable)
+                }
+            };
+            // The caller may have left.
+            let _ = reply.send(answer);
+        });
+        Request { answer, likely }
+    }
+
+    /// Notes that a turn that may have run has ended, after it handed out `used` tokens.
+    pub fn close(&self, program: &str, turn: Turn, used: u64) {
+        let program = keeper::identify(program);
+        let question = Question::Close {
+            program,
+            turn,
+            used,
+        };
+        let home = self.of(self.keeper.partition_of(program));
+        let home = home.filter(|(_, home)| !self.avoids(home));
+        let sent = home
+            .is_some_and(|(peers, home)| peers.mesh.send(&home, Body::Account(question)).is_ok());
+        if !sent {
+            self.keeper.close(program, turn, used);
+        }
+    }
+
+    fn avoids(&self, home: &Instance) -> bool {
+        let until = self.avoided.borrow().get(home).copied();
+        until.is_some_and(|until| Time::monotonic() < until)
+    }
+
+    fn avoid(&self, home: Instance) {
+        let until = Time::monotonic() + AVOID;
+        self.avoided.borrow_mut().insert(home, until);
+    }
+}
+
+/// Answers other instances.
+pub struct Desk<L>(pub Rc<Keeper<L>>);
+
+impl<L: Log + 'static> Handler for Desk<L> {
+    fn handle(&self, _: Instance, body: Body, reply: Responder) {
+        let Body::Account(question) = body else {
+            return;
+        };
+        let keeper = self.0.clone();
+        match question {
+            Question::Close {
+                program,
+                turn,
+                used,
+            } => keeper.close(program, turn, used),
+            Question::Open {
+                program,
+                turn,
+                most,
+                budget,
+            } => {
+                let request = keeper.open(program, turn, most, budget);
+                actix_web::rt::spawn(async move {
+                    let answer = request.answer.await;
+                    let answer = answer.unwrap_or(keeper::Answer::Unavailable);
+                    let charged = keeper.charged(program);
+                    finish(reply, Answer::Opened(answer, charged));
+                });
+            }
+            Question::Hold(entry) => {
+                keeper.hold(entry);
+                finish(reply, Answer::Held);
+            }
+            Question::Reach => {
+                actix_web::rt::spawn(async move {
+                    let answer = match keeper.reaches().await {
+                        true => Answer::Reaches,
+                        false => Answer::Refused,
+                    };
+                    finish(reply, answer);
+                });
+            }
+            Question::Append { partition, records } => {
+                actix_web::rt::spawn(async move {
+                    let answer = match keeper.append_for(partition, &records).await {
+                        Some(offset) => Answer::Appended(offset),
+                        None => Answer::Refused,
+                    };
+                    finish(reply, answer);
+                });
+            }
+            Question::Read { partition, from } => {
+                actix_web::rt::spawn(async move {
+                    let answer = match keeper.read_for(partition, from).await {
+                        Some(batch) => Answer::Records {
+                            records: batch.records,
+                            next: batch.next,
+                        },
+                        None => Answer::Refused,
+                    };
+                    finish(reply, answer);
+                });
+            }
+        }
+    }
+}
+
+fn finish(reply: Responder, answer: Answer) {
+    if reply.finish(Body::Accounted(answer)).is_err() {
+        log::debug!("account: asker has gone");
+    }
+}
--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -12,6 +12,10 @@
 };
 
 use bytes::Bytes;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use tokio::{
     sync::{
         oneshot,
@@ -23,17 +27,25 @@
     }, //
 };
 
-use super::account::{
-    Book,
-    Entry,
-    Program,
-    Turn,
-    Verdict, //
+use super::{
+    account::{
+        Book,
+        Entry,
+        Program,
+        Turn,
+        Verdict, //
+    },
+    path::{
+        Outage,
+        Path,
+        Peers, //
+    },
 };
 use crate::{
     clock::Time,
     hash,
     log::{
+        Batch,
         Failure,
         Log, //
     },
@@ -45,6 +57,9 @@
 /// Time between tries while the log can't be reached; a store that is back is noticed in as long.
 const RETRY: Duration = Duration::from_millis(250);
 
+/// Time after a failure for which turns are decided without a try.
+const OFFLINE: Duration = Duration::from_millis(1_000);
+
 /// Records of one append; far below the log's bound of 2 MiB.
 const BATCH: usize = 2_000;
 
@@ -56,6 +71,7 @@
 
 /// Answer to a turn that asks to run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum Answer {
     /// The turn may run.
     Granted,
@@ -87,6 +103,8 @@
     entry: Entry,
     program: Program,
     turn: Turn,
+    most: u64,
+    budget: u64,
     reply: oneshot::Sender<Answer>,
 }
 
@@ -100,17 +118,24 @@
     applied: Cell<u64>,
     /// Whether all records that were in the log at the start have been applied.
     loaded: Cell<bool>,
+    /// Until when the log is taken for unreachable, after a failure.
+    offline_until: Cell<Time>,
     /// Whether the latest call to the log failed.
-    offline: Cell<bool>,
+    lost: Cell<bool>,
+    /// Whether this instance is the home of the partition.
+    home: Cell<bool>,
+    /// Whether all records of before this instance became the home were applied.
+    adopted: Cell<bool>,
 }
 
 /// Accounts of programs; clones share them.
 pub struct Keeper<L> {
-    log: L,
-    partitions: Vec<Partition>,
+    log: Rc<Path<L>>,
+    partitions: Vec<Rc<Partition>>,
 }
 
-fn identify(program: &str) -> Program {
+/// Returns the identifier of a program in the log.
+pub fn identify(program: &str) -> Program {
     hash::stable(program.as_bytes())
 }
 
@@ -123,23 +148,79 @@
 impl<L: Log + 'static> Keeper<L> {
     /// Returns accounts that are kept in the partitions of a log.
     pub fn new(log: L, partitions: u32) -> Self {
-        let partition = |_| Partition {
-            book: RefCell::default(),
-            opens: RefCell::default(),
-            backlog: RefCell::default(),
-            wake: Notify::new(),
-            applied: Cell::new(0),
-            loaded: Cell::new(false),
-            offline: Cell::new(false),
+        let partition = |_| {
+            Rc::new(Partition {
+                book: RefCell::default(),
+                opens: RefCell::default(),
+                backlog: RefCell::default(),
+                wake: Notify::new(),
+                applied: Cell::new(0),
+                loaded: Cell::new(false),
+                offline_until: Cell::new(Time::default()),
+                lost: Cell::new(false),
+                home: Cell::new(true),
+                adopted: Cell::new(false),
+            })
         };
         Self {
-            log,
+            log: Rc::new(Path::new(log)),
             partitions: (0..partitions.max(1)).map(partition).collect(),
         }
     }
 
-    fn partition(&self, program: Program) -> &Partition {
-        &self.partitions[(program % self.partitions.len() as u64) as usize]
+    /// Adds the ways of other instances to the log.
+    pub fn connect(&self, peers: Peers) {
+        self.log.connect(peers);
+    }
+
+    /// Returns the number of partitions.
+    pub fn partitions(&self) -> usize {
+        self.partitions.len()
+    }
+
+    /// Returns the partition of a program.
+    pub fn partition_of(&self, program: Program) -> usize {
+        (program % self.partitions.len() as u64) as usize
+    }
+
+    fn partition(&self, program: Program) -> &Rc<Partition> {
+        &self.partitions[self.partition_of(program)]
+    }
+
+    /// Notes whether this instance is the home of a partition.
+    pub fn adopt(&self, partition: usize, home: bool) {
+        let partition = &self.partitions[partition];
+        if partition.home.replace(home) != home {
+            partition.adopted.set(false);
+            partition.wake.notify_one();
+        }
+    }
+
+    /// Returns what is charged to a program.
+    pub fn charged(&self, program: Program) -> u64 {
+        self.partition(program).book.borrow().charged(program)
+    }
+
+    /// Appends records for another instance, on the own way to the log only.
+    pub async fn append_for(&self, partition: u32, records: &[Bytes]) -> Option<u64> {
+        let result = self.log.direct()?.append(partition, records).await;
+        self.log.note(&result);
+        result.ok()
+    }
+
+    /// Reads records for another instance, on the own way to the log only.
+    pub async fn read_for(&self, partition: u32, from: u64) -> Option<Batch> {
+        let read = self.log.direct()?.read(partition, from, Duration::ZERO);
+        let result = read.await;
+        self.log.note(&result);
+        match result {
+            Ok(batch) => Some(batch),
+            Err(Failure::Expired { begin }) => Some(Batch {
+                records: Vec::new(),
+                next: begin,
+            }),
+            Err(_) => None,
+        }
     }
 
     /// Returns whether the accounts of before the start are known.
@@ -150,8 +231,7 @@
     }
 
     /// Asks whether a turn may run.
-    pub fn open(&self, program: &str, turn: Turn, most: u64, budget: u64) -> Request {
-        let program = identify(program);
+    pub fn open(&self, program: Program, turn: Turn, most: u64, budget: u64) -> Request {
         let partition = self.partition(program);
         let (reply, answer) = oneshot::channel();
         let entry = Entry::Open {
@@ -165,13 +245,15 @@
             entry,
             program,
             turn,
+            most,
+            budget,
             reply,
         };
         let headroom = most.saturating_mul(HEADROOM);
         let likely = partition.loaded.get()
             && partition.book.borrow().expect(program, headroom, budget) == Verdict::Granted;
-        if partition.offline.get() {
-            partition.decide_offline(open);
+        if Time::monotonic() < partition.offline_until.get() {
+            self.decide_offline(partition, open);
         } else {
             partition.opens.borrow_mut().push(open);
         }
@@ -180,8 +262,7 @@
     }
 
     /// Notes that a turn that may have run has ended, after it handed out `used` tokens.
-    pub fn close(&self, program: &str, turn: Turn, used: u64) {
-        let program = identify(program);
+    pub fn close(&self, program: Program, turn: Turn, used: u64) {
         let partition = self.partition(program);
         let entry = Entry::Close {
             program,
@@ -195,7 +276,7 @@
 
     /// Returns whether records wait for the log.
     pub fn pending(&self) -> bool {
-        let waits = |partition: &Partition| {
+        let waits = |partition: &Rc<Partition>| {
             !partition.backlog.borrow().is_empty() || !partition.opens.borrow().is_empty()
         };
         self.partitions.iter().any(waits)
@@ -220,13 +301,16 @@
         let partition = &self.partitions[index];
         while let Err(failure) = self.load(index).await {
             log::warn!(partition = index, failure:%; "account: partition can't be loaded");
-            partition.fail();
+            self.fail(partition);
             sleep(RETRY).await;
         }
         partition.loaded.set(true);
-        partition.offline.set(false);
+        partition.offline_until.set(Time::default());
         loop {
             partition.gather().await;
+            if partition.adoptable() && self.load(index).await.is_ok() {
+                partition.adopted.set(true);
+            }
             let opens = mem::take(&mut *partition.opens.borrow_mut());
             let count = partition.backlog.borrow().len().min(BATCH);
             let entries: Vec<_> = {
@@ -234,22 +318,29 @@
                 let closes = backlog.iter().take(count).copied();
                 closes.chain(opens.iter().map(|open| open.entry)).collect()
             };
+            if entries.is_empty() {
+                if partition.adoptable() {
+                    sleep(RETRY).await;
+                }
+                continue;
+            }
             match self.commit(index, &entries).await {
                 Ok(()) => {
                     partition.backlog.borrow_mut().drain(..count);
-                    if partition.offline.replace(false) {
+                    partition.offline_until.set(Time::default());
+                    if partition.lost.replace(false) {
                         log::info!(partition = index; "account: log is reachable again");
                     }
                     opens.into_iter().for_each(|open| partition.answer(open));
                 }
                 Err(failure) => {
-                    if !partition.offline.replace(true) {
+                    if !partition.lost.replace(true) {
                         log::warn!(partition = index, failure:%; "account: log can't be reached");
                     }
                     for open in opens {
-                        partition.decide_offline(open);
+                        self.decide_offline(partition, open);
                     }
-                    partition.fail();
+                    self.fail(partition);
                     sleep(RETRY).await;
                 }
             }
@@ -313,14 +404,93 @@
     }
 }
 
+impl<L: Log + 'static> Keeper<L> {
+    /// Decides about a turn while the log can't be reached.
+    ///
+    /// Only the home grants turns then, and only if most instances can't reach the log: all turns
+    /// of the program ask it, so that what it knows is complete. Another instance holds the grant,
+    /// so that it is not lost with the home.
+    fn decide_offline(&self, partition: &Rc<Partition>, open: Open) {
+        let known = partition.home.get() && partition.adopted.get();
+        if !known || self.log.outage() != Outage::Total {
+            return open.reply(Answer::Unavailable);
+        }
+        let verdict = partition
+            .book
+            .borrow()
+            .expect(open.program, open.most, open.budget);
+        if verdict == Verdict::Spent {
+            return open.reply(Answer::Spent);
+        }
+        let entry = Entry::Open {
+            program: open.program,
+            turn: open.turn,
+            most: open.most,
+            budget: open.budget,
+            forced: true,
+        };
+        partition.hold(entry);
+        let log = self.log.clone();
+        actix_web::rt::spawn(async move {
+            open.reply(match log.hold(entry).await {
+                true => Answer::Granted,
+                false => Answer::Unavailable,
+            });
+        });
+    }
+
+    /// Answers the turns that wait while the log can't be reached.
+    fn fail(&self, partition: &Rc<Partition>) {
+        partition.offline_until.set(Time::monotonic() + OFFLINE);
+        let opens = mem::take(&mut *partition.opens.borrow_mut());
+        opens
+            .into_iter()
+            .for_each(|open| self.decide_offline(partition, open));
+    }
+
+    /// Keeps a turn that another instance granted without the log.
+    pub fn hold(&self, entry: Entry) {
+        let (Entry::Open { program, .. } | Entry::Close { program, .. }) = entry;
+        self.partition(program).hold(entry);
+    }
+
+    /// Tries whether the own way to the log works, unless it failed just now.
+    pub async fn reaches(&self) -> bool {
+        let applied = self.partitions[0].applied.get();
+        self.read_for(0, applied).await.is_some()
+    }
+}
+
+impl Open {
+    fn reply(self, answer: Answer) {
+        // The caller may have left.
+        let _ = self.reply.send(answer);
+    }
+}
+
 impl Partition {
-    /// Waits until an append is due.
+    /// Counts a turn that was granted without the log, and appends it later.
+    fn hold(&self, entry: Entry) {
+        self.book.borrow_mut().apply(Time::monotonic(), &entry);
+        self.backlog.borrow_mut().push_back(entry);
+        self.wake.notify_one();
+    }
+
+    /// Returns whether records of before this instance became the home have to be read.
+    fn adoptable(&self) -> bool {
+        self.home.get() && !self.adopted.get()
+    }
+
+    /// Waits until there is something to do.
     async fn gather(&self) {
-        while self.opens.borrow().is_empty() && self.backlog.borrow().is_empty() {
+        while self.opens.borrow().is_empty()
+            && self.backlog.borrow().is_empty()
+            && !self.adoptable()
+        {
             self.wake.notified().await;
         }
         let opened = async {
-            while self.opens.borrow().is_empty() {
+            while self.opens.borrow().is_empty() && !self.adoptable() {
                 self.wake.notified().await;
             }
         };
@@ -330,22 +500,6 @@
 
     fn answer(&self, open: Open) {
         let verdict = self.book.borrow().verdict(open.program, open.turn);
-        // The caller may have left.
-        let _ = open
-            .reply
-            .send(verdict.map_or(Answer::Unavailable, Answer::from));
-    }
-
-    /// Refuses a turn while the log can't be reached: another instance may have spent the budget.
-    fn decide_offline(&self, open: Open) {
-        // The caller may have left.
-        let _ = open.reply.send(Answer::Unavailable);
-    }
-
-    /// Answers the turns that wait while the log can't be reached.
-    fn fail(&self) {
-        self.offline.set(true);
-        let opens = mem::take(&mut *self.opens.borrow_mut());
-        opens.into_iter().for_each(|open| self.decide_offline(open));
+        open.reply(verdict.map_or(Answer::Unavailable, Answer::from));
     }
 }
--- a/src/gateway/life.rs
+++ b/src/gateway/life.rs
@@ -23,16 +23,33 @@
     count::Count,
     follow,
     front,
+    home::{
+        Desk,
+        Home, //
+    },
     keeper::Keeper,
+    path::Peers,
     settings::Settings,
     state::Gateway, //
 };
-use crate::platform::{
-    store::Topic,
-    Configuration,
-    Dialect,
-    Servers,
-    Store, //
+use crate::{
+    clock::Time,
+    member::{
+        list,
+        Roster, //
+    },
+    peer::{
+        self,
+        Mesh, //
+    },
+    platform::{
+        store::Topic,
+        Configuration,
+        Dialect,
+        Instances,
+        Servers,
+        Store, //
+    },
 };
 
 /// Topic of the token accounts.
@@ -51,6 +68,13 @@
 /// Time between checks while stopping.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Time between tries to announce this instance, and until the others have done so at a common
+/// start.
+const ANNOUNCE: Duration = Duration::from_millis(600);
+
+/// Time between reads of the announcements; what changes meanwhile spreads by gossip.
+const LIST: Duration = Duration::from_secs(15);
+
 /// Time between sweeps of unused connections.
 const SWEEP: Duration = Duration::from_secs(1);
 
@@ -64,11 +88,17 @@
     let store = Rc::new(Store::new(settings.store.address));
     let accounts = Topic::new(store.clone(), ACCOUNTS);
     let keeper = Rc::new(Keeper::new(accounts, settings.store.partitions));
+    let home = Rc::new(Home::new(keeper.clone()));
     let gateway: Rc<Gateway<Dialect, Topic>> =
-        Rc::new(Gateway::new(settings, keeper.clone(), Count::new()?));
+        Rc::new(Gateway::new(settings, home.clone(), Count::new()?));
     let instance = gateway.settings.instance.clone();
-    log::info!(instance = &*instance; "gateway: started");
-    spawn(keeper.run());
+    log::info!(instance = instance.as_str(); "gateway: started");
+    let peers = join(&gateway.settings, &keeper).await?;
+    keeper.connect(peers.clone());
+    home.connect(peers.clone());
+    spawn(keeper.clone().run());
+    spawn(adopt(home, peers.roster.clone()));
+    spawn(member(gateway.clone(), store.clone(), peers.roster.clone()));
     spawn(follow::tables(
         gateway.clone(),
         Configuration::new(store.clone()),
@@ -91,12 +121,63 @@
             () = sleep(SWEEP) => gateway.sweep(),
         }
     }
-    log::info!(instance = &*instance; "gateway: stopping");
-    drain(&gateway, grace).await;
-    log::info!(instance = &*instance; "gateway: stopped");
+    log::info!(instance = instance.as_str(); "gateway: stopping");
+    peers.roster.update(|view| view.leave(Time::now()));
+    spawn(withdraw(gateway.clone(), store));
+    drain(&gateway, &keeper, grace).await;
+    log::info!(instance = instance.as_str(); "gateway: stopped");
     Ok(())
 }
 
+/// Opens the links to other instances.
+async fn join(settings: &Settings, keeper: &Rc<Keeper<Topic>>) -> anyhow::Result<Peers> {
+    let peers = &settings.peers;
+    let (instance, zone) = (settings.instance.clone(), settings.zone.clone());
+    let address = peers.listen.to_string();
+    let roster = Roster::start(instance.clone(), zone.clone(), &address);
+    let links = peer::Settings::new(&peers.cluster, instance, zone, peers.listen, &peers.secret);
+    let mesh = Mesh::start(links, Desk(keeper.clone()), roster.clone()).await?;
+    Ok(Peers { mesh, roster })
+}
+
+/// Follows which partitions this instance is the home of; never returns.
+async fn adopt(home: Rc<Home<Topic>>, roster: Roster) {
+    let mut changes = roster.subscribe();
+    loop {
+        home.adopt();
+        if changes.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Announces this instance, and follows the others; never returns.
+async fn member(gateway: Rc<Gateway<Dialect, Topic>>, store: Rc<Store>, roster: Roster) {
+    let instances = Instances::new(store);
+    let settings = &gateway.settings;
+    let address = settings.peers.listen.to_string();
+    while let Err(error) = instances
+        .announce(&settings.instance, &settings.zone, Some(&address))
+        .await
+    {
+        log::warn!("member: this instance can't be announced: {error:#}");
+        sleep(ANNOUNCE).await;
+    }
+    sleep(ANNOUNCE).await;
+    list::follow(instances, roster, LIST).await;
+}
+
+/// Withdraws the announcement of this instance.
+async fn withdraw(gateway: Rc<Gateway<Dialect, Topic>>, store: Rc<Store>) {
+    let settings = &gateway.settings;
+    let withdrawn = Instances::new(store)
+        .announce(&settings.instance, &settings.zone, None)
+        .await;
+    if let Err(error) = withdrawn {
+        log::warn!("member: this instance can't be withdrawn: {error:#}");
+    }
+}
+
 /// Reads the settings again; all but the address of the store take effect at the next start.
 fn load(path: &Path, store: &Store) {
     match Settings::load(path) {
@@ -109,15 +190,18 @@
 }
 
 /// Serves until the balancer sends no more callers and all requests are answered.
-async fn drain(gateway: &Gateway<Dialect, Topic>, grace: Duration) {
+async fn drain(gateway: &Gateway<Dialect, Topic>, keeper: &Keeper<Topic>, grace: Duration) {
     gateway.stop();
     let start = Instant::now();
     let mut quiet = start;
     while start.elapsed() < grace.mul_f64(PART) {
         sleep(TICK).await;
-        if gateway.busy() > 0 || gateway.keeper.pending() {
+        if gateway.busy() > 0 || keeper.pending() {
             quiet = Instant::now();
         }
+        if start.elapsed() >= BALANCER {
+            gateway.close();
+        }
         if start.elapsed() >= BALANCER && quiet.elapsed() >= QUIET {
             return;
         }
--- /dev/null
+++ b/src/gateway/path.rs
@@ -0,0 +1,270 @@
+//! The way of an instance to the log: its own, or that of another instance.
+//!
+//! The store may turn single instances away. Such an instance has others append and read for it.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use futures_util::future::join_all;
+use rand::seq::IteratorRandom as _;
+
+use super::{
+    account::Entry,
+    home::{
+        Answer,
+        Question, //
+    },
+};
+use crate::{
+    clock::Time,
+    log::{
+        Batch,
+        Bounds,
+        Failure,
+        Log, //
+    },
+    member::Roster,
+    name::Instance,
+    peer::{
+        wire::Body,
+        Mesh, //
+    },
+};
+
+/// Time after a failure for which the own way is not tried.
+const AVOID: Duration = Duration::from_millis(500);
+
+/// Instances that are asked at a time; a third of all may be turned away at once.
+const HELPERS: usize = 3;
+
+/// Longest time for the help of another instance: more than a call to the store takes there.
+const HELP: Duration = Duration::from_millis(700);
+
+/// Longest time for another instance to hold a turn: many round trips between zones.
+const HOLD: Duration = Duration::from_millis(100);
+
+/// Time for which what was learned about an outage is believed.
+const BELIEVED: Duration = Duration::from_millis(1_500);
+
+/// Links to other instances.
+#[derive(Clone)]
+pub struct Peers {
+    /// The links.
+    pub mesh: Mesh,
+    /// The instances that are known.
+    pub roster: Roster,
+}
+
+impl Peers {
+    /// Returns the other instances that may be asked.
+    fn others(&self) -> Vec<Instance> {
+        let snapshot = self.roster.snapshot();
+        let own = &snapshot.own().instance;
+        let live = snapshot.zones().flat_map(|zone| snapshot.live(zone));
+        live.filter(|name| *name != own).cloned().collect()
+    }
+
+    /// Picks other instances at random, first one of another availability zone if there is any.
+    fn helpers(&self) -> Vec<Instance> {
+        let snapshot = self.roster.snapshot();
+        let mut rng = rand::rng();
+        let others = self.others();
+        let own = snapshot.live(&snapshot.own().zone);
+        let away = others.iter().filter(|name| !own.contains(name));
+        let mut helpers: Vec<_> = away.choose(&mut rng).cloned().into_iter().collect();
+        let rest = others.iter().filter(|name| !helpers.contains(name));
+        let rest = rest.cloned().sample(&mut rng, HELPERS - helpers.len());
+        helpers.extend(rest);
+        helpers
+    }
+
+    /// Asks instances at the same time; returns an answer that is no refusal.
+    async fn first(&self, names: &[Instance], question: &Question) -> Option<(Instance, Answer)> {
+        let asked = names.iter().map(|name| async move {
+            let answer = self.ask(name, question.clone(), HELP).await;
+            (name, answer)
+        });
+        let answers = join_all(asked).await;
+        answers.into_iter().find_map(|(name, answer)| {
+            let answer = answer.filter(|answer| *answer != Answer::Refused)?;
+            Some((name.clone(), answer))
+        })
+    }
+
+    /// Asks another instance about accounts.
+    pub async fn ask(&self, to: &Instance, question: Question, limit: Duration) -> Option<Answer> {
+        match self.mesh.request(to, Body::Account(question), limit).await {
+            Ok(Body::Accounted(answer)) => Some(answer),
+            Ok(_) => None,
+            Err(error) => {
+                log::debug!(peer = to.as_str(), error:%; "account: peer gave no answer");
+                None
+            }
+        }
+    }
+}
+
+/// What an instance knows about an outage of the log.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outage {
+    /// The log can be reached, or nothing is known.
+    None,
+    /// Most instances can't reach the log, and none is known that can.
+    Total,
+    /// This instance is cut off, and others may reach the log.
+    Alone,
+}
+
+/// The way to the log.
+pub struct Path<L> {
+    direct: L,
+    peers: RefCell<Option<Peers>>,
+    avoid_until: Cell<Time>,
+    outage: Cell<(Time, Outage)>,
+}
+
+impl<L: Log> Path<L> {
+    /// Returns the own way.
+    pub fn new(direct: L) -> Self {
+        Self {
+            direct,
+            peers: RefCell::new(None),
+            avoid_until: Cell::new(Time::default()),
+            outage: Cell::new((Time::default(), Outage::None)),
+        }
+    }
+
+    /// Adds the ways of other instances.
+    pub fn connect(&self, peers: Peers) {
+        self.peers.replace(Some(peers));
+    }
+
+    /// Returns what is known about an outage.
+    pub fn outage(&self) -> Outage {
+        let (at, outage) = self.outage.get();
+        match Time::monotonic().since(at) < BELIEVED {
+            true => outage,
+            false => Outage::None,
+        }
+    }
+
+    /// Returns the own way, for the help of others; nothing while it is broken.
+    pub fn direct(&self) -> Option<&L> {
+        (Time::monotonic() >= self.avoid_until.get()).then_some(&self.direct)
+    }
+
+    /// Notes the result of a call on the own way.
+    pub fn note<T>(&self, result: &Result<T, Failure>) {
+        match result {
+            Ok(_) | Err(Failure::Expired { .. }) => {
+                self.outage.set((Time::monotonic(), Outage::None));
+            }
+            Err(_) => self.avoid_until.set(Time::monotonic() + AVOID),
+        }
+    }
+
+    /// Has another instance do a call.
+    async fn help(&self, question: Question) -> Option<Answer> {
+        let peers = self.peers.borrow().clone()?;
+        let helpers = peers.helpers();
+        if let Some((_, answer)) = peers.first(&helpers, &question).await {
+            self.learn(Outage::None);
+            return Some(answer);
+        }
+        if self.outage() != Outage::None {
+            return None;
+        }
+        // Few may be turned away while most reach the log; a majority must not.
+        let others = peers.others();
+        let known = peers.roster.snapshot().peers().count() + 1;
+        let asked = others.iter().map(|name| {
+            let peers = &peers;
+            async move { (name, peers.ask(name, Question::Reach, HELP).await) }
+        });
+        let mut refusals = 0;
+        let mut reaching = Vec::new();
+        for (name, answer) in join_all(asked).await {
+            match answer {
+                Some(Answer::Reaches) => reaching.push(name.clone()),
+                Some(_) => refusals += 1,
+                None => {}
+            }
+        }
+        reaching.truncate(HELPERS);
+        if let Some((_, answer)) = peers.first(&reaching, &question).await {
+            self.learn(Outage::None);
+            return Some(answer);
+        }
+        let total = reaching.is_empty() && (refusals + 1) * 2 > known;
+        let outage = match total {
+            true => Outage::Total,
+            false => Outage::Alone,
+        };
+        log::warn!(refusals, known, outage:? = outage; "account: no instance reaches the log");
+        self.learn(outage);
+        None
+    }
+
+    fn learn(&self, outage: Outage) {
+        self.outage.set((Time::monotonic(), outage));
+    }
+
+    /// Has another instance hold a turn that is granted without the log; returns whether it does.
+    pub async fn hold(&self, entry: Entry) -> bool {
+        let Some(peers) = self.peers.borrow().clone() else {
+            return false;
+        };
+        for name in peers.helpers() {
+            let held = peers.ask(&name, Question::Hold(entry), HOLD).await;
+            if held == Some(Answer::Held) {
+                return true;
+            }
+        }
+        false
+    }
+}
+
+impl<L: Log> Log for Path<L> {
+    async fn append(&self, partition: u32, records: &[Bytes]) -> Result<u64, Failure> {
+        let mut failure = Failure::NotApplied("the own way to the log is broken".into());
+        if let Some(direct) = self.direct() {
+            let result = direct.append(partition, records).await;
+            self.note(&result);
+            match result {
+                Ok(offset) => return Ok(offset),
+                Err(error) => failure = error,
+            }
+        }
+        let records = records.to_vec();
+        match self.help(Question::Append { partition, records }).await {
+            Some(Answer::Appended(offset)) => Ok(offset),
+            _ => Err(failure),
+        }
+    }
+
+    async fn read(&self, partition: u32, from: u64, wait: Duration) -> Result<Batch, Failure> {
+        let mut failure = Failure::NotApplied("the own way to the log is broken".into());
+        if let Some(direct) = self.direct() {
+            let result = direct.read(partition, from, wait).await;
+            self.note(&result);
+            match result {
+                Err(error) if !matches!(error, Failure::Expired { .. }) => failure = error,
+                result => return result,
+            }
+        }
+        match self.help(Question::Read { partition, from }).await {
+            Some(Answer::Records { records, next }) => Ok(Batch { records, next }),
+            _ => Err(failure),
+        }
+    }
+
+    async fn bounds(&self, partition: u32) -> Result<Bounds, Failure> {
+        self.direct.bounds(partition).await
+    }
+}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -26,9 +26,9 @@
         Sent,
         Whole, //
     },
+    home::Home,
     keeper::{
         Answer,
-        Keeper,
         Request, //
     },
     proof::Sends,
@@ -59,7 +59,7 @@
 
 /// Tokens of a program that a turn may generate, until the guard is dropped.
 struct Lease<L: Log + 'static> {
-    keeper: Rc<Keeper<L>>,
+    home: Rc<Home<L>>,
     program: std::sync::Arc<str>,
     turn: Turn,
     used: u64,
@@ -70,7 +70,7 @@
 impl<L: Log + 'static> Drop for Lease<L> {
     fn drop(&mut self) {
         if !self.denied {
-            self.keeper.close(&self.program, self.turn, self.used);
+            self.home.close(&self.program, self.turn, self.used);
         }
     }
 }
@@ -152,10 +152,10 @@
         let budget = work.budget?;
         let most = self.job.call.prompt.as_ref()?.most.into();
         let turn = rand::random();
-        let keeper = &self.gateway.keeper;
-        let request = keeper.open(&work.program, turn, most, budget);
+        let home = &self.gateway.home;
+        let request = home.open(&work.program, turn, most, budget);
         self.lease = Some(Lease {
-            keeper: keeper.clone(),
+            home: home.clone(),
             program: work.program.clone(),
             turn,
             used: 0,
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -3,8 +3,7 @@
 use std::{
     fmt,
     net::SocketAddr,
-    path::Path,
-    sync::Arc, //
+    path::Path, //
 };
 
 use serde::{
@@ -13,7 +12,13 @@
 };
 
 use super::balance;
-use crate::config;
+use crate::{
+    config,
+    name::{
+        Instance,
+        Zone, //
+    },
+};
 
 /// Longest grace period, in seconds; more is a mistake of unit.
 const MOST_GRACE_S: f64 = 3_600.0;
@@ -24,11 +29,13 @@
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Unique name of this instance.
-    pub instance: Arc<str>,
+    pub instance: Instance,
     /// Availability zone of this instance.
-    pub zone: Arc<str>,
+    pub zone: Zone,
     /// Addresses to listen on.
     pub listen: Listen,
+    /// Links to other instances.
+    pub peers: Peers,
     /// The platform's store.
     pub store: Store,
     /// How requests are placed on upstreams.
@@ -54,6 +61,19 @@
     pub metrics: SocketAddr,
 }
 
+/// Links to other instances.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Peers {
+    /// Address to listen on, at which other instances reach this one.
+    pub listen: SocketAddr,
+    /// Name of the deployment; links to others are refused.
+    pub cluster: String,
+    /// Secret that all instances share.
+    pub secret: String,
+}
+
 /// The platform's store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -91,9 +111,6 @@
     fn try_from(text: &str) -> Result<Self, Fault> {
         let settings: Self =
             serde_saphyr::from_str(text).map_err(|error| Fault(error.to_string()))?;
-        if settings.instance.is_empty() {
-            return Err(Fault("instance: must not be empty".into()));
-        }
         if !(0.0..=MOST_GRACE_S).contains(&settings.grace_s) {
             return Err(Fault(format!("grace_s: must be 0 to {MOST_GRACE_S}")));
         }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -5,18 +5,21 @@
         Cell,
         RefCell, //
     },
+    future::Future,
     marker::PhantomData,
     net::SocketAddr,
     rc::Rc, //
 };
 
+use tokio::sync::watch;
+
 use super::{
     balance::{
         self,
         Choice, //
     },
     count::Count,
-    keeper::Keeper,
+    home::Home,
     load::{
         Load,
         Report, //
@@ -45,10 +48,12 @@
     /// Kept connections.
     pub pool: Pool,
     /// Token accounts of programs.
-    pub keeper: Rc<Keeper<L>>,
+    pub home: Rc<Home<L>>,
     /// Metrics.
     pub count: Count,
     stopping: Cell<bool>,
+    /// Set once unused connections of callers have to be closed.
+    closing: watch::Sender<bool>,
     /// Requests that are being answered.
     busy: Cell<usize>,
     dialect: PhantomData<D>,
@@ -56,7 +61,7 @@
 
 impl<D, L> Gateway<D, L> {
     /// Makes the state of an instance that knows nothing yet.
-    pub fn new(settings: Settings, keeper: Rc<Keeper<L>>, count: Count) -> Self {
+    pub fn new(settings: Settings, home: Rc<Home<L>>, count: Count) -> Self {
         Self {
             settings,
             table: RefCell::default(),
@@ -64,9 +69,10 @@
             registered: Cell::new(false),
             loads: RefCell::default(),
             pool: Pool::default(),
-            keeper,
+            home,
             count,
             stopping: Cell::new(false),
+            closing: watch::Sender::new(false),
             busy: Cell::new(0),
             dialect: PhantomData,
         }
@@ -104,6 +110,24 @@
         self.stopping.set(true);
     }
 
+    /// Closes the unused connections of callers, and each other one after its answer.
+    ///
+    /// A request that a caller sends on a connection unused until then would come too late to be
+    /// answered before the process ends.
+    pub fn close(&self) {
+        self.closing
+            .send_if_modified(|closing| !std::mem::replace(closing, true));
+    }
+
+    /// Waits until unused connections of callers have to be closed.
+    pub fn closed(&self) -> impl Future<Output = ()> + 'static {
+        let mut closing = self.closing.subscribe();
+        async move {
+            // The sender lives as long as the process serves.
+            let _ = closing.wait_for(|closing| *closing).await;
+        }
+    }
+
     /// Returns the number of requests that are being answered.
     pub fn busy(&self) -> usize {
         self.busy.get()
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -20,6 +20,7 @@
         Reason,
         Request, //
     },
+    gateway::home,
     ledger::record::Record,
     member::{
         Departure,
@@ -204,6 +205,12 @@
         #[serde(rename = "b")]
         bytes: Bytes,
     },
+    /// Question about the token accounts that gateways keep; `Accounted` replies.
+    #[serde(rename = "aq")]
+    Account(home::Question),
+    /// Reply to a question about token accounts.
+    #[serde(rename = "ar")]
+    Accounted(home::Answer),
     /// The sender makes no more requests on this link; the receiver closes it once it is unused.
     #[serde(rename = "re")]
     Retire,
--- a/src/platform/feed.rs
+++ b/src/platform/feed.rs
@@ -10,6 +10,11 @@
     Bytes, //
 };
 
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
 use super::{
     store::{
         Store,
@@ -30,6 +35,14 @@
         Failure,
         Log as _, //
     },
+    member::{
+        List,
+        Listed, //
+    },
+    name::{
+        Instance,
+        Zone, //
+    },
 };
 
 /// Topic of the operator.
@@ -170,3 +183,62 @@
         self.0.changes(from, wait).await.map(servers)
     }
 }
+
+/// Topic in which gateway instances announce themselves.
+const INSTANCES: &str = "keyed.instances";
+
+/// Gateway instances, as they announced themselves.
+pub struct Instances(Keyed);
+
+/// What an instance announces.
+#[derive(Debug)]
+#[derive(Deserialize, Serialize)]
+struct Announcement {
+    zone: Zone,
+    /// Address of the peer port.
+    address: String,
+}
+
+impl Instances {
+    /// Returns the list of a store.
+    pub fn new(store: Rc<Store>) -> Self {
+        Self(Keyed::new(store, INSTANCES))
+    }
+
+    /// Announces an instance, or withdraws it if there is no address.
+    pub async fn announce(
+        &self,
+        instance: &Instance,
+        zone: &Zone,
+        address: Option<&str>,
+    ) -> anyhow::Result<()> {
+        let name = instance.as_str();
+        let mut record = vec![u8::try_from(name.len())?];
+        record.extend_from_slice(name.as_bytes());
+        if let Some(address) = address {
+            let announcement = Announcement {
+                zone: zone.clone(),
+                address: address.to_owned(),
+            };
+            record.extend(serde_json::to_vec(&announcement)?);
+        }
+        self.0.topic.append(0, &[record.into()]).await?;
+        Ok(())
+    }
+}
+
+impl List for Instances {
+    async fn list(&self) -> anyhow::Result<Vec<Listed>> {
+        let (records, _) = self.0.newest().await?;
+        let listed = |(name, value): (String, Bytes)| {
+            let announcement: Announcement = serde_json::from_slice(&value).ok()?;
+            Some(Listed {
+                instance: Instance::try_from(name).ok()?,
+                zone: announcement.zone,
+                address: announcement.address,
+                leaving: false,
+            })
+        };
+        Ok(records.into_iter().filter_map(listed).collect())
+    }
+}
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -37,7 +37,7 @@
 
 /// Longest time for a call, beyond the time that it asks the store to wait; the store answers in
 /// 4 ms, and in 60 times as long on its slow days.
-const CALL: Duration = Duration::from_millis(700);
+const CALL: Duration = Duration::from_millis(500);
 
 /// Longest time to make a connection.
 const CONNECT: Duration = Duration::from_millis(400);
