Test the gateway's decisions and connections; read answers without a length to their end

Cause: found by the new test connection::answer_says_whether_it_is_whole: the codec takes an HTTP/1.1 answer with neither length nor chunks for empty, so that a caller would have got a complete answer without its body.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -24,7 +24,8 @@
     header,
     RequestHead,
     RequestHeadType,
-    ResponseHead, //
+    ResponseHead,
+    StatusCode, //
 };
 use bytes::{
     Bytes,
@@ -87,6 +88,8 @@
 enum Codec {
     Head(ClientCodec),
     Body(ClientPayloadCodec),
+    /// The body has no length and ends with the connection; the library takes it for empty.
+    Rest,
     /// The connection has carried its last answer.
     Spent,
 }
@@ -130,6 +133,14 @@
         .is_some_and(|value| value.to_ascii_lowercase().contains("close"))
 }
 
+/// Returns whether an answer has a body that ends with the connection.
+fn unframed(head: &ResponseHead) -> bool {
+    let empty = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED];
+    !head.headers().contains_key(header::CONTENT_LENGTH)
+        && !head.headers().contains_key(header::TRANSFER_ENCODING)
+        && !empty.contains(&head.status)
+}
+
 impl Connection {
     /// Connects to an upstream.
     pub async fn open(address: SocketAddr) -> Result<Self, Fault> {
@@ -233,9 +244,11 @@
         let Codec::Head(codec) = std::mem::replace(&mut self.codec, Codec::Spent) else {
             return Err(invalid("the connection is in use"));
         };
-        self.until_close = codec.message_type() == MessageType::Stream;
+        let rest = codec.message_type() == MessageType::None && unframed(head);
+        self.until_close = rest || codec.message_type() == MessageType::Stream;
         self.kept &= !self.until_close && !closes(head);
         self.codec = match codec.message_type() {
+            _ if rest => Codec::Rest,
             MessageType::None => Codec::Head(codec),
             _ => Codec::Body(codec.into_payload_codec()),
         };
@@ -246,17 +259,21 @@
     /// Returns the next part of the body, or `None` after the whole body.
     pub async fn chunk(&mut self) -> Result<Option<Bytes>, Fault> {
         loop {
-            let Codec::Body(codec) = &mut self.codec else {
-                return Ok(None);
-            };
-            match codec.decode(&mut self.buffer).map_err(invalid)? {
-                Some(Some(chunk)) if chunk.is_empty() => continue,
-                Some(Some(chunk)) => return Ok(Some(chunk)),
-                Some(None) => {
-                    self.finish();
-                    return Ok(None);
+            match &mut self.codec {
+                Codec::Body(codec) => match codec.decode(&mut self.buffer).map_err(invalid)? {
+                    Some(Some(chunk)) if chunk.is_empty() => continue,
+                    Some(Some(chunk)) => return Ok(Some(chunk)),
+                    Some(None) => {
+                        self.finish();
+                        return Ok(None);
+                    }
+                    None => {}
+                },
+                Codec::Rest if !self.buffer.is_empty() => {
+                    return Ok(Some(self.buffer.split().freeze()));
                 }
-                None => {}
+                Codec::Rest => {}
+                Codec::Head(_) | Codec::Spent => return Ok(None),
             }
             if self.buffer.capacity() - self.buffer.len() < READ / 4 {
                 self.buffer.reserve(READ);
--- /dev/null
+++ b/tests/gateway/balance.rs
@@ -0,0 +1,186 @@
+//! Guards the placement of turns and short calls under the load patterns of the sites.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration, //
+};
+
+use gypsumlever::{
+    clock::Time,
+    gateway::{
+        balance::{
+            pick,
+            Request,
+            Settings, //
+        },
+        call::{
+            Part,
+            Prompt, //
+        },
+        load::{
+            Load,
+            Report, //
+        },
+        registry::Server,
+    },
+    hash::Map,
+};
+use rand::{
+    rngs::StdRng,
+    SeedableRng as _, //
+};
+
+const NOW: Time = Time(10_000_000_000);
+
+fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1_000 + number))
+}
+
+fn server(number: u16, zone: &str) -> Rc<Server> {
+    Rc::new(Server {
+        id: format!("i-{number}").into(),
+        service: "s".into(),
+        address: address(number),
+        zone: zone.into(),
+        slots: 8,
+        draining: false,
+        started: 1,
+        report: 1,
+    })
+}
+
+fn prompt(session: u64) -> Prompt {
+    let parts = [(1, 12_600), (session, 1_680)];
+    Prompt {
+        tokens: 14_280,
+        most: 592,
+        parts: parts
+            .iter()
+            .map(|(id, tokens)| Part {
+                id: *id,
+                tokens: *tokens,
+            })
+            .collect(),
+    }
+}
+
+struct Fleet {
+    servers: Vec<Rc<Server>>,
+    loads: Map<SocketAddr, Load>,
+    rng: StdRng,
+}
+
+impl Fleet {
+    fn new(zones: &[&str]) -> Self {
+        let servers = (0..).zip(zones).map(|(number, zone)| server(number, zone));
+        Self {
+            servers: servers.collect(),
+            loads: Map::default(),
+            rng: StdRng::seed_from_u64(1),
+        }
+    }
+
+    fn load(&mut self, number: u16) -> &mut Load {
+        self.loads.entry(address(number)).or_default()
+    }
+
+    fn pick(&mut self, prompt: Option<&Prompt>, excluded: &[SocketAddr]) -> Option<SocketAddr> {
+        let prefixes = prompt.map(Prompt::prefixes).unwrap_or_default();
+        let request = Request {
+            now: NOW,
+            zone: "a",
+            prompt: prompt.map(|prompt| (prompt, &prefixes[..])),
+            excluded,
+        };
+        let settings = Settings::default();
+        let servers = self.servers.iter();
+        let choice = pick(&settings, &request, servers, &self.loads, &mut self.rng)?;
+        Some(choice.server.address)
+    }
+}
+
+#[test]
+fn turn_returns_to_the_upstream_that_keeps_its_prompt() {
+    let mut fleet = Fleet::new(&["a", "a", "a"]);
+    let prompt = prompt(2);
+    fleet.load(1).keep(&prompt.prefixes());
+    for _ in 0..50 {
+        assert_eq!(fleet.pick(Some(&prompt), &[]), Some(address(1)));
+    }
+}
+
+#[test]
+fn turn_leaves_a_full_upstream_even_if_it_keeps_the_prompt() {
+    let mut fleet = Fleet::new(&["a", "a"]);
+    let prompt = prompt(2);
+    fleet.load(1).keep(&prompt.prefixes());
+    for _ in 0..16 {
+        fleet.load(1).sent(0);
+    }
+    assert_eq!(fleet.pick(Some(&prompt), &[]), Some(address(0)));
+}
+
+#[test]
+fn instances_without_knowledge_agree_on_the_upstream_of_a_shared_part() {
+    let picks = (2..20).map(|session| Fleet::new(&["a"; 4]).pick(Some(&prompt(session)), &[]));
+    let first = picks.clone().next();
+    assert!(picks.into_iter().all(|pick| Some(pick) == first));
+}
+
+#[test]
+fn turn_stays_in_its_zone_while_load_is_equal() {
+    let mut fleet = Fleet::new(&["b", "a", "b"]);
+    assert_eq!(fleet.pick(Some(&prompt(2)), &[]), Some(address(1)));
+}
+
+#[test]
+fn call_avoids_an_upstream_that_reports_to_be_slow() {
+    let mut fleet = Fleet::new(&["a", "a"]);
+    let slow = Report {
+        running: 0,
+        waiting: 0,
+        slots: 8,
+        pace: 2.5,
+    };
+    fleet.load(0).report(NOW, slow);
+    assert_eq!(fleet.pick(None, &[]), Some(address(1)));
+}
+
+#[test]
+fn slow_report_is_forgotten_with_its_age() {
+    let mut load = Load::default();
+    let report = Report {
+        running: 8,
+        waiting: 4,
+        slots: 8,
+        pace: 2.5,
+    };
+    load.report(NOW, report);
+    assert!((load.pace(NOW) - 2.5).abs() < 1e-9);
+    assert!((load.running(NOW) - 12.0).abs() < 1e-9);
+    let later = NOW + Duration::from_secs(5);
+    assert!(load.pace(later) < 1.21);
+    assert!(load.running(later) < 0.1);
+}
+
+#[test]
+fn unreachable_upstream_is_a_last_resort() {
+    let mut fleet = Fleet::new(&["a", "a"]);
+    fleet.load(0).unreachable(NOW);
+    assert_eq!(fleet.pick(None, &[]), Some(address(1)));
+    assert_eq!(fleet.pick(None, &[address(1)]), Some(address(0)));
+    assert_eq!(fleet.pick(None, &[address(0), address(1)]), None);
+}
+
+#[test]
+fn load_of_ended_requests_is_given_back() {
+    let mut load = Load::default();
+    load.sent(500);
+    load.sent(100);
+    assert_eq!(load.reading(), 600);
+    load.read(500);
+    load.ended();
+    assert_eq!(load.reading(), 100);
+    assert!((load.running(NOW) - 1.0).abs() < 1e-9);
+}
--- /dev/null
+++ b/tests/gateway/connection.rs
@@ -0,0 +1,199 @@
+//! Guards exchanges with upstreams against cut, extra, early and garbled answers.
+
+use std::{
+    io::{
+        Read as _,
+        Write as _, //
+    },
+    net::{
+        SocketAddr,
+        TcpListener,
+        TcpStream, //
+    },
+    thread,
+    time::Duration,
+};
+
+use actix_http::{
+    header::{
+        HeaderName,
+        HeaderValue, //
+    },
+    Method,
+    RequestHead,
+    ResponseHead, //
+};
+use actix_web::rt::System;
+use bytes::Bytes;
+use gypsumlever::gateway::{
+    connection::{
+        Connection,
+        Fault, //
+    },
+    forward::body,
+};
+
+/// Serves one connection with a script.
+fn upstream(script: impl FnOnce(TcpStream) + Send + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || script(listener.accept().unwrap().0));
+    address
+}
+
+/// Reads the head of a request.
+fn read_head(stream: &mut TcpStream) -> String {
+    let mut text = Vec::new();
+    let mut byte = [0];
+    while !text.ends_with(b"\r\n\r\n") && stream.read(&mut byte).unwrap_or(0) == 1 {
+        text.push(byte[0]);
+    }
+    String::from_utf8(text).unwrap()
+}
+
+/// Answers each request of a connection with the next bytes, then closes it.
+fn answers(list: Vec<&'static [u8]>) -> SocketAddr {
+    upstream(move |mut stream| {
+        for answer in list {
+            if read_head(&mut stream).is_empty() {
+                return;
+            }
+            stream.write_all(answer).unwrap();
+        }
+        thread::sleep(Duration::from_millis(20));
+    })
+}
+
+fn head(id: &str) -> RequestHead {
+    let mut head = RequestHead::default();
+    head.method = Method::GET;
+    head.uri = "/x".parse().unwrap();
+    let name = HeaderName::from_static("request-id");
+    head.headers
+        .insert(name, HeaderValue::from_str(id).unwrap());
+    head
+}
+
+fn is(id: &'static str) -> impl Fn(&ResponseHead) -> bool {
+    move |head| {
+        let found = head.headers.get("request-id");
+        found.is_none_or(|found| found == id)
+    }
+}
+
+async fn exchange(connection: &mut Connection, id: &'static str) -> Result<Bytes, Fault> {
+    connection.send(head(id), &Bytes::new(), is(id)).await?;
+    body(connection).await
+}
+
+#[test]
+fn answer_says_whether_it_is_whole() {
+    let cases: [(&[u8], Result<&str, &str>, bool); 7] = [
+        (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+            Ok("ok"),
+            true,
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokX",
+            Ok("ok"),
+            false,
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok",
+            Err("cut off"),
+            false,
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+            Ok("ok"),
+            true,
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+            Err("cut off"),
+            false,
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok",
+            Ok("ok"),
+            false,
+        ),
+        (b"\x00\x01garbage\r\n\r\n", Err("invalid"), false),
+    ];
+    System::new().block_on(async {
+        for (bytes, expected, reusable) in cases {
+            let mut connection = Connection::open(answers(vec![bytes])).await.unwrap();
+            let text = String::from_utf8_lossy(bytes).into_owned();
+            match (exchange(&mut connection, "1").await, expected) {
+                (Ok(body), Ok(expected)) => assert_eq!(body, expected, "{text:?}"),
+                (Err(fault), Err(part)) => {
+                    assert!(fault.to_string().contains(part), "{text:?}: {fault}");
+                }
+                (result, _) => panic!("{text:?}: {result:?}"),
+            }
+            assert_eq!(connection.reusable(), reusable, "{text:?}");
+        }
+    });
+}
+
+#[test]
+fn late_answer_to_another_request_is_skipped() {
+    System::new().block_on(async {
+        let address = upstream(|mut stream| {
+            read_head(&mut stream);
+            let first = b"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 1\r\n\r\na";
+            stream.write_all(first).unwrap();
+            read_head(&mut stream);
+            stream.write_all(first).unwrap();
+            let second = b"HTTP/1.1 200 OK\r\nRequest-Id: 2\r\nContent-Length: 1\r\n\r\nb";
+            stream.write_all(second).unwrap();
+            thread::sleep(Duration::from_millis(50));
+        });
+        let mut connection = Connection::open(address).await.unwrap();
+        assert_eq!(exchange(&mut connection, "1").await.unwrap(), "a");
+        assert_eq!(exchange(&mut connection, "2").await.unwrap(), "b");
+    });
+}
+
+#[test]
+fn early_answer_is_taken_and_the_connection_is_not_used_again() {
+    System::new().block_on(async {
+        let address = upstream(|mut stream| {
+            read_head(&mut stream);
+            let answer = b"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+            stream.write_all(answer).unwrap();
+            // The rest of the body stays unread for longer than the test lasts.
+            thread::sleep(Duration::from_secs(5));
+        });
+        let mut connection = Connection::open(address).await.unwrap();
+        let body = Bytes::from(vec![b'x'; 16 << 20]);
+        let sent = connection.send(head("1"), &body, is("1"));
+        let head = tokio::time::timeout(Duration::from_secs(3), sent).await;
+        assert_eq!(head.unwrap().unwrap().status, 503);
+        assert!(!connection.reusable());
+    });
+}
+
+#[test]
+fn refused_connection_is_known_to_have_sent_nothing() {
+    System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        drop(listener);
+        let opened = Connection::open(address).await;
+        assert!(matches!(opened.err(), Some(Fault::Connect(_))));
+    });
+}
+
+#[test]
+fn connection_that_the_upstream_closed_is_not_quiet() {
+    System::new().block_on(async {
+        let address = answers(vec![b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"]);
+        let mut connection = Connection::open(address).await.unwrap();
+        exchange(&mut connection, "1").await.unwrap();
+        assert!(connection.quiet());
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert!(!connection.quiet());
+    });
+}
--- /dev/null
+++ b/tests/gateway/keeper.rs
@@ -0,0 +1,111 @@
+//! Guards accounts in the log against lost answers, outages and second instances.
+
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
+
+use actix_web::rt::System;
+use gypsumlever::{
+    gateway::keeper::{
+        identify,
+        Answer,
+        Keeper, //
+    },
+    log::memory::{
+        Fault,
+        Memory,
+        Service, //
+    },
+};
+use tokio::time::{
+    sleep,
+    timeout, //
+};
+
+const MOST: u64 = 100;
+
+/// Starts an instance on a log.
+async fn start(log: Memory) -> Rc<Keeper<Memory>> {
+    let keeper = Rc::new(Keeper::new(log, 2));
+    actix_web::rt::spawn(keeper.clone().run());
+    while !keeper.loaded() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    keeper
+}
+
+async fn open(keeper: &Keeper<Memory>, turn: u64, budget: u64) -> Answer {
+    let request = keeper.open(identify("p"), turn, MOST, budget);
+    let answer = timeout(Duration::from_secs(5), request.answer).await;
+    answer.expect("the keeper answers").unwrap()
+}
+
+#[test]
+fn budget_holds_over_two_instances() {
+    System::new().block_on(async {
+        let log = Memory::new(2);
+        let (a, b) = (start(log.share()).await, start(log.share()).await);
+        assert_eq!(open(&a, 1, 250).await, Answer::Granted);
+        assert_eq!(open(&b, 2, 250).await, Answer::Granted);
+        assert_eq!(open(&a, 3, 250).await, Answer::Spent);
+        a.close(identify("p"), 1, 10);
+        assert_eq!(open(&a, 4, 250).await, Answer::Granted);
+        assert_eq!(open(&b, 5, 250).await, Answer::Spent);
+    });
+}
+
+#[test]
+fn budget_holds_over_a_restart_of_all() {
+    System::new().block_on(async {
+        let log = Memory::new(2);
+        let keeper = start(log.share()).await;
+        assert_eq!(open(&keeper, 1, 150).await, Answer::Granted);
+        // The first instance is gone without a close; its turn stays charged at its most.
+        let keeper = start(log.share()).await;
+        assert_eq!(open(&keeper, 2, 150).await, Answer::Spent);
+    });
+}
+
+#[test]
+fn lost_answer_is_no_second_charge() {
+    System::new().block_on(async {
+        let log = Memory::new(2);
+        let handle = log.share();
+        let keeper = start(handle.clone()).await;
+        handle.fail([Fault::AnswerLost]);
+        // The outcome is unknown, and no other instance can say whether the budget is spent.
+        assert_eq!(open(&keeper, 1, 250).await, Answer::Unavailable);
+        keeper.close(identify("p"), 1, 0);
+        sleep(Duration::from_millis(1_500)).await;
+        let other = start(log.share()).await;
+        assert_eq!(open(&other, 2, 200).await, Answer::Granted);
+        assert_eq!(open(&other, 3, 200).await, Answer::Granted);
+        assert_eq!(open(&other, 4, 200).await, Answer::Spent);
+    });
+}
+
+#[test]
+fn turns_are_refused_while_the_log_refuses_and_granted_after() {
+    System::new().block_on(async {
+        let log = Memory::new(2);
+        let keeper = start(log.clone()).await;
+        log.set_service(Service::Refusing);
+        assert_eq!(open(&keeper, 1, 1_000).await, Answer::Unavailable);
+        log.set_service(Service::Up);
+        sleep(Duration::from_millis(1_200)).await;
+        assert_eq!(open(&keeper, 2, 1_000).await, Answer::Granted);
+    });
+}
+
+#[test]
+fn unloaded_account_grants_nothing() {
+    System::new().block_on(async {
+        let log = Memory::new(2);
+        log.set_service(Service::Refusing);
+        let keeper = Rc::new(Keeper::new(log, 2));
+        actix_web::rt::spawn(keeper.clone().run());
+        assert_eq!(open(&keeper, 1, 1_000).await, Answer::Unavailable);
+        assert!(!keeper.loaded());
+    });
+}
--- /dev/null
+++ b/tests/gateway/main.rs
@@ -0,0 +1,11 @@
+//! The gateway: decisions without a network, and real connections to scripted upstreams.
+
+mod account;
+mod balance;
+mod connection;
+mod dialect;
+mod events;
+mod keeper;
+mod registry;
+mod route;
+mod settings;
--- /dev/null
+++ b/tests/gateway/registry.rs
@@ -0,0 +1,123 @@
+//! Guards against requests to servers that are leaving, gone or never were.
+
+use std::time::Duration;
+
+use gypsumlever::{
+    clock::Time,
+    gateway::registry::{
+        Change,
+        Effect,
+        Registry,
+        Server, //
+    },
+};
+
+const START: Time = Time(10_000_000_000);
+
+fn at(ms: u64) -> Time {
+    START + Duration::from_millis(ms)
+}
+
+fn server(id: &str, started: u64, report: u64) -> Server {
+    Server {
+        id: id.into(),
+        service: "s".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: "z".into(),
+        slots: 4,
+        draining: false,
+        started,
+        report,
+    }
+}
+
+fn usable(registry: &Registry, now: Time) -> Vec<String> {
+    let mut ids: Vec<_> = registry
+        .usable(now, "s")
+        .map(|server| server.id.to_string())
+        .collect();
+    ids.sort();
+    ids
+}
+
+fn present(registry: &mut Registry, server: Server) -> Effect {
+    registry.apply(START, Change::Present(server))
+}
+
+#[test]
+fn apply_ignores_older_reports() {
+    let mut registry = Registry::default();
+    assert_eq!(present(&mut registry, server("a", 5, 2)), Effect::Added);
+    let draining = Server {
+        draining: true,
+        ..server("a", 5, 3)
+    };
+    assert_eq!(present(&mut registry, draining), Effect::Draining);
+    // A late report of the time before must not bring the server back.
+    assert_eq!(present(&mut registry, server("a", 5, 2)), Effect::Stale);
+    assert_eq!(usable(&registry, START), Vec::<String>::new());
+    // A new start counts its reports anew.
+    assert_eq!(present(&mut registry, server("a", 6, 0)), Effect::Added);
+    assert_eq!(usable(&registry, START), ["a"]);
+    assert_eq!(present(&mut registry, server("a", 5, 9)), Effect::Stale);
+}
+
+#[test]
+fn apply_keeps_other_entries_when_one_is_unreadable() {
+    let mut registry = Registry::default();
+    present(&mut registry, server("a", 1, 1));
+    present(&mut registry, server("b", 1, 1));
+    let effect = registry.apply(START, Change::Unreadable("a".into()));
+    assert_eq!(effect, Effect::Gone);
+    assert_eq!(usable(&registry, START), ["b"]);
+}
+
+#[test]
+fn absent_entry_counts_after_an_outage_only_for_a_while() {
+    let mut registry = Registry::default();
+    present(&mut registry, server("a", 1, 1));
+    present(&mut registry, server("b", 1, 1));
+    registry.troubled(at(0));
+    let effect = registry.apply(at(500), Change::Absent("a".into()));
+    assert_eq!(effect, Effect::Lapsed);
+    assert_eq!(usable(&registry, at(1_900)), ["a", "b"]);
+    // While the outage lasts, the entry can't come back.
+    registry.troubled(at(1_900));
+    assert_eq!(usable(&registry, at(3_800)), ["a", "b"]);
+    assert_eq!(usable(&registry, at(3_900)), ["b"]);
+    // Without an outage an absent entry is gone at once.
+    registry.apply(at(10_000), Change::Absent("b".into()));
+    assert_eq!(usable(&registry, at(10_000)), Vec::<String>::new());
+}
+
+#[test]
+fn absent_entry_of_a_draining_server_is_gone_during_an_outage() {
+    let mut registry = Registry::default();
+    let draining = Server {
+        draining: true,
+        ..server("a", 1, 1)
+    };
+    present(&mut registry, draining);
+    registry.troubled(START);
+    let effect = registry.apply(START, Change::Absent("a".into()));
+    assert_eq!(effect, Effect::Gone);
+}
+
+#[test]
+fn replace_drops_what_the_state_lacks() {
+    let mut registry = Registry::default();
+    present(&mut registry, server("a", 1, 1));
+    present(&mut registry, server("b", 1, 1));
+    registry.replace(at(0), vec![Change::Present(server("b", 1, 2))]);
+    assert_eq!(usable(&registry, at(0)), ["b"]);
+}
+
+#[test]
+fn knows_tells_a_restarted_server_from_the_one_before() {
+    let mut registry = Registry::default();
+    let old = server("a", 1, 1);
+    present(&mut registry, old.clone());
+    assert!(registry.knows(START, &old));
+    present(&mut registry, server("a", 2, 1));
+    assert!(!registry.knows(START, &old));
+}
