Test a real gateway process on a stand-in of the platform's store

Change: standin::store with faults (busy, lost answers, dropped history); 16 tests of the whole path with scripted upstreams. They found that a body over the limit passed when it came in one piece; the limit now holds for every piece.

--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -312,19 +312,21 @@
 
 async fn read(mut payload: web::Payload, most: usize) -> Result<Bytes, Refusal> {
     let cut = |_| Refusal::invalid(StatusCode::BAD_REQUEST, "body_cut");
-    let Some(first) = payload.next().await else {
-        return Ok(Bytes::new());
-    };
-    let first = first.map_err(cut)?;
-    let mut whole = BytesMut::from(first);
+    let mut whole = BytesMut::new();
     while let Some(chunk) = payload.next().await {
-        whole.extend_from_slice(&chunk.map_err(cut)?);
-        if whole.len() > most {
+        let chunk = chunk.map_err(cut)?;
+        if whole.len() + chunk.len() > most {
             return Err(Refusal::invalid(
                 StatusCode::PAYLOAD_TOO_LARGE,
                 "body_too_long",
             ));
         }
+        if whole.is_empty() {
+            // Most bodies come in one piece, which then is not copied.
+            whole = BytesMut::from(chunk);
+        } else {
+            whole.extend_from_slice(&chunk);
+        }
     }
     Ok(whole.freeze())
 }
--- a/standin/src/command/mod.rs
+++ b/standin/src/command/mod.rs
@@ -23,6 +23,7 @@
         Standin, //
     },
     service,
+    store,
     weights, //
 };
 
@@ -53,6 +54,8 @@
             cmd engine {}
             /// Tool service or plain service.
             cmd service {}
+            /// Metadata store of the users' platform.
+            cmd store {}
             /// Weight store.
             cmd weights {}
         }
@@ -88,6 +91,11 @@
             place(&flags, &mut config.listen, &mut config.control);
             run(service::start(config)?)
         }
+        GypsumleverStandinCmd::Store(_) => {
+            let mut config: store::Config = settings(&flags)?;
+            place(&flags, &mut config.listen, &mut config.control);
+            run(store::start(config)?)
+        }
         GypsumleverStandinCmd::Weights(_) => {
             let mut config: weights::Config = settings(&flags)?;
             place(&flags, &mut config.listen, &mut config.control);
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -11,6 +11,7 @@
 //! | `POST /control/connections` | `{"action": "mute"}` or `"close"` all established ones |
 //! | `POST /control/trim` | log: remove the records before an offset |
 //! | `POST /control/entries`, `DELETE /control/entries/{service}/{id}` | list: change an entry |
+//! | `PUT`, `DELETE /control/records/{topic}/{key}` | store: set or drop a key |
 //! | `POST /control/foreign` | engine: load and cache of the old system |
 //!
 //! Faults that hit a number of calls count down in the set faults.
@@ -23,6 +24,7 @@
 mod rate;
 pub mod server;
 pub mod service;
+pub mod store;
 pub mod weights;
 
 use std::{
--- /dev/null
+++ b/standin/src/store/mod.rs
@@ -0,0 +1,160 @@
+//! The platform's metadata store: topics of records, with keyed topics.
+
+mod routes;
+mod topic;
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Mutex,
+        MutexGuard, //
+    },
+};
+
+use actix_web::web::ServiceConfig;
+use bytes::Bytes;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use tokio::sync::Notify;
+
+use crate::{
+    lock,
+    server::{
+        Network,
+        Server,
+        Standin,
+        FREE, //
+    },
+    Map,
+};
+
+use topic::Partition;
+
+/// Settings of the store.
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Config {
+    /// Address to listen on; port 0 picks a free port.
+    pub listen: SocketAddr,
+    /// Address of the control routes that no fault of the network affects.
+    pub control: SocketAddr,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            listen: FREE,
+            control: FREE,
+        }
+    }
+}
+
+/// Faults of the store.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Faults of the network in front of the store.
+    pub network: Network,
+    /// Every call is answered with status 503, and nothing is done.
+    pub busy: bool,
+    /// So many appends are done and answered with status 500 after their effect.
+    pub lose_answers: u32,
+}
+
+/// What the store received.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Serialize)]
+pub struct Books {
+    /// Calls that append.
+    pub appends: u64,
+    /// Calls that read records.
+    pub reads: u64,
+    /// Calls that read the newest record of each key.
+    pub newest: u64,
+}
+
+#[derive(Default)]
+struct Inner {
+    faults: Faults,
+    books: Books,
+    partitions: Map<(String, u32), Partition>,
+}
+
+/// A stand-in for the platform's metadata store.
+#[derive(Default)]
+pub struct Store {
+    inner: Mutex<Inner>,
+    /// Wakes reads that wait for a record.
+    appended: Notify,
+}
+
+/// Starts a store.
+pub fn start(config: Config) -> io::Result<Server<Store>> {
+    Server::start(Store::default(), config.listen, config.control)
+}
+
+impl Store {
+    fn inner(&self) -> MutexGuard<'_, Inner> {
+        lock(&self.inner)
+    }
+
+    /// Sets the value of a key of a keyed topic, as the operator or a server does.
+    pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
+        let mut record = vec![key.len() as u8];
+        record.extend_from_slice(key.as_bytes());
+        record.extend_from_slice(value);
+        self.append(topic, 0, vec![record.into()]);
+    }
+
+    /// Drops a key of a keyed topic.
+    pub fn remove(&self, topic: &str, key: &str) {
+        self.put(topic, key, &[]);
+    }
+
+    /// Drops the records of a partition; the newest record of each key stays.
+    pub fn forget(&self, topic: &str, partition: u32) {
+        let mut inner = self.inner();
+        let key = (topic.to_owned(), partition);
+        inner.partitions.entry(key).or_default().forget();
+    }
+
+    fn append(&self, topic: &str, partition: u32, records: Vec<Bytes>) -> (u64, u64) {
+        let mut inner = self.inner();
+        let key = (topic.to_owned(), partition);
+        let partition = inner.partitions.entry(key).or_default();
+        let range = partition.append(topic.starts_with("keyed."), records);
+        drop(inner);
+        self.appended.notify_waiters();
+        range
+    }
+}
+
+impl Standin for Store {
+    type Faults = Faults;
+    type Books = Books;
+
+    fn configure(app: &mut ServiceConfig) {
+        routes::configure(app);
+    }
+
+    fn faults(&self) -> Faults {
+        self.inner().faults.clone()
+    }
+
+    fn set_faults(&self, faults: Faults) {
+        self.inner().faults = faults;
+    }
+
+    fn network(faults: &Faults) -> &Network {
+        &faults.network
+    }
+
+    fn books(&self) -> Books {
+        self.inner().books.clone()
+    }
+}
--- /dev/null
+++ b/standin/src/store/routes.rs
@@ -0,0 +1,161 @@
+//! HTTP routes of the store.
+
+use std::time::Duration;
+
+use actix_web::{
+    rt::time::timeout,
+    web::{
+        self,
+        Data,
+        Path,
+        Query, //
+    },
+    HttpResponse,
+};
+use base64::{
+    prelude::BASE64_STANDARD,
+    Engine as _, //
+};
+use bytes::{
+    Buf as _,
+    BufMut as _,
+    Bytes,
+    BytesMut, //
+};
+use serde::Deserialize;
+use serde_json::json;
+
+use super::{
+    topic::Partition,
+    Store, //
+};
+
+/// Longest wait of a read, as published.
+const MAX_WAIT: Duration = Duration::from_secs(30);
+
+pub(super) fn configure(app: &mut web::ServiceConfig) {
+    app.route("/v1/log-append", web::post().to(append))
+        .route("/v1/log-read", web::get().to(read))
+        .route("/v1/log-newest", web::get().to(newest))
+        .route("/control/records/{topic}/{key}", web::put().to(put))
+        .route("/control/records/{topic}/{key}", web::delete().to(remove));
+}
+
+#[derive(Debug)]
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Place {
+    topic: String,
+    part: u32,
+    #[serde(default)]
+    from: u64,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+impl Place {
+    fn key(&self) -> (String, u32) {
+        (self.topic.clone(), self.part)
+    }
+}
+
+fn busy() -> HttpResponse {
+    HttpResponse::ServiceUnavailable().finish()
+}
+
+async fn append(store: Data<Store>, place: Query<Place>, mut body: Bytes) -> HttpResponse {
+    let lost = {
+        let mut inner = store.inner();
+        inner.books.appends += 1;
+        if inner.faults.busy {
+            return busy();
+        }
+        let lost = inner.faults.lose_answers > 0;
+        inner.faults.lose_answers = inner.faults.lose_answers.saturating_sub(1);
+        lost
+    };
+    let mut records = Vec::new();
+    while body.len() >= 4 {
+        let length = body.get_u32() as usize;
+        if body.len() < length {
+            return HttpResponse::BadRequest().finish();
+        }
+        records.push(body.split_to(length));
+    }
+    let (offset, end) = store.append(&place.topic, place.part, records);
+    match lost {
+        true => HttpResponse::InternalServerError().finish(),
+        false => HttpResponse::Ok().json(json!({ "offset": offset, "end": end })),
+    }
+}
+
+async fn read(store: Data<Store>, place: Query<Place>) -> HttpResponse {
+    store.inner().books.reads += 1;
+    let wait = Duration::from_millis(place.wait_ms).min(MAX_WAIT);
+    let arrived = async {
+        loop {
+            let appended = store.appended.notified();
+            if let Some(response) = answer(&store, &place, false) {
+                return response;
+            }
+            appended.await;
+        }
+    };
+    match timeout(wait, arrived).await {
+        Ok(response) => response,
+        Err(_) => answer(&store, &place, true).unwrap_or_else(busy),
+    }
+}
+
+/// Returns the answer to a read, or `None` while there is no record.
+fn answer(store: &Store, place: &Place, now: bool) -> Option<HttpResponse> {
+    let inner = store.inner();
+    if inner.faults.busy {
+        return Some(busy());
+    }
+    let empty = Partition::default();
+    let partition = inner.partitions.get(&place.key()).unwrap_or(&empty);
+    let first = partition.first();
+    let Some(records) = partition.read(place.from) else {
+        return Some(HttpResponse::Gone().json(json!({ "first": first })));
+    };
+    if records.is_empty() && !now {
+        return None;
+    }
+    let mut body = BytesMut::new();
+    body.put_u64(partition.end());
+    body.put_u64(first);
+    for record in records {
+        body.put_u32(record.len() as u32);
+        body.put_slice(record);
+    }
+    Some(HttpResponse::Ok().body(body.freeze()))
+}
+
+async fn newest(store: Data<Store>, place: Query<Place>) -> HttpResponse {
+    let mut inner = store.inner();
+    inner.books.newest += 1;
+    if inner.faults.busy {
+        return busy();
+    }
+    let empty = Partition::default();
+    let partition = inner.partitions.get(&place.key()).unwrap_or(&empty);
+    let items: Vec<_> = partition
+        .newest()
+        .map(|(key, (value, offset))| {
+            let value = BASE64_STANDARD.encode(value);
+            json!({ "key": key, "value": value, "offset": offset })
+        })
+        .collect();
+    HttpResponse::Ok().json(json!({ "items": items, "more": false, "end": partition.end() }))
+}
+
+async fn put(store: Data<Store>, path: Path<(String, String)>, value: Bytes) -> HttpResponse {
+    store.put(&path.0, &path.1, &value);
+    HttpResponse::NoContent().finish()
+}
+
+async fn remove(store: Data<Store>, path: Path<(String, String)>) -> HttpResponse {
+    store.remove(&path.0, &path.1);
+    HttpResponse::NoContent().finish()
+}
--- /dev/null
+++ b/standin/src/store/topic.rs
@@ -0,0 +1,71 @@
+//! Records of a partition.
+
+use std::collections::BTreeMap;
+
+use bytes::{
+    Buf as _,
+    Bytes, //
+};
+
+/// One partition of a topic.
+#[derive(Default)]
+pub(super) struct Partition {
+    first: u64,
+    records: Vec<Bytes>,
+    /// Newest value of each key with its offset, in a keyed topic.
+    newest: BTreeMap<String, (Bytes, u64)>,
+}
+
+impl Partition {
+    /// Appends records; returns the offset of the first one and the new end.
+    pub(super) fn append(&mut self, keyed: bool, records: Vec<Bytes>) -> (u64, u64) {
+        let offset = self.end();
+        for record in records {
+            if keyed {
+                self.set(record.clone());
+            }
+            self.records.push(record);
+        }
+        (offset, self.end())
+    }
+
+    fn set(&mut self, mut record: Bytes) {
+        if record.is_empty() {
+            return;
+        }
+        let length = usize::from(record.get_u8()).min(record.len());
+        let key = record.split_to(length);
+        let key = String::from_utf8_lossy(&key).into_owned();
+        match record.is_empty() {
+            true => self.newest.remove(&key),
+            false => self.newest.insert(key, (record, self.end())),
+        };
+    }
+
+    /// Drops all records.
+    pub(super) fn forget(&mut self) {
+        self.first = self.end();
+        self.records.clear();
+    }
+
+    /// Returns the offset of the first record that is kept.
+    pub(super) fn first(&self) -> u64 {
+        self.first
+    }
+
+    /// Returns the offset that the next record gets.
+    pub(super) fn end(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+
+    /// Returns the records from an offset on, or `None` if some of them were dropped.
+    pub(super) fn read(&self, from: u64) -> Option<&[Bytes]> {
+        let skip = usize::try_from(from.checked_sub(self.first)?).ok()?;
+        Some(self.records.get(skip..).unwrap_or_default())
+    }
+
+    /// Returns the newest value of each key with its offset.
+    pub(super) fn newest(&self) -> impl Iterator<Item = (&String, &(Bytes, u64))> {
+        self.newest.iter()
+    }
+}
--- a/tests/ctl_docs.rs
+++ b/tests/ctl_docs.rs
@@ -38,7 +38,7 @@
 mod quickstart;
 
 const API: &str = include_str!("../docs/api.md");
-const OPERATIONS: &str = include_str!("../docs/operations.md");
+const OPERATIONS: &str = include_str!("../docs/OPERATIONS.md");
 const README: &str = include_str!("../README.md");
 const SETTINGS: &str = include_str!("../gypsumlever.yaml");
 const CONTRACT: &str = include_str!("../examples/quickstart/contract.yaml");
@@ -278,7 +278,7 @@
         let api = row(API, name).unwrap_or_else(|| panic!("api.md: {name}"));
         let status = problem::status(*reason).as_u16();
         assert!(api.contains(&format!("| {status} |")), "{api}");
-        let operations = row(OPERATIONS, name).unwrap_or_else(|| panic!("operations.md: {name}"));
+        let operations = row(OPERATIONS, name).unwrap_or_else(|| panic!("OPERATIONS.md: {name}"));
         let advice = advice::of(*reason);
         assert_eq!(
             operations,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -8,4 +8,6 @@
 mod keeper;
 mod registry;
 mod route;
+mod serve;
 mod settings;
+mod support;
--- /dev/null
+++ b/tests/gateway/serve.rs
@@ -0,0 +1,281 @@
+//! Guards callers of a real gateway process against wrong, lost, repeated and late answers.
+
+use std::{
+    io::Write as _,
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use standin::store::Faults;
+
+use crate::support::{
+    events,
+    get,
+    read,
+    request,
+    whole,
+    Act,
+    Deployment,
+    Upstream, //
+};
+
+const TURN: &str = "Program-Id: p\r\nSession-Id: s\r\nToken-Budget: 100\r\nToken-Count: 50,40\r\n";
+
+fn echo() -> Upstream {
+    Upstream::start(|_, request| Act::Answer(whole(request, "200 OK", "answer")))
+}
+
+#[test]
+fn request_reaches_the_upstream_unchanged() {
+    let upstream = echo();
+    let deployment = Deployment::start(&[&upstream]);
+    let headers = "Deadline-Ms: 2000\r\nModel: m\r\nHold: 1\r\nExpect-Instance: evil\r\n";
+    let answer = deployment.request(&request("POST", "/once/x%2f?q=1", headers, "body"));
+    assert_eq!((answer.status(), answer.text()), (200, "answer".into()));
+    assert_eq!(answer.header("server-seal"), Some("s"));
+    let seen = &upstream.seen()[0];
+    assert_eq!(seen.first, "POST /once/x%2f?q=1 HTTP/1.1");
+    assert_eq!(seen.body, b"body");
+    assert_eq!(seen.header("request-id"), Some("r1"));
+    assert_eq!(seen.header("model"), Some("m"));
+    assert_eq!(seen.header("hold"), None);
+    assert_eq!(seen.header("expect-instance"), Some("i-0"));
+    let left: u64 = seen.header("deadline-ms").unwrap().parse().unwrap();
+    assert!((1_500..=2_000).contains(&left), "{left}");
+}
+
+#[test]
+fn requests_that_can_not_be_served_get_their_status() {
+    let upstream = echo();
+    let deployment = Deployment::start(&[&upstream]);
+    let long = "x".repeat(1_001);
+    let both = "Transfer-Encoding: chunked\r\n";
+    let cases = [
+        (request("GET", "/none/x", "", ""), 404),
+        (request("POST", "/once/x", "", &long), 413),
+        (request("GET", "/safe/x", "Deadline-Ms: soon\r\n", ""), 400),
+        (request("POST", "/once/x", both, "0\r\n\r\n"), 400),
+        (
+            "GET /safe/x HTTP/1.1\r\nHost: h.example\r\n\r\n".into(),
+            400,
+        ),
+    ];
+    for (text, status) in cases {
+        assert_eq!(deployment.request(&text).status(), status, "{text}");
+    }
+    assert!(upstream.seen().is_empty());
+}
+
+#[test]
+fn chunked_body_is_passed_on_whole() {
+    let upstream = echo();
+    let deployment = Deployment::start(&[&upstream]);
+    let text = "POST /once/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\n\
+                Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    assert_eq!(deployment.request(text).status(), 200);
+    assert_eq!(upstream.seen()[0].body, b"abcde");
+}
+
+#[test]
+fn gateway_without_configuration_promises_not_run() {
+    let deployment = Deployment::start_unconfigured();
+    assert_eq!(get(deployment.ready, "/v1/readiness").status(), 503);
+    let answer = deployment.request(&request("GET", "/safe/x", "", ""));
+    assert_eq!(answer.status(), 503);
+    assert!(answer.header("retry-after").is_some());
+}
+
+#[test]
+fn call_that_must_not_repeat_is_sent_once() {
+    // A closed connection says nothing about the run, so that only one send may follow.
+    let upstream = Upstream::start(|_, _| Act::Close(Vec::new()));
+    let deployment = Deployment::start(&[&upstream]);
+    let answer = deployment.request(&request("POST", "/once/x", "", ""));
+    assert_eq!(answer.status(), 502);
+    assert_eq!(upstream.seen().len(), 1);
+}
+
+#[test]
+fn call_that_must_not_repeat_goes_on_after_a_proof() {
+    let refuses = |request: &crate::support::Message| {
+        let id = request.header("request-id").unwrap();
+        format!("HTTP/1.1 503 Full\r\nRequest-Id: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+    };
+    let full = Upstream::start(move |_, request| Act::Answer(refuses(request).into_bytes()));
+    let free = echo();
+    let deployment = Deployment::start(&[&full, &free]);
+    for _ in 0..4 {
+        let answer = deployment.request(&request("POST", "/once/x", "", ""));
+        assert_eq!(answer.status(), 200);
+    }
+    assert_eq!(free.seen().len(), 4);
+}
+
+#[test]
+fn idempotent_call_is_repeated_at_another_upstream() {
+    let cuts = Upstream::start(|_, request| {
+        let mut bytes = whole(request, "200 OK", "answer");
+        bytes.truncate(bytes.len() - 2);
+        Act::Close(bytes)
+    });
+    let works = echo();
+    let deployment = Deployment::start(&[&cuts, &works]);
+    for _ in 0..4 {
+        let answer = deployment.request(&request("GET", "/safe/x", "", ""));
+        assert_eq!((answer.status(), answer.text()), (200, "answer".into()));
+    }
+}
+
+#[test]
+fn broken_stream_goes_on_at_the_same_upstream() {
+    let upstream = Upstream::start(|number, request| match number {
+        0 => Act::Close(events(request, 1..=3, false)),
+        _ => {
+            let after: u64 = request.header("last-event-id").unwrap().parse().unwrap();
+            Act::Answer(events(request, after + 1..=5, true))
+        }
+    });
+    let deployment = Deployment::start(&[&upstream]);
+    let answer = deployment.request(&request("POST", "/stream/x", TURN, ""));
+    assert_eq!(answer.status(), 200);
+    assert!(answer.whole);
+    let expected: String = (1..=5)
+        .map(|id| format!("id: {id}\ndata: e{id}\n\n"))
+        .collect();
+    assert_eq!(answer.text(), expected);
+}
+
+#[test]
+fn stream_that_can_not_go_on_does_not_look_complete() {
+    let upstream = Upstream::start(|number, request| match number {
+        0 => Act::Close(events(request, 1..=3, false)),
+        _ => Act::Close(Vec::new()),
+    });
+    let deployment = Deployment::start(&[&upstream]);
+    let answer = deployment.request(&request("POST", "/stream/x", TURN, ""));
+    assert_eq!(answer.status(), 200);
+    assert!(!answer.whole);
+}
+
+#[test]
+fn turn_beyond_the_budget_is_refused_and_not_run() {
+    let upstream = Upstream::start(|_, request| Act::Answer(events(request, 1..=4, true)));
+    let deployment = Deployment::start(&[&upstream]);
+    let statuses: Vec<_> = (0..4)
+        .map(|_| deployment.request(&request("POST", "/stream/x", TURN, "")))
+        .map(|answer| answer.status())
+        .collect();
+    // Each turn generates 40 of the 100 tokens, and may generate 40.
+    assert_eq!(statuses, [200, 200, 402, 402]);
+    assert_eq!(upstream.seen().len(), 2);
+}
+
+#[test]
+fn upstream_work_ends_when_the_caller_leaves() {
+    let upstream = Upstream::start(|_, _| Act::Silent);
+    let deployment = Deployment::start(&[&upstream]);
+    let mut stream = deployment.connect();
+    let text = request("POST", "/stream/x", "", "");
+    stream.write_all(text.as_bytes()).unwrap();
+    while upstream.seen().is_empty() {
+        thread::sleep(Duration::from_millis(5));
+    }
+    drop(stream);
+    let start = Instant::now();
+    while upstream.left() == 0 {
+        assert!(start.elapsed() < Duration::from_millis(500));
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[test]
+fn answer_comes_at_the_timeout_of_the_route() {
+    let upstream = Upstream::start(|_, _| Act::Silent);
+    let deployment = Deployment::start(&[&upstream]);
+    let start = Instant::now();
+    let answer = deployment.request(&request("POST", "/once/x", "Deadline-Ms: 9000\r\n", ""));
+    assert_eq!(answer.status(), 504);
+    let took = start.elapsed();
+    assert!(took >= Duration::from_millis(2_900), "{took:?}");
+    assert!(took < Duration::from_millis(3_500), "{took:?}");
+}
+
+#[test]
+fn draining_server_gets_no_requests_after_two_seconds() {
+    let (leaves, stays) = (echo(), echo());
+    let deployment = Deployment::start(&[&leaves, &stays]);
+    deployment.register("i-0", &leaves, "draining");
+    thread::sleep(Duration::from_secs(2));
+    let before = leaves.seen().len();
+    for _ in 0..10 {
+        let answer = deployment.request(&request("GET", "/safe/x", "", ""));
+        assert_eq!(answer.status(), 200);
+    }
+    assert_eq!(leaves.seen().len(), before);
+}
+
+#[test]
+fn configuration_stays_in_force_through_an_outage() {
+    let upstream = echo();
+    let deployment = Deployment::start(&[&upstream]);
+    deployment.store.set_faults(Faults {
+        busy: true,
+        ..Faults::default()
+    });
+    thread::sleep(Duration::from_millis(500));
+    let answer = deployment.request(&request("GET", "/safe/x", "", ""));
+    assert_eq!(answer.status(), 200);
+    // A turn needs its account; it is refused with a promise and not run.
+    let answer = deployment.request(&request("POST", "/stream/x", TURN, ""));
+    assert_eq!(answer.status(), 503);
+    assert!(answer.header("retry-after").is_some());
+    // The history goes while nobody can read; the newest state is read after the outage.
+    deployment.store.forget("keyed.op", 0);
+    deployment.store.set_faults(Faults::default());
+    deployment.configure(2);
+    thread::sleep(Duration::from_secs(2));
+    let answer = deployment.request(&request("GET", "/safe/x", "", ""));
+    assert_eq!(answer.status(), 200);
+}
+
+#[test]
+fn sigterm_cuts_off_no_request() {
+    let upstream = Upstream::start(|_, request| {
+        thread::sleep(Duration::from_millis(1_500));
+        Act::Answer(whole(request, "200 OK", "answer"))
+    });
+    let mut deployment = Deployment::start(&[&upstream]);
+    let mut busy = deployment.connect();
+    let mut unused = deployment.connect();
+    let text = request("POST", "/once/x", "", "");
+    unused.write_all(text.as_bytes()).unwrap();
+    assert_eq!(read(&mut unused).unwrap().status(), 200);
+    busy.write_all(text.as_bytes()).unwrap();
+    thread::sleep(Duration::from_millis(100));
+    deployment.signal("TERM");
+    thread::sleep(Duration::from_millis(100));
+    assert_eq!(get(deployment.ready, "/v1/readiness").status(), 503);
+    let answer = read(&mut busy).unwrap();
+    assert_eq!(answer.status(), 200);
+    assert_eq!(answer.header("connection"), Some("close"));
+    // The unused connection is closed well before the grace period of 8 s ends.
+    let start = Instant::now();
+    assert!(read(&mut unused).is_none());
+    assert!(start.elapsed() < Duration::from_secs(4));
+    assert!(deployment.wait());
+}
+
+#[test]
+fn metrics_count_refusals_by_reason() {
+    let upstream = echo();
+    let deployment = Deployment::start(&[&upstream]);
+    deployment.request(&request("GET", "/none/x", "", ""));
+    let text = get(deployment.metrics, "/metrics").text();
+    let counted = text
+        .lines()
+        .any(|line| line.starts_with("gypsumlever_gateway_refusals") && line.contains("no_route"));
+    assert!(counted, "{text}");
+}
--- /dev/null
+++ b/tests/gateway/support.rs
@@ -0,0 +1,401 @@
+//! Real gateway processes on a store stand-in, with scripted upstreams.
+
+use std::{
+    fs,
+    io::{
+        Read as _,
+        Write as _, //
+    },
+    net::{
+        SocketAddr,
+        TcpListener,
+        TcpStream, //
+    },
+    path::PathBuf,
+    process::{
+        Child,
+        Command,
+        Stdio, //
+    },
+    sync::{
+        atomic::{
+            AtomicU32,
+            Ordering, //
+        },
+        Arc,
+        Mutex, //
+    },
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use serde_json::json;
+use standin::{
+    server::Server,
+    store::{
+        self,
+        Store, //
+    },
+};
+
+/// Longest wait for a process to become ready.
+const START: Duration = Duration::from_secs(20);
+
+/// A request or an answer, as it stood on the wire.
+#[derive(Clone, Debug, Default)]
+pub struct Message {
+    /// First line.
+    pub first: String,
+    /// Headers with names in lower case.
+    pub headers: Vec<(String, String)>,
+    /// Body without the framing of chunks.
+    pub body: Vec<u8>,
+    /// Whether the body was complete.
+    pub whole: bool,
+}
+
+impl Message {
+    /// Returns a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(key, _)| key == name);
+        found.map(|(_, value)| value.as_str())
+    }
+
+    /// Returns the status of an answer.
+    pub fn status(&self) -> u16 {
+        let status = self.first.split(' ').nth(1);
+        status.and_then(|status| status.parse().ok()).unwrap_or(0)
+    }
+
+    /// Returns the body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+fn line(stream: &mut TcpStream) -> Option<String> {
+    let mut line = Vec::new();
+    let mut byte = [0];
+    while !line.ends_with(b"\r\n") {
+        if stream.read(&mut byte).ok()? == 0 {
+            return None;
+        }
+        line.push(byte[0]);
+    }
+    line.truncate(line.len() - 2);
+    Some(String::from_utf8_lossy(&line).into_owned())
+}
+
+/// Reads a message; `None` at the end of the connection.
+pub fn read(stream: &mut TcpStream) -> Option<Message> {
+    let mut message = Message {
+        first: line(stream)?,
+        ..Message::default()
+    };
+    loop {
+        let line = line(stream)?;
+        let Some((name, value)) = line.split_once(':') else {
+            break;
+        };
+        let pair = (name.to_ascii_lowercase(), value.trim().to_owned());
+        message.headers.push(pair);
+    }
+    message.whole = true;
+    if message.header("transfer-encoding").is_some() {
+        loop {
+            let size = line(stream).and_then(|size| usize::from_str_radix(&size, 16).ok());
+            let Some(size) = size else {
+                message.whole = false;
+                return Some(message);
+            };
+            let mut chunk = vec![0; size + 2];
+            if stream.read_exact(&mut chunk).is_err() {
+                message.whole = false;
+                return Some(message);
+            }
+            if size == 0 {
+                return Some(message);
+            }
+            message.body.extend_from_slice(&chunk[..size]);
+        }
+    }
+    let length = message.header("content-length");
+    let length = length.and_then(|length| length.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    message.whole = stream.read_exact(&mut body).is_ok();
+    message.body = body;
+    Some(message)
+}
+
+/// What a scripted upstream does with a request.
+pub enum Act {
+    /// Writes bytes and keeps the connection.
+    Answer(Vec<u8>),
+    /// Writes bytes and closes the connection.
+    Close(Vec<u8>),
+    /// Answers nothing until the caller leaves.
+    Silent,
+}
+
+/// An upstream that follows a script.
+pub struct Upstream {
+    /// Address that it listens on.
+    pub address: SocketAddr,
+    seen: Arc<Mutex<Vec<Message>>>,
+    left: Arc<AtomicU32>,
+}
+
+impl Upstream {
+    /// Starts an upstream; the script gets each request and its number, from 0.
+    pub fn start(script: impl Fn(usize, &Message) -> Act + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let seen: Arc<Mutex<Vec<Message>>> = Arc::default();
+        let left: Arc<AtomicU32> = Arc::default();
+        let script = Arc::new(script);
+        let (log, gone) = (seen.clone(), left.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (log, gone, script) = (log.clone(), gone.clone(), script.clone());
+                thread::spawn(move || serve(stream, &log, &gone, &*script));
+            }
+        });
+        Self {
+            address,
+            seen,
+            left,
+        }
+    }
+
+    /// Returns the requests that came.
+    pub fn seen(&self) -> Vec<Message> {
+        self.seen.lock().unwrap().clone()
+    }
+
+    /// Returns the number of callers that left a silent answer.
+    pub fn left(&self) -> u32 {
+        self.left.load(Ordering::SeqCst)
+    }
+}
+
+fn serve(
+    mut stream: TcpStream,
+    seen: &Mutex<Vec<Message>>,
+    left: &AtomicU32,
+    script: &(impl Fn(usize, &Message) -> Act + ?Sized),
+) {
+    while let Some(request) = read(&mut stream) {
+        let number = {
+            let mut seen = seen.lock().unwrap();
+            seen.push(request.clone());
+            seen.len() - 1
+        };
+        match script(number, &request) {
+            Act::Answer(bytes) if stream.write_all(&bytes).is_ok() => {}
+            Act::Answer(_) => return,
+            Act::Close(bytes) => {
+                // The caller may have closed first.
+                let _ = stream.write_all(&bytes);
+                return;
+            }
+            Act::Silent => {
+                let _ = stream.read(&mut [0]);
+                left.fetch_add(1, Ordering::SeqCst);
+                return;
+            }
+        }
+    }
+}
+
+/// Returns an answer with a signature and a length.
+pub fn whole(request: &Message, status: &str, body: &str) -> Vec<u8> {
+    let id = request.header("request-id").unwrap_or("");
+    let length = body.len();
+    format!(
+        "HTTP/1.1 {status}\r\nRequest-Id: {id}\r\nServer-Seal: s\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+    .into_bytes()
+}
+
+/// Returns an answer with the events of a stream, ended or broken off.
+pub fn events(request: &Message, ids: std::ops::RangeInclusive<u64>, ended: bool) -> Vec<u8> {
+    let id = request.header("request-id").unwrap_or("");
+    let mut text = format!(
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+    );
+    for id in ids {
+        let event = format!("id: {id}\ndata: e{id}\n\n");
+        text.push_str(&format!("{:x}\r\n{event}\r\n", event.len()));
+    }
+    if ended {
+        text.push_str("0\r\n\r\n");
+    }
+    text.into_bytes()
+}
+
+/// A store with one gateway.
+pub struct Deployment {
+    /// The store.
+    pub store: Server<Store>,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for checks of readiness.
+    pub ready: SocketAddr,
+    /// Address for scrapes of metrics.
+    pub metrics: SocketAddr,
+    child: Child,
+    settings: PathBuf,
+}
+
+fn free() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+impl Deployment {
+    /// Starts a store with a configuration and servers, and a gateway that is ready.
+    pub fn start(upstreams: &[&Upstream]) -> Self {
+        let deployment = Self::start_unconfigured();
+        deployment.configure(1);
+        for (number, upstream) in upstreams.iter().enumerate() {
+            deployment.register(&format!("i-{number}"), upstream, "ready");
+        }
+        let until = Instant::now() + START;
+        while get(deployment.ready, "/v1/readiness").status() != 200 {
+            assert!(Instant::now() < until, "the gateway is not ready");
+            thread::sleep(Duration::from_millis(20));
+        }
+        // The registry is read again after its pause.
+        thread::sleep(Duration::from_millis(800));
+        deployment
+    }
+
+    /// Starts an empty store and a gateway.
+    pub fn start_unconfigured() -> Self {
+        static NUMBER: AtomicU32 = AtomicU32::new(0);
+        let store = store::start(store::Config::default()).unwrap();
+        let [callers, ready, metrics, peers] = [free(), free(), free(), free()];
+        let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+        let name = format!("gateway-{}-{number}.yaml", std::process::id());
+        let settings = std::env::temp_dir().join(name);
+        let text = json!({
+            "instance": "entry-1",
+            "zone": "a",
+            "listen": { "callers": callers, "ready": ready, "metrics": metrics },
+            "peers": { "listen": peers, "cluster": "test", "secret": "test" },
+            "store": { "address": store.address(), "partitions": 2 },
+            "grace_s": 8,
+        });
+        fs::write(&settings, text.to_string()).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_gypsumleverd"))
+            .arg("gateway")
+            .env("GYPSUMLEVER_SETTINGS", &settings)
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        let deployment = Self {
+            store,
+            callers,
+            ready,
+            metrics,
+            child,
+            settings,
+        };
+        let until = Instant::now() + START;
+        while TcpStream::connect(callers).is_err() {
+            assert!(Instant::now() < until, "the gateway does not listen");
+            thread::sleep(Duration::from_millis(20));
+        }
+        deployment
+    }
+
+    /// Publishes a configuration.
+    pub fn configure(&self, version: u64) {
+        let route = |prefix: &str, kind: &str, attempts: u32| {
+            json!({
+                "name": prefix, "host": "h.example", "pathPrefix": prefix, "kind": kind,
+                "timeoutMs": 3000, "targetLatencyMs": 200, "priority": 0, "service": "s",
+                "maxAttempts": attempts, "resumable": kind == "streaming",
+            })
+        };
+        let config = json!({
+            "version": version,
+            "routes": [
+                route("/safe/", "safe", 2),
+                route("/once/", "unsafe", 2),
+                route("/stream/", "streaming", 1),
+            ],
+            "services": [{ "name": "s", "maxConns": 10, "engine": { "tokensPerEvent": 10 } }],
+            "limits": { "maxBodyBytes": 1000 },
+        });
+        self.store
+            .put("keyed.op", "config", config.to_string().as_bytes());
+    }
+
+    /// Publishes the entry of a server.
+    pub fn register(&self, id: &str, upstream: &Upstream, state: &str) {
+        let entry = json!({
+            "service": "s", "address": upstream.address, "zone": "a", "version": "v1",
+            "slots": 4, "state": state, "coldLeftMs": 0, "sequence": 1, "born": 1,
+        });
+        self.store
+            .put("keyed.servers", id, entry.to_string().as_bytes());
+    }
+
+    /// Sends a signal to the gateway.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args(["-s", name, &pid]).status();
+        assert!(status.unwrap().success());
+    }
+
+    /// Waits for the end of the gateway.
+    pub fn wait(&mut self) -> bool {
+        self.child.wait().unwrap().success()
+    }
+
+    /// Sends a request on a new connection and reads the answer.
+    pub fn request(&self, text: &str) -> Message {
+        let mut stream = self.connect();
+        stream.write_all(text.as_bytes()).unwrap();
+        read(&mut stream).expect("the gateway answers")
+    }
+
+    /// Opens a connection of a caller.
+    pub fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.callers).unwrap();
+        let limit = Some(Duration::from_secs(10));
+        stream.set_read_timeout(limit).unwrap();
+        stream
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        // The process may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.settings);
+    }
+}
+
+/// Sends a `GET` and reads the answer.
+pub fn get(address: SocketAddr, path: &str) -> Message {
+    let Ok(mut stream) = TcpStream::connect(address) else {
+        return Message::default();
+    };
+    let text = format!("GET {path} HTTP/1.1\r\nHost: h.example\r\n\r\n");
+    stream.write_all(text.as_bytes()).unwrap();
+    read(&mut stream).unwrap_or_default()
+}
+
+/// Returns a request with further headers.
+pub fn request(method: &str, path: &str, headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\nContent-Length: {length}\r\n{headers}\r\n{body}"
+    )
+}
