--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -43,6 +43,11 @@
 /// instances for that prefix, but nothing is known about it.
 const PRESUMED: f64 = 0.6;
 
+/// Cost of an answer that was lost lately, in milliseconds: the time of a turn that is made again.
+///
+/// An upstream that fails at once has no load, and would otherwise attract most requests.
+const LOST: f64 = 400.0;
+
 /// Cost of an upstream that is avoided, in milliseconds: more than any load.
 const AVOIDED: f64 = 10_000.0;
 
@@ -173,6 +178,7 @@
         cost_ms += settings.call_ms * pace * (1.0 + ahead + crowd);
         cost_ms += if away { settings.call_zone_ms } else { 0.0 };
     }
+    cost_ms += LOST * load.lost(now);
     if load.avoided(now) {
         cost_ms += AVOIDED;
     }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -283,6 +283,7 @@
                 }
                 Ok(Err(fault)) => {
                     self.pool.discard(address);
+                    self.failed(address);
                     log::warn!(
                         request = &*job.call.id, upstream = &*server.id, fault:%;
                         "forward: answer was lost"
@@ -291,12 +292,18 @@
                 }
                 Err(_) => {
                     self.pool.discard(address);
+                    self.failed(address);
                     return Sent::Lost("silent");
                 }
             }
         }
     }
 
+    /// Notes that an answer of an upstream was lost.
+    pub fn failed(&self, upstream: SocketAddr) {
+        self.load(upstream, |load| load.failed(Time::monotonic()));
+    }
+
     fn unreachable(&self, job: &Job<D, L>, server: &Server, fault: &Fault) {
         self.pool.discard(server.address);
         self.load(server.address, |load| load.unreachable(Time::monotonic()));
@@ -327,6 +334,9 @@
             self.report(live.server.address, load);
         }
         let status = live.head.status;
+        if status.is_server_error() && !reply.not_run {
+            self.failed(live.server.address);
+        }
         let refused = reply.not_run || status == StatusCode::MISDIRECTED_REQUEST;
         if refused {
             sends.refused();
@@ -419,13 +429,17 @@
                 })
             }
             Ok(Err(fault)) => {
+                self.failed(live.server.address);
                 log::warn!(
                     request = &*job.call.id, upstream = &*live.server.id, fault:%;
                     "forward: answer was cut off"
                 );
                 Err("answer_cut")
             }
-            Err(_) => Err("silent"),
+            Err(_) => {
+                self.failed(live.server.address);
+                Err("silent")
+            }
         }
     }
 }
--- a/src/gateway/home.rs
+++ b/src/gateway/home.rs
@@ -8,6 +8,7 @@
         Cell,
         RefCell, //
     },
+    pin::pin,
     rc::Rc,
     time::Duration,
 };
@@ -17,7 +18,10 @@
     Deserialize,
     Serialize, //
 };
-use tokio::sync::oneshot;
+use tokio::{
+    sync::oneshot,
+    time::timeout, //
+};
 
 use super::{
     account::{
@@ -30,7 +34,10 @@
         Keeper,
         Request, //
     },
-    path::Peers,
+    path::{
+        Outage,
+        Peers, //
+    },
 };
 use crate::{
     clock::Time,
@@ -48,8 +55,11 @@
     policy::recent::Recent,
 };
 
-/// Longest time for the answer of a home; a slow store takes 240 ms.
-const ASK: Duration = Duration::from_millis(450);
+/// Time after which an asker also uses the log itself; a slow store takes 240 ms.
+const HEDGE: Duration = Duration::from_millis(400);
+
+/// Longest time for the answer of a home, which has to find out the extent of an outage.
+const ASK: Duration = Duration::from_millis(1_700);
 
 /// Time for which a home that gave no answer is not asked.
 const AVOID: Duration = Duration::from_secs(1);
@@ -199,6 +209,11 @@
         Some((peers, home))
     }
 
+    /// Returns whether this instance is cut off from the log while others may reach it.
+    pub fn cut_off(&self) -> bool {
+        self.keeper.outage() == Outage::Alone
+    }
+
     /// Reads the partitions that this instance has become the home of, to know them in an outage.
     pub fn adopt(&self) {
         let Some(peers) = self.peers.borrow().clone() else {
@@ -227,32 +242,67 @@
         let likely = charged + HEADROOM * most <= budget;
         let (reply, answer) = oneshot::channel();
         let this = self.clone();
+        let turn = Ask {
+            program,
+            turn,
+            most,
+            budget,
+        };
         actix_web::rt::spawn(async move {
-            let question = Question::Open {
-                program,
-                turn,
-                most,
-                budget,
-            };
-            let answer = match peers.ask(&home, question, ASK).await {
-                Some(Answer::Opened(answer, charged)) => {
-                    this.charges.borrow_mut().insert(program, charged);
-                    answer
-                }
-                _ => {
-                    log::warn!(home = home.as_str(); "account: home gave no answer");
-                    this.avoid(home);
-                    let request = this.keeper.open(program, turn, most, budget);
-                    let answer = request.answer.await;
-                    answer.unwrap_or(keeper::Answer::Unavailable)
-                }
-            };
             // The caller may have left.
-            let _ = reply.send(answer);
+            let _ = reply.send(this.ask(&peers, home, turn).await);
         });
         Request { answer, likely }
     }
 
+    /// Asks a home, and the log itself if the home takes long.
+    async fn ask(&self, peers: &Peers, home: Instance, turn: Ask) -> keeper::Answer {
+        let mut asked = pin!(self.ask_home(peers, &home, turn));
+        let late = match timeout(HEDGE, &mut asked).await {
+            Ok(Some(answer)) => return answer,
+            Ok(None) => false,
+            Err(_) => true,
+        };
+        let Ask {
+            program,
+            turn,
+            most,
+            budget,
+        } = turn;
+        log::debug!(home = home.as_str(), late; "account: home gave no answer; using the log");
+        let request = self.keeper.open(program, turn, most, budget);
+        let own = request.answer.await;
+        let own = own.unwrap_or(keeper::Answer::Unavailable);
+        if own != keeper::Answer::Unavailable && late {
+            return own;
+        }
+        let answer = match late {
+            true => asked.await,
+            false => None,
+        };
+        if answer.is_none() {
+            log::warn!(home = home.as_str(); "account: home gave no answer and is avoided");
+            self.avoid(home.clone());
+        }
+        answer.unwrap_or(own)
+    }
+
+    async fn ask_home(&self, peers: &Peers, home: &Instance, turn: Ask) -> Option<keeper::Answer> {
+        let question = Question::Open {
+            program: turn.program,
+            turn: turn.turn,
+            most: turn.most,
+            budget: turn.budget,
+        };
+        match peers.ask(home, question, ASK).await {
+            Some(Answer::Opened(answer, charged)) => {
+                self.charges.borrow_mut().insert(turn.program, charged);
+                Some(answer)
+            }
+            _ => None,
+        }
+    }
+
     /// Notes that a turn that may have run has ended, after it handed out `used` tokens.
     pub fn close(&self, program: &str, turn: Turn, used: u64) {
         let program = keeper::identify(program);
@@ -281,6 +331,15 @@
     }
 }
 
+/// A turn that asks to run.
+#[derive(Clone, Copy)]
+struct Ask {
+    program: Program,
+    turn: Turn,
+    most: u64,
+    budget: u64,
+}
+
 /// Answers other instances.
 pub struct Desk<L>(pub Rc<Keeper<L>>);
 
--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -173,6 +173,11 @@
         self.log.connect(peers);
     }
 
+    /// Returns what is known about an outage of the log.
+    pub fn outage(&self) -> Outage {
+        self.log.outage()
+    }
+
     /// Returns the number of partitions.
     pub fn partitions(&self) -> usize {
         self.partitions.len()
@@ -288,6 +293,8 @@
             let keeper = self.clone();
             actix_web::rt::spawn(async move { keeper.keep(index).await });
         }
+        let log = self.log.clone();
+        actix_web::rt::spawn(async move { log.watch().await });
         loop {
             sleep(SWEEP).await;
             let now = Time::monotonic();
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -23,6 +23,9 @@
 /// Longest time for which it is avoided.
 const AVOID_MOST: Duration = Duration::from_secs(2);
 
+/// Time after which a lost answer says little; upstreams fail for some seconds.
+const LOST_LIFE: Duration = Duration::from_secs(3);
+
 /// Prefixes that are remembered for each upstream; the cache of an engine holds fewer.
 const PREFIXES: usize = 4_096;
 
@@ -57,6 +60,9 @@
     reported: Option<Reported>,
     /// Times in a row that the upstream could not be reached.
     failures: u32,
+    /// Answers that were lost lately, and when this was counted.
+    lost: f64,
+    lost_at: Time,
     avoid_until: Time,
     prefixes: Recent<u64, ()>,
 }
@@ -68,6 +74,8 @@
             reading: 0,
             reported: None,
             failures: 0,
+            lost: 0.0,
+            lost_at: Time::default(),
             avoid_until: Time::default(),
             prefixes: Recent::new(PREFIXES),
         }
@@ -111,6 +119,17 @@
         self.avoid_until = Time::default();
     }
 
+    /// Notes that an answer of the upstream was lost, cut or refused without a reason.
+    pub fn failed(&mut self, now: Time) {
+        self.lost = self.lost(now) + 1.0;
+        self.lost_at = now;
+    }
+
+    /// Returns the answers that were lost lately; older ones count less.
+    pub fn lost(&self, now: Time) -> f64 {
+        self.lost * decay(now.since(self.lost_at), LOST_LIFE)
+    }
+
     /// Notes that the upstream could not be reached.
     pub fn unreachable(&mut self, now: Time) {
         let avoid = AVOID * 2_u32.saturating_pow(self.failures.min(4));
--- a/src/gateway/path.rs
+++ b/src/gateway/path.rs
@@ -11,8 +11,12 @@
 };
 
 use bytes::Bytes;
-use futures_util::future::join_all;
+use futures_util::future::{
+    join,
+    join_all, //
+};
 use rand::seq::IteratorRandom as _;
+use tokio::time::sleep;
 
 use super::{
     account::Entry,
@@ -49,8 +53,18 @@
 /// Longest time for another instance to hold a turn: many round trips between zones.
 const HOLD: Duration = Duration::from_millis(100);
 
+/// Instances that are asked whether they reach the log.
+const PROBED: usize = 24;
+
+/// Part of them that must not reach it for an outage to be total. A zone or a third of the
+/// instances that is cut off is a smaller part of a sample, but for one in a thousand.
+const MAJORITY: (usize, usize) = (3, 5);
+
+/// Time after which the extent of an outage is found out again.
+const RECHECK: Duration = Duration::from_millis(800);
+
 /// Time for which what was learned about an outage is believed.
-const BELIEVED: Duration = Duration::from_millis(1_500);
+const BELIEVED: Duration = Duration::from_millis(4_000);
 
 /// Links to other instances.
 #[derive(Clone)]
@@ -85,16 +99,43 @@
     }
 
     /// Asks instances at the same time; returns an answer that is no refusal.
-    async fn first(&self, names: &[Instance], question: &Question) -> Option<(Instance, Answer)> {
-        let asked = names.iter().map(|name| async move {
-            let answer = self.ask(name, question.clone(), HELP).await;
+    async fn first(&self, names: &[Instance], question: &Question) -> Option<Answer> {
+        let asked = names
+            .iter()
+            .map(|name| self.ask(name, question.clone(), HELP));
+        let answers = join_all(asked).await;
+        let mut helpful = answers.into_iter().flatten();
+        helpful.find(|answer| *answer != Answer::Refused)
+    }
+
+    /// Asks instances other than the helpers whether they reach the log.
+    ///
+    /// A few may be turned away, or cut off together, while most reach it.
+    async fn probe(&self, helpers: &[Instance]) -> Probed {
+        let known = self.roster.snapshot().peers().count();
+        let others = self.others();
+        let others = others.iter().filter(|name| !helpers.contains(name));
+        let sample = others.sample(&mut rand::rng(), PROBED);
+        let asked = sample.iter().map(|name| async move {
+            let answer = self.ask(name, Question::Reach, HELP).await;
             (name, answer)
         });
-        let answers = join_all(asked).await;
-        answers.into_iter().find_map(|(name, answer)| {
-            let answer = answer.filter(|answer| *answer != Answer::Refused)?;
-            Some((name.clone(), answer))
-        })
+        let mut probed = Probed {
+            // An instance that is known and was not asked can't be reached.
+            asked: known.saturating_sub(helpers.len()).min(PROBED),
+            refusals: 0,
+            reaching: Vec::new(),
+        };
+        for (name, answer) in join_all(asked).await {
+            match answer {
+                Some(Answer::Reaches) if probed.reaching.len() < HELPERS => {
+                    probed.reaching.push(Instance::clone(name));
+                }
+                Some(Answer::Refused) => probed.refusals += 1,
+                _ => {}
+            }
+        }
+        probed
     }
 
     /// Asks another instance about accounts.
@@ -110,6 +151,24 @@
     }
 }
 
+/// Instances that were asked whether they reach the log.
+struct Probed {
+    asked: usize,
+    refusals: usize,
+    /// Some of those that do.
+    reaching: Vec<Instance>,
+}
+
+impl Probed {
+    fn outage(&self) -> Outage {
+        let most = self.refusals * MAJORITY.1 > self.asked * MAJORITY.0;
+        match self.reaching.is_empty() && most {
+            true => Outage::Total,
+            false => Outage::Alone,
+        }
+    }
+}
+
 /// What an instance knows about an outage of the log.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outage {
@@ -173,44 +232,51 @@
     async fn help(&self, question: Question) -> Option<Answer> {
         let peers = self.peers.borrow().clone()?;
         let helpers = peers.helpers();
-        if let Some((_, answer)) = peers.first(&helpers, &question).await {
+        let probe = async {
+            match self.checked() {
+                true => None,
+                false => Some(peers.probe(&helpers).await),
+            }
+        };
+        let (helped, probed) = join(peers.first(&helpers, &question), probe).await;
+        if let Some(answer) = helped {
             self.learn(Outage::None);
             return Some(answer);
         }
-        if self.outage() != Outage::None {
-            return None;
-        }
-        // Few may be turned away while most reach the log; a majority must not.
-        let others = peers.others();
-        let known = peers.roster.snapshot().peers().count() + 1;
-        let asked = others.iter().map(|name| {
-            let peers = &peers;
-            async move { (name, peers.ask(name, Question::Reach, HELP).await) }
-        });
-        let mut refusals = 0;
-        let mut reaching = Vec::new();
-        for (name, answer) in join_all(asked).await {
-            match answer {
-                Some(Answer::Reaches) => reaching.push(name.clone()),
-                Some(_) => refusals += 1,
-                None => {}
-            }
-        }
-        reaching.truncate(HELPERS);
-        if let Some((_, answer)) = peers.first(&reaching, &question).await {
+        let probed = probed?;
+        if let Some(answer) = peers.first(&probed.reaching, &question).await {
             self.learn(Outage::None);
             return Some(answer);
         }
-        let total = reaching.is_empty() && (refusals + 1) * 2 > known;
-        let outage = match total {
-            true => Outage::Total,
-            false => Outage::Alone,
-        };
-        log::warn!(refusals, known, outage:? = outage; "account: no instance reaches the log");
+        let outage = probed.outage();
+        log::warn!(
+            refusals = probed.refusals, asked = probed.asked, outage:? = outage;
+            "account: no instance that was asked reaches the log"
+        );
         self.learn(outage);
         None
     }
 
+    /// Returns whether the extent of an outage was found out just now.
+    fn checked(&self) -> bool {
+        let (at, outage) = self.outage.get();
+        outage != Outage::None && Time::monotonic().since(at) < RECHECK
+    }
+
+    /// Tries the own way while this instance takes itself for cut off; never returns.
+    pub async fn watch(&self) {
+        loop {
+            sleep(RECHECK).await;
+            if self.outage() != Outage::Alone {
+                continue;
+            }
+            if let Some(direct) = self.direct() {
+                let result = direct.bounds(0).await;
+                self.note(&result);
+            }
+        }
+    }
+
     fn learn(&self, outage: Outage) {
         self.outage.set((Time::monotonic(), outage));
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -51,6 +51,10 @@
 /// Times that a broken stream is sent again.
 const RESUMES: u32 = 4;
 
+/// Times that a stream without any event is sent again; an upstream that fails twice at once is
+/// likely to go on, and the caller reaches another one.
+const RESTARTS: u32 = 1;
+
 /// Part of the time until the deadline for which a turn waits after all upstreams refused it.
 const PERSISTENCE: f64 = 0.4;
 
@@ -282,7 +286,11 @@
     /// Counts a send that is made again, unless there were too many.
     fn again(&mut self, reason: &'static str) -> Result<(), Cut> {
         self.live = None;
-        if !self.resumable() || self.resumes >= RESUMES || Instant::now() >= self.job.deadline {
+        let most = match self.events {
+            0 => RESTARTS,
+            _ => RESUMES,
+        };
+        if !self.resumable() || self.resumes >= most || Instant::now() >= self.job.deadline {
             return Err(Cut(reason));
         }
         self.resumes += 1;
@@ -295,6 +303,14 @@
         Ok(())
     }
 
+    /// Sends a stream again whose answer broke.
+    fn broken(&mut self, reason: &'static str) -> Result<(), Cut> {
+        if let Some(live) = &self.live {
+            self.gateway.failed(live.server.address);
+        }
+        self.again(reason)
+    }
+
     /// Reads an answer that is not a stream.
     async fn whole(&mut self) -> Result<Whole, Refusal> {
         let Some(mut live) = self.live.take() else {
@@ -328,7 +344,7 @@
                 }
                 Ok(None) => {}
                 Err(_) => {
-                    self.again("garbled")?;
+                    self.broken("garbled")?;
                     continue;
                 }
             }
@@ -343,9 +359,9 @@
                     self.finish();
                     return Ok(None);
                 }
-                Ok(Ok(None)) => self.again("cut_in_event")?,
-                Ok(Err(_)) => self.again("cut")?,
-                Err(_) => self.again("stalled")?,
+                Ok(Ok(None)) => self.broken("cut_in_event")?,
+                Ok(Err(_)) => self.broken("cut")?,
+                Err(_) => self.broken("stalled")?,
             }
         }
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -31,7 +31,8 @@
 };
 use crate::{
     clock::Time,
-    hash::Map, //
+    hash::Map,
+    log::Log, //
 };
 
 /// State of an instance.
@@ -59,6 +60,18 @@
     dialect: PhantomData<D>,
 }
 
+impl<D, L: Log + 'static> Gateway<D, L> {
+    /// Returns whether the balancer may send callers here.
+    ///
+    /// An instance that is cut off from the accounts refuses turns that other instances can serve.
+    pub fn ready(&self) -> bool {
+        !self.stopping.get()
+            && self.registered.get()
+            && self.table.borrow().is_some()
+            && !self.home.cut_off()
+    }
+}
+
 impl<D, L> Gateway<D, L> {
     /// Makes the state of an instance that knows nothing yet.
     pub fn new(settings: Settings, home: Rc<Home<L>>, count: Count) -> Self {
@@ -95,11 +108,6 @@
         newer
     }
 
-    /// Returns whether the balancer may send callers here.
-    pub fn ready(&self) -> bool {
-        !self.stopping.get() && self.registered.get() && self.table.borrow().is_some()
-    }
-
     /// Returns whether the process is about to end.
     pub fn stopping(&self) -> bool {
         self.stopping.get()
--- a/tests/gateway/balance.rs
+++ b/tests/gateway/balance.rs
@@ -184,3 +184,19 @@
     assert_eq!(load.reading(), 100);
     assert!((load.running(NOW) - 1.0).abs() < 1e-9);
 }
+
+#[test]
+fn upstream_that_fails_at_once_attracts_no_requests() {
+    let mut fleet = Fleet::new(&["a", "a", "a"]);
+    // The others are busy; the failing one is always free.
+    for number in 1..3 {
+        for _ in 0..6 {
+            fleet.load(number).sent(0);
+        }
+    }
+    assert_eq!(fleet.pick(None, &[]), Some(address(0)));
+    fleet.load(0).failed(NOW);
+    assert_ne!(fleet.pick(None, &[]), Some(address(0)));
+    let later = NOW + Duration::from_secs(20);
+    assert!(fleet.load(0).lost(later) < 0.01);
+}
