Let only homes probe an outage, one probe at a time, and let turns wait for their account

Cause: in an outage at 111 instances every partition loop of every instance probed 24 others, whose reads kept the store over its rate for seconds after it was back (logs: 24 of 24 refusals from 37 to 42 s, the store was back at 36.4 s). Turns ran while their account could not be asked and were answered 502.

Change: only the home of a partition is helped and probes; an instance that used the log just now says so without a read; failures back off with jitter; no turn starts before its answer during an outage; a turn waits up to 1.2 s for its account, then is refused with a promise.

--- a/src/gateway/home.rs
+++ b/src/gateway/home.rs
@@ -239,7 +239,9 @@
             return self.keeper.open(program, turn, most, budget);
         }
         let charged = self.charges.borrow().get(&program).copied().unwrap_or(0);
-        let likely = charged + HEADROOM * most <= budget;
+        // During an outage the answer may take long or be a refusal, and the run would be in vain.
+        let calm = self.keeper.outage() == Outage::None;
+        let likely = calm && charged + HEADROOM * most <= budget;
         let (reply, answer) = oneshot::channel();
         let this = self.clone();
         let turn = Ask {
--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -256,6 +256,7 @@
         };
         let headroom = most.saturating_mul(HEADROOM);
         let likely = partition.loaded.get()
+            && !partition.lost.get()
             && partition.book.borrow().expect(program, headroom, budget) == Verdict::Granted;
         if Time::monotonic() < partition.offline_until.get() {
             self.decide_offline(partition, open);
@@ -369,7 +370,11 @@
     async fn follow(&self, index: usize) -> Result<(), Failure> {
         let partition = &self.partitions[index];
         let from = partition.applied.get();
-        match self.log.read(index as u32, from, Duration::ZERO).await {
+        match self
+            .log
+            .read(index as u32, from, partition.home.get())
+            .await
+        {
             Ok(batch) => {
                 let now = Time::monotonic();
                 let mut book = partition.book.borrow_mut();
@@ -396,7 +401,10 @@
     async fn commit(&self, index: usize, entries: &[Entry]) -> Result<(), Failure> {
         let partition = &self.partitions[index];
         let records: Vec<_> = entries.iter().map(encode).collect();
-        let offset = self.log.append(index as u32, &records).await?;
+        let offset = self
+            .log
+            .append(index as u32, &records, partition.home.get())
+            .await?;
         let end = offset + entries.len() as u64;
         if partition.applied.get() == offset {
             let now = Time::monotonic();
@@ -461,8 +469,11 @@
         self.partition(program).hold(entry);
     }
 
-    /// Tries whether the own way to the log works, unless it failed just now.
+    /// Returns whether the own way to the log works, and tries it if it was not used just now.
     pub async fn reaches(&self) -> bool {
+        if self.log.reached() {
+            return true;
+        }
         let applied = self.partitions[0].applied.get();
         self.read_for(0, applied).await.is_some()
     }
--- a/src/gateway/path.rs
+++ b/src/gateway/path.rs
@@ -15,7 +15,10 @@
     join,
     join_all, //
 };
-use rand::seq::IteratorRandom as _;
+use rand::{
+    seq::IteratorRandom as _,
+    RngExt as _, //
+};
 use tokio::time::sleep;
 
 use super::{
@@ -29,7 +32,6 @@
     clock::Time,
     log::{
         Batch,
-        Bounds,
         Failure,
         Log, //
     },
@@ -54,11 +56,11 @@
 const HOLD: Duration = Duration::from_millis(100);
 
 /// Instances that are asked whether they reach the log.
-const PROBED: usize = 24;
+const PROBED: usize = 48;
 
 /// Part of them that must not reach it for an outage to be total. A zone or a third of the
 /// instances that is cut off is a smaller part of a sample, but for one in a thousand.
-const MAJORITY: (usize, usize) = (3, 5);
+const MAJORITY: (usize, usize) = (11, 20);
 
 /// Time after which the extent of an outage is found out again.
 const RECHECK: Duration = Duration::from_millis(800);
@@ -186,6 +188,10 @@
     peers: RefCell<Option<Peers>>,
     avoid_until: Cell<Time>,
     outage: Cell<(Time, Outage)>,
+    /// Whether the extent of an outage is being found out.
+    probing: Cell<bool>,
+    /// Latest success on the own way.
+    reached: Cell<Time>,
 }
 
 impl<L: Log> Path<L> {
@@ -196,6 +202,8 @@
             peers: RefCell::new(None),
             avoid_until: Cell::new(Time::default()),
             outage: Cell::new((Time::default(), Outage::None)),
+            probing: Cell::new(false),
+            reached: Cell::new(Time::default()),
         }
     }
 
@@ -222,21 +230,34 @@
     pub fn note<T>(&self, result: &Result<T, Failure>) {
         match result {
             Ok(_) | Err(Failure::Expired { .. }) => {
-                self.outage.set((Time::monotonic(), Outage::None));
+                self.reached.set(Time::monotonic());
+                self.learn(Outage::None);
+            }
+            Err(_) => {
+                // Instances that were turned away together must not come back together.
+                let avoid = AVOID.mul_f64(rand::rng().random_range(1.0..2.0));
+                self.avoid_until.set(Time::monotonic() + avoid);
             }
-            Err(_) => self.avoid_until.set(Time::monotonic() + AVOID),
         }
     }
 
+    /// Returns whether a call on the own way succeeded just now.
+    pub fn reached(&self) -> bool {
+        Time::monotonic().since(self.reached.get()) < AVOID
+    }
+
     /// Has another instance do a call.
-    async fn help(&self, question: Question) -> Option<Answer> {
-        let peers = self.peers.borrow().clone()?;
+    async fn help(&self, question: Question, assisted: bool) -> Option<Answer> {
+        let peers = self.peers.borrow().clone().filter(|_| assisted)?;
         let helpers = peers.helpers();
         let probe = async {
-            match self.checked() {
-                true => None,
-                false => Some(peers.probe(&helpers).await),
+            // One probe at a time, so that an outage does not multiply the traffic.
+            if self.checked() || self.probing.replace(true) {
+                return None;
             }
+            let probed = peers.probe(&helpers).await;
+            self.probing.set(false);
+            Some(probed)
         };
         let (helped, probed) = join(peers.first(&helpers, &question), probe).await;
         if let Some(answer) = helped {
@@ -296,9 +317,15 @@
     }
 }
 
-impl<L: Log> Log for Path<L> {
-    async fn append(&self, partition: u32, records: &[Bytes]) -> Result<u64, Failure> {
-        let mut failure = Failure::NotApplied("the own way to the log is broken".into());
+impl<L: Log> Path<L> {
+    /// Appends records; other instances help if `assisted` and the own way is broken.
+    pub async fn append(
+        &self,
+        partition: u32,
+        records: &[Bytes],
+        assisted: bool,
+    ) -> Result<u64, Failure> {
+        let mut failure = broken();
         if let Some(direct) = self.direct() {
             let result = direct.append(partition, records).await;
             self.note(&result);
@@ -308,29 +335,34 @@
             }
         }
         let records = records.to_vec();
-        match self.help(Question::Append { partition, records }).await {
+        let question = Question::Append { partition, records };
+        match self.help(question, assisted).await {
             Some(Answer::Appended(offset)) => Ok(offset),
             _ => Err(failure),
         }
     }
 
-    async fn read(&self, partition: u32, from: u64, wait: Duration) -> Result<Batch, Failure> {
-        let mut failure = Failure::NotApplied("the own way to the log is broken".into());
+    /// Reads records; other instances help if `assisted` and the own way is broken.
+    pub async fn read(&self, partition: u32, from: u64, assisted: bool) -> Result<Batch, Failure> {
+        let mut failure = broken();
         if let Some(direct) = self.direct() {
-            let result = direct.read(partition, from, wait).await;
+            let result = direct.read(partition, from, Duration::ZERO).await;
             self.note(&result);
             match result {
                 Err(error) if !matches!(error, Failure::Expired { .. }) => failure = error,
                 result => return result,
             }
         }
-        match self.help(Question::Read { partition, from }).await {
+        match self
+            .help(Question::Read { partition, from }, assisted)
+            .await
+        {
             Some(Answer::Records { records, next }) => Ok(Batch { records, next }),
             _ => Err(failure),
         }
     }
+}
 
-    async fn bounds(&self, partition: u32) -> Result<Bounds, Failure> {
-        self.direct.bounds(partition).await
-    }
+fn broken() -> Failure {
+    Failure::NotApplied("the own way to the log is broken".into())
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -11,7 +11,10 @@
 
 use actix_http::ResponseHead;
 use bytes::Bytes;
-use tokio::time::timeout_at;
+use tokio::time::{
+    sleep,
+    timeout_at, //
+};
 
 use super::{
     account::Turn,
@@ -58,6 +61,19 @@
 /// Part of the time until the deadline for which a turn waits after all upstreams refused it.
 const PERSISTENCE: f64 = 0.4;
 
+/// Time since its arrival for which a turn waits for its account during an outage: half of the
+/// time after which callers leave a stream without events.
+const OUTAGE: Duration = Duration::from_millis(1_200);
+
+/// Pause before an account that is unavailable is asked again.
+const AGAIN: Duration = Duration::from_millis(120);
+
+/// Time after which to come back to another instance.
+const ELSEWHERE: Duration = Duration::from_millis(20);
+
+/// Time after which to come back during an outage of the log, which lasts for seconds.
+const LATER: Duration = Duration::from_millis(600);
+
 /// Pause before upstreams that refused a turn are asked again.
 const PAUSE: Duration = Duration::from_millis(25);
 
@@ -153,40 +169,68 @@
     /// Asks whether the program's budget holds the turn.
     fn reserve(&mut self) -> Option<Request> {
         let work = self.job.call.work.as_ref()?;
-        let budget = work.budget?;
-        let most = self.job.call.prompt.as_ref()?.most.into();
-        let turn = rand::random();
-        let home = &self.gateway.home;
-        let request = home.open(&work.program, turn, most, budget);
+        work.budget?;
+        self.job.call.prompt.as_ref()?;
         self.lease = Some(Lease {
-            home: home.clone(),
+            home: self.gateway.home.clone(),
             program: work.program.clone(),
-            turn,
+            turn: rand::random(),
             used: 0,
             denied: false,
         });
-        Some(request)
+        self.ask()
     }
 
-    /// Waits for the answer of the account.
-    async fn admit(&mut self, request: Request) -> Result<(), Refusal> {
-        let answer = timeout_at(self.job.deadline.into(), request.answer).await;
-        let answer = match answer {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(_)) | Err(_) => Answer::Unavailable,
-        };
-        if answer == Answer::Granted {
-            return Ok(());
+    /// Asks about the turn of the lease; asking again changes nothing.
+    fn ask(&self) -> Option<Request> {
+        let lease = self.lease.as_ref()?;
+        let budget = self.job.call.work.as_ref()?.budget?;
+        let most = self.job.call.prompt.as_ref()?.most.into();
+        let home = &self.gateway.home;
+        Some(home.open(&lease.program, lease.turn, most, budget))
+    }
+
+    /// Waits for the answer of the account, and asks again during an outage.
+    async fn admit(&mut self, mut request: Request) -> Result<(), Refusal> {
+        let until = self.job.deadline.min(self.job.arrived + OUTAGE);
+        loop {
+            let answer = timeout_at(self.job.deadline.into(), request.answer).await;
+            match answer {
+                Ok(Ok(Answer::Granted)) => return Ok(()),
+                Ok(Ok(Answer::Spent)) => return Err(self.spent()),
+                Ok(Ok(Answer::Unavailable) | Err(_)) | Err(_) => {}
+            }
+            // Another instance can serve the caller if only this one is cut off.
+            if self.gateway.home.cut_off() {
+                return Err(self.unavailable(ELSEWHERE));
+            }
+            if Instant::now() + AGAIN >= until {
+                return Err(self.unavailable(LATER));
+            }
+            sleep(AGAIN).await;
+            let Some(again) = self.ask() else {
+                return Err(self.unavailable(LATER));
+            };
+            request = again;
         }
-        if let Some(lease) = self.lease.as_mut().filter(|_| answer == Answer::Spent) {
+    }
+
+    fn spent(&mut self) -> Refusal {
+        if let Some(lease) = &mut self.lease {
             lease.denied = true;
         }
-        let proof = self.sends.unrun();
-        Err(match (answer, proof) {
-            (Answer::Spent, Some(proof)) => Refusal::spent(&proof),
-            (Answer::Spent, None) => Refusal::unknown("budget_spent"),
-            _ => Refusal::after(&self.sends, "account_unavailable"),
-        })
+        match self.sends.unrun() {
+            Some(proof) => Refusal::spent(&proof),
+            None => Refusal::unknown("budget_spent"),
+        }
+    }
+
+    fn unavailable(&self, retry_after: Duration) -> Refusal {
+        let reason = "account_unavailable";
+        match self.sends.unrun() {
+            Some(proof) => Refusal::unrun(&proof, reason, retry_after),
+            None => Refusal::unknown(reason),
+        }
     }
 
     fn failed(&self, reason: &'static str) -> Refusal {
@@ -236,7 +280,7 @@
                     return Err(self.failed("no_upstream"));
                 }
                 excluded.clear();
-                tokio::time::sleep(PAUSE).await;
+                sleep(PAUSE).await;
                 continue;
             };
             let address = choice.server.address;
