Weigh a sample of the live instances against all known ones; log decisions about requests

Change: what a sample says is scaled to the live instances and compared with all known ones; tests/gateway/path.rs holds the case (34 refusals of 34 asked, 37 live, 110 known), total by the formula before.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -122,10 +122,19 @@
     pub arrived: Instant,
     /// When it has to have its final answer.
     pub deadline: Instant,
+    /// Version of the configuration that the request is handled by.
+    pub version: u64,
     /// Counts the request as being answered.
     pub busy: Busy<D, L>,
 }
 
+impl<D, L> Job<D, L> {
+    /// Returns the time until the final answer is due.
+    pub fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
 /// An answer by the gateway itself.
 #[derive(Debug)]
 pub struct Refusal {
@@ -207,6 +216,8 @@
 
 /// An answer with its whole body.
 pub struct Whole {
+    /// The upstream.
+    pub server: Rc<Server>,
     /// Its head.
     pub head: ResponseHead,
     /// Its body.
@@ -241,6 +252,7 @@
         let server = &choice.server;
         let address = server.address;
         let once = !job.route.kind.repeatable();
+        self.log_choice(job, choice);
         let flight = Flight::new(self, address, choice.unread);
         let mut fresh = false;
         loop {
@@ -299,6 +311,34 @@
         }
     }
 
+    /// Logs the choice of an upstream with what decided it.
+    fn log_choice(&self, job: &Job<D, L>, choice: &Choice) {
+        let now = Time::monotonic();
+        if !log::log_enabled!(log::Level::Info) || !self.lines.allow(now) {
+            return;
+        }
+        let (running, pace, age) = self.load(choice.server.address, |load| {
+            (load.running(now), load.pace(now), load.age(now))
+        });
+        log::info!(
+            request = &*job.call.id, upstream = &*choice.server.id, cost_ms = choice.cost_ms,
+            unread = choice.unread, running, pace, report_age_ms:? = age.map(|age| age.as_millis());
+            "forward: upstream is chosen"
+        );
+    }
+
+    /// Logs the end of a request.
+    pub fn log_answer(&self, job: &Job<D, L>, status: u16, upstream: &str) {
+        if log::log_enabled!(log::Level::Info) && self.lines.allow(Time::monotonic()) {
+            let took_ms = job.arrived.elapsed().as_millis() as u64;
+            log::info!(
+                request = &*job.call.id, route = &*job.route.name, version = job.version, status,
+                upstream, took_ms;
+                "front: request is answered"
+            );
+        }
+    }
+
     /// Notes that an answer of an upstream was lost.
     pub fn failed(&self, upstream: SocketAddr) {
         self.load(upstream, |load| load.failed(Time::monotonic()));
@@ -320,7 +360,7 @@
         head.headers = job.headers.clone();
         let dispatch = Dispatch {
             upstream: &server.id,
-            left: job.deadline.saturating_duration_since(Instant::now()),
+            left: job.left(),
             after,
         };
         D::dispatch(&mut head.headers, &dispatch);
@@ -424,6 +464,7 @@
             Ok(Ok(body)) => {
                 self.pool.put(live.server.address, live.connection);
                 Ok(Whole {
+                    server: live.server,
                     head: live.head,
                     body,
                 })
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -79,7 +79,10 @@
         Gateway, //
     },
 };
-use crate::log::Log;
+use crate::{
+    clock::Time,
+    log::Log, //
+};
 
 /// Time for which an unused connection of a caller is kept: longer than any limit that the
 /// operator sets, so that no request crosses a close.
@@ -213,18 +216,36 @@
     payload: web::Payload,
 ) -> HttpResponse {
     let gateway = gateway.get_ref().clone();
-    let id = request.headers().get("request-id");
-    let id = id.and_then(|id| id.to_str().ok()).unwrap_or("").to_owned();
+    let arrived = Instant::now();
     match answer(&gateway, &request, payload).await {
         Ok(response) => response,
-        Err(refusal) => refuse(&gateway, &id, &refusal),
+        Err(refusal) => refuse(&gateway, &request, &refusal, arrived),
     }
 }
 
-fn refuse<D, L>(gateway: &Gateway<D, L>, id: &str, refusal: &Refusal) -> HttpResponse {
+fn refuse<D: Dialect, L>(
+    gateway: &Gateway<D, L>,
+    request: &HttpRequest,
+    refusal: &Refusal,
+    arrived: Instant,
+) -> HttpResponse {
     gateway.count.refused(refusal.reason);
-    let (status, reason) = (refusal.status.as_u16(), refusal.reason);
-    log::info!(request = id, status, reason; "front: request is refused");
+    if gateway.lines.allow(Time::monotonic()) {
+        let call = D::call(request.headers());
+        let id = call.as_ref().map_or("", |call| &*call.id);
+        let program = call.as_ref().ok().and_then(|call| call.work.as_ref());
+        let program = program.map_or("", |work| &*work.program);
+        let (status, reason) = (refusal.status.as_u16(), refusal.reason);
+        let version = gateway.table().map_or(0, |table| table.version());
+        let took_ms = arrived.elapsed().as_millis() as u64;
+        let retry_after_ms = refusal
+            .retry_after
+            .map_or(0, |wait| wait.as_millis() as u64);
+        log::info!(
+            request = id, program, status, reason, version, took_ms, retry_after_ms;
+            "front: request is refused"
+        );
+    }
     let mut response = HttpResponse::build(refusal.status);
     if let Some(wait) = refusal.retry_after {
         let seconds = format!("{:.3}", wait.as_secs_f64());
@@ -291,6 +312,7 @@
         body,
         arrived,
         deadline: arrived + patience,
+        version: table.version(),
         busy,
     };
     match job.route.kind {
@@ -298,6 +320,7 @@
         Kind::Idempotent | Kind::Once => {
             let whole = gateway.call(&job).await?;
             gateway.count.total(arrived.elapsed());
+            gateway.log_answer(&job, whole.head.status.as_u16(), &whole.server.id);
             Ok(pass_on::<D, L>(gateway, whole))
         }
     }
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -150,6 +150,11 @@
         f64::from(self.ours) + foreign
     }
 
+    /// Returns the age of the latest report.
+    pub fn age(&self, now: Time) -> Option<Duration> {
+        self.reported.map(|reported| now.since(reported.at))
+    }
+
     /// Returns the expected time of work, as a multiple of the usual time.
     pub fn pace(&self, now: Time) -> f64 {
         self.reported.map_or(USUAL_PACE, |reported| {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 pub mod home;
 pub mod keeper;
 pub mod life;
+pub mod lines;
 pub mod load;
 pub mod path;
 pub mod pool;
--- a/src/gateway/path.rs
+++ b/src/gateway/path.rs
@@ -110,34 +110,38 @@
         helpful.find(|answer| *answer != Answer::Refused)
     }
 
-    /// Asks instances other than the helpers whether they reach the log.
+    /// Asks instances other than the helpers whether they reach the log; returns some that do.
     ///
     /// A few may be turned away, or cut off together, while most reach it.
-    async fn probe(&self, helpers: &[Instance]) -> Probed {
+    async fn probe(&self, helpers: &[Instance]) -> (Probe, Vec<Instance>) {
         let known = self.roster.snapshot().peers().count();
-        let others = self.others();
-        let others = others.iter().filter(|name| !helpers.contains(name));
+        let live = self.others();
+        let others = live.iter().filter(|name| !helpers.contains(name));
         let sample = others.sample(&mut rand::rng(), PROBED);
         let asked = sample.iter().map(|name| async move {
             let answer = self.ask(name, Question::Reach, HELP).await;
             (name, answer)
         });
-        let mut probed = Probed {
-            // An instance that is known and was not asked can't be reached.
-            asked: known.saturating_sub(helpers.len()).min(PROBED),
+        let mut probe = Probe {
+            known,
+            live: live.len(),
+            asked: sample.len(),
             refusals: 0,
-            reaching: Vec::new(),
+            reaching: 0,
         };
+        let mut reaching = Vec::new();
         for (name, answer) in join_all(asked).await {
             match answer {
-                Some(Answer::Reaches) if probed.reaching.len() < HELPERS => {
-                    probed.reaching.push(Instance::clone(name));
+                Some(Answer::Reaches) => {
+                    probe.reaching += 1;
+                    reaching.push(Instance::clone(name));
                 }
-                Some(Answer::Refused) => probed.refusals += 1,
+                Some(Answer::Refused) => probe.refusals += 1,
                 _ => {}
             }
         }
-        probed
+        reaching.truncate(HELPERS);
+        (probe, reaching)
     }
 
     /// Asks another instance about accounts.
@@ -153,18 +157,28 @@
     }
 }
 
-/// Instances that were asked whether they reach the log.
-struct Probed {
-    asked: usize,
-    refusals: usize,
-    /// Some of those that do.
-    reaching: Vec<Instance>,
+/// Result of asking other instances whether they reach the log.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Probe {
+    /// Other instances that are known; those that are not live can't be reached.
+    pub known: usize,
+    /// Other instances that may be asked.
+    pub live: usize,
+    /// Those of them that were asked.
+    pub asked: usize,
+    /// Those of them that can't reach the log either.
+    pub refusals: usize,
+    /// Those of them that reach it.
+    pub reaching: usize,
 }
 
-impl Probed {
-    fn outage(&self) -> Outage {
-        let most = self.refusals * MAJORITY.1 > self.asked * MAJORITY.0;
-        match self.reaching.is_empty() && most {
+impl Probe {
+    /// Returns the extent of the outage.
+    pub fn outage(&self) -> Outage {
+        // What a sample of the live ones says holds for all live ones.
+        let refusing = self.refusals * self.live;
+        let most = refusing * MAJORITY.1 > self.known * self.asked * MAJORITY.0;
+        match self.reaching == 0 && most {
             true => Outage::Total,
             false => Outage::Alone,
         }
@@ -264,14 +278,15 @@
             self.learn(Outage::None);
             return Some(answer);
         }
-        let probed = probed?;
-        if let Some(answer) = peers.first(&probed.reaching, &question).await {
+        let (probe, reaching) = probed?;
+        if let Some(answer) = peers.first(&reaching, &question).await {
             self.learn(Outage::None);
             return Some(answer);
         }
-        let outage = probed.outage();
+        let outage = probe.outage();
         log::warn!(
-            refusals = probed.refusals, asked = probed.asked, outage:? = outage;
+            refusals = probe.refusals, asked = probe.asked, live = probe.live,
+            known = probe.known, outage:? = outage;
             "account: no instance that was asked reaches the log"
         );
         self.learn(outage);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -269,7 +269,7 @@
     /// Finds an upstream that answers; returns the head if it is that of a stream.
     async fn connect(&mut self) -> Result<Option<ResponseHead>, Refusal> {
         let mut excluded = Vec::new();
-        let patience = self.job.deadline.saturating_duration_since(Instant::now());
+        let patience = self.job.left();
         let persist = Instant::now() + patience.mul_f64(PERSISTENCE);
         loop {
             if Instant::now() >= self.job.deadline {
@@ -366,6 +366,7 @@
         };
         self.gateway.pool.put(live.server.address, live.connection);
         Ok(Whole {
+            server: live.server,
             head: live.head,
             body,
         })
@@ -424,6 +425,8 @@
             self.gateway.pool.put(live.server.address, live.connection);
         }
         self.gateway.count.total(self.job.arrived.elapsed());
+        let upstream = self.latest.as_ref().map_or("", |server| &*server.id);
+        self.gateway.log_answer(&self.job, 200, upstream);
     }
 
     /// Goes on after a break.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -20,6 +20,7 @@
     },
     count::Count,
     home::Home,
+    lines::Lines,
     load::{
         Load,
         Report, //
@@ -52,6 +53,8 @@
     pub home: Rc<Home<L>>,
     /// Metrics.
     pub count: Count,
+    /// Bound on log lines about requests.
+    pub lines: Lines,
     stopping: Cell<bool>,
     /// Set once unused connections of callers have to be closed.
     closing: watch::Sender<bool>,
@@ -84,6 +87,7 @@
             pool: Pool::default(),
             home,
             count,
+            lines: Lines::default(),
             stopping: Cell::new(false),
             closing: watch::Sender::new(false),
             busy: Cell::new(0),
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,8 @@
 mod dialect;
 mod events;
 mod keeper;
+mod lines;
+mod path;
 mod registry;
 mod route;
 mod serve;
--- /dev/null
+++ b/tests/gateway/path.rs
@@ -0,0 +1,41 @@
+//! Guards budgets against a part of the deployment that takes itself for all of it.
+
+use gypsumlever::gateway::path::{
+    Outage,
+    Probe, //
+};
+
+#[test]
+fn outage_is_total_only_for_a_majority_of_all_known_instances() {
+    // Known, live, asked, refusals, reaching.
+    let cases = [
+        // All others of a small deployment can't reach the log.
+        (20, 20, 17, 17, 0, Outage::Total),
+        // One of them can.
+        (20, 20, 17, 16, 1, Outage::Alone),
+        // A zone of 8 of 21 that is cut off sees nobody else.
+        (20, 7, 4, 4, 0, Outage::Alone),
+        (20, 20, 17, 7, 0, Outage::Alone),
+        // A zone of 38 of 111 that has given the others up.
+        (110, 37, 34, 34, 0, Outage::Alone),
+        // A sample of a large deployment.
+        (110, 110, 48, 48, 0, Outage::Total),
+        (110, 110, 48, 16, 0, Outage::Alone),
+        // The larger part of it during an outage, with a zone cut off.
+        (110, 73, 48, 48, 0, Outage::Total),
+        (110, 110, 48, 32, 0, Outage::Total),
+        // Nobody to ask.
+        (0, 0, 0, 0, 0, Outage::Alone),
+        (1, 1, 0, 0, 0, Outage::Alone),
+    ];
+    for (known, live, asked, refusals, reaching, expected) in cases {
+        let probe = Probe {
+            known,
+            live,
+            asked,
+            refusals,
+            reaching,
+        };
+        assert_eq!(probe.outage(), expected, "{probe:?}");
+    }
+}
