Stay unready while cut off, and write one line a request instead of two

Change: being cut off is believed until the own way to the log works; callers are asked to leave an instance that is not ready; the line at the end of a request carries what decided the choice of its upstream.

--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -92,17 +92,28 @@
     pub excluded: &'a [SocketAddr],
 }
 
+/// What decided a choice.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Inputs {
+    /// Expected time until the end of the answer, in milliseconds.
+    pub cost_ms: f64,
+    /// Tokens of the prompt that the upstream has to read.
+    pub unread: u64,
+    /// Requests in flight on the upstream, as far as known.
+    pub running: f64,
+    /// Expected time of work, as a multiple of the usual time.
+    pub pace: f64,
+    /// Age of the latest load report in milliseconds; `None` if there was none.
+    pub report_age_ms: Option<u64>,
+}
+
 /// A chosen upstream.
 #[derive(Clone, Debug)]
 pub struct Choice {
     /// The upstream.
     pub server: Rc<Server>,
-    /// Tokens of the prompt that it has to read.
-    pub unread: u64,
-    /// Expected time until the end of the answer, in milliseconds.
-    pub cost_ms: f64,
-    /// Whether all of its slots are in use, as far as known.
-    pub full: bool,
+    /// What decided the choice.
+    pub inputs: Inputs,
 }
 
 /// Picks the upstream with the least expected time.
@@ -123,13 +134,13 @@
         let presumed = home.as_deref() == Some(&*server.id);
         let mut choice = estimate(settings, request, server, load, presumed);
         // Instances that know the same must not all choose the same upstream.
-        choice.cost_ms *= rng.random_range(0.97..1.03);
+        choice.inputs.cost_ms *= rng.random_range(0.97..1.03);
         choice
     };
     candidates
         .iter()
         .map(choice)
-        .min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
+        .min_by(|a, b| a.inputs.cost_ms.total_cmp(&b.inputs.cost_ms))
 }
 
 /// Returns the upstream that all instances of the zone prefer for a new prompt with this prefix.
@@ -182,10 +193,15 @@
     if load.avoided(now) {
         cost_ms += AVOIDED;
     }
+    let inputs = Inputs {
+        cost_ms,
+        unread,
+        running,
+        pace,
+        report_age_ms: load.age(now).map(|age| age.as_millis() as u64),
+    };
     Choice {
         server: server.clone(),
-        unread,
-        cost_ms,
-        full: running >= slots,
+        inputs,
     }
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -1,6 +1,7 @@
 //! Sends requests to upstreams, and answers calls that are not streams.
 
 use std::{
+    cell::Cell,
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
@@ -124,6 +125,8 @@
     pub deadline: Instant,
     /// Version of the configuration that the request is handled by.
     pub version: u64,
+    /// What decided the choice of the latest upstream.
+    pub inputs: Cell<balance::Inputs>,
     /// Counts the request as being answered.
     pub busy: Busy<D, L>,
 }
@@ -252,8 +255,8 @@
         let server = &choice.server;
         let address = server.address;
         let once = !job.route.kind.repeatable();
-        self.log_choice(job, choice);
-        let flight = Flight::new(self, address, choice.unread);
+        job.inputs.set(choice.inputs);
+        let flight = Flight::new(self, address, choice.inputs.unread);
         let mut fresh = false;
         loop {
             let taken = match fresh {
@@ -311,34 +314,22 @@
         }
     }
 
-    /// Logs the choice of an upstream with what decided it.
-    fn log_choice(&self, job: &Job<D, L>, choice: &Choice) {
-        let now = Time::monotonic();
-        if !log::log_enabled!(log::Level::Info) || !self.lines.allow(now) {
+    /// Logs the end of a request, with what decided the choice of its last upstream.
+    pub fn log_answer(&self, job: &Job<D, L>, status: u16, upstream: &str) {
+        if !log::log_enabled!(log::Level::Info) || !self.lines.allow(Time::monotonic()) {
             return;
         }
-        let (running, pace, age) = self.load(choice.server.address, |load| {
-            (load.running(now), load.pace(now), load.age(now))
-        });
+        let took_ms = job.arrived.elapsed().as_millis() as u64;
+        let inputs = job.inputs.get();
         log::info!(
-            request = &*job.call.id, upstream = &*choice.server.id, cost_ms = choice.cost_ms,
-            unread = choice.unread, running, pace, report_age_ms:? = age.map(|age| age.as_millis());
-            "forward: upstream is chosen"
+            request = &*job.call.id, route = &*job.route.name, version = job.version, status,
+            upstream, took_ms, cost_ms = inputs.cost_ms as u64, unread = inputs.unread,
+            running = inputs.running as u64, pace = inputs.pace,
+            report_age_ms = inputs.report_age_ms;
+            "front: request is answered"
         );
     }
 
-    /// Logs the end of a request.
-    pub fn log_answer(&self, job: &Job<D, L>, status: u16, upstream: &str) {
-        if log::log_enabled!(log::Level::Info) && self.lines.allow(Time::monotonic()) {
-            let took_ms = job.arrived.elapsed().as_millis() as u64;
-            log::info!(
-                request = &*job.call.id, route = &*job.route.name, version = job.version, status,
-                upstream, took_ms;
-                "front: request is answered"
-            );
-        }
-    }
-
     /// Notes that an answer of an upstream was lost.
     pub fn failed(&self, upstream: SocketAddr) {
         self.load(upstream, |load| load.failed(Time::monotonic()));
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -1,6 +1,7 @@
 //! The listeners: requests of callers, checks of readiness and scrapes of metrics.
 
 use std::{
+    cell::Cell,
     future::Future,
     net::SocketAddr,
     rc::Rc,
@@ -223,7 +224,7 @@
     }
 }
 
-fn refuse<D: Dialect, L>(
+fn refuse<D: Dialect, L: Log + 'static>(
     gateway: &Gateway<D, L>,
     request: &HttpRequest,
     refusal: &Refusal,
@@ -255,9 +256,9 @@
     response.body(refusal.reason)
 }
 
-/// Asks callers to leave a process that is about to end.
-fn finish<D, L>(gateway: &Gateway<D, L>, response: &mut HttpResponseBuilder) {
-    if gateway.stopping() {
+/// Asks callers to leave an instance that the balancer sends no callers to.
+fn finish<D, L: Log + 'static>(gateway: &Gateway<D, L>, response: &mut HttpResponseBuilder) {
+    if !gateway.ready() {
         response.force_close();
     }
 }
@@ -313,6 +314,7 @@
         arrived,
         deadline: arrived + patience,
         version: table.version(),
+        inputs: Cell::default(),
         busy,
     };
     match job.route.kind {
@@ -372,7 +374,10 @@
 }
 
 /// Begins an answer with the status and headers of an upstream's answer.
-fn begin<D: Dialect, L>(gateway: &Gateway<D, L>, head: &ResponseHead) -> HttpResponseBuilder {
+fn begin<D: Dialect, L: Log + 'static>(
+    gateway: &Gateway<D, L>,
+    head: &ResponseHead,
+) -> HttpResponseBuilder {
     let mut response = HttpResponse::build(head.status);
     for (name, value) in &head.headers {
         if !hop(name) && !D::internal(name) {
@@ -383,7 +388,7 @@
     response
 }
 
-fn pass_on<D: Dialect, L>(gateway: &Gateway<D, L>, whole: Whole) -> HttpResponse {
+fn pass_on<D: Dialect, L: Log + 'static>(gateway: &Gateway<D, L>, whole: Whole) -> HttpResponse {
     gateway.count.answered("whole");
     begin(gateway, &whole.head).body(whole.body)
 }
--- a/src/gateway/path.rs
+++ b/src/gateway/path.rs
@@ -310,6 +310,10 @@
                 let result = direct.bounds(0).await;
                 self.note(&result);
             }
+            if self.outage() == Outage::Alone {
+                // Still cut off; this is believed until the own way works again.
+                self.learn(Outage::Alone);
+            }
         }
     }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -18,7 +18,10 @@
 
 use super::{
     account::Turn,
-    balance::Choice,
+    balance::{
+        Choice,
+        Inputs, //
+    },
     dialect::Dialect,
     events::Splitter,
     forward::{
@@ -256,9 +259,7 @@
         if let Some(server) = latest {
             return Some(Choice {
                 server: server.clone(),
-                unread: 0,
-                cost_ms: 0.0,
-                full: false,
+                inputs: Inputs::default(),
             });
         }
         let choice = self.gateway.choose(&self.job, excluded)?;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -112,11 +112,6 @@
         newer
     }
 
-    /// Returns whether the process is about to end.
-    pub fn stopping(&self) -> bool {
-        self.stopping.get()
-    }
-
     /// Tells the balancer to send callers elsewhere; requests are still served.
     pub fn stop(&self) {
         self.stopping.set(true);
