Read the accounts of a partition at its home only, and only once the others are known

Change: an instance learns the others first and names no home until then; a partition is read by its home, or when its log is used; reads return at most 256 KiB.

--- a/src/gateway/home.rs
+++ b/src/gateway/home.rs
@@ -170,6 +170,8 @@
     charges: RefCell<Recent<Program, u64>>,
     /// Homes that gave no answer, and until when they are not asked.
     avoided: RefCell<Map<Instance, Time>>,
+    /// Whether the other instances are known, so that all of them name the same homes.
+    joined: Cell<bool>,
     /// Revision of the view that the adopted partitions were chosen by.
     adopted: Cell<Option<u64>>,
 }
@@ -182,13 +184,26 @@
             peers: RefCell::default(),
             charges: RefCell::new(Recent::new(PROGRAMS)),
             avoided: RefCell::default(),
+            joined: Cell::new(true),
             adopted: Cell::new(None),
         }
     }
 
-    /// Adds the other instances.
+    /// Adds the other instances, which are not known yet.
     pub fn connect(&self, peers: Peers) {
         self.peers.replace(Some(Rc::new(peers)));
+        self.joined.set(false);
+        for partition in 0..self.keeper.partitions() {
+            self.keeper.adopt(partition, false);
+        }
+    }
+
+    /// Notes that the other instances are known.
+    ///
+    /// Until then no partition is read: all instances that restart together would read all of them.
+    pub fn join(&self) {
+        self.joined.set(true);
+        self.adopt();
     }
 
     /// Returns the instance that keeps a partition, or `None` if it is this one.
@@ -216,7 +231,7 @@
 
     /// Reads the partitions that this instance has become the home of, to know them in an outage.
     pub fn adopt(&self) {
-        let Some(peers) = self.peers.borrow().clone() else {
+        let Some(peers) = self.peers.borrow().clone().filter(|_| self.joined.get()) else {
             return;
         };
         let revision = peers.roster.read(crate::member::View::revision);
@@ -232,6 +247,15 @@
     pub fn open(self: &Rc<Self>, program: &str, turn: Turn, most: u64, budget: u64) -> Request {
         let program = keeper::identify(program);
         let partition = self.keeper.partition_of(program);
+        if !self.joined.get() {
+            let (reply, answer) = oneshot::channel();
+            // The receiver is below.
+            let _ = reply.send(keeper::Answer::Unavailable);
+            return Request {
+                answer,
+                likely: false,
+            };
+        }
         let Some((peers, home)) = self.of(partition) else {
             return self.keeper.open(program, turn, most, budget);
         };
--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -116,7 +116,7 @@
     wake: Notify,
     /// Offset of the next record to apply.
     applied: Cell<u64>,
-    /// Whether all records that were in the log at the start have been applied.
+    /// Whether all records that were in the log at some time since the start have been applied.
     loaded: Cell<bool>,
     /// Until when the log is taken for unreachable, after a failure.
     offline_until: Cell<Time>,
@@ -228,7 +228,7 @@
         }
     }
 
-    /// Returns whether the accounts of before the start are known.
+    /// Returns whether all accounts of before the start are known.
     pub fn loaded(&self) -> bool {
         self.partitions
             .iter()
@@ -307,17 +307,17 @@
 
     async fn keep(&self, index: usize) {
         let partition = &self.partitions[index];
-        while let Err(failure) = self.load(index).await {
-            log::warn!(partition = index, failure:%; "account: partition can't be loaded");
-            self.fail(partition);
-            sleep(RETRY).await;
-        }
-        partition.loaded.set(true);
-        partition.offline_until.set(Time::default());
         loop {
             partition.gather().await;
-            if partition.adoptable() && self.load(index).await.is_ok() {
-                partition.adopted.set(true);
+            if partition.adoptable() || !partition.loaded.get() {
+                if let Err(failure) = self.load(index).await {
+                    log::warn!(partition = index, failure:%; "account: partition can't be read");
+                    self.fail(partition);
+                    sleep(RETRY).await;
+                    continue;
+                }
+                partition.loaded.set(true);
+                partition.adopted.set(partition.home.get());
             }
             let opens = mem::take(&mut *partition.opens.borrow_mut());
             let count = partition.backlog.borrow().len().min(BATCH);
@@ -327,9 +327,6 @@
                 closes.chain(opens.iter().map(|open| open.entry)).collect()
             };
             if entries.is_empty() {
-                if partition.adoptable() {
-                    sleep(RETRY).await;
-                }
                 continue;
             }
             match self.commit(index, &entries).await {
--- a/src/gateway/life.rs
+++ b/src/gateway/life.rs
@@ -36,6 +36,7 @@
     clock::Time,
     member::{
         list,
+        List as _,
         Roster, //
     },
     peer::{
@@ -72,6 +73,9 @@
 /// start.
 const ANNOUNCE: Duration = Duration::from_millis(600);
 
+/// Time between tries to learn the other instances at the start.
+const RETRY: Duration = Duration::from_millis(250);
+
 /// Time between reads of the announcements; what changes meanwhile spreads by gossip.
 const LIST: Duration = Duration::from_secs(15);
 
@@ -97,7 +101,7 @@
     keeper.connect(peers.clone());
     home.connect(peers.clone());
     spawn(keeper.clone().run());
-    spawn(adopt(home, peers.roster.clone()));
+    spawn(adopt(home.clone(), peers.roster.clone()));
     spawn(member(gateway.clone(), store.clone(), peers.roster.clone()));
     spawn(follow::tables(
         gateway.clone(),
@@ -151,10 +155,23 @@
     }
 }
 
-/// Announces this instance, and follows the others; never returns.
+/// Learns the other instances, announces this one, and follows the others; never returns.
 async fn member(gateway: Rc<Gateway<Dialect, Topic>>, store: Rc<Store>, roster: Roster) {
     let instances = Instances::new(store);
     let settings = &gateway.settings;
+    loop {
+        match instances.list().await {
+            Ok(listed) => {
+                roster.update(|view| view.listed(Time::now(), &listed));
+                break;
+            }
+            // Another instance that knows this one from before may have told the others.
+            Err(_) if roster.snapshot().live_count() > 1 => break,
+            Err(error) => log::warn!("member: the other instances can't be read: {error:#}"),
+        }
+        sleep(RETRY).await;
+    }
+    gateway.home.join();
     let address = settings.peers.listen.to_string();
     while let Err(error) = instances
         .announce(&settings.instance, &settings.zone, Some(&address))
--- a/src/gateway/path.rs
+++ b/src/gateway/path.rs
@@ -283,6 +283,16 @@
             self.learn(Outage::None);
             return Some(answer);
         }
+        self.conclude(&probe);
+        None
+    }
+
+    /// Learns from a probe. Instances that said they reach the log but could not help have lost it
+    /// just now; the next probe tells more.
+    fn conclude(&self, probe: &Probe) {
+        if probe.reaching > 0 {
+            return;
+        }
         let outage = probe.outage();
         log::warn!(
             refusals = probe.refusals, asked = probe.asked, live = probe.live,
@@ -290,7 +300,6 @@
             "account: no instance that was asked reaches the log"
         );
         self.learn(outage);
-        None
     }
 
     /// Returns whether the extent of an outage was found out just now.
@@ -310,9 +319,18 @@
                 let result = direct.bounds(0).await;
                 self.note(&result);
             }
-            if self.outage() == Outage::Alone {
-                // Still cut off; this is believed until the own way works again.
-                self.learn(Outage::Alone);
+            let peers = self.peers.borrow().clone();
+            let Some(peers) = peers.filter(|_| self.outage() == Outage::Alone) else {
+                continue;
+            };
+            if !self.probing.replace(true) {
+                let (probe, _) = peers.probe(&[]).await;
+                self.probing.set(false);
+                match probe.reaching {
+                    // Others can help.
+                    1.. => self.learn(Outage::None),
+                    0 => self.conclude(&probe),
+                }
             }
         }
     }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -45,8 +45,8 @@
 /// Longest answer, in bytes; a read is limited to [`READ_KB`].
 const ANSWER: usize = 4 << 20;
 
-/// Most data that one read returns, in KiB; the store's own default.
-const READ_KB: usize = 1_024;
+/// Most data that one read returns, in KiB: 0.1 s on the slowest link of 21 Mbit/s.
+const READ_KB: usize = 256;
 
 /// The store, as one instance reaches it.
 pub struct Store {
