--- a/examples/policy/main.rs
+++ b/examples/policy/main.rs
@@ -122,10 +122,12 @@
             .map(|column| {
                 let mut values: Vec<_> = runs.iter().map(|run| run[*column]).collect();
                 let (median, low, high) = spread(&mut values);
-                {
-                    let d = digits(median);
-                    format!("{median:.d$} ({low:.d$} to {high:.d$})")
+                if median.is_nan() {
+                    // The measure does not apply to the workload.
+                    return "-".to_owned();
                 }
+                let d = digits(median);
+                format!("{median:.d$} ({low:.d$} to {high:.d$})")
             })
             .collect();
         println!("| {} | {} |", case.name, cells.join(" | "));
@@ -198,7 +200,15 @@
         }
         return;
     }
-    for workload in [&SIRAG, &CASCADE] {
+    let workloads = [&SIRAG, &CASCADE];
+    if let Some(name) = arguments.get(2) {
+        if !workloads.iter().any(|workload| workload.name == name) {
+            let known = workloads.map(|workload| workload.name).join(", ");
+            eprintln!("workload {name} is unknown; known are {known}");
+            std::process::exit(2);
+        }
+    }
+    for workload in workloads {
         if arguments.get(2).is_some_and(|name| name != workload.name) {
             continue;
         }
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -185,6 +185,12 @@
         })
     }
 
+    /// Returns whether an entry has an address.
+    pub fn names(&self, address: SocketAddr) -> bool {
+        let mut servers = self.records.values().map(|record| &record.server);
+        servers.any(|server| server.address == address)
+    }
+
     /// Returns the number of entries.
     pub fn len(&self) -> usize {
         self.records.len()
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -166,6 +166,11 @@
     /// Forgets the load of upstreams that are gone, and closes old connections.
     pub fn sweep(&self) {
         self.pool.sweep();
+        let registry = self.registry.borrow();
+        let now = Time::monotonic();
+        self.loads
+            .borrow_mut()
+            .retain(|address, load| load.running(now) >= 1.0 || registry.names(*address));
     }
 }
 
