--- a/src/gateway/count.rs
+++ b/src/gateway/count.rs
@@ -5,24 +5,15 @@
     time::Duration, //
 };
 
-use anyhow::Context as _;
 use opentelemetry::{
     metrics::{
         Counter,
-        Histogram,
-        MeterProvider as _, //
+        Histogram, //
     },
     KeyValue,
 };
-use opentelemetry_sdk::{
-    metrics::SdkMeterProvider,
-    Resource, //
-};
-use prometheus::{
-    Encoder as _,
-    Registry,
-    TextEncoder, //
-};
+
+use crate::metrics::Exporter;
 
 /// Bounds of the histograms in seconds, from a fast lookup to the longest deadline.
 const BOUNDS: [f64; 13] = [
@@ -34,9 +25,7 @@
 pub struct Count(Arc<Inner>);
 
 struct Inner {
-    registry: Registry,
-    /// Keeps the instruments connected to the registry.
-    _provider: SdkMeterProvider,
+    exporter: Exporter,
     refusals: Counter<u64>,
     retries: Counter<u64>,
     answers: Counter<u64>,
@@ -47,19 +36,8 @@
 impl Count {
     /// Returns instruments that count from zero.
     pub fn new() -> anyhow::Result<Self> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .with_namespace("gypsumlever_gateway")
-            .without_target_info()
-            .scope_info_enabled(false)
-            .build()
-            .context("metrics can't be exported")?;
-        let provider = SdkMeterProvider::builder()
-            .with_resource(Resource::builder_empty().build())
-            .with_reader(exporter)
-            .build();
-        let meter = provider.meter("gypsumlever_gateway");
+        let exporter = Exporter::new("gypsumlever_gateway")?;
+        let meter = exporter.meter();
         let counter = |name: &'static str, text: &'static str| {
             meter.u64_counter(name).with_description(text).build()
         };
@@ -80,8 +58,7 @@
             ),
             first: histogram("first", "Time until the first event of a stream."),
             total: histogram("total", "Time until the end of an answer."),
-            registry,
-            _provider: provider,
+            exporter,
         };
         Ok(Self(Arc::new(inner)))
     }
@@ -113,8 +90,6 @@
 
     /// Returns all metrics in the text format of Prometheus.
     pub fn scrape(&self) -> anyhow::Result<String> {
-        let mut text = Vec::new();
-        TextEncoder::new().encode(&self.0.registry.gather(), &mut text)?;
-        Ok(String::from_utf8(text)?)
+        self.0.exporter.scrape()
     }
 }
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -95,9 +95,7 @@
 pub struct Metrics(Arc<Inner>);
 
 struct Inner {
-    registry: Registry,
-    /// Keeps the instruments connected to the registry.
-    _provider: SdkMeterProvider,
+    exporter: Exporter,
     refusals: Labelled<Reason>,
     retries: Labelled<Retry>,
     calls: Labelled<Outcome>,
@@ -109,19 +107,8 @@
 impl Metrics {
     /// Returns instruments that count from zero.
     pub fn new() -> anyhow::Result<Self> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .with_namespace("gypsumlever")
-            .without_target_info()
-            .scope_info_enabled(false)
-            .build()
-            .context("metrics can't be exported")?;
-        let provider = SdkMeterProvider::builder()
-            .with_resource(Resource::builder_empty().build())
-            .with_reader(exporter)
-            .build();
-        let meter = provider.meter("gypsumlever");
+        let exporter = Exporter::new("gypsumlever")?;
+        let meter = exporter.meter();
         let inner = Inner {
             refusals: Labelled::new(&meter, "refusals", "Calls refused or failed, by reason."),
             retries: Labelled::new(&meter, "retries", "Attempts made again, by reason."),
@@ -135,8 +122,7 @@
                 .iter()
                 .map(|level| gauge(&meter, *level))
                 .collect(),
-            registry,
-            _provider: provider,
+            exporter,
         };
         Ok(Self(Arc::new(inner)))
     }
@@ -175,10 +161,51 @@
         self.0.levels[level.index()].record(value, &[]);
     }
 
+    /// Returns all metrics in the text format of Prometheus.
+    pub fn scrape(&self) -> anyhow::Result<String> {
+        self.0.exporter.scrape()
+    }
+}
+
+/// Collects instruments and writes them as text for Prometheus.
+pub struct Exporter {
+    registry: Registry,
+    /// Keeps the instruments connected to the registry.
+    provider: SdkMeterProvider,
+    namespace: &'static str,
+}
+
+impl Exporter {
+    /// Returns an exporter whose names begin with `namespace`.
+    pub fn new(namespace: &'static str) -> anyhow::Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .with_namespace(namespace)
+            .without_target_info()
+            .scope_info_enabled(false)
+            .build()
+            .context("metrics can't be exported")?;
+        let provider = SdkMeterProvider::builder()
+            .with_resource(Resource::builder_empty().build())
+            .with_reader(exporter)
+            .build();
+        Ok(Self {
+            registry,
+            provider,
+            namespace,
+        })
+    }
+
+    /// Returns what makes instruments.
+    pub fn meter(&self) -> Meter {
+        self.provider.meter(self.namespace)
+    }
+
     /// Returns all metrics in the text format of Prometheus.
     pub fn scrape(&self) -> anyhow::Result<String> {
         let mut text = Vec::new();
-        TextEncoder::new().encode(&self.0.registry.gather(), &mut text)?;
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
         Ok(String::from_utf8(text)?)
     }
 }
