Give the question of a turn, refusals after sends and live instances one form each

- The four copies of program, turn, most and budget (question, request of the keeper, request to a home, record) are one account::Ask, and the record is made from it in one place.
- Refusal::after and Refusal::overdue hold the rule whether a refusal may promise anything; four places had written it again.
- Making room for a read stands once in the connection.

--- a/src/gateway/account.rs
+++ b/src/gateway/account.rs
@@ -26,6 +26,37 @@
 /// Identifier of a turn, unique over all instances.
 pub type Turn = u64;
 
+/// A turn that asks to run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Ask {
+    /// The program.
+    #[serde(rename = "p")]
+    pub program: Program,
+    /// The turn.
+    #[serde(rename = "t")]
+    pub turn: Turn,
+    /// Most tokens that the turn generates.
+    #[serde(rename = "m")]
+    pub most: u64,
+    /// Tokens that all turns of the program may generate.
+    #[serde(rename = "b")]
+    pub budget: u64,
+}
+
+impl Ask {
+    /// Returns the record of the turn.
+    pub fn entry(self, forced: bool) -> Entry {
+        Entry::Open {
+            program: self.program,
+            turn: self.turn,
+            most: self.most,
+            budget: self.budget,
+            forced,
+        }
+    }
+}
+
 /// A record of a program's account.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -159,9 +190,8 @@
     }
 
     /// Returns whether a turn would be granted if no other instance had added a record since.
-    pub fn expect(&self, program: Program, most: u64, budget: u64) -> Verdict {
-        let charged = self.charged(program);
-        match charged + most <= budget {
+    pub fn expect(&self, ask: &Ask) -> Verdict {
+        match self.charged(ask.program) + ask.most <= ask.budget {
             true => Verdict::Granted,
             false => Verdict::Spent,
         }
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -133,6 +133,13 @@
         .is_some_and(|value| value.to_ascii_lowercase().contains("close"))
 }
 
+/// Makes room for a read, unless there is some.
+fn make_room(buffer: &mut BytesMut) {
+    if buffer.capacity() - buffer.len() < READ / 4 {
+        buffer.reserve(READ);
+    }
+}
+
 /// Returns whether an answer has a body that ends with the connection.
 fn unframed(head: &ResponseHead) -> bool {
     let empty = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED];
@@ -213,9 +220,7 @@
                 }
                 continue;
             }
-            if self.buffer.capacity() - self.buffer.len() < READ / 4 {
-                self.buffer.reserve(READ);
-            }
+            make_room(&mut self.buffer);
             let (mut reader, mut writer) = self.stream.split();
             tokio::select! {
                 written = writer.write_buf(&mut out), if !out.is_empty() => match written {
@@ -275,9 +280,7 @@
                 Codec::Rest => {}
                 Codec::Head(_) | Codec::Spent => return Ok(None),
             }
-            if self.buffer.capacity() - self.buffer.len() < READ / 4 {
-                self.buffer.reserve(READ);
-            }
+            make_room(&mut self.buffer);
             match self.stream.read_buf(&mut self.buffer).await {
                 Ok(0) if self.until_close => {
                     self.codec = Codec::Spent;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -80,7 +80,7 @@
 const PAUSE: Duration = Duration::from_millis(20);
 
 /// Time after which a refused caller may come back, when it isn't known better.
-const COME_BACK: Duration = Duration::from_millis(150);
+pub const COME_BACK: Duration = Duration::from_millis(150);
 
 /// Headers that concern one connection only.
 const HOP: [HeaderName; 10] = [
@@ -159,7 +159,7 @@
     }
 
     /// Promises that the request has not run; the caller may come back.
-    pub fn unrun(_: &Unrun, reason: &'static str, retry_after: Duration) -> Self {
+    fn unrun(_: &Unrun, reason: &'static str, retry_after: Duration) -> Self {
         Self {
             retry_after: Some(retry_after),
             ..Self::new(StatusCode::SERVICE_UNAVAILABLE, reason)
@@ -177,7 +177,7 @@
     }
 
     /// Says that there was no answer in time.
-    pub fn late() -> Self {
+    fn late() -> Self {
         Self::new(StatusCode::GATEWAY_TIMEOUT, "timeout")
     }
 
@@ -187,12 +187,20 @@
     }
 
     /// Refuses with a promise if the request has not run, and with none otherwise.
-    pub fn after(sends: &Sends, reason: &'static str) -> Self {
+    pub fn after(sends: &Sends, reason: &'static str, retry_after: Duration) -> Self {
         match sends.unrun() {
-            Some(proof) => Self::unrun(&proof, reason, COME_BACK),
+            Some(proof) => Self::unrun(&proof, reason, retry_after),
             None => Self::unknown(reason),
         }
     }
+
+    /// Answers at the deadline, with a promise if the request has not run.
+    pub fn overdue(sends: &Sends, reason: &'static str) -> Self {
+        match sends.unrun() {
+            Some(proof) => Self::unrun(&proof, reason, COME_BACK),
+            None => Self::late(),
+        }
+    }
 }
 
 /// An upstream's answer that has begun.
@@ -406,14 +414,11 @@
         let persist = job.arrived + patience.mul_f64(PERSISTENCE);
         loop {
             if Instant::now() >= job.deadline {
-                return Err(match sends.unrun() {
-                    Some(proof) => Refusal::unrun(&proof, "deadline", COME_BACK),
-                    None => Refusal::late(),
-                });
+                return Err(Refusal::overdue(&sends, "deadline"));
             }
             let Some(choice) = self.choose(job, &excluded) else {
                 if excluded.is_empty() || Instant::now() >= persist {
-                    return Err(Refusal::after(&sends, "no_upstream"));
+                    return Err(Refusal::after(&sends, "no_upstream", COME_BACK));
                 }
                 excluded.clear();
                 sleep(PAUSE).await;
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -271,12 +271,8 @@
     let arrived = Instant::now();
     let busy = Busy::new(gateway);
     let headers = request.headers();
-    let unsent = Sends::default();
     let Some(table) = gateway.table() else {
-        let proof = unsent.unrun();
-        return Err(proof.map_or_else(Refusal::late, |proof| {
-            Refusal::unrun(&proof, "starting", STARTING)
-        }));
+        return Err(Refusal::after(&Sends::default(), "starting", STARTING));
     };
     if headers.contains_key(header::TRANSFER_ENCODING)
         && headers.contains_key(header::CONTENT_LENGTH)
--- a/src/gateway/home.rs
+++ b/src/gateway/home.rs
@@ -25,6 +25,7 @@
 
 use super::{
     account::{
+        Ask,
         Entry,
         Program,
         Turn, //
@@ -76,20 +77,7 @@
 pub enum Question {
     /// May a turn run?
     #[serde(rename = "o")]
-    Open {
-        /// The program.
-        #[serde(rename = "p")]
-        program: Program,
-        /// The turn.
-        #[serde(rename = "t")]
-        turn: Turn,
-        /// Most tokens that the turn generates.
-        #[serde(rename = "m")]
-        most: u64,
-        /// Tokens that all turns of the program may generate.
-        #[serde(rename = "b")]
-        budget: u64,
-    },
+    Open(Ask),
     /// A turn has ended; no answer is needed.
     #[serde(rename = "c")]
     Close {
@@ -211,17 +199,11 @@
         let peers = self.peers.borrow().clone()?;
         let snapshot = peers.roster.snapshot();
         let own = &snapshot.own().instance;
-        let others = snapshot.zones().flat_map(|zone| snapshot.live(zone));
         let key = (partition as u64).to_be_bytes();
-        let names = others
-            .chain(std::iter::once(own))
-            .map(|instance| instance.as_str());
+        // A leaving instance still keeps its partitions if it knows no other.
+        let names = snapshot.usable().chain(std::iter::once(own));
         let home = hash::rendezvous(&key, names)?;
-        if home == own.as_str() {
-            return None;
-        }
-        let home = Instance::try_from(home).ok()?;
-        Some((peers, home))
+        (home != own).then(|| (peers.clone(), home.clone()))
     }
 
     /// Returns whether this instance is cut off from the log while others may reach it.
@@ -245,8 +227,12 @@
 
     /// Asks whether a turn may run.
     pub fn open(self: &Rc<Self>, program: &str, turn: Turn, most: u64, budget: u64) -> Request {
-        let program = keeper::identify(program);
-        let partition = self.keeper.partition_of(program);
+        let ask = Ask {
+            program: keeper::identify(program),
+            turn,
+            most,
+            budget,
+        };
         if !self.joined.get() {
             let (reply, answer) = oneshot::channel();
             // The receiver is below.
@@ -256,47 +242,38 @@
                 likely: false,
             };
         }
-        let Some((peers, home)) = self.of(partition) else {
-            return self.keeper.open(program, turn, most, budget);
+        let home = self.of(self.keeper.partition_of(ask.program));
+        let Some((peers, home)) = home.filter(|(_, home)| !self.avoids(home)) else {
+            return self.keeper.open(ask);
         };
-        if self.avoids(&home) {
-            return self.keeper.open(program, turn, most, budget);
-        }
-        let charged = self.charges.borrow().get(&program).copied().unwrap_or(0);
+        let charged = self
+            .charges
+            .borrow()
+            .get(&ask.program)
+            .copied()
+            .unwrap_or(0);
         // During an outage the answer may take long or be a refusal, and the run would be in vain.
         let calm = self.keeper.outage() == Outage::None;
         let likely = calm && charged + HEADROOM * most <= budget;
         let (reply, answer) = oneshot::channel();
         let this = self.clone();
-        let turn = Ask {
-            program,
-            turn,
-            most,
-            budget,
-        };
         actix_web::rt::spawn(async move {
             // The caller may have left.
-            let _ = reply.send(this.ask(&peers, home, turn).await);
+            let _ = reply.send(this.ask(&peers, home, ask).await);
         });
         Request { answer, likely }
     }
 
     /// Asks a home, and the log itself if the home takes long.
-    async fn ask(&self, peers: &Peers, home: Instance, turn: Ask) -> keeper::Answer {
-        let mut asked = pin!(self.ask_home(peers, &home, turn));
+    async fn ask(&self, peers: &Peers, home: Instance, ask: Ask) -> keeper::Answer {
+        let mut asked = pin!(self.ask_home(peers, &home, ask));
         let late = match timeout(HEDGE, &mut asked).await {
             Ok(Some(answer)) => return answer,
             Ok(None) => false,
             Err(_) => true,
         };
-        let Ask {
-            program,
-            turn,
-            most,
-            budget,
-        } = turn;
         log::debug!(home = home.as_str(), late; "account: home gave no answer; using the log");
-        let request = self.keeper.open(program, turn, most, budget);
+        let request = self.keeper.open(ask);
         let own = request.answer.await;
         let own = own.unwrap_or(keeper::Answer::Unavailable);
         if own != keeper::Answer::Unavailable && late {
@@ -313,16 +290,10 @@
         answer.unwrap_or(own)
     }
 
-    async fn ask_home(&self, peers: &Peers, home: &Instance, turn: Ask) -> Option<keeper::Answer> {
-        let question = Question::Open {
-            program: turn.program,
-            turn: turn.turn,
-            most: turn.most,
-            budget: turn.budget,
-        };
-        match peers.ask(home, question, ASK).await {
+    async fn ask_home(&self, peers: &Peers, home: &Instance, ask: Ask) -> Option<keeper::Answer> {
+        match peers.ask(home, Question::Open(ask), ASK).await {
             Some(Answer::Opened(answer, charged)) => {
-                self.charges.borrow_mut().insert(turn.program, charged);
+                self.charges.borrow_mut().insert(ask.program, charged);
                 Some(answer)
             }
             _ => None,
@@ -357,15 +328,6 @@
     }
 }
 
-/// A turn that asks to run.
-#[derive(Clone, Copy)]
-struct Ask {
-    program: Program,
-    turn: Turn,
-    most: u64,
-    budget: u64,
-}
-
 /// Answers other instances.
 pub struct Desk<L>(pub Rc<Keeper<L>>);
 
@@ -381,17 +343,12 @@
                 turn,
                 used,
             } => keeper.close(program, turn, used),
-            Question::Open {
-                program,
-                turn,
-                most,
-                budget,
-            } => {
-                let request = keeper.open(program, turn, most, budget);
+            Question::Open(ask) => {
+                let request = keeper.open(ask);
                 actix_web::rt::spawn(async move {
                     let answer = request.answer.await;
                     let answer = answer.unwrap_or(keeper::Answer::Unavailable);
-                    let charged = keeper.charged(program);
+                    let charged = keeper.charged(ask.program);
                     finish(reply, Answer::Opened(answer, charged));
                 });
             }
--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -29,6 +29,7 @@
 
 use super::{
     account::{
+        Ask,
         Book,
         Entry,
         Program,
@@ -100,11 +101,7 @@
 }
 
 struct Open {
-    entry: Entry,
-    program: Program,
-    turn: Turn,
-    most: u64,
-    budget: u64,
+    ask: Ask,
     reply: oneshot::Sender<Answer>,
 }
 
@@ -236,28 +233,17 @@
     }
 
     /// Asks whether a turn may run.
-    pub fn open(&self, program: Program, turn: Turn, most: u64, budget: u64) -> Request {
-        let partition = self.partition(program);
+    pub fn open(&self, ask: Ask) -> Request {
+        let partition = self.partition(ask.program);
         let (reply, answer) = oneshot::channel();
-        let entry = Entry::Open {
-            program,
-            turn,
-            most,
-            budget,
-            forced: false,
+        let open = Open { ask, reply };
+        let ahead = Ask {
+            most: ask.most.saturating_mul(HEADROOM),
+            ..ask
         };
-        let open = Open {
-            entry,
-            program,
-            turn,
-            most,
-            budget,
-            reply,
-        };
-        let headroom = most.saturating_mul(HEADROOM);
         let likely = partition.loaded.get()
             && !partition.lost.get()
-            && partition.book.borrow().expect(program, headroom, budget) == Verdict::Granted;
+            && partition.book.borrow().expect(&ahead) == Verdict::Granted;
         if Time::monotonic() < partition.offline_until.get() {
             self.decide_offline(partition, open);
         } else {
@@ -324,7 +310,9 @@
             let entries: Vec<_> = {
                 let backlog = partition.backlog.borrow();
                 let closes = backlog.iter().take(count).copied();
-                closes.chain(opens.iter().map(|open| open.entry)).collect()
+                closes
+                    .chain(opens.iter().map(|open| open.ask.entry(false)))
+                    .collect()
             };
             if entries.is_empty() {
                 continue;
@@ -414,9 +402,7 @@
         }
         Ok(())
     }
-}
 
-impl<L: Log + 'static> Keeper<L> {
     /// Decides about a turn while the log can't be reached.
     ///
     /// Only the home grants turns then, and only if most instances can't reach the log: all turns
@@ -427,20 +413,11 @@
         if !known || self.log.outage() != Outage::Total {
             return open.reply(Answer::Unavailable);
         }
-        let verdict = partition
-            .book
-            .borrow()
-            .expect(open.program, open.most, open.budget);
+        let verdict = partition.book.borrow().expect(&open.ask);
         if verdict == Verdict::Spent {
             return open.reply(Answer::Spent);
         }
-        let entry = Entry::Open {
-            program: open.program,
-            turn: open.turn,
-            most: open.most,
-            budget: open.budget,
-            forced: true,
-        };
+        let entry = open.ask.entry(true);
         partition.hold(entry);
         let log = self.log.clone();
         actix_web::rt::spawn(async move {
@@ -514,7 +491,7 @@
     }
 
     fn answer(&self, open: Open) {
-        let verdict = self.book.borrow().verdict(open.program, open.turn);
+        let verdict = self.book.borrow().verdict(open.ask.program, open.ask.turn);
         open.reply(verdict.map_or(Answer::Unavailable, Answer::from));
     }
 }
--- a/src/gateway/path.rs
+++ b/src/gateway/path.rs
@@ -82,7 +82,7 @@
     fn others(&self) -> Vec<Instance> {
         let snapshot = self.roster.snapshot();
         let own = &snapshot.own().instance;
-        let live = snapshot.zones().flat_map(|zone| snapshot.live(zone));
+        let live = snapshot.usable();
         live.filter(|name| *name != own).cloned().collect()
     }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -30,7 +30,8 @@
         Live,
         Refusal,
         Sent,
-        Whole, //
+        Whole,
+        COME_BACK, //
     },
     home::Home,
     keeper::{
@@ -229,17 +230,13 @@
     }
 
     fn unavailable(&self, retry_after: Duration) -> Refusal {
-        let reason = "account_unavailable";
-        match self.sends.unrun() {
-            Some(proof) => Refusal::unrun(&proof, reason, retry_after),
-            None => Refusal::unknown(reason),
-        }
+        Refusal::after(&self.sends, "account_unavailable", retry_after)
     }
 
     fn failed(&self, reason: &'static str) -> Refusal {
         match Instant::now() >= self.job.deadline {
-            true if self.sends.unrun().is_none() => Refusal::late(),
-            _ => Refusal::after(&self.sends, reason),
+            true => Refusal::overdue(&self.sends, reason),
+            false => Refusal::after(&self.sends, reason, COME_BACK),
         }
     }
 
--- a/src/member/snapshot.rs
+++ b/src/member/snapshot.rs
@@ -157,6 +157,11 @@
         self.live.get(zone).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the instances of all zones that may get new work, this one included unless it leaves.
+    pub fn usable(&self) -> impl Iterator<Item = &Instance> {
+        self.live.values().flatten()
+    }
+
     /// Returns the number of instances that may get new work, this one included.
     pub fn live_count(&self) -> usize {
         self.count
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -194,16 +194,18 @@
 }
 
 impl Topic {
+    /// Reads at most `most_kb` KiB of records from an offset on.
     async fn fetch(
         &self,
         partition: u32,
         from: u64,
         wait: Duration,
+        most_kb: usize,
     ) -> Result<(Bounds, Batch), Failure> {
         let name = &self.name;
         let wait_ms = wait.as_millis();
         let call = format!(
-            "log-read?topic={name}&part={partition}&from={from}&maxKb={READ_KB}&waitMs={wait_ms}"
+            "log-read?topic={name}&part={partition}&from={from}&maxKb={most_kb}&waitMs={wait_ms}"
         );
         let store = &self.store;
         let (status, body) = store.call(store.get(&call), Bytes::new(), wait).await?;
@@ -241,16 +243,16 @@
     }
 
     async fn read(&self, partition: u32, from: u64, wait: Duration) -> Result<Batch, Failure> {
-        self.fetch(partition, from, wait)
+        self.fetch(partition, from, wait, READ_KB)
             .await
             .map(|(_, batch)| batch)
     }
 
     async fn bounds(&self, partition: u32) -> Result<Bounds, Failure> {
-        match self.fetch(partition, 0, Duration::ZERO).await {
+        match self.fetch(partition, 0, Duration::ZERO, 1).await {
             Ok((bounds, _)) => Ok(bounds),
             Err(Failure::Expired { begin }) => {
-                let (bounds, _) = self.fetch(partition, begin, Duration::ZERO).await?;
+                let (bounds, _) = self.fetch(partition, begin, Duration::ZERO, 1).await?;
                 Ok(bounds)
             }
             Err(failure) => Err(failure),
--- a/tests/gateway/account.rs
+++ b/tests/gateway/account.rs
@@ -3,6 +3,7 @@
 use gypsumlever::{
     clock::Time,
     gateway::account::{
+        Ask,
         Book,
         Entry,
         Verdict, //
@@ -27,6 +28,15 @@
     }
 }
 
+fn ask(budget: u64) -> Ask {
+    Ask {
+        program: PROGRAM,
+        turn: 4,
+        most: MOST,
+        budget,
+    }
+}
+
 fn close(turn: u64, used: u64) -> Entry {
     Entry::Close {
         program: PROGRAM,
@@ -46,8 +56,8 @@
     assert_eq!(book.verdict(PROGRAM, 3), Some(Verdict::Spent));
     book.apply(NOW, &close(1, 40));
     assert_eq!(book.charged(PROGRAM), 140);
-    assert_eq!(book.expect(PROGRAM, MOST, 250), Verdict::Granted);
-    assert_eq!(book.expect(PROGRAM, MOST, 239), Verdict::Spent);
+    assert_eq!(book.expect(&ask(250)), Verdict::Granted);
+    assert_eq!(book.expect(&ask(239)), Verdict::Spent);
 }
 
 #[test]
--- a/tests/gateway/keeper.rs
+++ b/tests/gateway/keeper.rs
@@ -7,10 +7,13 @@
 
 use actix_web::rt::System;
 use gypsumlever::{
-    gateway::keeper::{
-        identify,
-        Answer,
-        Keeper, //
+    gateway::{
+        account::Ask,
+        keeper::{
+            identify,
+            Answer,
+            Keeper, //
+        },
     },
     log::memory::{
         Fault,
@@ -36,7 +39,12 @@
 }
 
 async fn open(keeper: &Keeper<Memory>, turn: u64, budget: u64) -> Answer {
-    let request = keeper.open(identify("p"), turn, MOST, budget);
+    let request = keeper.open(Ask {
+        program: identify("p"),
+        turn,
+        most: MOST,
+        budget,
+    });
     let answer = timeout(Duration::from_secs(5), request.answer).await;
     answer.expect("the keeper answers").unwrap()
 }
