Wait for the grants of an outage before others grant turns

When the store was back, an instance that could not reach the home used the log itself, before the holders had appended; and a home whose zone was then cut off believed in the total outage for up to 4 s more, with holders of its own zone.

Change: for 2.5 s after trouble with the store only an instance that was the home before grants turns; a grant is held in another availability zone if there are several; an outage is believed for 2 s.

Test: keeper::grants_of_an_outage_are_waited_for failed before (Granted where another instance held the budget), passes now; 64 passed.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -21,7 +21,10 @@
 };
 use crate::{
     clock::Time,
-    log::Failure, //
+    log::{
+        Failure,
+        Log, //
+    },
 };
 
 /// Time for which a read waits for a change. A connection that went silent is noticed after this
@@ -49,7 +52,7 @@
 
 struct Tables<D, L>(Rc<Gateway<D, L>>);
 
-impl<D, L> Sink<Table> for Tables<D, L> {
+impl<D, L: Log + 'static> Sink<Table> for Tables<D, L> {
     fn replace(&self, items: Vec<Table>) {
         self.change(items);
     }
@@ -64,7 +67,9 @@
         }
     }
 
-    fn troubled(&self) {}
+    fn troubled(&self) {
+        self.0.home.troubled();
+    }
 }
 
 struct Servers<D, L>(Rc<Gateway<D, L>>);
@@ -94,7 +99,7 @@
     }
 }
 
-impl<D, L> Sink<Change> for Servers<D, L> {
+impl<D, L: Log + 'static> Sink<Change> for Servers<D, L> {
     fn replace(&self, items: Vec<Change>) {
         let count = items.len();
         let mut registry = self.0.registry.borrow_mut();
@@ -109,16 +114,23 @@
 
     fn troubled(&self) {
         self.0.registry.borrow_mut().troubled(Time::monotonic());
+        self.0.home.troubled();
     }
 }
 
 /// Follows the configuration; never returns.
-pub async fn tables<D, L>(gateway: Rc<Gateway<D, L>>, feed: impl Feed<Item = Table>) {
+pub async fn tables<D, L: Log + 'static>(
+    gateway: Rc<Gateway<D, L>>,
+    feed: impl Feed<Item = Table>,
+) {
     follow("configuration", &feed, &Tables(gateway), Duration::ZERO).await;
 }
 
 /// Follows the registry of upstreams; never returns.
-pub async fn servers<D, L>(gateway: Rc<Gateway<D, L>>, feed: impl Feed<Item = Change>) {
+pub async fn servers<D, L: Log + 'static>(
+    gateway: Rc<Gateway<D, L>>,
+    feed: impl Feed<Item = Change>,
+) {
     follow("registry", &feed, &Servers(gateway), PAUSE).await;
 }
 
--- a/src/gateway/home.rs
+++ b/src/gateway/home.rs
@@ -211,6 +211,11 @@
         self.keeper.outage() == Outage::Alone
     }
 
+    /// Notes that a call to the store failed.
+    pub fn troubled(&self) {
+        self.keeper.troubled();
+    }
+
     /// Reads the partitions that this instance has become the home of, to know them in an outage.
     pub fn adopt(&self) {
         let Some(peers) = self.peers.borrow().clone().filter(|_| self.joined.get()) else {
--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -175,6 +175,11 @@
         self.log.outage()
     }
 
+    /// Notes that a call to the store failed.
+    pub fn troubled(&self) {
+        self.log.troubled();
+    }
+
     /// Returns the number of partitions.
     pub fn partitions(&self) -> usize {
         self.partitions.len()
@@ -295,7 +300,15 @@
         let partition = &self.partitions[index];
         loop {
             partition.gather().await;
-            if partition.adoptable() || !partition.loaded.get() {
+            // Grants of an outage may not be in the log yet, and only the home before knows them.
+            let settling = !partition.adopted.get() && !self.log.settled();
+            if settling {
+                let opens = mem::take(&mut *partition.opens.borrow_mut());
+                opens
+                    .into_iter()
+                    .for_each(|open| open.reply(Answer::Unavailable));
+            }
+            if !partition.loaded.get() || (partition.adoptable() && !settling) {
                 if let Err(failure) = self.load(index).await {
                     log::warn!(partition = index, failure:%; "account: partition can't be read");
                     self.fail(partition);
@@ -303,9 +316,12 @@
                     continue;
                 }
                 partition.loaded.set(true);
-                partition.adopted.set(partition.home.get());
+                partition.adopted.set(partition.home.get() && !settling);
             }
-            let opens = mem::take(&mut *partition.opens.borrow_mut());
+            let opens = match settling {
+                true => Vec::new(),
+                false => mem::take(&mut *partition.opens.borrow_mut()),
+            };
             let count = partition.backlog.borrow().len().min(BATCH);
             let entries: Vec<_> = {
                 let backlog = partition.backlog.borrow();
@@ -315,6 +331,9 @@
                     .collect()
             };
             if entries.is_empty() {
+                if settling {
+                    sleep(RETRY).await;
+                }
                 continue;
             }
             match self.commit(index, &entries).await {
--- a/src/gateway/path.rs
+++ b/src/gateway/path.rs
@@ -65,8 +65,13 @@
 /// Time after which the extent of an outage is found out again.
 const RECHECK: Duration = Duration::from_millis(800);
 
-/// Time for which what was learned about an outage is believed.
-const BELIEVED: Duration = Duration::from_millis(4_000);
+/// Time for which what was learned about an outage is believed: a recheck and the time that it
+/// takes. A home that is cut off during an outage must not grant turns for longer.
+const BELIEVED: Duration = Duration::from_millis(2_000);
+
+/// Time after trouble with the log for which only an instance that was the home before grants turns.
+/// Others that hold grants append them meanwhile: a call of 0.5 s, 1 s without a try, and a retry.
+const SETTLE: Duration = Duration::from_millis(2_500);
 
 /// Links to other instances.
 #[derive(Clone)]
@@ -100,6 +105,17 @@
         helpers
     }
 
+    /// Picks instances that may hold a grant.
+    fn holders(&self) -> Vec<Instance> {
+        let snapshot = self.roster.snapshot();
+        let own = snapshot.own();
+        let others = self.others();
+        let away = |name: &&Instance| !snapshot.live(&own.zone).contains(name);
+        let zoned = snapshot.zones().any(|zone| *zone != own.zone);
+        let fit = others.iter().filter(|name| !zoned || away(name));
+        fit.cloned().sample(&mut rand::rng(), HELPERS)
+    }
+
     /// Asks instances at the same time; returns an answer that is no refusal.
     async fn first(&self, names: &[Instance], question: &Question) -> Option<Answer> {
         let asked = names
@@ -206,6 +222,8 @@
     probing: Cell<bool>,
     /// Latest success on the own way.
     reached: Cell<Time>,
+    /// Latest failure of any call to the store.
+    trouble: Cell<Option<Time>>,
 }
 
 impl<L: Log> Path<L> {
@@ -218,6 +236,7 @@
             outage: Cell::new((Time::default(), Outage::None)),
             probing: Cell::new(false),
             reached: Cell::new(Time::default()),
+            trouble: Cell::new(None),
         }
     }
 
@@ -248,6 +267,7 @@
                 self.learn(Outage::None);
             }
             Err(_) => {
+                self.troubled();
                 // Instances that were turned away together must not come back together.
                 let avoid = AVOID.mul_f64(rand::rng().random_range(1.0..2.0));
                 self.avoid_until.set(Time::monotonic() + avoid);
@@ -255,6 +275,17 @@
         }
     }
 
+    /// Notes that a call to the store failed.
+    pub fn troubled(&self) {
+        self.trouble.set(Some(Time::monotonic()));
+    }
+
+    /// Returns whether all grants of the latest outage are in the log by now.
+    pub fn settled(&self) -> bool {
+        let trouble = self.trouble.get();
+        trouble.is_none_or(|at| Time::monotonic().since(at) >= SETTLE)
+    }
+
     /// Returns whether a call on the own way succeeded just now.
     pub fn reached(&self) -> bool {
         Time::monotonic().since(self.reached.get()) < AVOID
@@ -340,11 +371,14 @@
     }
 
     /// Has another instance hold a turn that is granted without the log; returns whether it does.
+    ///
+    /// It is one of another availability zone if there are several: a home whose zone is cut off
+    /// finds none.
     pub async fn hold(&self, entry: Entry) -> bool {
         let Some(peers) = self.peers.borrow().clone() else {
             return false;
         };
-        for name in peers.helpers() {
+        for name in peers.holders() {
             let held = peers.ask(&name, Question::Hold(entry), HOLD).await;
             if held == Some(Answer::Held) {
                 return true;
--- a/tests/gateway/keeper.rs
+++ b/tests/gateway/keeper.rs
@@ -117,3 +117,33 @@
         assert!(!keeper.loaded());
     });
 }
+
+/// A grant of an outage is in the log only after its holder has reached it again. An instance that
+/// is not the home of the partition, and is back before the holder, must not grant what was granted.
+#[test]
+fn grants_of_an_outage_are_waited_for() {
+    System::new().block_on(async {
+        let log = Memory::new(2);
+        let (theirs, ours) = (log.share(), log.share());
+        let (holder, asker) = (start(theirs.clone()).await, start(ours.clone()).await);
+        for partition in 0..2 {
+            asker.adopt(partition, false);
+        }
+        theirs.set_service(Service::Refusing);
+        ours.set_service(Service::Refusing);
+        let granted = Ask {
+            program: identify("p"),
+            turn: 1,
+            most: MOST,
+            budget: 150,
+        };
+        holder.hold(granted.entry(true));
+        assert_eq!(open(&asker, 2, 150).await, Answer::Unavailable);
+        ours.set_service(Service::Up);
+        sleep(Duration::from_millis(1_200)).await;
+        assert_eq!(open(&asker, 3, 150).await, Answer::Unavailable);
+        theirs.set_service(Service::Up);
+        sleep(Duration::from_millis(2_600)).await;
+        assert_eq!(open(&asker, 4, 150).await, Answer::Spent);
+    });
+}
