Know a cut zone by the silence of the others, and tell callers when they are moved

Three rules were at fault: what was known of the cut expired after 2 s, before the next probe was through; each instance took itself for calm until its own probe, so that turns started; and callers were told to come back after 20 ms, to neighbours that are cut off as well. After the cut, homes that wait for grants of an outage also refused the turns of instances that had reached the log all the time.

Change: a failure of the store makes an instance ask six of its own and six of other zones whether they hear it. If no other zone does, it is cut off until the store or a probe says otherwise: turns are refused at once and not sent, Retry-After is the time until the balancer has moved callers. A turn waits for its account while homes give no answer. If a home can't decide, the asker uses the log.

--- a/src/gateway/home.rs
+++ b/src/gateway/home.rs
@@ -94,6 +94,9 @@
     /// Keep a turn that was granted without the log, and append it when the log is back.
     #[serde(rename = "h")]
     Hold(Entry),
+    /// Do you hear this instance?
+    #[serde(rename = "e")]
+    Hear,
     /// Can you reach the log?
     #[serde(rename = "q")]
     Reach,
@@ -142,6 +145,9 @@
     /// The turn is held.
     #[serde(rename = "h")]
     Held,
+    /// This instance hears the asker.
+    #[serde(rename = "e")]
+    Heard,
     /// This instance reaches the log.
     #[serde(rename = "q")]
     Reaches,
@@ -158,6 +164,10 @@
     charges: RefCell<Recent<Program, u64>>,
     /// Homes that gave no answer, and until when they are not asked.
     avoided: RefCell<Map<Instance, Time>>,
+    /// Latest answer of a home that decided a turn.
+    answered: Cell<Time>,
+    /// Whether homes have given no answer since, so that a turn that starts may run in vain.
+    doubt: Cell<bool>,
     /// Whether the other instances are known, so that all of them name the same homes.
     joined: Cell<bool>,
     /// Revision of the view that the adopted partitions were chosen by.
@@ -172,6 +182,8 @@
             peers: RefCell::default(),
             charges: RefCell::new(Recent::new(PROGRAMS)),
             avoided: RefCell::default(),
+            answered: Cell::default(),
+            doubt: Cell::new(false),
             joined: Cell::new(true),
             adopted: Cell::new(None),
         }
@@ -208,7 +220,13 @@
 
     /// Returns whether this instance is cut off from the log while others may reach it.
     pub fn cut_off(&self) -> bool {
-        self.keeper.outage() == Outage::Alone
+        self.keeper.outage().cut_off()
+    }
+
+    /// Returns the time after which callers are served by other instances, while this one is cut
+    /// off.
+    pub fn elsewhere(&self) -> Option<Duration> {
+        self.keeper.elsewhere()
     }
 
     /// Notes that a call to the store failed.
@@ -238,7 +256,7 @@
             most,
             budget,
         };
-        if !self.joined.get() {
+        if !self.joined.get() || self.cut_off() {
             let (reply, answer) = oneshot::channel();
             // The receiver is below.
             let _ = reply.send(keeper::Answer::Unavailable);
@@ -249,7 +267,11 @@
         }
         let home = self.of(self.keeper.partition_of(ask.program));
         let Some((peers, home)) = home.filter(|(_, home)| !self.avoids(home)) else {
-            return self.keeper.open(ask);
+            let request = self.keeper.open(ask);
+            return Request {
+                likely: request.likely && !self.doubt.get(),
+                ..request
+            };
         };
         let charged = self
             .charges
@@ -258,7 +280,7 @@
             .copied()
             .unwrap_or(0);
         // During an outage the answer may take long or be a refusal, and the run would be in vain.
-        let calm = self.keeper.outage() == Outage::None;
+        let calm = self.keeper.outage() == Outage::None && !self.doubt.get();
         let likely = calm && charged + HEADROOM * most <= budget;
         let (reply, answer) = oneshot::channel();
         let this = self.clone();
@@ -269,28 +291,30 @@
         Request { answer, likely }
     }
 
-    /// Asks a home, and the log itself if the home takes long.
+    /// Asks a home, and uses the log itself if the home takes long or can't decide.
     async fn ask(&self, peers: &Peers, home: Instance, ask: Ask) -> keeper::Answer {
         let mut asked = pin!(self.ask_home(peers, &home, ask));
-        let late = match timeout(HEDGE, &mut asked).await {
-            Ok(Some(answer)) => return answer,
-            Ok(None) => false,
-            Err(_) => true,
-        };
-        log::debug!(home = home.as_str(), late; "account: home gave no answer; using the log");
-        let request = self.keeper.open(ask);
-        let own = request.answer.await;
+        let first = timeout(HEDGE, &mut asked).await;
+        match first {
+            Ok(Some(answer)) if answer != keeper::Answer::Unavailable => return answer,
+            Ok(Some(_)) => {}
+            Ok(None) => self.avoid(&home),
+            // A slow store delays answers, but they go on to come.
+            Err(_) if Time::monotonic().since(self.answered.get()) >= HEDGE => {
+                self.doubt.set(true);
+            }
+            Err(_) => {}
+        }
+        let late = first.is_err();
+        log::debug!(home = home.as_str(), late; "account: home has not decided; using the log");
+        let own = self.keeper.open(ask).answer.await;
         let own = own.unwrap_or(keeper::Answer::Unavailable);
-        if own != keeper::Answer::Unavailable && late {
+        if own != keeper::Answer::Unavailable || !late {
             return own;
         }
-        let answer = match late {
-            true => asked.await,
-            false => None,
-        };
+        let answer = asked.await;
         if answer.is_none() {
-            log::warn!(home = home.as_str(); "account: home gave no answer and is avoided");
-            self.avoid(home.clone());
+            self.avoid(&home);
         }
         answer.unwrap_or(own)
     }
@@ -299,6 +323,10 @@
         match peers.ask(home, Question::Open(ask), ASK).await {
             Some(Answer::Opened(answer, charged)) => {
                 self.charges.borrow_mut().insert(ask.program, charged);
+                if answer != keeper::Answer::Unavailable {
+                    self.answered.set(Time::monotonic());
+                    self.doubt.set(false);
+                }
                 Some(answer)
             }
             _ => None,
@@ -314,7 +342,7 @@
             used,
         };
         let home = self.of(self.keeper.partition_of(program));
-        let home = home.filter(|(_, home)| !self.avoids(home));
+        let home = home.filter(|(_, home)| !self.avoids(home) && !self.cut_off());
         let sent = home
             .is_some_and(|(peers, home)| peers.mesh.send(&home, Body::Account(question)).is_ok());
         if !sent {
@@ -327,9 +355,10 @@
         until.is_some_and(|until| Time::monotonic() < until)
     }
 
-    fn avoid(&self, home: Instance) {
+    fn avoid(&self, home: &Instance) {
+        log::warn!(home = home.as_str(); "account: home gave no answer and is avoided");
         let until = Time::monotonic() + AVOID;
-        self.avoided.borrow_mut().insert(home, until);
+        self.avoided.borrow_mut().insert(home.clone(), until);
     }
 }
 
@@ -361,6 +390,7 @@
                 keeper.hold(entry);
                 finish(reply, Answer::Held);
             }
+            Question::Hear => finish(reply, Answer::Heard),
             Question::Reach => {
                 actix_web::rt::spawn(async move {
                     let answer = match keeper.reaches().await {
--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -175,6 +175,12 @@
         self.log.outage()
     }
 
+    /// Returns the time after which callers are served by other instances, while this one is cut
+    /// off.
+    pub fn elsewhere(&self) -> Option<Duration> {
+        self.log.elsewhere()
+    }
+
     /// Notes that a call to the store failed.
     pub fn troubled(&self) {
         self.log.troubled();
@@ -203,6 +209,11 @@
         }
     }
 
+    /// Returns whether this instance is the home of a partition.
+    pub fn homes(&self, partition: usize) -> bool {
+        self.partitions[partition].home.get()
+    }
+
     /// Returns what is charged to a program.
     pub fn charged(&self, program: Program) -> u64 {
         self.partition(program).book.borrow().charged(program)
--- a/src/gateway/path.rs
+++ b/src/gateway/path.rs
@@ -19,7 +19,10 @@
     seq::IteratorRandom as _,
     RngExt as _, //
 };
-use tokio::time::sleep;
+use tokio::{
+    sync::Notify,
+    time::sleep, //
+};
 
 use super::{
     account::Entry,
@@ -55,6 +58,13 @@
 /// Longest time for another instance to hold a turn: many round trips between zones.
 const HOLD: Duration = Duration::from_millis(100);
 
+/// Longest time for another instance to say that it hears this one, on a slowed machine.
+const HEAR: Duration = Duration::from_millis(400);
+
+/// Instances of other availability zones, and of the own one, that are asked whether they hear this
+/// one: with a third of all gone, none is left among six once in a thousand times.
+const HEARERS: usize = 6;
+
 /// Instances that are asked whether they reach the log.
 const PROBED: usize = 48;
 
@@ -65,10 +75,17 @@
 /// Time after which the extent of an outage is found out again.
 const RECHECK: Duration = Duration::from_millis(800);
 
-/// Time for which what was learned about an outage is believed: a recheck and the time that it
-/// takes. A home that is cut off during an outage must not grant turns for longer.
+/// Time for which an outage is taken for total: a recheck and the time that it takes. A home that
+/// is cut off during an outage must not grant turns for longer.
 const BELIEVED: Duration = Duration::from_millis(2_000);
 
+/// Time until the balancer sends callers elsewhere: it asks once a second, and moves them after two
+/// misses; from the platform's pages.
+const MOVED: Duration = Duration::from_secs(2);
+
+/// Time after which to come back to another instance of the availability zone.
+const ELSEWHERE: Duration = Duration::from_millis(20);
+
 /// Time after trouble with the log for which only an instance that was the home before grants turns.
 /// Others that hold grants append them meanwhile: a call of 0.5 s, 1 s without a try, and a retry.
 const SETTLE: Duration = Duration::from_millis(2_500);
@@ -160,6 +177,31 @@
         (probe, reaching)
     }
 
+    /// Finds out which other instances still hear this one.
+    async fn hear(&self) -> Hearing {
+        let snapshot = self.roster.snapshot();
+        let own = &snapshot.own().zone;
+        // A zone that is cut off gives up the others after some seconds, so all known ones count.
+        let sample = |near: bool| {
+            let known = snapshot.peers().map(|peer| &peer.entry);
+            let fit = known.filter(|entry| (entry.zone == *own) == near);
+            let names = fit.map(|entry| entry.instance.clone());
+            names.sample(&mut rand::rng(), HEARERS)
+        };
+        let (near, away) = (sample(true), sample(false));
+        let zoned = !away.is_empty();
+        let (near, away) = join(self.heard(&near), self.heard(&away)).await;
+        Hearing { zoned, near, away }
+    }
+
+    /// Returns how many instances say that they hear this one.
+    async fn heard(&self, names: &[Instance]) -> usize {
+        let asked = names
+            .iter()
+            .map(|name| self.ask(name, Question::Hear, HEAR));
+        join_all(asked).await.into_iter().flatten().count()
+    }
+
     /// Asks another instance about accounts.
     pub async fn ask(&self, to: &Instance, question: Question, limit: Duration) -> Option<Answer> {
         match self.mesh.request(to, Body::Account(question), limit).await {
@@ -201,6 +243,28 @@
     }
 }
 
+/// Result of asking other instances whether they hear this one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Hearing {
+    /// Whether instances of other availability zones are known.
+    pub zoned: bool,
+    /// Instances of the own availability zone that answered.
+    pub near: usize,
+    /// Instances of others that answered.
+    pub away: usize,
+}
+
+impl Hearing {
+    /// Returns the part of the deployment that is cut off, or `None` if there is no sign of a cut.
+    pub fn cut(&self) -> Option<Outage> {
+        match (self.zoned, self.near, self.away) {
+            (true, 0, 0) => Some(Outage::Alone),
+            (true, _, 0) => Some(Outage::Zone),
+            _ => None,
+        }
+    }
+}
+
 /// What an instance knows about an outage of the log.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outage {
@@ -210,6 +274,15 @@
     Total,
     /// This instance is cut off, and others may reach the log.
     Alone,
+    /// The availability zone of this instance is cut off, and others may reach the log.
+    Zone,
+}
+
+impl Outage {
+    /// Returns whether others may reach the log.
+    pub fn cut_off(self) -> bool {
+        matches!(self, Self::Alone | Self::Zone)
+    }
 }
 
 /// The way to the log.
@@ -218,12 +291,16 @@
     peers: RefCell<Option<Peers>>,
     avoid_until: Cell<Time>,
     outage: Cell<(Time, Outage)>,
+    /// Since when this instance is cut off, if it is.
+    cut_since: Cell<Time>,
     /// Whether the extent of an outage is being found out.
     probing: Cell<bool>,
     /// Latest success on the own way.
     reached: Cell<Time>,
     /// Latest failure of any call to the store.
     trouble: Cell<Option<Time>>,
+    /// Notified of each failure of a call to the store.
+    alarm: Notify,
 }
 
 impl<L: Log> Path<L> {
@@ -234,9 +311,11 @@
             peers: RefCell::new(None),
             avoid_until: Cell::new(Time::default()),
             outage: Cell::new((Time::default(), Outage::None)),
+            cut_since: Cell::default(),
             probing: Cell::new(false),
             reached: Cell::new(Time::default()),
             trouble: Cell::new(None),
+            alarm: Notify::new(),
         }
     }
 
@@ -247,10 +326,20 @@
 
     /// Returns what is known about an outage.
     pub fn outage(&self) -> Outage {
-        let (at, outage) = self.outage.get();
-        match Time::monotonic().since(at) < BELIEVED {
-            true => outage,
-            false => Outage::None,
+        match self.outage.get() {
+            (at, Outage::Total) if Time::monotonic().since(at) >= BELIEVED => Outage::None,
+            (_, outage) => outage,
+        }
+    }
+
+    /// Returns the time after which callers are served by other instances, while this one is cut
+    /// off.
+    pub fn elsewhere(&self) -> Option<Duration> {
+        let since = Time::monotonic().since(self.cut_since.get());
+        match self.outage() {
+            Outage::None | Outage::Total => None,
+            Outage::Alone => Some(ELSEWHERE),
+            Outage::Zone => Some(MOVED.saturating_sub(since).max(ELSEWHERE)),
         }
     }
 
@@ -278,6 +367,7 @@
     /// Notes that a call to the store failed.
     pub fn troubled(&self) {
         self.trouble.set(Some(Time::monotonic()));
+        self.alarm.notify_one();
     }
 
     /// Returns whether all grants of the latest outage are in the log by now.
@@ -325,6 +415,9 @@
             return;
         }
         let outage = probe.outage();
+        if outage == Outage::Alone && self.outage() == Outage::Zone {
+            return;
+        }
         log::warn!(
             refusals = probe.refusals, asked = probe.asked, live = probe.live,
             known = probe.known, outage:? = outage;
@@ -339,35 +432,62 @@
         outage != Outage::None && Time::monotonic().since(at) < RECHECK
     }
 
-    /// Tries the own way while this instance takes itself for cut off; never returns.
+    /// Finds out after failures of the store whether this instance is cut off, and until when;
+    /// never returns.
     pub async fn watch(&self) {
         loop {
-            sleep(RECHECK).await;
-            if self.outage() != Outage::Alone {
-                continue;
-            }
-            if let Some(direct) = self.direct() {
-                let result = direct.bounds(0).await;
-                self.note(&result);
+            if !self.outage().cut_off() {
+                self.alarm.notified().await;
             }
             let peers = self.peers.borrow().clone();
-            let Some(peers) = peers.filter(|_| self.outage() == Outage::Alone) else {
-                continue;
-            };
-            if !self.probing.replace(true) {
-                let (probe, _) = peers.probe(&[]).await;
-                self.probing.set(false);
-                match probe.reaching {
-                    // Others can help.
-                    1.. => self.learn(Outage::None),
-                    0 => self.conclude(&probe),
+            if let Some(peers) = peers {
+                self.check(&peers).await;
+            }
+            sleep(RECHECK).await;
+            if self.outage().cut_off() {
+                if let Some(direct) = self.direct() {
+                    let result = direct.bounds(0).await;
+                    self.note(&result);
                 }
             }
         }
     }
 
+    /// Finds out whether this instance is cut off.
+    async fn check(&self, peers: &Peers) {
+        let start = Time::monotonic();
+        let hearing = peers.hear().await;
+        // A call has succeeded meanwhile.
+        if self.reached.get() > start {
+            return;
+        }
+        if let Some(outage) = hearing.cut() {
+            if self.outage() != outage {
+                log::warn!(
+                    near = hearing.near, outage:? = outage;
+                    "account: no instance of another availability zone answers"
+                );
+            }
+            return self.learn(outage);
+        }
+        if !self.outage().cut_off() || self.probing.replace(true) {
+            return;
+        }
+        let (probe, _) = peers.probe(&[]).await;
+        self.probing.set(false);
+        match probe.reaching {
+            // Others can help.
+            1.. => self.learn(Outage::None),
+            0 => self.conclude(&probe),
+        }
+    }
+
     fn learn(&self, outage: Outage) {
-        self.outage.set((Time::monotonic(), outage));
+        let now = Time::monotonic();
+        if outage.cut_off() && !self.outage().cut_off() {
+            self.cut_since.set(now);
+        }
+        self.outage.set((now, outage));
     }
 
     /// Has another instance hold a turn that is granted without the log; returns whether it does.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -72,9 +72,6 @@
 /// Pause before an account that is unavailable is asked again.
 const AGAIN: Duration = Duration::from_millis(120);
 
-/// Time after which to come back to another instance.
-const ELSEWHERE: Duration = Duration::from_millis(20);
-
 /// Time after which to come back during an outage of the log, which lasts for seconds.
 const LATER: Duration = Duration::from_millis(600);
 
@@ -204,9 +201,9 @@
                 Ok(Ok(Answer::Spent)) => return Err(self.spent()),
                 Ok(Ok(Answer::Unavailable) | Err(_)) | Err(_) => {}
             }
-            // Another instance can serve the caller if only this one is cut off.
-            if self.gateway.home.cut_off() {
-                return Err(self.unavailable(ELSEWHERE));
+            // Other instances can serve the caller if this one is cut off.
+            if let Some(retry_after) = self.gateway.home.elsewhere() {
+                return Err(self.unavailable(retry_after));
             }
             if Instant::now() + AGAIN >= until {
                 return Err(self.unavailable(LATER));
--- /dev/null
+++ b/tests/gateway/home.rs
@@ -0,0 +1,247 @@
+//! Guards turns against homes that can't decide, and callers against a zone that is cut off.
+
+use std::{
+    net::{
+        Ipv4Addr,
+        SocketAddr, //
+    },
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use actix_web::rt::System;
+use gypsumlever::{
+    clock::Time,
+    gateway::{
+        home::{
+            Desk,
+            Home, //
+        },
+        keeper::{
+            Answer,
+            Keeper, //
+        },
+        path::Peers,
+    },
+    log::memory::{
+        Memory,
+        Service, //
+    },
+    member::{
+        Listed,
+        Roster, //
+    },
+    name::{
+        Instance,
+        Zone, //
+    },
+    peer::{
+        Mesh,
+        Settings, //
+    },
+};
+use tokio::{
+    net::TcpListener,
+    time::{
+        sleep,
+        timeout, //
+    }, //
+};
+
+/// Partitions of the accounts.
+const PARTITIONS: u32 = 4;
+
+/// An instance without listeners for callers.
+struct Node {
+    name: Instance,
+    zone: &'static str,
+    address: SocketAddr,
+    log: Memory,
+    keeper: Rc<Keeper<Memory>>,
+    home: Rc<Home<Memory>>,
+    peers: Peers,
+}
+
+impl Node {
+    async fn start(name: &str, zone: &'static str, log: &Memory) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let name = Instance::try_from(name).unwrap();
+        let place = Zone::try_from(zone).unwrap();
+        let log = log.share();
+        let keeper = Rc::new(Keeper::new(log.clone(), PARTITIONS));
+        let home = Rc::new(Home::new(keeper.clone()));
+        let roster = Roster::start(name.clone(), place.clone(), &address.to_string());
+        let settings = Settings::new("test", name.clone(), place, address, "test");
+        let mesh = Mesh::run(settings, listener, Desk(keeper.clone()), roster.clone());
+        let peers = Peers { mesh, roster };
+        keeper.connect(peers.clone());
+        home.connect(peers.clone());
+        actix_web::rt::spawn(keeper.clone().run());
+        Self {
+            name,
+            zone,
+            address,
+            log,
+            keeper,
+            home,
+            peers,
+        }
+    }
+
+    /// Asks whether a turn may run.
+    async fn open(&self, program: &str, turn: u64) -> Answer {
+        let request = self.home.open(program, turn, 100, 1_000);
+        let answer = timeout(Duration::from_secs(5), request.answer).await;
+        answer.expect("a turn is answered").unwrap()
+    }
+}
+
+/// Starts instances that know each other.
+async fn start(places: &[(&str, &'static str)]) -> Vec<Node> {
+    let log = Memory::new(PARTITIONS);
+    let mut nodes = Vec::new();
+    for (name, zone) in places {
+        nodes.push(Node::start(name, zone, &log).await);
+    }
+    let listed: Vec<_> = nodes
+        .iter()
+        .map(|node| Listed {
+            instance: node.name.clone(),
+            zone: Zone::try_from(node.zone).unwrap(),
+            address: node.address.to_string(),
+            leaving: false,
+        })
+        .collect();
+    for node in &nodes {
+        node.peers
+            .roster
+            .update(|view| view.listed(Time::now(), &listed));
+        node.home.join();
+    }
+    for node in &nodes {
+        for turn in 0..20 {
+            let answer = node.open(&format!("warm-{turn}"), turn).await;
+            assert_eq!(answer, Answer::Granted);
+        }
+    }
+    nodes
+}
+
+async fn wait(node: &Node, cut: bool) {
+    let start = Instant::now();
+    while node.home.cut_off() != cut {
+        assert!(start.elapsed() < Duration::from_secs(2));
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Callers wait in vain for as long as an instance of a zone that is cut off takes itself for
+/// sound, and a turn that it sends to an upstream runs in vain.
+#[test]
+fn cut_zone_is_known_at_once_until_it_is_back() {
+    System::new().block_on(async {
+        let nodes = start(&[("a1", "a"), ("a2", "a"), ("b1", "b"), ("c1", "c")]).await;
+        let (zone, rest) = nodes.split_at(2);
+        zone.iter()
+            .for_each(|node| node.log.set_service(Service::Refusing));
+        rest.iter().for_each(|node| node.peers.mesh.stop());
+        zone[0].home.troubled();
+        zone[1].home.troubled();
+        for node in zone {
+            wait(node, true).await;
+            let request = node.home.open("p", 1, 100, 1_000);
+            assert!(!request.likely);
+            assert_eq!(request.answer.await, Ok(Answer::Unavailable));
+            let back = node.home.elsewhere().unwrap();
+            assert!(back > Duration::from_secs(1), "{back:?}");
+        }
+        sleep(Duration::from_secs(3)).await;
+        for node in zone {
+            assert!(node.home.cut_off());
+            node.log.set_service(Service::Up);
+        }
+        for node in zone {
+            wait(node, false).await;
+            assert_eq!(node.home.elsewhere(), None);
+        }
+    });
+}
+
+/// A caller of the one instance that is cut off is served by its neighbours, so it need not wait
+/// for the balancer.
+#[test]
+fn cut_instance_sends_callers_to_its_neighbours() {
+    System::new().block_on(async {
+        let nodes = start(&[("a1", "a"), ("a2", "a"), ("b1", "b")]).await;
+        nodes[0].log.set_service(Service::Refusing);
+        nodes[1..].iter().for_each(|node| node.peers.mesh.stop());
+        nodes[0].home.troubled();
+        wait(&nodes[0], true).await;
+        let back = nodes[0].home.elsewhere().unwrap();
+        assert!(back < Duration::from_millis(100), "{back:?}");
+    });
+}
+
+/// Failures of the store alone must not take an instance out of service.
+#[test]
+fn instance_that_is_heard_is_not_cut_off() {
+    System::new().block_on(async {
+        let nodes = start(&[("a1", "a"), ("b1", "b")]).await;
+        nodes[0].home.troubled();
+        sleep(Duration::from_millis(900)).await;
+        assert!(!nodes[0].home.cut_off());
+    });
+}
+
+/// A home that comes back from a cut refuses turns for a while; an instance that reached the log all
+/// the time needs no home.
+#[test]
+fn turn_is_decided_by_the_log_while_its_home_can_not() {
+    System::new().block_on(async {
+        let nodes = start(&[("a1", "a"), ("b1", "b")]).await;
+        nodes[0].home.troubled();
+        for partition in 0..PARTITIONS as usize {
+            let home = nodes[0].keeper.homes(partition);
+            nodes[0].keeper.adopt(partition, false);
+            nodes[0].keeper.adopt(partition, home);
+        }
+        for turn in 0..40 {
+            let answer = nodes[1].open(&format!("program-{turn}"), turn).await;
+            assert_eq!(answer, Answer::Granted);
+        }
+    });
+}
+
+/// Turns that start while no home answers run in vain, unless the log decides them in the end.
+#[test]
+fn turn_waits_for_its_account_while_homes_are_silent() {
+    System::new().block_on(async {
+        // It accepts connections and says nothing.
+        let silent = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+        let node = Node::start("a1", "a", &Memory::new(PARTITIONS)).await;
+        let listed = Listed {
+            instance: Instance::try_from("b1").unwrap(),
+            zone: Zone::try_from("b").unwrap(),
+            address: silent.local_addr().unwrap().to_string(),
+            leaving: false,
+        };
+        node.peers
+            .roster
+            .update(|view| view.listed(Time::now(), &[listed]));
+        node.home.join();
+        let likely = || {
+            let open = |turn: &u64| {
+                let request = node.home.open(&format!("p-{turn}"), *turn, 100, 1_000);
+                request.likely
+            };
+            (0..40).filter(open).count()
+        };
+        assert!(likely() > 0);
+        sleep(Duration::from_millis(600)).await;
+        assert_eq!(likely(), 0);
+    });
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod connection;
 mod dialect;
 mod events;
+mod home;
 mod keeper;
 mod lines;
 mod path;
