Try a broken way to the log in the background only

Each second one turn of each partition tried the own way and waited 0.5 s, and a call that others did waited for the slowest of three of them.

--- a/src/gateway/path.rs
+++ b/src/gateway/path.rs
@@ -11,9 +11,15 @@
 };
 
 use bytes::Bytes;
-use futures_util::future::{
-    join,
-    join_all, //
+use futures_util::{
+    future::{
+        join,
+        join_all, //
+    },
+    stream::{
+        FuturesUnordered,
+        StreamExt as _, //
+    },
 };
 use rand::{
     seq::IteratorRandom as _,
@@ -46,8 +52,8 @@
     },
 };
 
-/// Time after a failure for which the own way is not tried.
-const AVOID: Duration = Duration::from_millis(500);
+/// Time between tries of a broken own way, and for which a success says that it works.
+const TRY: Duration = Duration::from_millis(500);
 
 /// Instances that are asked at a time; a third of all may be turned away at once.
 const HELPERS: usize = 3;
@@ -133,14 +139,18 @@
         fit.cloned().sample(&mut rand::rng(), HELPERS)
     }
 
-    /// Asks instances at the same time; returns an answer that is no refusal.
+    /// Asks instances at the same time; returns the first answer that is no refusal.
     async fn first(&self, names: &[Instance], question: &Question) -> Option<Answer> {
         let asked = names
             .iter()
             .map(|name| self.ask(name, question.clone(), HELP));
-        let answers = join_all(asked).await;
-        let mut helpful = answers.into_iter().flatten();
-        helpful.find(|answer| *answer != Answer::Refused)
+        let mut answers: FuturesUnordered<_> = asked.collect();
+        while let Some(answer) = answers.next().await {
+            if let Some(answer) = answer.filter(|answer| *answer != Answer::Refused) {
+                return Some(answer);
+            }
+        }
+        None
     }
 
     /// Asks instances other than the helpers whether they reach the log; returns some that do.
@@ -289,7 +299,8 @@
 pub struct Path<L> {
     direct: L,
     peers: RefCell<Option<Peers>>,
-    avoid_until: Cell<Time>,
+    /// Whether the latest call on the own way failed.
+    broken: Cell<bool>,
     outage: Cell<(Time, Outage)>,
     /// Since when this instance is cut off, if it is.
     cut_since: Cell<Time>,
@@ -309,7 +320,7 @@
         Self {
             direct,
             peers: RefCell::new(None),
-            avoid_until: Cell::new(Time::default()),
+            broken: Cell::new(false),
             outage: Cell::new((Time::default(), Outage::None)),
             cut_since: Cell::default(),
             probing: Cell::new(false),
@@ -345,21 +356,20 @@
 
     /// Returns the own way, for the help of others; nothing while it is broken.
     pub fn direct(&self) -> Option<&L> {
-        (Time::monotonic() >= self.avoid_until.get()).then_some(&self.direct)
+        (!self.broken.get()).then_some(&self.direct)
     }
 
     /// Notes the result of a call on the own way.
     pub fn note<T>(&self, result: &Result<T, Failure>) {
         match result {
             Ok(_) | Err(Failure::Expired { .. }) => {
+                self.broken.set(false);
                 self.reached.set(Time::monotonic());
                 self.learn(Outage::None);
             }
             Err(_) => {
+                self.broken.set(true);
                 self.troubled();
-                // Instances that were turned away together must not come back together.
-                let avoid = AVOID.mul_f64(rand::rng().random_range(1.0..2.0));
-                self.avoid_until.set(Time::monotonic() + avoid);
             }
         }
     }
@@ -378,7 +388,7 @@
 
     /// Returns whether a call on the own way succeeded just now.
     pub fn reached(&self) -> bool {
-        Time::monotonic().since(self.reached.get()) < AVOID
+        Time::monotonic().since(self.reached.get()) < TRY
     }
 
     /// Has another instance do a call.
@@ -432,33 +442,34 @@
         outage != Outage::None && Time::monotonic().since(at) < RECHECK
     }
 
-    /// Finds out after failures of the store whether this instance is cut off, and until when;
-    /// never returns.
+    /// Finds out after failures of the store whether this instance is cut off, and tries the own
+    /// way until it works, so that no turn has to; never returns.
     pub async fn watch(&self) {
         loop {
-            if !self.outage().cut_off() {
+            if !self.broken.get() && !self.outage().cut_off() {
                 self.alarm.notified().await;
             }
-            let peers = self.peers.borrow().clone();
-            if let Some(peers) = peers {
-                self.check(&peers).await;
-            }
-            sleep(RECHECK).await;
-            if self.outage().cut_off() {
-                if let Some(direct) = self.direct() {
-                    let result = direct.bounds(0).await;
-                    self.note(&result);
-                }
-            }
+            join(self.test(), self.check(Time::monotonic())).await;
+            // Instances that were turned away together must not come back together.
+            sleep(TRY.mul_f64(rand::rng().random_range(1.0..2.0))).await;
         }
     }
 
-    /// Finds out whether this instance is cut off.
-    async fn check(&self, peers: &Peers) {
-        let start = Time::monotonic();
+    /// Tries the own way if it is broken.
+    async fn test(&self) {
+        if self.broken.get() || self.outage().cut_off() {
+            let result = self.direct.bounds(0).await;
+            self.note(&result);
+        }
+    }
+
+    /// Finds out whether this instance is cut off, unless a call succeeds after the `start`.
+    async fn check(&self, start: Time) {
+        let Some(peers) = self.peers.borrow().clone() else {
+            return;
+        };
         let hearing = peers.hear().await;
-        // A call has succeeded meanwhile.
-        if self.reached.get() > start {
+        if self.reached.get() >= start {
             return;
         }
         if let Some(outage) = hearing.cut() {
--- a/tests/gateway/home.rs
+++ b/tests/gateway/home.rs
@@ -1,6 +1,7 @@
 //! Guards turns against homes that can't decide, and callers against a zone that is cut off.
 
 use std::{
+    future::Future,
     net::{
         Ipv4Addr,
         SocketAddr, //
@@ -13,6 +14,7 @@
 };
 
 use actix_web::rt::System;
+use bytes::Bytes;
 use gypsumlever::{
     clock::Time,
     gateway::{
@@ -26,9 +28,15 @@
         },
         path::Peers,
     },
-    log::memory::{
-        Memory,
-        Service, //
+    log::{
+        memory::{
+            Memory,
+            Service, //
+        },
+        Batch,
+        Bounds,
+        Failure,
+        Log, //
     },
     member::{
         Listed,
@@ -54,14 +62,45 @@
 /// Partitions of the accounts.
 const PARTITIONS: u32 = 4;
 
+/// Time after which the client of a log gives up a call without an answer.
+const PATIENCE: Duration = Duration::from_millis(300);
+
+/// A log whose silence is noticed late.
+#[derive(Clone)]
+struct Remote(Memory);
+
+impl Remote {
+    async fn call<T>(&self, call: impl Future<Output = Result<T, Failure>>) -> Result<T, Failure> {
+        let result = call.await;
+        if matches!(result, Err(Failure::Unknown(_))) {
+            sleep(PATIENCE).await;
+        }
+        result
+    }
+}
+
+impl Log for Remote {
+    async fn append(&self, partition: u32, records: &[Bytes]) -> Result<u64, Failure> {
+        self.call(self.0.append(partition, records)).await
+    }
+
+    async fn read(&self, partition: u32, from: u64, wait: Duration) -> Result<Batch, Failure> {
+        self.call(self.0.read(partition, from, wait)).await
+    }
+
+    async fn bounds(&self, partition: u32) -> Result<Bounds, Failure> {
+        self.call(self.0.bounds(partition)).await
+    }
+}
+
 /// An instance without listeners for callers.
 struct Node {
     name: Instance,
     zone: &'static str,
     address: SocketAddr,
     log: Memory,
-    keeper: Rc<Keeper<Memory>>,
-    home: Rc<Home<Memory>>,
+    keeper: Rc<Keeper<Remote>>,
+    home: Rc<Home<Remote>>,
     peers: Peers,
 }
 
@@ -72,7 +111,7 @@
         let name = Instance::try_from(name).unwrap();
         let place = Zone::try_from(zone).unwrap();
         let log = log.share();
-        let keeper = Rc::new(Keeper::new(log.clone(), PARTITIONS));
+        let keeper = Rc::new(Keeper::new(Remote(log.clone()), PARTITIONS));
         let home = Rc::new(Home::new(keeper.clone()));
         let roster = Roster::start(name.clone(), place.clone(), &address.to_string());
         let settings = Settings::new("test", name.clone(), place, address, "test");
@@ -245,3 +284,32 @@
         assert_eq!(likely(), 0);
     });
 }
+
+/// The first turn notices that the own way to the log is broken; each later one that tried it would
+/// wait as long again.
+#[test]
+fn turns_do_not_try_a_broken_way() {
+    System::new().block_on(async {
+        let nodes = start(&[("a1", "a"), ("a2", "a"), ("b1", "b"), ("c1", "c")]).await;
+        nodes[0].log.set_service(Service::Silent);
+        for turn in 0..10 {
+            nodes[0].open(&format!("first-{turn}"), turn).await;
+        }
+        let start = Instant::now();
+        let mut slowest = Duration::ZERO;
+        for turn in 0.. {
+            let asked = Instant::now();
+            let program = format!("p-{turn}");
+            assert_eq!(nodes[0].open(&program, turn).await, Answer::Granted);
+            slowest = slowest.max(asked.elapsed());
+            sleep(Duration::from_millis(50)).await;
+            if start.elapsed() > Duration::from_secs(3) {
+                break;
+            }
+        }
+        assert!(slowest < PATIENCE / 2, "{slowest:?}");
+        nodes[0].log.set_service(Service::Up);
+        sleep(Duration::from_millis(1_500)).await;
+        assert!(nodes[0].keeper.reaches().await);
+    });
+}
