Avoid a home that is slower than the log

Cause: after a zone is cut off, each turn whose home is in it waited 0.4 s for the home, until the view has given the home up after 3 s. Change: a home that had not answered when the log had decided is not asked for 3 s, the time after which all know that it is dead.

--- a/src/gateway/home.rs
+++ b/src/gateway/home.rs
@@ -62,8 +62,9 @@
 /// Longest time for the answer of a home, which has to find out the extent of an outage.
 const ASK: Duration = Duration::from_millis(1_700);
 
-/// Time for which a home that gave no answer is not asked.
-const AVOID: Duration = Duration::from_secs(1);
+/// Time for which a home that gave no answer is not asked; all instances know after it that a home
+/// is dead.
+const AVOID: Duration = Duration::from_secs(3);
 
 /// Programs whose charge is remembered; a program lasts for seconds.
 const PROGRAMS: usize = 4_096;
@@ -309,6 +310,10 @@
         log::debug!(home = home.as_str(), late; "account: home has not decided; using the log");
         let own = self.keeper.open(ask).answer.await;
         let own = own.unwrap_or(keeper::Answer::Unavailable);
+        if own != keeper::Answer::Unavailable && late {
+            // The log is faster than this home.
+            self.avoid(&home);
+        }
         if own != keeper::Answer::Unavailable || !late {
             return own;
         }
--- a/tests/gateway/home.rs
+++ b/tests/gateway/home.rs
@@ -131,6 +131,14 @@
         }
     }
 
+    /// Learns the other instances.
+    fn know(&self, known: &[Listed]) {
+        self.peers
+            .roster
+            .update(|view| view.listed(Time::now(), known));
+        self.home.join();
+    }
+
     /// Asks whether a turn may run.
     async fn open(&self, program: &str, turn: u64) -> Answer {
         let request = self.home.open(program, turn, 100, 1_000);
@@ -139,6 +147,16 @@
     }
 }
 
+/// Returns an instance as the platform lists it.
+fn listed(name: &str, zone: &str, address: SocketAddr) -> Listed {
+    Listed {
+        instance: Instance::try_from(name).unwrap(),
+        zone: Zone::try_from(zone).unwrap(),
+        address: address.to_string(),
+        leaving: false,
+    }
+}
+
 /// Starts instances that know each other.
 async fn start(places: &[(&str, &'static str)]) -> Vec<Node> {
     let log = Memory::new(PARTITIONS);
@@ -146,21 +164,11 @@
     for (name, zone) in places {
         nodes.push(Node::start(name, zone, &log).await);
     }
-    let listed: Vec<_> = nodes
+    let known: Vec<_> = nodes
         .iter()
-        .map(|node| Listed {
-            instance: node.name.clone(),
-            zone: Zone::try_from(node.zone).unwrap(),
-            address: node.address.to_string(),
-            leaving: false,
-        })
+        .map(|node| listed(node.name.as_str(), node.zone, node.address))
         .collect();
-    for node in &nodes {
-        node.peers
-            .roster
-            .update(|view| view.listed(Time::now(), &listed));
-        node.home.join();
-    }
+    nodes.iter().for_each(|node| node.know(&known));
     for node in &nodes {
         for turn in 0..20 {
             let answer = node.open(&format!("warm-{turn}"), turn).await;
@@ -262,16 +270,7 @@
         // It accepts connections and says nothing.
         let silent = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
         let node = Node::start("a1", "a", &Memory::new(PARTITIONS)).await;
-        let listed = Listed {
-            instance: Instance::try_from("b1").unwrap(),
-            zone: Zone::try_from("b").unwrap(),
-            address: silent.local_addr().unwrap().to_string(),
-            leaving: false,
-        };
-        node.peers
-            .roster
-            .update(|view| view.listed(Time::now(), &[listed]));
-        node.home.join();
+        node.know(&[listed("b1", "b", silent.local_addr().unwrap())]);
         let likely = || {
             let open = |turn: &u64| {
                 let request = node.home.open(&format!("p-{turn}"), *turn, 100, 1_000);
@@ -313,3 +312,21 @@
         assert!(nodes[0].keeper.reaches().await);
     });
 }
+
+/// Each turn that waits for a home that is cut off loses as long as the first one.
+#[test]
+fn silent_home_delays_one_turn_only() {
+    System::new().block_on(async {
+        let silent = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+        let node = Node::start("a1", "a", &Memory::new(PARTITIONS)).await;
+        node.know(&[listed("b1", "b", silent.local_addr().unwrap())]);
+        let mut slow = 0;
+        for turn in 0..40 {
+            let asked = Instant::now();
+            let answer = node.open(&format!("p-{turn}"), turn).await;
+            assert_eq!(answer, Answer::Granted);
+            slow += u32::from(asked.elapsed() > Duration::from_millis(200));
+        }
+        assert!(slow <= 1, "{slow}");
+    });
+}
