--- a/src/gateway/account.rs
+++ b/src/gateway/account.rs
@@ -20,6 +20,10 @@
 /// within the routes' retention of 60 s.
 const FORGET: Duration = Duration::from_secs(150);
 
+/// Turns' most that have to be left for a turn to start before its account has answered: the turn
+/// itself, and one more that another instance may have started.
+const HEADROOM: u64 = 2;
+
 /// Identifier of a program in the log.
 pub type Program = u64;
 
@@ -45,6 +49,12 @@
 }
 
 impl Ask {
+    /// Returns whether the turn is so far from the end of the budget that it may start before its
+    /// account has answered.
+    pub fn early(&self, charged: u64) -> bool {
+        charged.saturating_add(self.most.saturating_mul(HEADROOM)) <= self.budget
+    }
+
     /// Returns the record of the turn.
     pub fn entry(self, forced: bool) -> Entry {
         Entry::Open {
--- a/src/gateway/home.rs
+++ b/src/gateway/home.rs
@@ -35,10 +35,8 @@
         Keeper,
         Request, //
     },
-    path::{
-        Outage,
-        Peers, //
-    },
+    outage::Outage,
+    peers::Peers,
 };
 use crate::{
     clock::Time,
@@ -73,9 +71,6 @@
 /// Programs whose charge is remembered; a program lasts for seconds.
 const PROGRAMS: usize = 4_096;
 
-/// Turns' most that have to be left for a turn to start before its account was asked.
-const HEADROOM: u64 = 2;
-
 /// Question of another instance.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -286,7 +281,7 @@
             .unwrap_or(0);
         // During an outage the answer may take long or be a refusal, and the run would be in vain.
         let calm = self.keeper.outage() == Outage::None;
-        let likely = calm && self.slow.get() && charged + HEADROOM * most <= budget;
+        let likely = calm && self.slow.get() && ask.early(charged);
         let (reply, answer) = oneshot::channel();
         let this = self.clone();
         actix_web::rt::spawn(async move {
--- a/src/gateway/life.rs
+++ b/src/gateway/life.rs
@@ -28,7 +28,7 @@
         Home, //
     },
     keeper::Keeper,
-    path::Peers,
+    peers::Peers,
     settings::Settings,
     state::Gateway, //
 };
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,7 +4,7 @@
 //! upstreams, keeps its own picture of each upstream's load, and shares only the token accounts of
 //! programs with other instances, through the log. `docs/platform.md` gives the reasons.
 //!
-//! Decisions are pure ([`route`], [`registry`], [`load`], [`balance`], [`account`]); sockets are in
+//! Decisions are pure ([`route`], [`registry`], [`load`], [`balance`], [`account`], [`outage`]); sockets are in
 //! [`connection`], [`pool`], [`forward`], [`relay`] and [`front`].
 
 pub mod account;
@@ -23,7 +23,9 @@
 pub mod life;
 pub mod lines;
 pub mod load;
+pub mod outage;
 pub mod path;
+pub mod peers;
 pub mod pool;
 pub mod proof;
 pub mod registry;
--- a/src/gateway/path.rs
+++ b/src/gateway/path.rs
@@ -11,20 +11,8 @@
 };
 
 use bytes::Bytes;
-use futures_util::{
-    future::{
-        join,
-        join_all, //
-    },
-    stream::{
-        FuturesUnordered,
-        StreamExt as _, //
-    },
-};
-use rand::{
-    seq::IteratorRandom as _,
-    RngExt as _, //
-};
+use futures_util::future::join;
+use rand::RngExt as _;
 use tokio::{
     sync::Notify,
     time::sleep, //
@@ -36,6 +24,11 @@
         Answer,
         Question, //
     },
+    outage::{
+        Outage,
+        Probe, //
+    },
+    peers::Peers,
 };
 use crate::{
     clock::Time,
@@ -44,40 +37,11 @@
         Failure,
         Log, //
     },
-    member::Roster,
-    name::Instance,
-    peer::{
-        wire::Body,
-        Mesh, //
-    },
 };
 
 /// Time between tries of a broken own way, and for which a success says that it works.
 const TRY: Duration = Duration::from_millis(500);
 
-/// Instances that are asked at a time; a third of all may be turned away at once.
-const HELPERS: usize = 3;
-
-/// Longest time for the help of another instance: more than a call to the store takes there.
-const HELP: Duration = Duration::from_millis(700);
-
-/// Longest time for another instance to hold a turn: many round trips between zones.
-const HOLD: Duration = Duration::from_millis(100);
-
-/// Longest time for another instance to say that it hears this one, on a slowed machine.
-const HEAR: Duration = Duration::from_millis(400);
-
-/// Instances of other availability zones, and of the own one, that are asked whether they hear this
-/// one: with a third of all gone, none is left among six once in a thousand times.
-const HEARERS: usize = 6;
-
-/// Instances that are asked whether they reach the log.
-const PROBED: usize = 48;
-
-/// Part of them that must not reach it for an outage to be total. A zone or a third of the
-/// instances that is cut off is a smaller part of a sample, but for one in a thousand.
-const MAJORITY: (usize, usize) = (11, 20);
-
 /// Time after which the extent of an outage is found out again.
 const RECHECK: Duration = Duration::from_millis(800);
 
@@ -96,205 +60,6 @@
 /// Others that hold grants append them meanwhile: a call of 0.5 s, 1 s without a try, and a retry.
 const SETTLE: Duration = Duration::from_millis(2_500);
 
-/// Links to other instances.
-#[derive(Clone)]
-pub struct Peers {
-    /// The links.
-    pub mesh: Mesh,
-    /// The instances that are known.
-    pub roster: Roster,
-}
-
-impl Peers {
-    /// Returns the other instances that may be asked.
-    fn others(&self) -> Vec<Instance> {
-        let snapshot = self.roster.snapshot();
-        let own = &snapshot.own().instance;
-        let live = snapshot.usable();
-        live.filter(|name| *name != own).cloned().collect()
-    }
-
-    /// Picks other instances at random, first one of another availability zone if there is any.
-    fn helpers(&self) -> Vec<Instance> {
-        let snapshot = self.roster.snapshot();
-        let mut rng = rand::rng();
-        let others = self.others();
-        let own = snapshot.live(&snapshot.own().zone);
-        let away = others.iter().filter(|name| !own.contains(name));
-        let mut helpers: Vec<_> = away.choose(&mut rng).cloned().into_iter().collect();
-        let rest = others.iter().filter(|name| !helpers.contains(name));
-        let rest = rest.cloned().sample(&mut rng, HELPERS - helpers.len());
-        helpers.extend(rest);
-        helpers
-    }
-
-    /// Picks instances that may hold a grant.
-    fn holders(&self) -> Vec<Instance> {
-        let snapshot = self.roster.snapshot();
-        let own = snapshot.own();
-        let others = self.others();
-        let away = |name: &&Instance| !snapshot.live(&own.zone).contains(name);
-        let zoned = snapshot.zones().any(|zone| *zone != own.zone);
-        let fit = others.iter().filter(|name| !zoned || away(name));
-        fit.cloned().sample(&mut rand::rng(), HELPERS)
-    }
-
-    /// Asks instances at the same time; returns the first answer that is no refusal.
-    async fn first(&self, names: &[Instance], question: &Question) -> Option<Answer> {
-        let asked = names
-            .iter()
-            .map(|name| self.ask(name, question.clone(), HELP));
-        let mut answers: FuturesUnordered<_> = asked.collect();
-        while let Some(answer) = answers.next().await {
-            if let Some(answer) = answer.filter(|answer| *answer != Answer::Refused) {
-                return Some(answer);
-            }
-        }
-        None
-    }
-
-    /// Asks instances other than the helpers whether they reach the log; returns some that do.
-    ///
-    /// A few may be turned away, or cut off together, while most reach it.
-    async fn probe(&self, helpers: &[Instance]) -> (Probe, Vec<Instance>) {
-        let known = self.roster.snapshot().peers().count();
-        let live = self.others();
-        let others = live.iter().filter(|name| !helpers.contains(name));
-        let sample = others.sample(&mut rand::rng(), PROBED);
-        let asked = sample.iter().map(|name| async move {
-            let answer = self.ask(name, Question::Reach, HELP).await;
-            (name, answer)
-        });
-        let mut probe = Probe {
-            known,
-            live: live.len(),
-            asked: sample.len(),
-            refusals: 0,
-            reaching: 0,
-        };
-        let mut reaching = Vec::new();
-        for (name, answer) in join_all(asked).await {
-            match answer {
-                Some(Answer::Reaches) => {
-                    probe.reaching += 1;
-                    reaching.push(Instance::clone(name));
-                }
-                Some(Answer::Refused) => probe.refusals += 1,
-                _ => {}
-            }
-        }
-        reaching.truncate(HELPERS);
-        (probe, reaching)
-    }
-
-    /// Finds out which other instances still hear this one.
-    async fn hear(&self) -> Hearing {
-        let snapshot = self.roster.snapshot();
-        let own = &snapshot.own().zone;
-        // A zone that is cut off gives up the others after some seconds, so all known ones count.
-        let sample = |near: bool| {
-            let known = snapshot.peers().map(|peer| &peer.entry);
-            let fit = known.filter(|entry| (entry.zone == *own) == near);
-            let names = fit.map(|entry| entry.instance.clone());
-            names.sample(&mut rand::rng(), HEARERS)
-        };
-        let (near, away) = (sample(true), sample(false));
-        let zoned = !away.is_empty();
-        let (near, away) = join(self.heard(&near), self.heard(&away)).await;
-        Hearing { zoned, near, away }
-    }
-
-    /// Returns how many instances say that they hear this one.
-    async fn heard(&self, names: &[Instance]) -> usize {
-        let asked = names
-            .iter()
-            .map(|name| self.ask(name, Question::Hear, HEAR));
-        join_all(asked).await.into_iter().flatten().count()
-    }
-
-    /// Asks another instance about accounts.
-    pub async fn ask(&self, to: &Instance, question: Question, limit: Duration) -> Option<Answer> {
-        match self.mesh.request(to, Body::Account(question), limit).await {
-            Ok(Body::Accounted(answer)) => Some(answer),
-            Ok(_) => None,
-            Err(error) => {
-                log::debug!(peer = to.as_str(), error:%; "account: peer gave no answer");
-                None
-            }
-        }
-    }
-}
-
-/// Result of asking other instances whether they reach the log.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Probe {
-    /// Other instances that are known; those that are not live can't be reached.
-    pub known: usize,
-    /// Other instances that may be asked.
-    pub live: usize,
-    /// Those of them that were asked.
-    pub asked: usize,
-    /// Those of them that can't reach the log either.
-    pub refusals: usize,
-    /// Those of them that reach it.
-    pub reaching: usize,
-}
-
-impl Probe {
-    /// Returns the extent of the outage.
-    pub fn outage(&self) -> Outage {
-        // What a sample of the live ones says holds for all live ones.
-        let refusing = self.refusals * self.live;
-        let most = refusing * MAJORITY.1 > self.known * self.asked * MAJORITY.0;
-        match self.reaching == 0 && most {
-            true => Outage::Total,
-            false => Outage::Alone,
-        }
-    }
-}
-
-/// Result of asking other instances whether they hear this one.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Hearing {
-    /// Whether instances of other availability zones are known.
-    pub zoned: bool,
-    /// Instances of the own availability zone that answered.
-    pub near: usize,
-    /// Instances of others that answered.
-    pub away: usize,
-}
-
-impl Hearing {
-    /// Returns the part of the deployment that is cut off, or `None` if there is no sign of a cut.
-    pub fn cut(&self) -> Option<Outage> {
-        match (self.zoned, self.near, self.away) {
-            (true, 0, 0) => Some(Outage::Alone),
-            (true, _, 0) => Some(Outage::Zone),
-            _ => None,
-        }
-    }
-}
-
-/// What an instance knows about an outage of the log.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Outage {
-    /// The log can be reached, or nothing is known.
-    None,
-    /// Most instances can't reach the log, and none is known that can.
-    Total,
-    /// This instance is cut off, and others may reach the log.
-    Alone,
-    /// The availability zone of this instance is cut off, and others may reach the log.
-    Zone,
-}
-
-impl Outage {
-    /// Returns whether others may reach the log.
-    pub fn cut_off(self) -> bool {
-        matches!(self, Self::Alone | Self::Zone)
-    }
-}
-
 /// The way to the log.
 pub struct Path<L> {
     direct: L,
@@ -500,20 +265,12 @@
     }
 
     /// Has another instance hold a turn that is granted without the log; returns whether it does.
-    ///
-    /// It is one of another availability zone if there are several: a home whose zone is cut off
-    /// finds none.
     pub async fn hold(&self, entry: Entry) -> bool {
-        let Some(peers) = self.peers.borrow().clone() else {
-            return false;
-        };
-        for name in peers.holders() {
-            let held = peers.ask(&name, Question::Hold(entry), HOLD).await;
-            if held == Some(Answer::Held) {
-                return true;
-            }
+        let peers = self.peers.borrow().clone();
+        match peers {
+            Some(peers) => peers.hold(entry).await,
+            None => false,
         }
-        false
     }
 }
 
--- /dev/null
+++ b/src/gateway/peers.rs
@@ -0,0 +1,197 @@
+//! Questions to other instances, while the log or a part of the deployment can't be reached.
+
+use std::time::Duration;
+
+use futures_util::{
+    future::{
+        join,
+        join_all, //
+    },
+    stream::{
+        FuturesUnordered,
+        StreamExt as _, //
+    },
+};
+use rand::seq::IteratorRandom as _;
+
+use super::{
+    account::Entry,
+    home::{
+        Answer,
+        Question, //
+    },
+    outage::{
+        Hearing,
+        Probe, //
+    },
+};
+use crate::{
+    member::Roster,
+    name::Instance,
+    peer::{
+        wire::Body,
+        Mesh, //
+    },
+};
+
+/// Instances that are asked at a time; a third of all may be turned away at once.
+const HELPERS: usize = 3;
+
+/// Longest time for the help of another instance: more than a call to the store takes there.
+const HELP: Duration = Duration::from_millis(700);
+
+/// Longest time for another instance to hold a turn: many round trips between zones.
+const HOLD: Duration = Duration::from_millis(100);
+
+/// Longest time for another instance to say that it hears this one, on a slowed machine.
+const HEAR: Duration = Duration::from_millis(400);
+
+/// Instances of other availability zones, and of the own one, that are asked whether they hear this
+/// one: with a third of all gone, none is left among six once in a thousand times.
+const HEARERS: usize = 6;
+
+/// Instances that are asked whether they reach the log.
+const PROBED: usize = 48;
+
+/// Links to other instances.
+#[derive(Clone)]
+pub struct Peers {
+    /// The links.
+    pub mesh: Mesh,
+    /// The instances that are known.
+    pub roster: Roster,
+}
+
+impl Peers {
+    /// Returns the other instances that may be asked.
+    fn others(&self) -> Vec<Instance> {
+        let snapshot = self.roster.snapshot();
+        let own = &snapshot.own().instance;
+        let live = snapshot.usable();
+        live.filter(|name| *name != own).cloned().collect()
+    }
+
+    /// Picks other instances at random, first one of another availability zone if there is any.
+    pub fn helpers(&self) -> Vec<Instance> {
+        let snapshot = self.roster.snapshot();
+        let mut rng = rand::rng();
+        let others = self.others();
+        let own = snapshot.live(&snapshot.own().zone);
+        let away = others.iter().filter(|name| !own.contains(name));
+        let mut helpers: Vec<_> = away.choose(&mut rng).cloned().into_iter().collect();
+        let rest = others.iter().filter(|name| !helpers.contains(name));
+        let rest = rest.cloned().sample(&mut rng, HELPERS - helpers.len());
+        helpers.extend(rest);
+        helpers
+    }
+
+    /// Has another instance hold a turn that is granted without the log; returns whether it does.
+    ///
+    /// It is one of another availability zone if there are several: a home whose zone is cut off
+    /// finds none.
+    pub async fn hold(&self, entry: Entry) -> bool {
+        for name in self.holders() {
+            let held = self.ask(&name, Question::Hold(entry), HOLD).await;
+            if held == Some(Answer::Held) {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Picks instances that may hold a grant.
+    fn holders(&self) -> Vec<Instance> {
+        let snapshot = self.roster.snapshot();
+        let own = snapshot.own();
+        let others = self.others();
+        let away = |name: &&Instance| !snapshot.live(&own.zone).contains(name);
+        let zoned = snapshot.zones().any(|zone| *zone != own.zone);
+        let fit = others.iter().filter(|name| !zoned || away(name));
+        fit.cloned().sample(&mut rand::rng(), HELPERS)
+    }
+
+    /// Asks instances at the same time; returns the first answer that is no refusal.
+    pub async fn first(&self, names: &[Instance], question: &Question) -> Option<Answer> {
+        let asked = names
+            .iter()
+            .map(|name| self.ask(name, question.clone(), HELP));
+        let mut answers: FuturesUnordered<_> = asked.collect();
+        while let Some(answer) = answers.next().await {
+            if let Some(answer) = answer.filter(|answer| *answer != Answer::Refused) {
+                return Some(answer);
+            }
+        }
+        None
+    }
+
+    /// Asks instances other than the helpers whether they reach the log; returns some that do.
+    ///
+    /// A few may be turned away, or cut off together, while most reach it.
+    pub async fn probe(&self, helpers: &[Instance]) -> (Probe, Vec<Instance>) {
+        let known = self.roster.snapshot().peers().count();
+        let live = self.others();
+        let others = live.iter().filter(|name| !helpers.contains(name));
+        let sample = others.sample(&mut rand::rng(), PROBED);
+        let asked = sample.iter().map(|name| async move {
+            let answer = self.ask(name, Question::Reach, HELP).await;
+            (name, answer)
+        });
+        let mut probe = Probe {
+            known,
+            live: live.len(),
+            asked: sample.len(),
+            refusals: 0,
+            reaching: 0,
+        };
+        let mut reaching = Vec::new();
+        for (name, answer) in join_all(asked).await {
+            match answer {
+                Some(Answer::Reaches) => {
+                    probe.reaching += 1;
+                    reaching.push(Instance::clone(name));
+                }
+                Some(Answer::Refused) => probe.refusals += 1,
+                _ => {}
+            }
+        }
+        reaching.truncate(HELPERS);
+        (probe, reaching)
+    }
+
+    /// Finds out which other instances still hear this one.
+    pub async fn hear(&self) -> Hearing {
+        let snapshot = self.roster.snapshot();
+        let own = &snapshot.own().zone;
+        // A zone that is cut off gives up the others after some seconds, so all known ones count.
+        let sample = |near: bool| {
+            let known = snapshot.peers().map(|peer| &peer.entry);
+            let fit = known.filter(|entry| (entry.zone == *own) == near);
+            let names = fit.map(|entry| entry.instance.clone());
+            names.sample(&mut rand::rng(), HEARERS)
+        };
+        let (near, away) = (sample(true), sample(false));
+        let zoned = !away.is_empty();
+        let (near, away) = join(self.heard(&near), self.heard(&away)).await;
+        Hearing { zoned, near, away }
+    }
+
+    /// Returns how many instances say that they hear this one.
+    async fn heard(&self, names: &[Instance]) -> usize {
+        let asked = names
+            .iter()
+            .map(|name| self.ask(name, Question::Hear, HEAR));
+        join_all(asked).await.into_iter().flatten().count()
+    }
+
+    /// Asks another instance about accounts.
+    pub async fn ask(&self, to: &Instance, question: Question, limit: Duration) -> Option<Answer> {
+        match self.mesh.request(to, Body::Account(question), limit).await {
+            Ok(Body::Accounted(answer)) => Some(answer),
+            Ok(_) => None,
+            Err(error) => {
+                log::debug!(peer = to.as_str(), error:%; "account: peer gave no answer");
+                None
+            }
+        }
+    }
+}
--- a/tests/gateway/account.rs
+++ b/tests/gateway/account.rs
@@ -152,3 +152,11 @@
         prop_assert_eq!(once.charged(PROGRAM), twice.charged(PROGRAM));
     }
 }
+
+/// A turn that starts early near the end of the budget would run in vain.
+#[test]
+fn turn_starts_early_only_far_from_the_end_of_the_budget() {
+    for (charged, early) in [(0, true), (300, true), (301, false), (u64::MAX, false)] {
+        assert_eq!(ask(500).early(charged), early, "{charged}");
+    }
+}
--- a/tests/gateway/path.rs
+++ b/tests/gateway/outage.rs
@@ -1,6 +1,6 @@
 //! Guards budgets against a part of the deployment that takes itself for all of it.
 
-use gypsumlever::gateway::path::{
+use gypsumlever::gateway::outage::{
     Outage,
     Probe, //
 };
