Wait for grants of an outage after its end, not after the last try

Cause, found by reading: since turns no longer try a broken way, the last failure may lie up to a second before the end of an outage, so that 1.5 s were left for the holders of grants to append them, who need up to 1.8 s. An instance that started just after an outage did not wait at all. And single lost appends made new homes wait, though no outage is possible while reads succeed. Change: the wait counts from the first call that succeeds again; only failed reads begin it; an instance that starts asks others whether they wait. Tests: home::new_instance_waits_*, home::lost_append_*, which fail with the changes taken out; the time of the wait has no test of its own.

--- a/src/gateway/home.rs
+++ b/src/gateway/home.rs
@@ -147,7 +147,11 @@
     Held,
     /// This instance hears the asker.
     #[serde(rename = "e")]
-    Heard,
+    Heard {
+        /// Whether all grants of the latest outage are in the log, as far as this instance knows.
+        #[serde(rename = "s")]
+        settled: bool,
+    },
     /// This instance reaches the log.
     #[serde(rename = "q")]
     Reaches,
@@ -201,7 +205,8 @@
     /// Notes that the other instances are known.
     ///
     /// Until then no partition is read: all instances that restart together would read all of them.
-    pub fn join(&self) {
+    pub async fn join(&self) {
+        self.keeper.inherit().await;
         self.joined.set(true);
         self.adopt();
     }
@@ -396,7 +401,10 @@
                 keeper.hold(entry);
                 finish(reply, Answer::Held);
             }
-            Question::Hear => finish(reply, Answer::Heard),
+            Question::Hear => {
+                let settled = keeper.settled();
+                finish(reply, Answer::Heard { settled });
+            }
             Question::Reach => {
                 actix_web::rt::spawn(async move {
                     let answer = match keeper.reaches().await {
--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -176,6 +176,16 @@
         self.log.elsewhere()
     }
 
+    /// Learns from other instances of an outage that ended before this instance started.
+    pub async fn inherit(&self) {
+        self.log.inherit().await;
+    }
+
+    /// Returns whether all grants of the latest outage are in the log by now.
+    pub fn settled(&self) -> bool {
+        self.log.settled()
+    }
+
     /// Notes that a call to another topic of the store failed.
     pub fn suspect(&self) {
         self.log.suspect();
@@ -216,17 +226,12 @@
 
     /// Appends records for another instance, on the own way to the log only.
     pub async fn append_for(&self, partition: u32, records: &[Bytes]) -> Option<u64> {
-        let result = self.log.direct()?.append(partition, records).await;
-        self.log.note(&result);
-        result.ok()
+        self.log.append_directly(partition, records).await?.ok()
     }
 
     /// Reads records for another instance, on the own way to the log only.
     pub async fn read_for(&self, partition: u32, from: u64) -> Option<Batch> {
-        let read = self.log.direct()?.read(partition, from, Duration::ZERO);
-        let result = read.await;
-        self.log.note(&result);
-        match result {
+        match self.log.read_directly(partition, from).await? {
             Ok(batch) => Some(batch),
             Err(Failure::Expired { begin }) => Some(Batch {
                 records: Vec::new(),
--- a/src/gateway/life.rs
+++ b/src/gateway/life.rs
@@ -171,7 +171,7 @@
         }
         sleep(RETRY).await;
     }
-    gateway.home.join();
+    gateway.home.join().await;
     let address = settings.peers.listen.to_string();
     while let Err(error) = instances
         .announce(&settings.instance, &settings.zone, Some(&address))
--- a/src/gateway/outage.rs
+++ b/src/gateway/outage.rs
@@ -41,6 +41,8 @@
     pub near: usize,
     /// Instances of others that answered.
     pub away: usize,
+    /// Whether one of them may know grants of an outage that are not in the log yet.
+    pub unsettled: bool,
 }
 
 impl Hearing {
--- a/src/gateway/path.rs
+++ b/src/gateway/path.rs
@@ -73,7 +73,9 @@
     probing: Cell<bool>,
     /// Latest success on the own way.
     reached: Cell<Time>,
-    /// Latest failure of a call on the own way.
+    /// Whether the latest read on the own way failed; a lost append alone is no outage.
+    unreachable: Cell<bool>,
+    /// Latest time at which the log was unreachable, as far as this instance or others knew.
     trouble: Cell<Option<Time>>,
     /// Notified of each failure of a call to any topic of the store.
     alarm: Notify,
@@ -90,6 +92,7 @@
             cut_since: Cell::default(),
             probing: Cell::new(false),
             reached: Cell::new(Time::default()),
+            unreachable: Cell::new(false),
             trouble: Cell::new(None),
             alarm: Notify::new(),
         }
@@ -119,36 +122,79 @@
         }
     }
 
-    /// Returns the own way, for the help of others; nothing while it is broken.
-    pub fn direct(&self) -> Option<&L> {
+    /// Returns the own way; nothing while it is broken.
+    fn direct(&self) -> Option<&L> {
         (!self.broken.get()).then_some(&self.direct)
     }
 
     /// Notes the result of a call on the own way.
-    pub fn note<T>(&self, result: &Result<T, Failure>) {
+    fn note<T>(&self, result: &Result<T, Failure>) {
+        let now = Time::monotonic();
         match result {
             Ok(_) | Err(Failure::Expired { .. }) => {
                 self.broken.set(false);
-                self.reached.set(Time::monotonic());
+                self.reached.set(now);
                 self.learn(Outage::None);
+                if self.unreachable.replace(false) {
+                    self.trouble.set(Some(now));
+                }
             }
             Err(_) => {
                 self.broken.set(true);
-                self.trouble.set(Some(Time::monotonic()));
                 self.alarm.notify_one();
             }
         }
     }
 
+    /// Notes the result of a read on the own way.
+    fn note_read<T>(&self, result: &Result<T, Failure>) {
+        self.note(result);
+        if matches!(result, Err(failure) if !matches!(failure, Failure::Expired { .. })) {
+            self.unreachable.set(true);
+            self.trouble.set(Some(Time::monotonic()));
+        }
+    }
+
+    /// Appends records on the own way only; nothing while it is broken.
+    pub async fn append_directly(
+        &self,
+        partition: u32,
+        records: &[Bytes],
+    ) -> Option<Result<u64, Failure>> {
+        let result = self.direct()?.append(partition, records).await;
+        self.note(&result);
+        Some(result)
+    }
+
+    /// Reads records on the own way only; nothing while it is broken.
+    pub async fn read_directly(&self, partition: u32, from: u64) -> Option<Result<Batch, Failure>> {
+        let result = self.direct()?.read(partition, from, Duration::ZERO).await;
+        self.note_read(&result);
+        Some(result)
+    }
+
     /// Notes that a call to another topic of the store failed, which may concern that topic only.
     pub fn suspect(&self) {
         self.alarm.notify_one();
     }
 
+    /// Learns from other instances of an outage that ended before this instance started.
+    ///
+    /// If all start together, nobody knows a grant that is not in the log.
+    pub async fn inherit(&self) {
+        let Some(peers) = self.peers.borrow().clone() else {
+            return;
+        };
+        if peers.hear().await.unsettled {
+            log::info!("account: another instance had trouble with the log just now");
+            self.trouble.set(Some(Time::monotonic()));
+        }
+    }
+
     /// Returns whether all grants of the latest outage are in the log by now.
     pub fn settled(&self) -> bool {
         let trouble = self.trouble.get();
-        trouble.is_none_or(|at| Time::monotonic().since(at) >= SETTLE)
+        !self.unreachable.get() && trouble.is_none_or(|at| Time::monotonic().since(at) >= SETTLE)
     }
 
     /// Returns whether a call on the own way succeeded just now.
@@ -223,7 +269,7 @@
     /// Tries the own way.
     async fn test(&self) {
         let result = self.direct.bounds(0).await;
-        self.note(&result);
+        self.note_read(&result);
     }
 
     /// Finds out whether this instance is cut off, unless a call succeeds after the `start`.
@@ -283,13 +329,10 @@
         assisted: bool,
     ) -> Result<u64, Failure> {
         let mut failure = broken();
-        if let Some(direct) = self.direct() {
-            let result = direct.append(partition, records).await;
-            self.note(&result);
-            match result {
-                Ok(offset) => return Ok(offset),
-                Err(error) => failure = error,
-            }
+        match self.append_directly(partition, records).await {
+            Some(Ok(offset)) => return Ok(offset),
+            Some(Err(error)) => failure = error,
+            None => {}
         }
         let records = records.to_vec();
         let question = Question::Append { partition, records };
@@ -302,13 +345,10 @@
     /// Reads records; other instances help if `assisted` and the own way is broken.
     pub async fn read(&self, partition: u32, from: u64, assisted: bool) -> Result<Batch, Failure> {
         let mut failure = broken();
-        if let Some(direct) = self.direct() {
-            let result = direct.read(partition, from, Duration::ZERO).await;
-            self.note(&result);
-            match result {
-                Err(error) if !matches!(error, Failure::Expired { .. }) => failure = error,
-                result => return result,
-            }
+        match self.read_directly(partition, from).await {
+            Some(Err(error)) if !matches!(error, Failure::Expired { .. }) => failure = error,
+            Some(result) => return result,
+            None => {}
         }
         match self
             .help(Question::Read { partition, from }, assisted)
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -172,15 +172,26 @@
         let (near, away) = (sample(true), sample(false));
         let zoned = !away.is_empty();
         let (near, away) = join(self.heard(&near), self.heard(&away)).await;
-        Hearing { zoned, near, away }
+        Hearing {
+            zoned,
+            near: near.len(),
+            away: away.len(),
+            unsettled: near.into_iter().chain(away).any(|settled| !settled),
+        }
     }
 
-    /// Returns how many instances say that they hear this one.
-    async fn heard(&self, names: &[Instance]) -> usize {
+    /// Returns for each instance that hears this one whether it takes the log for settled.
+    async fn heard(&self, names: &[Instance]) -> Vec<bool> {
         let asked = names
             .iter()
             .map(|name| self.ask(name, Question::Hear, HEAR));
-        join_all(asked).await.into_iter().flatten().count()
+        let answers = join_all(asked).await.into_iter();
+        answers
+            .filter_map(|answer| match answer {
+                Some(Answer::Heard { settled }) => Some(settled),
+                _ => None,
+            })
+            .collect()
     }
 
     /// Asks another instance about accounts.
--- a/tests/gateway/home.rs
+++ b/tests/gateway/home.rs
@@ -31,6 +31,7 @@
     },
     log::{
         memory::{
+            Fault,
             Memory,
             Service, //
         },
@@ -145,11 +146,11 @@
     }
 
     /// Learns the other instances.
-    fn know(&self, known: &[Listed]) {
+    async fn know(&self, known: &[Listed]) {
         self.peers
             .roster
             .update(|view| view.listed(Time::now(), known));
-        self.home.join();
+        self.home.join().await;
     }
 
     /// Becomes the home of its partitions anew.
@@ -190,7 +191,9 @@
         .iter()
         .map(|node| listed(node.name.as_str(), node.zone, node.address))
         .collect();
-    nodes.iter().for_each(|node| node.know(&known));
+    for node in &nodes {
+        node.know(&known).await;
+    }
     for node in &nodes {
         for turn in 0..20 {
             let answer = node.open(&format!("warm-{turn}"), turn).await;
@@ -283,6 +286,36 @@
     });
 }
 
+/// The grants of an outage may not be in the log yet when an instance starts that saw nothing of it.
+#[test]
+fn new_instance_waits_for_grants_of_an_outage_before_its_start() {
+    System::new().block_on(async {
+        let nodes = start(&[("a1", "a"), ("b1", "b")]).await;
+        nodes[1].log.set_service(Service::Refusing);
+        assert!(nodes[1].keeper.read_for(0, 0).await.is_none());
+        nodes[1].log.set_service(Service::Up);
+        let node = Node::start("b2", "b", &nodes[0].log).await;
+        let known: Vec<_> = nodes
+            .iter()
+            .map(|node| listed(node.name.as_str(), node.zone, node.address))
+            .collect();
+        node.know(&known).await;
+        let homed = (0..PARTITIONS as usize).filter(|index| node.keeper.homes(*index));
+        assert!(homed.count() > 0);
+        let mut refused = 0;
+        for turn in 0..20 {
+            let answer = node.open(&format!("p-{turn}"), turn).await;
+            refused += u32::from(answer == Answer::Unavailable);
+        }
+        assert!(refused > 0);
+        sleep(Duration::from_millis(2_600)).await;
+        for turn in 20..40 {
+            let answer = node.open(&format!("p-{turn}"), turn).await;
+            assert_eq!(answer, Answer::Granted);
+        }
+    });
+}
+
 /// The store may drop the history of one topic, or close the waiting reads of it, while turns are
 /// counted as ever; a home that takes this for an outage refuses turns for seconds.
 #[test]
@@ -295,6 +328,20 @@
     });
 }
 
+/// Lost answers of appends are no outage, in which other instances might have granted turns.
+#[test]
+fn lost_append_delays_no_new_home() {
+    System::new().block_on(async {
+        let nodes = start(&[("a1", "a")]).await;
+        nodes[0].log.fail([Fault::AnswerLost]);
+        assert_eq!(nodes[0].open("p", 1).await, Answer::Unavailable);
+        // Turns are not tried for a second after it.
+        sleep(Duration::from_millis(1_100)).await;
+        nodes[0].readopt();
+        assert_eq!(nodes[0].open("p", 2).await, Answer::Granted);
+    });
+}
+
 /// Turns that start before their account was asked run in vain if it is spent or unknown; waiting for
 /// a slow store delays all of them.
 #[test]
@@ -356,7 +403,8 @@
     System::new().block_on(async {
         let silent = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
         let node = Node::start("a1", "a", &Memory::new(PARTITIONS)).await;
-        node.know(&[listed("b1", "b", silent.local_addr().unwrap())]);
+        node.know(&[listed("b1", "b", silent.local_addr().unwrap())])
+            .await;
         let mut slow = 0;
         for turn in 0..40 {
             let asked = Instant::now();
