Let a leaving instance be no home, and tell homes of turns that the log granted

Also by reading: a home does not learn of turns that an asker had the log grant until its own next append. Change: homes are picked among instances that take new work, by the leaving one as well. Who had the log grant a turn tells the home. Before and after: home::leaving_instance_is_no_home (3 partitions kept, then none) and home::home_is_told_of_turns_* failed before.

--- a/src/gateway/home.rs
+++ b/src/gateway/home.rs
@@ -91,7 +91,7 @@
         #[serde(rename = "u")]
         used: u64,
     },
-    /// Keep a turn that was granted without the log, and append it when the log is back.
+    /// Count a turn that was granted without the answerer, and append it when the log is back.
     #[serde(rename = "h")]
     Hold(Entry),
     /// Do you hear this instance?
@@ -217,9 +217,9 @@
         let snapshot = peers.roster.snapshot();
         let own = &snapshot.own().instance;
         let key = (partition as u64).to_be_bytes();
-        // A leaving instance still keeps its partitions if it knows no other.
-        let names = snapshot.usable().chain(std::iter::once(own));
-        let home = hash::rendezvous(&key, names)?;
+        // A leaving instance is no home for the others any more, and must not be one for itself,
+        // unless it knows no other.
+        let home = hash::rendezvous(&key, snapshot.usable()).unwrap_or(own);
         (home != own).then(|| (peers.clone(), home.clone()))
     }
 
@@ -314,6 +314,13 @@
         log::debug!(home = home.as_str(), late; "account: home has not decided; using the log");
         let own = self.keeper.open(ask).answer.await;
         let own = own.unwrap_or(keeper::Answer::Unavailable);
+        if own == keeper::Answer::Granted {
+            // The home has to count the turn if it goes on without the log.
+            let question = Question::Hold(ask.entry(true));
+            if peers.mesh.send(&home, Body::Account(question)).is_err() {
+                log::debug!(home = home.as_str(); "account: home can't be told of a turn");
+            }
+        }
         if own != keeper::Answer::Unavailable && late {
             // The log is faster than this home.
             self.avoid(&home);
--- a/src/gateway/outage.rs
+++ b/src/gateway/outage.rs
@@ -1,7 +1,7 @@
 //! What an instance concludes about an outage from the answers of others.
 
-/// Part of them that must not reach it for an outage to be total. A zone or a third of the
-/// instances that is cut off is a smaller part of a sample, but for one in a thousand.
+/// Part of the known instances that must not reach the log for an outage to be total. A zone or a
+/// third of the instances that is cut off is a smaller part of a sample, but for one in a thousand.
 const MAJORITY: (usize, usize) = (11, 20);
 
 /// Result of asking other instances whether they reach the log.
--- a/tests/gateway/home.rs
+++ b/tests/gateway/home.rs
@@ -24,6 +24,7 @@
             Home, //
         },
         keeper::{
+            identify,
             Answer,
             Keeper, //
         },
@@ -342,6 +343,43 @@
     });
 }
 
+/// Two homes of a partition grant a program twice its budget during an outage: a leaving one that
+/// serves its last callers, and its successor.
+#[test]
+fn leaving_instance_is_no_home() {
+    System::new().block_on(async {
+        let nodes = start(&[("a1", "a"), ("b1", "b")]).await;
+        let homes = |node: &Node| {
+            let partitions = 0..PARTITIONS as usize;
+            partitions.filter(|index| node.keeper.homes(*index)).count()
+        };
+        assert!(homes(&nodes[0]) > 0);
+        nodes[0].peers.roster.update(|view| view.leave(Time::now()));
+        nodes[0].home.adopt();
+        assert_eq!(homes(&nodes[0]), 0);
+    });
+}
+
+/// A home that goes on without the log must know the turns that others had the log grant.
+#[test]
+fn home_is_told_of_turns_that_the_log_granted() {
+    System::new().block_on(async {
+        let nodes = start(&[("a1", "a"), ("b1", "b")]).await;
+        nodes[0].log.set_service(Service::Refusing);
+        assert!(nodes[0].keeper.read_for(0, 0).await.is_none());
+        nodes[0].readopt();
+        for turn in 0..20 {
+            let program = format!("program-{turn}");
+            assert_eq!(nodes[1].open(&program, turn).await, Answer::Granted);
+            let index = nodes[0].keeper.partition_of(identify(&program));
+            sleep(Duration::from_millis(20)).await;
+            if nodes[0].keeper.homes(index) {
+                assert_eq!(nodes[0].keeper.charged(identify(&program)), 100);
+            }
+        }
+    });
+}
+
 /// Turns that start before their account was asked run in vain if it is spent or unknown; waiting for
 /// a slow store delays all of them.
 #[test]
--- a/tests/gateway/outage.rs
+++ b/tests/gateway/outage.rs
@@ -1,6 +1,7 @@
 //! Guards budgets against a part of the deployment that takes itself for all of it.
 
 use gypsumlever::gateway::outage::{
+    Hearing,
     Outage,
     Probe, //
 };
@@ -39,3 +40,27 @@
         assert_eq!(probe.outage(), expected, "{probe:?}");
     }
 }
+
+/// An instance that takes itself for cut off refuses turns, so one answer of another zone is enough.
+#[test]
+fn hearing_is_a_cut_only_without_any_other_zone() {
+    // Other zones known, answers of the own zone, answers of others.
+    let cases = [
+        (true, 6, 6, None),
+        (true, 0, 1, None),
+        (true, 6, 0, Some(Outage::Zone)),
+        (true, 0, 0, Some(Outage::Alone)),
+        // Nobody else can tell in a deployment of one zone.
+        (false, 6, 0, None),
+        (false, 0, 0, None),
+    ];
+    for (zoned, near, away, expected) in cases {
+        let hearing = Hearing {
+            zoned,
+            near,
+            away,
+            unsettled: false,
+        };
+        assert_eq!(hearing.cut(), expected, "{hearing:?}");
+    }
+}
