Tell avoided homes of turns that the log granted as well

Before: home::avoided_home_is_told_of_turns_that_the_log_granted failed (0 tokens charged at the home). After: it passes, and 79 gateway tests.

--- a/src/gateway/home.rs
+++ b/src/gateway/home.rs
@@ -270,8 +270,7 @@
                 likely: false,
             };
         }
-        let home = self.of(self.keeper.partition_of(ask.program));
-        let Some((peers, home)) = home.filter(|(_, home)| !self.avoids(home)) else {
+        let Some((peers, home)) = self.of(self.keeper.partition_of(ask.program)) else {
             let request = self.keeper.open(ask);
             return Request {
                 likely: request.likely && self.slow.get(),
@@ -290,8 +289,12 @@
         let (reply, answer) = oneshot::channel();
         let this = self.clone();
         actix_web::rt::spawn(async move {
+            let answer = match this.avoids(&home) {
+                true => this.ask_log(&peers, &home, ask).await,
+                false => this.ask(&peers, home, ask).await,
+            };
             // The caller may have left.
-            let _ = reply.send(this.ask(&peers, home, ask).await);
+            let _ = reply.send(answer);
         });
         Request { answer, likely }
     }
@@ -312,15 +315,7 @@
         }
         let late = first.is_err();
         log::debug!(home = home.as_str(), late; "account: home has not decided; using the log");
-        let own = self.keeper.open(ask).answer.await;
-        let own = own.unwrap_or(keeper::Answer::Unavailable);
-        if own == keeper::Answer::Granted {
-            // The home has to count the turn if it goes on without the log.
-            let question = Question::Hold(ask.entry(true));
-            if peers.mesh.send(&home, Body::Account(question)).is_err() {
-                log::debug!(home = home.as_str(); "account: home can't be told of a turn");
-            }
-        }
+        let own = self.ask_log(peers, &home, ask).await;
         if own != keeper::Answer::Unavailable && late {
             // The log is faster than this home.
             self.avoid(&home);
@@ -335,6 +330,20 @@
         answer.unwrap_or(own)
     }
 
+    /// Has the log decide, and tells the home, which has to count the turn if it goes on without the
+    /// log.
+    async fn ask_log(&self, peers: &Peers, home: &Instance, ask: Ask) -> keeper::Answer {
+        let answer = self.keeper.open(ask).answer.await;
+        let answer = answer.unwrap_or(keeper::Answer::Unavailable);
+        if answer == keeper::Answer::Granted {
+            let question = Question::Hold(ask.entry(true));
+            if peers.mesh.send(home, Body::Account(question)).is_err() {
+                log::debug!(home = home.as_str(); "account: home can't be told of a turn");
+            }
+        }
+        answer
+    }
+
     async fn ask_home(&self, peers: &Peers, home: &Instance, ask: Ask) -> Option<keeper::Answer> {
         let asked = Time::monotonic();
         match peers.ask(home, Question::Open(ask), ASK).await {
--- a/tests/gateway/home.rs
+++ b/tests/gateway/home.rs
@@ -380,6 +380,24 @@
     });
 }
 
+/// The same holds for a home that is avoided because it was slow.
+#[test]
+fn avoided_home_is_told_of_turns_that_the_log_granted() {
+    System::new().block_on(async {
+        let nodes = start(&[("a1", "a"), ("b1", "b")]).await;
+        nodes[0].delay.set(Duration::from_secs(10));
+        for turn in 0..20 {
+            let program = format!("program-{turn}");
+            assert_eq!(nodes[1].open(&program, turn).await, Answer::Granted);
+            sleep(Duration::from_millis(20)).await;
+            let index = nodes[0].keeper.partition_of(identify(&program));
+            if nodes[0].keeper.homes(index) {
+                assert_eq!(nodes[0].keeper.charged(identify(&program)), 100);
+            }
+        }
+    });
+}
+
 /// Turns that start before their account was asked run in vain if it is spent or unknown; waiting for
 /// a slow store delays all of them.
 #[test]
