--- a/src/gateway/path.rs
+++ b/src/gateway/path.rs
@@ -56,8 +56,9 @@
 /// Time after which to come back to another instance of the availability zone.
 const ELSEWHERE: Duration = Duration::from_millis(20);
 
-/// Time after trouble with the log for which only an instance that was the home before grants turns.
-/// Others that hold grants append them meanwhile: a call of 0.5 s, 1 s without a try, and a retry.
+/// Time after the log is reachable again for which only an instance that was the home before grants
+/// turns. Others append the grants that they hold meanwhile: their next try comes within 1 s, takes
+/// 0.5 s at most, and is followed by an append within 0.25 s.
 const SETTLE: Duration = Duration::from_millis(2_500);
 
 /// The way to the log.
