Tell homes of ended and of granted turns by the same message

Question::Close repeated the fields of Entry::Close, and Keeper::close did what Partition::hold does: count a record, queue it, wake the loop. Question::Hold carries either entry now, Peers::tell sends it, and Keeper::close is Keeper::hold of a close.

--- a/src/gateway/home.rs
+++ b/src/gateway/home.rs
@@ -78,20 +78,7 @@
     /// May a turn run?
     #[serde(rename = "o")]
     Open(Ask),
-    /// A turn has ended; no answer is needed.
-    #[serde(rename = "c")]
-    Close {
-        /// The program.
-        #[serde(rename = "p")]
-        program: Program,
-        /// The turn.
-        #[serde(rename = "t")]
-        turn: Turn,
-        /// Tokens that were handed out.
-        #[serde(rename = "u")]
-        used: u64,
-    },
-    /// Count a turn that was granted without the answerer, and append it when the log is back.
+    /// Count a turn that ended, or was granted without the answerer, and append its record.
     #[serde(rename = "h")]
     Hold(Entry),
     /// Do you hear this instance?
@@ -336,9 +323,8 @@
         let answer = self.keeper.open(ask).answer.await;
         let answer = answer.unwrap_or(keeper::Answer::Unavailable);
         if answer == keeper::Answer::Granted {
-            let question = Question::Hold(ask.entry(true));
-            if peers.mesh.send(home, Body::Account(question)).is_err() {
-                log::debug!(home = home.as_str(); "account: home can't be told of a turn");
+            if let Err(error) = peers.tell(home, ask.entry(true)) {
+                log::debug!(home = home.as_str(), error:%; "account: home can't be told of a turn");
             }
         }
         answer
@@ -363,16 +349,15 @@
     /// Notes that a turn that may have run has ended, after it handed out `used` tokens.
     pub fn close(&self, program: &str, turn: Turn, used: u64) {
         let program = keeper::identify(program);
-        let question = Question::Close {
+        let entry = Entry::Close {
             program,
             turn,
             used,
         };
         let home = self.of(self.keeper.partition_of(program));
         let home = home.filter(|(_, home)| !self.avoids(home) && !self.cut_off());
-        let sent = home
-            .is_some_and(|(peers, home)| peers.mesh.send(&home, Body::Account(question)).is_ok());
-        if !sent {
+        let told = home.is_some_and(|(peers, home)| peers.tell(&home, entry).is_ok());
+        if !told {
             self.keeper.close(program, turn, used);
         }
     }
@@ -399,11 +384,6 @@
         };
         let keeper = self.0.clone();
         match question {
-            Question::Close {
-                program,
-                turn,
-                used,
-            } => keeper.close(program, turn, used),
             Question::Open(ask) => {
                 let request = keeper.open(ask);
                 actix_web::rt::spawn(async move {
@@ -457,6 +437,6 @@
 
 fn finish(reply: Responder, answer: Answer) {
     if reply.finish(Body::Accounted(answer)).is_err() {
-        log::debug!("account: asker has gone");
+        log::debug!("account: nobody waits for the answer");
     }
 }
--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -266,15 +266,11 @@
 
     /// Notes that a turn that may have run has ended, after it handed out `used` tokens.
     pub fn close(&self, program: Program, turn: Turn, used: u64) {
-        let partition = self.partition(program);
-        let entry = Entry::Close {
+        self.hold(Entry::Close {
             program,
             turn,
             used,
-        };
-        partition.book.borrow_mut().apply(Time::monotonic(), &entry);
-        partition.backlog.borrow_mut().push_back(entry);
-        partition.wake.notify_one();
+        });
     }
 
     /// Returns whether records wait for the log.
@@ -462,7 +458,7 @@
             .for_each(|open| self.decide_offline(partition, open));
     }
 
-    /// Keeps a turn that another instance granted without the log.
+    /// Counts a record that needs no answer, and appends it later.
     pub fn hold(&self, entry: Entry) {
         let (Entry::Open { program, .. } | Entry::Close { program, .. }) = entry;
         self.partition(program).hold(entry);
@@ -486,7 +482,7 @@
 }
 
 impl Partition {
-    /// Counts a turn that was granted without the log, and appends it later.
+    /// Counts a record that needs no answer, and appends it later.
     fn hold(&self, entry: Entry) {
         self.book.borrow_mut().apply(Time::monotonic(), &entry);
         self.backlog.borrow_mut().push_back(entry);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -30,7 +30,8 @@
     name::Instance,
     peer::{
         wire::Body,
-        Mesh, //
+        Mesh,
+        Unreachable, //
     },
 };
 
@@ -194,6 +195,11 @@
             .collect()
     }
 
+    /// Tells another instance of a record, which it counts and appends.
+    pub fn tell(&self, to: &Instance, entry: Entry) -> Result<(), Unreachable> {
+        self.mesh.send(to, Body::Account(Question::Hold(entry)))
+    }
+
     /// Asks another instance about accounts.
     pub async fn ask(&self, to: &Instance, question: Question, limit: Duration) -> Option<Answer> {
         match self.mesh.request(to, Body::Account(question), limit).await {
