--- a/src/gateway/home.rs
+++ b/src/gateway/home.rs
@@ -193,7 +193,7 @@
     ///
     /// Until then no partition is read: all instances that restart together would read all of them.
     pub async fn join(&self) {
-        self.keeper.inherit().await;
+        self.keeper.path().inherit().await;
         self.joined.set(true);
         self.adopt();
     }
@@ -212,18 +212,18 @@
 
     /// Returns whether this instance is cut off from the log while others may reach it.
     pub fn cut_off(&self) -> bool {
-        self.keeper.outage().cut_off()
+        self.keeper.path().outage().cut_off()
     }
 
     /// Returns the time after which callers are served by other instances, while this one is cut
     /// off.
     pub fn elsewhere(&self) -> Option<Duration> {
-        self.keeper.elsewhere()
+        self.keeper.path().elsewhere()
     }
 
     /// Notes that a call to another topic of the store failed.
     pub fn suspect(&self) {
-        self.keeper.suspect();
+        self.keeper.path().suspect();
     }
 
     /// Reads the partitions that this instance has become the home of, to know them in an outage.
@@ -271,7 +271,7 @@
             .copied()
             .unwrap_or(0);
         // During an outage the answer may take long or be a refusal, and the run would be in vain.
-        let calm = self.keeper.outage() == Outage::None;
+        let calm = self.keeper.path().outage() == Outage::None;
         let likely = calm && self.slow.get() && ask.early(charged);
         let (reply, answer) = oneshot::channel();
         let this = self.clone();
@@ -398,7 +398,7 @@
                 finish(reply, Answer::Held);
             }
             Question::Hear => {
-                let settled = keeper.settled();
+                let settled = keeper.path().settled();
                 finish(reply, Answer::Heard { settled });
             }
             Question::Reach => {
--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -38,7 +38,6 @@
     },
     outage::Outage,
     path::Path,
-    peers::Peers,
 };
 use crate::{
     clock::Time,
@@ -160,35 +159,9 @@
         }
     }
 
-    /// Adds the ways of other instances to the log.
-    pub fn connect(&self, peers: Peers) {
-        self.log.connect(peers);
-    }
-
-    /// Returns what is known about an outage of the log.
-    pub fn outage(&self) -> Outage {
-        self.log.outage()
-    }
-
-    /// Returns the time after which callers are served by other instances, while this one is cut
-    /// off.
-    pub fn elsewhere(&self) -> Option<Duration> {
-        self.log.elsewhere()
-    }
-
-    /// Learns from other instances of an outage that ended before this instance started.
-    pub async fn inherit(&self) {
-        self.log.inherit().await;
-    }
-
-    /// Returns whether all grants of the latest outage are in the log by now.
-    pub fn settled(&self) -> bool {
-        self.log.settled()
-    }
-
-    /// Notes that a call to another topic of the store failed.
-    pub fn suspect(&self) {
-        self.log.suspect();
+    /// Returns the way to the log.
+    pub fn path(&self) -> &Path<L> {
+        &self.log
     }
 
     /// Returns the number of partitions.
--- a/src/gateway/life.rs
+++ b/src/gateway/life.rs
@@ -98,7 +98,7 @@
     let instance = gateway.settings.instance.clone();
     log::info!(instance = instance.as_str(); "gateway: started");
     let peers = join(&gateway.settings, &keeper).await?;
-    keeper.connect(peers.clone());
+    keeper.path().connect(peers.clone());
     home.connect(peers.clone());
     spawn(keeper.clone().run());
     spawn(adopt(home.clone(), peers.roster.clone()));
--- a/src/gateway/path.rs
+++ b/src/gateway/path.rs
@@ -319,9 +319,7 @@
             None => false,
         }
     }
-}
 
-impl<L: Log> Path<L> {
     /// Appends records; other instances help if `assisted` and the own way is broken.
     pub async fn append(
         &self,
--- a/tests/gateway/home.rs
+++ b/tests/gateway/home.rs
@@ -131,7 +131,7 @@
         let settings = Settings::new("test", name.clone(), place, address, "test");
         let mesh = Mesh::run(settings, listener, Desk(keeper.clone()), roster.clone());
         let peers = Peers { mesh, roster };
-        keeper.connect(peers.clone());
+        keeper.path().connect(peers.clone());
         home.connect(peers.clone());
         actix_web::rt::spawn(keeper.clone().run());
         Self {
