--- a/src/platform/feed.rs
+++ b/src/platform/feed.rs
@@ -67,54 +67,33 @@
     Some((String::from_utf8_lossy(&key).into_owned(), record))
 }
 
-/// One keyed topic of the store.
-struct Keyed {
-    store: Rc<Store>,
-    topic: Topic,
-    name: &'static str,
-}
-
-impl Keyed {
-    fn new(store: Rc<Store>, name: &'static str) -> Self {
-        Self {
-            topic: Topic::new(store.clone(), name),
-            store,
-            name,
+/// Records of a keyed topic, and the offset to read on from.
+type Records = (Vec<(String, Bytes)>, u64);
+
+/// Reads the changes of a keyed topic.
+async fn changes(topic: &Topic, from: u64, wait: Duration) -> Result<Records, Failure> {
+    let batch = topic.read(0, from, wait).await?;
+    let records = batch.records.into_iter().filter_map(|(offset, record)| {
+        let split = keyed(record);
+        if split.is_none() {
+            log::warn!(topic = topic.name(), offset; "store: record has no key");
         }
-    }
-
-    async fn newest(&self) -> Result<(Vec<(String, Bytes)>, u64), Failure> {
-        self.store.newest(self.name).await
-    }
-
-    async fn changes(
-        &self,
-        from: u64,
-        wait: Duration,
-    ) -> Result<(Vec<(String, Bytes)>, u64), Failure> {
-        let batch = self.topic.read(0, from, wait).await?;
-        let records = batch.records.into_iter().filter_map(|(offset, record)| {
-            let split = keyed(record);
-            if split.is_none() {
-                log::warn!(topic = self.name, offset; "store: record has no key");
-            }
-            split
-        });
-        Ok((records.collect(), batch.next))
-    }
+        split
+    });
+    Ok((records.collect(), batch.next))
 }
 
 /// Configurations of the operator.
-pub struct Configuration(Keyed);
+pub struct Configuration(Topic);
 
 impl Configuration {
     /// Returns the feed of a store.
     pub fn new(store: Rc<Store>) -> Self {
-        Self(Keyed::new(store, OPERATOR))
+        Self(Topic::new(store, OPERATOR))
     }
 }
 
-fn tables((records, next): (Vec<(String, Bytes)>, u64)) -> Page<Table> {
+fn tables((records, next): Records) -> Page<Table> {
     let table = |(key, value): (String, Bytes)| {
         if key != CONFIGURATION || value.is_empty() {
             return None;
@@ -139,21 +118,21 @@
     }
 
     async fn changes(&self, from: u64, wait: Duration) -> Result<Page<Table>, Failure> {
-        self.0.changes(from, wait).await.map(tables)
+        changes(&self.0, from, wait).await.map(tables)
     }
 }
 
 /// Reports of the servers of all services.
-pub struct Servers(Keyed);
+pub struct Servers(Topic);
 
 impl Servers {
     /// Returns the feed of a store.
     pub fn new(store: Rc<Store>) -> Self {
-        Self(Keyed::new(store, SERVERS))
+        Self(Topic::new(store, SERVERS))
     }
 }
 
-fn servers((records, next): (Vec<(String, Bytes)>, u64)) -> Page<Change> {
+fn servers((records, next): Records) -> Page<Change> {
     let change = |(id, value): (String, Bytes)| {
         if value.is_empty() {
             return Change::Absent(id.into());
@@ -180,7 +159,7 @@
     }
 
     async fn changes(&self, from: u64, wait: Duration) -> Result<Page<Change>, Failure> {
-        self.0.changes(from, wait).await.map(servers)
+        changes(&self.0, from, wait).await.map(servers)
     }
 }
 
@@ -188,7 +167,7 @@
 const INSTANCES: &str = "keyed.instances";
 
 /// Gateway instances, as they announced themselves.
-pub struct Instances(Keyed);
+pub struct Instances(Topic);
 
 /// What an instance announces.
 #[derive(Debug)]
@@ -202,7 +181,7 @@
 impl Instances {
     /// Returns the list of a store.
     pub fn new(store: Rc<Store>) -> Self {
-        Self(Keyed::new(store, INSTANCES))
+        Self(Topic::new(store, INSTANCES))
     }
 
     /// Announces an instance, or withdraws it if there is no address.
@@ -222,7 +201,7 @@
             };
             record.extend(serde_json::to_vec(&announcement)?);
         }
-        self.0.topic.append(0, &[record.into()]).await?;
+        self.0.append(0, &[record.into()]).await?;
         Ok(())
     }
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -116,9 +116,32 @@
             }
         }
     }
+}
+
+/// A topic of the store.
+#[derive(Clone)]
+pub struct Topic {
+    store: Rc<Store>,
+    name: Arc<str>,
+}
+
+impl Topic {
+    /// Returns a topic, which the store makes on its first use.
+    pub fn new(store: Rc<Store>, name: &str) -> Self {
+        Self {
+            store,
+            name: name.into(),
+        }
+    }
+
+    /// Returns the name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
 
-    /// Returns the newest record of each key of a topic, and the offset to read on from.
-    pub async fn newest(&self, topic: &str) -> Result<(Vec<(String, Bytes)>, u64), Failure> {
+    /// Returns the newest record of each key of a keyed topic, and the offset to read on from.
+    pub async fn newest(&self) -> Result<(Vec<(String, Bytes)>, u64), Failure> {
+        let (store, topic) = (&self.store, &self.name);
         let mut records = Vec::new();
         let mut next = None;
         loop {
@@ -126,9 +149,8 @@
             if let Some((key, _)) = records.last() {
                 call.push_str(&format!("&after={key}"));
             }
-            let (status, body) = self
-                .call(self.get(&call), Bytes::new(), Duration::ZERO)
-                .await?;
+            let request = store.get(&call);
+            let (status, body) = store.call(request, Bytes::new(), Duration::ZERO).await?;
             if status != StatusCode::OK {
                 return Err(Failure::NotApplied(format!("status {status}")));
             }
@@ -152,23 +174,6 @@
     }
 }
 
-/// A topic of the store.
-#[derive(Clone)]
-pub struct Topic {
-    store: Rc<Store>,
-    name: Arc<str>,
-}
-
-impl Topic {
-    /// Returns a topic, which the store makes on its first use.
-    pub fn new(store: Rc<Store>, name: &str) -> Self {
-        Self {
-            store,
-            name: name.into(),
-        }
-    }
-}
-
 /// Splits the answer of a read: the end, the first offset that is kept, and records with lengths.
 fn records(mut body: Bytes, from: u64) -> Option<(Bounds, Batch)> {
     if body.len() < 16 {
