--- a/tests/gateway/home.rs
+++ b/tests/gateway/home.rs
@@ -360,6 +360,19 @@
     });
 }
 
+/// Checks that turns of `asker` are granted, and that `home` counts those that it is the home of.
+async fn assert_told(home: &Node, asker: &Node) {
+    for turn in 0..20 {
+        let program = format!("program-{turn}");
+        assert_eq!(asker.open(&program, turn).await, Answer::Granted);
+        sleep(Duration::from_millis(20)).await;
+        let index = home.keeper.partition_of(identify(&program));
+        if home.keeper.homes(index) {
+            assert_eq!(home.keeper.charged(identify(&program)), 100);
+        }
+    }
+}
+
 /// A home that goes on without the log must know the turns that others had the log grant.
 #[test]
 fn home_is_told_of_turns_that_the_log_granted() {
@@ -368,15 +381,7 @@
         nodes[0].log.set_service(Service::Refusing);
         assert!(nodes[0].keeper.read_for(0, 0).await.is_none());
         nodes[0].readopt();
-        for turn in 0..20 {
-            let program = format!("program-{turn}");
-            assert_eq!(nodes[1].open(&program, turn).await, Answer::Granted);
-            let index = nodes[0].keeper.partition_of(identify(&program));
-            sleep(Duration::from_millis(20)).await;
-            if nodes[0].keeper.homes(index) {
-                assert_eq!(nodes[0].keeper.charged(identify(&program)), 100);
-            }
-        }
+        assert_told(&nodes[0], &nodes[1]).await;
     });
 }
 
@@ -386,15 +391,7 @@
     System::new().block_on(async {
         let nodes = start(&[("a1", "a"), ("b1", "b")]).await;
         nodes[0].delay.set(Duration::from_secs(10));
-        for turn in 0..20 {
-            let program = format!("program-{turn}");
-            assert_eq!(nodes[1].open(&program, turn).await, Answer::Granted);
-            sleep(Duration::from_millis(20)).await;
-            let index = nodes[0].keeper.partition_of(identify(&program));
-            if nodes[0].keeper.homes(index) {
-                assert_eq!(nodes[0].keeper.charged(identify(&program)), 100);
-            }
-        }
+        assert_told(&nodes[0], &nodes[1]).await;
     });
 }
 
