--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -215,6 +215,48 @@
     pub server: Rc<Server>,
 }
 
+/// Upstreams that did not take a request, and how long all of them are asked again.
+pub struct Tries {
+    excluded: Vec<SocketAddr>,
+    until: Instant,
+    pause: Duration,
+}
+
+impl Tries {
+    /// Asks all upstreams again after each `pause`, for a part of the time from `start` to the
+    /// deadline.
+    pub fn new(start: Instant, deadline: Instant, part: f64, pause: Duration) -> Self {
+        let patience = deadline.saturating_duration_since(start);
+        Self {
+            excluded: Vec::new(),
+            until: start + patience.mul_f64(part),
+            pause,
+        }
+    }
+
+    /// Returns the upstreams that did not take the request.
+    pub fn excluded(&self) -> &[SocketAddr] {
+        &self.excluded
+    }
+
+    /// Notes that an upstream did not take the request.
+    pub fn exclude(&mut self, upstream: SocketAddr) {
+        self.excluded.push(upstream);
+    }
+
+    /// Waits until all upstreams may be asked again; returns whether they may.
+    ///
+    /// If none was asked, there is none to wait for.
+    pub async fn again(&mut self) -> bool {
+        if self.excluded.is_empty() || Instant::now() >= self.until {
+            return false;
+        }
+        self.excluded.clear();
+        sleep(self.pause).await;
+        true
+    }
+}
+
 /// Result of a send.
 pub enum Sent<D, L> {
     /// An answer began.
@@ -409,20 +451,16 @@
     /// Answers a call that is not a stream.
     pub async fn call(self: &Rc<Self>, job: &Job<D, L>) -> Result<Whole, Refusal> {
         let mut sends = Sends::default();
-        let mut excluded = Vec::new();
-        let patience = job.deadline.saturating_duration_since(job.arrived);
-        let persist = job.arrived + patience.mul_f64(PERSISTENCE);
+        let mut tries = Tries::new(job.arrived, job.deadline, PERSISTENCE, PAUSE);
         loop {
             if Instant::now() >= job.deadline {
                 return Err(Refusal::overdue(&sends, "deadline"));
             }
-            let Some(choice) = self.choose(job, &excluded) else {
-                if excluded.is_empty() || Instant::now() >= persist {
-                    return Err(Refusal::after(&sends, "no_upstream", COME_BACK));
+            let Some(choice) = self.choose(job, tries.excluded()) else {
+                if tries.again().await {
+                    continue;
                 }
-                excluded.clear();
-                sleep(PAUSE).await;
-                continue;
+                return Err(Refusal::after(&sends, "no_upstream", COME_BACK));
             };
             let attempts = sends.attempts() as u32;
             let may_repeat = job.route.kind == Kind::Idempotent;
@@ -440,7 +478,7 @@
                 Err(reason) => reason,
             };
             self.count.retried(reason);
-            excluded.push(address);
+            tries.exclude(address);
         }
     }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -30,6 +30,7 @@
         Live,
         Refusal,
         Sent,
+        Tries,
         Whole,
         COME_BACK, //
     },
@@ -263,20 +264,16 @@
 
     /// Finds an upstream that answers; returns the head if it is that of a stream.
     async fn connect(&mut self) -> Result<Option<ResponseHead>, Refusal> {
-        let mut excluded = Vec::new();
-        let patience = self.job.left();
-        let persist = Instant::now() + patience.mul_f64(PERSISTENCE);
+        let mut tries = Tries::new(Instant::now(), self.job.deadline, PERSISTENCE, PAUSE);
         loop {
             if Instant::now() >= self.job.deadline {
                 return Err(self.failed("deadline"));
             }
-            let Some(choice) = self.choose(&excluded) else {
-                if excluded.is_empty() || Instant::now() >= persist {
-                    return Err(self.failed("no_upstream"));
+            let Some(choice) = self.choose(tries.excluded()) else {
+                if tries.again().await {
+                    continue;
                 }
-                excluded.clear();
-                sleep(PAUSE).await;
-                continue;
+                return Err(self.failed("no_upstream"));
             };
             let address = choice.server.address;
             let after = (self.last != self.job.call.after)
@@ -311,7 +308,7 @@
                     {
                         continue;
                     }
-                    excluded.push(address);
+                    tries.exclude(address);
                 }
                 Sent::Lost(reason) => {
                     self.latest = Some(choice.server);
