Log and count calls to the store

A failed read logged only "no answer within the time limit", so that a slow store, reads that are too large for the limit, and instances that can't keep up looked the same.

A failed call now states its name, its duration and the bytes received; calls, received bytes and durations are counted by call and outcome; complete reads of a feed or a partition get a line. No behaviour changes.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -146,6 +146,7 @@
     let mut position: Option<u64> = None;
     let mut failing = false;
     loop {
+        let start = Time::monotonic();
         let page = match position {
             None => feed.snapshot().await,
             Some(from) => feed.changes(from, POLL_WAIT).await,
@@ -155,6 +156,10 @@
                 if std::mem::take(&mut failing) {
                     log::info!(feed = name; "store: feed is readable again");
                 }
+                if position.is_none() {
+                    let took_ms = Time::monotonic().since(start).as_millis() as u64;
+                    log::info!(feed = name, took_ms; "store: complete state of the feed was read");
+                }
                 match position {
                     None => sink.replace(items),
                     Some(_) => sink.change(items),
--- a/src/gateway/lifecycle.rs
+++ b/src/gateway/lifecycle.rs
@@ -92,7 +92,8 @@
     let mut reload = signal(SignalKind::hangup())?;
     let listen = settings.listen;
     let grace = Duration::from_secs_f64(settings.grace_s);
-    let store = Rc::new(Store::new(settings.store.address));
+    let metrics = Metrics::new()?;
+    let store = Rc::new(Store::new(settings.store.address, metrics.clone()));
     let topic = Topic::new(store.clone(), ACCOUNTS);
     let replica = Rc::new(Replica::new(topic, settings.store.partitions));
     let accounts = Rc::new(Client::new(replica.clone()));
@@ -103,7 +104,7 @@
         settings,
         accounts.clone(),
         placer.clone(),
-        Metrics::new()?,
+        metrics,
     ));
     let instance = gateway.settings.instance.clone();
     log::info!(instance = instance.as_str(); "gateway: started");
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -30,6 +30,9 @@
     retries: Counter<u64>,
     answers: Counter<u64>,
     placements: Counter<u64>,
+    store_calls: Counter<u64>,
+    store_bytes: Counter<u64>,
+    store_time: Histogram<f64>,
     first: Histogram<f64>,
     total: Histogram<f64>,
 }
@@ -58,6 +61,15 @@
                 "Answers of upstreams that were passed on, by kind.",
             ),
             placements: counter("placements", "Turns sent to an engine, by who chose it."),
+            store_calls: counter("store_calls", "Calls to the store, by call and outcome."),
+            store_bytes: counter(
+                "store_received_bytes",
+                "Bytes of answers of the store that were received, by call and outcome.",
+            ),
+            store_time: histogram(
+                "store_call",
+                "Time until a call to the store ended, by call.",
+            ),
             first: histogram("first", "Time until the first event of a stream."),
             total: histogram("total", "Time until the end of an answer."),
             exporter,
@@ -85,6 +97,21 @@
         self.0.placements.add(1, &[KeyValue::new("by", by)]);
     }
 
+    /// Records a call to the store; the bytes received of a `lost` one were discarded.
+    pub fn record_store_call(
+        &self,
+        call: &'static str,
+        outcome: &'static str,
+        time: Duration,
+        received_bytes: usize,
+    ) {
+        let call = KeyValue::new("call", call);
+        let labels = [call.clone(), KeyValue::new("outcome", outcome)];
+        self.0.store_calls.add(1, &labels);
+        self.0.store_bytes.add(received_bytes as u64, &labels);
+        self.0.store_time.record(time.as_secs_f64(), &[call]);
+    }
+
     /// Records the time until the first event of a stream.
     pub fn record_first_event(&self, time: Duration) {
         self.0.first.record(time.as_secs_f64(), &[]);
--- a/src/gateway/replica.rs
+++ b/src/gateway/replica.rs
@@ -377,10 +377,16 @@
 
     /// Applies all records up to the current end of the log.
     async fn load(&self, index: usize) -> Result<(), Failure> {
+        let (start, first) = (Time::monotonic(), self.partitions[index].applied.get());
         loop {
             let before = self.partitions[index].applied.get();
             self.follow(index).await?;
             if self.partitions[index].applied.get() == before {
+                let took_ms = Time::monotonic().since(start).as_millis() as u64;
+                log::info!(
+                    partition = index, records = before - first, took_ms;
+                    "account: partition was read to its end"
+                );
                 return Ok(());
             }
         }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,11 +1,17 @@
 //! Client of the platform's metadata store.
 
 use std::{
-    cell::RefCell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use awc::{
@@ -22,10 +28,12 @@
     Bytes,
     BytesMut, //
 };
+use futures_util::StreamExt as _;
 use tokio::time::timeout;
 
 use super::wire;
 use crate::{
+    gateway::metrics::Metrics,
     log::{
         Batch,
         Bounds,
@@ -52,6 +60,7 @@
 pub struct Store {
     address: RefCell<SocketAddr>,
     client: RefCell<awc::Client>,
+    metrics: Metrics,
 }
 
 fn client() -> awc::Client {
@@ -67,10 +76,11 @@
 
 impl Store {
     /// Returns a client, which connects on its first call.
-    pub fn new(address: SocketAddr) -> Self {
+    pub fn new(address: SocketAddr, metrics: Metrics) -> Self {
         Self {
             address: RefCell::new(address),
             client: RefCell::new(client()),
+            metrics,
         }
     }
 
@@ -95,30 +105,48 @@
         self.client.borrow().post(url)
     }
 
-    /// Sends a request and reads the complete answer.
+    /// Sends a request and reads the complete answer; `name` is the call in logs and metrics.
     async fn call(
         &self,
+        name: &'static str,
         request: ClientRequest,
         body: Bytes,
         wait: Duration,
     ) -> Result<(StatusCode, Bytes), Failure> {
+        let start = Instant::now();
+        let received = Cell::new(0);
         let exchange = async {
             let mut response = request.send_body(body).await.map_err(unknown)?;
-            let bytes = response
-                .body()
-                .limit(MAX_ANSWER_BYTES)
-                .await
-                .map_err(unknown)?;
-            Ok((response.status(), bytes))
+            let mut bytes = BytesMut::new();
+            while let Some(chunk) = response.next().await {
+                bytes.extend_from_slice(&chunk.map_err(unknown)?);
+                received.set(bytes.len());
+                if bytes.len() > MAX_ANSWER_BYTES {
+                    return Err(unknown("the answer exceeds the maximum length"));
+                }
+            }
+            Ok((response.status(), bytes.freeze()))
         };
-        match timeout(wait + CALL_TIMEOUT, exchange).await {
+        let result = match timeout(wait + CALL_TIMEOUT, exchange).await {
             Ok(result) => result,
             Err(_) => {
                 // The other connections may be unresponsive as well, so all are dropped.
                 self.client.replace(client());
-                Err(unknown("no answer within the time limit"))
+                Err(unknown(format!(
+                    "{name} took longer than the time limit: {} ms, {} bytes received",
+                    start.elapsed().as_millis(),
+                    received.get()
+                )))
             }
-        }
+        };
+        let outcome = match &result {
+            Ok((status, _)) if status.is_success() => "answered",
+            Ok(_) => "refused",
+            Err(_) => "lost",
+        };
+        self.metrics
+            .record_store_call(name, outcome, start.elapsed(), received.get());
+        result
     }
 }
 
@@ -154,7 +182,9 @@
                 call.push_str(&format!("&after={key}"));
             }
             let request = store.get(&call);
-            let (status, body) = store.call(request, Bytes::new(), Duration::ZERO).await?;
+            let (status, body) = store
+                .call("newest", request, Bytes::new(), Duration::ZERO)
+                .await?;
             if status != StatusCode::OK {
                 return Err(Failure::NotApplied(format!("status {status}")));
             }
@@ -223,7 +253,9 @@
             "log-read?topic={name}&part={partition}&from={from}&maxKb={max_kib}&waitMs={wait_ms}"
         );
         let store = &self.store;
-        let (status, body) = store.call(store.get(&call), Bytes::new(), wait).await?;
+        let (status, body) = store
+            .call("read", store.get(&call), Bytes::new(), wait)
+            .await?;
         match status {
             StatusCode::OK => {
                 records(body, from).ok_or_else(|| unknown("records have invalid lengths"))
@@ -249,7 +281,9 @@
         let call = format!("log-append?topic={}&part={partition}", self.name);
         let store = &self.store;
         let request = store.post(&call);
-        let (status, body) = store.call(request, body.freeze(), Duration::ZERO).await?;
+        let (status, body) = store
+            .call("append", request, body.freeze(), Duration::ZERO)
+            .await?;
         if status != StatusCode::OK {
             return Err(Failure::NotApplied(format!("status {status}")));
         }
--- a/tests/gateway/serve.rs
+++ b/tests/gateway/serve.rs
@@ -390,3 +390,23 @@
         .any(|line| line.starts_with("gypsumlever_gateway_refusals") && line.contains("no_route"));
     assert!(counted, "{text}");
 }
+
+#[test]
+fn metrics_count_calls_to_the_store() {
+    let upstream = echo();
+    let deployment = Deployment::start(&[&upstream]);
+    let text = get(deployment.metrics, "/metrics").text();
+    let counted = |name: &str| {
+        let line = text.lines().find(|line| {
+            line.starts_with(name) && line.contains("newest") && line.contains("answered")
+        });
+        let value = line.and_then(|line| line.rsplit(' ').next());
+        value.and_then(|value| value.parse().ok()).unwrap_or(0.0)
+    };
+    assert!(
+        counted("gypsumlever_gateway_store_calls_total") > 0.0,
+        "{text}"
+    );
+    let bytes = counted("gypsumlever_gateway_store_received_bytes_total");
+    assert!(bytes > 100.0, "{text}");
+}
