Test a restart of all instances with a large configuration; it fails

Six processes start together on a store whose reads share a rate, so that the answers to all take 1.6 s.

The stand-in of the store can share a rate between reads; an answer takes its share even if its caller has given up, as the store in the incident does.

--- a/standin/src/store/mod.rs
+++ b/standin/src/store/mod.rs
@@ -10,6 +10,10 @@
         Mutex,
         MutexGuard, //
     },
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use actix_web::web::ServiceConfig;
@@ -64,6 +68,9 @@
     pub busy: bool,
     /// Number of appends that take effect but are answered with status 500; counts down.
     pub lose_answers: u32,
+    /// Bytes per second that all reads share, in order of arrival; unlimited if 0. An answer takes
+    /// its share even if the caller stops waiting for it.
+    pub read_bytes_per_s: u64,
 }
 
 /// Statistics of the store.
@@ -83,6 +90,8 @@
     faults: Faults,
     stats: Stats,
     partitions: Map<(String, u32), Partition>,
+    /// Time at which the answers to all reads so far are transferred.
+    reads_done: Option<Instant>,
 }
 
 /// A stand-in for the platform's metadata store.
@@ -123,6 +132,20 @@
         inner.partitions.entry(key).or_default().truncate();
     }
 
+    /// Reserves the share of an answer to a read; returns when it is transferred.
+    fn reserve_read(&self, bytes: usize) -> Instant {
+        let mut inner = self.inner();
+        let now = Instant::now();
+        let rate = inner.faults.read_bytes_per_s;
+        if rate == 0 {
+            return now;
+        }
+        let start = inner.reads_done.map_or(now, |done| done.max(now));
+        let done = start + Duration::from_secs_f64(bytes as f64 / rate as f64);
+        inner.reads_done = Some(done);
+        done
+    }
+
     fn append(&self, topic: &str, partition: u32, records: Vec<Bytes>) -> (u64, u64) {
         let mut inner = self.inner();
         let key = (topic.to_owned(), partition);
--- a/standin/src/store/routes.rs
+++ b/standin/src/store/routes.rs
@@ -3,7 +3,14 @@
 use std::time::Duration;
 
 use actix_web::{
-    rt::time::timeout,
+    body::{
+        BodySize,
+        MessageBody as _, //
+    },
+    rt::time::{
+        sleep_until,
+        timeout, //
+    },
     web::{
         self,
         Data,
@@ -105,10 +112,21 @@
             appended.await;
         }
     };
-    match timeout(wait, arrived).await {
+    let response = match timeout(wait, arrived).await {
         Ok(response) => response,
         Err(_) => read_response(&store, &parameters, true).unwrap_or_else(unavailable),
-    }
+    };
+    transfer(&store, response).await
+}
+
+/// Waits until the answer to a read has had its share of the read rate.
+async fn transfer(store: &Store, response: HttpResponse) -> HttpResponse {
+    let bytes = match response.body().size() {
+        BodySize::Sized(bytes) => bytes as usize,
+        BodySize::None | BodySize::Stream => 0,
+    };
+    sleep_until(store.reserve_read(bytes).into()).await;
+    response
 }
 
 /// Returns the response to a read; `None` if there is no record, unless `allow_empty` is set.
@@ -141,6 +159,11 @@
 }
 
 async fn newest(store: Data<Store>, parameters: Query<Parameters>) -> HttpResponse {
+    let response = newest_response(&store, &parameters);
+    transfer(&store, response).await
+}
+
+fn newest_response(store: &Store, parameters: &Parameters) -> HttpResponse {
     let mut inner = store.inner();
     inner.stats.newest += 1;
     if inner.faults.busy {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod events;
 mod outage;
 mod owner;
+mod recovery;
 mod registry;
 mod replica;
 mod reserve;
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -11,6 +11,10 @@
         TcpListener,
         TcpStream, //
     },
+    ops::{
+        Deref,
+        DerefMut, //
+    },
     path::PathBuf,
     process::{
         Child,
@@ -264,10 +268,8 @@
     text.into_bytes()
 }
 
-/// A store with one gateway.
-pub struct Deployment {
-    /// The store.
-    pub store: Server<Store>,
+/// A gateway process.
+pub struct Instance {
     /// Address for callers.
     pub callers: SocketAddr,
     /// Address for readiness checks.
@@ -283,28 +285,10 @@
     listener.local_addr().unwrap()
 }
 
-impl Deployment {
-    /// Starts a store with a configuration and servers, and a gateway that is ready.
-    pub fn start(upstreams: &[&Upstream]) -> Self {
-        let deployment = Self::start_unconfigured();
-        deployment.configure(1);
-        for (number, upstream) in upstreams.iter().enumerate() {
-            deployment.register(&format!("i-{number}"), upstream, "ready");
-        }
-        let until = Instant::now() + START_TIMEOUT;
-        while get(deployment.ready, "/v1/readiness").status() != 200 {
-            assert!(Instant::now() < until, "the gateway is not ready");
-            thread::sleep(Duration::from_millis(20));
-        }
-        // The registry is reread after its pause.
-        thread::sleep(Duration::from_millis(800));
-        deployment
-    }
-
-    /// Starts an empty store and a gateway.
-    pub fn start_unconfigured() -> Self {
+impl Instance {
+    /// Starts a process, which connects to a store.
+    pub fn start(name: &str, store: SocketAddr) -> Self {
         static NUMBER: AtomicU32 = AtomicU32::new(0);
-        let store = store::start(store::Config::default()).unwrap();
         let [callers, ready, metrics, peers] = [
             free_address(),
             free_address(),
@@ -312,14 +296,14 @@
             free_address(),
         ];
         let number = NUMBER.fetch_add(1, Ordering::SeqCst);
-        let name = format!("gateway-{}-{number}.yaml", std::process::id());
-        let settings = std::env::temp_dir().join(name);
+        let file = format!("gateway-{}-{number}.yaml", std::process::id());
+        let settings = std::env::temp_dir().join(file);
         let text = json!({
-            "instance": "entry-1",
+            "instance": name,
             "zone": "a",
             "listen": { "callers": callers, "ready": ready, "metrics": metrics },
             "peers": { "listen": peers, "cluster": "test", "secret": "test" },
-            "store": { "address": store.address(), "partitions": 2 },
+            "store": { "address": store, "partitions": 2 },
             "grace_s": 8,
         });
         fs::write(&settings, text.to_string()).unwrap();
@@ -329,53 +313,27 @@
             .stdout(Stdio::null())
             .spawn()
             .unwrap();
-        let deployment = Self {
-            store,
+        Self {
             callers,
             ready,
             metrics,
             child,
             settings,
-        };
+        }
+    }
+
+    /// Waits until the process listens for callers.
+    fn wait_listening(&self) {
         let until = Instant::now() + START_TIMEOUT;
-        while TcpStream::connect(callers).is_err() {
+        while TcpStream::connect(self.callers).is_err() {
             assert!(Instant::now() < until, "the gateway does not listen");
             thread::sleep(Duration::from_millis(20));
         }
-        deployment
     }
 
-    /// Publishes a configuration.
-    pub fn configure(&self, version: u64) {
-        let route = |prefix: &str, kind: &str, attempts: u32| {
-            json!({
-                "name": prefix, "host": "h.example", "pathPrefix": prefix, "kind": kind,
-                "timeoutMs": 3000, "targetLatencyMs": 200, "priority": 0, "service": "s",
-                "maxAttempts": attempts, "resumable": kind == "streaming",
-            })
-        };
-        let config = json!({
-            "version": version,
-            "routes": [
-                route("/safe/", "safe", 2),
-                route("/once/", "unsafe", 2),
-                route("/stream/", "streaming", 1),
-            ],
-            "services": [{ "name": "s", "maxConns": 10, "engine": { "tokensPerEvent": 10 } }],
-            "limits": { "maxBodyBytes": 1000 },
-        });
-        self.store
-            .put("keyed.op", "config", config.to_string().as_bytes());
-    }
-
-    /// Publishes the entry of a server.
-    pub fn register(&self, id: &str, upstream: &Upstream, state: &str) {
-        let entry = json!({
-            "service": "s", "address": upstream.address, "zone": "a", "version": "v1",
-            "slots": 4, "state": state, "coldLeftMs": 0, "sequence": 1, "born": 1,
-        });
-        self.store
-            .put("keyed.servers", id, entry.to_string().as_bytes());
+    /// Returns whether the readiness check passes.
+    pub fn is_ready(&self) -> bool {
+        get(self.ready, "/v1/readiness").status() == 200
     }
 
     /// Sends a signal to the gateway.
@@ -406,7 +364,7 @@
     }
 }
 
-impl Drop for Deployment {
+impl Drop for Instance {
     fn drop(&mut self) {
         // The process may have ended already.
         let _ = self.child.kill();
@@ -415,6 +373,93 @@
     }
 }
 
+/// A store with one gateway.
+pub struct Deployment {
+    /// The store.
+    pub store: Server<Store>,
+    instance: Instance,
+}
+
+impl Deref for Deployment {
+    type Target = Instance;
+
+    fn deref(&self) -> &Instance {
+        &self.instance
+    }
+}
+
+impl DerefMut for Deployment {
+    fn deref_mut(&mut self) -> &mut Instance {
+        &mut self.instance
+    }
+}
+
+impl Deployment {
+    /// Starts a store with a configuration and servers, and a gateway that is ready.
+    pub fn start(upstreams: &[&Upstream]) -> Self {
+        let deployment = Self::start_unconfigured();
+        deployment.configure(1);
+        for (number, upstream) in upstreams.iter().enumerate() {
+            deployment.register(&format!("i-{number}"), upstream, "ready");
+        }
+        let until = Instant::now() + START_TIMEOUT;
+        while !deployment.is_ready() {
+            assert!(Instant::now() < until, "the gateway is not ready");
+            thread::sleep(Duration::from_millis(20));
+        }
+        // The registry is reread after its pause.
+        thread::sleep(Duration::from_millis(800));
+        deployment
+    }
+
+    /// Starts an empty store and a gateway.
+    pub fn start_unconfigured() -> Self {
+        let store = store::start(store::Config::default()).unwrap();
+        let instance = Instance::start("entry-1", store.address());
+        instance.wait_listening();
+        Self { store, instance }
+    }
+
+    /// Publishes a configuration.
+    pub fn configure(&self, version: u64) {
+        configure(&self.store, version, 0);
+    }
+
+    /// Publishes the entry of a server.
+    pub fn register(&self, id: &str, upstream: &Upstream, state: &str) {
+        let entry = json!({
+            "service": "s", "address": upstream.address, "zone": "a", "version": "v1",
+            "slots": 4, "state": state, "coldLeftMs": 0, "sequence": 1, "born": 1,
+        });
+        self.store
+            .put("keyed.servers", id, entry.to_string().as_bytes());
+    }
+}
+
+/// Publishes a configuration with a number of routes that get no requests.
+pub fn configure(store: &Server<Store>, version: u64, idle_routes: usize) {
+    let route = |prefix: &str, kind: &str, attempts: u32| {
+        json!({
+            "name": prefix, "host": "h.example", "pathPrefix": prefix, "kind": kind,
+            "timeoutMs": 3000, "targetLatencyMs": 200, "priority": 0, "service": "s",
+            "maxAttempts": attempts, "resumable": kind == "streaming",
+        })
+    };
+    let mut routes = vec![
+        route("/safe/", "safe", 2),
+        route("/once/", "unsafe", 2),
+        route("/stream/", "streaming", 1),
+    ];
+    routes.extend((0..idle_routes).map(|number| route(&format!("/idle-{number}/"), "safe", 1)));
+    let config = json!({
+        "version": version,
+        "routes": routes,
+        "services": [{ "name": "s", "maxConns": 10, "engine": { "tokensPerEvent": 10 } }],
+        "limits": { "maxBodyBytes": 1000 },
+    });
+    store.put("keyed.op", "config", config.to_string().as_bytes());
+}
+
 /// Sends a `GET` and reads the answer.
 pub fn get(address: SocketAddr, path: &str) -> Message {
     let Ok(mut stream) = TcpStream::connect(address) else {
