Limit the time without progress of reads from the store

Cause: each read from the store had 500 ms for the whole answer and began again 200 ms later. A complete configuration of 0.75 to 1 MB for each of 111 instances takes more than a second of the store's read rate alone. The reads were given up faster than they could be answered, while the store went on to transfer the answers, so that from then on no read of anything was answered in time. A congestion collapse by retries: the class is a fixed time for a transfer whose duration depends on its size and on how many ask at once, with nothing kept of a failed try.

A read now fails after a time without a byte, not after a time in total. For complete states that time starts at 2 s and doubles up to 8 s; for changes of the configuration it doubles from 500 ms up to 2 s, so the rate of abandoned reads falls until the store can answer all. Retries of feeds get jitter, and a feed that failed is asked without waiting, so that a longer limit does not delay the return. Reads of accounts and of the registry's changes keep 500 ms: they tell an outage.

Evidence: the test recovery::restart_of_all_instances_with_large_configuration failed before (0 of 6 ready after 12 s) and passes after 1.9 s.

Looked for elsewhere: the list of instances and the registry's complete state use the same read and are covered. Reads of accounts and of Kafka partitions are bounded in size and keep what they have read. Left: while the configuration is read by all, reads of accounts still time out, which is taken for an outage and costs some 3 s of refused turns.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -5,6 +5,7 @@
     time::Duration, //
 };
 
+use rand::RngExt as _;
 use tokio::time::sleep;
 
 use super::{
@@ -149,7 +150,11 @@
         let start = Time::monotonic();
         let page = match position {
             None => feed.snapshot().await,
-            Some(from) => feed.changes(from, POLL_WAIT).await,
+            // A read that need not wait shows at once when the store is back.
+            Some(from) => {
+                let wait = if failing { Duration::ZERO } else { POLL_WAIT };
+                feed.changes(from, wait).await
+            }
         };
         match page {
             Ok(Page { items, next }) => {
@@ -179,7 +184,8 @@
                     log::warn!(feed = name, failure:%; "store: feed can't be read; retrying");
                 }
                 sink.failed();
-                sleep(RETRY_INTERVAL).await;
+                // Jitter: instances that failed together must not retry together.
+                sleep(RETRY_INTERVAL.mul_f64(rand::rng().random_range(1.0..2.0))).await;
             }
         }
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,7 +5,7 @@
 //! shared with other instances, through the log. `docs/platform.md` gives the reasons.
 //!
 //! The decisions do no I/O ([`route`], [`registry`], [`load`], [`balance`], [`fleet`],
-//! [`account`], [`outage`]); sockets are in [`connection`], [`pool`], [`forward`], [`relay`] and [`front`].
+//! [`account`], [`outage`], [`timeout`]); sockets are in [`connection`], [`pool`], [`forward`], [`relay`] and [`front`].
 
 pub mod account;
 pub mod balance;
@@ -38,3 +38,4 @@
 pub mod settings;
 pub mod state;
 pub mod throttle;
+pub mod timeout;
--- a/src/platform/feed.rs
+++ b/src/platform/feed.rs
@@ -91,7 +91,7 @@
 impl Configuration {
     /// Creates a feed that reads from a store.
     pub fn new(store: Rc<Store>) -> Self {
-        Self(Topic::new(store, OPERATOR_TOPIC))
+        Self(Topic::with_large_records(store, OPERATOR_TOPIC))
     }
 }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -29,11 +29,17 @@
     BytesMut, //
 };
 use futures_util::StreamExt as _;
-use tokio::time::timeout;
+use tokio::time::{
+    error::Elapsed,
+    timeout, //
+};
 
 use super::wire;
 use crate::{
-    gateway::metrics::Metrics,
+    gateway::{
+        metrics::Metrics,
+        timeout::Timeout, //
+    },
     log::{
         Batch,
         Bounds,
@@ -43,10 +49,18 @@
     upstream::http, //
 };
 
-/// Timeout of a call, in addition to the time that the store is requested to wait; the store
-/// answers in 4 ms, and takes 60 times as long when it is slow.
+/// Time without a byte of the answer after which a call fails, in addition to the time that the
+/// store is requested to wait; the store answers in 4 ms, and takes 60 times as long when it is slow.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Range of the timeout of a read of the complete state of a topic. Nothing is known before it, so
+/// there is nothing else to do while the answers to other instances are in front of it.
+const SNAPSHOT_TIMEOUT: [Duration; 2] = [Duration::from_secs(2), Duration::from_secs(8)];
+
+/// Maximum timeout of reads that grow with the size of a record: a read that hangs when an outage
+/// ends delays a change of the configuration by this.
+const MAX_BULK_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -106,34 +120,51 @@
     }
 
     /// Sends a request and reads the complete answer; `name` is the call in logs and metrics.
+    ///
+    /// The timeout limits the time without progress, and not the time of the whole transfer, which
+    /// depends on the length of the answer and on what else uses the link.
     async fn call(
         &self,
         name: &'static str,
         request: ClientRequest,
         body: Bytes,
         wait: Duration,
+        limit: &Timeout,
     ) -> Result<(StatusCode, Bytes), Failure> {
         let start = Instant::now();
         let received = Cell::new(0);
         let exchange = async {
-            let mut response = request.send_body(body).await.map_err(unknown)?;
+            let head = timeout(wait + limit.get(), request.send_body(body)).await?;
+            let mut response = match head {
+                Ok(response) => response,
+                Err(error) => return Ok(Err(unknown(error))),
+            };
             let mut bytes = BytesMut::new();
-            while let Some(chunk) = response.next().await {
-                bytes.extend_from_slice(&chunk.map_err(unknown)?);
+            while let Some(chunk) = timeout(limit.get(), response.next()).await? {
+                match chunk {
+                    Ok(chunk) => bytes.extend_from_slice(&chunk),
+                    Err(error) => return Ok(Err(unknown(error))),
+                }
                 received.set(bytes.len());
                 if bytes.len() > MAX_ANSWER_BYTES {
-                    return Err(unknown("the answer exceeds the maximum length"));
+                    return Ok(Err(unknown("the answer exceeds the maximum length")));
                 }
             }
-            Ok((response.status(), bytes.freeze()))
+            Ok::<_, Elapsed>(Ok((response.status(), bytes.freeze())))
         };
-        let result = match timeout(wait + CALL_TIMEOUT, exchange).await {
-            Ok(result) => result,
+        let result = match exchange.await {
+            Ok(result) => {
+                if result.is_ok() {
+                    limit.reset();
+                }
+                result
+            }
             Err(_) => {
+                limit.expired();
                 // The other connections may be unresponsive as well, so all are dropped.
                 self.client.replace(client());
                 Err(unknown(format!(
-                    "{name} took longer than the time limit: {} ms, {} bytes received",
+                    "{name} made no progress within the time limit: given up after {} ms, {} bytes received",
                     start.elapsed().as_millis(),
                     received.get()
                 )))
@@ -155,14 +186,29 @@
 pub struct Topic {
     store: Rc<Store>,
     name: Arc<str>,
+    /// Timeout of reads of records.
+    read_timeout: Timeout,
+    /// Timeout of reads of the complete state.
+    snapshot_timeout: Timeout,
 }
 
 impl Topic {
     /// Returns a topic, which the store creates on its first use.
     pub fn new(store: Rc<Store>, name: &str) -> Self {
+        let [min, max] = SNAPSHOT_TIMEOUT;
         Self {
             store,
             name: name.into(),
+            read_timeout: Timeout::fixed(CALL_TIMEOUT),
+            snapshot_timeout: Timeout::growing(min, max),
+        }
+    }
+
+    /// Returns a topic with records so large that reading one may take long.
+    pub fn with_large_records(store: Rc<Store>, name: &str) -> Self {
+        Self {
+            read_timeout: Timeout::growing(CALL_TIMEOUT, MAX_BULK_TIMEOUT),
+            ..Self::new(store, name)
         }
     }
 
@@ -183,7 +229,13 @@
             }
             let request = store.get(&call);
             let (status, body) = store
-                .call("newest", request, Bytes::new(), Duration::ZERO)
+                .call(
+                    "newest",
+                    request,
+                    Bytes::new(),
+                    Duration::ZERO,
+                    &self.snapshot_timeout,
+                )
                 .await?;
             if status != StatusCode::OK {
                 return Err(Failure::NotApplied(format!("status {status}")));
@@ -254,7 +306,13 @@
         );
         let store = &self.store;
         let (status, body) = store
-            .call("read", store.get(&call), Bytes::new(), wait)
+            .call(
+                "read",
+                store.get(&call),
+                Bytes::new(),
+                wait,
+                &self.read_timeout,
+            )
             .await?;
         match status {
             StatusCode::OK => {
@@ -282,7 +340,13 @@
         let store = &self.store;
         let request = store.post(&call);
         let (status, body) = store
-            .call("append", request, body.freeze(), Duration::ZERO)
+            .call(
+                "append",
+                request,
+                body.freeze(),
+                Duration::ZERO,
+                &Timeout::fixed(CALL_TIMEOUT),
+            )
             .await?;
         if status != StatusCode::OK {
             return Err(Failure::NotApplied(format!("status {status}")));
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -17,3 +17,4 @@
 mod settings;
 mod support;
 mod throttle;
+mod timeout;
