Log and count streams that go on after a break

Software versions of engines were not decoded, resumptions by callers were not logged, and those by the gateway named only the engine that broke. A stream that goes on now gets a line with who resumed it, the version that began it, if known, and the engine and version that continue it; counters have the same. No behaviour changes.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -32,6 +32,8 @@
     pub prompt: Option<Prompt>,
     /// Identifier of the event after which the caller resumes a stream.
     pub after: Option<u64>,
+    /// Identifier of the caller's attempt that brought the first event of the stream it resumes.
+    pub resumes: Option<Arc<str>>,
     /// Object that the request concerns; an upstream that handled it recently works faster.
     pub object: Option<Arc<str>>,
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -30,6 +30,7 @@
     retries: Counter<u64>,
     answers: Counter<u64>,
     placements: Counter<u64>,
+    continuations: Counter<u64>,
     store_calls: Counter<u64>,
     store_bytes: Counter<u64>,
     store_time: Histogram<f64>,
@@ -61,6 +62,10 @@
                 "Answers of upstreams that were passed on, by kind.",
             ),
             placements: counter("placements", "Turns sent to an engine, by who chose it."),
+            continuations: counter(
+                "continuations",
+                "Streams that went on after a break, by who resumed them and the software version.",
+            ),
             store_calls: counter("store_calls", "Calls to the store, by call and outcome."),
             store_bytes: counter(
                 "store_received_bytes",
@@ -97,6 +102,13 @@
         self.0.placements.add(1, &[KeyValue::new("by", by)]);
     }
 
+    /// Counts a stream that goes on at an engine, by who resumed it (`gateway` or `caller`) and
+    /// whether the engine has the software version that began it (`same`, `other` or `unknown`).
+    pub fn continued(&self, by: &'static str, version: &'static str) {
+        let labels = [KeyValue::new("by", by), KeyValue::new("version", version)];
+        self.0.continuations.add(1, &labels);
+    }
+
     /// Records a call to the store; the bytes received of a `lost` one were discarded.
     pub fn record_store_call(
         &self,
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -34,6 +34,8 @@
     pub address: SocketAddr,
     /// Availability zone.
     pub zone: Arc<str>,
+    /// Version of its software.
+    pub version: Arc<str>,
     /// Requests that it runs concurrently; at least 1.
     pub slots: u32,
     /// Whether it takes no new requests.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -3,6 +3,7 @@
 use std::{
     net::SocketAddr,
     rc::Rc,
+    sync::Arc,
     time::{
         Duration,
         Instant, //
@@ -88,7 +89,7 @@
 /// Guard of the tokens reserved for a turn; closes the turn when it is dropped.
 struct Lease<L: Log + 'static> {
     accounts: Rc<Client<L>>,
-    program: std::sync::Arc<str>,
+    program: Arc<str>,
     turn: Turn,
     used: u64,
     /// Whether the turn was denied, so that there is nothing to close.
@@ -130,6 +131,8 @@
     first: Option<Bytes>,
     tokens_per_event: u64,
     events: u64,
+    /// Software version of the engine that began the stream, if this instance relayed its start.
+    origin: Option<Arc<str>>,
 }
 
 /// Reason why a stream ended before it was complete.
@@ -157,6 +160,7 @@
             first: None,
             tokens_per_event,
             events: 0,
+            origin: None,
         };
         let mut pending = relay.reserve();
         if let Some(pending) = pending.take_if(|pending| !pending.likely) {
@@ -333,6 +337,7 @@
                         .is_success()
                         .then(|| copy(&exchange.head));
                     if head.is_some() {
+                        self.record_continuation(&exchange.server);
                         let (prefixes, capacity) = (&self.job.prefixes, self.job.cache_tokens);
                         self.gateway
                             .fleet
@@ -363,6 +368,30 @@
         }
     }
 
+    /// Logs and counts that the stream goes on after a break.
+    fn record_continuation(&self, server: &Server) {
+        let Some(last) = self.last else {
+            return;
+        };
+        let version = match &self.origin {
+            Some(origin) if *origin == server.version => "same",
+            Some(_) => "other",
+            None => "unknown",
+        };
+        let by = match self.events {
+            0 => "caller",
+            _ => "gateway",
+        };
+        self.gateway.metrics.continued(by, version);
+        let call = &self.job.call;
+        log::info!(
+            request = &*call.id, resumes = call.resumes.as_deref().unwrap_or(""), by, last,
+            upstream = &*server.id, upstream_version = &*server.version,
+            origin = self.origin.as_deref().unwrap_or("");
+            "relay: stream goes on after a break"
+        );
+    }
+
     /// Counts a resumption; fails if the stream can't be resumed.
     fn resume(&mut self, reason: &'static str) -> Result<(), Interruption> {
         self.exchange = None;
@@ -492,6 +521,10 @@
     fn deliver(&mut self, id: u64, bytes: Bytes) -> Bytes {
         self.last = Some(id);
         self.events += 1;
+        if self.origin.is_none() && self.job.call.after.is_none() {
+            let exchange = self.exchange.as_ref();
+            self.origin = exchange.map(|exchange| exchange.server.version.clone());
+        }
         if let Some(lease) = &mut self.lease {
             lease.used += self.tokens_per_event;
         }
--- a/src/platform/dialect.rs
+++ b/src/platform/dialect.rs
@@ -48,6 +48,8 @@
 /// Object that the request concerns.
 const AFFINITY_KEY: HeaderName = HeaderName::from_static("affinity-key");
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+/// Identifier of the request that brought the first event of the stream that is resumed.
+const RESUMES: HeaderName = HeaderName::from_static("resumes");
 /// Identifier of the only server that may run the request; does not name an instance of
 /// the gateway.
 const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("expect-instance");
@@ -171,6 +173,7 @@
             program: program(headers)?,
             prompt: prompt(headers)?,
             after: value(headers, &LAST_EVENT_ID)?,
+            resumes: text(headers, &RESUMES).map(Into::into),
             object: object(headers),
         })
     }
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -195,6 +195,9 @@
     service: Arc<str>,
     address: SocketAddr,
     zone: Arc<str>,
+    /// Version of the server's software, not of its weights.
+    #[serde(default)]
+    version: Arc<str>,
     slots: u32,
     state: State,
     /// Sequence number of the report since the start of the server.
@@ -220,6 +223,7 @@
         service: report.service,
         address: report.address,
         zone: report.zone,
+        version: report.version,
         slots: report.slots.max(1),
         draining: matches!(report.state, State::Draining),
         started: report.born,
--- a/tests/gateway/balance.rs
+++ b/tests/gateway/balance.rs
@@ -44,6 +44,7 @@
         service: "s".into(),
         address: address(number),
         zone: zone.into(),
+        version: "v1".into(),
         slots: 8,
         draining: false,
         started: 1,
--- a/tests/gateway/dispatcher.rs
+++ b/tests/gateway/dispatcher.rs
@@ -81,6 +81,7 @@
             service: "s".into(),
             address: address(number),
             zone: "a".into(),
+            version: "v1".into(),
             slots: SLOTS as u32,
             draining: false,
             started: 1,
--- a/tests/gateway/registry.rs
+++ b/tests/gateway/registry.rs
@@ -24,6 +24,7 @@
         service: "s".into(),
         address: "127.0.0.1:1".parse().unwrap(),
         zone: "z".into(),
+        version: "v1".into(),
         slots: 4,
         draining: false,
         started,
--- a/tests/gateway/serve.rs
+++ b/tests/gateway/serve.rs
@@ -410,3 +410,20 @@
     let bytes = counted("gypsumlever_gateway_store_received_bytes_total");
     assert!(bytes > 100.0, "{text}");
 }
+
+#[test]
+fn metrics_count_streams_that_go_on() {
+    let upstream = Upstream::start(|number, request| match number {
+        0 => Action::Close(events(request, 1..=3, false)),
+        _ => Action::Answer(events(request, 4..=5, true)),
+    });
+    let deployment = Deployment::start(&[&upstream]);
+    deployment.request(&request("POST", "/stream/x", TURN, ""));
+    let text = get(deployment.metrics, "/metrics").text();
+    let counted = text.lines().any(|line| {
+        let labels = ["by=\"gateway\"", "version=\"same\""];
+        line.starts_with("gypsumlever_gateway_continuations_total")
+            && labels.iter().all(|label| line.contains(label))
+    });
+    assert!(counted, "{text}");
+}
