--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -18,3 +18,4 @@
 mod support;
 mod throttle;
 mod timeout;
+mod versions;
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -303,7 +303,7 @@
             "zone": "a",
             "listen": { "callers": callers, "ready": ready, "metrics": metrics },
             "peers": { "listen": peers, "cluster": "test", "secret": "test" },
-            "store": { "address": store, "partitions": 2 },
+            "store": { "address": store, "partitions": 12 },
             "grace_s": 8,
         });
         fs::write(&settings, text.to_string()).unwrap();
@@ -427,15 +427,19 @@
 
     /// Publishes the entry of a server.
     pub fn register(&self, id: &str, upstream: &Upstream, state: &str) {
-        let entry = json!({
-            "service": "s", "address": upstream.address, "zone": "a", "version": "v1",
-            "slots": 4, "state": state, "coldLeftMs": 0, "sequence": 1, "born": 1,
-        });
-        self.store
-            .put("keyed.servers", id, entry.to_string().as_bytes());
+        register(&self.store, id, upstream, state, "v1");
     }
 }
 
+/// Publishes the entry of a server with a software version.
+pub fn register(store: &Server<Store>, id: &str, upstream: &Upstream, state: &str, version: &str) {
+    let entry = json!({
+        "service": "s", "address": upstream.address, "zone": "a", "version": version,
+        "slots": 4, "state": state, "coldLeftMs": 0, "sequence": 1, "born": 1,
+    });
+    store.put("keyed.servers", id, entry.to_string().as_bytes());
+}
+
 /// Publishes a configuration with a number of routes that get no requests.
 pub fn configure(store: &Server<Store>, version: u64, idle_routes: usize) {
     let route = |prefix: &str, kind: &str, attempts: u32| {
