Correct two things of the tests of gateways

Ports: an address was bound, released and handed to a process, and with more processes in flight a connection took it before the process listened ("Address already in use" in one run of the tests of versions). Ports now come from below the kernel's range for connections.

The engine of the killed instance answered the gateway's own resumption after 700 ms, so that streams were complete before the kill. It now answers only callers that take a stream up.

--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -280,9 +280,20 @@
     settings: PathBuf,
 }
 
+/// Returns an address that no socket has.
+///
+/// Its port is below those that the kernel hands out, so that no connection takes it before the
+/// process listens. Test processes that run at the same time begin at different ports.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    static COUNT: AtomicU32 = AtomicU32::new(0);
+    let first = std::process::id() % 100 * 200;
+    loop {
+        let offset = first + COUNT.fetch_add(1, Ordering::SeqCst);
+        let address = SocketAddr::from(([127, 0, 0, 1], 10_000 + (offset % 20_000) as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 impl Instance {
@@ -322,6 +333,15 @@
         }
     }
 
+    /// Waits until the readiness check passes.
+    pub fn wait_ready(&self) {
+        let until = Instant::now() + START_TIMEOUT;
+        while !self.is_ready() {
+            assert!(Instant::now() < until, "the gateway is not ready");
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
     /// Waits until the process listens for callers.
     fn wait_listening(&self) {
         let until = Instant::now() + START_TIMEOUT;
@@ -402,11 +422,7 @@
         for (number, upstream) in upstreams.iter().enumerate() {
             deployment.register(&format!("i-{number}"), upstream, "ready");
         }
-        let until = Instant::now() + START_TIMEOUT;
-        while !deployment.is_ready() {
-            assert!(Instant::now() < until, "the gateway is not ready");
-            thread::sleep(Duration::from_millis(20));
-        }
+        deployment.wait_ready();
         // The registry is reread after its pause.
         thread::sleep(Duration::from_millis(800));
         deployment
--- a/tests/gateway/versions.rs
+++ b/tests/gateway/versions.rs
@@ -49,15 +49,19 @@
     })
 }
 
-/// Returns an engine that sends two events, and nothing more unless a stream is resumed.
+/// Returns an engine that sends two events, and nothing more unless the caller resumes the stream.
 fn stalling_engine() -> Upstream {
-    Upstream::start(|_, request| match request.header("last-event-id") {
-        Some(_) => Action::Answer(events(request, 3..=5, true)),
-        None => Action::Pause(
-            events(request, 1..=2, false),
-            Duration::from_secs(8),
-            Vec::new(),
-        ),
+    Upstream::start(|_, request| {
+        let by_caller = request.header("resumes").is_some();
+        let resumed = request.header("last-event-id").is_some();
+        match (resumed, by_caller) {
+            (true, true) => Action::Answer(events(request, 3..=5, true)),
+            (true, false) => Action::Silent,
+            (false, _) => {
+                let first = events(request, 1..=2, false);
+                Action::Pause(first, Duration::from_secs(8), Vec::new())
+            }
+        }
     })
 }
 
@@ -72,11 +76,15 @@
     turn(id, &format!("Last-Event-Id: 2\r\nResumes: {resumes}\r\n"))
 }
 
+fn count(engine: &Upstream, header: &str) -> usize {
+    let requests = engine.requests();
+    let has_header = |request: &&Message| request.header(header).is_some();
+    requests.iter().filter(has_header).count()
+}
+
 /// Returns the number of requests that resume a stream.
 fn resumed(engine: &Upstream) -> usize {
-    let requests = engine.requests();
-    let resumed = |request: &&Message| request.header("last-event-id").is_some();
-    requests.iter().filter(resumed).count()
+    count(engine, "last-event-id")
 }
 
 /// Starts instances on a store with an engine of version v1, and waits until they are ready.
@@ -87,8 +95,8 @@
     let instances: Vec<_> = (0..count)
         .map(|number| Instance::start(&format!("entry-{number}"), store.address()))
         .collect();
+    instances.iter().for_each(Instance::wait_ready);
     thread::sleep(SPREAD);
-    assert!(instances.iter().all(Instance::is_ready));
     (store, instances)
 }
 
@@ -177,7 +185,7 @@
         assert!(answer.complete, "{}", answer.text());
     }
     assert_eq!(resumed(&other), 0, "streams went on at another version");
-    assert_eq!(resumed(&began), STREAMS);
+    assert_eq!(count(&began, "resumes"), STREAMS);
 }
 
 /// Nobody knows where a stream began, and two versions serve. It must not go on, and the refusal
