Let streams go on only at the software version that began them

Its own resumption after the end of an engine, and the placement of a stream that a caller takes up, chose any usable engine of the service. The class: state of one try that the next try needs and that was kept nowhere, or only where the first try ran.

Versions are now decoded from the engines' reports (a report without one is invalid). The first event of a stream pins its origin, service and version, for the rest of the answer; choices by the dispatcher and by the instance are limited to it. The instance that relays the first event notifies three owners of account partitions; an instance through which a caller takes the stream up asks them (150 ms at most). A stream of unknown origin goes on only if its service had a single version for 30 s. Otherwise, and if no engine of the version takes requests, it is refused at once, without Retry-After as no retry can succeed.

Looked for elsewhere: the dispatcher placed by service only and is covered. An engine that starts again under its identifier has a new start time in the registry and is not resumed once that is read; in the up to 0.6 s before, its new version is not known (open).

--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -109,6 +109,8 @@
     pub object: Option<&'a str>,
     /// Upstreams that refused the request.
     pub excluded: &'a [SocketAddr],
+    /// Software version that the upstream must have; any if it is `None`.
+    pub version: Option<&'a str>,
     /// Maximum random change of a cost, as a fraction of it: instances with the same information
     /// must not all choose the same upstream.
     pub jitter: f64,
@@ -155,6 +157,7 @@
     let unknown_load = Load::default();
     let candidates: Vec<_> = servers
         .filter(|server| !request.excluded.contains(&server.address))
+        .filter(|server| server.has_version(request.version))
         .collect();
     let preferred = preferred(request, &candidates);
     let usage = local_usage(request, &candidates, loads);
--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -75,6 +75,9 @@
     /// Upstreams that refused the turn.
     #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
     pub excluded: Vec<SocketAddr>,
+    /// Software version that the upstream must have.
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<Arc<str>>,
 }
 
 /// How a placed turn ended.
@@ -173,6 +176,7 @@
             prompt: Some((&prompt, &order.prefixes)),
             object: None,
             excluded: &order.excluded,
+            version: order.version.as_deref(),
             jitter: 0.0,
         };
         let Some(choice) = self.fleet.pick(&order.service, &request) else {
--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -1,10 +1,12 @@
-//! Handles the requests of other instances: about token accounts, and for placements of turns.
+//! Handles the requests of other instances: about token accounts, placements of turns, and origins
+//! of streams.
 
 use std::rc::Rc;
 
 use super::{
     account::Reservation,
     dispatcher::Dispatcher,
+    origin::Origins,
     owner::{
         Request,
         Response, //
@@ -29,14 +31,16 @@
 pub struct Endpoint<L> {
     replica: Rc<Replica<L>>,
     dispatcher: Rc<Dispatcher>,
+    origins: Rc<Origins>,
 }
 
 impl<L> Endpoint<L> {
-    /// Returns a handler of requests about accounts and placements.
-    pub fn new(replica: Rc<Replica<L>>, dispatcher: Rc<Dispatcher>) -> Self {
+    /// Returns a handler of requests about accounts, placements and origins of streams.
+    pub fn new(replica: Rc<Replica<L>>, dispatcher: Rc<Dispatcher>, origins: Rc<Origins>) -> Self {
         Self {
             replica,
             dispatcher,
+            origins,
         }
     }
 }
@@ -77,6 +81,14 @@
                 };
                 respond(reply, Body::Accounted(answer));
             }
+            Request::KeepOrigin(stream, origin) => self.origins.record(stream, origin),
+            Request::FindOrigin(stream) => {
+                let answer = match self.origins.get(stream) {
+                    Some(origin) => Response::Origin(origin),
+                    None => Response::Refused,
+                };
+                respond(reply, Body::Accounted(answer));
+            }
             Request::Ping => {
                 let settled = replica.path().settled();
                 respond(reply, Body::Accounted(Response::Pong { settled }));
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -205,6 +205,14 @@
         }
     }
 
+    /// Returns the answer to a request that no retry can get served.
+    pub fn unservable(sends: &Sends, reason: &'static str) -> Self {
+        match sends.not_run() {
+            Some(_) => Self::new(StatusCode::SERVICE_UNAVAILABLE, reason),
+            None => Self::unknown(reason),
+        }
+    }
+
     /// Returns the answer at the deadline, which promises that the request has not run if that is
     /// proven.
     pub fn at_deadline(sends: &Sends, reason: &'static str) -> Self {
@@ -292,8 +300,13 @@
 }
 
 impl<D: Dialect, L> Gateway<D, L> {
-    /// Picks the upstream of a job.
-    pub fn choose(&self, job: &Job<D, L>, excluded: &[SocketAddr]) -> Option<Choice> {
+    /// Picks the upstream of a job, of a `version` if there is one.
+    pub fn choose(
+        &self,
+        job: &Job<D, L>,
+        excluded: &[SocketAddr],
+        version: Option<&str>,
+    ) -> Option<Choice> {
         let request = balance::Request {
             now: Time::monotonic(),
             zone: self.settings.zone.as_str(),
@@ -304,6 +317,7 @@
                 .map(|prompt| (prompt, &job.prefixes[..])),
             object: job.call.object.as_deref().filter(|_| job.route.sticky),
             excluded,
+            version,
             jitter: balance::JITTER,
         };
         self.fleet.pick(&job.service, &request)
@@ -315,6 +329,7 @@
         &self,
         job: &Job<D, L>,
         excluded: &[SocketAddr],
+        version: Option<&Arc<str>>,
     ) -> Option<(Choice, Placement)> {
         let prompt = job.call.prompt.as_ref()?;
         let order = Order {
@@ -324,6 +339,7 @@
             max_tokens: prompt.max_tokens,
             prefixes: job.prefixes.clone(),
             excluded: excluded.to_vec(),
+            version: version.cloned(),
         };
         let (placed, placement) = self.placer.place(order).await?;
         let id = placed.upstream?;
@@ -331,7 +347,9 @@
         let registry = self.fleet.registry.borrow();
         let server = registry
             .usable(Time::monotonic(), &job.service)
-            .find(|server| server.id == id && !excluded.contains(&server.address))?
+            .find(|server| server.id == id && !excluded.contains(&server.address))
+            // A dispatcher of an older build ignores the version.
+            .filter(|server| server.has_version(version.map(|version| &**version)))?
             .clone();
         let inputs = placed.inputs;
         Some((Choice { server, inputs }, placement))
@@ -501,7 +519,7 @@
             if Instant::now() >= job.deadline {
                 return Err(Refusal::at_deadline(&sends, "deadline"));
             }
-            let Some(choice) = self.choose(job, retries.excluded()) else {
+            let Some(choice) = self.choose(job, retries.excluded(), None) else {
                 if retries.wait().await {
                     continue;
                 }
--- a/src/gateway/lifecycle.rs
+++ b/src/gateway/lifecycle.rs
@@ -29,6 +29,10 @@
     follow,
     front,
     metrics::Metrics,
+    origin::{
+        Directory,
+        Origins, //
+    },
     owner::Client,
     peers::Peers,
     replica::Replica,
@@ -100,15 +104,18 @@
     let fleet = Rc::new(Fleet::new(settings.balance));
     let dispatcher = Rc::new(Dispatcher::new(settings.zone.as_str(), fleet));
     let placer = Rc::new(Placer::new(dispatcher.clone()));
+    let origins = Rc::<Origins>::default();
     let gateway: Rc<Gateway<Dialect, Topic>> = Rc::new(Gateway::new(
         settings,
         accounts.clone(),
+        Directory::new(origins.clone(), accounts.clone()),
         placer.clone(),
         metrics,
     ));
     let instance = gateway.settings.instance.clone();
     log::info!(instance = instance.as_str(); "gateway: started");
-    let peers = connect_peers(&gateway.settings, &replica, dispatcher).await?;
+    let endpoint = Endpoint::new(replica.clone(), dispatcher, origins);
+    let peers = connect_peers(&gateway.settings, endpoint).await?;
     replica.path().connect(peers.clone());
     accounts.connect(peers.clone());
     placer.connect(peers.clone());
@@ -152,11 +159,7 @@
 }
 
 /// Starts the links to other instances.
-async fn connect_peers(
-    settings: &Settings,
-    replica: &Rc<Replica<Topic>>,
-    dispatcher: Rc<Dispatcher>,
-) -> anyhow::Result<Peers> {
+async fn connect_peers(settings: &Settings, endpoint: Endpoint<Topic>) -> anyhow::Result<Peers> {
     let peers = &settings.peers;
     let (instance, zone) = (settings.instance.clone(), settings.zone.clone());
     let address = peers.listen.to_string();
@@ -164,12 +167,7 @@
     let capacity = (settings.cores * 1_000.0) as u32;
     roster.update(|view| view.set_capacity(Time::now(), capacity));
     let links = peer::Settings::new(&peers.cluster, instance, zone, peers.listen, &peers.secret);
-    let mesh = Mesh::start(
-        links,
-        Endpoint::new(replica.clone(), dispatcher),
-        roster.clone(),
-    )
-    .await?;
+    let mesh = Mesh::start(links, endpoint, roster.clone()).await?;
     Ok(Peers { mesh, roster })
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 pub mod lifecycle;
 pub mod load;
 pub mod metrics;
+pub mod origin;
 pub mod outage;
 pub mod owner;
 pub mod path;
--- /dev/null
+++ b/src/gateway/origin.rs
@@ -0,0 +1,136 @@
+//! Software versions at which streams began, so that they go on at the same one.
+//!
+//! Answers the load pattern of instances that are lost while several versions of a service serve:
+//! callers take their streams up through instances that never saw them. An instance that relays the
+//! first event of a stream notifies a few others, the *keepers*, which are asked when the stream is
+//! taken up.
+
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    sync::Arc,
+    time::Duration, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use super::{
+    owner::{
+        Client,
+        Request,
+        Response, //
+    },
+    registry::Server,
+};
+use crate::{
+    hash,
+    log::Log,
+    policy::recent::Recent, //
+};
+
+/// Keepers of a stream; a third of all instances may be lost at once.
+const KEEPERS: usize = 3;
+
+/// Timeout of a query of the keepers: many round trips between zones, and little of a turn's time.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Maximum streams whose origin an instance keeps: some 10 s of the streams that begin on all
+/// instances together. Callers take streams up within seconds.
+const MAX_STREAMS: usize = 4_096;
+
+/// Identifier of a stream: the hash of the identifier of the request that brought its first event.
+pub type Stream = u64;
+
+/// Returns the identifier of the stream that a request began.
+pub fn identify(request: &str) -> Stream {
+    hash::stable(request.as_bytes())
+}
+
+/// What began a stream. Streams of different origins don't fit together.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Origin {
+    /// Service.
+    #[serde(rename = "s")]
+    pub service: Arc<str>,
+    /// Software version of the engine.
+    #[serde(rename = "v")]
+    pub version: Arc<str>,
+}
+
+impl From<&Server> for Origin {
+    fn from(server: &Server) -> Self {
+        Self {
+            service: server.service.clone(),
+            version: server.version.clone(),
+        }
+    }
+}
+
+/// Origins that this instance keeps, for itself and for others.
+pub struct Origins(RefCell<Recent<Stream, Origin>>);
+
+impl Default for Origins {
+    fn default() -> Self {
+        Self(RefCell::new(Recent::new(MAX_STREAMS)))
+    }
+}
+
+impl Origins {
+    /// Records where a stream began.
+    pub fn record(&self, stream: Stream, origin: Origin) {
+        self.0.borrow_mut().insert(stream, origin);
+    }
+
+    /// Returns where a stream began, if it is known here.
+    pub fn get(&self, stream: Stream) -> Option<Origin> {
+        self.0.borrow().get(&stream).cloned()
+    }
+}
+
+/// Origins of the streams of all instances.
+pub struct Directory<L> {
+    local: Rc<Origins>,
+    accounts: Rc<Client<L>>,
+}
+
+impl<L: Log + 'static> Directory<L> {
+    /// Returns a directory; the keepers are owners of `accounts`, to which links exist anyway.
+    pub fn new(local: Rc<Origins>, accounts: Rc<Client<L>>) -> Self {
+        Self { local, accounts }
+    }
+
+    /// Records where the stream of a request began, and notifies its keepers.
+    pub fn record(&self, request: &str, origin: Origin) {
+        let stream = identify(request);
+        if let Some((peers, keepers)) = self.accounts.owners(stream, KEEPERS) {
+            for keeper in &keepers {
+                let notice = Request::KeepOrigin(stream, origin.clone());
+                if let Err(error) = peers.notify(keeper, notice) {
+                    log::debug!(
+                        peer = keeper.as_str(), error:%;
+                        "origin: keeper can't be notified of a stream"
+                    );
+                }
+            }
+        }
+        self.local.record(stream, origin);
+    }
+
+    /// Returns where the stream of a request began, if it or a keeper knows.
+    pub async fn find(&self, request: &str) -> Option<Origin> {
+        let stream = identify(request);
+        if let Some(origin) = self.local.get(stream) {
+            return Some(origin);
+        }
+        let (peers, keepers) = self.accounts.owners(stream, KEEPERS)?;
+        let query = Request::FindOrigin(stream);
+        match peers.request_any(&keepers, &query, QUERY_TIMEOUT).await {
+            Some(Response::Origin(origin)) => Some(origin),
+            _ => None,
+        }
+    }
+}
--- a/src/gateway/owner.rs
+++ b/src/gateway/owner.rs
@@ -31,6 +31,10 @@
         Reservation,
         Turn, //
     },
+    origin::{
+        self,
+        Origin, //
+    },
     outage::Outage,
     peers::{
         name_hash,
@@ -90,6 +94,12 @@
     /// Apply and append the record of a turn that ended or was granted without the recipient.
     #[serde(rename = "h")]
     Hold(Entry),
+    /// Keep where a stream began.
+    #[serde(rename = "k")]
+    KeepOrigin(origin::Stream, Origin),
+    /// Report where a stream began.
+    #[serde(rename = "w")]
+    FindOrigin(origin::Stream),
     /// Give a reserve back that the recipient holds.
     #[serde(rename = "g")]
     Reclaim {
@@ -148,6 +158,9 @@
         #[serde(rename = "r")]
         reserved: bool,
     },
+    /// Where a stream began.
+    #[serde(rename = "w")]
+    Origin(Origin),
     /// Tokens that were used, or may still be, of a reserve that is given back.
     #[serde(rename = "g")]
     Returned(u64),
@@ -177,7 +190,7 @@
     /// This instance reaches the log.
     #[serde(rename = "q")]
     LogReachable,
-    /// This instance can't reach the log over its direct path.
+    /// This instance can't reach the log over its direct path, or does not know the answer.
     #[serde(rename = "x")]
     Refused,
 }
@@ -250,6 +263,24 @@
         (owner != local).then(|| (peers.clone(), owner.clone()))
     }
 
+    /// Returns up to `count` other instances that own partitions, in an order given by `key`; `None`
+    /// if this instance has no links to others.
+    pub fn owners(&self, key: u64, count: usize) -> Option<(Rc<Peers>, Vec<Instance>)> {
+        let peers = self.peers.borrow().clone()?;
+        let partitions = self.replica.partitions();
+        let mut owners = Vec::new();
+        for partition in (0..partitions).map(|offset| (key as usize).wrapping_add(offset)) {
+            match self.remote_owner(partition % partitions) {
+                Some((_, owner)) if !owners.contains(&owner) => owners.push(owner),
+                _ => {}
+            }
+            if owners.len() == count {
+                break;
+            }
+        }
+        Some((peers, owners))
+    }
+
     /// Returns whether this instance is isolated from the log while others may reach it.
     pub fn isolated(&self) -> bool {
         self.replica.path().outage().isolated()
@@ -503,7 +534,7 @@
                 .into_iter()
                 .flatten()
             {
-                if let Err(error) = peers.notify(owner, entry) {
+                if let Err(error) = peers.notify(owner, Request::Hold(entry)) {
                     log::debug!(
                         home = owner.as_str(), error:%;
                         "account: partition owner can't be notified of a granted turn"
@@ -616,7 +647,8 @@
                 };
                 Some((peers, recipient))
             });
-        let notified = recipient.is_some_and(|(peers, name)| peers.notify(&name, entry).is_ok());
+        let notified = recipient
+            .is_some_and(|(peers, name)| peers.notify(&name, Request::Hold(entry)).is_ok());
         if !notified {
             self.replica.close(program, turn, used);
         }
--- a/src/gateway/path.rs
+++ b/src/gateway/path.rs
@@ -32,7 +32,10 @@
         Request,
         Response, //
     },
-    peers::Peers,
+    peers::{
+        Peers,
+        HELP_TIMEOUT, //
+    },
 };
 use crate::{
     clock::Time,
@@ -227,14 +230,15 @@
             self.probing.set(false);
             Some(probed)
         };
-        let (delegated, probed) = join(peers.request_any(&helpers, &request), probe).await;
+        let (delegated, probed) =
+            join(peers.request_any(&helpers, &request, HELP_TIMEOUT), probe).await;
         if let Some(answer) = delegated {
             self.set_outage(Outage::None);
             return Some(answer);
         }
         self.helper_round.set(self.helper_round.get() + 1);
         let (probe, reaching) = probed?;
-        if let Some(answer) = peers.request_any(&reaching, &request).await {
+        if let Some(answer) = peers.request_any(&reaching, &request, HELP_TIMEOUT).await {
             self.set_outage(Outage::None);
             return Some(answer);
         }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -45,7 +45,7 @@
 const MAX_HELPERS: usize = 3;
 
 /// Timeout of a call executed by another instance: more than a call to the store takes there.
-const HELP_TIMEOUT: Duration = Duration::from_millis(700);
+pub const HELP_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Timeout for another instance to hold a turn: many round trips between zones.
 const HOLD_TIMEOUT: Duration = Duration::from_millis(100);
@@ -139,10 +139,15 @@
     }
 
     /// Sends a request to instances concurrently; returns the first answer that is not a refusal.
-    pub async fn request_any(&self, names: &[Instance], request: &Request) -> Option<Response> {
+    pub async fn request_any(
+        &self,
+        names: &[Instance],
+        request: &Request,
+        limit: Duration,
+    ) -> Option<Response> {
         let requests = names
             .iter()
-            .map(|name| self.request(name, request.clone(), HELP_TIMEOUT));
+            .map(|name| self.request(name, request.clone(), limit));
         let mut answers: FuturesUnordered<_> = requests.collect();
         while let Some(answer) = answers.next().await {
             if let Some(answer) = answer.filter(|answer| *answer != Response::Refused) {
@@ -224,9 +229,9 @@
             .collect()
     }
 
-    /// Sends another instance a record to apply and append, without waiting for an answer.
-    pub fn notify(&self, to: &Instance, entry: Entry) -> Result<(), Unreachable> {
-        self.mesh.send(to, Body::Account(Request::Hold(entry)))
+    /// Sends a request to another instance without waiting for an answer.
+    pub fn notify(&self, to: &Instance, request: Request) -> Result<(), Unreachable> {
+        self.mesh.send(to, Body::Account(request))
     }
 
     /// Sends an account request to another instance; `None` if no answer came within the `limit`.
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -46,6 +46,13 @@
     pub report: u64,
 }
 
+impl Server {
+    /// Returns whether the software version is the required one, if there is one.
+    pub fn has_version(&self, required: Option<&str>) -> bool {
+        required.is_none_or(|version| version == &*self.version)
+    }
+}
+
 /// A change of the registry.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Change {
@@ -74,6 +81,16 @@
     Stale,
 }
 
+/// Time for which the version of a server that is gone may still be that of a stream under way.
+const VERSION_RETENTION: Duration = Duration::from_secs(30);
+
+/// Version of a server that is gone.
+struct Retired {
+    service: Arc<str>,
+    version: Arc<str>,
+    since: Time,
+}
+
 struct Record {
     server: Rc<Server>,
     /// Whether the entry disappeared while the store was failing.
@@ -84,6 +101,8 @@
 #[derive(Default)]
 pub struct Registry {
     records: Map<Arc<str>, Record>,
+    /// Versions of servers that have gone within [`VERSION_RETENTION`], at least.
+    retired: Vec<Retired>,
     /// Latest failed call to the store.
     last_failure: Option<Time>,
 }
@@ -101,8 +120,8 @@
     /// Applies a change.
     pub fn apply(&mut self, now: Time, change: Change) -> Effect {
         match change {
-            Change::Present(server) => self.present(server),
-            Change::Unreadable(id) => self.remove(&id),
+            Change::Present(server) => self.present(now, server),
+            Change::Unreadable(id) => self.remove(now, &id),
             Change::Absent(id) => self.absent(now, &id),
         }
     }
@@ -122,7 +141,7 @@
         }
     }
 
-    fn present(&mut self, server: Server) -> Effect {
+    fn present(&mut self, now: Time, server: Server) -> Effect {
         let old = self.records.get(&server.id);
         if let Some(Record { server: old, .. }) = old {
             if (server.started, server.report) < (old.started, old.report) {
@@ -138,23 +157,63 @@
             server: Rc::new(server),
             lapsed: false,
         };
-        self.records.insert(record.server.id.clone(), record);
+        let replaced = self.records.insert(record.server.id.clone(), record);
+        if let Some(replaced) = replaced {
+            self.retire(now, &replaced.server);
+        }
         effect
     }
 
-    fn remove(&mut self, id: &str) -> Effect {
+    fn remove(&mut self, now: Time, id: &str) -> Effect {
         match self.records.remove(id) {
-            Some(_) => Effect::Removed,
+            Some(removed) => {
+                self.retire(now, &removed.server);
+                Effect::Removed
+            }
             None => Effect::None,
         }
     }
 
+    /// Remembers the version of a server that is gone, unless others of its service have it.
+    fn retire(&mut self, now: Time, server: &Server) {
+        self.retired
+            .retain(|retired| now.since(retired.since) < VERSION_RETENTION);
+        let same =
+            |other: &Server| other.service == server.service && other.version == server.version;
+        if !self.records.values().any(|record| same(&record.server)) {
+            self.retired.push(Retired {
+                service: server.service.clone(),
+                version: server.version.clone(),
+                since: now,
+            });
+        }
+    }
+
+    /// Returns the version of a service if its servers have had no other one lately.
+    pub fn sole_version(&self, now: Time, service: &str) -> Option<Arc<str>> {
+        let records = self.records.values().map(|record| &record.server);
+        let current = records
+            .filter(|server| &*server.service == service)
+            .map(|server| &server.version);
+        let retired = self
+            .retired
+            .iter()
+            .filter(|retired| &*retired.service == service)
+            .filter(|retired| now.since(retired.since) < VERSION_RETENTION)
+            .map(|retired| &retired.version);
+        let mut versions = current.chain(retired);
+        let first = versions.next()?;
+        versions
+            .all(|version| version == first)
+            .then(|| first.clone())
+    }
+
     fn absent(&mut self, now: Time, id: &str) -> Effect {
         if !self.failed_within(now, REREGISTRATION + OUTAGE_MARGIN) {
-            return self.remove(id);
+            return self.remove(now, id);
         }
         match self.records.get_mut(id) {
-            Some(record) if record.server.draining => self.remove(id),
+            Some(record) if record.server.draining => self.remove(now, id),
             Some(record) => {
                 record.lapsed = true;
                 Effect::Lapsed
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -40,6 +40,7 @@
         Sent,
         RETRY_AFTER, //
     },
+    origin::Origin,
     owner::Client,
     proof::Sends,
     registry::Server,
@@ -131,8 +132,8 @@
     first: Option<Bytes>,
     tokens_per_event: u64,
     events: u64,
-    /// Software version of the engine that began the stream, if this instance relayed its start.
-    origin: Option<Arc<str>>,
+    /// Where the stream began; `None` before its first event. All further events are from there.
+    origin: Option<Origin>,
 }
 
 /// Reason why a stream ended before it was complete.
@@ -162,6 +163,7 @@
             events: 0,
             origin: None,
         };
+        relay.find_origin().await?;
         let mut pending = relay.reserve();
         if let Some(pending) = pending.take_if(|pending| !pending.likely) {
             relay.admit(pending).await?;
@@ -184,6 +186,54 @@
         Ok(Started::Stream(head, Box::new(relay)))
     }
 
+    /// Determines where a stream began that the caller takes up.
+    ///
+    /// An instance that does not know it must refuse the stream, unless only one version has served.
+    async fn find_origin(&mut self) -> Result<(), Refusal> {
+        if self.job.call.after.is_none() {
+            return Ok(());
+        }
+        let service = self.job.service.clone();
+        let mut origin = None;
+        if let Some(request) = &self.job.call.resumes {
+            origin = self.gateway.origins.find(request).await;
+        }
+        if origin.is_none() {
+            let registry = self.gateway.fleet.registry.borrow();
+            let version = registry.sole_version(Time::monotonic(), &service);
+            origin = version.map(|version| Origin {
+                service: service.clone(),
+                version,
+            });
+        }
+        match origin {
+            Some(origin) if origin.service == service => {
+                self.origin = Some(origin);
+                self.check_version()
+            }
+            Some(_) => Err(Refusal::unservable(&self.sends, "version_gone")),
+            None => Err(Refusal::unservable(&self.sends, "origin_unknown")),
+        }
+    }
+
+    /// Refuses a stream that no engine can continue.
+    fn check_version(&self) -> Result<(), Refusal> {
+        let Some(version) = self.version() else {
+            return Ok(());
+        };
+        let registry = self.gateway.fleet.registry.borrow();
+        let mut usable = registry.usable(Time::monotonic(), &self.job.service);
+        match usable.any(|server| server.version == *version) {
+            true => Ok(()),
+            false => Err(Refusal::unservable(&self.sends, "version_gone")),
+        }
+    }
+
+    /// Returns the software version that the stream requires.
+    fn version(&self) -> Option<&Arc<str>> {
+        self.origin.as_ref().map(|origin| &origin.version)
+    }
+
     /// Requests a reservation for the turn if the program has a budget.
     fn reserve(&mut self) -> Option<Pending> {
         let program = self.job.call.program.as_ref()?;
@@ -266,7 +316,8 @@
         if let Some(choice) = self.choose_latest(excluded) {
             return Some(choice);
         }
-        let choice = self.gateway.choose(&self.job, excluded)?;
+        let version = self.version().map(|version| &**version);
+        let choice = self.gateway.choose(&self.job, excluded, version)?;
         self.may_send(&choice).then_some(choice)
     }
 
@@ -294,7 +345,8 @@
         if let Some(choice) = self.choose_latest(excluded) {
             return Some(choice);
         }
-        if let Some((choice, placement)) = self.gateway.place(&self.job, excluded).await {
+        let placed = self.gateway.place(&self.job, excluded, self.version());
+        if let Some((choice, placement)) = placed.await {
             if self.may_send(&choice) {
                 self.gateway.metrics.placed("dispatcher");
                 self.placement = Some(placement);
@@ -313,6 +365,7 @@
                 return Err(self.failed("deadline"));
             }
             let Some(choice) = self.place(retries.excluded()).await else {
+                self.check_version()?;
                 if retries.wait().await {
                     continue;
                 }
@@ -373,8 +426,8 @@
         let Some(last) = self.last else {
             return;
         };
-        let version = match &self.origin {
-            Some(origin) if *origin == server.version => "same",
+        let version = match self.version() {
+            Some(version) if *version == server.version => "same",
             Some(_) => "other",
             None => "unknown",
         };
@@ -387,7 +440,7 @@
         log::info!(
             request = &*call.id, resumes = call.resumes.as_deref().unwrap_or(""), by, last,
             upstream = &*server.id, upstream_version = &*server.version,
-            origin = self.origin.as_deref().unwrap_or("");
+            origin = self.version().map_or("", |version| version);
             "relay: stream goes on after a break"
         );
     }
@@ -521,9 +574,8 @@
     fn deliver(&mut self, id: u64, bytes: Bytes) -> Bytes {
         self.last = Some(id);
         self.events += 1;
-        if self.origin.is_none() && self.job.call.after.is_none() {
-            let exchange = self.exchange.as_ref();
-            self.origin = exchange.map(|exchange| exchange.server.version.clone());
+        if self.origin.is_none() {
+            self.record_origin();
         }
         if let Some(lease) = &mut self.lease {
             lease.used += self.tokens_per_event;
@@ -531,6 +583,19 @@
         bytes
     }
 
+    /// Records where the stream began.
+    fn record_origin(&mut self) {
+        let Some(exchange) = &self.exchange else {
+            return;
+        };
+        let origin = Origin::from(&*exchange.server);
+        if self.resumable() {
+            let request = &self.job.call.id;
+            self.gateway.origins.record(request, origin.clone());
+        }
+        self.origin = Some(origin);
+    }
+
     fn finish(&mut self) {
         self.end_placement(Outcome::Ended);
         if let Some(exchange) = self.exchange.take() {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -13,8 +13,8 @@
 use tokio::sync::watch;
 
 use super::{
-    dispatcher::Placer, fleet::Fleet, metrics::Metrics, owner::Client, pool::Pool, route::Table,
-    settings::Settings, throttle::Throttle,
+    dispatcher::Placer, fleet::Fleet, metrics::Metrics, origin::Directory, owner::Client,
+    pool::Pool, route::Table, settings::Settings, throttle::Throttle,
 };
 use crate::log::Log;
 
@@ -32,6 +32,8 @@
     pub pool: Pool,
     /// Token accounts of programs.
     pub accounts: Rc<Client<L>>,
+    /// Origins of streams.
+    pub origins: Directory<L>,
     /// Metrics.
     pub metrics: Metrics,
     /// Rate limit of log lines about requests.
@@ -61,6 +63,7 @@
     pub fn new(
         settings: Settings,
         accounts: Rc<Client<L>>,
+        origins: Directory<L>,
         placer: Rc<Placer>,
         metrics: Metrics,
     ) -> Self {
@@ -72,6 +75,7 @@
             placer,
             pool: Pool::default(),
             accounts,
+            origins,
             metrics,
             log_throttle: Throttle::default(),
             stopping: Cell::new(false),
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -196,7 +196,6 @@
     address: SocketAddr,
     zone: Arc<str>,
     /// Version of the server's software, not of its weights.
-    #[serde(default)]
     version: Arc<str>,
     slots: u32,
     state: State,
--- a/tests/gateway/balance.rs
+++ b/tests/gateway/balance.rs
@@ -104,6 +104,7 @@
             prompt: prompt.map(|prompt| (prompt, &prefixes[..])),
             object,
             excluded,
+            version: None,
             jitter: JITTER,
         };
         let settings = Settings::default();
--- a/tests/gateway/dispatcher.rs
+++ b/tests/gateway/dispatcher.rs
@@ -101,6 +101,7 @@
         max_tokens: prompt.max_tokens,
         prefixes: prompt.prefixes(),
         excluded: Vec::new(),
+        version: None,
     }
 }
 
@@ -242,6 +243,7 @@
                             prompt: Some((&prompt, &prefixes)),
                             object: None,
                             excluded: &[],
+                            version: None,
                             jitter: JITTER,
                         };
                         let fleet = &fleets[from];
--- a/tests/gateway/owner.rs
+++ b/tests/gateway/owner.rs
@@ -132,7 +132,7 @@
         let mesh = Mesh::run(
             settings,
             listener,
-            Endpoint::new(replica.clone(), dispatcher),
+            Endpoint::new(replica.clone(), dispatcher, Rc::default()),
             roster.clone(),
         );
         let peers = Peers { mesh, roster };
--- a/tests/gateway/registry.rs
+++ b/tests/gateway/registry.rs
@@ -122,3 +122,34 @@
     present(&mut registry, server("a", 2, 1));
     assert!(!registry.is_usable(START, &old));
 }
+
+/// A stream of unknown origin may go on only if no other version can have begun it.
+#[test]
+fn sole_version_counts_servers_that_have_just_gone() {
+    let mut registry = Registry::default();
+    assert_eq!(registry.sole_version(START, "s"), None);
+    present(&mut registry, server("a", 1, 1));
+    present(&mut registry, server("b", 1, 1));
+    assert_eq!(registry.sole_version(START, "s").as_deref(), Some("v1"));
+    let newer = Server {
+        version: "v2".into(),
+        ..server("c", 1, 1)
+    };
+    present(&mut registry, newer.clone());
+    assert_eq!(registry.sole_version(START, "s"), None);
+    registry.apply(START, Change::Absent("a".into()));
+    registry.apply(START, Change::Absent("b".into()));
+    assert_eq!(registry.sole_version(at(29_000), "s"), None);
+    assert_eq!(
+        registry.sole_version(at(31_000), "s").as_deref(),
+        Some("v2")
+    );
+    // A server that starts again with another version had the old one until now.
+    let restarted = Server {
+        started: 2,
+        version: "v3".into(),
+        ..newer
+    };
+    registry.apply(at(40_000), Change::Present(restarted));
+    assert_eq!(registry.sole_version(at(41_000), "s"), None);
+}
