Let callers retry a stream whose keepers don't answer

A caller that took its stream up through an instance that had just started, or that could not reach the keepers of the stream, got a 503 without Retry-After, as if nobody knew where it began. Others may reach them: the refusal now names a time to retry. Test stream_whose_keepers_do_not_answer_may_be_retried failed before (no Retry-After).

--- a/src/gateway/origin.rs
+++ b/src/gateway/origin.rs
@@ -91,6 +91,17 @@
     }
 }
 
+/// Result of a search for where a stream began.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Search {
+    /// It began there.
+    Found(Origin),
+    /// Nobody knows.
+    Unknown,
+    /// No keeper answered; other instances may know.
+    Unanswered,
+}
+
 /// Origins of the streams of all instances.
 pub struct Directory<L> {
     local: Rc<Origins>,
@@ -120,17 +131,23 @@
         self.local.record(stream, origin);
     }
 
-    /// Returns where the stream of a request began, if it or a keeper knows.
-    pub async fn find(&self, request: &str) -> Option<Origin> {
+    /// Searches this instance and the keepers for where the stream of a request began.
+    pub async fn find(&self, request: &str) -> Search {
         let stream = identify(request);
         if let Some(origin) = self.local.get(stream) {
-            return Some(origin);
+            return Search::Found(origin);
+        }
+        let Some((peers, keepers)) = self.accounts.owners(stream, KEEPERS) else {
+            return Search::Unanswered;
+        };
+        if keepers.is_empty() {
+            return Search::Unknown;
         }
-        let (peers, keepers) = self.accounts.owners(stream, KEEPERS)?;
         let query = Request::FindOrigin(stream);
         match peers.request_any(&keepers, &query, QUERY_TIMEOUT).await {
-            Some(Response::Origin(origin)) => Some(origin),
-            _ => None,
+            Some(Response::Origin(origin)) => Search::Found(origin),
+            Some(_) => Search::Unknown,
+            None => Search::Unanswered,
         }
     }
 }
--- a/src/gateway/owner.rs
+++ b/src/gateway/owner.rs
@@ -264,9 +264,9 @@
     }
 
     /// Returns up to `count` other instances that own partitions, in an order given by `key`; `None`
-    /// if this instance has no links to others.
+    /// if the other instances are not known yet.
     pub fn owners(&self, key: u64, count: usize) -> Option<(Rc<Peers>, Vec<Instance>)> {
-        let peers = self.peers.borrow().clone()?;
+        let peers = self.peers.borrow().clone().filter(|_| self.joined.get())?;
         let partitions = self.replica.partitions();
         let mut owners = Vec::new();
         for partition in (0..partitions).map(|offset| (key as usize).wrapping_add(offset)) {
--- a/src/gateway/path.rs
+++ b/src/gateway/path.rs
@@ -230,15 +230,16 @@
             self.probing.set(false);
             Some(probed)
         };
-        let (delegated, probed) =
-            join(peers.request_any(&helpers, &request, HELP_TIMEOUT), probe).await;
-        if let Some(answer) = delegated {
+        let delegated = peers.request_any(&helpers, &request, HELP_TIMEOUT);
+        let (delegated, probed) = join(delegated, probe).await;
+        if let Some(answer) = delegated.filter(executed) {
             self.set_outage(Outage::None);
             return Some(answer);
         }
         self.helper_round.set(self.helper_round.get() + 1);
         let (probe, reaching) = probed?;
-        if let Some(answer) = peers.request_any(&reaching, &request, HELP_TIMEOUT).await {
+        let delegated = peers.request_any(&reaching, &request, HELP_TIMEOUT).await;
+        if let Some(answer) = delegated.filter(executed) {
             self.set_outage(Outage::None);
             return Some(answer);
         }
@@ -380,6 +381,11 @@
     }
 }
 
+/// Returns whether another instance executed a call.
+fn executed(answer: &Response) -> bool {
+    *answer != Response::Refused
+}
+
 fn direct_failing() -> Failure {
     Failure::NotApplied("the direct path to the log is failing".into())
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -138,7 +138,8 @@
         eligible.cloned().sample(&mut rand::rng(), MAX_HELPERS)
     }
 
-    /// Sends a request to instances concurrently; returns the first answer that is not a refusal.
+    /// Sends a request to instances concurrently; returns the first answer that is not a refusal,
+    /// or a refusal if there is no other answer.
     pub async fn request_any(
         &self,
         names: &[Instance],
@@ -149,12 +150,15 @@
             .iter()
             .map(|name| self.request(name, request.clone(), limit));
         let mut answers: FuturesUnordered<_> = requests.collect();
+        let mut refusal = None;
         while let Some(answer) = answers.next().await {
-            if let Some(answer) = answer.filter(|answer| *answer != Response::Refused) {
-                return Some(answer);
+            match answer {
+                Some(Response::Refused) => refusal = Some(Response::Refused),
+                Some(answer) => return Some(answer),
+                None => {}
             }
         }
-        None
+        refusal
     }
 
     /// Probes instances other than the helpers for whether they reach the log; returns some that
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -40,7 +40,10 @@
         Sent,
         RETRY_AFTER, //
     },
-    origin::Origin,
+    origin::{
+        Origin,
+        Search, //
+    },
     owner::Client,
     proof::Sends,
     registry::Server,
@@ -194,25 +197,30 @@
             return Ok(());
         }
         let service = self.job.service.clone();
-        let mut origin = None;
-        if let Some(request) = &self.job.call.resumes {
-            origin = self.gateway.origins.find(request).await;
-        }
-        if origin.is_none() {
+        let mut search = match &self.job.call.resumes {
+            Some(request) => self.gateway.origins.find(request).await,
+            None => Search::Unknown,
+        };
+        if !matches!(search, Search::Found(_)) {
             let registry = self.gateway.fleet.registry.borrow();
-            let version = registry.sole_version(Time::monotonic(), &service);
-            origin = version.map(|version| Origin {
-                service: service.clone(),
-                version,
-            });
+            if let Some(version) = registry.sole_version(Time::monotonic(), &service) {
+                let service = service.clone();
+                search = Search::Found(Origin { service, version });
+            }
         }
-        match origin {
-            Some(origin) if origin.service == service => {
+        match search {
+            Search::Found(origin) if origin.service == service => {
                 self.origin = Some(origin);
                 self.check_version()
             }
-            Some(_) => Err(Refusal::unservable(&self.sends, "version_gone")),
-            None => Err(Refusal::unservable(&self.sends, "origin_unknown")),
+            Search::Found(_) => Err(Refusal::unservable(&self.sends, "version_gone")),
+            Search::Unknown => Err(Refusal::unservable(&self.sends, "origin_unknown")),
+            Search::Unanswered => {
+                // Other instances may reach the ones that know.
+                let retry_after = self.gateway.accounts.failover_delay();
+                let retry_after = retry_after.unwrap_or(RETRY_AFTER);
+                Err(Refusal::after(&self.sends, "origin_unknown", retry_after))
+            }
         }
     }
 
--- a/tests/gateway/versions.rs
+++ b/tests/gateway/versions.rs
@@ -204,6 +204,23 @@
     assert_eq!(resumed(&first) + resumed(&second), 0);
 }
 
+/// The instances that know where a stream began don't answer. The caller may find another instance
+/// that reaches them, so the refusal names a time to retry.
+#[test]
+fn stream_whose_keepers_do_not_answer_may_be_retried() {
+    let (first, second) = (engine(), engine());
+    let (store, instances) = instances(2, &first);
+    register(&store, "i-1", &second, "ready", "v2");
+    thread::sleep(Duration::from_millis(1_500));
+    instances[0].signal("STOP");
+    let start = Instant::now();
+    let answer = instances[1].request(&resumption("s1", "lost"));
+    assert_eq!(answer.status(), 503, "{}", answer.text());
+    assert!(answer.header("retry-after").is_some());
+    assert!(start.elapsed() < Duration::from_millis(500));
+    assert_eq!(resumed(&first) + resumed(&second), 0);
+}
+
 /// Where a stream began is known if there is one version only.
 #[test]
 fn stream_of_unknown_origin_goes_on_while_one_version_serves() {
