--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod dialect;
 mod dispatcher;
 mod events;
+mod leaving;
 mod origin;
 mod outage;
 mod owner;
