Send no new requests to an upstream whose answer says that it leaves

An engine whose registry entry still says ready, because it never reports that it drains, or because the store is down or lags, went on to get requests.

The header of any answer, also of a refusal, marks this start of the engine (identifier and start time) in the instance's registry; the mark outlives the entry and older reports, and ends with the next start. The instance tells the dispatcher that placed the turn, which no longer chooses the engine for others. The header is passed on to callers as before.

--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -37,6 +37,8 @@
     pub signed: bool,
     /// Load of the upstream, if reported.
     pub load: Option<Report>,
+    /// Whether the upstream states that it leaves.
+    pub leaving: bool,
 }
 
 /// Translation of headers.
--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -36,6 +36,7 @@
     },
     load::Report,
     peers::Peers,
+    registry::Server,
 };
 use crate::{clock::Time, hash::Map, name::Instance, peer::wire::Body};
 
@@ -114,6 +115,9 @@
         /// Tokens that the cache of the upstream holds.
         #[serde(rename = "c")]
         capacity: u64,
+        /// Whether the upstream stated that it leaves.
+        #[serde(rename = "l", default, skip_serializing_if = "is_false")]
+        leaving: bool,
     },
     /// A placed turn has ended.
     #[serde(rename = "e")]
@@ -139,7 +143,12 @@
     pub inputs: Inputs,
 }
 
+fn is_false(value: &bool) -> bool {
+    !value
+}
+
 struct Turn {
+    server: Rc<Server>,
     flight: Flight,
     prefixes: Vec<Prefix>,
     placed: Time,
@@ -186,6 +195,7 @@
             };
         };
         let turn = Turn {
+            server: choice.server.clone(),
             flight: Flight::new(&self.fleet, choice.server.address, choice.inputs.unread),
             prefixes: order.prefixes,
             placed: now,
@@ -206,6 +216,7 @@
         ticket: Ticket,
         report: Option<Report>,
         capacity: u64,
+        leaving: bool,
     ) {
         let mut turns = self.turns.borrow_mut();
         let Some(turn) = turns.get_mut(&(from.clone(), ticket)) else {
@@ -220,6 +231,9 @@
         if let Some(report) = report {
             self.fleet.report(now, upstream, report);
         }
+        if leaving {
+            self.fleet.leave(now, &turn.server);
+        }
     }
 
     /// Records the end of a turn.
@@ -253,7 +267,8 @@
                 ticket,
                 report,
                 capacity,
-            } => self.started(now, from, ticket, report, capacity),
+                leaving,
+            } => self.started(now, from, ticket, report, capacity, leaving),
             Request::Ended { ticket, outcome } => self.ended(now, from, ticket, outcome),
         }
         None
@@ -360,11 +375,12 @@
     }
 
     /// Reports that the upstream has processed the prompt.
-    pub fn started(&self, report: Option<Report>, capacity: u64) {
+    pub fn started(&self, report: Option<Report>, capacity: u64, leaving: bool) {
         self.notify(Request::Started {
             ticket: self.ticket,
             report,
             capacity,
+            leaving,
         });
     }
 
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -18,7 +18,10 @@
         Load,
         Report, //
     },
-    registry::Registry,
+    registry::{
+        Registry,
+        Server, //
+    },
 };
 use crate::{
     clock::Time,
@@ -77,6 +80,16 @@
         self.load(upstream, |load| load.unreachable(now));
     }
 
+    /// Records that an upstream said in an answer that it leaves.
+    pub fn leave(&self, now: Time, server: &Server) {
+        if self.registry.borrow_mut().leave(now, server) {
+            log::info!(
+                upstream = &*server.id;
+                "registry: upstream says that it leaves; it gets no new requests"
+            );
+        }
+    }
+
     /// Drops the load of upstreams that are gone.
     pub fn sweep(&self) {
         let registry = self.registry.borrow();
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -233,6 +233,8 @@
     pub flight: Flight,
     /// Load that the upstream reported with the head.
     pub report: Option<Report>,
+    /// Whether the upstream stated with the head that it leaves.
+    pub leaving: bool,
     /// The upstream.
     pub server: Rc<Server>,
 }
@@ -398,6 +400,7 @@
                         head,
                         flight,
                         report: None,
+                        leaving: false,
                         server: server.clone(),
                     };
                     return self.classify(job, exchange, sends).await;
@@ -475,6 +478,10 @@
                 .report(Time::monotonic(), exchange.server.address, load);
             exchange.report = Some(load);
         }
+        exchange.leaving = reply.leaving;
+        if reply.leaving {
+            self.fleet.leave(Time::monotonic(), &exchange.server);
+        }
         let status = exchange.head.status;
         if status.is_server_error() && !reply.not_run {
             self.fleet
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -91,6 +91,13 @@
     since: Time,
 }
 
+/// Time for which a server that said that it leaves may still be listed as one that does not; a
+/// store that lags or restores an old state shows it for seconds.
+const LEAVING_RETENTION: Duration = Duration::from_secs(300);
+
+/// Incarnation of a server: its identifier and the time of its start.
+type Incarnation = (Arc<str>, u64);
+
 struct Record {
     server: Rc<Server>,
     /// Whether the entry disappeared while the store was failing.
@@ -103,6 +110,9 @@
     records: Map<Arc<str>, Record>,
     /// Versions of servers that have gone within [`VERSION_RETENTION`], at least.
     retired: Vec<Retired>,
+    /// Servers that said in an answer that they leave, and when; they never take requests again,
+    /// whatever their reports say.
+    leaving: Map<Incarnation, Time>,
     /// Latest failed call to the store.
     last_failure: Option<Time>,
 }
@@ -189,6 +199,27 @@
         }
     }
 
+    /// Records that a server said in an answer that it leaves; returns whether that is new.
+    pub fn leave(&mut self, now: Time, server: &Server) -> bool {
+        let incarnation = (server.id.clone(), server.started);
+        if self.leaving.contains_key(&incarnation) {
+            return false;
+        }
+        self.leaving
+            .retain(|_, since| now.since(*since) < LEAVING_RETENTION);
+        self.leaving.insert(incarnation, now);
+        true
+    }
+
+    /// Returns whether a server takes new requests, unless its entry has lapsed.
+    fn takes_requests(&self, server: &Server) -> bool {
+        let leaving = !self.leaving.is_empty()
+            && self
+                .leaving
+                .contains_key(&(server.id.clone(), server.started));
+        !server.draining && !leaving
+    }
+
     /// Returns the version of a service if its servers have had no other one lately.
     pub fn sole_version(&self, now: Time, service: &str) -> Option<Arc<str>> {
         let records = self.records.values().map(|record| &record.server);
@@ -233,7 +264,7 @@
             .values()
             .filter(move |record| !record.lapsed || lapsed)
             .map(|record| &record.server)
-            .filter(move |server| !server.draining && &*server.service == service)
+            .filter(move |server| &*server.service == service && self.takes_requests(server))
     }
 
     /// Returns whether a server may still get requests.
@@ -241,7 +272,7 @@
         let lapsed = self.failed_within(now, REREGISTRATION);
         self.records.get(&server.id).is_some_and(|record| {
             record.server.started == server.started
-                && !record.server.draining
+                && self.takes_requests(&record.server)
                 && (!record.lapsed || lapsed)
         })
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -404,7 +404,7 @@
                             .fleet
                             .load(address, |load| load.record_cached(prefixes, capacity));
                         if let Some(placement) = &self.placement {
-                            placement.started(exchange.report, capacity);
+                            placement.started(exchange.report, capacity, exchange.leaving);
                         }
                     }
                     self.exchange = Some(exchange);
--- a/src/platform/dialect.rs
+++ b/src/platform/dialect.rs
@@ -58,6 +58,8 @@
 /// Load of a server, separated by commas: running requests, waiting requests, slots and,
 /// optionally, the current duration of work in percent of the nominal duration.
 const SERVER_LOAD: HeaderName = HeaderName::from_static("server-load");
+/// Present with value `1` if the server leaves and takes no new requests.
+const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 /// Signature of the server over its answer.
 const SERVER_SEAL: HeaderName = HeaderName::from_static("server-seal");
 
@@ -204,6 +206,7 @@
             not_run: headers.contains_key(&NOT_RUN),
             signed: headers.contains_key(&SERVER_SEAL),
             load: report(headers),
+            leaving: text(headers, &SERVER_LEAVING).is_some_and(|value| value.trim() == "1"),
         }
     }
 
--- a/tests/gateway/dispatcher.rs
+++ b/tests/gateway/dispatcher.rs
@@ -292,7 +292,7 @@
                     }
                     Policy::Dispatched(dispatcher) => {
                         let (from, ticket) = (instance(*from), flight as u64);
-                        dispatcher.started(time(now), &from, ticket, Some(report), CAPACITY);
+                        dispatcher.started(time(now), &from, ticket, Some(report), CAPACITY, false);
                     }
                 }
             }
@@ -373,3 +373,33 @@
     assert_eq!(cache.cached_tokens(&first.prefixes()), 0);
     assert!(cache.tokens() <= 20_000);
 }
+
+/// The dispatcher learns from one instance that an engine leaves, and places no turn of another there.
+#[test]
+fn started_turn_tells_that_its_engine_leaves() {
+    let fleet = fleet(2);
+    let dispatcher = Dispatcher::new("a", fleet);
+    let prompt = prompt(0, 1, 1);
+    let first = dispatcher.place(time(0), &instance(1), order(1, &prompt));
+    let leaving = first.upstream.unwrap();
+    dispatcher.started(time(1), &instance(1), 1, None, CAPACITY, true);
+    for ticket in 2..10 {
+        let placed = dispatcher.place(time(2), &instance(2), order(ticket, &prompt));
+        assert_ne!(placed.upstream.unwrap(), leaving);
+    }
+}
+
+/// A stream that goes on is placed at its software version only.
+#[test]
+fn place_keeps_to_the_required_version() {
+    let dispatcher = Dispatcher::new("a", fleet(2));
+    let prompt = prompt(0, 1, 1);
+    let resumed = |version: &str| Order {
+        version: Some(version.into()),
+        ..order(1, &prompt)
+    };
+    let placed = dispatcher.place(time(0), &instance(1), resumed("v1"));
+    assert!(placed.upstream.is_some());
+    let placed = dispatcher.place(time(0), &instance(1), resumed("v2"));
+    assert_eq!(placed.upstream, None);
+}
--- a/tests/gateway/registry.rs
+++ b/tests/gateway/registry.rs
@@ -153,3 +153,21 @@
     registry.apply(at(40_000), Change::Present(restarted));
     assert_eq!(registry.sole_version(at(41_000), "s"), None);
 }
+
+/// What a server says in an answer outlives its entry, but not its process.
+#[test]
+fn leave_holds_for_one_start_of_a_server() {
+    let mut registry = Registry::default();
+    let leaving = server("a", 1, 1);
+    present(&mut registry, leaving.clone());
+    assert!(registry.leave(START, &leaving));
+    assert!(!registry.leave(START, &leaving));
+    assert!(!registry.is_usable(START, &leaving));
+    assert_eq!(usable(&registry, START), Vec::<String>::new());
+    present(&mut registry, server("a", 1, 2));
+    registry.apply(START, Change::Absent("a".into()));
+    present(&mut registry, server("a", 1, 3));
+    assert_eq!(usable(&registry, START), Vec::<String>::new());
+    present(&mut registry, server("a", 2, 1));
+    assert_eq!(usable(&registry, START), ["a"]);
+}
