Wait 4 s for the first complete read of a topic

One round of complete reads takes 3.7 s of the store's rate there, so the first timeout of 2 s gave up half of them, which began again behind the rest.

The first timeout is 4 s now. It costs nothing while the store answers, and up to 2 s more if a store is silent at the very start.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -55,7 +55,7 @@
 
 /// Range of the timeout of a read of the complete state of a topic. Nothing is known before it, so
 /// there is nothing else to do while the answers to other instances are in front of it.
-const SNAPSHOT_TIMEOUT: [Duration; 2] = [Duration::from_secs(2), Duration::from_secs(8)];
+const SNAPSHOT_TIMEOUT: [Duration; 2] = [Duration::from_secs(4), Duration::from_secs(8)];
 
 /// Maximum timeout of reads that grow with the size of a record: a read that hangs when an outage
 /// ends delays a change of the configuration by this.
