Conclude from a current registry only that one software version serves

A stream of unknown origin goes on if its service has had a single version lately. An instance that can't read the registry, as in a zone that is cut off, does not know which versions have come since, and could continue a stream that another instance began at a new one.

The conclusion now needs a read of the registry within 3 s; otherwise the caller is refused with a time to retry, as other instances may know. Test stream_of_unknown_origin_is_refused_while_the_registry_is_stale failed before (200).

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -109,12 +109,15 @@
         let count = items.len();
         let mut registry = self.0.fleet.registry.borrow_mut();
         registry.replace(Time::monotonic(), items);
+        registry.record_read(Time::monotonic());
         self.0.fleet.registered.set(true);
         log::info!(count; "registry: entries were read");
     }
 
     fn change(&self, items: Vec<Change>) {
         items.into_iter().for_each(|change| self.apply(change));
+        let mut registry = self.0.fleet.registry.borrow_mut();
+        registry.record_read(Time::monotonic());
     }
 
     fn failed(&self) {
--- a/src/gateway/origin.rs
+++ b/src/gateway/origin.rs
@@ -37,8 +37,8 @@
 /// Timeout of a query of the keepers: many round trips between zones, and little of a turn's time.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Maximum streams whose origin an instance keeps: some 10 s of the streams that begin on all
-/// instances together. Callers take streams up within seconds.
+/// Maximum streams whose origin an instance keeps. Callers take streams up within seconds, and at
+/// 150 streams a second this lasts for 13 s or more.
 const MAX_STREAMS: usize = 4_096;
 
 /// Identifier of a stream: the hash of the identifier of the request that brought its first event.
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -84,6 +84,10 @@
 /// Time for which the version of a server that is gone may still be that of a stream under way.
 const VERSION_RETENTION: Duration = Duration::from_secs(30);
 
+/// Age of the latest read up to which all present versions are known: more than a read waits for
+/// changes and the pause after it.
+const MAX_READ_AGE: Duration = Duration::from_secs(3);
+
 /// Version of a server that is gone.
 struct Retired {
     service: Arc<str>,
@@ -113,11 +117,24 @@
     /// Servers that said in an answer that they leave, and when; they never take requests again,
     /// whatever their reports say.
     leaving: Map<Incarnation, Time>,
+    /// Latest read of the entries, or of their changes.
+    last_read: Option<Time>,
     /// Latest failed call to the store.
     last_failure: Option<Time>,
 }
 
 impl Registry {
+    /// Records that the entries or their changes were read.
+    pub fn record_read(&mut self, now: Time) {
+        self.last_read = Some(now);
+    }
+
+    /// Returns whether the entries were read recently.
+    pub fn is_current(&self, now: Time) -> bool {
+        self.last_read
+            .is_some_and(|at| now.since(at) < MAX_READ_AGE)
+    }
+
     /// Records that a call to the store failed.
     pub fn record_failure(&mut self, now: Time) {
         self.last_failure = Some(now);
@@ -220,8 +237,11 @@
         !server.draining && !leaving
     }
 
-    /// Returns the version of a service if its servers have had no other one lately.
+    /// Returns the version of a service if its servers are known to have had no other one lately.
     pub fn sole_version(&self, now: Time, service: &str) -> Option<Arc<str>> {
+        if !self.is_current(now) {
+            return None;
+        }
         let records = self.records.values().map(|record| &record.server);
         let current = records
             .filter(|server| &*server.service == service)
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -191,7 +191,8 @@
 
     /// Determines where a stream began that the caller takes up.
     ///
-    /// An instance that does not know it must refuse the stream, unless only one version has served.
+    /// An instance that does not know it must refuse the stream, unless only one version has served,
+    /// as far as a current registry shows.
     async fn find_origin(&mut self) -> Result<(), Refusal> {
         if self.job.call.after.is_none() {
             return Ok(());
@@ -203,9 +204,12 @@
         };
         if !matches!(search, Search::Found(_)) {
             let registry = self.gateway.fleet.registry.borrow();
-            if let Some(version) = registry.sole_version(Time::monotonic(), &service) {
+            let now = Time::monotonic();
+            if let Some(version) = registry.sole_version(now, &service) {
                 let service = service.clone();
                 search = Search::Found(Origin { service, version });
+            } else if !registry.is_current(now) {
+                search = Search::Unanswered;
             }
         }
         match search {
@@ -216,7 +220,7 @@
             Search::Found(_) => Err(Refusal::unservable(&self.sends, "version_gone")),
             Search::Unknown => Err(Refusal::unservable(&self.sends, "origin_unknown")),
             Search::Unanswered => {
-                // Other instances may reach the ones that know.
+                // Other instances may know, or reach the ones that do.
                 let retry_after = self.gateway.accounts.failover_delay();
                 let retry_after = retry_after.unwrap_or(RETRY_AFTER);
                 Err(Refusal::after(&self.sends, "origin_unknown", retry_after))
--- a/tests/gateway/registry.rs
+++ b/tests/gateway/registry.rs
@@ -127,6 +127,7 @@
 #[test]
 fn sole_version_counts_servers_that_have_just_gone() {
     let mut registry = Registry::default();
+    registry.record_read(START);
     assert_eq!(registry.sole_version(START, "s"), None);
     present(&mut registry, server("a", 1, 1));
     present(&mut registry, server("b", 1, 1));
@@ -139,11 +140,15 @@
     assert_eq!(registry.sole_version(START, "s"), None);
     registry.apply(START, Change::Absent("a".into()));
     registry.apply(START, Change::Absent("b".into()));
+    registry.record_read(at(29_000));
     assert_eq!(registry.sole_version(at(29_000), "s"), None);
     assert_eq!(
         registry.sole_version(at(31_000), "s").as_deref(),
         Some("v2")
     );
+    // Other versions may serve by now if the registry was not read lately.
+    assert_eq!(registry.sole_version(at(32_500), "s"), None);
+    registry.record_read(at(40_000));
     // A server that starts again with another version had the old one until now.
     let restarted = Server {
         started: 2,
--- a/tests/gateway/versions.rs
+++ b/tests/gateway/versions.rs
@@ -17,6 +17,7 @@
     server::Server,
     store::{
         self,
+        Faults,
         Store, //
     },
 };
@@ -232,6 +233,21 @@
     assert!(answer.text().starts_with("id: 3\n"));
 }
 
+/// An instance that can't read the registry does not know which versions serve by now.
+#[test]
+fn stream_of_unknown_origin_is_refused_while_the_registry_is_stale() {
+    let upstream = engine();
+    let deployment = Deployment::start(&[&upstream]);
+    deployment.store.set_faults(Faults {
+        busy: true,
+        ..Faults::default()
+    });
+    thread::sleep(Duration::from_millis(3_500));
+    let answer = deployment.request(&resumption("s1", "lost"));
+    assert_eq!(answer.status(), 503, "{}", answer.text());
+    assert_eq!(resumed(&upstream), 0);
+}
+
 /// The version that began a stream serves no more when the caller takes it up.
 #[test]
 fn stream_of_a_version_that_is_gone_is_refused() {
