Expect the time that the store takes to answer all instances

The timeout of a read of the configuration is now the usual one and the time that the store takes to send the longest configuration so far to all live instances, from the platform's read rate (new setting store.read_mb_per_s, filled in by the template). It is negligible for small configurations.

Test without a network: timeout_of_the_expected_time_lets_changes_through (295 of 295 instances within 4 s, fewer than 200 with the timeout before).

--- a/src/gateway/lifecycle.rs
+++ b/src/gateway/lifecycle.rs
@@ -97,7 +97,7 @@
     let listen = settings.listen;
     let grace = Duration::from_secs_f64(settings.grace_s);
     let metrics = Metrics::new()?;
-    let store = Rc::new(Store::new(settings.store.address, metrics.clone()));
+    let store = Rc::new(Store::new(&settings.store, metrics.clone()));
     let topic = Topic::new(store.clone(), ACCOUNTS);
     let replica = Rc::new(Replica::new(topic, settings.store.partitions));
     let accounts = Rc::new(Client::new(replica.clone()));
@@ -120,7 +120,11 @@
     accounts.connect(peers.clone());
     placer.connect(peers.clone());
     spawn(replica.clone().run());
-    spawn(follow_ownership(accounts.clone(), peers.roster.clone()));
+    spawn(follow_roster(
+        accounts.clone(),
+        store.clone(),
+        peers.roster.clone(),
+    ));
     spawn(follow_members(
         gateway.clone(),
         store.clone(),
@@ -171,11 +175,13 @@
     Ok(Peers { mesh, roster })
 }
 
-/// Updates which partitions this instance owns as members change; returns if the roster is closed.
-async fn follow_ownership(accounts: Rc<Client<Topic>>, roster: Roster) {
+/// Updates which partitions this instance owns, and the number of readers of the store, as members
+/// change; returns if the roster is closed.
+async fn follow_roster(accounts: Rc<Client<Topic>>, store: Rc<Store>, roster: Roster) {
     let mut changes = roster.subscribe();
     loop {
         accounts.update_ownership();
+        store.set_readers(roster.snapshot().live_count());
         if changes.changed().await.is_err() {
             return;
         }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -26,6 +26,12 @@
 /// Maximum capacity, in cores; a larger value is most likely in another unit.
 const MAX_CORES: f64 = 1_024.0;
 
+/// Minimum read rate of the store in MB/s; a smaller value is most likely in another unit.
+const MIN_READ_RATE: f64 = 0.1;
+
+/// Maximum read rate of the store in MB/s; a larger value is most likely in another unit.
+const MAX_READ_RATE: f64 = 100_000.0;
+
 /// Settings, as written in the file.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -82,7 +88,7 @@
 }
 
 /// The platform's store.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Store {
@@ -90,6 +96,13 @@
     pub address: SocketAddr,
     /// Number of partitions of each topic.
     pub partitions: u32,
+    /// Rate that all reads of all instances share, in MB/s; from the platform.
+    #[serde(default = "default_read_rate")]
+    pub read_mb_per_s: f64,
+}
+
+fn default_read_rate() -> f64 {
+    80.0
 }
 
 /// Reason why settings can't be used.
@@ -127,6 +140,11 @@
         if settings.store.partitions == 0 {
             return Err(Fault("store.partitions: must be at least 1".into()));
         }
+        if !(MIN_READ_RATE..=MAX_READ_RATE).contains(&settings.store.read_mb_per_s) {
+            return Err(Fault(format!(
+                "store.read_mb_per_s: must be {MIN_READ_RATE} to {MAX_READ_RATE}"
+            )));
+        }
         Ok(settings)
     }
 }
--- a/src/gateway/timeout.rs
+++ b/src/gateway/timeout.rs
@@ -15,19 +15,22 @@
 /// The rate of abandoned reads so falls until the store can answer all of them.
 #[derive(Clone, Debug)]
 pub struct Timeout {
-    min: Duration,
+    min: Cell<Duration>,
     max: Duration,
-    /// Between `min` and `max`.
-    current: Cell<Duration>,
+    /// Times that it expired since the latest success.
+    expired: Cell<u32>,
 }
 
+/// Maximum times that a timeout doubles.
+const MAX_DOUBLINGS: u32 = 8;
+
 impl Timeout {
     /// Returns a timeout that grows from `min` to `max`.
     pub fn growing(min: Duration, max: Duration) -> Self {
         Self {
-            min,
-            max: max.max(min),
-            current: Cell::new(min),
+            min: Cell::new(min),
+            max,
+            expired: Cell::new(0),
         }
     }
 
@@ -36,18 +39,30 @@
         Self::growing(timeout, timeout)
     }
 
+    /// Sets the minimum to the expected time of a read. A larger one than the maximum may double
+    /// once, as what is expected may be too little.
+    pub fn set_min(&self, min: Duration) {
+        self.min.set(min);
+    }
+
     /// Returns the time without progress after which the next read is given up.
     pub fn get(&self) -> Duration {
-        self.current.get()
+        let min = self.min.get();
+        let max = match min > self.max {
+            true => min * 2,
+            false => self.max,
+        };
+        (min * (1 << self.expired.get())).min(max)
     }
 
     /// Records that a read was given up.
     pub fn expired(&self) {
-        self.current.set((self.get() * 2).min(self.max));
+        self.expired
+            .set((self.expired.get() + 1).min(MAX_DOUBLINGS));
     }
 
     /// Records that a read was answered.
     pub fn reset(&self) {
-        self.current.set(self.min);
+        self.expired.set(0);
     }
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -38,6 +38,7 @@
 use crate::{
     gateway::{
         metrics::Metrics,
+        settings,
         timeout::Timeout, //
     },
     log::{
@@ -57,8 +58,8 @@
 /// there is nothing else to do while the answers to other instances are in front of it.
 const SNAPSHOT_TIMEOUT: [Duration; 2] = [Duration::from_secs(4), Duration::from_secs(8)];
 
-/// Maximum timeout of reads that grow with the size of a record: a read that hangs when an outage
-/// ends delays a change of the configuration by this.
+/// Maximum timeout of reads of large records, unless more is expected: a read that hangs when an
+/// outage ends delays a change of the configuration by this.
 const MAX_BULK_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Timeout for opening a connection.
@@ -75,6 +76,10 @@
     address: RefCell<SocketAddr>,
     client: RefCell<awc::Client>,
     metrics: Metrics,
+    /// Bytes per second that the reads of all instances share.
+    read_bytes_per_s: f64,
+    /// Instances that read the same records, this one included.
+    readers: Cell<usize>,
 }
 
 fn client() -> awc::Client {
@@ -90,14 +95,27 @@
 
 impl Store {
     /// Returns a client, which connects on its first call.
-    pub fn new(address: SocketAddr, metrics: Metrics) -> Self {
+    pub fn new(settings: &settings::Store, metrics: Metrics) -> Self {
         Self {
-            address: RefCell::new(address),
+            address: RefCell::new(settings.address),
             client: RefCell::new(client()),
             metrics,
+            read_bytes_per_s: settings.read_mb_per_s * 1e6,
+            readers: Cell::new(1),
         }
     }
 
+    /// Sets the number of instances that read the same records.
+    pub fn set_readers(&self, readers: usize) {
+        self.readers.set(readers.max(1));
+    }
+
+    /// Returns the time that the store takes to send an answer of this length to each instance.
+    fn broadcast_time(&self, bytes: usize) -> Duration {
+        let total_bytes = bytes as f64 * self.readers.get() as f64;
+        Duration::from_secs_f64(total_bytes / self.read_bytes_per_s)
+    }
+
     /// Changes the address, and drops the connections to the previous one.
     pub fn set_address(&self, address: SocketAddr) {
         if self.address.replace(address) != address {
@@ -186,6 +204,9 @@
 pub struct Topic {
     store: Rc<Store>,
     name: Arc<str>,
+    /// Longest answer so far, if records of the topic are large; otherwise 0.
+    longest_answer: Cell<usize>,
+    large_records: bool,
     /// Timeout of reads of records.
     read_timeout: Timeout,
     /// Timeout of reads of the complete state.
@@ -199,6 +220,8 @@
         Self {
             store,
             name: name.into(),
+            longest_answer: Cell::new(0),
+            large_records: false,
             read_timeout: Timeout::fixed(CALL_TIMEOUT),
             snapshot_timeout: Timeout::growing(min, max),
         }
@@ -207,11 +230,20 @@
     /// Returns a topic with records so large that reading one may take long.
     pub fn with_large_records(store: Rc<Store>, name: &str) -> Self {
         Self {
+            large_records: true,
             read_timeout: Timeout::growing(CALL_TIMEOUT, MAX_BULK_TIMEOUT),
             ..Self::new(store, name)
         }
     }
 
+    /// Records the length of an answer, from which the time of the next large one is expected.
+    fn record_length(&self, bytes: usize) {
+        if self.large_records {
+            let longest = self.longest_answer.get().max(bytes);
+            self.longest_answer.set(longest);
+        }
+    }
+
     /// Returns the name.
     pub fn name(&self) -> &str {
         &self.name
@@ -240,6 +272,7 @@
             if status != StatusCode::OK {
                 return Err(Failure::NotApplied(format!("status {status}")));
             }
+            self.record_length(body.len());
             let page: wire::Newest = serde_json::from_slice(&body).map_err(unknown)?;
             // The pages are not a consistent snapshot: reading on from the end of the first page
             // repeats the changes that later pages may have missed.
@@ -305,6 +338,9 @@
             "log-read?topic={name}&part={partition}&from={from}&maxKb={max_kib}&waitMs={wait_ms}"
         );
         let store = &self.store;
+        let longest = self.longest_answer.get();
+        self.read_timeout
+            .set_min(CALL_TIMEOUT + store.broadcast_time(longest));
         let (status, body) = store
             .call(
                 "read",
@@ -314,6 +350,7 @@
                 &self.read_timeout,
             )
             .await?;
+        self.record_length(body.len());
         match status {
             StatusCode::OK => {
                 records(body, from).ok_or_else(|| unknown("records have invalid lengths"))
--- a/tests/gateway/settings.rs
+++ b/tests/gateway/settings.rs
@@ -31,6 +31,11 @@
     let cases = [
         ("partitions: 12", "partitions: 0", "partitions"),
         ("partitions: 12", "partition: 12", "partition"),
+        (
+            "partitions: 12",
+            "partitions: 12\n  read_mb_per_s: 0",
+            "read_mb_per_s",
+        ),
         ("grace_s: 8.5", "grace_s: -1", "grace_s"),
         ("instance: entry-1", "instance: \"\"", "name"),
         ("callers: 127.0.0.1:8080", "callers: here", "callers"),
--- a/tests/gateway/timeout.rs
+++ b/tests/gateway/timeout.rs
@@ -24,6 +24,17 @@
     assert_eq!(timeout.get(), Duration::from_millis(500));
 }
 
+#[test]
+fn timeout_follows_the_expected_time_of_a_read() {
+    let timeout = Timeout::growing(Duration::from_millis(500), Duration::from_secs(2));
+    timeout.set_min(Duration::from_secs(3));
+    assert_eq!(timeout.get(), Duration::from_secs(3));
+    (0..20).for_each(|_| timeout.expired());
+    assert_eq!(timeout.get(), Duration::from_secs(6));
+    timeout.set_min(Duration::from_millis(500));
+    assert_eq!(timeout.get(), Duration::from_secs(2));
+}
+
 /// Returns the number of instances that complete a read within `limit_s`, if the answers to all of
 /// them take `total_s` and the store also transfers answers that were given up.
 fn completed_within(
@@ -65,3 +76,19 @@
     let fixed = completed_within(12.0, 4.0, 300, || Timeout::fixed(short));
     assert!(fixed < 75, "{fixed}");
 }
+
+/// Guards against changes whose answers to all instances take longer than a read may: with the
+/// expected time as the timeout, all instances complete within the platform's 4 s.
+#[test]
+fn timeout_of_the_expected_time_lets_changes_through() {
+    let (min, max) = (Duration::from_millis(500), Duration::from_secs(2));
+    let expected = || {
+        let timeout = Timeout::growing(min, max);
+        // The previous configuration had three quarters of the size.
+        timeout.set_min(min + Duration::from_millis(2_100));
+        timeout
+    };
+    assert_eq!(completed_within(4.0, 2.8, 295, expected), 295);
+    let grown = completed_within(4.0, 2.8, 295, || Timeout::growing(min, max));
+    assert!(grown < 200, "{grown}");
+}
