Log and count limits that upstreams name

The logs could not tell whether instances are told the limit, nor by which way requests reach an engine that named one. The adapter decodes Server-Limit, gateway::limit keeps the latest notice of each upstream, a line is logged when a limit is named, changes or ends, and the counter limited_sends counts sends to upstreams with a limit by kind (turn, resumption, call). No decision changes.

--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -39,6 +39,9 @@
     pub load: Option<Report>,
     /// Whether the upstream states that it leaves.
     pub leaving: bool,
+    /// Requests per second that the upstream takes from all instances together, if it states a
+    /// limit; finite and not negative.
+    pub limit: Option<f64>,
 }
 
 /// Translation of headers.
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -14,6 +14,11 @@
         self,
         Choice, //
     },
+    limit::{
+        Change,
+        Notice,
+        Notices, //
+    },
     load::{
         Load,
         Report, //
@@ -37,6 +42,8 @@
     /// Whether the registry has been read since the start.
     pub registered: Cell<bool>,
     loads: RefCell<Map<SocketAddr, Load>>,
+    /// Limits that upstreams named.
+    pub limits: RefCell<Notices>,
 }
 
 impl Fleet {
@@ -90,9 +97,34 @@
         }
     }
 
-    /// Drops the load of upstreams that are gone.
+    /// Records what an upstream said about its limit.
+    pub fn note_limit(&self, notice: Notice) -> Change {
+        let (upstream, rate) = (notice.upstream.clone(), notice.rate);
+        let change = self.limits.borrow_mut().record(notice);
+        match change {
+            Change::None => {}
+            Change::Named => {
+                log::info!(upstream = &*upstream, rate; "limit: upstream limits its requests")
+            }
+            Change::Ended => {
+                log::info!(upstream = &*upstream; "limit: upstream has no limit any more")
+            }
+        }
+        change
+    }
+
+    /// Returns the requests per second that an upstream takes from all instances together, if it
+    /// named a limit.
+    pub fn limit(&self, server: &Server) -> Option<f64> {
+        self.limits.borrow().rate(server)
+    }
+
+    /// Drops the load and the limits of upstreams that are gone.
     pub fn sweep(&self) {
         let registry = self.registry.borrow();
+        self.limits
+            .borrow_mut()
+            .retain(|upstream| registry.contains(upstream));
         let now = Time::monotonic();
         self.loads
             .borrow_mut()
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -54,6 +54,7 @@
         Placement, //
     },
     fleet::Flight,
+    limit::Notice,
     load::{
         Load,
         Report, //
@@ -386,6 +387,14 @@
                 }
             };
             let head = self.head(job, server, after);
+            if self.fleet.limit(server).is_some() {
+                let kind = match job.call.prompt {
+                    _ if after.is_some() => "resumption",
+                    Some(_) => "turn",
+                    None => "call",
+                };
+                self.metrics.sent_limited(kind);
+            }
             sends.started(address);
             let accepts = |head: &ResponseHead| {
                 let id = D::reply(&head.headers).id;
@@ -478,6 +487,12 @@
                 .report(Time::monotonic(), exchange.server.address, load);
             exchange.report = Some(load);
         }
+        self.fleet.note_limit(Notice {
+            upstream: exchange.server.id.clone(),
+            started: exchange.server.started,
+            rate: reply.limit,
+            at: Time::monotonic(),
+        });
         exchange.leaving = reply.leaving;
         if reply.leaving {
             self.fleet.leave(Time::monotonic(), &exchange.server);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -31,6 +31,7 @@
     answers: Counter<u64>,
     placements: Counter<u64>,
     continuations: Counter<u64>,
+    limited_sends: Counter<u64>,
     store_calls: Counter<u64>,
     store_bytes: Counter<u64>,
     store_time: Histogram<f64>,
@@ -66,6 +67,10 @@
                 "continuations",
                 "Streams that went on after a break, by who resumed them and the software version.",
             ),
+            limited_sends: counter(
+                "limited_sends",
+                "Requests sent to upstreams with a limit, by kind.",
+            ),
             store_calls: counter("store_calls", "Calls to the store, by call and outcome."),
             store_bytes: counter(
                 "store_received_bytes",
@@ -109,6 +114,11 @@
         self.0.continuations.add(1, &labels);
     }
 
+    /// Counts a send to an upstream with a limit, by kind.
+    pub fn sent_limited(&self, kind: &'static str) {
+        self.0.limited_sends.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Records a call to the store; the bytes received of a `lost` one were discarded.
     pub fn record_store_call(
         &self,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 pub mod forward;
 pub mod front;
 pub mod lifecycle;
+pub mod limit;
 pub mod load;
 pub mod metrics;
 pub mod origin;
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -303,6 +303,11 @@
         servers.any(|server| server.address == address)
     }
 
+    /// Returns whether there is an entry with the identifier.
+    pub fn contains(&self, id: &str) -> bool {
+        self.records.contains_key(id)
+    }
+
     /// Returns the number of entries.
     pub fn len(&self) -> usize {
         self.records.len()
--- a/src/platform/dialect.rs
+++ b/src/platform/dialect.rs
@@ -60,6 +60,9 @@
 const SERVER_LOAD: HeaderName = HeaderName::from_static("server-load");
 /// Present with value `1` if the server leaves and takes no new requests.
 const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+/// Requests per second that a server in need takes from all instances together, as a decimal
+/// number; absent if it has no limit.
+const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 /// Signature of the server over its answer.
 const SERVER_SEAL: HeaderName = HeaderName::from_static("server-seal");
 
@@ -160,6 +163,11 @@
     })
 }
 
+fn limit(headers: &HeaderMap) -> Option<f64> {
+    let limit: f64 = text(headers, &SERVER_LIMIT)?.trim().parse().ok()?;
+    (limit.is_finite() && limit >= 0.0).then_some(limit)
+}
+
 /// Translation of the platform's headers.
 #[derive(Clone, Copy, Debug)]
 pub struct Dialect;
@@ -207,6 +215,7 @@
             signed: headers.contains_key(&SERVER_SEAL),
             load: report(headers),
             leaving: text(headers, &SERVER_LEAVING).is_some_and(|value| value.trim() == "1"),
+            limit: limit(headers),
         }
     }
 
