--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod dispatcher;
 mod events;
 mod leaving;
+mod limits;
 mod origin;
 mod outage;
 mod owner;
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -297,8 +297,13 @@
 }
 
 impl Instance {
-    /// Starts a process, which connects to a store.
+    /// Starts a process, which connects to a store, in availability zone `a`.
     pub fn start(name: &str, store: SocketAddr) -> Self {
+        Self::start_in("a", name, store)
+    }
+
+    /// Starts a process in an availability zone.
+    pub fn start_in(zone: &str, name: &str, store: SocketAddr) -> Self {
         static NUMBER: AtomicU32 = AtomicU32::new(0);
         let [callers, ready, metrics, peers] = [
             free_address(),
@@ -311,7 +316,7 @@
         let settings = std::env::temp_dir().join(file);
         let text = json!({
             "instance": name,
-            "zone": "a",
+            "zone": zone,
             "listen": { "callers": callers, "ready": ready, "metrics": metrics },
             "peers": { "listen": peers, "cluster": "test", "secret": "test" },
             "store": { "address": store, "partitions": 12 },
