--- a/src/clock/mod.rs
+++ b/src/clock/mod.rs
@@ -14,6 +14,10 @@
     },
 };
 
+use nix::time::{
+    clock_gettime,
+    ClockId, //
+};
 use serde::{
     Deserialize,
     Serialize, //
@@ -45,6 +49,15 @@
         Self(HOUR_US) + START.get_or_init(Instant::now).elapsed()
     }
 
+    /// Returns the time since the boot of the machine, which includes time for which the machine was
+    /// suspended; the monotonic time where the kernel has no such clock.
+    pub fn boot() -> Self {
+        match clock_gettime(ClockId::CLOCK_BOOTTIME) {
+            Ok(since) => Self(HOUR_US) + Duration::from(since),
+            Err(_) => Self::monotonic(),
+        }
+    }
+
     /// Returns the time since `earlier`, or zero if `earlier` is later.
     pub fn since(self, earlier: Self) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -257,6 +257,7 @@
         cost_ms += settings.call_ms * pace * (work + ahead + slowdown);
         cost_ms += if remote { settings.call_zone_ms } else { 0.0 };
     }
+    cost_ms += load.permit_wait(now).as_secs_f64() * 1_000.0;
     cost_ms += LOST_COST_MS * load.recent_losses(now);
     if load.avoided(now) {
         cost_ms += AVOIDED_COST_MS;
--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -24,6 +24,7 @@
 use super::{
     balance::{
         self,
+        Choice,
         Inputs, //
     },
     call::{
@@ -36,6 +37,10 @@
     },
     load::Report,
     peers::Peers,
+    permit::{
+        Desk,
+        Search, //
+    },
     registry::Server,
 };
 use crate::{clock::Time, hash::Map, name::Instance, peer::wire::Body};
@@ -79,6 +84,9 @@
     /// Software version that the upstream must have.
     #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
     pub version: Option<Arc<str>>,
+    /// Longest time in milliseconds that the turn may wait for a permit of an upstream with a limit.
+    #[serde(rename = "w", default)]
+    pub max_wait_ms: u64,
 }
 
 /// How a placed turn ended.
@@ -141,6 +149,22 @@
     /// Values from which it was chosen.
     #[serde(rename = "i")]
     pub inputs: Inputs,
+    /// Time in microseconds until the turn may be sent, if the upstream has a limit. Without an
+    /// upstream, the time until the next permit of any.
+    #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+    pub permit_us: Option<u64>,
+}
+
+impl Placed {
+    /// Returns the reply if no upstream takes the turn; `wait` is the time until one with a limit
+    /// does.
+    fn nowhere(wait: Option<Duration>) -> Self {
+        Self {
+            upstream: None,
+            inputs: Inputs::default(),
+            permit_us: wait.map(|wait| wait.as_micros() as u64),
+        }
+    }
 }
 
 fn is_false(value: &bool) -> bool {
@@ -158,6 +182,7 @@
 pub struct Dispatcher {
     zone: String,
     fleet: Rc<Fleet>,
+    desk: Rc<Desk>,
     /// Turns in flight, by requester and number.
     turns: RefCell<Map<(Instance, Ticket), Turn>>,
 }
@@ -167,13 +192,18 @@
     pub fn new(zone: &str, fleet: Rc<Fleet>) -> Self {
         Self {
             zone: zone.to_owned(),
+            desk: Rc::new(Desk::new(fleet.clone())),
             fleet,
             turns: RefCell::default(),
         }
     }
 
-    /// Places a turn.
-    pub fn place(&self, now: Time, from: &Instance, order: Order) -> Placed {
+    /// Returns where permits are requested.
+    pub fn desk(&self) -> &Rc<Desk> {
+        &self.desk
+    }
+
+    fn choose(&self, now: Time, order: &Order, excluded: &[SocketAddr]) -> Option<Choice> {
         let prompt = Prompt {
             tokens: order.tokens,
             max_tokens: order.max_tokens,
@@ -184,16 +214,45 @@
             zone: &self.zone,
             prompt: Some((&prompt, &order.prefixes)),
             object: None,
-            excluded: &order.excluded,
+            excluded,
             version: order.version.as_deref(),
             jitter: 0.0,
         };
-        let Some(choice) = self.fleet.pick(&order.service, &request) else {
-            return Placed {
-                upstream: None,
-                inputs: Inputs::default(),
+        self.fleet.pick(&order.service, &request)
+    }
+
+    /// Places a turn at an upstream without a limit, or regardless of it.
+    pub fn place(&self, now: Time, from: &Instance, order: Order) -> Placed {
+        match self.choose(now, &order, &order.excluded) {
+            Some(choice) => self.record(now, from, order, choice),
+            None => Placed::nowhere(None),
+        }
+    }
+
+    /// Places a turn, with a permit if its upstream has a limit.
+    pub async fn serve(&self, from: &Instance, order: Order) -> Placed {
+        let max_wait = Duration::from_millis(order.max_wait_ms);
+        let mut search = Search::new(order.excluded.clone(), max_wait);
+        loop {
+            let now = Time::monotonic();
+            let Some(choice) = self.choose(now, &order, search.excluded()) else {
+                return Placed::nowhere(search.limited());
             };
-        };
+            match self.desk.request(&choice.server, search.max_wait()).await {
+                Ok(permit) => {
+                    let wait = permit.slot().map(|wait| wait.as_micros() as u64);
+                    let placed = self.record(Time::monotonic(), from, order, choice);
+                    return Placed {
+                        permit_us: wait,
+                        ..placed
+                    };
+                }
+                Err(wait) => search.deny(choice.server.address, wait),
+            }
+        }
+    }
+
+    fn record(&self, now: Time, from: &Instance, order: Order, choice: Choice) -> Placed {
         let turn = Turn {
             server: choice.server.clone(),
             flight: Flight::new(&self.fleet, choice.server.address, choice.inputs.unread),
@@ -205,6 +264,7 @@
         Placed {
             upstream: Some(choice.server.id.clone()),
             inputs: choice.inputs,
+            permit_us: None,
         }
     }
 
@@ -260,9 +320,10 @@
     }
 
     /// Handles a message of another instance; returns the reply to a request.
-    pub fn handle(&self, now: Time, from: &Instance, request: Request) -> Option<Placed> {
+    pub async fn handle(&self, from: &Instance, request: Request) -> Option<Placed> {
+        let now = Time::monotonic();
         match request {
-            Request::Place(order) => return Some(self.place(now, from, order)),
+            Request::Place(order) => return Some(self.serve(from, order).await),
             Request::Started {
                 ticket,
                 report,
@@ -295,9 +356,15 @@
 
     /// Adds the links to other instances.
     pub fn connect(&self, peers: Peers) {
+        self.dispatcher.desk.connect(peers.clone());
         self.peers.replace(Some(peers));
     }
 
+    /// Returns where permits are requested.
+    pub fn desk(&self) -> &Rc<Desk> {
+        &self.dispatcher.desk
+    }
+
     /// Returns the upstreams known to this instance.
     pub fn fleet(&self) -> &Rc<Fleet> {
         &self.dispatcher.fleet
@@ -306,6 +373,7 @@
     /// Drops turns of other instances whose end was not reported.
     pub fn sweep(&self) {
         self.dispatcher.sweep(Time::monotonic());
+        self.dispatcher.desk.sweep();
     }
 
     /// Returns the dispatcher of a service; `None` if this instance decides itself.
--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -1,5 +1,5 @@
-//! Handles the requests of other instances: about token accounts, placements of turns, and origins
-//! of streams.
+//! Handles the requests of other instances: about token accounts, placements of turns, permits, and
+//! origins of streams.
 
 use std::rc::Rc;
 
@@ -17,7 +17,6 @@
     },
 };
 use crate::{
-    clock::Time,
     log::Log,
     name::Instance,
     peer::{
@@ -35,7 +34,7 @@
 }
 
 impl<L> Endpoint<L> {
-    /// Returns a handler of requests about accounts, placements and origins of streams.
+    /// Returns a handler of requests about accounts, placements, permits and origins of streams.
     pub fn new(replica: Rc<Replica<L>>, dispatcher: Rc<Dispatcher>, origins: Rc<Origins>) -> Self {
         Self {
             replica,
@@ -50,11 +49,19 @@
         let request = match body {
             Body::Account(request) => request,
             Body::Dispatch(request) => {
-                if let Some(placed) = self.dispatcher.handle(Time::monotonic(), &from, request) {
-                    respond(reply, Body::Dispatched(placed));
-                }
+                let dispatcher = self.dispatcher.clone();
+                actix_web::rt::spawn(async move {
+                    if let Some(placed) = dispatcher.handle(&from, request).await {
+                        respond(reply, Body::Dispatched(placed));
+                    }
+                });
                 return;
             }
+            Body::Limits(messages) => return self.dispatcher.desk().learn(messages),
+            Body::Permit(request) => {
+                let response = self.dispatcher.desk().handle(request);
+                return respond(reply, Body::Permitted(response));
+            }
             _ => return,
         };
         let replica = self.replica.clone();
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -101,6 +101,16 @@
     pub fn note_limit(&self, notice: Notice) -> Change {
         let (upstream, rate) = (notice.upstream.clone(), notice.rate);
         let change = self.limits.borrow_mut().record(notice);
+        let address = match change {
+            Change::None => None,
+            Change::Named | Change::Ended => {
+                let registry = self.registry.borrow();
+                registry.get(&upstream).map(|server| server.address)
+            }
+        };
+        if let Some(address) = address {
+            self.load(address, |load| load.set_next_permit(Time::default()));
+        }
         match change {
             Change::None => {}
             Change::Named => {
@@ -124,7 +134,7 @@
         let registry = self.registry.borrow();
         self.limits
             .borrow_mut()
-            .retain(|upstream| registry.contains(upstream));
+            .retain(|upstream| registry.get(upstream).is_some());
         let now = Time::monotonic();
         self.loads
             .borrow_mut()
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -59,6 +59,11 @@
         Load,
         Report, //
     },
+    permit::{
+        Permit,
+        Search,
+        Wait, //
+    },
     proof::{
         NotRun,
         Sends, //
@@ -206,6 +211,15 @@
         }
     }
 
+    /// Returns the answer if no upstream takes the request; `limited` is the time until one does
+    /// whose limit is the reason.
+    pub fn nowhere(sends: &Sends, limited: Option<Duration>) -> Self {
+        match limited {
+            Some(wait) => Self::after(sends, "upstream_limit", wait),
+            None => Self::after(sends, "no_upstream", RETRY_AFTER),
+        }
+    }
+
     /// Returns the answer to a request that no retry can get served.
     pub fn unservable(sends: &Sends, reason: &'static str) -> Self {
         match sends.not_run() {
@@ -240,9 +254,11 @@
     pub server: Rc<Server>,
 }
 
-/// Upstreams that refused a request, and the time for which all of them are retried.
+/// Upstreams that don't take a request, and the time for which those that refused it are retried.
 pub struct Retries {
-    excluded: Vec<SocketAddr>,
+    search: Search,
+    /// Whether an upstream refused the request since the last pause.
+    refused: bool,
     until: Instant,
     pause: Duration,
 }
@@ -252,36 +268,89 @@
     /// to the deadline.
     pub fn new(start: Instant, deadline: Instant, part: f64, pause: Duration) -> Self {
         let remaining = deadline.saturating_duration_since(start);
+        let max_wait = remaining.mul_f64(part);
         Self {
-            excluded: Vec::new(),
-            until: start + remaining.mul_f64(part),
+            search: Search::new(Vec::new(), max_wait),
+            refused: false,
+            until: start + max_wait,
             pause,
         }
     }
 
-    /// Returns the upstreams that refused the request since the last pause.
+    /// Returns the upstreams that have not taken the request since the last pause.
     pub fn excluded(&self) -> &[SocketAddr] {
-        &self.excluded
+        self.search.excluded()
     }
 
     /// Records that an upstream refused the request.
     pub fn exclude(&mut self, upstream: SocketAddr) {
-        self.excluded.push(upstream);
+        self.search.exclude(upstream);
+        self.refused = true;
+    }
+
+    /// Returns how long the request may wait for a permit.
+    pub fn max_wait(&mut self) -> Wait {
+        let remaining = self.until.saturating_duration_since(Instant::now());
+        self.search.set_max_wait(remaining);
+        self.search.max_wait()
+    }
+
+    /// Records that an upstream with a limit takes the request too late.
+    pub fn deny(&mut self, upstream: SocketAddr, wait: Duration) {
+        self.search.deny(upstream, wait);
+    }
+
+    /// Records that no upstream that is left takes the request in time.
+    pub fn limit(&mut self, wait: Duration) {
+        self.search.limit(wait);
+    }
+
+    /// Returns the time until an upstream takes the request, if limits are the reason that none does.
+    pub fn limited(&self) -> Option<Duration> {
+        self.search.limited()
     }
 
     /// Waits for the pause before all upstreams are retried; returns `false` if they must not be.
     ///
     /// Without any upstream that refused, there is none to wait for.
     pub async fn wait(&mut self) -> bool {
-        if self.excluded.is_empty() || Instant::now() >= self.until {
+        if !std::mem::take(&mut self.refused) || Instant::now() >= self.until {
             return false;
         }
-        self.excluded.clear();
+        self.search = Search::new(Vec::new(), Duration::ZERO);
         sleep(self.pause).await;
         true
     }
 }
 
+/// Where a request is sent.
+pub struct Target {
+    /// The upstream.
+    pub choice: Choice,
+    /// Placement of a turn by the dispatcher.
+    pub placement: Option<Placement>,
+    /// Permit that came with the placement.
+    pub permit: Option<Permit>,
+}
+
+impl From<Choice> for Target {
+    fn from(choice: Choice) -> Self {
+        Self {
+            choice,
+            placement: None,
+            permit: None,
+        }
+    }
+}
+
+/// Decision of the dispatcher about a turn.
+pub enum Place {
+    /// It goes to an upstream.
+    At(Target),
+    /// All upstreams that are left take it too late; the time until the first one does.
+    Limited(Duration),
+}
+
 /// Result of a send.
 pub enum Sent {
     /// The head of an answer was received.
@@ -333,7 +402,8 @@
         job: &Job<D, L>,
         excluded: &[SocketAddr],
         version: Option<&Arc<str>>,
-    ) -> Option<(Choice, Placement)> {
+        max_wait: Duration,
+    ) -> Option<Place> {
         let prompt = job.call.prompt.as_ref()?;
         let order = Order {
             ticket: rand::random(),
@@ -343,9 +413,13 @@
             prefixes: job.prefixes.clone(),
             excluded: excluded.to_vec(),
             version: version.cloned(),
+            max_wait_ms: max_wait.as_millis() as u64,
         };
         let (placed, placement) = self.placer.place(order).await?;
-        let id = placed.upstream?;
+        let wait = placed.permit_us.map(Duration::from_micros);
+        let Some(id) = placed.upstream else {
+            return wait.map(Place::Limited);
+        };
         // The dispatcher may know another state of the registry.
         let registry = self.fleet.registry.borrow();
         let server = registry
@@ -355,7 +429,36 @@
             .filter(|server| server.has_version(version.map(|version| &**version)))?
             .clone();
         let inputs = placed.inputs;
-        Some((Choice { server, inputs }, placement))
+        Some(Place::At(Target {
+            choice: Choice { server, inputs },
+            placement: Some(placement),
+            permit: wait.map(|wait| Permit::new(wait, "dispatcher")),
+        }))
+    }
+
+    /// Obtains a permit for an upstream, unless one came with the placement, and waits for its slot;
+    /// returns the time until the next slot if that is too long.
+    pub async fn permit(
+        &self,
+        server: &Server,
+        mut placed: Option<Permit>,
+        wait: Wait,
+    ) -> Result<Permit, Duration> {
+        loop {
+            let permit = match placed.take() {
+                Some(permit) => Ok(permit),
+                None => self.desk.request(server, wait).await,
+            };
+            match &permit {
+                Ok(permit) if permit.slot().is_some() => self.metrics.permitted(permit.by),
+                Ok(_) => {}
+                Err(_) => self.metrics.permitted("denied"),
+            }
+            let permit = permit?;
+            if permit.wait().await {
+                return Ok(permit);
+            }
+        }
     }
 
     /// Sends a request to an upstream and waits until `limit` for the head of the answer; `after`
@@ -363,7 +466,7 @@
     pub async fn send(
         self: &Rc<Self>,
         job: &Job<D, L>,
-        choice: &Choice,
+        (choice, permit): (&Choice, &Permit),
         after: Option<u64>,
         sends: &mut Sends,
         limit: Instant,
@@ -386,6 +489,10 @@
                     return Sent::NotRun("unreachable");
                 }
             };
+            if !permit.usable() {
+                self.pool.put(address, connection);
+                return Sent::NotRun("permit_expired");
+            }
             let head = self.head(job, server, after);
             if self.fleet.limit(server).is_some() {
                 let kind = match job.call.prompt {
@@ -487,12 +594,8 @@
                 .report(Time::monotonic(), exchange.server.address, load);
             exchange.report = Some(load);
         }
-        self.fleet.note_limit(Notice {
-            upstream: exchange.server.id.clone(),
-            started: exchange.server.started,
-            rate: reply.limit,
-            at: Time::monotonic(),
-        });
+        let notice = Notice::new(Time::monotonic(), &exchange.server, reply.limit);
+        self.desk.record_answer(notice);
         exchange.leaving = reply.leaving;
         if reply.leaving {
             self.fleet.leave(Time::monotonic(), &exchange.server);
@@ -542,23 +645,33 @@
                 return Err(Refusal::at_deadline(&sends, "deadline"));
             }
             let Some(choice) = self.choose(job, retries.excluded(), None) else {
+                let limited = retries.limited();
                 if retries.wait().await {
                     continue;
                 }
-                return Err(Refusal::after(&sends, "no_upstream", RETRY_AFTER));
+                return Err(Refusal::nowhere(&sends, limited));
             };
             let attempts = sends.attempts() as u32;
             let may_repeat = job.route.kind == Kind::Idempotent;
             if attempts > 0 && (!may_repeat || attempts >= job.route.attempts) {
                 return Err(Refusal::unknown("answer_lost"));
             }
+            let address = choice.server.address;
+            let permit = match self.permit(&choice.server, None, retries.max_wait()).await {
+                Ok(permit) => permit,
+                Err(wait) => {
+                    self.metrics.retried("upstream_limit");
+                    retries.deny(address, wait);
+                    continue;
+                }
+            };
             let last_attempt = !may_repeat || attempts + 1 >= job.route.attempts;
             let limit = match last_attempt {
                 true => job.deadline,
                 false => job.deadline.min(Instant::now() + RESEND_TIMEOUT),
             };
-            let address = choice.server.address;
-            let reason = match self.exchange(job, &choice, &mut sends, limit).await {
+            let target = (&choice, &permit);
+            let reason = match self.exchange(job, target, &mut sends, limit).await {
                 Ok(answer) => return Ok(answer),
                 Err(reason) => reason,
             };
@@ -571,11 +684,11 @@
     async fn exchange(
         self: &Rc<Self>,
         job: &Job<D, L>,
-        choice: &Choice,
+        target: (&Choice, &Permit),
         sends: &mut Sends,
         limit: Instant,
     ) -> Result<Answer, &'static str> {
-        let mut exchange = match self.send(job, choice, None, sends, limit).await {
+        let mut exchange = match self.send(job, target, None, sends, limit).await {
             Sent::Answered(exchange) => exchange,
             Sent::NotRun(reason) | Sent::Lost(reason) => return Err(reason),
         };
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -425,6 +425,8 @@
                     request, reason;
                     "front: stream can't be resumed; closing the caller's connection"
                 );
+                // The HTTP service writes what it has before it polls again, but not after an error.
+                tokio::task::yield_now().await;
                 Some((Err(std::io::Error::other(reason)), relay))
             }
         }
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -71,6 +71,8 @@
     lost: f64,
     lost_at: Time,
     avoid_until: Time,
+    /// Earliest time of the next permit, if the upstream limits its requests.
+    next_permit: Time,
     cache: Cache,
 }
 
@@ -84,6 +86,7 @@
             lost: 0.0,
             lost_at: Time::default(),
             avoid_until: Time::default(),
+            next_permit: Time::default(),
             cache: Cache::default(),
         }
     }
@@ -149,6 +152,16 @@
         now < self.avoid_until
     }
 
+    /// Records the earliest time of the next permit.
+    pub fn set_next_permit(&mut self, at: Time) {
+        self.next_permit = at;
+    }
+
+    /// Returns the expected wait for a permit.
+    pub fn permit_wait(&self, now: Time) -> Duration {
+        self.next_permit.since(now)
+    }
+
     /// Returns the estimated requests in flight from all clients.
     pub fn running(&self, now: Time) -> f64 {
         let foreign = self.reported.map_or(0.0, |reported| {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -32,6 +32,7 @@
     placements: Counter<u64>,
     continuations: Counter<u64>,
     limited_sends: Counter<u64>,
+    permits: Counter<u64>,
     store_calls: Counter<u64>,
     store_bytes: Counter<u64>,
     store_time: Histogram<f64>,
@@ -71,6 +72,10 @@
                 "limited_sends",
                 "Requests sent to upstreams with a limit, by kind.",
             ),
+            permits: counter(
+                "permits",
+                "Permits to send to an upstream with a limit, by where they came from, and denials.",
+            ),
             store_calls: counter("store_calls", "Calls to the store, by call and outcome."),
             store_bytes: counter(
                 "store_received_bytes",
@@ -119,6 +124,12 @@
         self.0.limited_sends.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a permit by who obtained it (`issuer`, `dispatcher` or this instance from its `share`),
+    /// or one that was `denied`.
+    pub fn permitted(&self, by: &'static str) {
+        self.0.permits.add(1, &[KeyValue::new("by", by)]);
+    }
+
     /// Records a call to the store; the bytes received of a `lost` one were discarded.
     pub fn record_store_call(
         &self,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,7 +5,7 @@
 //! shared with other instances, through the log. `docs/platform.md` gives the reasons.
 //!
 //! The decisions do no I/O ([`route`], [`registry`], [`load`], [`balance`], [`fleet`],
-//! [`account`], [`outage`], [`timeout`]); sockets are in [`connection`], [`pool`], [`forward`], [`relay`] and [`front`].
+//! [`account`], [`outage`], [`timeout`], [`limit`]); sockets are in [`connection`], [`pool`], [`forward`], [`relay`] and [`front`].
 
 pub mod account;
 pub mod balance;
@@ -30,6 +30,7 @@
 pub mod owner;
 pub mod path;
 pub mod peers;
+pub mod permit;
 pub mod pool;
 pub mod proof;
 pub mod registry;
--- /dev/null
+++ b/src/gateway/permit.rs
@@ -0,0 +1,649 @@
+//! Permits for requests to upstreams that limit them.
+//!
+//! Answers the load pattern of many senders that each send an upstream in need little, and far too
+//! much together: instances of all availability zones, dispatchers, and streams that go on after a
+//! break. For each service one instance issues the permits of all senders, as slots at the pace of
+//! the limit. A sender that gets no answer of the issuer uses its own share of the limit.
+//!
+//! An upstream takes one and a half times its limit for some seconds. Two issuers that know different
+//! members, as around a restart or a pause of one of them, stay below that: the one that has
+//! just begun to issue keeps to a part of the limit until the other has certainly ended.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use tokio::time::sleep;
+
+use super::{
+    fleet::Fleet,
+    limit::{
+        Change,
+        Message,
+        Notice, //
+    },
+    peers::Peers,
+    registry::Server,
+};
+use crate::{
+    clock::Time,
+    hash::Map,
+    name::Instance,
+    peer::wire::Body, //
+};
+
+/// Fraction of a limit that is issued while another issuer may still act, and to all senders that
+/// get no answer of the issuer; leaves room for bursts.
+const REDUCED: f64 = 0.4;
+
+/// Time after which another issuer has learned that it is none any more.
+const HANDOVER_TIME: Duration = Duration::from_secs(2);
+
+/// Time without a request for a permit after which this instance may have been paused, and another
+/// one may issue in its place.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(1);
+
+/// Slots without a request after which the same is assumed of an upstream with a very low limit.
+const MAX_IDLE_SLOTS: u32 = 3;
+
+/// Time for which unused slots are kept, so that requests that arrive unevenly can use them.
+const BURST_TIME: Duration = Duration::from_millis(250);
+
+/// Longest time between two slots: an upstream that takes hardly any requests still gets some, as
+/// only its answers tell when the limit ends.
+const MAX_INTERVAL: Duration = Duration::from_secs(4);
+
+/// Time between two slots of a share that has hardly any: longer than a limit is likely to last.
+const NEVER: Duration = Duration::from_secs(3_600);
+
+/// Time after its slot for which a permit may be used. A sender that was paused in between needs
+/// another one.
+const PERMIT_TTL: Duration = Duration::from_millis(300);
+
+/// Timeout of a request for a permit: several round trips between zones, and less than a dispatcher
+/// has to place a turn.
+const ISSUE_TIMEOUT: Duration = Duration::from_millis(15);
+
+/// Time for which an issuer that did not answer is not asked.
+const AVOID_TIME: Duration = Duration::from_millis(300);
+
+/// Time for which notices are collected before they are sent to other instances: an upstream in need
+/// is rarely the only one.
+const BATCH_DELAY: Duration = Duration::from_millis(20);
+
+/// Wait for a slot beyond which another upstream may be the better choice, unless the wait was
+/// expected when the upstream was chosen.
+const WAIT_TOLERANCE: Duration = Duration::from_millis(20);
+
+/// Maximum denials after which a request takes the next slot, even if another upstream were better.
+const MAX_DENIALS: u32 = 4;
+
+/// Slots of one upstream, at the pace of its limit.
+///
+/// All times are of the boot clock: time for which the machine was suspended passes for the upstream.
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    /// Start of the upstream; a later one begins anew.
+    started: u64,
+    /// Time at which the slots issued so far are used up at the pace of the limit.
+    paid_until: Time,
+    /// When this instance began to issue slots.
+    since: Time,
+    /// When a slot was requested last.
+    requested: Time,
+}
+
+/// Slots of all upstreams with a limit.
+#[derive(Debug)]
+pub struct Slots {
+    buckets: Map<Arc<str>, Bucket>,
+    /// Whether these are the slots of all senders, and not the share of one.
+    for_all: bool,
+    /// Time before the first slot, as a fraction of the time between two; above 0 and at most 1.
+    phase: f64,
+}
+
+impl Slots {
+    /// Returns the slots that an issuer hands out to all senders.
+    pub fn for_all() -> Self {
+        Self {
+            buckets: Map::default(),
+            for_all: true,
+            phase: 1.0,
+        }
+    }
+
+    /// Returns the slots of one sender's share.
+    pub fn share() -> Self {
+        Self {
+            for_all: false,
+            ..Self::for_all()
+        }
+    }
+
+    /// Sets which of a number of `senders` has the share, so that not all of them have their first
+    /// slot at the same time after they lost their issuer together.
+    pub fn set_sender(&mut self, index: usize, senders: usize) {
+        self.phase = (index + 1) as f64 / senders.max(index + 1) as f64;
+    }
+
+    /// Takes the next slot of an upstream; returns the time until it, also if that is longer than
+    /// `max_wait` and the slot is not taken.
+    ///
+    /// `now` is of the boot clock; `rate` is in requests per second.
+    pub fn take(
+        &mut self,
+        now: Time,
+        (upstream, started): (&Arc<str>, u64),
+        rate: f64,
+        max_wait: Duration,
+    ) -> Result<Duration, Duration> {
+        let interval = self.interval(rate);
+        let max_idle = match self.for_all {
+            true => MAX_IDLE_TIME.max(interval * MAX_IDLE_SLOTS),
+            false => MAX_IDLE_TIME,
+        };
+        let fresh = Bucket {
+            started,
+            paid_until: now + BURST_TIME + interval.mul_f64(self.phase),
+            since: now,
+            requested: now,
+        };
+        let bucket = self.buckets.entry(upstream.clone()).or_insert(fresh);
+        let idle = now.since(bucket.requested) > max_idle;
+        if bucket.started < started || (idle && !self.for_all) {
+            *bucket = fresh;
+        } else if idle {
+            bucket.paid_until = bucket.paid_until.max(now + BURST_TIME);
+            bucket.since = now;
+        }
+        bucket.requested = now;
+        let earliest = bucket.paid_until - BURST_TIME;
+        let wait = earliest.since(now);
+        if wait > max_wait {
+            return Err(wait);
+        }
+        let interval = match now.since(bucket.since) < HANDOVER_TIME {
+            true => interval.div_f64(REDUCED),
+            false => interval,
+        };
+        bucket.paid_until = bucket.paid_until.max(now) + interval;
+        Ok(wait)
+    }
+
+    /// Drops the slots of all upstreams except those for which `limited` returns `true`.
+    pub fn retain(&mut self, limited: impl Fn(&str) -> bool) {
+        self.buckets.retain(|upstream, _| limited(upstream));
+    }
+
+    /// Returns the time between two slots at a rate per second.
+    fn interval(&self, rate: f64) -> Duration {
+        let max = if self.for_all { MAX_INTERVAL } else { NEVER };
+        Duration::try_from_secs_f64(1.0 / rate).map_or(max, |interval| interval.min(max))
+    }
+}
+
+/// Request for a permit.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Request {
+    /// Limit of the upstream, as the requester knows it.
+    #[serde(rename = "n")]
+    notice: Message,
+    /// Longest time that the request may wait for its slot.
+    #[serde(rename = "w")]
+    max_wait_us: u64,
+}
+
+/// Response to a request for a permit.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub enum Response {
+    /// The request may be sent after a wait.
+    #[serde(rename = "g")]
+    Granted {
+        /// Time until the slot.
+        #[serde(rename = "w")]
+        wait_us: u64,
+        /// Later notice of the upstream than the requester has.
+        #[serde(rename = "n", default, skip_serializing_if = "Option::is_none")]
+        notice: Option<Message>,
+    },
+    /// The next slot is too late.
+    #[serde(rename = "d")]
+    Denied {
+        /// Time until the slot.
+        #[serde(rename = "w")]
+        wait_us: u64,
+    },
+    /// The instance does not issue permits of the service.
+    #[serde(rename = "r")]
+    Refused,
+}
+
+/// Permission to send one request to an upstream.
+#[derive(Debug)]
+pub struct Permit {
+    /// Slot on the boot clock; `None` if the upstream has no limit.
+    slot: Option<Time>,
+    /// Who issued it, as the label of a metric.
+    pub by: &'static str,
+}
+
+impl Permit {
+    /// Returns the permission to send to an upstream without a limit.
+    fn unlimited() -> Self {
+        Self {
+            slot: None,
+            by: "upstream",
+        }
+    }
+
+    /// Returns the permission to use the slot after a wait.
+    pub fn new(wait: Duration, by: &'static str) -> Self {
+        Self {
+            slot: Some(Time::boot() + wait),
+            by,
+        }
+    }
+
+    /// Waits for the slot; returns whether the permit may still be used.
+    pub async fn wait(&self) -> bool {
+        let Some(slot) = self.slot else {
+            return true;
+        };
+        sleep(slot.since(Time::boot())).await;
+        self.usable()
+    }
+
+    /// Returns the time until the slot; `None` if the upstream has no limit.
+    pub fn slot(&self) -> Option<Duration> {
+        self.slot.map(|slot| slot.since(Time::boot()))
+    }
+
+    /// Returns whether the permit may still be used.
+    pub fn usable(&self) -> bool {
+        self.slot
+            .is_none_or(|slot| Time::boot().since(slot) < PERMIT_TTL)
+    }
+}
+
+/// Search for an upstream that takes a request in time.
+#[derive(Debug)]
+pub struct Search {
+    excluded: Vec<SocketAddr>,
+    max_wait: Duration,
+    denials: u32,
+    /// Shortest time until a slot that was too late.
+    limited: Option<Duration>,
+}
+
+impl Search {
+    /// Begins a search among all upstreams but the `excluded` ones; the request may wait for
+    /// `max_wait`.
+    pub fn new(excluded: Vec<SocketAddr>, max_wait: Duration) -> Self {
+        Self {
+            excluded,
+            max_wait,
+            denials: 0,
+            limited: None,
+        }
+    }
+
+    /// Returns the upstreams that can't take the request.
+    pub fn excluded(&self) -> &[SocketAddr] {
+        &self.excluded
+    }
+
+    /// Excludes an upstream.
+    pub fn exclude(&mut self, upstream: SocketAddr) {
+        self.excluded.push(upstream);
+    }
+
+    /// Changes how long the request may wait.
+    pub fn set_max_wait(&mut self, max_wait: Duration) {
+        self.max_wait = max_wait;
+    }
+
+    /// Returns how long the request may wait for a slot.
+    pub fn max_wait(&self) -> Wait {
+        Wait {
+            max: self.max_wait,
+            expected_only: self.denials < MAX_DENIALS,
+        }
+    }
+
+    /// Records that the next slot of an upstream is too late, or later than expected.
+    pub fn deny(&mut self, upstream: SocketAddr, wait: Duration) {
+        self.denials += 1;
+        if wait > self.max_wait {
+            self.exclude(upstream);
+            self.limit(wait);
+        }
+    }
+
+    /// Records that the next slot is too late at all upstreams that were considered.
+    pub fn limit(&mut self, wait: Duration) {
+        self.limited = Some(self.limited.map_or(wait, |limited| limited.min(wait)));
+    }
+
+    /// Returns the shortest time until a slot, if limits are the reason that no upstream is left.
+    pub fn limited(&self) -> Option<Duration> {
+        self.limited
+    }
+}
+
+/// How long a request may wait for its slot.
+#[derive(Clone, Copy, Debug)]
+pub struct Wait {
+    /// Longest time.
+    pub max: Duration,
+    /// Whether the time is to be no longer than expected from earlier slots.
+    pub expected_only: bool,
+}
+
+/// Who issues the permits of a service.
+enum Issuer {
+    /// This instance.
+    Local,
+    /// Another instance.
+    Remote(Peers, Instance),
+    /// None that this instance can ask.
+    None,
+}
+
+/// Requests permits for the senders of this instance, and issues those of the services that this
+/// instance is responsible for.
+pub struct Desk {
+    fleet: Rc<Fleet>,
+    peers: RefCell<Option<Peers>>,
+    /// Slots that this instance issues to all.
+    issued: RefCell<Slots>,
+    /// Slots of this instance's share, for when the issuer does not answer.
+    shares: RefCell<Slots>,
+    /// Time until which the issuer is not asked.
+    avoid_until: Cell<Time>,
+    /// Notices that other instances have to learn.
+    unsent: RefCell<Vec<Notice>>,
+}
+
+impl Desk {
+    /// Returns a desk of an instance without links to others, which issues all permits itself.
+    pub fn new(fleet: Rc<Fleet>) -> Self {
+        Self {
+            fleet,
+            peers: RefCell::default(),
+            issued: RefCell::new(Slots::for_all()),
+            shares: RefCell::new(Slots::share()),
+            avoid_until: Cell::default(),
+            unsent: RefCell::default(),
+        }
+    }
+
+    /// Adds the links to other instances.
+    pub fn connect(&self, peers: Peers) {
+        self.peers.replace(Some(peers));
+    }
+
+    fn issuer(&self, service: &str) -> Issuer {
+        let Some(peers) = self.peers.borrow().clone() else {
+            return Issuer::Local;
+        };
+        let snapshot = peers.roster.snapshot();
+        match snapshot.issuer(service) {
+            Some(issuer) if *issuer == snapshot.local().instance => Issuer::Local,
+            Some(issuer) => Issuer::Remote(peers.clone(), issuer.clone()),
+            None => Issuer::None,
+        }
+    }
+
+    /// Requests a permit for an upstream; returns the time until the next slot if that is too long.
+    pub async fn request(self: &Rc<Self>, server: &Server, wait: Wait) -> Result<Permit, Duration> {
+        let now = Time::monotonic();
+        let Some(notice) = self.limit(server) else {
+            return Ok(Permit::unlimited());
+        };
+        // Slots only get later, so that a known one that is too late need not be asked for again.
+        let known = self
+            .fleet
+            .load(server.address, |load| load.permit_wait(now));
+        if known > wait.max {
+            return Err(known);
+        }
+        let max_wait = match wait.expected_only {
+            true => wait.max.min(known + WAIT_TOLERANCE),
+            false => wait.max,
+        };
+        let issued = match self.issuer(&server.service) {
+            Issuer::Local => Some(self.issue(&notice, max_wait)),
+            Issuer::Remote(peers, issuer) if now >= self.avoid_until.get() => {
+                self.ask(&peers, &issuer, &notice, max_wait).await
+            }
+            Issuer::Remote(..) | Issuer::None => None,
+        };
+        let result = match issued {
+            Some(Ok(wait)) => Ok(Permit::new(wait, "issuer")),
+            Some(Err(wait)) => Err(wait),
+            None => match self.take_share(&notice, max_wait) {
+                Ok(wait) => Ok(Permit::new(wait, "share")),
+                // By then the issuer is asked again.
+                Err(wait) => Err(wait.min(AVOID_TIME)),
+            },
+        };
+        let wait = match &result {
+            Ok(permit) => permit.slot().unwrap_or_default(),
+            Err(wait) => *wait,
+        };
+        let next = Time::monotonic() + wait;
+        self.fleet
+            .load(server.address, |load| load.set_next_permit(next));
+        result
+    }
+
+    fn limit(&self, server: &Server) -> Option<Notice> {
+        let limits = self.fleet.limits.borrow();
+        let notice = limits.get(server)?;
+        notice.rate.is_some().then(|| notice.clone())
+    }
+
+    /// Issues a permit, according to the latest notice of all senders.
+    fn issue(&self, notice: &Notice, max_wait: Duration) -> Result<Duration, Duration> {
+        let Some(rate) = notice.rate else {
+            return Ok(Duration::ZERO);
+        };
+        let upstream = (&notice.upstream, notice.started);
+        let mut issued = self.issued.borrow_mut();
+        issued.take(Time::boot(), upstream, rate, max_wait)
+    }
+
+    /// Takes a slot of the share of this instance.
+    fn take_share(&self, notice: &Notice, max_wait: Duration) -> Result<Duration, Duration> {
+        let Some(rate) = notice.rate else {
+            return Ok(Duration::ZERO);
+        };
+        let (index, senders) = self.rank();
+        let share = rate * REDUCED / senders as f64;
+        let upstream = (&notice.upstream, notice.started);
+        let mut shares = self.shares.borrow_mut();
+        shares.set_sender(index, senders);
+        shares.take(Time::boot(), upstream, share, max_wait)
+    }
+
+    /// Returns the position of this instance among all that may send, and their number.
+    fn rank(&self) -> (usize, usize) {
+        let Some(peers) = self.peers.borrow().clone() else {
+            return (0, 1);
+        };
+        let snapshot = peers.roster.snapshot();
+        let local = &snapshot.local().instance;
+        let index = snapshot.usable().position(|name| name == local);
+        // One that is leaving is not among them.
+        let senders = snapshot.live_count() + usize::from(index.is_none());
+        (index.unwrap_or(senders - 1), senders)
+    }
+
+    /// Requests a permit from another instance; `None` if it issues none.
+    async fn ask(
+        self: &Rc<Self>,
+        peers: &Peers,
+        issuer: &Instance,
+        notice: &Notice,
+        max_wait: Duration,
+    ) -> Option<Result<Duration, Duration>> {
+        let request = Request {
+            notice: Message::new(Time::monotonic(), notice),
+            max_wait_us: max_wait.as_micros() as u64,
+        };
+        let body = Body::Permit(request);
+        match peers.mesh.request(issuer, body, ISSUE_TIMEOUT).await {
+            Ok(Body::Permitted(Response::Granted { wait_us, notice })) => {
+                if let Some(notice) = notice {
+                    self.learn(vec![notice]);
+                }
+                Some(Ok(Duration::from_micros(wait_us)))
+            }
+            Ok(Body::Permitted(Response::Denied { wait_us })) => {
+                Some(Err(Duration::from_micros(wait_us)))
+            }
+            Ok(_) => None,
+            Err(error) => {
+                log::debug!(
+                    issuer = issuer.as_str(), error:%;
+                    "permit: issuer did not answer in time; using the local share for a while"
+                );
+                self.avoid_until.set(Time::monotonic() + AVOID_TIME);
+                None
+            }
+        }
+    }
+
+    /// Handles the request of another instance for a permit.
+    pub fn handle(self: &Rc<Self>, request: Request) -> Response {
+        let now = Time::monotonic();
+        let Some(notice) = request.notice.notice(now) else {
+            return Response::Refused;
+        };
+        if !matches!(self.issuer(&notice.service), Issuer::Local) {
+            return Response::Refused;
+        }
+        self.record(notice.clone());
+        let limits = self.fleet.limits.borrow();
+        let latest = limits.latest(&notice.upstream).unwrap_or(&notice);
+        let max_wait = Duration::from_micros(request.max_wait_us);
+        match self.issue(latest, max_wait) {
+            Ok(wait) => Response::Granted {
+                wait_us: wait.as_micros() as u64,
+                notice: (latest.at > notice.at).then(|| Message::new(now, latest)),
+            },
+            Err(wait) => Response::Denied {
+                wait_us: wait.as_micros() as u64,
+            },
+        }
+    }
+
+    /// Records what an answer to this instance said, and tells the issuer what is new.
+    pub fn record_answer(self: &Rc<Self>, notice: Notice) {
+        if self.fleet.note_limit(notice.clone()) == Change::None {
+            return;
+        }
+        match self.issuer(&notice.service) {
+            Issuer::Local => self.spread(notice),
+            Issuer::Remote(peers, issuer) => {
+                let message = Message::new(Time::monotonic(), &notice);
+                send(&peers, &issuer, vec![message]);
+            }
+            Issuer::None => {}
+        }
+    }
+
+    /// Records what other instances were told.
+    pub fn learn(self: &Rc<Self>, messages: Vec<Message>) {
+        let now = Time::monotonic();
+        let notices = messages
+            .into_iter()
+            .filter_map(|message| message.notice(now));
+        notices.for_each(|notice| self.record(notice));
+    }
+
+    fn record(self: &Rc<Self>, notice: Notice) {
+        if self.fleet.note_limit(notice.clone()) != Change::None {
+            self.spread(notice);
+        }
+    }
+
+    /// Passes a notice on, together with others that follow shortly: as the issuer to the dispatchers
+    /// of all zones, and as a dispatcher to all instances of its zone.
+    fn spread(self: &Rc<Self>, notice: Notice) {
+        let mut unsent = self.unsent.borrow_mut();
+        unsent.push(notice);
+        if unsent.len() > 1 {
+            return;
+        }
+        let desk = self.clone();
+        actix_web::rt::spawn(async move {
+            sleep(BATCH_DELAY).await;
+            desk.flush();
+        });
+    }
+
+    fn flush(&self) {
+        let notices = self.unsent.take();
+        let Some(peers) = self.peers.borrow().clone() else {
+            return;
+        };
+        let snapshot = peers.roster.snapshot();
+        let local = snapshot.local();
+        let mut messages: Map<&Instance, Vec<Message>> = Map::default();
+        let now = Time::monotonic();
+        for notice in &notices {
+            let message = Message::new(now, notice);
+            let mut receivers = Vec::new();
+            if snapshot.issuer(&notice.service) == Some(&local.instance) {
+                receivers.extend(snapshot.placers(&notice.service));
+            }
+            if snapshot.placer(&local.zone, &notice.service) == Some(&local.instance) {
+                receivers.extend(snapshot.live(&local.zone));
+            }
+            receivers.sort_unstable();
+            receivers.dedup();
+            receivers.retain(|receiver| **receiver != local.instance);
+            for receiver in receivers {
+                messages.entry(receiver).or_default().push(message.clone());
+            }
+        }
+        for (receiver, messages) in messages {
+            send(&peers, receiver, messages);
+        }
+    }
+
+    /// Drops the slots of upstreams that have no limit any more.
+    pub fn sweep(&self) {
+        let limits = self.fleet.limits.borrow();
+        let limited = |upstream: &str| {
+            let latest = limits.latest(upstream);
+            latest.is_some_and(|notice| notice.rate.is_some())
+        };
+        self.issued.borrow_mut().retain(limited);
+        self.shares.borrow_mut().retain(limited);
+    }
+}
+
+fn send(peers: &Peers, to: &Instance, messages: Vec<Message>) {
+    if let Err(error) = peers.mesh.send(to, Body::Limits(messages)) {
+        log::debug!(
+            peer = to.as_str(), error:%;
+            "permit: peer can't be told of limits; it learns of them with its next answer or permit"
+        );
+    }
+}
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -303,9 +303,9 @@
         servers.any(|server| server.address == address)
     }
 
-    /// Returns whether there is an entry with the identifier.
-    pub fn contains(&self, id: &str) -> bool {
-        self.records.contains_key(id)
+    /// Returns the server with the identifier.
+    pub fn get(&self, id: &str) -> Option<&Rc<Server>> {
+        self.records.get(id).map(|record| &record.server)
     }
 
     /// Returns the number of entries.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -35,9 +35,11 @@
         Answer,
         Exchange,
         Job,
+        Place,
         Refusal,
         Retries,
         Sent,
+        Target,
         RETRY_AFTER, //
     },
     origin::{
@@ -316,6 +318,13 @@
         }
     }
 
+    fn nowhere(&self, limited: Option<Duration>) -> Refusal {
+        match Instant::now() >= self.job.deadline {
+            true => self.failed("no_upstream"),
+            false => Refusal::nowhere(&self.sends, limited),
+        }
+    }
+
     fn resumable(&self) -> bool {
         self.job.route.kind == Kind::Streaming { resumable: true }
     }
@@ -352,21 +361,28 @@
     }
 
     /// Picks the upstream of the next send, if possible by the dispatcher.
-    async fn place(&mut self, excluded: &[SocketAddr]) -> Option<Choice> {
+    async fn place(&mut self, retries: &mut Retries) -> Option<Target> {
         self.placement = None;
-        if let Some(choice) = self.choose_latest(excluded) {
-            return Some(choice);
+        if let Some(choice) = self.choose_latest(retries.excluded()) {
+            return Some(choice.into());
         }
-        let placed = self.gateway.place(&self.job, excluded, self.version());
-        if let Some((choice, placement)) = placed.await {
-            if self.may_send(&choice) {
+        let max_wait = retries.max_wait().max;
+        let (excluded, version) = (retries.excluded(), self.version());
+        let placed = self.gateway.place(&self.job, excluded, version, max_wait);
+        match placed.await {
+            Some(Place::At(target)) if self.may_send(&target.choice) => {
                 self.gateway.metrics.placed("dispatcher");
-                self.placement = Some(placement);
-                return Some(choice);
+                Some(target)
+            }
+            Some(Place::Limited(wait)) => {
+                retries.limit(wait);
+                None
+            }
+            Some(Place::At(_)) | None => {
+                self.gateway.metrics.placed("instance");
+                self.choose(retries.excluded()).map(Into::into)
             }
         }
-        self.gateway.metrics.placed("instance");
-        self.choose(excluded)
     }
 
     /// Sends the request until an upstream answers; returns the head if a stream follows.
@@ -376,21 +392,34 @@
             if Instant::now() >= self.job.deadline {
                 return Err(self.failed("deadline"));
             }
-            let Some(choice) = self.place(retries.excluded()).await else {
+            let Some(target) = self.place(&mut retries).await else {
                 self.check_version()?;
+                let limited = retries.limited();
                 if retries.wait().await {
                     continue;
                 }
-                return Err(self.failed("no_upstream"));
+                return Err(self.nowhere(limited));
             };
+            let choice = target.choice;
+            self.placement = target.placement;
             let address = choice.server.address;
+            let wait = retries.max_wait();
+            let permit = self.gateway.permit(&choice.server, target.permit, wait);
+            let permit = match permit.await {
+                Ok(permit) => permit,
+                Err(wait) => {
+                    self.gateway.metrics.retried("upstream_limit");
+                    retries.deny(address, wait);
+                    continue;
+                }
+            };
             let after = (self.last != self.job.call.after)
                 .then_some(self.last)
                 .flatten();
             let limit = self.job.deadline.min(Instant::now() + FIRST_EVENT_TIMEOUT);
             let sent = self
                 .gateway
-                .send(&self.job, &choice, after, &mut self.sends, limit)
+                .send(&self.job, (&choice, &permit), after, &mut self.sends, limit)
                 .await;
             match sent {
                 Sent::Answered(exchange) => {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -14,7 +14,7 @@
 
 use super::{
     dispatcher::Placer, fleet::Fleet, metrics::Metrics, origin::Directory, owner::Client,
-    pool::Pool, route::Table, settings::Settings, throttle::Throttle,
+    permit::Desk, pool::Pool, route::Table, settings::Settings, throttle::Throttle,
 };
 use crate::log::Log;
 
@@ -28,6 +28,8 @@
     pub fleet: Rc<Fleet>,
     /// Requests of placements from the dispatcher of the availability zone.
     pub placer: Rc<Placer>,
+    /// Permits for upstreams with a limit.
+    pub desk: Rc<Desk>,
     /// Idle connections to upstreams.
     pub pool: Pool,
     /// Token accounts of programs.
@@ -67,11 +69,12 @@
         placer: Rc<Placer>,
         metrics: Metrics,
     ) -> Self {
-        let fleet = placer.fleet().clone();
+        let (fleet, desk) = (placer.fleet().clone(), placer.desk().clone());
         Self {
             settings,
             table: RefCell::default(),
             fleet,
+            desk,
             placer,
             pool: Pool::default(),
             accounts,
--- a/src/member/snapshot.rs
+++ b/src/member/snapshot.rs
@@ -208,6 +208,16 @@
         rendezvous(service.as_bytes(), large)
     }
 
+    /// Returns the instances that place the turns of a service, one of each zone.
+    pub fn placers<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Instance> {
+        self.zones().filter_map(|zone| self.placer(zone, service))
+    }
+
+    /// Returns the instance that issues permits for the upstreams of a service to all zones.
+    pub fn issuer<'a>(&'a self, service: &'a str) -> Option<&'a Instance> {
+        rendezvous(service.as_bytes(), self.placers(service))
+    }
+
     /// Returns the instance that dispatches calls to a pool in a zone.
     pub fn dispatcher(&self, zone: &Zone, pool: &Pool) -> Option<&Instance> {
         rendezvous(pool.as_str().as_bytes(), self.live(zone))
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -21,7 +21,9 @@
     },
     gateway::{
         dispatcher,
-        owner, //
+        limit,
+        owner,
+        permit, //
     },
     ledger::record::Record,
     member::{
@@ -220,6 +222,15 @@
     /// Placement of a turn.
     #[serde(rename = "pr")]
     Dispatched(dispatcher::Placed),
+    /// Limits that upstreams named, or named no more.
+    #[serde(rename = "li")]
+    Limits(Vec<limit::Message>),
+    /// Request for a permit to send to an upstream with a limit; `Permitted` replies.
+    #[serde(rename = "eq")]
+    Permit(permit::Request),
+    /// Reply to a request for a permit.
+    #[serde(rename = "er")]
+    Permitted(permit::Response),
     /// The sender sends no more requests on this link; the receiver closes it once it is unused.
     #[serde(rename = "re")]
     Retire,
--- a/tests/gateway/dialect.rs
+++ b/tests/gateway/dialect.rs
@@ -126,11 +126,22 @@
         .is_none());
 }
 
+#[test]
+fn reply_reads_the_limit() {
+    let limit = |text: &str| Dialect::reply(&headers(&[("server-limit", text)])).limit;
+    assert_eq!(limit("4.4"), Some(4.4));
+    assert_eq!(limit(" 0 "), Some(0.0));
+    for invalid in ["", "x", "-1", "NaN", "inf", "1,2"] {
+        assert_eq!(limit(invalid), None, "{invalid}");
+    }
+    assert_eq!(Dialect::reply(&headers(&[])).limit, None);
+}
+
 proptest! {
     /// No header text makes the decoder panic.
     #[test]
     fn call_and_reply_accept_any_text(text in "[ -~]{0,40}") {
-        for name in ["deadline-ms", "token-count", "prompt-prefix", "finish-ms", "server-load"] {
+        for name in ["deadline-ms", "token-count", "prompt-prefix", "finish-ms", "server-load", "server-limit"] {
             let map = headers(&[("request-id", "1"), ("token-count", "1,2"), (name, &text)]);
             let _ = Dialect::call(&map);
             let _ = Dialect::reply(&map);
--- a/tests/gateway/dispatcher.rs
+++ b/tests/gateway/dispatcher.rs
@@ -102,6 +102,7 @@
         prefixes: prompt.prefixes(),
         excluded: Vec::new(),
         version: None,
+        max_wait_ms: 0,
     }
 }
 
--- a/tests/gateway/limits.rs
+++ b/tests/gateway/limits.rs
@@ -58,6 +58,9 @@
 /// Callers of each instance.
 const CALLERS: usize = 2;
 
+/// Time in which a request that can't be served is refused.
+const REFUSAL_TIME: Duration = Duration::from_millis(250);
+
 /// Pause of a caller between two requests.
 const PAUSE: Duration = Duration::from_millis(10);
 
@@ -241,3 +244,57 @@
     let most = limited.most_in_window();
     assert!(most <= MAX_IN_WINDOW, "{most} requests");
 }
+
+/// A caller that can't be served is told at once, and when to return.
+#[test]
+fn request_beyond_the_limit_is_refused_at_once() {
+    let limited = limited();
+    let (_store, instances) = instances(4, &[&limited.upstream]);
+    for path in ["/once/x", "/stream/x"] {
+        let answers = load(&instances, path, RUN / 2);
+        let refused = || {
+            answers
+                .iter()
+                .filter(|answer| answer.message.status() != 200)
+        };
+        assert!(refused().count() > 0);
+        for answer in refused() {
+            let after = answer.message.header("retry-after");
+            let after: f64 = after.and_then(|after| after.parse().ok()).unwrap_or(0.0);
+            assert_eq!(answer.message.status(), 503);
+            assert!(after > 0.0, "{:?}", answer.message);
+            assert!(answer.took < REFUSAL_TIME, "{:?}", answer.took);
+        }
+    }
+    let most = limited.most_in_window();
+    assert!(most <= MAX_IN_WINDOW, "{most} requests");
+}
+
+/// The limit ends with the first answer that doesn't name it.
+#[test]
+fn limit_ends_with_the_answers_that_name_it() {
+    for path in ["/once/x", "/stream/x"] {
+        let limited = limited();
+        let (_store, instances) = instances(4, &[&limited.upstream]);
+        load(&instances, path, RUN / 3);
+        limited.on.store(false, Ordering::SeqCst);
+        load(&instances[..1], path, RUN / 10);
+        thread::sleep(NOTICE);
+        let answers = load(&instances, path, RUN / 3);
+        assert_eq!(served(&answers), answers.len());
+        assert!(served(&answers) > 100, "{}", served(&answers));
+    }
+}
+
+/// The capacity that the upstream offers is used: at least two thirds of the limit, which is what
+/// remains if it is reduced for two of seven seconds.
+#[test]
+fn upstream_with_limit_gets_most_of_it() {
+    for path in ["/once/x", "/stream/x"] {
+        let limited = limited();
+        let (_store, instances) = instances(4, &[&limited.upstream]);
+        let answers = load(&instances, path, RUN);
+        let least = (LIMIT * RUN.as_secs_f64() * 2.0 / 3.0) as usize;
+        assert!(served(&answers) >= least, "{} served", served(&answers));
+    }
+}
--- a/tests/member_view.rs
+++ b/tests/member_view.rs
@@ -497,3 +497,34 @@
         assert_eq!(snapshot.peer(placer).unwrap().entry.capacity, 500);
     }
 }
+
+/// Exactly one instance issues the permits of a service, also in the view of all others.
+#[test]
+fn issuer_is_the_same_for_all_instances_and_never_one_that_leaves() {
+    let zones = ["a", "b", "c"];
+    let entry = |number: usize| Entry {
+        zone: zone(zones[number % 3]),
+        ..live(&format!("peer-{number}"))
+    };
+    let mut views: Vec<_> = (0..9).map(|number| View::new(entry(number))).collect();
+    for (own, view) in views.iter_mut().enumerate() {
+        for number in (0..9).filter(|number| *number != own) {
+            view.record_contact(at(0), &entry(number));
+        }
+    }
+    let issuers = |views: &[View], service: &str| {
+        let issuers = views
+            .iter()
+            .map(|view| view.snapshot().issuer(service).cloned());
+        issuers.collect::<Vec<_>>()
+    };
+    for service in ["a", "b", "c", "d"] {
+        let before = issuers(&views, service);
+        assert!(before[0].is_some() && before.iter().all(|issuer| *issuer == before[0]));
+        let position = (0..9).position(|number| Some(entry(number).instance) == before[0]);
+        let mut left = views.clone();
+        left[position.unwrap()].leave(at(1));
+        let own = left[position.unwrap()].snapshot();
+        assert_ne!(own.issuer(service).cloned(), before[0]);
+    }
+}
