Let the dispatcher of each zone issue a share of a limit while the issuer does not answer

Now each zone's dispatcher issues the zone's share of the part, to the turns that it places and to instances that choose alone. The sum of issuer and shares stays below one and a half times the limit as before (tests/gateway/permit.rs). A new test pauses each of four instances in turn and lets it go on.

--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -124,8 +124,8 @@
         self.0.limited_sends.add(1, &[KeyValue::new("kind", kind)]);
     }
 
-    /// Counts a permit by who obtained it (`issuer`, `dispatcher` or this instance from its `share`),
-    /// or one that was `denied`.
+    /// Counts a permit by where it came from (the `issuer`, with the placement of the `dispatcher`, or
+    /// from the zone's `share`), or one that was `denied`.
     pub fn permitted(&self, by: &'static str) {
         self.0.permits.add(1, &[KeyValue::new("by", by)]);
     }
--- a/src/gateway/permit.rs
+++ b/src/gateway/permit.rs
@@ -3,7 +3,8 @@
 //! Answers the load pattern of many senders that each send an upstream in need little, and far too
 //! much together: instances of all availability zones, dispatchers, and streams that go on after a
 //! break. For each service one instance issues the permits of all senders, as slots at the pace of
-//! the limit. A sender that gets no answer of the issuer uses its own share of the limit.
+//! the limit. For senders that get no answer of the issuer, the dispatcher of their zone issues a share
+//! of the limit.
 //!
 //! An upstream takes one and a half times its limit for some seconds. Two issuers that know different
 //! members, as around a restart or a pause of one of them, stay below that: the one that has
@@ -39,12 +40,13 @@
 use crate::{
     clock::Time,
     hash::Map,
+    member::Snapshot,
     name::Instance,
     peer::wire::Body, //
 };
 
-/// Fraction of a limit that is issued while another issuer may still act, and to all senders that
-/// get no answer of the issuer; leaves room for bursts.
+/// Fraction of a limit that is issued while another issuer may still act, and by the dispatchers of all
+/// zones together to senders that get no answer of the issuer; leaves room for bursts.
 const REDUCED: f64 = 0.4;
 
 /// Time after which another issuer has learned that it is none any more.
@@ -108,7 +110,7 @@
 #[derive(Debug)]
 pub struct Slots {
     buckets: Map<Arc<str>, Bucket>,
-    /// Whether these are the slots of all senders, and not the share of one.
+    /// Whether these are the slots of all senders, and not the share of a zone.
     for_all: bool,
     /// Time before the first slot, as a fraction of the time between two; above 0 and at most 1.
     phase: f64,
@@ -124,7 +126,7 @@
         }
     }
 
-    /// Returns the slots of one sender's share.
+    /// Returns the slots of a zone's share.
     pub fn share() -> Self {
         Self {
             for_all: false,
@@ -132,10 +134,10 @@
         }
     }
 
-    /// Sets which of a number of `senders` has the share, so that not all of them have their first
-    /// slot at the same time after they lost their issuer together.
-    pub fn set_sender(&mut self, index: usize, senders: usize) {
-        self.phase = (index + 1) as f64 / senders.max(index + 1) as f64;
+    /// Sets which of a number of `zones` has the share, so that not all of them have their first slot
+    /// at the same time after they lost the issuer together.
+    pub fn set_zone(&mut self, index: usize, zones: usize) {
+        self.phase = (index + 1) as f64 / zones.max(index + 1) as f64;
     }
 
     /// Takes the next slot of an upstream; returns the time until it, also if that is longer than
@@ -204,6 +206,9 @@
     /// Longest time that the request may wait for its slot.
     #[serde(rename = "w")]
     max_wait_us: u64,
+    /// Whether the issuer did not answer, so that the share of the zone is requested.
+    #[serde(rename = "z", default, skip_serializing_if = "std::ops::Not::not")]
+    share: bool,
 }
 
 /// Response to a request for a permit.
@@ -353,7 +358,7 @@
     pub expected_only: bool,
 }
 
-/// Who issues the permits of a service.
+/// Who issues permits.
 enum Issuer {
     /// This instance.
     Local,
@@ -370,7 +375,7 @@
     peers: RefCell<Option<Peers>>,
     /// Slots that this instance issues to all.
     issued: RefCell<Slots>,
-    /// Slots of this instance's share, for when the issuer does not answer.
+    /// Slots of the zone's share, for when the issuer does not answer.
     shares: RefCell<Slots>,
     /// Time until which the issuer is not asked.
     avoid_until: Cell<Time>,
@@ -397,11 +402,20 @@
     }
 
     fn issuer(&self, service: &str) -> Issuer {
+        self.find(|snapshot| snapshot.issuer(service))
+    }
+
+    /// Returns who issues the share of the zone.
+    fn share_issuer(&self, service: &str) -> Issuer {
+        self.find(|snapshot| snapshot.placer(&snapshot.local().zone, service))
+    }
+
+    fn find(&self, find: impl Fn(&Snapshot) -> Option<&Instance>) -> Issuer {
         let Some(peers) = self.peers.borrow().clone() else {
             return Issuer::Local;
         };
         let snapshot = peers.roster.snapshot();
-        match snapshot.issuer(service) {
+        match find(&snapshot) {
             Some(issuer) if *issuer == snapshot.local().instance => Issuer::Local,
             Some(issuer) => Issuer::Remote(peers.clone(), issuer.clone()),
             None => Issuer::None,
@@ -428,17 +442,22 @@
         let issued = match self.issuer(&server.service) {
             Issuer::Local => Some(self.issue(&notice, max_wait)),
             Issuer::Remote(peers, issuer) if now >= self.avoid_until.get() => {
-                self.ask(&peers, &issuer, &notice, max_wait).await
+                let answer = self.ask(&peers, &issuer, &notice, max_wait, false).await;
+                if answer.is_none() {
+                    self.avoid_until.set(Time::monotonic() + AVOID_TIME);
+                }
+                answer
             }
             Issuer::Remote(..) | Issuer::None => None,
         };
         let result = match issued {
             Some(Ok(wait)) => Ok(Permit::new(wait, "issuer")),
             Some(Err(wait)) => Err(wait),
-            None => match self.take_share(&notice, max_wait) {
-                Ok(wait) => Ok(Permit::new(wait, "share")),
+            None => match self.request_share(&notice, max_wait).await {
+                Some(Ok(wait)) => Ok(Permit::new(wait, "share")),
                 // By then the issuer is asked again.
-                Err(wait) => Err(wait.min(AVOID_TIME)),
+                Some(Err(wait)) => Err(wait.min(AVOID_TIME)),
+                None => Err(AVOID_TIME),
             },
         };
         let wait = match &result {
@@ -467,30 +486,43 @@
         issued.take(Time::boot(), upstream, rate, max_wait)
     }
 
-    /// Takes a slot of the share of this instance.
+    /// Issues a permit of the share of the zone.
     fn take_share(&self, notice: &Notice, max_wait: Duration) -> Result<Duration, Duration> {
         let Some(rate) = notice.rate else {
             return Ok(Duration::ZERO);
         };
-        let (index, senders) = self.rank();
-        let share = rate * REDUCED / senders as f64;
+        let (index, zones) = self.zone_rank();
+        let share = rate * REDUCED / zones as f64;
         let upstream = (&notice.upstream, notice.started);
         let mut shares = self.shares.borrow_mut();
-        shares.set_sender(index, senders);
+        shares.set_zone(index, zones);
         shares.take(Time::boot(), upstream, share, max_wait)
     }
 
-    /// Returns the position of this instance among all that may send, and their number.
-    fn rank(&self) -> (usize, usize) {
+    /// Returns the position of the zone of this instance among all zones, and their number.
+    fn zone_rank(&self) -> (usize, usize) {
         let Some(peers) = self.peers.borrow().clone() else {
             return (0, 1);
         };
         let snapshot = peers.roster.snapshot();
-        let local = &snapshot.local().instance;
-        let index = snapshot.usable().position(|name| name == local);
-        // One that is leaving is not among them.
-        let senders = snapshot.live_count() + usize::from(index.is_none());
-        (index.unwrap_or(senders - 1), senders)
+        let zone = &snapshot.local().zone;
+        let index = snapshot.zones().position(|other| other == zone);
+        (index.unwrap_or(0), snapshot.zones().count().max(1))
+    }
+
+    /// Requests a permit of the share of the zone; `None` if nobody issues it.
+    async fn request_share(
+        self: &Rc<Self>,
+        notice: &Notice,
+        max_wait: Duration,
+    ) -> Option<Result<Duration, Duration>> {
+        match self.share_issuer(&notice.service) {
+            Issuer::Local => Some(self.take_share(notice, max_wait)),
+            Issuer::Remote(peers, issuer) => {
+                self.ask(&peers, &issuer, notice, max_wait, true).await
+            }
+            Issuer::None => None,
+        }
     }
 
     /// Requests a permit from another instance; `None` if it issues none.
@@ -500,10 +532,12 @@
         issuer: &Instance,
         notice: &Notice,
         max_wait: Duration,
+        share: bool,
     ) -> Option<Result<Duration, Duration>> {
         let request = Request {
             notice: Message::new(Time::monotonic(), notice),
             max_wait_us: max_wait.as_micros() as u64,
+            share,
         };
         let body = Body::Permit(request);
         match peers.mesh.request(issuer, body, ISSUE_TIMEOUT).await {
@@ -519,10 +553,9 @@
             Ok(_) => None,
             Err(error) => {
                 log::debug!(
-                    issuer = issuer.as_str(), error:%;
-                    "permit: issuer did not answer in time; using the local share for a while"
+                    issuer = issuer.as_str(), share, error:%;
+                    "permit: issuer did not answer in time"
                 );
-                self.avoid_until.set(Time::monotonic() + AVOID_TIME);
                 None
             }
         }
@@ -534,14 +567,22 @@
         let Some(notice) = request.notice.notice(now) else {
             return Response::Refused;
         };
-        if !matches!(self.issuer(&notice.service), Issuer::Local) {
+        let issuer = match request.share {
+            false => self.issuer(&notice.service),
+            true => self.share_issuer(&notice.service),
+        };
+        if !matches!(issuer, Issuer::Local) {
             return Response::Refused;
         }
         self.record(notice.clone());
         let limits = self.fleet.limits.borrow();
         let latest = limits.latest(&notice.upstream).unwrap_or(&notice);
         let max_wait = Duration::from_micros(request.max_wait_us);
-        match self.issue(latest, max_wait) {
+        let issued = match request.share {
+            false => self.issue(latest, max_wait),
+            true => self.take_share(latest, max_wait),
+        };
+        match issued {
             Ok(wait) => Response::Granted {
                 wait_us: wait.as_micros() as u64,
                 notice: (latest.at > notice.at).then(|| Message::new(now, latest)),
--- a/src/member/snapshot.rs
+++ b/src/member/snapshot.rs
@@ -209,12 +209,13 @@
     }
 
     /// Returns the instances that place the turns of a service, one of each zone.
-    pub fn placers<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Instance> {
-        self.zones().filter_map(|zone| self.placer(zone, service))
+    pub fn placers(&self, service: &str) -> Vec<&Instance> {
+        let placers = self.zones().filter_map(|zone| self.placer(zone, service));
+        placers.collect()
     }
 
     /// Returns the instance that issues permits for the upstreams of a service to all zones.
-    pub fn issuer<'a>(&'a self, service: &'a str) -> Option<&'a Instance> {
+    pub fn issuer(&self, service: &str) -> Option<&Instance> {
         rendezvous(service.as_bytes(), self.placers(service))
     }
 
--- a/tests/gateway/limits.rs
+++ b/tests/gateway/limits.rs
@@ -298,3 +298,22 @@
         assert!(served(&answers) >= least, "{} served", served(&answers));
     }
 }
+
+/// The instance that issues the permits is paused, replaced and goes on, as each other one.
+#[test]
+fn upstream_with_limit_gets_no_more_requests_beside_paused_instances() {
+    let (limited, unlimited) = (limited(), unlimited());
+    let (_store, mut instances) = instances(4, &[&limited.upstream, &unlimited]);
+    load(&instances, "/once/x", RUN / 7);
+    for _ in 0..instances.len() {
+        let paused = instances.remove(0);
+        paused.signal("STOP");
+        let answers = load(&instances, "/once/x", RUN / 3);
+        assert_eq!(served(&answers), answers.len());
+        paused.signal("CONT");
+        instances.push(paused);
+        load(&instances, "/stream/x", RUN / 7);
+    }
+    let most = limited.most_in_window();
+    assert!(most <= MAX_IN_WINDOW, "{most} requests");
+}
