Give up connections on which bytes come without end or content, and streams that trickle

Cause: the time of an exchange was bounded by the deadline, its bytes only in some places. Interim answers, skipped answers to earlier requests, and sizes of chunks were read at full speed until the deadline. A stream that sends a byte now and then restarted the timer of its next event with each of them, and was neither resumed nor ended before the deadline.

Change: a connection counts the bytes that are no content, less what the content makes up for, and is given up at 256 KiB of them; skipped bodies are bounded by 1 MiB. The timer of the next event restarts with complete events only.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -64,6 +64,16 @@
 /// Maximum answers to earlier requests that are skipped before the connection is given up.
 const MAX_SKIPPED: usize = 2;
 
+/// Maximum bytes of bodies of skipped answers.
+const MAX_SKIPPED_BYTES: usize = 1 << 20;
+
+/// Maximum bytes received that are no content: heads, interim answers, sizes of chunks and trailers.
+const MAX_OVERHEAD_BYTES: usize = 256 << 10;
+
+/// Bytes without content that each byte of content makes up for: the size line and the end of a
+/// chunk of one byte.
+const OVERHEAD_PER_BYTE: usize = 8;
+
 /// Reason why an exchange failed.
 #[derive(Debug)]
 #[derive(Error)]
@@ -99,6 +109,8 @@
     stream: TcpStream,
     codec: Codec,
     buffer: BytesMut,
+    /// Bytes received, less what their content makes up for; at most [`MAX_OVERHEAD_BYTES`].
+    overhead: usize,
     /// Whether the body of the answer ends with the connection.
     until_close: bool,
     /// Whether the upstream keeps the connection open after this answer.
@@ -169,6 +181,7 @@
             stream,
             codec: Codec::Head(codec()),
             buffer: BytesMut::new(),
+            overhead: 0,
             until_close: false,
             keep_alive: true,
             keep_alive_timeout: None,
@@ -199,7 +212,8 @@
         out.extend_from_slice(body);
         let total = out.len();
         self.keep_alive = false;
-        let mut skipped = 0;
+        self.overhead = 0;
+        let (mut skipped, mut skipped_bytes) = (0, 0);
         loop {
             let Codec::Head(codec) = &mut self.codec else {
                 return Err(invalid("the connection is in use"));
@@ -213,7 +227,12 @@
                 if !interim {
                     skipped += 1;
                     self.start_body(&head)?;
-                    while self.chunk().await?.is_some() {}
+                    while let Some(chunk) = self.chunk().await? {
+                        skipped_bytes += chunk.len();
+                        if skipped_bytes > MAX_SKIPPED_BYTES {
+                            return Err(invalid("an answer to another request is too long"));
+                        }
+                    }
                 }
                 if skipped > MAX_SKIPPED || !matches!(self.codec, Codec::Head(_)) {
                     break Err(invalid("the answers received belong to other requests"));
@@ -233,7 +252,7 @@
                         break Err(Fault::Unsent(io::ErrorKind::ConnectionAborted.into()));
                     }
                     Ok(0) => break Err(Fault::Truncated),
-                    Ok(_) => {}
+                    Ok(length) => self.count(length)?,
                     Err(error) if out.len() == total => break Err(Fault::Unsent(error)),
                     Err(error) => break Err(Fault::Broken(error)),
                 },
@@ -267,7 +286,11 @@
             match &mut self.codec {
                 Codec::Body(codec) => match codec.decode(&mut self.buffer).map_err(invalid)? {
                     Some(Some(chunk)) if chunk.is_empty() => continue,
-                    Some(Some(chunk)) => return Ok(Some(chunk)),
+                    Some(Some(chunk)) => {
+                        let content = chunk.len().saturating_mul(OVERHEAD_PER_BYTE);
+                        self.overhead = self.overhead.saturating_sub(content);
+                        return Ok(Some(chunk));
+                    }
                     Some(None) => {
                         self.finish();
                         return Ok(None);
@@ -275,6 +298,7 @@
                     None => {}
                 },
                 Codec::UntilClose if !self.buffer.is_empty() => {
+                    self.overhead = 0;
                     return Ok(Some(self.buffer.split().freeze()));
                 }
                 Codec::UntilClose => {}
@@ -287,12 +311,21 @@
                     return Ok(None);
                 }
                 Ok(0) => return Err(Fault::Truncated),
-                Ok(_) => {}
+                Ok(length) => self.count(length)?,
                 Err(error) => return Err(Fault::Broken(error)),
             }
         }
     }
 
+    /// Counts bytes received; fails if they are too many for the content so far.
+    fn count(&mut self, length: usize) -> Result<(), Fault> {
+        self.overhead += length;
+        match self.overhead > MAX_OVERHEAD_BYTES {
+            true => Err(invalid("too many bytes without content")),
+            false => Ok(()),
+        }
+    }
+
     fn finish(&mut self) {
         self.idle_since = Instant::now();
         let codec = std::mem::replace(&mut self.codec, Codec::Exhausted);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -577,9 +577,12 @@
         if let Some(first) = self.first.take() {
             return Ok(Some(first));
         }
+        // Bytes that complete no event are no progress.
+        let mut waiting_since = Instant::now();
         loop {
             let Some(exchange) = &mut self.exchange else {
                 self.reconnect().await?;
+                waiting_since = Instant::now();
                 continue;
             };
             match self.splitter.event() {
@@ -597,7 +600,7 @@
                 0 => FIRST_EVENT_TIMEOUT,
                 _ => NEXT_EVENT_TIMEOUT,
             };
-            let limit = self.job.deadline.min(Instant::now() + pause);
+            let limit = self.job.deadline.min(waiting_since + pause);
             match timeout_at(limit.into(), exchange.connection.chunk()).await {
                 Ok(Ok(Some(chunk))) => self.splitter.push(&chunk),
                 Ok(Ok(None)) if !self.splitter.partial() => {
@@ -606,7 +609,9 @@
                 }
                 Ok(Ok(None)) => self.resume_broken("cut_in_event").await?,
                 Ok(Err(_)) => self.resume_broken("cut").await?,
-                Err(_) if Instant::now() < self.job.deadline && !self.can_resume() => {}
+                Err(_) if Instant::now() < self.job.deadline && !self.can_resume() => {
+                    waiting_since = Instant::now();
+                }
                 Err(_) => self.resume_broken("stalled").await?,
             }
         }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod connection;
 mod dialect;
 mod dispatcher;
+mod endless;
 mod events;
 mod leaving;
 mod limit;
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -361,6 +361,11 @@
         get(self.ready, "/v1/readiness").status() == 200
     }
 
+    /// Returns the identifier of the process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal to the gateway.
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
