Let instances learn all limits of a service from others after a start or a pause

From then on it is told of changes.

Evidence: limits::instance_that_has_just_started_knows_the_limits fails without the change (10 requests at once, bound 6) and passes with it.

--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -58,6 +58,10 @@
                 return;
             }
             Body::Limits(messages) => return self.dispatcher.desk().learn(messages),
+            Body::ListLimits(service) => {
+                let limits = self.dispatcher.desk().list(&service);
+                return respond(reply, Body::Limits(limits));
+            }
             Body::Permit(request) => {
                 let response = self.dispatcher.desk().handle(request);
                 return respond(reply, Body::Permitted(response));
--- a/src/gateway/limit.rs
+++ b/src/gateway/limit.rs
@@ -156,6 +156,12 @@
         self.latest.get(upstream)
     }
 
+    /// Returns the notices of the upstreams of a service that have a limit.
+    pub fn limited<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Notice> {
+        let notices = self.latest.values();
+        notices.filter(move |notice| &*notice.service == service && notice.rate.is_some())
+    }
+
     /// Drops the notices of all upstreams except those for which `exists` returns `true`.
     pub fn retain(&mut self, exists: impl Fn(&str) -> bool) {
         self.latest.retain(|upstream, _| exists(upstream));
--- a/src/gateway/permit.rs
+++ b/src/gateway/permit.rs
@@ -80,6 +80,12 @@
 /// Time for which an issuer that did not answer is not asked.
 const AVOID_TIME: Duration = Duration::from_millis(300);
 
+/// Time after a failed attempt to learn the limits of a service from others until the next one.
+const LIST_RETRY_TIME: Duration = Duration::from_millis(100);
+
+/// Longest time between two sweeps, which are due each second, of a process that was not paused.
+const MAX_SWEEP_INTERVAL: Duration = Duration::from_millis(2_500);
+
 /// Time for which notices are collected before they are sent to other instances: an upstream in need
 /// is rarely the only one.
 const BATCH_DELAY: Duration = Duration::from_millis(20);
@@ -381,6 +387,20 @@
     avoid_until: Cell<Time>,
     /// Notices that other instances have to learn.
     unsent: RefCell<Vec<Notice>>,
+    /// Services whose limits were learned from others since the start or the latest pause, or the time
+    /// of the next attempt.
+    learned: RefCell<Map<Arc<str>, Learned>>,
+    /// Time of the latest sweep, on the boot clock.
+    swept_at: Cell<Time>,
+}
+
+/// Whether the limits of a service were learned from another instance.
+#[derive(Clone, Copy, Debug)]
+enum Learned {
+    /// They were; from then on it tells of changes.
+    Done,
+    /// Nobody answered; the next attempt is due then.
+    RetryAt(Time),
 }
 
 impl Desk {
@@ -393,6 +413,8 @@
             shares: RefCell::new(Slots::share()),
             avoid_until: Cell::default(),
             unsent: RefCell::default(),
+            learned: RefCell::default(),
+            swept_at: Cell::new(Time::boot()),
         }
     }
 
@@ -424,6 +446,7 @@
 
     /// Requests a permit for an upstream; returns the time until the next slot if that is too long.
     pub async fn request(self: &Rc<Self>, server: &Server, wait: Wait) -> Result<Permit, Duration> {
+        self.learn_all(&server.service).await;
         let now = Time::monotonic();
         let Some(notice) = self.limit(server) else {
             return Ok(Permit::unlimited());
@@ -470,6 +493,58 @@
         result
     }
 
+    /// Learns the limits of a service from another instance, unless that was done since the start of
+    /// this one, or since it was paused.
+    async fn learn_all(self: &Rc<Self>, service: &Arc<str>) {
+        let now = Time::boot();
+        if now.since(self.swept_at.get()) > MAX_SWEEP_INTERVAL {
+            self.swept_at.set(now);
+            self.learned.borrow_mut().clear();
+        }
+        match self.learned.borrow().get(service) {
+            Some(Learned::Done) => return,
+            Some(Learned::RetryAt(at)) if now < *at => return,
+            Some(Learned::RetryAt(_)) | None => {}
+        }
+        let Some(peers) = self.peers.borrow().clone() else {
+            return;
+        };
+        let snapshot = peers.roster.snapshot();
+        let local = &snapshot.local().instance;
+        let issuer = snapshot.issuer(service).into_iter();
+        let mut others = issuer
+            .chain(snapshot.placers(service))
+            .filter(|name| *name != local);
+        let Some(other) = others.next() else {
+            return;
+        };
+        let retry = Learned::RetryAt(now + LIST_RETRY_TIME);
+        self.learned.borrow_mut().insert(service.clone(), retry);
+        let body = Body::ListLimits(service.clone());
+        match peers.mesh.request(other, body, ISSUE_TIMEOUT).await {
+            Ok(Body::Limits(messages)) => {
+                self.learn(messages);
+                let mut learned = self.learned.borrow_mut();
+                learned.insert(service.clone(), Learned::Done);
+            }
+            Ok(_) => {}
+            Err(error) => log::debug!(
+                peer = other.as_str(), error:%;
+                "permit: limits of a service can't be learned from a peer; retrying shortly"
+            ),
+        }
+    }
+
+    /// Returns the limits of a service for another instance.
+    pub fn list(&self, service: &str) -> Vec<Message> {
+        let now = Time::monotonic();
+        let limits = self.fleet.limits.borrow();
+        let messages = limits
+            .limited(service)
+            .map(|notice| Message::new(now, notice));
+        messages.collect()
+    }
+
     fn limit(&self, server: &Server) -> Option<Notice> {
         let limits = self.fleet.limits.borrow();
         let notice = limits.get(server)?;
@@ -668,8 +743,12 @@
         }
     }
 
-    /// Drops the slots of upstreams that have no limit any more.
+    /// Drops the slots of upstreams that have no limit any more; due each second.
     pub fn sweep(&self) {
+        let now = Time::boot();
+        if now.since(self.swept_at.replace(now)) > MAX_SWEEP_INTERVAL {
+            self.learned.borrow_mut().clear();
+        }
         let limits = self.fleet.limits.borrow();
         let limited = |upstream: &str| {
             let latest = limits.latest(upstream);
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -4,7 +4,10 @@
 //! unknown kind is ignored, as the next version may send it; an invalid header ends the link.
 //! Names of fields and kinds are short, as control traffic is limited to 9 KB/s per instance.
 
-use std::io;
+use std::{
+    io,
+    sync::Arc, //
+};
 
 use bytes::Bytes;
 use serde::{
@@ -225,6 +228,9 @@
     /// Limits that upstreams named, or named no more.
     #[serde(rename = "li")]
     Limits(Vec<limit::Message>),
+    /// Requests the limits of a service; `Limits` replies.
+    #[serde(rename = "lq")]
+    ListLimits(Arc<str>),
     /// Request for a permit to send to an upstream with a limit; `Permitted` replies.
     #[serde(rename = "eq")]
     Permit(permit::Request),
--- a/tests/gateway/limits.rs
+++ b/tests/gateway/limits.rs
@@ -16,6 +16,7 @@
     },
 };
 
+use gypsumlever::hash;
 use standin::{
     server::Server,
     store::{
@@ -317,3 +318,38 @@
     let most = limited.most_in_window();
     assert!(most <= MAX_IN_WINDOW, "{most} requests");
 }
+
+/// Each of many instances that have just started would send each upstream a request before its first
+/// answer, which is a multiple of the limit.
+#[test]
+fn instance_that_has_just_started_knows_the_limits() {
+    let limited: Vec<_> = (0..8).map(|_| limited()).collect();
+    let upstreams: Vec<_> = limited.iter().map(|limited| &limited.upstream).collect();
+    for path in ["/once/x", "/stream/x"] {
+        let (store, instances) = instances(3, &upstreams);
+        load(&instances, path, RUN / 3);
+        // One that places turns or issues permits would learn the limits from the requests of others.
+        let name = (0..)
+            .map(|number| format!("entry-new-{number}"))
+            .find(|name| {
+                let zone = ["entry-0", "entry-2", name.as_str()];
+                hash::rendezvous(b"s", zone) != Some(name.as_str())
+            });
+        let name = name.unwrap();
+        let served = thread::scope(|scope| {
+            scope.spawn(|| load(&instances, path, RUN));
+            let started = Instance::start_in("a", &name, store.address());
+            started.wait_ready();
+            thread::sleep(SPREAD);
+            let text = request("POST", path, "Token-Count: 50,40\r\n", "");
+            let until = Moment::now() + NOTICE;
+            let requests = std::iter::from_fn(|| {
+                let open = Moment::now() < until;
+                open.then(|| started.request(&text).status())
+            });
+            requests.filter(|status| *status == 200).count()
+        });
+        // One of seven callers that share 16 requests in this time.
+        assert!(served <= 6, "{path}: {served} requests at once");
+    }
+}
