--- a/tests/gateway/endless.rs
+++ b/tests/gateway/endless.rs
@@ -303,8 +303,8 @@
         let text = String::from_utf8(events(request, 1..=1, true)).unwrap();
         let at = text.find("data").unwrap();
         (
-            text[..at].as_bytes().to_vec(),
-            text[at..].as_bytes().to_vec(),
+            text.as_bytes()[..at].to_vec(),
+            text.as_bytes()[at..].to_vec(),
         )
     };
     let slow = Upstream::start(move |_, request| {
