Follow a limit that rises at once, and issue permits alone when no other instance is live

The slots that were issued at a low limit delayed all later ones: after a rise from 0.25 to 100 a second the next slot was 13.9 s away (permit::take_follows_a_change_of_the_limit, which failed with that). Slots ahead now move to the new pace. The last instance, when it is stopping, had no issuer and refused what upstreams with a limit could take; it issues to itself.

--- a/src/gateway/permit.rs
+++ b/src/gateway/permit.rs
@@ -104,6 +104,8 @@
 struct Bucket {
     /// Start of the upstream; a later one begins anew.
     started: u64,
+    /// Time between two slots.
+    interval: Duration,
     /// Time at which the slots issued so far are used up at the pace of the limit.
     paid_until: Time,
     /// When this instance began to issue slots.
@@ -164,6 +166,7 @@
         };
         let fresh = Bucket {
             started,
+            interval,
             paid_until: now + BURST_TIME + interval.mul_f64(self.phase),
             since: now,
             requested: now,
@@ -176,6 +179,13 @@
             bucket.paid_until = bucket.paid_until.max(now + BURST_TIME);
             bucket.since = now;
         }
+        if bucket.interval != interval {
+            // The slots that are still ahead follow each other at the new pace.
+            let ahead = bucket.paid_until.since(now + BURST_TIME);
+            let ratio = interval.as_secs_f64() / bucket.interval.as_secs_f64();
+            bucket.paid_until = (now + BURST_TIME + ahead.mul_f64(ratio)).min(bucket.paid_until);
+            bucket.interval = interval;
+        }
         bucket.requested = now;
         let earliest = bucket.paid_until - BURST_TIME;
         let wait = earliest.since(now);
@@ -370,8 +380,6 @@
     Local,
     /// Another instance.
     Remote(Peers, Instance),
-    /// None that this instance can ask.
-    None,
 }
 
 /// Requests permits for the senders of this instance, and issues those of the services that this
@@ -438,9 +446,11 @@
         };
         let snapshot = peers.roster.snapshot();
         match find(&snapshot) {
-            Some(issuer) if *issuer == snapshot.local().instance => Issuer::Local,
-            Some(issuer) => Issuer::Remote(peers.clone(), issuer.clone()),
-            None => Issuer::None,
+            Some(issuer) if *issuer != snapshot.local().instance => {
+                Issuer::Remote(peers.clone(), issuer.clone())
+            }
+            // Without any live instance, this one is the last and is leaving.
+            Some(_) | None => Issuer::Local,
         }
     }
 
@@ -471,7 +481,7 @@
                 }
                 answer
             }
-            Issuer::Remote(..) | Issuer::None => None,
+            Issuer::Remote(..) => None,
         };
         let result = match issued {
             Some(Ok(wait)) => Ok(Permit::new(wait, "issuer")),
@@ -596,7 +606,6 @@
             Issuer::Remote(peers, issuer) => {
                 self.ask(&peers, &issuer, notice, max_wait, true).await
             }
-            Issuer::None => None,
         }
     }
 
@@ -679,7 +688,6 @@
                 let message = Message::new(Time::monotonic(), &notice);
                 send(&peers, &issuer, vec![message]);
             }
-            Issuer::None => {}
         }
     }
 
--- a/tests/gateway/permit.rs
+++ b/tests/gateway/permit.rs
@@ -224,3 +224,19 @@
     search.deny(address(4), ms(400));
     assert!(!search.max_wait().expected_only);
 }
+
+/// A limit that rises is used at once, and not after the slots that were issued at the old pace.
+#[test]
+fn take_follows_a_change_of_the_limit() {
+    let (upstream, mut slots) = (upstream(), Slots::for_all());
+    let max_wait = Duration::from_secs(10);
+    let mut take = |ms, rate| slots.take(time(ms), (&upstream, 1), rate, max_wait);
+    for _ in 0..3 {
+        let _ = take(0, 0.25);
+    }
+    let wait = take(100, 100.0).unwrap();
+    assert!(wait < Duration::from_millis(300), "{wait:?}");
+    // A lower one applies to the next slots.
+    take(200, 0.25).unwrap();
+    assert!(take(300, 0.25).unwrap() > Duration::from_secs(4));
+}
