--- a/tests/gateway/connection.rs
+++ b/tests/gateway/connection.rs
@@ -10,8 +10,12 @@
         TcpListener,
         TcpStream, //
     },
+    sync::mpsc,
     thread,
-    time::Duration,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use actix_http::{
@@ -191,11 +195,26 @@
 #[test]
 fn healthy_is_false_after_the_upstream_closed() {
     System::new().block_on(async {
-        let address = answers(vec![b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"]);
+        let (close, closes) = mpsc::channel::<()>();
+        let address = upstream(move |mut stream| {
+            read_head(&mut stream);
+            let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+            stream.write_all(answer).unwrap();
+            // Closes the connection once the sender is gone.
+            let _ = closes.recv();
+        });
         let mut connection = Connection::open(address).await.unwrap();
         exchange(&mut connection, "1").await.unwrap();
-        assert!(connection.healthy());
         tokio::time::sleep(Duration::from_millis(100)).await;
-        assert!(!connection.healthy());
+        assert!(connection.healthy());
+        drop(close);
+        let until = Instant::now() + Duration::from_secs(2);
+        while connection.healthy() {
+            assert!(
+                Instant::now() < until,
+                "the end of the connection is not seen"
+            );
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
     });
 }
