Refuse a request that gets no permit while the issuer does not answer, instead of trying on

Refused requests took 0.9 s, and the instance served nobody else meanwhile.

Cause: while the issuer is avoided, a denial names the time until it is asked again, 0.3 s. That is short enough for most requests, so that the upstream was tried again at once, without a pause, until the wait was too long.

--- a/src/gateway/permit.rs
+++ b/src/gateway/permit.rs
@@ -346,9 +346,11 @@
     }
 
     /// Records that the next slot of an upstream is too late, or later than expected.
+    ///
+    /// Without an issuer, a wait that is short enough can be the time until it is asked again.
     pub fn deny(&mut self, upstream: SocketAddr, wait: Duration) {
         self.denials += 1;
-        if wait > self.max_wait {
+        if wait > self.max_wait || self.denials > MAX_DENIALS {
             self.exclude(upstream);
             self.limit(wait);
         }
--- a/tests/gateway/limits.rs
+++ b/tests/gateway/limits.rs
@@ -353,3 +353,25 @@
         assert!(served <= 6, "{path}: {served} requests at once");
     }
 }
+
+/// Without an answer of the issuer, requests that get no permit are refused as quickly, and the
+/// instance serves others meanwhile.
+#[test]
+fn request_is_refused_at_once_while_the_issuer_is_paused() {
+    let limited = limited();
+    let (_store, mut instances) = instances(4, &[&limited.upstream]);
+    load(&instances, "/once/x", RUN / 7);
+    for path in ["/once/x", "/stream/x"] {
+        for _ in 0..instances.len() {
+            let paused = instances.remove(0);
+            paused.signal("STOP");
+            let answers = load(&instances, path, RUN / 7);
+            paused.signal("CONT");
+            instances.push(paused);
+            let refused = |answer: &&Answer| answer.message.status() != 200;
+            for answer in answers.iter().filter(refused) {
+                assert!(answer.took < REFUSAL_TIME, "{path}: {:?}", answer.took);
+            }
+        }
+    }
+}
--- a/tests/gateway/permit.rs
+++ b/tests/gateway/permit.rs
@@ -223,6 +223,10 @@
     // After several denials any slot that is early enough is taken.
     search.deny(address(4), ms(400));
     assert!(!search.max_wait().expected_only);
+    // Another denial means that nobody issues permits just now.
+    search.deny(address(4), ms(300));
+    assert!(search.excluded().contains(&address(4)));
+    assert_eq!(search.limited(), Some(ms(300)));
 }
 
 /// A limit that rises is used at once, and not after the slots that were issued at the old pace.
