--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -38,7 +38,7 @@
     load::Report,
     peers::Peers,
     permit::{
-        Desk,
+        Limiter,
         Search, //
     },
     registry::Server,
@@ -182,7 +182,7 @@
 pub struct Dispatcher {
     zone: String,
     fleet: Rc<Fleet>,
-    desk: Rc<Desk>,
+    limiter: Rc<Limiter>,
     /// Turns in flight, by requester and number.
     turns: RefCell<Map<(Instance, Ticket), Turn>>,
 }
@@ -192,15 +192,15 @@
     pub fn new(zone: &str, fleet: Rc<Fleet>) -> Self {
         Self {
             zone: zone.to_owned(),
-            desk: Rc::new(Desk::new(fleet.clone())),
+            limiter: Rc::new(Limiter::new(fleet.clone())),
             fleet,
             turns: RefCell::default(),
         }
     }
 
     /// Returns where permits are requested.
-    pub fn desk(&self) -> &Rc<Desk> {
-        &self.desk
+    pub fn limiter(&self) -> &Rc<Limiter> {
+        &self.limiter
     }
 
     fn choose(&self, now: Time, order: &Order, excluded: &[SocketAddr]) -> Option<Choice> {
@@ -238,7 +238,11 @@
             let Some(choice) = self.choose(now, &order, search.excluded()) else {
                 return Placed::nowhere(search.limited());
             };
-            match self.desk.request(&choice.server, search.max_wait()).await {
+            match self
+                .limiter
+                .request(&choice.server, search.max_wait())
+                .await
+            {
                 Ok(permit) => {
                     let wait = permit.slot().map(|wait| wait.as_micros() as u64);
                     let placed = self.record(Time::monotonic(), from, order, choice);
@@ -356,13 +360,13 @@
 
     /// Adds the links to other instances.
     pub fn connect(&self, peers: Peers) {
-        self.dispatcher.desk.connect(peers.clone());
+        self.dispatcher.limiter.connect(peers.clone());
         self.peers.replace(Some(peers));
     }
 
     /// Returns where permits are requested.
-    pub fn desk(&self) -> &Rc<Desk> {
-        &self.dispatcher.desk
+    pub fn limiter(&self) -> &Rc<Limiter> {
+        &self.dispatcher.limiter
     }
 
     /// Returns the upstreams known to this instance.
@@ -373,7 +377,7 @@
     /// Drops turns of other instances whose end was not reported.
     pub fn sweep(&self) {
         self.dispatcher.sweep(Time::monotonic());
-        self.dispatcher.desk.sweep();
+        self.dispatcher.limiter.sweep();
     }
 
     /// Returns the dispatcher of a service; `None` if this instance decides itself.
--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -57,13 +57,13 @@
                 });
                 return;
             }
-            Body::Limits(messages) => return self.dispatcher.desk().learn(messages),
+            Body::Limits(messages) => return self.dispatcher.limiter().learn(messages),
             Body::ListLimits(service) => {
-                let limits = self.dispatcher.desk().list(&service);
+                let limits = self.dispatcher.limiter().list(&service);
                 return respond(reply, Body::Limits(limits));
             }
             Body::Permit(request) => {
-                let response = self.dispatcher.desk().handle(request);
+                let response = self.dispatcher.limiter().handle(request);
                 return respond(reply, Body::Permitted(response));
             }
             _ => return,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -447,7 +447,7 @@
         loop {
             let permit = match placed.take() {
                 Some(permit) => Ok(permit),
-                None => self.desk.request(server, wait).await,
+                None => self.limiter.request(server, wait).await,
             };
             match &permit {
                 Ok(permit) if permit.slot().is_some() => self.metrics.permitted(permit.by),
@@ -595,7 +595,7 @@
             exchange.report = Some(load);
         }
         let notice = Notice::new(Time::monotonic(), &exchange.server, reply.limit);
-        self.desk.record_answer(notice);
+        self.limiter.record_answer(notice);
         exchange.leaving = reply.leaving;
         if reply.leaving {
             self.fleet.leave(Time::monotonic(), &exchange.server);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,11 +1,13 @@
 //! Forwarding of callers' HTTP requests and event streams to upstreams.
 //!
 //! Each gateway instance decides locally: it follows the configuration and the registry of
-//! upstreams, and estimates the load of each upstream. Only the token accounts of programs are
-//! shared with other instances, through the log. `docs/platform.md` gives the reasons.
+//! upstreams, and estimates the load of each upstream. Shared with other instances are the token
+//! accounts of programs, through the log, and the permits for upstreams that limit their requests.
+//! `docs/platform.md` gives the reasons.
 //!
 //! The decisions do no I/O ([`route`], [`registry`], [`load`], [`balance`], [`fleet`],
-//! [`account`], [`outage`], [`timeout`], [`limit`]); sockets are in [`connection`], [`pool`], [`forward`], [`relay`] and [`front`].
+//! [`account`], [`outage`], [`timeout`], [`limit`], [`slots`]); sockets are in
+//! [`connection`], [`pool`], [`forward`], [`relay`] and [`front`].
 
 pub mod account;
 pub mod balance;
@@ -39,6 +41,7 @@
 pub mod reserve;
 pub mod route;
 pub mod settings;
+pub mod slots;
 pub mod state;
 pub mod throttle;
 pub mod timeout;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -14,7 +14,7 @@
 
 use super::{
     dispatcher::Placer, fleet::Fleet, metrics::Metrics, origin::Directory, owner::Client,
-    permit::Desk, pool::Pool, route::Table, settings::Settings, throttle::Throttle,
+    permit::Limiter, pool::Pool, route::Table, settings::Settings, throttle::Throttle,
 };
 use crate::log::Log;
 
@@ -29,7 +29,7 @@
     /// Requests of placements from the dispatcher of the availability zone.
     pub placer: Rc<Placer>,
     /// Permits for upstreams with a limit.
-    pub desk: Rc<Desk>,
+    pub limiter: Rc<Limiter>,
     /// Idle connections to upstreams.
     pub pool: Pool,
     /// Token accounts of programs.
@@ -69,12 +69,12 @@
         placer: Rc<Placer>,
         metrics: Metrics,
     ) -> Self {
-        let (fleet, desk) = (placer.fleet().clone(), placer.desk().clone());
+        let (fleet, limiter) = (placer.fleet().clone(), placer.limiter().clone());
         Self {
             settings,
             table: RefCell::default(),
             fleet,
-            desk,
+            limiter,
             placer,
             pool: Pool::default(),
             accounts,
--- a/tests/gateway/permit.rs
+++ b/tests/gateway/permit.rs
@@ -8,10 +8,15 @@
 
 use gypsumlever::{
     clock::Time,
-    gateway::permit::{
-        Permit,
-        Search,
-        Slots, //
+    gateway::{
+        permit::{
+            Permit,
+            Search, //
+        },
+        slots::{
+            Slots,
+            REDUCED, //
+        },
     },
 };
 use rand::{
@@ -22,9 +27,6 @@
 
 const WINDOW: Duration = Duration::from_secs(4);
 
-/// Fraction of a limit that is issued if another issuer may act, as the module documents.
-const REDUCED: f64 = 0.4;
-
 const RATES: [f64; 6] = [0.3, 1.6, 4.4, 12.0, 80.0, 700.0];
 
 fn time(ms: u64) -> Time {
