--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -221,7 +221,7 @@
         self.fleet.pick(&order.service, &request)
     }
 
-    /// Places a turn at an upstream without a limit, or regardless of it.
+    /// Places a turn regardless of limits, without a request to another instance.
     pub fn place(&self, now: Time, from: &Instance, order: Order) -> Placed {
         match self.choose(now, &order, &order.excluded) {
             Some(choice) => self.record(now, from, order, choice),
--- a/src/gateway/limit.rs
+++ b/src/gateway/limit.rs
@@ -1,6 +1,6 @@
-//! Limits that upstreams in need name in their answers, as far as this instance knows them.
+//! Rate limits that overloaded upstreams state in their answers, as far as this instance knows them.
 //!
-//! An upstream names the requests per second that it takes from all instances together, in each
+//! An upstream states the requests per second that it takes from all instances together, in each
 //! answer for as long as the limit holds. [`super::permit`] keeps them.
 
 use std::{
--- a/src/gateway/permit.rs
+++ b/src/gateway/permit.rs
@@ -1,6 +1,6 @@
 //! Permits for requests to upstreams that limit them.
 //!
-//! Answers the load pattern of many senders that each send an upstream in need little, and far too
+//! Answers the load pattern of many senders that each send an overloaded upstream little, and far too
 //! much together: instances of all availability zones, dispatchers, and streams that go on after a
 //! break. For each service one instance issues the permits of all senders, as slots at the pace of
 //! the limit. For senders that get no answer of the issuer, the dispatcher of their zone issues a share
@@ -66,7 +66,7 @@
 /// Longest time between two sweeps, which are due each second, of a process that was not paused.
 const MAX_SWEEP_INTERVAL: Duration = Duration::from_millis(2_500);
 
-/// Time for which notices are collected before they are sent to other instances: an upstream in need
+/// Time for which notices are collected before they are sent to other instances: an overloaded upstream
 /// is rarely the only one.
 const BATCH_DELAY: Duration = Duration::from_millis(20);
 
--- a/src/platform/dialect.rs
+++ b/src/platform/dialect.rs
@@ -60,7 +60,7 @@
 const SERVER_LOAD: HeaderName = HeaderName::from_static("server-load");
 /// Present with value `1` if the server leaves and takes no new requests.
 const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
-/// Requests per second that a server in need takes from all instances together, as a decimal
+/// Requests per second that an overloaded server takes from all instances together, as a decimal
 /// number; absent if it has no limit.
 const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 /// Signature of the server over its answer.
