Log whether an upstream ended when an answer broke

The logs could not tell a crash of an engine from a reset of its connection, nor which requests have the same content. Each answer that breaks before any content is now followed by one connection attempt; the line has hashes of target and content, the counter 'breaks' the result.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::Cell,
+    io,
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
@@ -53,6 +54,7 @@
         Order,
         Placement, //
     },
+    fingerprint::Fingerprint,
     fleet::Flight,
     limit::Notice,
     load::{
@@ -121,6 +123,8 @@
     pub call: Call,
     /// Route of the request.
     pub route: Rc<Route>,
+    /// What the request asks for.
+    pub fingerprint: Fingerprint,
     /// Service that runs it.
     pub service: Arc<str>,
     /// Prefixes of the prompt, shortest first.
@@ -563,6 +567,30 @@
         );
     }
 
+    /// Determines whether an upstream that broke off a request before any content has crashed: it
+    /// refuses connections. One that is cut off may still run.
+    pub async fn examine_break(&self, request: Fingerprint, server: &Server) -> bool {
+        let found = match Connection::open(server.address).await {
+            Ok(connection) => {
+                self.pool.put(server.address, connection);
+                "alive"
+            }
+            Err(Fault::Connect(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                self.fleet.unreachable(Time::monotonic(), server.address);
+                "ended"
+            }
+            Err(_) => "unknown",
+        };
+        self.metrics.broke(found);
+        log::info!(
+            upstream = &*server.id, started = server.started, found,
+            target:% = format_args!("{:016x}", request.target),
+            content:% = format_args!("{:016x}", request.content);
+            "forward: answer broke before any content"
+        );
+        found == "ended"
+    }
+
     fn unreachable(&self, job: &Job<D, L>, server: &Server, fault: &Fault) {
         self.pool.discard(server.address);
         self.fleet.unreachable(Time::monotonic(), server.address);
@@ -676,6 +704,9 @@
                 Err(reason) => reason,
             };
             self.metrics.retried(reason);
+            if broken(reason) {
+                self.examine_break(job.fingerprint, &choice.server).await;
+            }
             retries.exclude(address);
         }
     }
@@ -719,6 +750,14 @@
     }
 }
 
+/// Returns whether a send failed because its connection broke.
+pub fn broken(reason: &str) -> bool {
+    matches!(
+        reason,
+        "answer_lost" | "answer_cut" | "cut" | "cut_in_event"
+    )
+}
+
 /// Reads a complete body.
 pub async fn body(connection: &mut Connection) -> Result<Bytes, Fault> {
     let Some(first) = connection.chunk().await? else {
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -63,6 +63,7 @@
         Prompt, //
     },
     dialect::Dialect,
+    fingerprint::Fingerprint,
     forward::{
         is_hop_by_hop,
         Answer,
@@ -312,6 +313,7 @@
             .as_ref()
             .map(Prompt::prefixes)
             .unwrap_or_default(),
+        fingerprint: Fingerprint::new(request.method(), host.unwrap_or(""), request.uri(), &body),
         call,
         route: route.clone(),
         service,
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -33,6 +33,7 @@
     continuations: Counter<u64>,
     limited_sends: Counter<u64>,
     permits: Counter<u64>,
+    breaks: Counter<u64>,
     store_calls: Counter<u64>,
     store_bytes: Counter<u64>,
     store_time: Histogram<f64>,
@@ -76,6 +77,10 @@
                 "permits",
                 "Permits to send to an upstream with a limit, by where they came from, and denials.",
             ),
+            breaks: counter(
+                "breaks",
+                "Answers that broke before they had any content, by whether the upstream had ended.",
+            ),
             store_calls: counter("store_calls", "Calls to the store, by call and outcome."),
             store_bytes: counter(
                 "store_received_bytes",
@@ -112,6 +117,13 @@
         self.0.placements.add(1, &[KeyValue::new("by", by)]);
     }
 
+    /// Counts an answer that broke before it had any content, by what happened to the upstream
+    /// (`ended`, `alive` or `unknown`).
+    pub fn broke(&self, upstream: &'static str) {
+        let labels = [KeyValue::new("upstream", upstream)];
+        self.0.breaks.add(1, &labels);
+    }
+
     /// Counts a stream that goes on at an engine, by who resumed it (`gateway` or `caller`) and
     /// whether the engine has the software version that began it (`same`, `other` or `unknown`).
     pub fn continued(&self, by: &'static str, version: &'static str) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 pub mod endpoint;
 pub mod events;
 pub mod feed;
+pub mod fingerprint;
 pub mod fleet;
 pub mod follow;
 pub mod forward;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -32,6 +32,7 @@
     events::Splitter,
     forward::{
         body,
+        broken,
         Answer,
         Exchange,
         Job,
@@ -133,6 +134,8 @@
     latest: Option<Rc<Server>>,
     resumes: u32,
     lease: Option<Lease<L>>,
+    /// Whether the latest send brought an event.
+    began: bool,
     /// First event, which was read before the answer was started.
     first: Option<Bytes>,
     tokens_per_event: u64,
@@ -163,6 +166,7 @@
             latest: None,
             resumes: 0,
             lease: None,
+            began: false,
             first: None,
             tokens_per_event,
             events: 0,
@@ -417,6 +421,7 @@
                 .then_some(self.last)
                 .flatten();
             let limit = self.job.deadline.min(Instant::now() + FIRST_EVENT_TIMEOUT);
+            self.began = false;
             let sent = self
                 .gateway
                 .send(&self.job, (&choice, &permit), after, &mut self.sends, limit)
@@ -454,6 +459,7 @@
                 Sent::Lost(reason) => {
                     self.latest = Some(choice.server);
                     self.end_placement(Outcome::Failed);
+                    self.examine_break(reason).await;
                     self.release_ended().await;
                     self.resume(reason)
                         .map_err(|Interruption(reason)| self.failed(reason))?;
@@ -511,10 +517,23 @@
                 .failed(Time::monotonic(), exchange.server.address);
         }
         self.end_placement(Outcome::Failed);
+        self.examine_break(reason).await;
         self.release_ended().await;
         self.resume(reason)
     }
 
+    /// Determines whether the engine crashed when it began to run the stream.
+    async fn examine_break(&mut self, reason: &'static str) {
+        let Some(latest) = self.latest.clone() else {
+            return;
+        };
+        if !self.began && broken(reason) {
+            self.exchange = None;
+            let request = self.job.fingerprint;
+            self.gateway.examine_break(request, &latest).await;
+        }
+    }
+
     /// Reports the end of the latest send to the dispatcher that placed it.
     fn end_placement(&mut self, outcome: Outcome) {
         if let Some(placement) = self.placement.take() {
@@ -620,6 +639,7 @@
     fn deliver(&mut self, id: u64, bytes: Bytes) -> Bytes {
         self.last = Some(id);
         self.events += 1;
+        self.began = true;
         if self.origin.is_none() {
             self.record_origin();
         }
--- a/src/hash/mod.rs
+++ b/src/hash/mod.rs
@@ -21,6 +21,11 @@
     xxh3_64_with_seed(bytes, 0)
 }
 
+/// Hashes bytes together with an earlier hash; the result is as stable as that of [`stable`].
+pub fn seeded(seed: u64, bytes: &[u8]) -> u64 {
+    xxh3_64_with_seed(bytes, seed)
+}
+
 /// Returns the weight of `node` for `key` in rendezvous hashing.
 fn weight(key: u64, node: &str) -> u64 {
     xxh3_64_with_seed(node.as_bytes(), key)
