Hold back requests under which three upstreams crashed, at all instances

Callers saw most requests fail for 20 s: turns that crash each engine that begins to run them were resumed at the next engine, sent again by their callers, and came again from other programs, until no engine was left.

Cause: a break was an event of one send. Nobody counted the breaks of one content over resumptions, attempts, callers and instances; class of the fault: what one party learns doesn't bind the others.

Change: a fingerprint of what a request asks for (target; target and body) is reported when an upstream that broke it off before any content refuses connections. Instances exchange reports through the dispatchers of the zones; after three crashes without a completed answer the request is refused with 503 and the time left, and given up where it is under way. Holds are published to a keyed topic of the store, which instances follow, so that they bind those that start or reach no other instance; one that was paused asks another first. A crash is blamed on the request held back for it, and a completed answer clears a request, so that those that ran beside it are served. All maps are bounded, a crash counts for a minute, a hold lasts for two minutes and twice as long each further time.

Tests: eight of the nine of tests/gateway/deadly.rs failed before ('answer_lost', 502 instead of 503, and requests beside the crashes not served); the ninth bounds memory. tests/gateway/quarantine.rs needs no network.

--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -1,5 +1,5 @@
-//! Handles the requests of other instances: about token accounts, placements of turns, permits, and
-//! origins of streams.
+//! Handles the requests of other instances: about token accounts, placements of turns, permits,
+//! origins of streams, and crashes of upstreams.
 
 use std::rc::Rc;
 
@@ -15,6 +15,7 @@
         Decision,
         Replica, //
     },
+    reports::Reports,
 };
 use crate::{
     log::Log,
@@ -31,15 +32,23 @@
     replica: Rc<Replica<L>>,
     dispatcher: Rc<Dispatcher>,
     origins: Rc<Origins>,
+    reports: Rc<Reports>,
 }
 
 impl<L> Endpoint<L> {
-    /// Returns a handler of requests about accounts, placements, permits and origins of streams.
-    pub fn new(replica: Rc<Replica<L>>, dispatcher: Rc<Dispatcher>, origins: Rc<Origins>) -> Self {
+    /// Returns a handler of requests about accounts, placements, permits, origins of streams and
+    /// crashes of upstreams.
+    pub fn new(
+        replica: Rc<Replica<L>>,
+        dispatcher: Rc<Dispatcher>,
+        origins: Rc<Origins>,
+        reports: Rc<Reports>,
+    ) -> Self {
         Self {
             replica,
             dispatcher,
             origins,
+            reports,
         }
     }
 }
@@ -66,6 +75,8 @@
                 let response = self.dispatcher.limiter().handle(request);
                 return respond(reply, Body::Permitted(response));
             }
+            Body::Reports(reports) => return self.reports.learn(reports),
+            Body::ListReports => return respond(reply, Body::Reports(self.reports.list())),
             _ => return,
         };
         let replica = self.replica.clone();
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -17,6 +17,10 @@
         Change,
         Effect, //
     },
+    reports::{
+        Record,
+        Reports, //
+    },
     route::Table,
     state::Gateway,
 };
@@ -32,6 +36,10 @@
 /// timeout of one call, which together stay near the 2 s within which a change has to take effect.
 const POLL_WAIT: Duration = Duration::from_millis(1_500);
 
+/// Time for which a read waits for a hold. Instances tell each other of holds, and need the store only
+/// after a start or a pause, and without links.
+const HOLDS_WAIT: Duration = Duration::from_secs(8);
+
 /// Time between reads of the registry. Servers report continuously; a leaving one must get no
 /// requests after 2 s.
 const REGISTRY_PAUSE: Duration = Duration::from_millis(600);
@@ -130,12 +138,37 @@
     }
 }
 
+impl Sink<Record> for Rc<Reports> {
+    fn replace(&self, items: Vec<Record>) {
+        self.change(items);
+        self.record_synced();
+    }
+
+    fn change(&self, items: Vec<Record>) {
+        items.into_iter().for_each(|item| self.learn_record(item));
+    }
+
+    fn failed(&self) {}
+}
+
+/// Follows the requests that are held back; never returns. A pause of the process begins anew, as the
+/// read that was under way may never end.
+pub async fn holds(reports: Rc<Reports>, feed: impl Feed<Item = Record>) {
+    loop {
+        tokio::select! {
+            () = follow("holds", &feed, &reports, (HOLDS_WAIT, Duration::ZERO)) => {}
+            () = reports.wait_pause() => {}
+        }
+    }
+}
+
 /// Follows the configuration; never returns.
 pub async fn tables<D, L: Log + 'static>(
     gateway: Rc<Gateway<D, L>>,
     feed: impl Feed<Item = Table>,
 ) {
-    follow("configuration", &feed, &Tables(gateway), Duration::ZERO).await;
+    let timing = (POLL_WAIT, Duration::ZERO);
+    follow("configuration", &feed, &Tables(gateway), timing).await;
 }
 
 /// Follows the registry of upstreams; never returns.
@@ -143,10 +176,17 @@
     gateway: Rc<Gateway<D, L>>,
     feed: impl Feed<Item = Change>,
 ) {
-    follow("registry", &feed, &Servers(gateway), REGISTRY_PAUSE).await;
+    let timing = (POLL_WAIT, REGISTRY_PAUSE);
+    follow("registry", &feed, &Servers(gateway), timing).await;
 }
 
-async fn follow<F: Feed>(name: &str, feed: &F, sink: &impl Sink<F::Item>, pause: Duration) {
+/// Reads a feed with the time that a read waits for changes, and the pause between reads.
+async fn follow<F: Feed>(
+    name: &str,
+    feed: &F,
+    sink: &impl Sink<F::Item>,
+    (wait, pause): (Duration, Duration),
+) {
     let mut position: Option<u64> = None;
     let mut failing = false;
     loop {
@@ -155,7 +195,7 @@
             None => feed.snapshot().await,
             // A read that need not wait shows at once when the store is back.
             Some(from) => {
-                let wait = if failing { Duration::ZERO } else { POLL_WAIT };
+                let wait = if failing { Duration::ZERO } else { wait };
                 feed.changes(from, wait).await
             }
         };
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -98,6 +98,9 @@
 /// Default for the time after which a refused caller may retry.
 pub const RETRY_AFTER: Duration = Duration::from_millis(150);
 
+/// Reason code for a request that is held back because it crashes upstreams.
+pub const HELD_REASON: &str = "crashes_upstreams";
+
 /// Headers that apply to one connection only.
 const HOP_BY_HOP: [HeaderName; 10] = [
     header::CONNECTION,
@@ -191,6 +194,11 @@
         Self::new(StatusCode::PAYMENT_REQUIRED, "budget_spent")
     }
 
+    /// Refuses a request that crashes upstreams, for as long as it is held back.
+    pub fn held(sends: &Sends, left: Duration) -> Self {
+        Self::after(sends, HELD_REASON, left)
+    }
+
     /// Reports that the request may have run, with an unknown outcome.
     pub fn unknown(reason: &'static str) -> Self {
         Self::new(StatusCode::BAD_GATEWAY, reason)
@@ -569,7 +577,7 @@
 
     /// Determines whether an upstream that broke off a request before any content has crashed: it
     /// refuses connections. One that is cut off may still run.
-    pub async fn examine_break(&self, request: Fingerprint, server: &Server) -> bool {
+    pub async fn examine_break(&self, request: Fingerprint, server: &Server) {
         let found = match Connection::open(server.address).await {
             Ok(connection) => {
                 self.pool.put(server.address, connection);
@@ -588,7 +596,9 @@
             content:% = format_args!("{:016x}", request.content);
             "forward: answer broke before any content"
         );
-        found == "ended"
+        if found == "ended" {
+            self.reports.record_crash(&request, server);
+        }
     }
 
     fn unreachable(&self, job: &Job<D, L>, server: &Server, fault: &Fault) {
@@ -700,12 +710,19 @@
             };
             let target = (&choice, &permit);
             let reason = match self.exchange(job, target, &mut sends, limit).await {
-                Ok(answer) => return Ok(answer),
+                Ok(answer) => {
+                    let server = &choice.server;
+                    self.reports.record_completed(&job.fingerprint, server);
+                    return Ok(answer);
+                }
                 Err(reason) => reason,
             };
             self.metrics.retried(reason);
             if broken(reason) {
                 self.examine_break(job.fingerprint, &choice.server).await;
+                if let Some(left) = self.reports.held(&job.fingerprint) {
+                    return Err(Refusal::held(&sends, left));
+                }
             }
             retries.exclude(address);
         }
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -68,7 +68,8 @@
         is_hop_by_hop,
         Answer,
         Job,
-        Refusal, //
+        Refusal,
+        HELD_REASON, //
     },
     proof::Sends,
     relay::{
@@ -328,10 +329,18 @@
         inputs: Cell::default(),
         busy,
     };
+    gateway.reports.sync().await;
+    if let Some(left) = gateway.reports.held(&job.fingerprint) {
+        return Err(Refusal::held(&Sends::default(), left));
+    }
+    let held = gateway.reports.wait_held(job.fingerprint);
     match job.route.kind {
-        Kind::Streaming { .. } => stream(gateway, job, tokens_per_event.into()).await,
+        Kind::Streaming { .. } => {
+            let start = Relay::start(gateway.clone(), job, tokens_per_event.into());
+            stream(gateway, unless(held, start).await?)
+        }
         Kind::Idempotent | Kind::Once => {
-            let answer = gateway.call(&job).await?;
+            let answer = unless(held, gateway.call(&job)).await?;
             gateway.metrics.record_total(arrived.elapsed());
             gateway.log_answer(&job, answer.head.status.as_u16(), &answer.server.id);
             Ok(pass_on::<D, L>(gateway, answer))
@@ -339,6 +348,18 @@
     }
 }
 
+/// Waits for the start of an answer, and gives it up once the request is held back.
+async fn unless<T>(
+    held: impl Future<Output = ()>,
+    answer: impl Future<Output = Result<T, Refusal>>,
+) -> Result<T, Refusal> {
+    tokio::select! {
+        biased;
+        answer = answer => answer,
+        () = held => Err(Refusal::unknown(HELD_REASON)),
+    }
+}
+
 /// Returns the hash that selects the service of a split route; requests of one session go to the
 /// same service.
 fn key(call: &Call) -> u64 {
@@ -407,12 +428,11 @@
     start_response(gateway, &answer.head).body(answer.body)
 }
 
-async fn stream<D: Dialect, L: Log + 'static>(
+fn stream<D: Dialect, L: Log + 'static>(
     gateway: &Rc<Gateway<D, L>>,
-    job: Job<D, L>,
-    tokens_per_event: u64,
+    started: Started<D, L>,
 ) -> Result<HttpResponse, Refusal> {
-    let (head, relay) = match Relay::start(gateway.clone(), job, tokens_per_event).await? {
+    let (head, relay) = match started {
         Started::Stream(head, relay) => (head, relay),
         Started::Answer(answer) => return Ok(pass_on::<D, L>(gateway, answer)),
     };
--- a/src/gateway/lifecycle.rs
+++ b/src/gateway/lifecycle.rs
@@ -36,6 +36,10 @@
     owner::Client,
     peers::Peers,
     replica::Replica,
+    reports::{
+        self,
+        Reports, //
+    },
     settings::Settings,
     state::Gateway, //
 };
@@ -54,6 +58,7 @@
         store::Topic,
         Configuration,
         Dialect,
+        Holds,
         Instances,
         Servers,
         Store, //
@@ -105,20 +110,25 @@
     let dispatcher = Rc::new(Dispatcher::new(settings.zone.as_str(), fleet));
     let placer = Rc::new(Placer::new(dispatcher.clone()));
     let origins = Rc::<Origins>::default();
+    let (reports, unpublished) = Reports::new(metrics.clone());
     let gateway: Rc<Gateway<Dialect, Topic>> = Rc::new(Gateway::new(
         settings,
         accounts.clone(),
         Directory::new(origins.clone(), accounts.clone()),
         placer.clone(),
+        reports.clone(),
         metrics,
     ));
     let instance = gateway.settings.instance.clone();
     log::info!(instance = instance.as_str(); "gateway: started");
-    let endpoint = Endpoint::new(replica.clone(), dispatcher, origins);
+    let endpoint = Endpoint::new(replica.clone(), dispatcher, origins, reports.clone());
     let peers = connect_peers(&gateway.settings, endpoint).await?;
     replica.path().connect(peers.clone());
     accounts.connect(peers.clone());
     placer.connect(peers.clone());
+    reports.connect(Rc::new(peers.clone()));
+    spawn(reports::publish(Holds::new(store.clone()), unpublished));
+    spawn(follow::holds(reports, Holds::new(store.clone())));
     spawn(replica.clone().run());
     spawn(follow_roster(
         accounts.clone(),
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -34,6 +34,7 @@
     limited_sends: Counter<u64>,
     permits: Counter<u64>,
     breaks: Counter<u64>,
+    quarantine: Counter<u64>,
     store_calls: Counter<u64>,
     store_bytes: Counter<u64>,
     store_time: Histogram<f64>,
@@ -81,6 +82,10 @@
                 "breaks",
                 "Answers that broke before they had any content, by whether the upstream had ended.",
             ),
+            quarantine: counter(
+                "quarantine",
+                "Requests that this instance learned to hold back, or to serve again, by change.",
+            ),
             store_calls: counter("store_calls", "Calls to the store, by call and outcome."),
             store_bytes: counter(
                 "store_received_bytes",
@@ -124,6 +129,13 @@
         self.0.breaks.add(1, &labels);
     }
 
+    /// Counts a request that is held back from now on (`held`), or was completed after upstreams crashed
+    /// under it (`cleared`).
+    pub fn quarantined(&self, change: &'static str) {
+        let labels = [KeyValue::new("change", change)];
+        self.0.quarantine.add(1, &labels);
+    }
+
     /// Counts a stream that goes on at an engine, by who resumed it (`gateway` or `caller`) and
     /// whether the engine has the software version that began it (`same`, `other` or `unknown`).
     pub fn continued(&self, by: &'static str, version: &'static str) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,7 +6,7 @@
 //! `docs/platform.md` gives the reasons.
 //!
 //! The decisions do no I/O ([`route`], [`registry`], [`load`], [`balance`], [`fleet`],
-//! [`account`], [`outage`], [`timeout`], [`limit`], [`slots`]); sockets are in
+//! [`account`], [`outage`], [`timeout`], [`limit`], [`slots`], [`quarantine`]); sockets are in
 //! [`connection`], [`pool`], [`forward`], [`relay`] and [`front`].
 
 pub mod account;
@@ -36,9 +36,11 @@
 pub mod permit;
 pub mod pool;
 pub mod proof;
+pub mod quarantine;
 pub mod registry;
 pub mod relay;
 pub mod replica;
+pub mod reports;
 pub mod reserve;
 pub mod route;
 pub mod settings;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -41,6 +41,7 @@
         Retries,
         Sent,
         Target,
+        HELD_REASON,
         RETRY_AFTER, //
     },
     origin::{
@@ -496,6 +497,9 @@
     fn resume(&mut self, reason: &'static str) -> Result<(), Interruption> {
         self.exchange = None;
         let resends_left = self.resumes < self.max_resends();
+        if self.gateway.reports.held(&self.job.fingerprint).is_some() {
+            return Err(Interruption(HELD_REASON));
+        }
         if !self.resumable() || !resends_left || Instant::now() >= self.job.deadline {
             return Err(Interruption(reason));
         }
@@ -665,6 +669,9 @@
     fn finish(&mut self) {
         self.end_placement(Outcome::Ended);
         if let Some(exchange) = self.exchange.take() {
+            let server = &exchange.server;
+            let reports = &self.gateway.reports;
+            reports.record_completed(&self.job.fingerprint, server);
             self.gateway
                 .pool
                 .put(exchange.server.address, exchange.connection);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -14,7 +14,8 @@
 
 use super::{
     dispatcher::Placer, fleet::Fleet, metrics::Metrics, origin::Directory, owner::Client,
-    permit::Limiter, pool::Pool, route::Table, settings::Settings, throttle::Throttle,
+    permit::Limiter, pool::Pool, reports::Reports, route::Table, settings::Settings,
+    throttle::Throttle,
 };
 use crate::log::Log;
 
@@ -36,6 +37,8 @@
     pub accounts: Rc<Client<L>>,
     /// Origins of streams.
     pub origins: Directory<L>,
+    /// Requests that crash upstreams.
+    pub reports: Rc<Reports>,
     /// Metrics.
     pub metrics: Metrics,
     /// Rate limit of log lines about requests.
@@ -67,6 +70,7 @@
         accounts: Rc<Client<L>>,
         origins: Directory<L>,
         placer: Rc<Placer>,
+        reports: Rc<Reports>,
         metrics: Metrics,
     ) -> Self {
         let (fleet, limiter) = (placer.fleet().clone(), placer.limiter().clone());
@@ -79,6 +83,7 @@
             pool: Pool::default(),
             accounts,
             origins,
+            reports,
             metrics,
             log_throttle: Throttle::default(),
             stopping: Cell::new(false),
@@ -139,6 +144,7 @@
         self.pool.sweep();
         self.fleet.sweep();
         self.placer.sweep();
+        self.reports.sweep();
     }
 }
 
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -26,7 +26,8 @@
         dispatcher,
         limit,
         owner,
-        permit, //
+        permit,
+        quarantine, //
     },
     ledger::record::Record,
     member::{
@@ -237,6 +238,12 @@
     /// Reply to a request for a permit.
     #[serde(rename = "er")]
     Permitted(permit::Response),
+    /// What instances found out about requests under which upstreams crashed.
+    #[serde(rename = "cx")]
+    Reports(Vec<quarantine::Report>),
+    /// Requests what the receiver knows about such requests; `Reports` replies.
+    #[serde(rename = "cq")]
+    ListReports,
     /// The sender sends no more requests on this link; the receiver closes it once it is unused.
     #[serde(rename = "re")]
     Retire,
--- a/src/platform/feed.rs
+++ b/src/platform/feed.rs
@@ -3,6 +3,7 @@
 
 use std::{
     rc::Rc,
+    sync::Arc,
     time::Duration, //
 };
 
@@ -24,12 +25,18 @@
     wire,
 };
 use crate::{
+    clock::Time,
     gateway::{
         feed::{
             Feed,
             Page, //
         },
         registry::Change,
+        reports::{
+            Archive,
+            Hold,
+            Record, //
+        },
         route::Table, //
     },
     log::{
@@ -69,6 +76,14 @@
     Some((String::from_utf8_lossy(&key).into_owned(), record))
 }
 
+/// Returns the record of a key; an empty value removes the key.
+fn keyed(key: &str, value: &[u8]) -> anyhow::Result<Bytes> {
+    let mut record = vec![u8::try_from(key.len())?];
+    record.extend_from_slice(key.as_bytes());
+    record.extend_from_slice(value);
+    Ok(record.into())
+}
+
 /// Keys and values of a keyed topic, and the offset of the next read.
 type Records = (Vec<(String, Bytes)>, u64);
 
@@ -168,6 +183,86 @@
     }
 }
 
+/// Topic of the requests that are held back.
+const HOLDS_TOPIC: &str = "keyed.holds";
+
+/// Feed of the requests that are held back because they crash servers.
+pub struct Holds(Topic);
+
+/// Value of a hold; its key is the key of the request in hexadecimal.
+#[derive(Debug)]
+#[derive(Deserialize, Serialize)]
+struct RawHold {
+    service: Arc<str>,
+    /// End, in microseconds since the Unix epoch.
+    until_us: u64,
+    holds: u32,
+}
+
+impl Holds {
+    /// Creates a feed that reads from a store.
+    pub fn new(store: Rc<Store>) -> Self {
+        Self(Topic::new(store, HOLDS_TOPIC))
+    }
+}
+
+fn holds((records, next): Records) -> Page<Record> {
+    let record = |(key, value): (String, Bytes)| {
+        let hold = match value.is_empty() {
+            true => None,
+            false => Some(serde_json::from_slice(&value).ok()?),
+        };
+        Some(Record {
+            key: u64::from_str_radix(&key, 16).ok()?,
+            hold: hold.map(|raw: RawHold| Hold {
+                service: raw.service,
+                until: Time(raw.until_us),
+                holds: raw.holds,
+            }),
+        })
+    };
+    let items = records.into_iter().filter_map(|item| {
+        let name = item.0.clone();
+        let record = record(item);
+        if record.is_none() {
+            log::warn!(key = name.as_str(); "quarantine: hold in the store is invalid; skipping it");
+        }
+        record
+    });
+    Page {
+        items: items.collect(),
+        next,
+    }
+}
+
+impl Feed for Holds {
+    type Item = Record;
+
+    async fn snapshot(&self) -> Result<Page<Record>, Failure> {
+        self.0.newest().await.map(holds)
+    }
+
+    async fn changes(&self, from: u64, wait: Duration) -> Result<Page<Record>, Failure> {
+        changes(&self.0, from, wait).await.map(holds)
+    }
+}
+
+impl Archive for Holds {
+    async fn publish(&self, record: &Record) -> anyhow::Result<()> {
+        let value = match &record.hold {
+            None => Vec::new(),
+            Some(hold) => serde_json::to_vec(&RawHold {
+                service: hold.service.clone(),
+                until_us: hold.until.0,
+                holds: hold.holds,
+            })?,
+        };
+        let key = format!("{:016x}", record.key);
+        self.0.append(0, &[keyed(&key, &value)?]).await?;
+        Ok(())
+    }
+}
+
 /// Topic in which gateway instances announce themselves.
 const INSTANCES_TOPIC: &str = "keyed.instances";
 
@@ -196,17 +291,16 @@
         zone: &Zone,
         address: Option<&str>,
     ) -> anyhow::Result<()> {
-        let name = instance.as_str();
-        let mut record = vec![u8::try_from(name.len())?];
-        record.extend_from_slice(name.as_bytes());
-        if let Some(address) = address {
-            let announcement = Announcement {
+        let value = match address {
+            None => Vec::new(),
+            Some(address) => serde_json::to_vec(&Announcement {
                 zone: zone.clone(),
                 address: address.to_owned(),
-            };
-            record.extend(serde_json::to_vec(&announcement)?);
-        }
-        self.0.append(0, &[record.into()]).await?;
+            })?,
+        };
+        self.0
+            .append(0, &[keyed(instance.as_str(), &value)?])
+            .await?;
         Ok(())
     }
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -12,6 +12,7 @@
     dialect::Dialect,
     feed::{
         Configuration,
+        Holds,
         Instances,
         Servers, //
     },
--- a/src/policy/recent/mod.rs
+++ b/src/policy/recent/mod.rs
@@ -68,6 +68,11 @@
         self.newer.entry(key.clone()).or_default()
     }
 
+    /// Returns all keys and values.
+    pub fn iter(&self) -> impl Iterator<Item = (&K, &V)> {
+        self.newer.iter().chain(&self.older)
+    }
+
     /// Returns the number of keys.
     pub fn len(&self) -> usize {
         self.newer.len() + self.older.len()
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod account;
 mod balance;
 mod connection;
+mod deadly;
 mod dialect;
 mod dispatcher;
 mod endless;
@@ -14,6 +15,7 @@
 mod outage;
 mod owner;
 mod permit;
+mod quarantine;
 mod recovery;
 mod registry;
 mod replica;
--- a/tests/gateway/owner.rs
+++ b/tests/gateway/owner.rs
@@ -21,6 +21,7 @@
     gateway::{
         dispatcher::Dispatcher,
         endpoint::Endpoint,
+        metrics::Metrics,
         owner::Client,
         peers::Peers,
         replica::{
@@ -28,6 +29,7 @@
             Decision,
             Replica, //
         },
+        reports::Reports,
     },
     log::{
         memory::{
@@ -129,10 +131,11 @@
         let roster = Roster::start(name.clone(), zone_name.clone(), &address.to_string());
         let settings = Settings::new("test", name.clone(), zone_name, address, "test");
         let dispatcher = Rc::new(Dispatcher::new(zone, Rc::default()));
+        let (reports, _) = Reports::new(Metrics::new().unwrap());
         let mesh = Mesh::run(
             settings,
             listener,
-            Endpoint::new(replica.clone(), dispatcher, Rc::default()),
+            Endpoint::new(replica.clone(), dispatcher, Rc::default(), reports),
             roster.clone(),
         );
         let peers = Peers { mesh, roster };
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -141,6 +141,8 @@
     Answer(Vec<u8>),
     /// Writes bytes and closes the connection.
     Close(Vec<u8>),
+    /// Ends the upstream: all its connections break, and it accepts no others.
+    Crash,
     /// Sends no answer until the caller disconnects.
     Silent,
     /// Writes bytes, pauses, writes more bytes and keeps the connection open.
@@ -169,13 +171,20 @@
         let (received, left) = (requests.clone(), disconnected.clone());
         let stopped: Arc<AtomicBool> = Arc::default();
         let stop = stopped.clone();
+        let open: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 if stop.load(Ordering::SeqCst) {
                     return;
                 }
                 let (received, left, script) = (received.clone(), left.clone(), script.clone());
-                thread::spawn(move || serve(stream, &received, &left, &*script));
+                open.lock().unwrap().extend(stream.try_clone());
+                let (open, stop) = (open.clone(), stop.clone());
+                thread::spawn(move || {
+                    if serve(stream, &received, &left, &*script) {
+                        crash(address, &stop, &open);
+                    }
+                });
             }
         });
         Self {
@@ -188,12 +197,7 @@
 
     /// Accepts no further connections.
     pub fn stop(&self) {
-        self.stopped.store(true, Ordering::SeqCst);
-        // Wakes the thread that accepts connections.
-        let _ = TcpStream::connect(self.address);
-        while TcpStream::connect(self.address).is_ok() {
-            thread::sleep(Duration::from_millis(5));
-        }
+        refuse(self.address, &self.stopped);
     }
 
     /// Returns the requests received.
@@ -207,12 +211,31 @@
     }
 }
 
+/// Ends the thread that accepts connections to an address.
+fn refuse(address: SocketAddr, stopped: &AtomicBool) {
+    stopped.store(true, Ordering::SeqCst);
+    // Wakes the thread.
+    let _ = TcpStream::connect(address);
+    while TcpStream::connect(address).is_ok() {
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+fn crash(address: SocketAddr, stopped: &AtomicBool, open: &Mutex<Vec<TcpStream>>) {
+    refuse(address, stopped);
+    for stream in open.lock().unwrap().drain(..) {
+        // The caller may have closed it.
+        let _ = stream.shutdown(std::net::Shutdown::Both);
+    }
+}
+
+/// Serves a connection; returns whether the upstream crashes.
 fn serve(
     mut stream: TcpStream,
     requests: &Mutex<Vec<Message>>,
     disconnected: &AtomicU32,
     script: &(impl Fn(usize, &Message) -> Action + ?Sized),
-) {
+) -> bool {
     while let Some(request) = read(&mut stream) {
         let number = {
             let mut requests = requests.lock().unwrap();
@@ -221,36 +244,38 @@
         };
         match script(number, &request) {
             Action::Answer(bytes) if stream.write_all(&bytes).is_ok() => {}
-            Action::Answer(_) => return,
+            Action::Answer(_) => return false,
+            Action::Crash => return true,
             Action::Close(bytes) => {
                 // The caller may have closed first.
                 let _ = stream.write_all(&bytes);
-                return;
+                return false;
             }
             Action::Pause(first, pause, rest) => {
                 let written = stream.write_all(&first);
                 thread::sleep(pause);
                 if written.and_then(|()| stream.write_all(&rest)).is_err() {
                     disconnected.fetch_add(1, Ordering::SeqCst);
-                    return;
+                    return false;
                 }
             }
             Action::Parts(parts, pause) => {
                 for part in parts {
                     if stream.write_all(&part).is_err() {
-                        return;
+                        return false;
                     }
                     thread::sleep(pause);
                 }
-                return;
+                return false;
             }
             Action::Silent => {
                 let _ = stream.read(&mut [0]);
                 disconnected.fetch_add(1, Ordering::SeqCst);
-                return;
+                return false;
             }
         }
     }
+    false
 }
 
 /// Returns an answer with a signature and a length.
@@ -315,6 +340,15 @@
 
     /// Starts a process in an availability zone.
     pub fn start_in(zone: &str, name: &str, store: SocketAddr) -> Self {
+        Self::start_with(zone, name, store, "test")
+    }
+
+    /// Starts a process that has no links to the others, as they refuse its secret.
+    pub fn start_apart(name: &str, store: SocketAddr) -> Self {
+        Self::start_with("a", name, store, "other")
+    }
+
+    fn start_with(zone: &str, name: &str, store: SocketAddr, secret: &str) -> Self {
         static NUMBER: AtomicU32 = AtomicU32::new(0);
         let [callers, ready, metrics, peers] = [
             free_address(),
@@ -329,7 +363,7 @@
             "instance": name,
             "zone": zone,
             "listen": { "callers": callers, "ready": ready, "metrics": metrics },
-            "peers": { "listen": peers, "cluster": "test", "secret": "test" },
+            "peers": { "listen": peers, "cluster": "test", "secret": secret },
             "store": { "address": store, "partitions": 12 },
             "grace_s": 8,
         });
