Keep streams of engines that are silent for a second

Sound engines may be silent for a second or so. Their streams were taken for stalled after 0.7 s, or 1.0 s without an event, and sent again; connections were closed after 0.8 s without an acknowledgement, by the user timeout, which also limits keepalive probes.

Change: 1.5 s before and between events, and a user timeout of 2.5 s. Callers give up after 2 s or more.

The new test failed before: the stream was sent again and had no event after 1.2 s of silence.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -54,8 +54,9 @@
 /// Timeout of a connection attempt: many round trips between zones, far less than a deadline.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Time without a TCP acknowledgement after which a connection is closed; many round trips.
-const USER_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time without a TCP acknowledgement after which a connection is closed, also if it is idle and
+/// keepalive probes are not answered. Sound upstreams are silent for a second at times.
+const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Idle time before a TCP keepalive probe; the shortest that the kernel supports.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -62,12 +62,12 @@
     log::Log, //
 };
 
-/// Time without a first event after which a stream is restarted: the time that a long prompt takes
-/// on a slowed engine with a queue. Callers give up after 2 s or more.
-const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time without a first event after which a stream is restarted: sound engines are silent for a
+/// second at times, and callers give up after 2 s or more.
+const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Time without a further event after which a stream is resumed; pauses of 300 ms are normal.
-const NEXT_EVENT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time without a further event after which a stream is resumed, for the same reasons.
+const NEXT_EVENT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Maximum resumptions of a broken stream.
 const MAX_RESUMES: u32 = 4;
--- a/tests/gateway/serve.rs
+++ b/tests/gateway/serve.rs
@@ -427,3 +427,25 @@
     });
     assert!(counted, "{text}");
 }
+
+/// A sound engine may be silent for a second; its streams must not be cut or run again.
+#[test]
+fn stream_of_an_engine_that_is_silent_for_a_second_is_kept() {
+    let pause = Duration::from_millis(1_200);
+    for silent_after in [0, 2] {
+        let engine = Upstream::start(move |_, request| {
+            let all = events(request, 1..=4, true);
+            let first = match silent_after {
+                0 => 0,
+                last => events(request, 1..=last, false).len(),
+            };
+            Action::Pause(all[..first].to_vec(), pause, all[first..].to_vec())
+        });
+        let deployment = Deployment::start(&[&engine]);
+        let text = request("POST", "/stream/x", "Token-Count: 50,40\r\n", "");
+        let answer = deployment.request(&text);
+        assert!(answer.complete, "{}", answer.text());
+        assert_eq!(answer.text().matches("data: ").count(), 4);
+        assert_eq!(engine.requests().len(), 1, "the stream was sent again");
+    }
+}
