Remove holds from the store that ended long ago

The keyed topic keeps the latest record of each key for good, so holds of requests that crash upstreams would pile up there. An instance that reads the complete state removes those that ended over an hour ago, if it is the one of the live instances that publishes the key.

tests/gateway/reports.rs: which records an instance publishes, withdraws and removes.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -140,8 +140,7 @@
 
 impl Sink<Record> for Rc<Reports> {
     fn replace(&self, items: Vec<Record>) {
-        self.change(items);
-        self.record_synced();
+        self.replace_records(items);
     }
 
     fn change(&self, items: Vec<Record>) {
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -38,7 +38,7 @@
 const MIN_HOLD: Duration = Duration::from_secs(120);
 
 /// Maximum time for which a request is held back.
-const MAX_HOLD: Duration = Duration::from_secs(3_600);
+pub const MAX_HOLD: Duration = Duration::from_secs(3_600);
 
 /// Maximum requests under which upstreams crashed that an instance remembers.
 const MAX_SUSPECTS: usize = 4_096;
--- a/src/gateway/reports.rs
+++ b/src/gateway/reports.rs
@@ -39,6 +39,7 @@
         Event,
         Quarantine,
         Report,
+        MAX_HOLD,
         MAX_REPORTS, //
     },
     registry::Server,
@@ -225,6 +226,23 @@
         self.enact(&report);
     }
 
+    /// Applies all records of the store, and removes those that ended long ago.
+    pub fn replace_records(self: &Rc<Self>, records: Vec<Record>) {
+        let now = Time::now();
+        for record in records {
+            let key = record.key;
+            let forgotten = |hold: &Hold| now.since(hold.until) > MAX_HOLD;
+            if record.hold.as_ref().is_some_and(forgotten) {
+                if self.publishes(key) {
+                    self.enqueue(Record { key, hold: None });
+                }
+                continue;
+            }
+            self.learn_record(record);
+        }
+        self.synced.send_replace(true);
+    }
+
     /// Returns what is known, for another instance.
     pub fn list(&self) -> Vec<Report> {
         self.state.borrow().list(Time::boot())
@@ -286,7 +304,11 @@
             until: Time::now() + left,
             holds,
         });
-        if self.unpublished.try_send(Record { key, hold }).is_err() {
+        self.enqueue(Record { key, hold });
+    }
+
+    fn enqueue(&self, record: Record) {
+        if self.unpublished.try_send(record).is_err() {
             log::warn!("quarantine: too many holds wait to be published; dropping one");
         }
     }
@@ -339,11 +361,6 @@
         }
     }
 
-    /// Records that the holds in the store were read completely.
-    pub fn record_synced(&self) {
-        self.synced.send_replace(true);
-    }
-
     /// Notices a pause of the process, in which reports of others were missed.
     fn notice_pause(&self) {
         let now = Time::boot();
@@ -398,7 +415,7 @@
                 for report in reports {
                     self.enact(&report);
                 }
-                self.record_synced();
+                self.synced.send_replace(true);
                 return;
             }
         }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -19,6 +19,7 @@
 mod recovery;
 mod registry;
 mod replica;
+mod reports;
 mod reserve;
 mod route;
 mod serve;
