--- a/tests/gateway/settings.rs
+++ b/tests/gateway/settings.rs
@@ -37,6 +37,11 @@
             "read_mb_per_s",
         ),
         ("grace_s: 8.5", "grace_s: -1", "grace_s"),
+        (
+            "  cluster: entry",
+            "  cluster: entry\n  tunnels: { ip: 127.0.0.1, ports: [9, 8] }",
+            "tunnels",
+        ),
         ("instance: entry-1", "instance: \"\"", "name"),
         ("callers: 127.0.0.1:8080", "callers: here", "callers"),
         ("zone: a\n", "", "zone"),
