Pass both directions of a tunnel independently, and answer lost calls at once

The directions are independent now, and the examination follows the answer. Whether a tunnel is busy is computed when asked for, without timers.

--- a/src/gateway/dial.rs
+++ b/src/gateway/dial.rs
@@ -262,7 +262,8 @@
         let peers = self.peers.borrow().clone()?;
         let others = self.candidates(&peers);
         let helper = self.helper.take().filter(|name| others.contains(name));
-        let asked = helper.iter().chain(&others).take(MAX_ASKED);
+        let rest = others.iter().filter(|name| Some(*name) != helper.as_ref());
+        let asked = helper.iter().chain(rest).take(MAX_ASKED);
         let mut unreachable = 0;
         for name in asked {
             match self.request(&peers, name, server).await {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -383,7 +383,7 @@
     pub body: Bytes,
 }
 
-impl<D: Dialect, L> Gateway<D, L> {
+impl<D: Dialect, L: 'static> Gateway<D, L> {
     /// Picks the upstream of a job, of a `version` if there is one.
     pub fn choose(
         &self,
@@ -721,7 +721,14 @@
                 Err(reason) => reason,
             };
             self.metrics.retried(reason);
-            if broken(reason) {
+            if broken(reason) && last_attempt {
+                // The caller need not wait for it.
+                let (gateway, request) = (self.clone(), job.fingerprint);
+                let server = choice.server.clone();
+                actix_web::rt::spawn(async move {
+                    gateway.examine_break(request, &server).await;
+                });
+            } else if broken(reason) {
                 self.examine_break(job.fingerprint, &choice.server).await;
                 if let Some(left) = self.reports.held(&job.fingerprint) {
                     return Err(Refusal::held(&sends, left));
--- a/src/gateway/tunnel.rs
+++ b/src/gateway/tunnel.rs
@@ -109,8 +109,8 @@
     waiting: RefCell<Map<Token, TcpStream>>,
     /// Tunnels that wait to be picked up or are in use.
     open: Cell<usize>,
-    /// Tunnels on which an answer is awaited or being passed.
-    busy: Cell<usize>,
+    /// Tunnels in use.
+    active: RefCell<Map<Token, Rc<Activity>>>,
     /// Whether this instance has lost its own paths.
     lost: Cell<bool>,
 }
@@ -123,14 +123,15 @@
             address: Cell::default(),
             waiting: RefCell::default(),
             open: Cell::new(0),
-            busy: Cell::new(0),
+            active: RefCell::default(),
             lost: Cell::new(false),
         }
     }
 
     /// Returns the number of tunnels on which an answer is awaited or being passed.
     pub fn busy(&self) -> usize {
-        self.busy.get()
+        let active = self.active.borrow();
+        active.values().filter(|activity| activity.busy()).count()
     }
 
     /// Sets whether this instance has lost its own paths, and so refuses to carry tunnels.
@@ -195,93 +196,80 @@
         };
         // Without these a tunnel only is slower.
         let _ = peer.set_nodelay(true);
-        self.splice(peer, upstream).await;
+        let activity = Rc::<Activity>::default();
+        self.active.borrow_mut().insert(token, activity.clone());
+        splice(peer, upstream, &activity).await;
+        self.active.borrow_mut().remove(&token);
         self.open.set(self.open.get() - 1);
     }
+}
 
-    /// Passes bytes until one side closes its connection or breaks.
-    async fn splice(&self, mut peer: TcpStream, mut upstream: TcpStream) {
-        let mut activity = Activity::new(&self.busy);
-        let (mut to_upstream, mut to_peer) = ([0; BUFFER_BYTES], [0; BUFFER_BYTES]);
-        let (mut peer_reader, mut peer_writer) = peer.split();
-        let (mut upstream_reader, mut upstream_writer) = upstream.split();
-        let broken = loop {
-            tokio::select! {
-                read = peer_reader.read(&mut to_upstream) => {
-                    // The peer gave the request up; the upstream must notice at once.
-                    let Some(length) = read.ok().filter(|length| *length > 0) else {
-                        break false;
-                    };
-                    activity.request();
-                    if upstream_writer.write_all(&to_upstream[..length]).await.is_err() {
-                        break true;
-                    }
-                }
-                read = upstream_reader.read(&mut to_peer) => match read {
-                    Ok(0) => break false,
-                    Ok(length) => {
-                        activity.answer();
-                        if peer_writer.write_all(&to_peer[..length]).await.is_err() {
-                            break false;
-                        }
-                    }
-                    Err(_) => break true,
-                },
-                () = activity.quiet() => activity.end(),
+/// Passes bytes until one side closes its connection or breaks.
+///
+/// The directions don't wait for each other: an upstream may answer before it reads the request.
+async fn splice(mut peer: TcpStream, mut upstream: TcpStream, activity: &Activity) {
+    let (mut peer_reader, mut peer_writer) = peer.split();
+    let (mut upstream_reader, mut upstream_writer) = upstream.split();
+    let requests = async {
+        let mut buffer = [0; BUFFER_BYTES];
+        loop {
+            // A peer that closes its connection gave the request up; the upstream must notice.
+            let read = peer_reader.read(&mut buffer).await;
+            let Some(length) = read.ok().filter(|length| *length > 0) else {
+                return End::Closed;
+            };
+            activity.waiting.set(true);
+            if upstream_writer.write_all(&buffer[..length]).await.is_err() {
+                return End::Broken;
             }
-        };
-        if broken {
-            // The peer must not take a broken answer for one that ends with its connection.
-            let _ = SockRef::from(&peer).set_linger(Some(Duration::ZERO));
         }
+    };
+    let answers = async {
+        let mut buffer = [0; BUFFER_BYTES];
+        loop {
+            let length = match upstream_reader.read(&mut buffer).await {
+                Ok(0) => return End::Closed,
+                Ok(length) => length,
+                Err(_) => return End::Broken,
+            };
+            activity.waiting.set(false);
+            activity.answered.set(Some(Instant::now()));
+            if peer_writer.write_all(&buffer[..length]).await.is_err() {
+                return End::Closed;
+            }
+        }
+    };
+    let end = tokio::select! {
+        end = requests => end,
+        end = answers => end,
+    };
+    if matches!(end, End::Broken) {
+        // The peer must not take a broken answer for one that ends with its connection.
+        let _ = SockRef::from(&peer).set_linger(Some(Duration::ZERO));
     }
 }
 
-/// Whether an answer is awaited or being passed on a tunnel.
-struct Activity<'a> {
-    count: &'a Cell<usize>,
-    busy: bool,
-    /// Time of the latest bytes of an answer; `None` while the first ones are awaited.
-    answered: Option<Instant>,
+/// How a tunnel ended.
+enum End {
+    /// One side closed its connection, or the peer broke it.
+    Closed,
+    /// The upstream broke its connection.
+    Broken,
 }
 
-impl<'a> Activity<'a> {
-    fn new(count: &'a Cell<usize>) -> Self {
-        Self {
-            count,
-            busy: false,
-            answered: None,
-        }
-    }
-
-    fn request(&mut self) {
-        self.answered = None;
-        if !std::mem::replace(&mut self.busy, true) {
-            self.count.set(self.count.get() + 1);
-        }
-    }
-
-    fn answer(&mut self) {
-        self.answered = Some(Instant::now());
-    }
-
-    /// Waits until the answer seems to be complete.
-    async fn quiet(&self) {
-        match self.answered.filter(|_| self.busy) {
-            Some(at) => sleep(QUIET_TIME.saturating_sub(at.elapsed())).await,
-            None => std::future::pending().await,
-        }
-    }
-
-    fn end(&mut self) {
-        if std::mem::take(&mut self.busy) {
-            self.count.set(self.count.get() - 1);
-        }
-    }
+/// When bytes passed on a tunnel.
+#[derive(Default)]
+struct Activity {
+    /// Whether a request was passed after the latest bytes of an answer.
+    waiting: Cell<bool>,
+    /// Time of the latest bytes of an answer.
+    answered: Cell<Option<Instant>>,
 }
 
-impl Drop for Activity<'_> {
-    fn drop(&mut self) {
-        self.end();
+impl Activity {
+    /// Returns whether an answer is awaited or may be incomplete.
+    fn busy(&self) -> bool {
+        let recent = |at: Instant| at.elapsed() < QUIET_TIME;
+        self.waiting.get() || self.answered.get().is_some_and(recent)
     }
 }
