--- a/src/gateway/reports.rs
+++ b/src/gateway/reports.rs
@@ -154,11 +154,6 @@
         self.state.borrow().held(Time::boot(), request)
     }
 
-    /// Returns the number of upstreams that crashed under a request.
-    pub fn crashes(&self, request: &Fingerprint) -> usize {
-        self.state.borrow().crashes(Time::boot(), request)
-    }
-
     /// Waits until a request is held back.
     pub fn wait_held(self: &Rc<Self>, request: Fingerprint) -> impl Future<Output = ()> + 'static {
         let (reports, mut changed) = (self.clone(), self.changed.subscribe());
