--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -11,6 +11,7 @@
 };
 use thiserror::Error;
 
+use super::tenant::key;
 use crate::hash;
 
 /// Name of a header that is missing or can't be decoded.
@@ -36,6 +37,10 @@
     pub resumes: Option<Arc<str>>,
     /// Object that the request concerns; an upstream that handled it recently works faster.
     pub object: Option<Arc<str>>,
+    /// Key of the tenant.
+    pub credential: Result<key::Key, key::Fault>,
+    /// Request that answered the turn from which a turn continues, or the fault of its name.
+    pub previous: Result<Option<Arc<str>>, Invalid>,
 }
 
 /// Program that a request belongs to.
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -24,6 +24,8 @@
     pub remaining: Duration,
     /// Event after which the stream resumes, unless it is the one that the caller requested.
     pub after: Option<u64>,
+    /// Tenant of the caller.
+    pub tenant: Option<&'a str>,
 }
 
 /// Decoded head of an upstream's answer.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -79,6 +79,7 @@
         Busy,
         Gateway, //
     },
+    tenant::Tenant,
 };
 use crate::clock::Time;
 
@@ -130,6 +131,8 @@
     pub fingerprint: Fingerprint,
     /// Service that runs it.
     pub service: Arc<str>,
+    /// Tenant of the caller.
+    pub tenant: Option<Rc<Tenant>>,
     /// Prefixes of the prompt, shortest first.
     pub prefixes: Vec<Prefix>,
     /// Method.
@@ -159,6 +162,15 @@
     pub fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
+
+    /// Returns the rank of the request: that of its tenant, or else of its route; 0 is the most
+    /// urgent.
+    pub fn priority(&self) -> u8 {
+        let tenant = self.tenant.as_ref();
+        tenant
+            .and_then(|tenant| tenant.priority)
+            .unwrap_or(self.route.priority)
+    }
 }
 
 /// An answer of the gateway itself.
@@ -620,6 +632,7 @@
             upstream: &server.id,
             remaining: job.remaining(),
             after,
+            tenant: job.tenant.as_ref().map(|tenant| &*tenant.name),
         };
         D::dispatch(&mut head.headers, &dispatch);
         head
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -318,6 +318,7 @@
         call,
         route: route.clone(),
         service,
+        tenant: None,
         method: request.method().clone(),
         uri: request.uri().clone(),
         headers: end_to_end(headers),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -47,6 +47,7 @@
 pub mod settings;
 pub mod slots;
 pub mod state;
+pub mod tenant;
 pub mod throttle;
 pub mod timeout;
 pub mod tunnel;
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -7,6 +7,11 @@
     time::Duration, //
 };
 
+use super::tenant::{
+    key::Key,
+    Directory,
+    Tenant, //
+};
 use crate::hash::Map;
 
 /// Repeatability of the requests of a route.
@@ -66,6 +71,11 @@
     pub attempts: u32,
     /// Whether upstreams work faster on objects that they handled recently.
     pub sticky: bool,
+    /// Whether requests need no key of a tenant.
+    pub public: bool,
+    /// Time for which the gateway keeps a turn after its answer, if callers send only the new input
+    /// of a turn.
+    pub retention: Option<Duration>,
 }
 
 impl Route {
@@ -118,6 +128,8 @@
     hosts: Map<Arc<str>, Vec<Rc<Route>>>,
     services: Map<Arc<str>, Service>,
     limits: Limits,
+    /// Tenants; `None` if requests need no key.
+    tenants: Option<Directory>,
 }
 
 impl Table {
@@ -144,9 +156,28 @@
                 .map(|service| (service.name.clone(), service))
                 .collect(),
             limits,
+            tenants: None,
+        }
+    }
+
+    /// Requires a key of one of these tenants for routes that are not public.
+    pub fn with_tenants(self, tenants: Directory) -> Self {
+        Self {
+            tenants: Some(tenants),
+            ..self
         }
     }
 
+    /// Returns the tenants; `None` if requests need no key.
+    pub fn tenants(&self) -> Option<&Directory> {
+        self.tenants.as_ref()
+    }
+
+    /// Returns the tenant that holds a key.
+    pub fn tenant_of_key(&self, key: &Key) -> Option<&Rc<Tenant>> {
+        self.tenants.as_ref()?.tenant_of(key)
+    }
+
     /// Returns the version; later ones are greater.
     pub fn version(&self) -> u64 {
         self.version
--- a/src/platform/dialect.rs
+++ b/src/platform/dialect.rs
@@ -28,6 +28,7 @@
         Reply, //
     },
     load::Report,
+    tenant::key, //
 };
 
 /// Identifier of the request, unique to each attempt of the caller.
@@ -45,6 +46,12 @@
 const TOKEN_COUNT: HeaderName = HeaderName::from_static("token-count");
 /// Parts of the prompt in order: comma-separated `id:tokens`, with `id` in hexadecimal.
 const PROMPT_PREFIX: HeaderName = HeaderName::from_static("prompt-prefix");
+/// Key of the caller's tenant.
+const KEY: HeaderName = HeaderName::from_static("key");
+/// Name of the caller's tenant, set for servers.
+const TENANT: HeaderName = HeaderName::from_static("tenant");
+/// Identifier of the request that answered the turn from which a turn continues.
+const PREVIOUS_TURN: HeaderName = HeaderName::from_static("previous-turn");
 /// Object that the request concerns.
 const AFFINITY_KEY: HeaderName = HeaderName::from_static("affinity-key");
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
@@ -69,9 +76,14 @@
 /// Maximum length of an affinity key that is used.
 const MAX_AFFINITY_KEY_BYTES: usize = 256;
 
-/// Headers reserved for the system; those of callers are removed.
-const RESERVED: [HeaderName; 6] = [
+/// Maximum length of the identifier of a previous turn.
+const MAX_PREVIOUS_TURN_BYTES: usize = 128;
+
+/// Headers reserved for the system; those of callers are removed. Servers never get the key.
+const RESERVED: [HeaderName; 8] = [
     EXPECT_INSTANCE,
+    KEY,
+    TENANT,
     HeaderName::from_static("hold"),
     HeaderName::from_static("pin-ms"),
     HeaderName::from_static("kv-backup"),
@@ -151,6 +163,30 @@
     valid.then(|| key.into())
 }
 
+/// Returns the key of the caller's tenant.
+fn credential(headers: &HeaderMap) -> Result<key::Key, key::Fault> {
+    let mut keys = headers.get_all(&KEY);
+    let key = keys.next().ok_or(key::Fault::Missing)?;
+    match keys.next() {
+        Some(_) => Err(key::Fault::Repeated),
+        None => key::Key::try_from(key.as_bytes()),
+    }
+}
+
+/// Returns the request that answered the turn from which a turn continues.
+fn previous(headers: &HeaderMap) -> Result<Option<Arc<str>>, Invalid> {
+    let mut names = headers.get_all(&PREVIOUS_TURN);
+    let Some(name) = names.next() else {
+        return Ok(None);
+    };
+    let name = name.to_str().unwrap_or("").trim();
+    let valid = !name.is_empty() && name.len() <= MAX_PREVIOUS_TURN_BYTES;
+    match valid && names.next().is_none() {
+        true => Ok(Some(name.into())),
+        false => Err(Invalid(PREVIOUS_TURN.to_string())),
+    }
+}
+
 fn report(headers: &HeaderMap) -> Option<Report> {
     let mut fields = text(headers, &SERVER_LOAD)?.split(',').map(str::trim);
     let mut next = || fields.next()?.parse::<u32>().ok();
@@ -185,6 +221,8 @@
             after: value(headers, &LAST_EVENT_ID)?,
             resumes: text(headers, &RESUMES).map(Into::into),
             object: object(headers),
+            credential: credential(headers),
+            previous: previous(headers),
         })
     }
 
@@ -192,6 +230,18 @@
         for name in &RESERVED {
             headers.remove(name);
         }
+        if let Some(tenant) = dispatch.tenant {
+            match HeaderValue::from_str(tenant) {
+                Ok(tenant) => headers.insert(TENANT, tenant),
+                Err(error) => {
+                    log::warn!(
+                        error:%;
+                        "dispatch: name of the tenant is not a valid header value; leaving it out"
+                    );
+                    headers.remove(&TENANT)
+                }
+            };
+        }
         let remaining_ms = dispatch.remaining.as_millis() as u64;
         headers.insert(DEADLINE_MS, HeaderValue::from(remaining_ms));
         match HeaderValue::from_str(dispatch.upstream) {
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -21,6 +21,12 @@
         Share,
         Table, //
     },
+    tenant::{
+        key::Key,
+        Directory,
+        Quota,
+        Tenant, //
+    },
 };
 
 /// Reason why a body of the platform is rejected.
@@ -36,7 +42,6 @@
 }
 
 /// Value of the operator's key `config`.
-#[derive(Debug)]
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Config {
@@ -44,6 +49,9 @@
     routes: Vec<RawRoute>,
     services: Vec<RawService>,
     limits: RawLimits,
+    /// Absent if requests need no key.
+    #[serde(default)]
+    tenants: Option<Vec<RawTenant>>,
 }
 
 #[derive(Debug)]
@@ -71,6 +79,30 @@
     /// Whether servers work faster on requests with an affinity key that they handled recently.
     #[serde(default)]
     sticky: bool,
+    /// Whether requests need no key.
+    #[serde(default)]
+    public: bool,
+    /// Whether callers send only the new input of a turn.
+    #[serde(default)]
+    retain: bool,
+    #[serde(default)]
+    retention_s: f64,
+}
+
+/// A tenant. `Debug` is not derived, as it would print keys.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct RawTenant {
+    name: Arc<str>,
+    #[serde(default)]
+    api_keys: Vec<String>,
+    #[serde(default)]
+    priority: Option<u8>,
+    /// Requests per second; 0 if there is no limit.
+    #[serde(default)]
+    rate_per_s: f64,
+    #[serde(default)]
+    burst: f64,
 }
 
 fn one() -> u32 {
@@ -162,6 +194,11 @@
             shares,
             attempts: raw.max_attempts.max(1),
             sticky: raw.sticky,
+            public: raw.public,
+            retention: match raw.retain {
+                true => Some(milliseconds("retentionS", raw.retention_s * 1_000.0)?),
+                false => None,
+            },
         })
     }
 }
@@ -183,10 +220,38 @@
         let limits = Limits {
             body: raw.limits.max_body_bytes,
         };
-        Ok(Self::new(raw.version, routes?, services, limits))
+        let table = Self::new(raw.version, routes?, services, limits);
+        Ok(match raw.tenants {
+            Some(tenants) => table.with_tenants(directory(tenants)?),
+            None => table,
+        })
     }
 }
 
+fn directory(tenants: Vec<RawTenant>) -> Result<Directory, Invalid> {
+    let tenant = |raw: RawTenant| {
+        let quota = Quota {
+            rate: raw.rate_per_s,
+            burst: raw.burst,
+        };
+        if !(quota.rate >= 0.0 && quota.burst >= 0.0) {
+            let text = format!("tenant {}: rate and burst must not be negative", raw.name);
+            return Err(Invalid::Value(text));
+        }
+        // A key that can't be sent in a header opens nothing.
+        let keys = raw.api_keys.iter();
+        let keys = keys.filter_map(|key| Key::try_from(key.as_bytes()).ok());
+        let tenant = Tenant {
+            name: raw.name,
+            priority: raw.priority,
+            quota: (quota.rate > 0.0).then_some(quota),
+        };
+        Ok((tenant, keys.collect()))
+    };
+    let tenants: Result<Vec<_>, _> = tenants.into_iter().map(tenant).collect();
+    Ok(Directory::new(tenants?))
+}
+
 /// Report of a server, which it repeats as a heartbeat.
 #[derive(Debug)]
 #[derive(Deserialize)]
--- a/tests/gateway/dialect.rs
+++ b/tests/gateway/dialect.rs
@@ -97,6 +97,7 @@
     let dispatch = Dispatch {
         upstream: "i-1",
         remaining: Duration::from_millis(1_500),
+        tenant: None,
         after: Some(7),
     };
     Dialect::dispatch(&mut map, &dispatch);
--- a/tests/gateway/route.rs
+++ b/tests/gateway/route.rs
@@ -31,6 +31,8 @@
             .collect(),
         attempts: 1,
         sticky: false,
+        public: false,
+        retention: None,
     }
 }
 
