--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -51,3 +51,4 @@
 pub mod throttle;
 pub mod timeout;
 pub mod tunnel;
+pub mod view;
