Test turns whose tunnel instance fails

A turn whose route allows one upstream must not run on a second one because the instance that carries its tunnel was killed, was paused or lost its own paths, and no crash may be attributed to it.

--- a/tests/gateway/stranded.rs
+++ b/tests/gateway/stranded.rs
@@ -2,12 +2,23 @@
 //! reaches them: they must be served as well as those of the other.
 
 use std::{
-    io::Write as _,
+    io::{
+        Read as _,
+        Write as _, //
+    },
     net::{
         SocketAddr,
         TcpListener,
         TcpStream, //
     },
+    sync::{
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+        Arc,
+        Mutex, //
+    },
     thread,
     time::{
         Duration,
@@ -37,6 +48,7 @@
     answer,
     configure,
     events,
+    get,
     read,
     request,
     Action,
@@ -72,7 +84,7 @@
 struct Fleet {
     store: Server<Store>,
     stranded: Instance,
-    _helpers_store: Server<Store>,
+    helpers_store: Server<Store>,
     helpers: Vec<Instance>,
 }
 
@@ -114,7 +126,7 @@
         Self {
             store,
             stranded,
-            _helpers_store: helpers_store,
+            helpers_store: helpers_store,
             helpers,
         }
     }
@@ -331,6 +343,239 @@
     assert!(fleet.helpers[0].wait_exit());
 }
 
+/// An upstream that sends the first event of a stream at once, and the others over 1.6 s; a resumed
+/// stream gets the rest at once.
+fn slow_stream() -> Upstream {
+    Upstream::start(|_, request| {
+        let last = request.header("last-event-id");
+        if let Some(last) = last.and_then(|id| id.parse::<u64>().ok()) {
+            return Action::Answer(events(request, last + 1..=5, true));
+        }
+        let lengths = (1..=5).map(|last| events(request, 1..=last, false).len());
+        let all = events(request, 1..=5, true);
+        let mut parts = Vec::new();
+        let mut start = 0;
+        for end in lengths {
+            parts.push(all[start..end].to_vec());
+            start = end;
+        }
+        parts.push(all[start..].to_vec());
+        Action::Parts(parts, Duration::from_millis(400))
+    })
+}
+
+/// A request that runs through the only helper, and a second upstream that the instance reaches
+/// directly, which it learns of once the request runs.
+struct Tunnelled {
+    fleet: Fleet,
+    caller: TcpStream,
+    second: Upstream,
+}
+
+impl Tunnelled {
+    fn start(first: &Upstream, path: &str) -> Self {
+        let fleet = Fleet::start(1, &[(first.address, refusing())]);
+        Self::start_in(fleet, first, path)
+    }
+
+    fn start_in(fleet: Fleet, first: &Upstream, path: &str) -> Self {
+        let before = first.requests().len();
+        let mut caller = fleet.stranded.connect();
+        let text = request("POST", path, "Token-Count: 50,40\r\n", "");
+        caller.write_all(text.as_bytes()).unwrap();
+        while first.requests().len() == before {
+            thread::sleep(Duration::from_millis(5));
+        }
+        let second = sound();
+        publish(&fleet.store, "i-second", second.address);
+        // The registry is reread after its pause.
+        thread::sleep(Duration::from_millis(800));
+        Self {
+            fleet,
+            caller,
+            second,
+        }
+    }
+
+    /// Asserts that no second upstream ran the request, and that no crash is attributed to it.
+    fn assert_ran_once(&self) {
+        assert!(self.second.requests().is_empty(), "it ran on a second one");
+        let text = get(self.fleet.stranded.metrics, "/metrics").text();
+        assert!(!text.contains("upstream=\"ended\""), "{text}");
+    }
+}
+
+/// A route allows one upstream. That the instance which helps is killed must not count as the end
+/// of the upstream, after which another one may run the stream.
+#[test]
+fn stream_is_not_sent_to_a_second_upstream_when_its_helper_is_killed() {
+    let engine = slow_stream();
+    let mut turn = Tunnelled::start(&engine, "/stream/x");
+    turn.fleet.helpers.clear();
+    let answer = read(&mut turn.caller).unwrap();
+    assert!(!answer.complete, "{}", answer.text());
+    turn.assert_ran_once();
+}
+
+/// As above, before the first event: the break must not count as a crash of the upstream either.
+#[test]
+fn stream_without_an_event_is_not_sent_to_a_second_upstream_when_its_helper_is_killed() {
+    let engine = Upstream::start(|_, _| Action::Silent);
+    let mut turn = Tunnelled::start(&engine, "/stream/x");
+    turn.fleet.helpers.clear();
+    let answer = read(&mut turn.caller).unwrap();
+    assert_eq!(answer.status(), 502, "{}", answer.text());
+    turn.assert_ran_once();
+}
+
+#[test]
+fn stream_is_not_sent_to_a_second_upstream_when_its_helper_is_paused() {
+    let engine = slow_stream();
+    let mut turn = Tunnelled::start(&engine, "/stream/x");
+    turn.fleet.helpers[0].signal("STOP");
+    let answer = read(&mut turn.caller).unwrap();
+    assert!(!answer.complete, "{}", answer.text());
+    turn.assert_ran_once();
+}
+
+/// A planned stop of the helper must not interrupt the stream that it forwards.
+#[test]
+fn stream_is_completed_before_its_helper_stops() {
+    let engine = slow_stream();
+    let mut turn = Tunnelled::start(&engine, "/stream/x");
+    turn.fleet.helpers[0].signal("TERM");
+    let answer = read(&mut turn.caller).unwrap();
+    assert!(answer.complete, "{}", answer.text());
+    assert_eq!(engine.requests().len(), 1, "the stream was sent again");
+    turn.assert_ran_once();
+    assert!(turn.fleet.helpers[0].wait_exit());
+}
+
+/// Passes connections on to an upstream until its path is cut, after which it refuses them.
+struct Link {
+    address: SocketAddr,
+    open: Arc<Mutex<Vec<TcpStream>>>,
+    cut: Arc<AtomicBool>,
+}
+
+impl Link {
+    fn start(upstream: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (open, cut) = (Arc::<Mutex<Vec<TcpStream>>>::default(), Arc::default());
+        let (streams, ended): (_, Arc<AtomicBool>) = (open.clone(), Arc::clone(&cut));
+        thread::spawn(move || {
+            for near in listener.incoming().flatten() {
+                if ended.load(Ordering::SeqCst) {
+                    return;
+                }
+                let far = TcpStream::connect(upstream).unwrap();
+                let copies = [&near, &far].map(|stream| stream.try_clone().unwrap());
+                streams.lock().unwrap().extend(copies);
+                for (from, to) in [(&near, &far), (&far, &near)] {
+                    let (from, to) = (from.try_clone().unwrap(), to.try_clone().unwrap());
+                    thread::spawn(move || pass(from, to));
+                }
+            }
+        });
+        Self { address, open, cut }
+    }
+
+    fn cut(&self) {
+        self.cut.store(true, Ordering::SeqCst);
+        while TcpStream::connect(self.address).is_ok() {
+            thread::sleep(Duration::from_millis(5));
+        }
+        for stream in self.open.lock().unwrap().iter() {
+            // One side may have closed it.
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+}
+
+fn pass(mut from: TcpStream, mut to: TcpStream) {
+    let mut buffer = [0; 4_096];
+    while let Ok(length @ 1..) = from.read(&mut buffer) {
+        if to.write_all(&buffer[..length]).is_err() {
+            return;
+        }
+    }
+}
+
+/// The helper is refused by the upstream as well, but reaches no other either.
+#[test]
+fn stream_is_not_sent_to_a_second_upstream_when_its_helper_loses_its_paths() {
+    let engine = slow_stream();
+    let link = Link::start(engine.address);
+    let fleet = Fleet::start(1, &[(link.address, refusing())]);
+    let mut turn = Tunnelled::start_in(fleet, &engine, "/stream/x");
+    link.cut();
+    let answer = read(&mut turn.caller).unwrap();
+    assert!(!answer.complete, "{}", answer.text());
+    turn.assert_ran_once();
+}
+
+#[test]
+fn call_that_must_not_repeat_is_sent_once_when_its_helper_is_killed() {
+    let silent = Upstream::start(|_, _| Action::Silent);
+    let mut call = Tunnelled::start(&silent, "/once/x");
+    call.fleet.helpers.clear();
+    let answer = read(&mut call.caller).unwrap();
+    assert_eq!(answer.status(), 502, "{}", answer.text());
+    assert_eq!(silent.requests().len(), 1);
+    // The cause of the break is determined after the answer.
+    thread::sleep(ANSWER_TIME);
+    call.assert_ran_once();
+}
+
+/// Another instance reaches the upstream of the stream, which must go on there.
+#[test]
+fn stream_goes_on_at_its_upstream_through_another_helper() {
+    let engine = slow_stream();
+    let mut fleet = Fleet::start(1, &[(engine.address, refusing())]);
+    send(&fleet.stranded, "/safe/x");
+    let other = Instance::start_in("b", "helper-1", fleet.helpers_store.address());
+    other.wait_ready();
+    let entry = json!({ "zone": "b", "address": other.peers.to_string() });
+    let text = entry.to_string();
+    fleet
+        .store
+        .put("keyed.instances", "helper-1", text.as_bytes());
+    thread::sleep(SPREAD);
+    let killed = fleet.helpers.remove(0);
+    let mut turn = Tunnelled::start_in(fleet, &engine, "/stream/x");
+    drop(killed);
+    let answer = read(&mut turn.caller).unwrap();
+    assert!(answer.complete, "{}", answer.text());
+    assert!(answer.text().contains("id: 5\n"));
+    turn.assert_ran_once();
+}
+
+/// The upstream has ended, which the instance can learn from its helper only. The stream must go on
+/// at another one.
+#[test]
+fn stream_of_an_ended_upstream_goes_on_at_another_through_a_helper() {
+    let ending = Upstream::start(|_, request| {
+        thread::sleep(Duration::from_millis(900));
+        Action::Close(events(request, 1..=3, false))
+    });
+    let fleet = Fleet::start(1, &[(ending.address, refusing())]);
+    let mut caller = fleet.stranded.connect();
+    let text = request("POST", "/stream/x", "Token-Count: 50,40\r\n", "");
+    caller.write_all(text.as_bytes()).unwrap();
+    while ending.requests().is_empty() {
+        thread::sleep(Duration::from_millis(5));
+    }
+    ending.stop();
+    let other = Upstream::start(|_, request| Action::Answer(events(request, 4..=5, true)));
+    publish(&fleet.helpers_store, "i-1", other.address);
+    publish(&fleet.store, "i-1", refusing());
+    let answer = read(&mut caller).unwrap();
+    assert!(answer.complete, "{}", answer.text());
+    assert!(answer.text().contains("id: 5\n"));
+    assert_eq!(other.requests().len(), 1);
+}
+
 /// The tunnel port leads nowhere without a number from the link.
 #[test]
 fn tunnel_port_closes_connections_without_a_number() {
