Check keys of tenants, and name the tenant to upstreams

Requests on routes that are not public were served whatever their key. A missing, empty, repeated, overlong or unknown key is now refused with 401 before the body is read. The key is checked again with the latest configuration once the body has arrived, as it may be revoked meanwhile. Errors of the decoder of configurations quoted the text of a value of the wrong type, which could be a key; they now name its position only.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -579,8 +579,9 @@
         }
         let took_ms = job.arrived.elapsed().as_millis() as u64;
         let inputs = job.inputs.get();
+        let tenant = job.tenant.as_ref().map_or("", |tenant| &*tenant.name);
         log::info!(
-            request = &*job.call.id, route = &*job.route.name, version = job.version, status,
+            request = &*job.call.id, tenant, route = &*job.route.name, version = job.version, status,
             upstream, took_ms, cost_ms = inputs.cost_ms as u64, unread = inputs.unread,
             running = inputs.running as u64, pace = inputs.pace,
             report_age_ms = inputs.report_age_ms;
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -77,11 +77,16 @@
         Relay,
         Started, //
     },
-    route::Kind,
+    route::{
+        Kind,
+        Route,
+        Table, //
+    },
     state::{
         Busy,
         Gateway, //
     },
+    tenant::Tenant,
 };
 use crate::{
     clock::Time,
@@ -237,19 +242,29 @@
     arrived: Instant,
 ) -> HttpResponse {
     gateway.metrics.refused(refusal.reason);
+    let call = D::call(request.headers());
+    let table = gateway.table();
+    let key = call.as_ref().ok().map(|call| call.credential.as_ref());
+    let key = key.and_then(Result::ok);
+    let tenant = table.as_ref().zip(key);
+    let tenant = tenant.and_then(|(table, key)| table.tenant_of_key(key));
+    if let Some(tenant) = tenant {
+        let outcome = refusal.reason;
+        gateway.metrics.tenant_request(&tenant.name, outcome);
+    }
     if gateway.log_throttle.allow(Time::monotonic()) {
-        let call = D::call(request.headers());
+        let tenant = tenant.map_or("", |tenant| &*tenant.name);
         let id = call.as_ref().map_or("", |call| &*call.id);
         let program = call.as_ref().ok().and_then(|call| call.program.as_ref());
         let program = program.map_or("", |program| &*program.id);
         let (status, reason) = (refusal.status.as_u16(), refusal.reason);
-        let version = gateway.table().map_or(0, |table| table.version());
+        let version = table.as_ref().map_or(0, |table| table.version());
         let took_ms = arrived.elapsed().as_millis() as u64;
         let retry_after_ms = refusal
             .retry_after
             .map_or(0, |wait| wait.as_millis() as u64);
         log::info!(
-            request = id, program, status, reason, version, took_ms, retry_after_ms;
+            request = id, tenant, program, status, reason, version, took_ms, retry_after_ms;
             "front: request is refused"
         );
     }
@@ -300,7 +315,11 @@
     let route = table
         .route(host.unwrap_or(""), request.path())
         .ok_or(Refusal::invalid(StatusCode::NOT_FOUND, "no_route"))?;
+    authenticate(gateway, &table, route, &call)?;
     let body = read(payload, table.limits().body).await?;
+    // The body may have taken long to arrive, and the key may have been revoked since.
+    let latest = gateway.table().unwrap_or_else(|| table.clone());
+    let tenant = authenticate(gateway, &latest, route, &call)?;
     let timeout = call.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let service = route.service(key(&call)).clone();
     let engine = table
@@ -318,7 +337,7 @@
         call,
         route: route.clone(),
         service,
-        tenant: None,
+        tenant,
         method: request.method().clone(),
         uri: request.uri().clone(),
         headers: end_to_end(headers),
@@ -349,6 +368,22 @@
     }
 }
 
+/// Returns the tenant of a request, or the refusal if it needs a key and has no valid one.
+fn authenticate<D, L>(
+    gateway: &Gateway<D, L>,
+    table: &Table,
+    route: &Route,
+    call: &Call,
+) -> Result<Option<Rc<Tenant>>, Refusal> {
+    match table.authenticate(route, &call.credential) {
+        Ok(tenant) => Ok(tenant.cloned()),
+        Err(reason) => {
+            gateway.metrics.refused_key(reason);
+            Err(Refusal::invalid(StatusCode::UNAUTHORIZED, reason))
+        }
+    }
+}
+
 /// Waits for the start of an answer, and gives it up once the request is held back.
 async fn unless<T>(
     held: impl Future<Output = ()>,
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -36,6 +36,9 @@
     breaks: Counter<u64>,
     connections: Counter<u64>,
     quarantine: Counter<u64>,
+    key_refusals: Counter<u64>,
+    tenant_requests: Counter<u64>,
+    quota_grants: Counter<u64>,
     store_calls: Counter<u64>,
     store_bytes: Counter<u64>,
     store_time: Histogram<f64>,
@@ -91,6 +94,18 @@
                 "quarantine",
                 "Requests that this instance learned to hold back, or to serve again, by change.",
             ),
+            key_refusals: counter(
+                "key_refusals",
+                "Requests refused for want of a valid key of a tenant, by reason.",
+            ),
+            tenant_requests: counter(
+                "tenant_requests",
+                "Requests by tenant and outcome: admitted, or the reason of the refusal.",
+            ),
+            quota_grants: counter(
+                "quota_grants",
+                "Requests admitted to the quota of their tenant, by who granted them.",
+            ),
             store_calls: counter("store_calls", "Calls to the store, by call and outcome."),
             store_bytes: counter(
                 "store_received_bytes",
@@ -165,6 +180,27 @@
         self.0.permits.add(1, &[KeyValue::new("by", by)]);
     }
 
+    /// Counts a request without a valid key.
+    pub fn refused_key(&self, reason: &'static str) {
+        let labels = [KeyValue::new("reason", reason)];
+        self.0.key_refusals.add(1, &labels);
+    }
+
+    /// Counts a request of a tenant that was `admitted`, or why it was refused.
+    pub fn tenant_request(&self, tenant: &Arc<str>, outcome: &'static str) {
+        let labels = [
+            KeyValue::new("tenant", tenant.clone()),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.0.tenant_requests.add(1, &labels);
+    }
+
+    /// Counts a credit by who granted it: another instance that issues the quota (`issuer`) or the
+    /// share of the `zone`, or this instance as one of the two (`local`).
+    pub fn granted_quota(&self, by: &'static str) {
+        self.0.quota_grants.add(1, &[KeyValue::new("by", by)]);
+    }
+
     /// Records a call to the store; the bytes received of a `lost` one were discarded.
     pub fn record_store_call(
         &self,
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -8,7 +8,11 @@
 };
 
 use super::tenant::{
-    key::Key,
+    key::{
+        Fault,
+        Key,
+        UNKNOWN_REASON, //
+    },
     Directory,
     Tenant, //
 };
@@ -178,6 +182,20 @@
         self.tenants.as_ref()?.tenant_of(key)
     }
 
+    /// Returns the tenant of a request on a route; `None` if it needs no key. Fails with the reason
+    /// code of the refusal.
+    pub fn authenticate(
+        &self,
+        route: &Route,
+        credential: &Result<Key, Fault>,
+    ) -> Result<Option<&Rc<Tenant>>, &'static str> {
+        let Some(tenants) = self.tenants.as_ref().filter(|_| !route.public) else {
+            return Ok(None);
+        };
+        let key = credential.as_ref().map_err(|fault| fault.reason())?;
+        tenants.tenant_of(key).map(Some).ok_or(UNKNOWN_REASON)
+    }
+
     /// Returns the version; later ones are greater.
     pub fn version(&self) -> u64 {
         self.version
--- a/src/gateway/tenant/key.rs
+++ b/src/gateway/tenant/key.rs
@@ -35,6 +35,9 @@
     }
 }
 
+/// Reason code of a request whose key no tenant holds.
+pub const UNKNOWN_REASON: &str = "key_unknown";
+
 /// Digest of a key. Keys are compared by digest, so that the time of a lookup tells nothing about
 /// other keys.
 #[derive(Clone, Copy, Eq, Hash, PartialEq)]
--- a/src/platform/dialect.rs
+++ b/src/platform/dialect.rs
@@ -231,7 +231,7 @@
             headers.remove(name);
         }
         if let Some(tenant) = dispatch.tenant {
-            match HeaderValue::from_str(tenant) {
+            match HeaderValue::from_bytes(tenant.as_bytes()) {
                 Ok(tenant) => headers.insert(TENANT, tenant),
                 Err(error) => {
                     log::warn!(
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -36,6 +36,9 @@
     /// The body is not JSON, or a field is missing or has another type.
     #[error("body can't be decoded: {0}")]
     Body(#[from] serde_json::Error),
+    /// The configuration is not valid. The text has no content of it, which may be a key of a tenant.
+    #[error("configuration can't be decoded: {0:?} error at line {1}, column {2}")]
+    Configuration(serde_json::error::Category, usize, usize),
     /// A value is outside its range.
     #[error("{0}")]
     Value(String),
@@ -207,7 +210,9 @@
     type Error = Invalid;
 
     fn try_from(body: &[u8]) -> Result<Self, Invalid> {
-        let raw: Config = serde_json::from_slice(body)?;
+        let raw: Config = serde_json::from_slice(body).map_err(|error| {
+            Invalid::Configuration(error.classify(), error.line(), error.column())
+        })?;
         let routes: Result<Vec<_>, _> = raw.routes.into_iter().map(Route::try_from).collect();
         let services = raw.services.into_iter().map(|service| Service {
             name: service.name,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -26,6 +26,7 @@
 mod settings;
 mod stranded;
 mod support;
+mod tenant;
 mod throttle;
 mod timeout;
 mod versions;
