Keep quotas of tenants over all instances

Requests of a tenant were unlimited. One instance, which rendezvous hashing picks among the large ones, now issues the credits of a tenant from a token bucket; the zones share a part of the slack for when it does not answer. A request over the quota gets 429 with the time of its credit; if nobody knows the credit it gets 503. Credits of requests that the gateway refused are given back.

--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -1,5 +1,5 @@
 //! Handles the requests of other instances: about token accounts, placements of turns, permits,
-//! origins of streams, crashes of upstreams, and tunnels to upstreams.
+//! origins of streams, crashes of upstreams, tunnels to upstreams, and quotas of tenants.
 
 use std::rc::Rc;
 
@@ -16,6 +16,7 @@
         Replica, //
     },
     reports::Reports,
+    tenant::credit::Quotas,
     tunnel::Tunnels,
 };
 use crate::{
@@ -35,17 +36,19 @@
     origins: Rc<Origins>,
     reports: Rc<Reports>,
     tunnels: Rc<Tunnels>,
+    quotas: Rc<Quotas>,
 }
 
 impl<L> Endpoint<L> {
     /// Returns a handler of requests about accounts, placements, permits, origins of streams,
-    /// crashes of upstreams and tunnels.
+    /// crashes of upstreams, tunnels and quotas.
     pub fn new(
         replica: Rc<Replica<L>>,
         dispatcher: Rc<Dispatcher>,
         origins: Rc<Origins>,
         reports: Rc<Reports>,
         tunnels: Rc<Tunnels>,
+        quotas: Rc<Quotas>,
     ) -> Self {
         Self {
             replica,
@@ -53,6 +56,7 @@
             origins,
             reports,
             tunnels,
+            quotas,
         }
     }
 }
@@ -88,6 +92,12 @@
                 });
                 return;
             }
+            Body::Quota(request) => {
+                if let Some(response) = self.quotas.handle(request) {
+                    respond(reply, Body::Credited(response));
+                }
+                return;
+            }
             Body::ListReports => return respond(reply, Body::Reports(self.reports.list())),
             _ => return,
         };
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -79,7 +79,10 @@
         Busy,
         Gateway, //
     },
-    tenant::Tenant,
+    tenant::{
+        credit,
+        Tenant, //
+    },
 };
 use crate::clock::Time;
 
@@ -206,6 +209,27 @@
         Self::new(StatusCode::PAYMENT_REQUIRED, "budget_spent")
     }
 
+    /// Refuses a request that got no credit of the quota of its tenant.
+    pub fn without_credit(sends: &Sends, fault: credit::Fault) -> Self {
+        match (fault, sends.not_run()) {
+            (credit::Fault::OverQuota(wait), Some(_)) => Self {
+                retry_after: Some(wait),
+                ..Self::new(StatusCode::TOO_MANY_REQUESTS, "over_quota")
+            },
+            (credit::Fault::OverQuota(_), None) => Self::unknown("over_quota"),
+            (credit::Fault::Unavailable(wait), _) => Self::after(sends, "quota_unavailable", wait),
+        }
+    }
+
+    /// Returns whether the answer promises that the request has not run.
+    pub fn promises_not_run(&self) -> bool {
+        let promises = [
+            StatusCode::SERVICE_UNAVAILABLE,
+            StatusCode::PAYMENT_REQUIRED,
+        ];
+        promises.contains(&self.status)
+    }
+
     /// Refuses a request that crashes upstreams, for as long as it is held back.
     pub fn held(sends: &Sends, left: Duration) -> Self {
         Self::after(sends, HELD_REASON, left)
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -353,6 +353,28 @@
     if let Some(left) = gateway.reports.held(&job.fingerprint) {
         return Err(Refusal::held(&Sends::default(), left));
     }
+    let Some(tenant) = job.tenant.clone() else {
+        return forward(gateway, job, tokens_per_event).await;
+    };
+    let credit = gateway.quotas.take(&tenant).await;
+    let credit = credit.map_err(|fault| Refusal::without_credit(&Sends::default(), fault))?;
+    let answered = forward(gateway, job, tokens_per_event).await;
+    match (&answered, credit) {
+        (Ok(_), _) => gateway.metrics.tenant_request(&tenant.name, "admitted"),
+        (Err(refusal), Some(credit)) if refusal.promises_not_run() => {
+            gateway.quotas.give_back(credit);
+        }
+        (Err(_), _) => {}
+    }
+    answered
+}
+
+/// Sends a request to an upstream and starts the answer.
+async fn forward<D: Dialect, L: Log + 'static>(
+    gateway: &Rc<Gateway<D, L>>,
+    job: Job<D, L>,
+    tokens_per_event: u32,
+) -> Result<HttpResponse, Refusal> {
     let held = gateway.reports.wait_held(job.fingerprint);
     match job.route.kind {
         Kind::Streaming { .. } => {
@@ -361,7 +383,7 @@
         }
         Kind::Idempotent | Kind::Once => {
             let answer = unless(held, gateway.call(&job)).await?;
-            gateway.metrics.record_total(arrived.elapsed());
+            gateway.metrics.record_total(job.arrived.elapsed());
             gateway.log_answer(&job, answer.head.status.as_u16(), &answer.server.id);
             Ok(pass_on::<D, L>(gateway, answer))
         }
--- a/src/gateway/lifecycle.rs
+++ b/src/gateway/lifecycle.rs
@@ -134,6 +134,7 @@
         origins,
         reports.clone(),
         tunnels.clone(),
+        gateway.quotas.clone(),
     );
     let peers = connect_peers(&gateway.settings, endpoint).await?;
     replica.path().connect(peers.clone());
@@ -141,6 +142,10 @@
     placer.connect(peers.clone());
     dialer.connect(peers.clone());
     reports.connect(peers.clone());
+    let cut_off = accounts.clone();
+    let cut_off = move || !cut_off.joined() || cut_off.isolated();
+    gateway.quotas.connect(peers.clone(), cut_off);
+    spawn(gateway.quotas.clone().run());
     spawn(reports::publish(Holds::new(store.clone()), unpublished));
     spawn(follow::holds(reports, Holds::new(store.clone())));
     spawn(replica.clone().run());
--- a/src/gateway/owner.rs
+++ b/src/gateway/owner.rs
@@ -281,6 +281,11 @@
         Some((peers, owners))
     }
 
+    /// Returns whether the other instances are known.
+    pub fn joined(&self) -> bool {
+        self.joined.get()
+    }
+
     /// Returns whether this instance is isolated from the log while others may reach it.
     pub fn isolated(&self) -> bool {
         self.replica.path().outage().isolated()
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -15,7 +15,7 @@
 use super::{
     dial::Dialer, dispatcher::Placer, fleet::Fleet, metrics::Metrics, origin::Directory,
     owner::Client, permit::Limiter, reports::Reports, route::Table, settings::Settings,
-    throttle::Throttle,
+    tenant::credit::Quotas, throttle::Throttle,
 };
 use crate::log::Log;
 
@@ -39,6 +39,8 @@
     pub origins: Directory<L>,
     /// Requests that crash upstreams.
     pub reports: Rc<Reports>,
+    /// Quotas of tenants.
+    pub quotas: Rc<Quotas>,
     /// Metrics.
     pub metrics: Metrics,
     /// Rate limit of log lines about requests.
@@ -85,6 +87,7 @@
             accounts,
             origins,
             reports,
+            quotas: Rc::new(Quotas::new(metrics.clone())),
             metrics,
             log_throttle: Throttle::default(),
             stopping: Cell::new(false),
@@ -106,7 +109,9 @@
             .as_ref()
             .is_none_or(|current| table.version() > current.version());
         if newer {
-            *current = Some(Rc::new(table));
+            let table = Rc::new(table);
+            self.quotas.configure(&table);
+            *current = Some(table);
         }
         newer
     }
--- a/src/gateway/tenant/mod.rs
+++ b/src/gateway/tenant/mod.rs
@@ -1,6 +1,8 @@
 //! Tenants: the customers of the callers, their keys and their quotas.
 
+pub mod credit;
 pub mod key;
+pub mod quota;
 
 use std::{
     rc::Rc,
@@ -34,6 +36,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     keys: Map<Key, Rc<Tenant>>,
+    names: Map<Arc<str>, Rc<Tenant>>,
     tenants: Vec<Rc<Tenant>>,
 }
 
@@ -45,6 +48,7 @@
             let tenant = Rc::new(tenant);
             let entries = keys.into_iter().map(|key| (key, tenant.clone()));
             directory.keys.extend(entries);
+            directory.names.insert(tenant.name.clone(), tenant.clone());
             directory.tenants.push(tenant);
         }
         directory
@@ -57,7 +61,7 @@
 
     /// Returns a tenant.
     pub fn get(&self, name: &str) -> Option<&Rc<Tenant>> {
-        self.tenants.iter().find(|tenant| &*tenant.name == name)
+        self.names.get(name)
     }
 
     /// Returns all tenants.
--- a/src/member/snapshot.rs
+++ b/src/member/snapshot.rs
@@ -198,14 +198,21 @@
     /// Returns the instance that places the turns of a service in a zone: one of those with at least
     /// half the capacity of the largest.
     pub fn placer(&self, zone: &Zone, service: &str) -> Option<&Instance> {
+        rendezvous(service.as_bytes(), self.large(Some(zone)))
+    }
+
+    /// Returns the usable instances of a zone, or of all, that have at least half the capacity of the
+    /// largest of them.
+    pub fn large(&self, zone: Option<&Zone>) -> Vec<&Instance> {
         let capacity = |name: &Instance| match self.peer(name) {
             Some(peer) => peer.entry.capacity,
             None => self.local.capacity,
         };
-        let live = self.live(zone);
-        let largest = live.iter().map(capacity).max()?;
-        let large = live.iter().filter(|name| capacity(name) >= largest / 2);
-        rendezvous(service.as_bytes(), large)
+        let live = |other: &&Zone| zone.is_none_or(|zone| zone == *other);
+        let live: Vec<_> = self.live.keys().filter(live).collect();
+        let live = live.into_iter().flat_map(|zone| self.live(zone));
+        let largest = live.clone().map(capacity).max().unwrap_or(0);
+        live.filter(|name| capacity(name) >= largest / 2).collect()
     }
 
     /// Returns the instances that place the turns of a service, one of each zone.
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -28,6 +28,7 @@
         owner,
         permit,
         quarantine,
+        tenant::credit,
         tunnel, //
     },
     ledger::record::Record,
@@ -251,6 +252,12 @@
     /// Reply to a request for a tunnel.
     #[serde(rename = "tr")]
     Tunnel(tunnel::Response),
+    /// Message about the quota of a tenant; `Credited` replies to a request.
+    #[serde(rename = "qq")]
+    Quota(credit::Request),
+    /// Reply to a request for a credit of a quota.
+    #[serde(rename = "qr")]
+    Credited(credit::Response),
     /// The sender sends no more requests on this link; the receiver closes it once it is unused.
     #[serde(rename = "re")]
     Retire,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod owner;
 mod permit;
 mod quarantine;
+mod quota;
 mod recovery;
 mod registry;
 mod replica;
--- a/tests/gateway/owner.rs
+++ b/tests/gateway/owner.rs
@@ -30,6 +30,7 @@
             Replica, //
         },
         reports::Reports,
+        tenant::credit::Quotas,
         tunnel::Tunnels,
     },
     log::{
@@ -134,10 +135,18 @@
         let dispatcher = Rc::new(Dispatcher::new(zone, Rc::default()));
         let (reports, _) = Reports::new(Metrics::new().unwrap());
         let tunnels = Rc::new(Tunnels::new(Rc::default()));
+        let quotas = Rc::new(Quotas::new(Metrics::new().unwrap()));
         let mesh = Mesh::run(
             settings,
             listener,
-            Endpoint::new(replica.clone(), dispatcher, Rc::default(), reports, tunnels),
+            Endpoint::new(
+                replica.clone(),
+                dispatcher,
+                Rc::default(),
+                reports,
+                tunnels,
+                quotas,
+            ),
             roster.clone(),
         );
         let peers = Peers { mesh, roster };
