--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -1,10 +1,12 @@
 //! Handles the requests of other instances: about token accounts, placements of turns, permits,
-//! origins of streams, crashes of upstreams, tunnels to upstreams, and quotas of tenants.
+//! origins of streams, crashes of upstreams, the configuration, tunnels to upstreams, and quotas of
+//! tenants.
 
 use std::rc::Rc;
 
 use super::{
     account::Reservation,
+    configuration::Configurations,
     dispatcher::Dispatcher,
     origin::Origins,
     owner::{
@@ -20,6 +22,7 @@
     tunnel::Tunnels,
 };
 use crate::{
+    clock::Time,
     log::Log,
     name::Instance,
     peer::{
@@ -37,6 +40,7 @@
     reports: Rc<Reports>,
     tunnels: Rc<Tunnels>,
     quotas: Rc<Quotas>,
+    configurations: Rc<Configurations>,
 }
 
 impl<L> Endpoint<L> {
@@ -57,6 +61,15 @@
             reports,
             tunnels,
             quotas,
+            configurations: Rc::default(),
+        }
+    }
+
+    /// Answers requests for the configuration too.
+    pub fn with_configurations(self, configurations: Rc<Configurations>) -> Self {
+        Self {
+            configurations,
+            ..self
         }
     }
 }
@@ -84,6 +97,13 @@
                 return respond(reply, Body::Permitted(response));
             }
             Body::Reports(reports) => return self.reports.learn(reports),
+            Body::FindConfiguration(version) => {
+                let answer = match self.configurations.answer(Time::boot(), version) {
+                    Some(newer) => Body::Configuration(newer),
+                    None => Body::Empty,
+                };
+                return respond(reply, answer);
+            }
             Body::OpenTunnel(upstream) => {
                 let tunnels = self.tunnels.clone();
                 actix_web::rt::spawn(async move {
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -312,14 +312,12 @@
     let host = headers
         .get(header::HOST)
         .and_then(|host| host.to_str().ok());
-    let route = table
-        .route(host.unwrap_or(""), request.path())
-        .ok_or(Refusal::invalid(StatusCode::NOT_FOUND, "no_route"))?;
-    authenticate(gateway, &table, route, &call)?;
+    let (table, route) = find_route(gateway, table, host.unwrap_or(""), request.path()).await?;
+    authenticate(gateway, &table, &route, &call)?;
     let body = read(payload, table.limits().body).await?;
     // The body may have taken long to arrive, and the key may have been revoked since.
     let latest = gateway.table().unwrap_or_else(|| table.clone());
-    let tenant = authenticate(gateway, &latest, route, &call)?;
+    let tenant = authenticate(gateway, &latest, &route, &call)?;
     let timeout = call.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let service = route.service(key(&call)).clone();
     let engine = table
@@ -335,7 +333,7 @@
             .unwrap_or_default(),
         fingerprint: Fingerprint::new(request.method(), host.unwrap_or(""), request.uri(), &body),
         call,
-        route: route.clone(),
+        route,
         service,
         tenant,
         method: request.method().clone(),
@@ -406,6 +404,23 @@
     }
 }
 
+/// Returns the route of a request, and the configuration that has it. If the request needs a key, it
+/// is the configuration that was read since the latest pause of the process.
+async fn find_route<D, L>(
+    gateway: &Gateway<D, L>,
+    mut table: Rc<Table>,
+    host: &str,
+    path: &str,
+) -> Result<(Rc<Table>, Rc<Route>), Refusal> {
+    let no_route = || Refusal::invalid(StatusCode::NOT_FOUND, "no_route");
+    let mut route = table.route(host, path).ok_or_else(no_route)?.clone();
+    if table.tenants().is_some() && !route.public {
+        table = gateway.fresh_table().await.unwrap_or(table);
+        route = table.route(host, path).ok_or_else(no_route)?.clone();
+    }
+    Ok((table, route))
+}
+
 /// Waits for the start of an answer, and gives it up once the request is held back.
 async fn unless<T>(
     held: impl Future<Output = ()>,
--- a/src/gateway/lifecycle.rs
+++ b/src/gateway/lifecycle.rs
@@ -135,7 +135,8 @@
         reports.clone(),
         tunnels.clone(),
         gateway.quotas.clone(),
-    );
+    )
+    .with_configurations(gateway.configurations.clone());
     let peers = connect_peers(&gateway.settings, endpoint).await?;
     replica.path().connect(peers.clone());
     accounts.connect(peers.clone());
@@ -146,6 +147,7 @@
     let cut_off = move || !cut_off.joined() || cut_off.isolated();
     gateway.quotas.connect(peers.clone(), cut_off);
     spawn(gateway.quotas.clone().run());
+    gateway.configurations.connect(peers.clone());
     spawn(reports::publish(Holds::new(store.clone()), unpublished));
     spawn(follow::holds(reports, Holds::new(store.clone())));
     spawn(replica.clone().run());
