Count an upstream as ended only with evidence, not when a path to it fails

Cause: a stream that could not reopen the connection to its engine at once marked the engine as ended, so that a second engine ran the turn while the first was healthy. A refused connection alone also attributed a crash to the request, although the refusal may come from the path of this instance.

Sends::ended requires proof::Ended now: a current registry no longer lists this start of the engine, a direct connection was refused twice around one that reached another engine of its zone, or another instance attests this (tunnel::Response::Ended). A refusal does not count while the path is known to be lost. Without evidence the stream resumes at its own engine, also through other instances, until its retry time is over. Crashes are attributed by the same evidence.

--- a/src/gateway/dial.rs
+++ b/src/gateway/dial.rs
@@ -38,6 +38,10 @@
     metrics::Metrics,
     peers::Peers,
     pool::Pool,
+    proof::{
+        Ended,
+        Findings, //
+    },
     registry::Server,
     tunnel::{
         Response,
@@ -46,7 +50,10 @@
 };
 use crate::{
     clock::Time,
-    hash::Map,
+    hash::{
+        Map,
+        Set, //
+    },
     name::Instance,
     peer::wire::Body, //
 };
@@ -84,6 +91,8 @@
 #[derive(Debug, Default)]
 pub struct Paths {
     paths: Map<SocketAddr, Path>,
+    /// Upstreams that others reached while this instance did not, and that it has not reached since.
+    unreached: Set<SocketAddr>,
     /// Whether all paths are presumed to be lost: several are, and none worked since.
     all_lost: bool,
 }
@@ -92,6 +101,7 @@
     /// Records that this instance reached an upstream.
     pub fn reached(&mut self, upstream: SocketAddr) {
         self.paths.remove(&upstream);
+        self.unreached.remove(&upstream);
         self.all_lost = false;
     }
 
@@ -99,6 +109,7 @@
     /// paths are presumed to be lost from now on.
     pub fn lost(&mut self, upstream: SocketAddr) -> bool {
         self.paths.insert(upstream, Path::Lost);
+        self.unreached.insert(upstream);
         let lost = self.paths.values().filter(|path| **path == Path::Lost);
         let all_lost = lost.count() >= MIN_LOST;
         all_lost && !std::mem::replace(&mut self.all_lost, true)
@@ -114,6 +125,12 @@
         self.paths.get(&upstream) == Some(&Path::Lost)
     }
 
+    /// Returns whether the path to an upstream was lost and has not worked since, also if others no
+    /// longer reach the upstream either.
+    pub fn was_lost(&self, upstream: SocketAddr) -> bool {
+        self.unreached.contains(&upstream)
+    }
+
     /// Returns whether asking other instances for a tunnel is of no use.
     pub fn is_down(&self, now: Time, upstream: SocketAddr) -> bool {
         let path = self.paths.get(&upstream);
@@ -135,9 +152,29 @@
     /// Forgets all upstreams except those for which `listed` returns `true`.
     pub fn retain(&mut self, listed: impl Fn(SocketAddr) -> bool) {
         self.paths.retain(|upstream, _| listed(*upstream));
+        self.unreached.retain(|upstream| listed(*upstream));
     }
 }
 
+/// State of an upstream that broke off a request.
+pub enum Found {
+    /// A new connection was opened.
+    Alive(Connection),
+    /// The upstream has ended.
+    Ended(Ended),
+    /// No connection could be opened, and the reason may be the paths.
+    Unknown,
+}
+
+/// Replies of other instances that opened no tunnel to an upstream.
+#[derive(Default)]
+struct Refusals {
+    /// Instances that reach other upstreams, but not this one.
+    unreachable: usize,
+    /// Whether one attests that this start of the upstream has ended.
+    attested: bool,
+}
+
 /// Opens connections to upstreams.
 pub struct Dialer {
     /// Idle connections.
@@ -191,7 +228,7 @@
     pub async fn open(&self, server: &Server) -> Result<Connection, Fault> {
         let address = server.address;
         if self.paths.borrow().is_lost(address) {
-            if let Some(connection) = self.open_tunnel(server).await {
+            if let Ok(connection) = self.open_tunnel(server).await {
                 return Ok(connection);
             }
             return self.open_direct(address).await;
@@ -211,19 +248,66 @@
             None => match select(direct, tunnel).await {
                 Either::Left((Ok(connection), _)) => return Ok(connection),
                 Either::Left((Err(fault), tunnel)) => (tunnel.await, Some(fault)),
-                Either::Right((None, direct)) => return direct.await,
+                Either::Right((Err(_), direct)) => return direct.await,
                 Either::Right((tunnel, _)) => (tunnel, None),
             },
         };
         match tunnel {
-            Some(connection) => {
+            Ok(connection) => {
                 self.record_lost(server, &connection);
                 Ok(connection)
             }
-            None => Err(fault.unwrap_or_else(|| Fault::Connect(ErrorKind::TimedOut.into()))),
+            Err(_) => Err(fault.unwrap_or_else(|| Fault::Connect(ErrorKind::TimedOut.into()))),
         }
     }
 
+    /// Determines whether an upstream that broke off a request has ended, or only the path to it.
+    pub async fn examine(&self, server: &Server) -> Found {
+        let address = server.address;
+        let mut findings = Findings {
+            path_lost: self.paths.borrow().was_lost(address),
+            ..Findings::default()
+        };
+        // A lost path may hang until the connection times out.
+        let mut asked = false;
+        if findings.path_lost {
+            match self.open_tunnel(server).await {
+                Ok(connection) => return self.found_through(server, connection),
+                Err(refusals) => findings.attested = refusals.attested,
+            }
+            asked = true;
+        }
+        match self.open_direct(address).await {
+            Ok(connection) => return Found::Alive(connection),
+            Err(Fault::Connect(error)) if !findings.path_lost => {
+                findings.refused = self.tunnels.confirm_refusal(server, &error).await;
+            }
+            Err(_) => {}
+        }
+        if !asked && !findings.refused {
+            match self.open_tunnel(server).await {
+                Ok(connection) => return self.found_through(server, connection),
+                Err(refusals) => findings.attested = refusals.attested,
+            }
+        }
+        findings.unlisted = self.tunnels.is_gone(server);
+        let ended = findings.ended();
+        log::info!(
+            upstream = &*server.id, started = server.started, ended = ended.is_some(),
+            findings:?;
+            "dial: upstream that broke off a request accepts no connection"
+        );
+        ended.map_or(Found::Unknown, Found::Ended)
+    }
+
+    /// Returns the state of an upstream that another instance reaches.
+    fn found_through(&self, server: &Server, connection: Connection) -> Found {
+        if !self.paths.borrow().is_lost(server.address) {
+            self.record_lost(server, &connection);
+        }
+        Found::Alive(connection)
+    }
+
     fn record_lost(&self, server: &Server, connection: &Connection) {
         log::warn!(
             upstream = &*server.id, helper = connection.helper().map_or("", Instance::as_str);
@@ -257,33 +341,38 @@
         peers.is_some_and(|peers| peers.roster.snapshot().usable().any(|name| name == helper))
     }
 
-    /// Connects to an upstream through another instance; `None` if none that was asked reaches it.
-    async fn open_tunnel(&self, server: &Server) -> Option<Connection> {
-        let peers = self.peers.borrow().clone()?;
+    /// Connects to an upstream through another instance; fails if none that was asked reaches it.
+    async fn open_tunnel(&self, server: &Server) -> Result<Connection, Refusals> {
+        let mut refusals = Refusals::default();
+        let Some(peers) = self.peers.borrow().clone() else {
+            return Err(refusals);
+        };
         let others = self.candidates(&peers);
         let helper = self.helper.take().filter(|name| others.contains(name));
         let rest = others.iter().filter(|name| Some(*name) != helper.as_ref());
         let asked = helper.iter().chain(rest).take(MAX_ASKED);
-        let mut unreachable = 0;
         for name in asked {
             match self.request(&peers, name, server).await {
                 Some(Ok(connection)) => {
                     self.metrics.connected("tunnel");
                     self.helper.replace(Some(name.clone()));
-                    return Some(connection);
+                    return Ok(connection);
+                }
+                Some(Err(attested)) => {
+                    refusals.unreachable += 1;
+                    refusals.attested |= attested;
                 }
-                Some(Err(())) => unreachable += 1,
                 None => {}
             }
-            if unreachable >= MIN_UNREACHABLE {
+            if refusals.unreachable >= MIN_UNREACHABLE {
                 break;
             }
         }
-        if unreachable > 0 {
+        if refusals.unreachable > 0 {
             let mut paths = self.paths.borrow_mut();
             paths.down(Time::monotonic(), server.address);
         }
-        None
+        Err(refusals)
     }
 
     /// Returns the other instances in random order, alternately of this zone and of others: all of a
@@ -308,19 +397,23 @@
         }
     }
 
-    /// Requests a tunnel; `Some(Err(()))` if the other instance reaches upstreams, but not this one,
-    /// and `None` if it did not answer or reaches none.
+    /// Requests a tunnel; `Some(Err(_))` if the other instance reaches upstreams, but not this one,
+    /// with whether it attests that this start of it has ended, and `None` if it did not answer or
+    /// reaches none.
     async fn request(
         &self,
         peers: &Peers,
         name: &Instance,
         server: &Server,
-    ) -> Option<Result<Connection, ()>> {
+    ) -> Option<Result<Connection, bool>> {
         let body = Body::OpenTunnel(server.id.clone());
         let answer = peers.mesh.request(name, body, TUNNEL_TIMEOUT).await;
         let (address, token) = match answer {
             Ok(Body::Tunnel(Response::Open { address, token })) => (address, token),
-            Ok(Body::Tunnel(Response::Unreachable)) => return Some(Err(())),
+            Ok(Body::Tunnel(Response::Unreachable)) => return Some(Err(false)),
+            Ok(Body::Tunnel(Response::Ended { started })) => {
+                return Some(Err(started == server.started));
+            }
             Ok(_) => return None,
             Err(error) => {
                 log::debug!(peer = name.as_str(), error:%; "dial: peer opens no tunnel");
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -2,7 +2,6 @@
 
 use std::{
     cell::Cell,
-    io,
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
@@ -46,6 +45,7 @@
         Connection,
         Fault, //
     },
+    dial::Found,
     dialect::{
         Dialect,
         Dispatch, //
@@ -588,19 +588,19 @@
         );
     }
 
-    /// Determines whether an upstream that broke off a request before any content has crashed: it
-    /// refuses connections. One that is cut off may still run.
+    /// Determines whether an upstream that broke off a request before any content has crashed. One to
+    /// which paths are lost may still run.
     pub async fn examine_break(&self, request: Fingerprint, server: &Server) {
-        let found = match self.dialer.open(server).await {
-            Ok(connection) => {
+        let found = match self.dialer.examine(server).await {
+            Found::Alive(connection) => {
                 self.dialer.pool.put(server.address, connection);
                 "alive"
             }
-            Err(Fault::Connect(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            Found::Ended(_) => {
                 self.fleet.unreachable(Time::monotonic(), server.address);
                 "ended"
             }
-            Err(_) => "unknown",
+            Found::Unknown => "unknown",
         };
         self.metrics.broke(found);
         log::info!(
--- a/src/gateway/proof.rs
+++ b/src/gateway/proof.rs
@@ -1,4 +1,5 @@
-//! Proof that a request has not run; required for every refusal that promises this.
+//! Proof that a request has not run, which every refusal that promises this requires, and evidence
+//! that an upstream has ended, without which a request may not run on more upstreams.
 
 use std::net::SocketAddr;
 
@@ -18,6 +19,35 @@
 #[derive(Debug)]
 pub struct NotRun(());
 
+/// Evidence that an upstream itself has ended, and not only the paths to it.
+#[derive(Debug)]
+pub struct Ended(());
+
+/// What is known of an upstream to which no new connection could be opened, directly or through
+/// another instance.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Findings {
+    /// Whether the registry lists this start of the upstream no more, or another one at its address.
+    pub unlisted: bool,
+    /// Whether a direct connection was refused, while one to another upstream succeeded.
+    pub refused: bool,
+    /// Whether others reached the upstream while this instance did not, so that a refusal here is
+    /// one of its path.
+    pub path_lost: bool,
+    /// Whether another instance was refused by this start of the upstream, and reached another one.
+    pub attested: bool,
+}
+
+impl Findings {
+    /// Returns the evidence that the upstream has ended, if there is any.
+    ///
+    /// Timeouts, broken tunnels and instances that don't answer are none.
+    pub fn ended(&self) -> Option<Ended> {
+        let refused = self.refused && !self.path_lost;
+        (self.unlisted || refused || self.attested).then_some(Ended(()))
+    }
+}
+
 impl Sends {
     /// Records that an upstream may run the request.
     ///
@@ -35,7 +65,7 @@
     }
 
     /// Records that an upstream has ended; whether it ran the request stays unknown.
-    pub fn ended(&mut self, upstream: SocketAddr) {
+    pub fn ended(&mut self, upstream: SocketAddr, _: &Ended) {
         for send in self.0.iter_mut().filter(|send| send.upstream == upstream) {
             send.ended = true;
         }
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -112,6 +112,8 @@
 #[derive(Default)]
 pub struct Registry {
     records: Map<Arc<str>, Record>,
+    /// Servers whose latest entry can't be decoded; they may still run.
+    unreadable: Set<Arc<str>>,
     /// Versions of servers that have gone within [`VERSION_RETENTION`], at least.
     retired: Vec<Retired>,
     /// Servers that said in an answer that they leave, and when; they never take requests again,
@@ -146,9 +148,16 @@
 
     /// Applies a change.
     pub fn apply(&mut self, now: Time, change: Change) -> Effect {
+        let (Change::Present(Server { id, .. }) | Change::Unreadable(id) | Change::Absent(id)) =
+            &change;
+        self.unreadable.remove(id);
         match change {
             Change::Present(server) => self.present(now, server),
-            Change::Unreadable(id) => self.remove(now, &id),
+            Change::Unreadable(id) => {
+                let effect = self.remove(now, &id);
+                self.unreadable.insert(id);
+                effect
+            }
             Change::Absent(id) => self.absent(now, &id),
         }
     }
@@ -156,6 +165,7 @@
     /// Applies a complete state; servers missing from it are absent.
     pub fn replace(&mut self, now: Time, changes: Vec<Change>) {
         let mut present_ids = Set::default();
+        self.unreadable.clear();
         for change in changes {
             if let Change::Present(server) = &change {
                 present_ids.insert(server.id.clone());
@@ -297,6 +307,41 @@
         })
     }
 
+    /// Returns whether the entries, read lately from a healthy store, show that this start of a server
+    /// is gone: it is not listed, or another one has its address.
+    pub fn is_gone(&self, now: Time, server: &Server) -> bool {
+        let healthy = !self.failed_within(now, REREGISTRATION + OUTAGE_MARGIN);
+        if !self.is_current(now) || !healthy || self.unreadable.contains(&server.id) {
+            return false;
+        }
+        let same = |other: &Server| other.id == server.id && other.started == server.started;
+        let records = self.records.values().filter(|record| !record.lapsed);
+        let mut listed = false;
+        for other in records.map(|record| &record.server) {
+            if same(other) {
+                listed = true;
+            } else if other.address == server.address {
+                return true;
+            }
+        }
+        !listed
+    }
+
+    /// Returns the servers that may be running beside one: those of its availability zone, or all if
+    /// there are none, as whole zones may refuse connections from others.
+    pub fn neighbours(&self, server: &Server) -> Vec<Rc<Server>> {
+        let records = self.records.values().filter(|record| !record.lapsed);
+        let others = records
+            .map(|record| &record.server)
+            .filter(|other| other.id != server.id && other.address != server.address);
+        let others: Vec<_> = others.cloned().collect();
+        let in_zone = |other: &&Rc<Server>| other.zone == server.zone;
+        match others.iter().any(|other| in_zone(&other)) {
+            true => others.iter().filter(in_zone).cloned().collect(),
+            false => others,
+        }
+    }
+
     /// Returns whether a server has the address.
     pub fn has_address(&self, address: SocketAddr) -> bool {
         let mut servers = self.records.values().map(|record| &record.server);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -23,6 +23,7 @@
         Choice,
         Inputs, //
     },
+    dial::Found,
     dialect::Dialect,
     dispatcher::{
         Outcome,
@@ -399,6 +400,12 @@
             let Some(target) = self.place(&mut retries).await else {
                 self.check_version()?;
                 let limited = retries.limited();
+                // It may turn out that an upstream has ended which takes no new request.
+                if let Some(stopped) = self.stopped() {
+                    if self.release(&stopped).await {
+                        retries.exclude(stopped.address);
+                    }
+                }
                 if retries.wait().await {
                     continue;
                 }
@@ -451,8 +458,8 @@
                 Sent::NotRun(reason) => {
                     self.gateway.metrics.retried(reason);
                     if reason == "unreachable" {
-                        self.sends.ended(address);
                         self.end_placement(Outcome::Unreachable);
+                        self.release(&choice.server).await;
                     }
                     retries.exclude(address);
                 }
@@ -544,19 +551,41 @@
         }
     }
 
-    /// Lets another upstream continue if the latest one has ended: it has left the registry, broke
-    /// the connection and accepts no other.
+    /// Lets another upstream continue if the latest one takes no new request and has ended.
     ///
-    /// One that is leaving and still runs takes no new request, and counts as an attempt.
+    /// One that is leaving and still runs counts as an attempt.
     async fn release_ended(&mut self) {
-        let Some(latest) = self.latest.clone() else {
-            return;
-        };
-        let registry = &self.gateway.fleet.registry;
-        let usable = registry.borrow().is_usable(Time::monotonic(), &latest);
-        if !usable && self.gateway.dialer.open(&latest).await.is_err() {
-            self.sends.ended(latest.address);
-            self.latest = None;
+        if let Some(latest) = self.stopped() {
+            self.release(&latest).await;
+        }
+    }
+
+    /// Returns the latest upstream if it takes no new request.
+    fn stopped(&self) -> Option<Rc<Server>> {
+        let registry = self.gateway.fleet.registry.borrow();
+        let latest = self.latest.as_ref();
+        let stopped = |server: &&Rc<Server>| !registry.is_usable(Time::monotonic(), server);
+        latest.filter(stopped).cloned()
+    }
+
+    /// Lets another upstream continue if there is evidence that one which ran the stream has ended;
+    /// returns whether it may have.
+    async fn release(&mut self, server: &Rc<Server>) -> bool {
+        let address = server.address;
+        if !self.sends.ran_on(address) {
+            return false;
+        }
+        match self.gateway.dialer.examine(server).await {
+            Found::Alive(connection) => {
+                self.gateway.dialer.pool.put(address, connection);
+                false
+            }
+            Found::Ended(evidence) => {
+                self.sends.ended(address, &evidence);
+                self.latest.take_if(|latest| latest.address == address);
+                true
+            }
+            Found::Unknown => true,
         }
     }
 
--- a/src/gateway/tunnel.rs
+++ b/src/gateway/tunnel.rs
@@ -9,7 +9,10 @@
         Cell,
         RefCell, //
     },
-    io::ErrorKind,
+    io::{
+        self,
+        ErrorKind, //
+    },
     net::SocketAddr,
     rc::Rc,
     time::{
@@ -18,6 +21,8 @@
     },
 };
 
+use futures_util::future::select_ok;
+use rand::seq::IndexedRandom as _;
 use serde::{
     Deserialize,
     Serialize, //
@@ -42,9 +47,13 @@
     connection,
     fleet::Fleet,
     front,
+    registry::Server,
     settings, //
 };
-use crate::hash::Map;
+use crate::{
+    clock::Time,
+    hash::Map, //
+};
 
 /// Maximum tunnels that an instance carries at a time.
 const MAX_TUNNELS: usize = 256;
@@ -62,6 +71,10 @@
 /// less.
 const QUIET_TIME: Duration = Duration::from_secs(3);
 
+/// Other upstreams that are tried at once to tell a refusal of an upstream from one of the paths;
+/// some may have ended too.
+const MAX_WITNESSES: usize = 3;
+
 /// Number that opens a tunnel, once.
 pub type Token = u64;
 
@@ -82,6 +95,14 @@
     /// The upstream can't be reached from here, but others can.
     #[serde(rename = "u")]
     Unreachable,
+    /// The upstream refuses connections, and another one was reached just now. Older builds reply
+    /// `Unreachable` instead.
+    #[serde(rename = "e")]
+    Ended {
+        /// Start of the upstream that refuses; the requester may know another one.
+        #[serde(rename = "b")]
+        started: u64,
+    },
     /// No upstream can be reached from here, or the instance carries no more tunnels.
     #[serde(rename = "r")]
     Refused,
@@ -152,10 +173,20 @@
             return Response::Refused;
         }
         self.open.set(self.open.get() + 1);
-        let connected = timeout(CONNECT_TIMEOUT, connection::dial(server.address)).await;
-        let Ok(Ok(stream)) = connected else {
-            self.open.set(self.open.get() - 1);
-            return Response::Unreachable;
+        let connected = timeout(CONNECT_TIMEOUT, async {
+            match connection::dial(server.address).await {
+                Err(error) if self.confirm_refusal(&server, &error).await => Err(Response::Ended {
+                    started: server.started,
+                }),
+                connected => connected.map_err(|_| Response::Unreachable),
+            }
+        });
+        let stream = match connected.await.unwrap_or(Err(Response::Unreachable)) {
+            Ok(stream) => stream,
+            Err(response) => {
+                self.open.set(self.open.get() - 1);
+                return response;
+            }
         };
         let token = rand::random();
         self.waiting.borrow_mut().insert(token, stream);
@@ -169,6 +200,32 @@
         Response::Open { address, token }
     }
 
+    /// Returns whether a refused connection to an upstream shows that the upstream has ended, and
+    /// not that the paths of this instance are lost.
+    ///
+    /// Another upstream has to be reached between two refusals, as the paths may return after the
+    /// first one.
+    pub async fn confirm_refusal(&self, server: &Server, error: &io::Error) -> bool {
+        if !refused(error) {
+            return false;
+        }
+        let neighbours = self.fleet.registry.borrow().neighbours(server);
+        let witnesses = neighbours.sample(&mut rand::rng(), MAX_WITNESSES);
+        let dials = witnesses.map(|witness| Box::pin(connection::dial(witness.address)));
+        let dials: Vec<_> = dials.collect();
+        if dials.is_empty() || select_ok(dials).await.is_err() {
+            return false;
+        }
+        let again = connection::dial(server.address).await;
+        again.is_err_and(|error| refused(&error))
+    }
+
+    /// Returns whether the registry shows that this start of an upstream is gone.
+    pub fn is_gone(&self, server: &Server) -> bool {
+        let registry = self.fleet.registry.borrow();
+        registry.is_gone(Time::monotonic(), server)
+    }
+
     /// Accepts the connections of other instances; never returns.
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
         self.address.set(listener.local_addr().ok());
@@ -204,6 +261,10 @@
     }
 }
 
+fn refused(error: &io::Error) -> bool {
+    error.kind() == ErrorKind::ConnectionRefused
+}
+
 /// Passes bytes until one side closes its connection or breaks.
 ///
 /// The directions don't wait for each other: an upstream may answer before it reads the request.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod outage;
 mod owner;
 mod permit;
+mod proof;
 mod quarantine;
 mod recovery;
 mod registry;
--- a/tests/gateway/registry.rs
+++ b/tests/gateway/registry.rs
@@ -176,3 +176,76 @@
     present(&mut registry, server("a", 2, 1));
     assert_eq!(usable(&registry, START), ["a"]);
 }
+
+/// Only entries read lately from a healthy store show that a server has ended; another upstream may
+/// then run its requests.
+#[test]
+fn is_gone_needs_a_current_read_of_a_healthy_store() {
+    let mut registry = Registry::default();
+    let old = server("a", 1, 1);
+    assert!(!registry.is_gone(START, &old), "nothing was read");
+    registry.replace(START, vec![Change::Present(old.clone())]);
+    registry.record_read(START);
+    assert!(!registry.is_gone(START, &old));
+    registry.apply(START, Change::Absent("a".into()));
+    assert!(registry.is_gone(START, &old));
+    assert!(!registry.is_gone(at(3_500), &old), "the read is old");
+    registry.record_failure(at(4_000));
+    registry.record_read(at(4_500));
+    assert!(!registry.is_gone(at(4_500), &old), "the store just failed");
+    registry.record_read(at(8_000));
+    assert!(registry.is_gone(at(8_000), &old));
+}
+
+#[test]
+fn is_gone_after_another_start_of_a_server_or_at_its_address() {
+    let mut registry = Registry::default();
+    registry.record_read(START);
+    let old = server("a", 1, 1);
+    present(&mut registry, old.clone());
+    present(&mut registry, server("a", 2, 1));
+    assert!(registry.is_gone(START, &old));
+    assert!(!registry.is_gone(START, &server("a", 2, 1)));
+    present(&mut registry, server("b", 1, 1));
+    assert!(registry.is_gone(START, &server("a", 2, 1)));
+}
+
+/// A server whose entry can't be decoded, or lapsed in an outage, may still run.
+#[test]
+fn is_gone_is_false_for_an_unreadable_or_lapsed_entry() {
+    let mut registry = Registry::default();
+    registry.record_read(START);
+    present(&mut registry, server("a", 1, 1));
+    registry.apply(START, Change::Unreadable("a".into()));
+    assert!(!registry.is_gone(START, &server("a", 1, 1)));
+    registry.apply(START, Change::Absent("a".into()));
+    assert!(registry.is_gone(START, &server("a", 1, 1)));
+    present(&mut registry, server("a", 1, 2));
+    registry.record_failure(START);
+    registry.apply(START, Change::Absent("a".into()));
+    assert!(!registry.is_gone(START, &server("a", 1, 1)));
+}
+
+/// A zone that refuses connections from others must not look like the end of its servers.
+#[test]
+fn neighbours_are_of_the_same_zone_if_there_are_any() {
+    let mut registry = Registry::default();
+    let other = |id: &str, zone: &str, port: u16| Server {
+        zone: zone.into(),
+        address: ([127, 0, 0, 1], port).into(),
+        ..server(id, 1, 1)
+    };
+    let ids = |registry: &Registry| {
+        let neighbours = registry.neighbours(&server("a", 1, 1));
+        neighbours
+            .iter()
+            .map(|other| other.id.to_string())
+            .collect::<Vec<_>>()
+    };
+    present(&mut registry, server("a", 1, 1));
+    assert!(ids(&registry).is_empty());
+    present(&mut registry, other("far", "y", 2));
+    assert_eq!(ids(&registry), ["far"]);
+    present(&mut registry, other("near", "z", 3));
+    assert_eq!(ids(&registry), ["near"]);
+}
--- a/tests/gateway/stranded.rs
+++ b/tests/gateway/stranded.rs
@@ -126,7 +126,7 @@
         Self {
             store,
             stranded,
-            helpers_store: helpers_store,
+            helpers_store,
             helpers,
         }
     }
@@ -481,14 +481,19 @@
         Self { address, open, cut }
     }
 
-    fn cut(&self) {
-        self.cut.store(true, Ordering::SeqCst);
-        while TcpStream::connect(self.address).is_ok() {
-            thread::sleep(Duration::from_millis(5));
+    /// Cuts paths at the same time: all refuse connections before the first one breaks.
+    fn cut(links: &[Self]) {
+        for link in links {
+            link.cut.store(true, Ordering::SeqCst);
+            while TcpStream::connect(link.address).is_ok() {
+                thread::sleep(Duration::from_millis(5));
+            }
         }
-        for stream in self.open.lock().unwrap().iter() {
-            // One side may have closed it.
-            let _ = stream.shutdown(std::net::Shutdown::Both);
+        for link in links {
+            for stream in link.open.lock().unwrap().iter() {
+                // One side may have closed it.
+                let _ = stream.shutdown(std::net::Shutdown::Both);
+            }
         }
     }
 }
@@ -506,15 +511,38 @@
 #[test]
 fn stream_is_not_sent_to_a_second_upstream_when_its_helper_loses_its_paths() {
     let engine = slow_stream();
-    let link = Link::start(engine.address);
-    let fleet = Fleet::start(1, &[(link.address, refusing())]);
+    let links = [Link::start(engine.address), Link::start(engine.address)];
+    let pairs = links.each_ref().map(|link| (link.address, refusing()));
+    let fleet = Fleet::start(1, &pairs);
     let mut turn = Tunnelled::start_in(fleet, &engine, "/stream/x");
-    link.cut();
+    Link::cut(&links);
     let answer = read(&mut turn.caller).unwrap();
     assert!(!answer.complete, "{}", answer.text());
     turn.assert_ran_once();
 }
 
+/// A partition that rejects connections breaks a call and refuses a new connection, as a crash does.
+#[test]
+fn crash_is_not_attributed_when_all_upstreams_refuse_connections() {
+    let silent = Upstream::start(|_, _| Action::Silent);
+    let links = [Link::start(silent.address), Link::start(silent.address)];
+    let pairs = links.each_ref().map(|link| (link.address, link.address));
+    let fleet = Fleet::start(0, &pairs);
+    let mut caller = fleet.stranded.connect();
+    let text = request("POST", "/once/x", "", "");
+    caller.write_all(text.as_bytes()).unwrap();
+    while silent.requests().is_empty() {
+        thread::sleep(Duration::from_millis(5));
+    }
+    Link::cut(&links);
+    assert_eq!(read(&mut caller).unwrap().status(), 502);
+    // The cause of the break is determined after the answer.
+    thread::sleep(ANSWER_TIME);
+    let text = get(fleet.stranded.metrics, "/metrics").text();
+    assert!(text.contains("upstream=\"unknown\""), "{text}");
+    assert!(!text.contains("upstream=\"ended\""), "{text}");
+}
+
 #[test]
 fn call_that_must_not_repeat_is_sent_once_when_its_helper_is_killed() {
     let silent = Upstream::start(|_, _| Action::Silent);
@@ -613,6 +641,19 @@
     assert!(paths.any_lost().is_some());
 }
 
+/// What others can't reach any more either was lost here before; a refusal here shows nothing.
+#[test]
+fn was_lost_until_the_upstream_is_reached() {
+    let mut paths = Paths::default();
+    paths.lost(address(1));
+    paths.down(Time::default(), address(1));
+    assert!(!paths.is_lost(address(1)));
+    assert!(paths.was_lost(address(1)));
+    assert!(!paths.was_lost(address(2)));
+    paths.reached(address(1));
+    assert!(!paths.was_lost(address(1)));
+}
+
 #[test]
 fn down_ends_after_a_short_time() {
     let mut paths = Paths::default();
