Free the tokens of a turn only for turns that follow its end in the log

Cause: the owner of a partition applied the end of a turn as soon as it arrived, also while it appended the start of others. These precede the end in the log, so the owner granted turns that all instances reading the log take for denied and don't charge. A standby, or the next owner, then granted the same tokens again. Turns of one program in parallel make this likely. Reserves could be granted twice in the same way.

Ends of turns are applied when they are in the log, or when a turn is decided without it. Whether reserves have to be reclaimed still takes ends that wait into account, and a batch that the backlog fills takes no turns.

--- a/src/gateway/account.rs
+++ b/src/gateway/account.rs
@@ -241,7 +241,32 @@
     /// Predicts the decision on a turn, assuming that no other instance has appended a record
     /// since.
     pub fn predict(&self, reservation: &Reservation) -> Verdict {
-        match self.charged(reservation.program) + reservation.max_tokens <= reservation.budget {
+        self.predict_after(reservation, &[])
+    }
+
+    /// Predicts the decision on a turn as [`Self::predict`] does, after the ends of turns among
+    /// `pending` records.
+    pub fn predict_after(&self, reservation: &Reservation, pending: &[Entry]) -> Verdict {
+        let mut used_by_turn = Map::default();
+        for entry in pending {
+            match *entry {
+                Entry::Close {
+                    program,
+                    turn,
+                    used,
+                } if program == reservation.program => {
+                    used_by_turn.insert(turn, used);
+                }
+                _ => {}
+            }
+        }
+        let mut charged = self.charged(reservation.program);
+        let account = self.programs.get(&reservation.program);
+        for (turn, used) in used_by_turn {
+            let old = account.and_then(|account| account.turns.get(&turn));
+            charged = charged - old.map_or(0, |state| state.charge()) + used;
+        }
+        match charged + reservation.max_tokens <= reservation.budget {
             true => Verdict::Granted,
             false => Verdict::Spent,
         }
--- a/src/gateway/replica.rs
+++ b/src/gateway/replica.rs
@@ -315,7 +315,9 @@
                 partition.loaded.set(true);
                 partition.caught_up.set(partition.owned.get() && !settling);
             }
-            let waiters = match settling {
+            let full = partition.backlog.borrow().len() > MAX_BATCH_RECORDS;
+            // The records of the backlog come before turns whose decision may presume them.
+            let waiters = match settling || full {
                 true => Vec::new(),
                 false => mem::take(&mut *partition.waiters.borrow_mut()),
             };
@@ -460,6 +462,7 @@
         if !known || self.log.outage() != Outage::Total {
             return waiter.reply(Decision::Unavailable);
         }
+        partition.apply_backlog();
         let verdict = partition.accounts.borrow().predict(&waiter.reservation);
         if verdict == Verdict::Spent {
             let decision = partition.spent(waiter.reservation.program);
@@ -537,13 +540,28 @@
 }
 
 impl Partition {
-    /// Applies a record for which no caller waits, and queues it for the log.
+    /// Queues a record for which no caller waits for the log.
+    ///
+    /// The end of a turn is applied when it is in the log: it must not free tokens for turns that
+    /// precede it there, as other instances would not charge these. The start of a turn is applied
+    /// at once, which only refuses more.
     fn hold(&self, entry: Entry) {
-        self.accounts.borrow_mut().apply(Time::monotonic(), &entry);
+        if matches!(entry, Entry::Open { .. }) {
+            self.accounts.borrow_mut().apply(Time::monotonic(), &entry);
+        }
         self.backlog.borrow_mut().push_back(entry);
         self.wake.notify_one();
     }
 
+    /// Applies the records that are not in the log yet, to decide without it.
+    fn apply_backlog(&self) {
+        let now = Time::monotonic();
+        let mut accounts = self.accounts.borrow_mut();
+        for entry in &*self.backlog.borrow() {
+            accounts.apply(now, entry);
+        }
+    }
+
     /// Grants the reserve that is requested with a turn, if it leaves enough of the budget and
     /// another instance holds a copy of the grant.
     async fn reserve_offline<L: Log>(&self, log: &Path<L>, reservation: &Reservation) {
@@ -563,15 +581,23 @@
                 turn,
                 used,
             });
+            // The requester must not be told that it has the reserve.
+            self.apply_backlog();
         }
     }
 
     /// Returns whether the budget covers a turn only once its reserves are reclaimed.
     fn must_reclaim(&self, waiter: &Waiter) -> bool {
         let accounts = self.accounts.borrow();
+        let spent = |pending: &[Entry]| {
+            let verdict = accounts.predict_after(&waiter.reservation, pending);
+            verdict == Verdict::Spent
+        };
+        // The backlog is only read if it matters, as it may be long.
         !waiter.reclaimed
-            && accounts.predict(&waiter.reservation) == Verdict::Spent
+            && spent(&[])
             && !accounts.reserves(waiter.reservation.program).is_empty()
+            && spent(self.backlog.borrow_mut().make_contiguous())
     }
 
     /// Returns the decision on a turn that the account does not cover: the budget is not spent
--- a/tests/gateway/owner.rs
+++ b/tests/gateway/owner.rs
@@ -19,6 +19,7 @@
 use gypsumlever::{
     clock::Time,
     gateway::{
+        account::Reservation,
         dispatcher::Dispatcher,
         endpoint::Endpoint,
         metrics::Metrics,
@@ -604,3 +605,56 @@
         assert!(readers <= 2, "{readers}");
     });
 }
+
+/// The ends of turns reach the owner while it appends others. If they freed tokens for these, which
+/// precede them in the log, the instances that read the log would not charge turns that run.
+#[test]
+fn ends_of_turns_free_no_tokens_for_turns_before_them_in_the_log() {
+    System::new().block_on(async {
+        let log = Memory::new(PARTITIONS);
+        let delay = Rc::<Cell<Duration>>::default();
+        let [owner, next] = [(); 2].map(|()| {
+            let remote = Remote {
+                log: log.share(),
+                delay: delay.clone(),
+            };
+            Rc::new(Replica::new(remote, PARTITIONS))
+        });
+        for replica in [&owner, &next] {
+            actix_web::rt::spawn(replica.clone().run());
+            while !replica.loaded() {
+                sleep(Duration::from_millis(5)).await;
+            }
+        }
+        let program = identify("p");
+        let open = |replica: &Replica<Remote>, turn| {
+            let reservation = Reservation {
+                program,
+                turn,
+                max_tokens: 25,
+                budget: 100,
+                reserve: None,
+            };
+            replica.open(reservation).decision
+        };
+        for turn in 1..=4 {
+            assert_eq!(open(&owner, turn).await.unwrap(), Decision::Granted);
+        }
+        delay.set(Duration::from_millis(100));
+        let appended: Vec<_> = (5..=8).map(|turn| open(&owner, turn)).collect();
+        sleep(Duration::from_millis(50)).await;
+        (1..=4).for_each(|turn| owner.close(program, turn, 0));
+        let mut granted = 0;
+        for decision in appended {
+            granted += usize::from(decision.await.unwrap() == Decision::Granted);
+        }
+        delay.set(Duration::ZERO);
+        while owner.pending() {
+            sleep(Duration::from_millis(5)).await;
+        }
+        for turn in 9..=12 {
+            granted += usize::from(open(&next, turn).await.unwrap() == Decision::Granted);
+        }
+        assert!(granted * 25 <= 100 + 25, "{granted} turns of 25 tokens run");
+    });
+}
