Read the configuration through peers, and again after a pause

Cause: an instance that the store refuses, or whose reads hang, kept its configuration for as long as that lasted, and a process that was paused acted on the version from before until its reads succeeded again. Keys that were revoked meanwhile would have been accepted.

Change: while reads of the configuration fail or hang, an instance asks two others each second, one of them in another zone. It states its version; the reply (wire kinds vq and vr) has the bytes of a newer one, 1 MiB at most. Each instance retains the bytes of its version. After a pause of over 1 s on the boot clock the read under way is replaced, and requests that need a key wait for a new read (Gateway::fresh_table): 0.3 s for the store, then 0.5 s for peers, then the old configuration stays.

Measured: with the queries off, tables_refused_by_store, tables_hanging_store and fresh_table_from_peers_after_pause fail; without the wait, the three fresh_table tests that expect a new version; with versions that may go back, tables_refused_by_store; with a read that is not replaced, fresh_table_replaces_hanging_read.

--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -1,10 +1,11 @@
 //! Handles the requests of other instances: about token accounts, placements of turns, permits,
-//! origins of streams, crashes of upstreams, and tunnels to upstreams.
+//! origins of streams, crashes of upstreams, the configuration, and tunnels to upstreams.
 
 use std::rc::Rc;
 
 use super::{
     account::Reservation,
+    configuration::Configurations,
     dispatcher::Dispatcher,
     origin::Origins,
     owner::{
@@ -19,6 +20,7 @@
     tunnel::Tunnels,
 };
 use crate::{
+    clock::Time,
     log::Log,
     name::Instance,
     peer::{
@@ -35,6 +37,7 @@
     origins: Rc<Origins>,
     reports: Rc<Reports>,
     tunnels: Rc<Tunnels>,
+    configurations: Rc<Configurations>,
 }
 
 impl<L> Endpoint<L> {
@@ -53,6 +56,15 @@
             origins,
             reports,
             tunnels,
+            configurations: Rc::default(),
+        }
+    }
+
+    /// Answers requests for the configuration too.
+    pub fn with_configurations(self, configurations: Rc<Configurations>) -> Self {
+        Self {
+            configurations,
+            ..self
         }
     }
 }
@@ -80,6 +92,13 @@
                 return respond(reply, Body::Permitted(response));
             }
             Body::Reports(reports) => return self.reports.learn(reports),
+            Body::FindConfiguration(version) => {
+                let answer = match self.configurations.answer(Time::boot(), version) {
+                    Some(newer) => Body::Configuration(newer),
+                    None => Body::Empty,
+                };
+                return respond(reply, answer);
+            }
             Body::OpenTunnel(upstream) => {
                 let tunnels = self.tunnels.clone();
                 actix_web::rt::spawn(async move {
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
+
 use crate::log::Failure;
 
 /// Result of one read of a feed.
@@ -27,3 +29,9 @@
     /// Reads changes from a position on; waits up to `wait` for the first one.
     async fn changes(&self, from: u64, wait: Duration) -> Result<Page<Self::Item>, Failure>;
 }
+
+/// A feed whose items can also come from another instance.
+pub trait Decode: Feed {
+    /// Decodes an item; `None` if it is invalid.
+    fn decode(&self, bytes: Bytes) -> Option<Self::Item>;
+}
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,15 +1,29 @@
 //! Follows the configuration and the registry of upstreams.
 
 use std::{
+    cell::Cell,
+    future::{
+        pending,
+        Future, //
+    },
     rc::Rc,
     time::Duration, //
 };
 
+use futures_util::join;
 use rand::RngExt as _;
-use tokio::time::sleep;
+use tokio::time::{
+    sleep,
+    timeout, //
+};
 
 use super::{
+    configuration::{
+        Published,
+        MAX_DOCUMENT_BYTES, //
+    },
     feed::{
+        Decode,
         Feed,
         Page, //
     },
@@ -21,7 +35,6 @@
         Record,
         Reports, //
     },
-    route::Table,
     state::Gateway,
 };
 use crate::{
@@ -47,6 +60,15 @@
 /// Time between retries while the store is unreachable.
 const RETRY_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time between queries of other instances for the configuration while it can't be read.
+const QUERY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time after a pause of the process after which other instances are asked for the configuration.
+const REREAD_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time between checks for a pause of the process.
+const PAUSE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Consumer of the items of a feed.
 trait Sink<T> {
     /// Applies a complete state.
@@ -59,25 +81,28 @@
     fn failed(&self);
 }
 
-struct Tables<D, L>(Rc<Gateway<D, L>>);
+struct Tables<D, L> {
+    gateway: Rc<Gateway<D, L>>,
+    /// Number of pauses of the process before the reads began.
+    pauses: u64,
+}
 
-impl<D, L: Log + 'static> Sink<Table> for Tables<D, L> {
-    fn replace(&self, items: Vec<Table>) {
+impl<D, L: Log + 'static> Sink<Published> for Tables<D, L> {
+    fn replace(&self, items: Vec<Published>) {
         self.change(items);
     }
 
-    fn change(&self, items: Vec<Table>) {
-        for table in items {
-            let version = table.version();
-            match self.0.configure(table) {
-                true => log::info!(version; "config: configuration is in force"),
-                false => log::debug!(version; "config: older configuration is ignored"),
-            }
+    fn change(&self, items: Vec<Published>) {
+        for published in items {
+            self.gateway.adopt(published, "store");
         }
+        let state = &self.gateway.configurations;
+        state.record_read(Time::monotonic(), self.pauses);
     }
 
     fn failed(&self) {
-        self.0.accounts.report_failure();
+        self.gateway.configurations.record_failure();
+        self.gateway.accounts.report_failure();
     }
 }
 
@@ -153,21 +178,111 @@
 /// Follows the requests that are held back; never returns. A pause of the process begins anew, as the
 /// read that was under way may never end.
 pub async fn holds(reports: Rc<Reports>, feed: impl Feed<Item = Record>) {
+    let timing = (HOLDS_WAIT, Duration::ZERO);
     loop {
+        let position = Cell::new(None);
         tokio::select! {
-            () = follow("holds", &feed, &reports, (HOLDS_WAIT, Duration::ZERO)) => {}
+            () = follow("holds", &feed, &reports, &position, timing) => {}
             () = reports.wait_pause() => {}
         }
     }
 }
 
-/// Follows the configuration; never returns.
+/// Follows the configuration in the store, and asks other instances for it while it can't be read;
+/// never returns.
 pub async fn tables<D, L: Log + 'static>(
     gateway: Rc<Gateway<D, L>>,
-    feed: impl Feed<Item = Table>,
+    feed: impl Decode<Item = Published>,
+) {
+    let position = Cell::new(None);
+    join!(
+        after_each_pause(&gateway, |pauses| read_tables(
+            &gateway, &feed, &position, pauses
+        )),
+        after_each_pause(&gateway, |pauses| confirm(&gateway, &feed, pauses)),
+        query_while_behind(&gateway, &feed),
+        check_pauses(&gateway),
+    );
+}
+
+/// Runs a future that never returns, and begins anew after each pause of the process, with the number
+/// of pauses.
+async fn after_each_pause<D, L, F: Future<Output = ()>>(
+    gateway: &Gateway<D, L>,
+    begin: impl Fn(u64) -> F,
+) {
+    let state = &gateway.configurations;
+    loop {
+        let pauses = state.pauses();
+        tokio::select! {
+            biased;
+            () = state.wait_pause(pauses) => {}
+            () = begin(pauses) => {}
+        }
+    }
+}
+
+/// Reads the configuration from the store. After a pause, a read that was under way is replaced, as it
+/// may never end, and the position stays.
+async fn read_tables<D, L: Log + 'static>(
+    gateway: &Rc<Gateway<D, L>>,
+    feed: &impl Feed<Item = Published>,
+    position: &Cell<Option<u64>>,
+    pauses: u64,
 ) {
+    let sink = Tables {
+        gateway: gateway.clone(),
+        pauses,
+    };
     let timing = (POLL_WAIT, Duration::ZERO);
-    follow("configuration", &feed, &Tables(gateway), timing).await;
+    follow("configuration", feed, &sink, position, timing).await;
+}
+
+/// Ends the wait of requests for the configuration after a pause, if the store does not.
+async fn confirm<D, L>(gateway: &Gateway<D, L>, feed: &impl Decode<Item = Published>, pauses: u64) {
+    let state = &gateway.configurations;
+    let reread = timeout(REREAD_TIMEOUT, state.wait_confirmed(pauses));
+    if reread.await.is_err() {
+        if !query(gateway, feed).await {
+            log::warn!("config: neither the store nor a peer answers after a pause; keeping the configuration");
+        }
+        state.confirm(pauses);
+    }
+    pending().await
+}
+
+/// Asks other instances for the configuration while it can't be read.
+async fn query_while_behind<D, L>(gateway: &Gateway<D, L>, feed: &impl Decode<Item = Published>) {
+    loop {
+        sleep(QUERY_INTERVAL).await;
+        if gateway.configurations.is_behind(Time::monotonic()) {
+            query(gateway, feed).await;
+        }
+    }
+}
+
+async fn check_pauses<D, L>(gateway: &Gateway<D, L>) {
+    loop {
+        sleep(PAUSE_CHECK_INTERVAL).await;
+        gateway.configurations.check_pause(Time::boot());
+    }
+}
+
+/// Asks other instances for a newer configuration; returns whether one answered.
+async fn query<D, L>(gateway: &Gateway<D, L>, feed: &impl Decode<Item = Published>) -> bool {
+    let version = gateway.table().map(|table| table.version());
+    let answers = gateway.configurations.query(version).await;
+    let answered = !answers.is_empty();
+    for document in answers.into_iter().flatten() {
+        if document.0.len() > MAX_DOCUMENT_BYTES {
+            log::warn!("config: configuration of a peer exceeds the maximum length; ignoring it");
+            continue;
+        }
+        if let Some(published) = feed.decode(document.0) {
+            gateway.adopt(published, "peer");
+        }
+    }
+    answered
 }
 
 /// Follows the registry of upstreams; never returns.
@@ -176,42 +291,55 @@
     feed: impl Feed<Item = Change>,
 ) {
     let timing = (POLL_WAIT, REGISTRY_PAUSE);
-    follow("registry", &feed, &Servers(gateway), timing).await;
+    follow(
+        "registry",
+        &feed,
+        &Servers(gateway),
+        &Cell::new(None),
+        timing,
+    )
+    .await;
 }
 
-/// Reads a feed with the time that a read waits for changes, and the pause between reads.
+/// Reads a feed from a position on, or its complete state first, with the time that a read waits for
+/// changes, and the pause between reads.
 async fn follow<F: Feed>(
     name: &str,
     feed: &F,
     sink: &impl Sink<F::Item>,
+    position: &Cell<Option<u64>>,
     (wait, pause): (Duration, Duration),
 ) {
-    let mut position: Option<u64> = None;
     let mut failing = false;
+    let mut first = true;
     loop {
         let start = Time::monotonic();
-        let page = match position {
+        let from = position.get();
+        let page = match from {
             None => feed.snapshot().await,
-            // A read that need not wait shows at once when the store is back.
+            // A read that need not wait shows at once when the store is back, and whether there are
+            // changes.
             Some(from) => {
-                let wait = if failing { Duration::ZERO } else { wait };
+                let at_once = failing || first;
+                let wait = if at_once { Duration::ZERO } else { wait };
                 feed.changes(from, wait).await
             }
         };
+        first = false;
         match page {
             Ok(Page { items, next }) => {
                 if std::mem::take(&mut failing) {
                     log::info!(feed = name; "store: feed is readable again");
                 }
-                if position.is_none() {
+                if from.is_none() {
                     let took_ms = Time::monotonic().since(start).as_millis() as u64;
                     log::info!(feed = name, took_ms; "store: complete state of the feed was read");
                 }
-                match position {
+                match from {
                     None => sink.replace(items),
                     Some(_) => sink.change(items),
                 }
-                position = Some(next);
+                position.set(Some(next));
                 sleep(pause).await;
             }
             Err(Failure::Expired { begin }) => {
@@ -219,7 +347,7 @@
                     feed = name, begin;
                     "store: history of the feed is gone; reading its complete state"
                 );
-                position = None;
+                position.set(None);
             }
             Err(failure) => {
                 if !std::mem::replace(&mut failing, true) {
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -77,7 +77,11 @@
         Relay,
         Started, //
     },
-    route::Kind,
+    route::{
+        Kind,
+        Route,
+        Table, //
+    },
     state::{
         Busy,
         Gateway, //
@@ -297,9 +301,7 @@
     let host = headers
         .get(header::HOST)
         .and_then(|host| host.to_str().ok());
-    let route = table
-        .route(host.unwrap_or(""), request.path())
-        .ok_or(Refusal::invalid(StatusCode::NOT_FOUND, "no_route"))?;
+    let (table, route) = find_route(gateway, table, host.unwrap_or(""), request.path()).await?;
     let body = read(payload, table.limits().body).await?;
     let timeout = call.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let service = route.service(key(&call)).clone();
@@ -316,7 +318,7 @@
             .unwrap_or_default(),
         fingerprint: Fingerprint::new(request.method(), host.unwrap_or(""), request.uri(), &body),
         call,
-        route: route.clone(),
+        route,
         service,
         tenant: None,
         method: request.method().clone(),
@@ -349,6 +351,23 @@
     }
 }
 
+/// Returns the route of a request, and the configuration that has it. If the request needs a key, it
+/// is the configuration that was read since the latest pause of the process.
+async fn find_route<D, L>(
+    gateway: &Gateway<D, L>,
+    mut table: Rc<Table>,
+    host: &str,
+    path: &str,
+) -> Result<(Rc<Table>, Rc<Route>), Refusal> {
+    let no_route = || Refusal::invalid(StatusCode::NOT_FOUND, "no_route");
+    let mut route = table.route(host, path).ok_or_else(no_route)?.clone();
+    if table.tenants().is_some() && !route.public {
+        table = gateway.fresh_table().await.unwrap_or(table);
+        route = table.route(host, path).ok_or_else(no_route)?.clone();
+    }
+    Ok((table, route))
+}
+
 /// Waits for the start of an answer, and gives it up once the request is held back.
 async fn unless<T>(
     held: impl Future<Output = ()>,
--- a/src/gateway/lifecycle.rs
+++ b/src/gateway/lifecycle.rs
@@ -134,13 +134,15 @@
         origins,
         reports.clone(),
         tunnels.clone(),
-    );
+    )
+    .with_configurations(gateway.configurations.clone());
     let peers = connect_peers(&gateway.settings, endpoint).await?;
     replica.path().connect(peers.clone());
     accounts.connect(peers.clone());
     placer.connect(peers.clone());
     dialer.connect(peers.clone());
     reports.connect(peers.clone());
+    gateway.configurations.connect(peers.clone());
     spawn(reports::publish(Holds::new(store.clone()), unpublished));
     spawn(follow::holds(reports, Holds::new(store.clone())));
     spawn(replica.clone().run());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub mod balance;
 pub mod cache;
 pub mod call;
+pub mod configuration;
 pub mod connection;
 pub mod dial;
 pub mod dialect;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -13,9 +13,9 @@
 use tokio::sync::watch;
 
 use super::{
-    dial::Dialer, dispatcher::Placer, fleet::Fleet, metrics::Metrics, origin::Directory,
-    owner::Client, permit::Limiter, reports::Reports, route::Table, settings::Settings,
-    throttle::Throttle,
+    configuration::Configurations, dial::Dialer, dispatcher::Placer, fleet::Fleet,
+    metrics::Metrics, origin::Directory, owner::Client, permit::Limiter, reports::Reports,
+    route::Table, settings::Settings, throttle::Throttle,
 };
 use crate::log::Log;
 
@@ -25,6 +25,8 @@
     pub settings: Settings,
     /// Configuration in effect.
     table: RefCell<Option<Rc<Table>>>,
+    /// Bytes of the configuration, and whether it is the newest.
+    pub configurations: Rc<Configurations>,
     /// Upstreams that exist, and their load.
     pub fleet: Rc<Fleet>,
     /// Requests of placements from the dispatcher of the availability zone.
@@ -78,6 +80,7 @@
         Self {
             settings,
             table: RefCell::default(),
+            configurations: Rc::default(),
             fleet,
             limiter,
             placer,
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -23,6 +23,7 @@
         Request, //
     },
     gateway::{
+        configuration,
         dispatcher,
         limit,
         owner,
@@ -245,6 +246,12 @@
     /// Requests what the receiver knows about such requests; `Reports` replies.
     #[serde(rename = "cq")]
     ListReports,
+    /// Requests the configuration if it is newer than this version; `Configuration` replies.
+    #[serde(rename = "vq")]
+    FindConfiguration(Option<u64>),
+    /// The newer configuration, if there is one.
+    #[serde(rename = "vr")]
+    Configuration(Option<configuration::Document>),
     /// Requests a tunnel to the upstream with this identifier; `Tunnel` replies.
     #[serde(rename = "tq")]
     OpenTunnel(Arc<str>),
--- a/src/platform/feed.rs
+++ b/src/platform/feed.rs
@@ -27,7 +27,12 @@
 use crate::{
     clock::Time,
     gateway::{
+        configuration::{
+            Document,
+            Published, //
+        },
         feed::{
+            Decode,
             Feed,
             Page, //
         },
@@ -110,16 +115,27 @@
     }
 }
 
-fn tables((records, next): Records) -> Page<Table> {
+/// Decodes a configuration. Its bytes are copied, as they may be a part of a longer answer that would
+/// be retained with them.
+fn published(value: &[u8]) -> Option<Published> {
+    match Table::try_from(value) {
+        Ok(table) => Some(Published {
+            table,
+            document: Document(Bytes::copy_from_slice(value)),
+        }),
+        Err(error) => {
+            log::error!(error:%; "config: configuration is invalid; keeping the previous one");
+            None
+        }
+    }
+}
+
+fn tables((records, next): Records) -> Page<Published> {
     let table = |(key, value): (String, Bytes)| {
         if key != CONFIGURATION_KEY || value.is_empty() {
             return None;
         }
-        let table = Table::try_from(&value[..]);
-        if let Err(error) = &table {
-            log::error!(error:%; "config: configuration is invalid; keeping the previous one");
-        }
-        table.ok()
+        published(&value)
     };
     Page {
         items: records.into_iter().filter_map(table).collect(),
@@ -128,17 +144,23 @@
 }
 
 impl Feed for Configuration {
-    type Item = Table;
+    type Item = Published;
 
-    async fn snapshot(&self) -> Result<Page<Table>, Failure> {
+    async fn snapshot(&self) -> Result<Page<Published>, Failure> {
         self.0.newest().await.map(tables)
     }
 
-    async fn changes(&self, from: u64, wait: Duration) -> Result<Page<Table>, Failure> {
+    async fn changes(&self, from: u64, wait: Duration) -> Result<Page<Published>, Failure> {
         changes(&self.0, from, wait).await.map(tables)
     }
 }
 
+impl Decode for Configuration {
+    fn decode(&self, bytes: Bytes) -> Option<Published> {
+        published(&bytes)
+    }
+}
+
 /// Feed of the reports of the servers of all services.
 pub struct Servers(Topic);
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod dispatcher;
 mod endless;
 mod events;
+mod follow;
 mod leaving;
 mod limit;
 mod limits;
--- a/tests/peer_wire.rs
+++ b/tests/peer_wire.rs
@@ -10,6 +10,7 @@
         Reason,
         Request, //
     },
+    gateway::configuration::Document,
     ledger::record::{
         self,
         Record, //
@@ -156,6 +157,9 @@
             offset: 2,
             bytes: vec![0; 300].into(),
         },
+        Body::FindConfiguration(Some(7)),
+        Body::Configuration(Some(Document(b"{}".as_slice().into()))),
+        Body::Configuration(None),
         Body::Retire,
         Body::Empty,
         Body::Unsupported,
