Retain the latest refusals and serve views for operators

Cause: why a request was refused was only in the log lines of its instance, which a rate limit drops under load.

--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -1,4 +1,4 @@
-//! Listeners for callers, readiness checks and metrics.
+//! Listeners for callers, and for readiness checks, metrics and views for operators.
 
 use std::{
     cell::Cell,
@@ -71,6 +71,10 @@
         Refusal,
         HELD_REASON, //
     },
+    operate::{
+        self,
+        Refused, //
+    },
     proof::Sends,
     relay::{
         Interruption,
@@ -137,7 +141,7 @@
     accept(listener, app, move || gateway.closed()).await
 }
 
-/// Serves readiness checks and metrics; never returns unless the HTTP service can't be created.
+/// Serves readiness checks, metrics and views for operators; never returns unless the HTTP service can't be created.
 pub async fn serve_operators<D: Dialect, L: Log + 'static>(
     gateway: Rc<Gateway<D, L>>,
     listener: TcpListener,
@@ -146,7 +150,8 @@
     let app = App::new()
         .app_data(state)
         .route(D::READINESS, web::get().to(ready::<D, L>))
-        .route("/metrics", web::get().to(metrics::<D, L>));
+        .route("/metrics", web::get().to(metrics::<D, L>))
+        .configure(operate::configure::<D, L>);
     accept(listener, app, std::future::pending::<()>).await
 }
 
@@ -241,14 +246,25 @@
     arrived: Instant,
 ) -> HttpResponse {
     gateway.metrics.refused(refusal.reason);
+    let call = D::call(request.headers()).ok();
+    let id = call.as_ref().map_or("", |call| &*call.id);
+    let program = call.as_ref().and_then(|call| call.program.as_ref());
+    let program = program.map_or("", |program| &*program.id);
+    let (status, reason) = (refusal.status.as_u16(), refusal.reason);
+    let version = gateway.table().map_or(0, |table| table.version());
+    let took = arrived.elapsed();
+    gateway.refusals.record(Refused {
+        time: Time::now(),
+        request: id.into(),
+        program: program.into(),
+        status,
+        reason,
+        retry_after: refusal.retry_after,
+        took,
+        version,
+    });
     if gateway.log_throttle.allow(Time::monotonic()) {
-        let call = D::call(request.headers());
-        let id = call.as_ref().map_or("", |call| &*call.id);
-        let program = call.as_ref().ok().and_then(|call| call.program.as_ref());
-        let program = program.map_or("", |program| &*program.id);
-        let (status, reason) = (refusal.status.as_u16(), refusal.reason);
-        let version = gateway.table().map_or(0, |table| table.version());
-        let took_ms = arrived.elapsed().as_millis() as u64;
+        let took_ms = took.as_millis() as u64;
         let retry_after_ms = refusal
             .retry_after
             .map_or(0, |wait| wait.as_millis() as u64);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 pub mod limit;
 pub mod load;
 pub mod metrics;
+pub mod operate;
 pub mod origin;
 pub mod outage;
 pub mod owner;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -14,8 +14,8 @@
 
 use super::{
     configuration::Configurations, dial::Dialer, dispatcher::Placer, fleet::Fleet,
-    metrics::Metrics, origin::Directory, owner::Client, permit::Limiter, reports::Reports,
-    route::Table, settings::Settings, throttle::Throttle,
+    metrics::Metrics, operate::Refusals, origin::Directory, owner::Client, permit::Limiter,
+    reports::Reports, route::Table, settings::Settings, throttle::Throttle,
 };
 use crate::log::Log;
 
@@ -43,6 +43,8 @@
     pub reports: Rc<Reports>,
     /// Metrics.
     pub metrics: Metrics,
+    /// The latest refusals, for operators.
+    pub refusals: Refusals,
     /// Rate limit of log lines about requests.
     pub log_throttle: Throttle,
     stopping: Cell<bool>,
@@ -89,6 +91,7 @@
             origins,
             reports,
             metrics,
+            refusals: Refusals::default(),
             log_throttle: Throttle::default(),
             stopping: Cell::new(false),
             closing: watch::Sender::new(false),
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod leaving;
 mod limit;
 mod limits;
+mod operate;
 mod origin;
 mod outage;
 mod owner;
