Add gypsumctl gateway tenants, histories, queues and why

Cause: operators read the views of each gateway instance with an HTTP client, one instance at a time.

Instances of two versions may have different columns, which are matched by name.

--- a/src/ctl/client.rs
+++ b/src/ctl/client.rs
@@ -166,6 +166,18 @@
         future::join_all(servers.into_iter().map(one)).await
     }
 
+    /// Gets a path from every server given concurrently.
+    pub async fn get_each<T: DeserializeOwned>(
+        &self,
+        path: &str,
+    ) -> Vec<(&str, Result<Response<T>, Failure>)> {
+        let one = |server| async move {
+            let response = self.get_from(server, path).await;
+            (server, response)
+        };
+        future::join_all(self.servers.iter().map(String::as_str).map(one)).await
+    }
+
     /// Returns the servers given and those in the list of instances.
     ///
     /// The list of instances has addresses of peer ports only, so the callers' port of the server
@@ -273,7 +285,7 @@
 fn malformed(server: &str, path: &str, status: StatusCode, body: &[u8], cause: &str) -> Failure {
     let excerpt = String::from_utf8_lossy(&body[..body.len().min(MAX_EXCERPT_BYTES)]).into_owned();
     Failure::Failed(format!(
-        "{server} sent an unexpected response to {path} ({cause}); check that this is the callers' \
+        "{server} sent an unexpected response to {path} ({cause}); check that this is the right \
          port of a gypsumleverd of this version. Status {status}, start of the body: {excerpt:?}"
     ))
 }
--- a/src/ctl/flags.rs
+++ b/src/ctl/flags.rs
@@ -68,6 +68,17 @@
         }
         /// List the calls that wait for an upstream.
         cmd queues {}
+        /// Show a view of gateway instances: tenants (with their quotas), histories (partitions
+        /// of retained turns), queues (turns that wait for an engine), or why (the refusals
+        /// of a request).
+        cmd gateway {
+            required view: View
+            /// Request of the view why.
+            optional request: String
+            /// Address of a gateway's port for metrics, such as 10.0.0.5:9100. May be
+            /// repeated; the rows of all are printed.
+            repeated --gateway address: String
+        }
         /// Explain why a request was refused and what to do about it.
         cmd why {
             required request: String
@@ -75,6 +86,33 @@
     }
 }
 
+/// View of a gateway instance.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum View {
+    /// Tenants with their quotas.
+    Tenants,
+    /// Partitions of retained turns.
+    Histories,
+    /// Turns that wait for an engine.
+    Queues,
+    /// Refusals of a request.
+    Why,
+}
+
+impl FromStr for View {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "tenants" => Ok(Self::Tenants),
+            "histories" => Ok(Self::Histories),
+            "queues" => Ok(Self::Queues),
+            "why" => Ok(Self::Why),
+            _ => Err("must be tenants, histories, queues or why".to_owned()),
+        }
+    }
+}
+
 /// Time span longer than zero, such as `500ms` or `5s`.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Span(pub Duration);
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -6,6 +6,7 @@
 pub mod failure;
 pub mod file;
 pub mod flags;
+pub mod gateway;
 pub mod print;
 pub mod view;
 pub mod why;
@@ -68,6 +69,9 @@
 }
 
 fn create_client(flags: &Gypsumctl, variable: Option<String>) -> Result<Client, Failure> {
+    if let GypsumctlCmd::Gateway(args) = &flags.subcommand {
+        return gateway::create_client(args, flags.timeout.unwrap_or_default());
+    }
     let servers = match (flags.server.is_empty(), variable) {
         (false, _) => flags.server.clone(),
         (true, Some(list)) => list.split(',').map(|name| name.trim().to_owned()).collect(),
@@ -85,6 +89,7 @@
         GypsumctlCmd::Contract(args) => contract::run(args.subcommand, client, printer).await,
         GypsumctlCmd::Instances(_) => view::instances(client, printer).await,
         GypsumctlCmd::Upstreams(_) => view::upstreams(client, printer).await,
+        GypsumctlCmd::Gateway(args) => gateway::run(&args, client, printer).await,
         GypsumctlCmd::Queues(_) => view::queues(client, printer).await,
         GypsumctlCmd::Programs(args) => view::programs(args.customer, client, printer).await,
         GypsumctlCmd::Why(args) => why::run(&args.request, client, printer).await,
--- a/src/ctl/print.rs
+++ b/src/ctl/print.rs
@@ -86,6 +86,14 @@
     trim(&table)
 }
 
+/// Formats rows under a header whose length is known only at run time.
+pub fn rows(header: &[String], rows: &[Vec<String>]) -> String {
+    let mut table = Table::new();
+    table.load_style(presets::NOTHING).set_header(header);
+    table.add_rows(rows);
+    trim(&table)
+}
+
 /// Formats names and values, one pair a line.
 pub fn pairs(rows: &[(&str, String)]) -> String {
     let mut table = Table::new();
