Add the tree of kept turns, their records, and the data of events

Callers of a route with retention send only the new input of a turn. This adds what needs no I/O: turns and their records in parts, the tree of a partition, the cache of an instance, and the output of streams.

--- /dev/null
+++ b/src/gateway/history/mod.rs
@@ -0,0 +1,12 @@
+//! Histories of turns: callers send only the new input of a turn, and engines get the whole prompt.
+//!
+//! A turn is kept in the log with a link to the turn from which it continues. Each partition has an
+//! owner, which appends the turns of all instances and answers queries from memory.
+//! `docs/design/history.md` gives the reasons.
+//!
+//! [`turn`], [`tree`], [`output`] and [`cache`] do no I/O.
+
+pub mod cache;
+pub mod output;
+pub mod tree;
+pub mod turn;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 pub mod follow;
 pub mod forward;
 pub mod front;
+pub mod history;
 pub mod lifecycle;
 pub mod limit;
 pub mod load;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod dispatcher;
 mod endless;
 mod events;
+mod history;
 mod leaving;
 mod limit;
 mod limits;
