--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -6,6 +6,7 @@
 use super::{
     account::Reservation,
     dispatcher::Dispatcher,
+    history::client::Histories,
     origin::Origins,
     owner::{
         Request,
@@ -35,6 +36,7 @@
     origins: Rc<Origins>,
     reports: Rc<Reports>,
     tunnels: Rc<Tunnels>,
+    histories: Option<Rc<Histories<L>>>,
 }
 
 impl<L> Endpoint<L> {
@@ -53,6 +55,15 @@
             origins,
             reports,
             tunnels,
+            histories: None,
+        }
+    }
+
+    /// Handles requests about kept turns too.
+    pub fn with_histories(self, histories: Rc<Histories<L>>) -> Self {
+        Self {
+            histories: Some(histories),
+            ..self
         }
     }
 }
@@ -88,10 +99,20 @@
                 });
                 return;
             }
+            Body::History(request) => {
+                if let Some(histories) = self.histories.clone() {
+                    actix_web::rt::spawn(async move {
+                        let response = histories.handle(request).await;
+                        respond(reply, Body::Histories(response));
+                    });
+                }
+                return;
+            }
             Body::ListReports => return respond(reply, Body::Reports(self.reports.list())),
             _ => return,
         };
         let replica = self.replica.clone();
+        let histories = self.histories.clone();
         match request {
             Request::Open(reservation) => {
                 let pending = replica.open(reservation);
@@ -157,6 +178,24 @@
                     respond(reply, Body::Accounted(answer));
                 });
             }
+            Request::AppendTurns { partition, records } => {
+                actix_web::rt::spawn(async move {
+                    let answer = match histories {
+                        Some(histories) => histories.append_for_peer(partition, &records).await,
+                        None => Response::Refused,
+                    };
+                    respond(reply, Body::Accounted(answer));
+                });
+            }
+            Request::ReadTurns { partition, from } => {
+                actix_web::rt::spawn(async move {
+                    let answer = match histories {
+                        Some(histories) => histories.read_for_peer(partition, from).await,
+                        None => Response::Refused,
+                    };
+                    respond(reply, Body::Accounted(answer));
+                });
+            }
         }
     }
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -56,6 +56,7 @@
     },
     fingerprint::Fingerprint,
     fleet::Flight,
+    history::client::Open,
     limit::Notice,
     load::{
         Load,
@@ -143,6 +144,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// The turn, if it is kept after its answer.
+    pub turn: Option<Open>,
     /// Arrival time of the request.
     pub arrived: Instant,
     /// Time at which the final answer is due.
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -5,6 +5,7 @@
     future::Future,
     net::SocketAddr,
     rc::Rc,
+    sync::Arc,
     time::{
         Duration,
         Instant, //
@@ -71,6 +72,10 @@
         Refusal,
         HELD_REASON, //
     },
+    history::{
+        self,
+        client::Refused, //
+    },
     proof::Sends,
     relay::{
         Interruption,
@@ -82,6 +87,7 @@
         Busy,
         Gateway, //
     },
+    tenant::Tenant,
 };
 use crate::{
     clock::Time,
@@ -300,7 +306,16 @@
     let route = table
         .route(host.unwrap_or(""), request.path())
         .ok_or(Refusal::invalid(StatusCode::NOT_FOUND, "no_route"))?;
-    let body = read(payload, table.limits().body).await?;
+    let limit = table.limits().body;
+    let body = read(payload, limit).await?;
+    let tenant: Option<Rc<Tenant>> = None;
+    let (body, turn) = match route.retention {
+        Some(retention) => {
+            let tenant = tenant.as_ref().map(|tenant| &tenant.name);
+            open_turn(gateway, &call, tenant, retention, body, limit).await?
+        }
+        None => (body, None),
+    };
     let timeout = call.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let service = route.service(key(&call)).clone();
     let engine = table
@@ -318,11 +333,12 @@
         call,
         route: route.clone(),
         service,
-        tenant: None,
+        tenant,
         method: request.method().clone(),
         uri: request.uri().clone(),
         headers: end_to_end(headers),
         body,
+        turn,
         cache_tokens,
         arrived,
         deadline: arrived + timeout,
@@ -349,6 +365,30 @@
     }
 }
 
+/// Returns the prompt of a turn on a route that keeps turns, and the turn.
+async fn open_turn<D: Dialect, L: Log + 'static>(
+    gateway: &Gateway<D, L>,
+    call: &Call,
+    tenant: Option<&Arc<str>>,
+    retention: Duration,
+    input: Bytes,
+    limit: usize,
+) -> Result<(Bytes, Option<history::client::Open>), Refusal> {
+    let invalid = Refusal::invalid;
+    let unavailable = || {
+        let retry_after = history::client::RETRY_AFTER;
+        Refusal::after(&Sends::default(), "turn_unavailable", retry_after)
+    };
+    let histories = gateway.histories.get().ok_or_else(unavailable)?;
+    match histories.open(call, tenant, retention, input, limit).await {
+        Ok((prompt, turn)) => Ok((prompt, Some(turn))),
+        Err(Refused::Invalid) => Err(invalid(StatusCode::BAD_REQUEST, "invalid_header")),
+        Err(Refused::Unknown) => Err(invalid(StatusCode::NOT_FOUND, "unknown_turn")),
+        Err(Refused::TooLong) => Err(invalid(StatusCode::PAYLOAD_TOO_LARGE, "chain_too_long")),
+        Err(Refused::Unavailable) => Err(unavailable()),
+    }
+}
+
 /// Waits for the start of an answer, and gives it up once the request is held back.
 async fn unless<T>(
     held: impl Future<Output = ()>,
--- /dev/null
+++ b/src/gateway/history/client.rs
@@ -0,0 +1,789 @@
+//! Keeps turns when they end, and finds them when others continue them.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    rc::Rc,
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use bytes::Bytes;
+use futures_util::{
+    future::{
+        join_all,
+        select,
+        Either, //
+    },
+    stream::{
+        FuturesUnordered,
+        StreamExt as _, //
+    },
+};
+use tokio::time::{
+    sleep,
+    timeout,
+    timeout_at, //
+};
+
+use super::{
+    cache::Cache,
+    output::{
+        Broken,
+        Output, //
+    },
+    partition::Partitions,
+    tree::Search,
+    turn::{
+        assemble,
+        partition_of,
+        Key,
+        Turn, //
+    },
+    wire::{
+        Request,
+        Response,
+        Safety, //
+    },
+};
+use crate::{
+    clock::Time,
+    gateway::{
+        call::Call,
+        metrics::Metrics,
+        owner,
+        path::Path,
+        peers::Peers,
+        settings,
+        view::Report, //
+    },
+    hash::{
+        self,
+        Map, //
+    },
+    log::{
+        Failure,
+        Log, //
+    },
+    name::{
+        Instance,
+        Zone, //
+    },
+    peer::wire::Body,
+};
+
+/// Time without an answer of the owner after which an instance appends a turn itself.
+const OWNER_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time without an answer of the store after which other instances hold copies of a turn: a slow
+/// store takes 240 ms, and the owner has to answer within [`OWNER_TIMEOUT`].
+const HOLD_DELAY: Duration = Duration::from_millis(300);
+
+/// The same while the store refuses this instance, and others append for it.
+const HELP_DELAY: Duration = Duration::from_millis(100);
+
+/// Timeout for another instance to hold a copy: many round trips between zones, and the time that
+/// it waits for the store.
+const HOLD_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Time for which a holder waits for the store before it only holds a copy.
+const HOLDER_WAIT: Duration = Duration::from_millis(80);
+
+/// Instances that have to hold copies of a turn while the store does not answer.
+const HOLDERS: usize = 2;
+
+/// Maximum instances that are asked to hold a copy.
+const MAX_HOLDER_REQUESTS: usize = 6;
+
+/// Timeout of the query of the owner of the program's partition.
+const FIRST_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Timeout of the queries of all partitions.
+const ALL_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Time for which an owner that did not answer gets no turns to keep.
+const AVOID_TIME: Duration = Duration::from_secs(1);
+
+/// Time between removals of turns that are no longer needed; the log is trimmed with them.
+const MAINTAIN_INTERVAL: Duration = Duration::from_secs(15);
+
+/// Time between checks whether the other instances are known.
+const JOIN_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time after which the search for a turn may be repeated.
+pub const RETRY_AFTER: Duration = Duration::from_millis(200);
+
+/// Reason why no prompt can be made for a turn.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Refused {
+    /// The identifier of the previous turn is invalid.
+    Invalid,
+    /// There is no such turn.
+    Unknown,
+    /// The prompt would be too long.
+    TooLong,
+    /// The turn may exist.
+    Unavailable,
+}
+
+/// A turn that is being answered.
+#[derive(Clone, Debug)]
+pub struct Open {
+    turn: Turn,
+    partition: usize,
+}
+
+/// Keeps and finds turns.
+pub struct Histories<L> {
+    partitions: Rc<Partitions<L>>,
+    path: Rc<Path<L>>,
+    accounts: Rc<owner::Client<L>>,
+    peers: RefCell<Option<Peers>>,
+    cache: RefCell<Cache>,
+    broken: RefCell<Broken>,
+    /// Owners that did not answer, and the time until which they get no turns to keep.
+    avoided: RefCell<Map<Instance, Time>>,
+    metrics: Metrics,
+    started: Cell<bool>,
+    /// Whether the owners of the partitions are known.
+    ready: Cell<bool>,
+}
+
+impl<L: Log + 'static> Histories<L> {
+    /// Returns histories that do nothing before [`Self::start`].
+    pub fn new(
+        path: Path<L>,
+        partitions: u32,
+        settings: settings::History,
+        accounts: Rc<owner::Client<L>>,
+        metrics: Metrics,
+    ) -> Self {
+        let path = Rc::new(path);
+        let partitions = Partitions::new(path.clone(), partitions, settings.owner_mb << 20);
+        Self {
+            partitions: Rc::new(partitions),
+            path,
+            accounts,
+            peers: RefCell::default(),
+            cache: RefCell::new(Cache::new(settings.cache_mb << 20)),
+            broken: RefCell::default(),
+            avoided: RefCell::default(),
+            metrics,
+            started: Cell::new(false),
+            ready: Cell::new(false),
+        }
+    }
+
+    /// Adds the links to other instances.
+    pub fn connect(&self, peers: Peers) {
+        self.path.connect(peers.clone());
+        self.peers.replace(Some(peers));
+    }
+
+    /// Returns the path to the log.
+    pub fn path(&self) -> &Path<L> {
+        &self.path
+    }
+
+    /// Returns whether turns wait to be appended.
+    pub fn pending(&self) -> bool {
+        self.partitions.pending()
+    }
+
+    /// Starts to own partitions and to append turns, once a route keeps turns.
+    pub fn start(self: &Rc<Self>) {
+        if self.started.replace(true) {
+            return;
+        }
+        for index in 0..self.partitions.count() {
+            actix_web::rt::spawn(self.partitions.clone().run(index));
+        }
+        let path = self.path.clone();
+        actix_web::rt::spawn(async move { path.watch().await });
+        actix_web::rt::spawn(self.clone().follow_owners());
+        let this = self.clone();
+        actix_web::rt::spawn(async move {
+            loop {
+                sleep(MAINTAIN_INTERVAL).await;
+                this.partitions.maintain().await;
+            }
+        });
+    }
+
+    /// Updates which partitions this instance owns as members change; returns if the roster is closed.
+    async fn follow_owners(self: Rc<Self>) {
+        // Instances that start together would each read all partitions.
+        while !self.accounts.joined() {
+            sleep(JOIN_INTERVAL).await;
+        }
+        self.path.learn_past_outage().await;
+        self.update_owners();
+        self.ready.set(true);
+        let Some(peers) = self.peers.borrow().clone() else {
+            return;
+        };
+        let mut changes = peers.roster.subscribe();
+        while changes.changed().await.is_ok() {
+            self.update_owners();
+        }
+    }
+
+    fn update_owners(&self) {
+        for index in 0..self.partitions.count() {
+            let owned = self.owner(index).is_none();
+            self.partitions.set_owned(index, owned);
+        }
+    }
+
+    /// Returns the other live instances in the order in which they take over a partition, with their
+    /// zones; only those with at least half of the largest capacity. The position of this instance is
+    /// the number of those before it; `None` if it is not among them.
+    fn ranking(&self, partition: usize) -> (Vec<(Instance, Zone)>, Option<usize>) {
+        let Some(peers) = self.peers.borrow().clone() else {
+            return (Vec::new(), Some(0));
+        };
+        let snapshot = peers.roster.snapshot();
+        let local = snapshot.local();
+        let capacity = |name: &Instance| match snapshot.peer(name) {
+            Some(peer) => peer.entry.capacity,
+            None => local.capacity,
+        };
+        let largest = snapshot.usable().map(capacity).max().unwrap_or(0);
+        let large = snapshot
+            .usable()
+            .filter(|name| capacity(name) >= largest / 2);
+        let key = format!("turns/{partition}");
+        let mut ranked = hash::ranking(key.as_bytes(), large);
+        let position = ranked.iter().position(|name| **name == local.instance);
+        ranked.retain(|name| **name != local.instance);
+        let zone = |name: &Instance| {
+            let peer = snapshot.peer(name);
+            peer.map_or_else(|| local.zone.clone(), |peer| peer.entry.zone.clone())
+        };
+        let others = ranked
+            .into_iter()
+            .map(|name| (name.clone(), zone(name)))
+            .collect();
+        (others, position)
+    }
+
+    /// Returns the owner of a partition; `None` if it is this instance.
+    fn owner(&self, partition: usize) -> Option<Instance> {
+        let (others, position) = self.ranking(partition);
+        match (others.into_iter().next(), position) {
+            (None, _) | (_, Some(0)) => None,
+            (Some((name, _)), _) => Some(name),
+        }
+    }
+
+    async fn request(&self, to: &Instance, request: Request, limit: Duration) -> Option<Response> {
+        let peers = self.peers.borrow().clone()?;
+        match peers.mesh.request(to, Body::History(request), limit).await {
+            Ok(Body::Histories(response)) => Some(response),
+            Ok(_) => None,
+            Err(error) => {
+                log::debug!(peer = to.as_str(), error:%; "history: peer did not answer a request");
+                None
+            }
+        }
+    }
+
+    /// Appends records for another instance over the direct path only.
+    pub async fn append_for_peer(&self, partition: u32, records: &[Bytes]) -> owner::Response {
+        match self.path.append_directly(partition, records).await {
+            Some(Ok(offset)) => owner::Response::Appended(offset),
+            _ => owner::Response::Refused,
+        }
+    }
+
+    /// Reads records for another instance over the direct path only.
+    pub async fn read_for_peer(&self, partition: u32, from: u64) -> owner::Response {
+        match self.path.read_directly(partition, from).await {
+            Some(Ok(batch)) => owner::Response::Records {
+                records: batch.records,
+                next: batch.next,
+            },
+            // No record is dropped before the reader needs it, so that it may read on after them.
+            Some(Err(Failure::Expired { begin })) => owner::Response::Records {
+                records: Vec::new(),
+                next: begin,
+            },
+            _ => owner::Response::Refused,
+        }
+    }
+
+    /// Handles a request of another instance.
+    pub async fn handle(self: &Rc<Self>, request: Request) -> Response {
+        self.start();
+        match request {
+            Request::Keep { partition, turn } => {
+                let Some(index) = self.index(partition) else {
+                    return Response::Unavailable;
+                };
+                let safety = self.secure(index, &Rc::new(turn)).await;
+                safety.map_or(Response::Unavailable, Response::Kept)
+            }
+            Request::Hold { partition, turn } => match self.index(partition) {
+                Some(index) => self.hold(index, Rc::new(turn)).await,
+                None => Response::Unavailable,
+            },
+            Request::Find {
+                partitions,
+                key,
+                limit,
+            } => {
+                let indices: Option<Vec<_>> = partitions
+                    .into_iter()
+                    .map(|partition| self.index(partition))
+                    .collect();
+                match indices {
+                    Some(indices) => self.find_here(&indices, &key, limit as usize).await,
+                    None => Response::Unavailable,
+                }
+            }
+        }
+    }
+
+    fn index(&self, partition: u32) -> Option<usize> {
+        let index = partition as usize;
+        (index < self.partitions.count()).then_some(index)
+    }
+
+    /// Searches partitions that this instance owns.
+    async fn find_here(&self, indices: &[usize], key: &Key, limit: usize) -> Response {
+        if !self.ready.get() {
+            return Response::Unavailable;
+        }
+        let searches = indices.iter().map(|index| async move {
+            match self.partitions.find(*index, key, limit).await {
+                Some(Search::Found(turns)) => Response::chain(*index, &turns),
+                Some(Search::TooLong) => Response::TooLong,
+                Some(Search::Unknown) if self.certain() => Response::Unknown,
+                _ => Response::Unavailable,
+            }
+        });
+        merge(join_all(searches).await)
+    }
+
+    /// Returns whether no instance can hold turns that are not in the log.
+    ///
+    /// Instances that can't reach the store hold turns for each other; here the store may be
+    /// reachable while their zone is not.
+    fn certain(&self) -> bool {
+        let peers = self.peers.borrow();
+        let reachable = peers.as_ref().is_none_or(|peers| {
+            let snapshot = peers.roster.snapshot();
+            let reachable = snapshot.unreachable_zones().next().is_none();
+            reachable
+        });
+        reachable && self.path.settled() && self.accounts.settled()
+    }
+
+    /// Makes the prompt of a turn, and returns it with the turn.
+    pub async fn open(
+        &self,
+        call: &Call,
+        tenant: Option<&Arc<str>>,
+        retention: Duration,
+        input: Bytes,
+        limit: usize,
+    ) -> Result<(Bytes, Open), Refused> {
+        let previous = call.previous.as_ref().map_err(|_| Refused::Invalid)?;
+        let program = call.program.as_ref().map(|program| program.id.clone());
+        let key = |id: &Arc<str>| Key {
+            tenant: tenant.cloned(),
+            id: id.clone(),
+        };
+        let home = |id: &str| {
+            let name = program.as_deref().unwrap_or(id);
+            partition_of(name, self.partitions.count())
+        };
+        let (partition, prompt) = match previous {
+            Some(previous) => {
+                let start = Instant::now();
+                let found = self.find(&key(previous), home(previous), limit).await;
+                self.metrics.record_history_find(start.elapsed());
+                let (partition, chain) = found?;
+                let turns = chain.iter().map(|turn| &**turn);
+                let prompt = assemble(turns, &input);
+                if prompt.len() > limit {
+                    return Err(Refused::TooLong);
+                }
+                (partition, prompt)
+            }
+            None => (home(&call.id), input.clone()),
+        };
+        let turn = Turn {
+            key: key(&call.id),
+            previous: previous.clone(),
+            program,
+            input,
+            output: None,
+            ttl_ms: retention.as_millis() as u64,
+        };
+        Ok((prompt, Open { turn, partition }))
+    }
+
+    /// Returns the partition of a turn, and the turn with all turns before it.
+    async fn find(
+        &self,
+        key: &Key,
+        home: usize,
+        limit: usize,
+    ) -> Result<(usize, Vec<Rc<Turn>>), Refused> {
+        let now = Time::monotonic();
+        let cached = self.cache.borrow_mut().chain(now, key, limit);
+        let (source, found) = match cached {
+            Some((partition, Search::Found(chain))) => ("local", Ok((partition, chain))),
+            Some((_, Search::TooLong)) => ("local", Err(Refused::TooLong)),
+            _ => self.find_at_owners(key, home, limit).await,
+        };
+        let source = match &found {
+            Ok(_) | Err(Refused::TooLong | Refused::Invalid) => source,
+            Err(Refused::Unknown) => "unknown",
+            Err(Refused::Unavailable) => "unavailable",
+        };
+        self.metrics.found_history(source);
+        found
+    }
+
+    async fn find_at_owners(
+        &self,
+        key: &Key,
+        home: usize,
+        limit: usize,
+    ) -> (&'static str, Result<(usize, Vec<Rc<Turn>>), Refused>) {
+        if !self.ready.get() {
+            return ("unavailable", Err(Refused::Unavailable));
+        }
+        let owner = self.owner(home);
+        let first = self
+            .ask(owner.as_ref(), vec![home], key, limit, FIRST_TIMEOUT)
+            .await;
+        let known_unknown = match first {
+            Response::Unknown => true,
+            Response::Unavailable => false,
+            found => return ("owner", self.accept(found)),
+        };
+        let mut owners: Map<Option<Instance>, Vec<usize>> = Map::default();
+        for index in (0..self.partitions.count()).filter(|index| *index != home || !known_unknown) {
+            owners.entry(self.owner(index)).or_default().push(index);
+        }
+        let requests = owners.into_iter().map(|(owner, indices)| async move {
+            let asked = self.ask(owner.as_ref(), indices, key, limit, ALL_TIMEOUT);
+            asked.await
+        });
+        let mut requests: FuturesUnordered<_> = requests.collect();
+        let mut certain = true;
+        while let Some(response) = requests.next().await {
+            match response {
+                Response::Unknown => {}
+                Response::Chain { .. } | Response::TooLong => {
+                    return ("others", self.accept(response));
+                }
+                _ => certain = false,
+            }
+        }
+        let refused = match certain {
+            true => Refused::Unknown,
+            false => Refused::Unavailable,
+        };
+        ("others", Err(refused))
+    }
+
+    /// Asks the owner of partitions for a turn; `None` stands for this instance.
+    async fn ask(
+        &self,
+        owner: Option<&Instance>,
+        indices: Vec<usize>,
+        key: &Key,
+        limit: usize,
+        time: Duration,
+    ) -> Response {
+        let Some(owner) = owner else {
+            let found = timeout(time, self.find_here(&indices, key, limit)).await;
+            return found.unwrap_or(Response::Unavailable);
+        };
+        let request = Request::Find {
+            partitions: indices.into_iter().map(|index| index as u32).collect(),
+            key: key.clone(),
+            limit: limit as u64,
+        };
+        let response = self.request(owner, request, time).await;
+        response.unwrap_or(Response::Unavailable)
+    }
+
+    /// Adds turns that were found to the cache.
+    fn accept(&self, response: Response) -> Result<(usize, Vec<Rc<Turn>>), Refused> {
+        let Response::Chain { partition, turns } = response else {
+            return Err(Refused::TooLong);
+        };
+        let partition = self.index(partition).ok_or(Refused::Unavailable)?;
+        let turns: Vec<_> = turns.into_iter().map(Rc::new).collect();
+        let now = Time::monotonic();
+        let mut cache = self.cache.borrow_mut();
+        for turn in &turns {
+            cache.insert(now, partition, turn.clone());
+        }
+        Ok((partition, turns))
+    }
+
+    /// Keeps a turn whose answer is complete; returns whether it is safe.
+    async fn keep(&self, open: &Open, output: Option<Bytes>, deadline: Instant) -> bool {
+        let start = Instant::now();
+        let turn = Rc::new(Turn {
+            output,
+            ..open.turn.clone()
+        });
+        let kept = self.make_safe(open.partition, &turn);
+        let safety = timeout_at(deadline.into(), kept).await.ok().flatten();
+        self.metrics.record_history_keep(start.elapsed());
+        let outcome = match safety {
+            Some(Safety::Stored) => "kept",
+            Some(Safety::Held) => "held",
+            None => "lost",
+        };
+        self.metrics.kept_history(outcome);
+        if safety.is_some() {
+            let mut cache = self.cache.borrow_mut();
+            cache.insert(Time::monotonic(), open.partition, turn);
+            let held = self.partitions.memory() + cache.memory();
+            self.metrics.record_history_bytes(held as u64);
+        } else {
+            log::warn!(
+                request = &*turn.key.id, partition = open.partition;
+                "history: turn can't be made safe"
+            );
+        }
+        safety.is_some()
+    }
+
+    async fn make_safe(&self, index: usize, turn: &Rc<Turn>) -> Option<Safety> {
+        if let Some(owner) = self.owner(index).filter(|owner| !self.avoids(owner)) {
+            let request = Request::Keep {
+                partition: index as u32,
+                turn: Turn::clone(turn),
+            };
+            match self.request(&owner, request, OWNER_TIMEOUT).await {
+                Some(Response::Kept(safety)) => return Some(safety),
+                Some(_) => {}
+                None => self.avoid(&owner),
+            }
+        }
+        self.secure(index, turn).await
+    }
+
+    /// Appends a turn; has other instances hold copies if the store does not answer.
+    async fn secure(&self, index: usize, turn: &Rc<Turn>) -> Option<Safety> {
+        if self.partitions.is_stored(index, &turn.key) {
+            return Some(Safety::Stored);
+        }
+        let mut stored = self.partitions.append(index, turn.clone())?;
+        let delay = match (self.partitions.is_failing(index), self.path.is_failing()) {
+            (true, _) => Duration::ZERO,
+            (false, true) => HELP_DELAY,
+            (false, false) => HOLD_DELAY,
+        };
+        if let Ok(Ok(())) = timeout(delay, &mut stored).await {
+            return Some(Safety::Stored);
+        }
+        let held = std::pin::pin!(self.hold_elsewhere(index, turn));
+        match select(stored, held).await {
+            Either::Left((Ok(()), _)) => Some(Safety::Stored),
+            Either::Left((Err(_), held)) => held.await.then_some(Safety::Held),
+            Either::Right((true, _)) => {
+                self.partitions.announce(index, turn.clone());
+                Some(Safety::Held)
+            }
+            Either::Right((false, stored)) => stored.await.ok().map(|()| Safety::Stored),
+        }
+    }
+
+    /// Has other instances hold copies of a turn, in other zones if there are such; returns whether
+    /// enough of them do.
+    ///
+    /// Those that would own the partition next come first, so that a new owner knows the turn.
+    async fn hold_elsewhere(&self, index: usize, turn: &Rc<Turn>) -> bool {
+        let candidates = self.holders(index);
+        let mut candidates = candidates.iter();
+        let ask = |name: &Instance| {
+            let (name, turn) = (name.clone(), Turn::clone(turn));
+            async move {
+                let partition = index as u32;
+                let request = Request::Hold { partition, turn };
+                let response = self.request(&name, request, HOLD_TIMEOUT).await;
+                matches!(response, Some(Response::Kept(_)))
+            }
+        };
+        let mut requests: FuturesUnordered<_> =
+            candidates.by_ref().take(HOLDERS).map(ask).collect();
+        let mut copies = 0;
+        while let Some(held) = requests.next().await {
+            match held {
+                true => copies += 1,
+                false => requests.extend(candidates.next().map(ask)),
+            }
+            if copies == HOLDERS {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Returns instances to hold copies, alternating between the other zones; those of the local zone
+    /// only if there is no other one.
+    fn holders(&self, index: usize) -> Vec<Instance> {
+        let (others, _) = self.ranking(index);
+        let local = self.peers.borrow().as_ref().map(|peers| {
+            let snapshot = peers.roster.snapshot();
+            snapshot.local().zone.clone()
+        });
+        let remote = others.iter().any(|(_, zone)| Some(zone) != local.as_ref());
+        let mut zones: Map<Zone, usize> = Map::default();
+        let eligible = others.into_iter().enumerate();
+        let eligible = eligible.filter(|(_, (_, zone))| !remote || Some(zone) != local.as_ref());
+        let mut ordered: Vec<_> = eligible
+            .map(|(rank, (name, zone))| {
+                let round = zones.entry(zone).or_default();
+                *round += 1;
+                (*round, rank, name)
+            })
+            .collect();
+        ordered.sort();
+        let names = ordered.into_iter().map(|(_, _, name)| name);
+        names.take(MAX_HOLDER_REQUESTS).collect()
+    }
+
+    /// Appends a turn for another instance, or holds a copy of it.
+    async fn hold(&self, index: usize, turn: Rc<Turn>) -> Response {
+        let Some(stored) = self.partitions.append(index, turn.clone()) else {
+            return Response::Unavailable;
+        };
+        self.partitions.announce(index, turn);
+        if !self.partitions.is_failing(index) {
+            if let Ok(Ok(())) = timeout(HOLDER_WAIT, stored).await {
+                return Response::Kept(Safety::Stored);
+            }
+        }
+        Response::Kept(Safety::Held)
+    }
+
+    fn avoids(&self, owner: &Instance) -> bool {
+        let until = self.avoided.borrow().get(owner).copied();
+        until.is_some_and(|until| Time::monotonic() < until)
+    }
+
+    fn avoid(&self, owner: &Instance) {
+        log::warn!(
+            home = owner.as_str();
+            "history: partition owner did not answer in time; appending turns here for a while"
+        );
+        let now = Time::monotonic();
+        let mut avoided = self.avoided.borrow_mut();
+        avoided.retain(|_, until| *until > now);
+        avoided.insert(owner.clone(), now + AVOID_TIME);
+    }
+
+    /// Returns the state of all partitions.
+    pub fn report(&self) -> Report {
+        let columns = ["partition", "owner", "state", "turns", "bytes", "waiting"];
+        let mut report = Report::new(&columns);
+        for index in 0..self.partitions.count() {
+            let status = self.partitions.status(index);
+            let owner = self.owner(index);
+            let state = match (status.owned, status.loaded) {
+                (true, true) => "owned",
+                (true, false) => "reading",
+                (false, _) => "other",
+            };
+            report.rows.push(vec![
+                index.to_string(),
+                owner.map_or("this instance".into(), |owner| owner.to_string()),
+                state.into(),
+                status.turns.to_string(),
+                status.bytes.to_string(),
+                status.waiting.to_string(),
+            ]);
+        }
+        report
+    }
+}
+
+/// Returns the result of a search in several partitions.
+fn merge(responses: Vec<Response>) -> Response {
+    let mut merged = Response::Unknown;
+    for response in responses {
+        match response {
+            Response::Chain { .. } | Response::TooLong => return response,
+            Response::Unknown => {}
+            _ => merged = Response::Unavailable,
+        }
+    }
+    merged
+}
+
+/// Collects the output of a turn and keeps the turn at its end.
+///
+/// The output of a stream that broke off at the caller stays for a while, as the caller may take it
+/// up again.
+pub struct Recorder<L: Log + 'static> {
+    histories: Rc<Histories<L>>,
+    open: Open,
+    /// Output so far; `None` if earlier events were sent by another instance.
+    output: Option<Output>,
+    kept: bool,
+}
+
+impl<L: Log + 'static> Recorder<L> {
+    /// Starts to collect the output of a turn, or what follows the event after which the caller takes
+    /// its stream up.
+    pub fn new(histories: Rc<Histories<L>>, open: Open, call: &Call) -> Self {
+        let output = match (call.after, &call.resumes) {
+            (None, _) => Some(Output::default()),
+            (Some(after), Some(request)) => {
+                let broken = histories.broken.borrow();
+                broken.find(open.turn.key.tenant.as_ref(), request, after)
+            }
+            (Some(_), None) => None,
+        };
+        Self {
+            histories,
+            open,
+            output,
+            kept: false,
+        }
+    }
+
+    /// Adds an event.
+    pub fn push(&mut self, id: u64, event: &[u8]) {
+        if let Some(output) = &mut self.output {
+            output.push(id, event);
+        }
+    }
+
+    /// Keeps the turn; returns whether it is safe.
+    ///
+    /// A turn without its whole output is kept too, so that it is not unknown later.
+    pub async fn keep(&mut self, deadline: Instant) -> bool {
+        let output = self.output.clone().map(Output::into_data);
+        self.kept = self.histories.keep(&self.open, output, deadline).await;
+        self.kept
+    }
+}
+
+impl<L: Log + 'static> Drop for Recorder<L> {
+    fn drop(&mut self) {
+        if self.kept {
+            return;
+        }
+        if let Some(output) = self.output.take().filter(|output| !output.is_empty()) {
+            let key = self.open.turn.key.clone();
+            self.histories.broken.borrow_mut().keep(key, output);
+        }
+    }
+}
--- a/src/gateway/history/mod.rs
+++ b/src/gateway/history/mod.rs
@@ -4,9 +4,13 @@
 //! owner, which appends the turns of all instances and answers queries from memory.
 //! `docs/design/history.md` gives the reasons.
 //!
-//! [`turn`], [`tree`], [`output`] and [`cache`] do no I/O.
+//! [`turn`], [`tree`], [`output`] and [`cache`] do no I/O; [`partition`] calls the log and
+//! [`client`] other instances.
 
 pub mod cache;
+pub mod client;
 pub mod output;
+pub mod partition;
 pub mod tree;
 pub mod turn;
+pub mod wire;
--- a/src/gateway/history/output.rs
+++ b/src/gateway/history/output.rs
@@ -48,6 +48,11 @@
         self.events.push((id, self.data.len()));
     }
 
+    /// Returns whether there are no events.
+    pub fn is_empty(&self) -> bool {
+        self.events.is_empty()
+    }
+
     /// Returns the output up to an event; `None` if the event is not one of its events.
     pub fn up_to(&self, id: u64) -> Option<Self> {
         let position = self.events.iter().position(|(event, _)| *event == id)?;
--- a/src/gateway/lifecycle.rs
+++ b/src/gateway/lifecycle.rs
@@ -28,12 +28,14 @@
     endpoint::Endpoint,
     fleet::Fleet,
     follow, front,
+    history::client::Histories,
     metrics::Metrics,
     origin::{
         Directory,
         Origins, //
     },
     owner::Client,
+    path,
     peers::Peers,
     replica::Replica,
     reports::{
@@ -72,6 +74,9 @@
 /// Topic of the token accounts.
 const ACCOUNTS: &str = "accounts";
 
+/// Topic of the kept turns.
+const TURNS: &str = "turns";
+
 /// Time after SIGTERM for which new connections still arrive: the balancer checks once a second and
 /// stops after two failed checks.
 const BALANCER_DRAIN: Duration = Duration::from_millis(2_600);
@@ -117,6 +122,14 @@
     let placer = Rc::new(Placer::new(dispatcher.clone()));
     let origins = Rc::<Origins>::default();
     let (reports, unpublished) = Reports::new(metrics.clone());
+    let turns = Topic::with_large_records(store.clone(), TURNS);
+    let histories = Rc::new(Histories::new(
+        path::Path::to_topic(turns, path::Topic::Turns),
+        settings.store.partitions,
+        settings.history,
+        accounts.clone(),
+        metrics.clone(),
+    ));
     let gateway: Rc<Gateway<Dialect, Topic>> = Rc::new(Gateway::new(
         settings,
         accounts.clone(),
@@ -126,6 +139,8 @@
         reports.clone(),
         metrics,
     ));
+    // Nothing else sets it.
+    let _ = gateway.histories.set(histories.clone());
     let instance = gateway.settings.instance.clone();
     log::info!(instance = instance.as_str(); "gateway: started");
     let endpoint = Endpoint::new(
@@ -134,13 +149,15 @@
         origins,
         reports.clone(),
         tunnels.clone(),
-    );
+    )
+    .with_histories(histories.clone());
     let peers = connect_peers(&gateway.settings, endpoint).await?;
     replica.path().connect(peers.clone());
     accounts.connect(peers.clone());
     placer.connect(peers.clone());
     dialer.connect(peers.clone());
     reports.connect(peers.clone());
+    histories.connect(peers.clone());
     spawn(reports::publish(Holds::new(store.clone()), unpublished));
     spawn(follow::holds(reports, Holds::new(store.clone())));
     spawn(replica.clone().run());
@@ -282,7 +299,9 @@
     let mut quiet_since = start;
     while start.elapsed() < grace.mul_f64(GRACE_SHARE) {
         sleep(CHECK_INTERVAL).await;
-        if gateway.busy() > 0 || gateway.dialer.tunnels().busy() > 0 || replica.pending() {
+        let histories = gateway.histories.get();
+        let pending = replica.pending() || histories.is_some_and(|turns| turns.pending());
+        if gateway.busy() > 0 || gateway.dialer.tunnels().busy() > 0 || pending {
             quiet_since = Instant::now();
         }
         if start.elapsed() >= BALANCER_DRAIN {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -8,6 +8,7 @@
 use opentelemetry::{
     metrics::{
         Counter,
+        Gauge,
         Histogram, //
     },
     KeyValue,
@@ -41,6 +42,11 @@
     store_time: Histogram<f64>,
     first: Histogram<f64>,
     total: Histogram<f64>,
+    history_turns: Counter<u64>,
+    history_chains: Counter<u64>,
+    history_bytes: Gauge<u64>,
+    history_keep: Histogram<f64>,
+    history_find: Histogram<f64>,
 }
 
 impl Metrics {
@@ -102,6 +108,20 @@
             ),
             first: histogram("first", "Time until the first event of a stream."),
             total: histogram("total", "Time until the end of an answer."),
+            history_turns: counter("history_turns", "Turns that ended, by how they were kept."),
+            history_chains: counter(
+                "history_chains",
+                "Turns that continue others, by where these were found.",
+            ),
+            history_bytes: meter
+                .u64_gauge("history_bytes")
+                .with_description("Memory of kept turns.")
+                .build(),
+            history_keep: histogram("history_keep", "Time until a turn that ended was safe."),
+            history_find: histogram(
+                "history_find",
+                "Time until the turns before a turn were found.",
+            ),
             exporter,
         };
         Ok(Self(Arc::new(inner)))
@@ -190,6 +210,35 @@
         self.0.total.record(time.as_secs_f64(), &[]);
     }
 
+    /// Counts a turn that ended, by how it was kept (`kept` in the log, `held` by instances, or
+    /// `lost`).
+    pub fn kept_history(&self, outcome: &'static str) {
+        let labels = [KeyValue::new("outcome", outcome)];
+        self.0.history_turns.add(1, &labels);
+    }
+
+    /// Counts a turn that continues others, by where these were found (`local`, at the `owner` of
+    /// the program's partition, or at `others`), or not found (`unknown` or `unavailable`).
+    pub fn found_history(&self, source: &'static str) {
+        let labels = [KeyValue::new("source", source)];
+        self.0.history_chains.add(1, &labels);
+    }
+
+    /// Records the memory of kept turns.
+    pub fn record_history_bytes(&self, bytes: u64) {
+        self.0.history_bytes.record(bytes, &[]);
+    }
+
+    /// Records the time until a turn that ended was safe.
+    pub fn record_history_keep(&self, time: Duration) {
+        self.0.history_keep.record(time.as_secs_f64(), &[]);
+    }
+
+    /// Records the time until the turns before a turn were found.
+    pub fn record_history_find(&self, time: Duration) {
+        self.0.history_find.record(time.as_secs_f64(), &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn scrape(&self) -> anyhow::Result<String> {
         self.0.exporter.scrape()
--- a/src/gateway/owner.rs
+++ b/src/gateway/owner.rs
@@ -136,6 +136,26 @@
         #[serde(rename = "f")]
         from: u64,
     },
+    /// Append records of kept turns over the recipient's direct path to the log.
+    #[serde(rename = "ta")]
+    AppendTurns {
+        /// Partition.
+        #[serde(rename = "p")]
+        partition: u32,
+        /// The records.
+        #[serde(rename = "r")]
+        records: Vec<Bytes>,
+    },
+    /// Read records of kept turns over the recipient's direct path to the log.
+    #[serde(rename = "tr")]
+    ReadTurns {
+        /// Partition.
+        #[serde(rename = "p")]
+        partition: u32,
+        /// First offset.
+        #[serde(rename = "f")]
+        from: u64,
+    },
 }
 
 /// Answer to another instance.
@@ -281,6 +301,16 @@
         Some((peers, owners))
     }
 
+    /// Returns whether the other instances are known.
+    pub fn joined(&self) -> bool {
+        self.joined.get()
+    }
+
+    /// Returns whether no outage of the store is known that is under way or ended just now.
+    pub fn settled(&self) -> bool {
+        self.replica.path().settled()
+    }
+
     /// Returns whether this instance is isolated from the log while others may reach it.
     pub fn isolated(&self) -> bool {
         self.replica.path().outage().isolated()
--- a/src/gateway/path.rs
+++ b/src/gateway/path.rs
@@ -69,9 +69,37 @@
 /// within 1 s, takes at most 0.5 s, and is followed by an append within 0.25 s.
 const SETTLE_TIME: Duration = Duration::from_millis(2_500);
 
+/// Topic of the log, which other instances have to know to execute calls.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Topic {
+    /// Token accounts.
+    Accounts,
+    /// Kept turns.
+    Turns,
+}
+
+impl Topic {
+    /// Returns the request that another instance appends records.
+    fn append(self, partition: u32, records: Vec<Bytes>) -> Request {
+        match self {
+            Self::Accounts => Request::Append { partition, records },
+            Self::Turns => Request::AppendTurns { partition, records },
+        }
+    }
+
+    /// Returns the request that another instance reads records.
+    fn read(self, partition: u32, from: u64) -> Request {
+        match self {
+            Self::Accounts => Request::Read { partition, from },
+            Self::Turns => Request::ReadTurns { partition, from },
+        }
+    }
+}
+
 /// The path to the log.
 pub struct Path<L> {
     direct: L,
+    topic: Topic,
     peers: RefCell<Option<Peers>>,
     /// Whether the latest call over the direct path failed.
     failing: Cell<bool>,
@@ -95,8 +123,14 @@
 impl<L: Log> Path<L> {
     /// Returns a path without peers.
     pub fn new(direct: L) -> Self {
+        Self::to_topic(direct, Topic::Accounts)
+    }
+
+    /// Returns a path to a topic, without peers.
+    pub fn to_topic(direct: L, topic: Topic) -> Self {
         Self {
             direct,
+            topic,
             peers: RefCell::new(None),
             failing: Cell::new(false),
             outage: Cell::new((Time::default(), Outage::None)),
@@ -134,6 +168,11 @@
         }
     }
 
+    /// Returns whether the direct path is failing.
+    pub fn is_failing(&self) -> bool {
+        self.failing.get()
+    }
+
     /// Returns the direct path; `None` while it is failing.
     fn direct(&self) -> Option<&L> {
         (!self.failing.get()).then_some(&self.direct)
@@ -185,6 +224,11 @@
         Some(result)
     }
 
+    /// Drops the records before an offset, over the direct path only.
+    pub async fn trim_directly(&self, partition: u32, before: u64) -> Option<Result<(), Failure>> {
+        Some(self.direct()?.trim(partition, before).await)
+    }
+
     /// Reports that a call to another topic of the store failed; the log itself may be unaffected.
     pub fn report_failure(&self) {
         self.failure_alert.notify_one();
@@ -355,8 +399,7 @@
             Some(Err(error)) => failure = error,
             None => {}
         }
-        let records = records.to_vec();
-        let request = Request::Append { partition, records };
+        let request = self.topic.append(partition, records.to_vec());
         match self.delegate(request, use_peers).await {
             Some(Response::Appended(offset)) => Ok(offset),
             _ => Err(failure),
@@ -372,7 +415,7 @@
             None => {}
         }
         match self
-            .delegate(Request::Read { partition, from }, use_peers)
+            .delegate(self.topic.read(partition, from), use_peers)
             .await
         {
             Some(Response::Records { records, next }) => Ok(Batch { records, next }),
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -43,6 +43,7 @@
         HELD_REASON,
         RETRY_AFTER, //
     },
+    history::client::Recorder,
     origin::{
         Origin,
         Search, //
@@ -142,6 +143,8 @@
     events: u64,
     /// Where the stream began; `None` before its first event. All further events are from there.
     origin: Option<Origin>,
+    /// Collects the output of a turn that is kept.
+    recorder: Option<Recorder<L>>,
 }
 
 /// Reason why a stream ended before it was complete.
@@ -152,9 +155,11 @@
     /// Starts to answer a request for a stream.
     pub async fn start(
         gateway: Rc<Gateway<D, L>>,
-        job: Job<D, L>,
+        mut job: Job<D, L>,
         tokens_per_event: u64,
     ) -> Result<Started<D, L>, Refusal> {
+        let turn = job.turn.take().zip(gateway.histories.get().cloned());
+        let recorder = turn.map(|(turn, histories)| Recorder::new(histories, turn, &job.call));
         let mut relay = Self {
             last: job.call.after,
             splitter: Splitter::after(job.call.after),
@@ -171,6 +176,7 @@
             tokens_per_event,
             events: 0,
             origin: None,
+            recorder,
         };
         relay.find_origin().await?;
         let mut pending = relay.reserve();
@@ -628,6 +634,7 @@
                 Ok(Ok(Some(chunk))) => self.splitter.push(&chunk),
                 Ok(Ok(None)) if !self.splitter.partial() => {
                     self.finish();
+                    self.keep_turn().await?;
                     return Ok(None);
                 }
                 Ok(Ok(None)) => self.resume_broken("cut_in_event").await?,
@@ -640,7 +647,22 @@
         }
     }
 
+    /// Keeps the turn before the caller gets the end of the stream; until then the turn does not
+    /// count as answered.
+    async fn keep_turn(&mut self) -> Result<(), Interruption> {
+        let Some(recorder) = &mut self.recorder else {
+            return Ok(());
+        };
+        match recorder.keep(self.job.deadline).await {
+            true => Ok(()),
+            false => Err(Interruption("turn_not_kept")),
+        }
+    }
+
     fn deliver(&mut self, id: u64, bytes: Bytes) -> Bytes {
+        if let Some(recorder) = &mut self.recorder {
+            recorder.push(id, &bytes);
+        }
         self.last = Some(id);
         self.events += 1;
         self.began = true;
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -168,6 +168,12 @@
         }
     }
 
+    /// Returns whether a route keeps turns.
+    pub fn retains_turns(&self) -> bool {
+        let mut routes = self.hosts.values().flatten();
+        routes.any(|route| route.retention.is_some())
+    }
+
     /// Returns the tenants; `None` if requests need no key.
     pub fn tenants(&self) -> Option<&Directory> {
         self.tenants.as_ref()
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -53,6 +53,9 @@
     /// Parameters of the choice of upstreams.
     #[serde(default)]
     pub balance: balance::Settings,
+    /// Memory for kept turns.
+    #[serde(default)]
+    pub history: History,
     /// Share of a core that this instance may use, in cores; larger instances do more of the work
     /// that instances do for each other. 0 if unknown.
     #[serde(default)]
@@ -64,6 +67,26 @@
     pub logs: config::Logs,
 }
 
+/// Memory for kept turns.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct History {
+    /// Maximum memory for turns of own callers, in MiB.
+    pub cache_mb: usize,
+    /// Maximum memory for turns of the partitions that this instance owns, in MiB.
+    pub owner_mb: usize,
+}
+
+impl Default for History {
+    fn default() -> Self {
+        Self {
+            cache_mb: 8,
+            owner_mb: 32,
+        }
+    }
+}
+
 /// Addresses to listen on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{
         Cell,
+        OnceCell,
         RefCell, //
     },
     future::Future,
@@ -13,9 +14,9 @@
 use tokio::sync::watch;
 
 use super::{
-    dial::Dialer, dispatcher::Placer, fleet::Fleet, metrics::Metrics, origin::Directory,
-    owner::Client, permit::Limiter, reports::Reports, route::Table, settings::Settings,
-    throttle::Throttle,
+    dial::Dialer, dispatcher::Placer, fleet::Fleet, history::client::Histories, metrics::Metrics,
+    origin::Directory, owner::Client, permit::Limiter, reports::Reports, route::Table,
+    settings::Settings, throttle::Throttle,
 };
 use crate::log::Log;
 
@@ -39,6 +40,8 @@
     pub origins: Directory<L>,
     /// Requests that crash upstreams.
     pub reports: Rc<Reports>,
+    /// Kept turns.
+    pub histories: OnceCell<Rc<Histories<L>>>,
     /// Metrics.
     pub metrics: Metrics,
     /// Rate limit of log lines about requests.
@@ -61,6 +64,23 @@
             && self.table.borrow().is_some()
             && !self.accounts.isolated()
     }
+
+    /// Puts a configuration into effect unless the current one is as new; returns whether it did.
+    pub fn configure(&self, table: Table) -> bool {
+        let mut current = self.table.borrow_mut();
+        let newer = current
+            .as_ref()
+            .is_none_or(|current| table.version() > current.version());
+        if newer {
+            *current = Some(Rc::new(table));
+        }
+        drop(current);
+        let retains = self.table().is_some_and(|table| table.retains_turns());
+        if let Some(histories) = self.histories.get().filter(|_| newer && retains) {
+            histories.start();
+        }
+        newer
+    }
 }
 
 impl<D, L> Gateway<D, L> {
@@ -85,6 +105,7 @@
             accounts,
             origins,
             reports,
+            histories: OnceCell::new(),
             metrics,
             log_throttle: Throttle::default(),
             stopping: Cell::new(false),
@@ -99,18 +120,6 @@
         self.table.borrow().clone()
     }
 
-    /// Puts a configuration into effect unless the current one is as new; returns whether it did.
-    pub fn configure(&self, table: Table) -> bool {
-        let mut current = self.table.borrow_mut();
-        let newer = current
-            .as_ref()
-            .is_none_or(|current| table.version() > current.version());
-        if newer {
-            *current = Some(Rc::new(table));
-        }
-        newer
-    }
-
     /// Makes the readiness check fail, so that the balancer sends callers to other instances;
     /// requests are still served.
     pub fn stop(&self) {
--- a/src/log/memory.rs
+++ b/src/log/memory.rs
@@ -254,6 +254,12 @@
         self.batch(partition, from)
     }
 
+    async fn trim(&self, partition: u32, before: u64) -> Result<(), Failure> {
+        self.check_service().await?;
+        self.expire(partition, before);
+        Ok(())
+    }
+
     async fn bounds(&self, partition: u32) -> Result<Bounds, Failure> {
         self.check_service().await?;
         let partitions = lock(&self.store.partitions);
--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -58,4 +58,9 @@
 
     /// Returns the range of offsets of a partition.
     async fn bounds(&self, partition: u32) -> Result<Bounds, Failure>;
+
+    /// Drops the records before an offset; a log that can't drop them keeps them until they expire.
+    async fn trim(&self, _partition: u32, _before: u64) -> Result<(), Failure> {
+        Ok(())
+    }
 }
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -24,6 +24,7 @@
     },
     gateway::{
         dispatcher,
+        history,
         limit,
         owner,
         permit,
@@ -251,6 +252,12 @@
     /// Reply to a request for a tunnel.
     #[serde(rename = "tr")]
     Tunnel(tunnel::Response),
+    /// Request about kept turns; `Histories` replies.
+    #[serde(rename = "hq")]
+    History(history::wire::Request),
+    /// Reply to a request about kept turns.
+    #[serde(rename = "hr")]
+    Histories(history::wire::Response),
     /// The sender sends no more requests on this link; the receiver closes it once it is unused.
     #[serde(rename = "re")]
     Retire,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -398,6 +398,24 @@
             .map(|(_, batch)| batch)
     }
 
+    async fn trim(&self, partition: u32, before: u64) -> Result<(), Failure> {
+        let (store, topic) = (&self.store, &self.name);
+        let call = format!("log-trim?topic={topic}&part={partition}&before={before}");
+        let (status, _) = store
+            .call(
+                "trim",
+                store.post(&call),
+                Bytes::new(),
+                Duration::ZERO,
+                &Timeout::fixed(CALL_TIMEOUT),
+            )
+            .await?;
+        match status.is_success() {
+            true => Ok(()),
+            false => Err(Failure::NotApplied(format!("status {status}"))),
+        }
+    }
+
     async fn bounds(&self, partition: u32) -> Result<Bounds, Failure> {
         match self.fetch(partition, 0, Duration::ZERO, 1).await {
             Ok((bounds, _)) => Ok(bounds),
--- a/standin/src/store/mod.rs
+++ b/standin/src/store/mod.rs
@@ -83,6 +83,8 @@
     pub reads: u64,
     /// Calls that read the newest record of each key.
     pub newest: u64,
+    /// Calls that drop records.
+    pub trims: u64,
 }
 
 #[derive(Default)]
@@ -132,6 +134,24 @@
         inner.partitions.entry(key).or_default().truncate();
     }
 
+    /// Returns the topics with records that are not keyed.
+    pub fn plain_topics(&self) -> Vec<String> {
+        let inner = self.inner();
+        let topics = inner.partitions.keys().map(|(topic, _)| topic.clone());
+        let plain = topics.filter(|topic| !topic.starts_with("keyed."));
+        plain.collect()
+    }
+
+    /// Returns the number of retained records of a topic.
+    pub fn retained(&self, topic: &str) -> u64 {
+        let inner = self.inner();
+        let partitions = inner.partitions.iter();
+        let of_topic = partitions.filter(|((name, _), _)| name == topic);
+        of_topic
+            .map(|(_, partition)| partition.end() - partition.first())
+            .sum()
+    }
+
     /// Reserves the share of an answer to a read; returns when it is transferred.
     fn reserve_read(&self, bytes: usize) -> Instant {
         let mut inner = self.inner();
--- a/standin/src/store/routes.rs
+++ b/standin/src/store/routes.rs
@@ -44,6 +44,7 @@
     app.route("/v1/log-append", web::post().to(append))
         .route("/v1/log-read", web::get().to(read))
         .route("/v1/log-newest", web::get().to(newest))
+        .route("/v1/log-trim", web::post().to(trim))
         .route("/control/records/{topic}/{key}", web::put().to(put))
         .route("/control/records/{topic}/{key}", web::delete().to(remove));
 }
@@ -58,6 +59,9 @@
     from: u64,
     #[serde(default)]
     wait_ms: u64,
+    /// Offset before which records are dropped.
+    #[serde(default)]
+    before: u64,
 }
 
 impl Parameters {
@@ -181,6 +185,18 @@
     HttpResponse::Ok().json(json!({ "items": items, "more": false, "end": partition.end() }))
 }
 
+async fn trim(store: Data<Store>, parameters: Query<Parameters>) -> HttpResponse {
+    let mut inner = store.inner();
+    inner.stats.trims += 1;
+    if inner.faults.busy {
+        return unavailable();
+    }
+    if let Some(partition) = inner.partitions.get_mut(&parameters.key()) {
+        partition.trim(parameters.before);
+    }
+    HttpResponse::Ok().json(json!({}))
+}
+
 async fn put(store: Data<Store>, path: Path<(String, String)>, value: Bytes) -> HttpResponse {
     store.put(&path.0, &path.1, &value);
     HttpResponse::NoContent().finish()
--- a/standin/src/store/topic.rs
+++ b/standin/src/store/topic.rs
@@ -48,6 +48,13 @@
         self.records.clear();
     }
 
+    /// Drops the records before an offset.
+    pub(super) fn trim(&mut self, before: u64) {
+        let before = before.clamp(self.first, self.end());
+        self.records.drain(..(before - self.first) as usize);
+        self.first = before;
+    }
+
     /// Returns the offset of the first retained record.
     pub(super) fn first(&self) -> u64 {
         self.first
--- /dev/null
+++ b/tests/gateway/history_serve.rs
@@ -0,0 +1,431 @@
+//! Guards chains of turns at real instances: the bytes that engines get, and turns that end or are
+//! continued while instances or the store fail.
+
+use std::{
+    io::{
+        Read as _,
+        Write as _, //
+    },
+    net::TcpStream,
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use serde_json::json;
+use standin::{
+    server::Server,
+    store::{
+        self,
+        Faults,
+        Store, //
+    },
+};
+
+use crate::support::{
+    events,
+    get,
+    register,
+    request,
+    Action,
+    Deployment,
+    Instance,
+    Message,
+    Upstream, //
+};
+
+/// Time in which instances learn of each other.
+const SPREAD: Duration = Duration::from_millis(2_500);
+
+/// Publishes a configuration whose route `/turn/` keeps turns.
+fn configure_retained(store: &Server<Store>, version: u64, max_body_bytes: usize) {
+    let route = json!({
+        "name": "turn", "host": "h.example", "pathPrefix": "/turn/", "kind": "streaming",
+        "timeoutMs": 4000, "targetLatencyMs": 200, "priority": 0, "service": "s",
+        "maxAttempts": 1, "resumable": true, "retain": true, "retentionS": 60,
+    });
+    let config = json!({
+        "version": version,
+        "routes": [route],
+        "services": [{ "name": "s", "maxConns": 10, "engine": { "tokensPerEvent": 10 } }],
+        "limits": { "maxBodyBytes": max_body_bytes },
+    });
+    store.put("keyed.op", "config", config.to_string().as_bytes());
+}
+
+/// Returns an engine that sends three events, or those after the requested one.
+fn engine() -> Upstream {
+    Upstream::start(|_, request| {
+        let after = request.header("last-event-id");
+        let after: u64 = after.and_then(|id| id.parse().ok()).unwrap_or(0);
+        Action::Answer(events(request, after + 1..=3, true))
+    })
+}
+
+/// Output of a turn of [`engine`].
+const OUTPUT: &str = "e1\ne2\ne3\n";
+
+struct Fleet {
+    store: Server<Store>,
+    instances: Vec<Instance>,
+    engine: Upstream,
+}
+
+impl Fleet {
+    /// Starts instances in the zones of these names, and waits until they know each other.
+    fn start(zones: &[&str], engine: Upstream) -> Self {
+        let store = store::start(store::Config::default()).unwrap();
+        configure_retained(&store, 1, 100_000);
+        register(&store, "i-0", &engine, "ready", "v1");
+        let mut fleet = Self {
+            store,
+            instances: Vec::new(),
+            engine,
+        };
+        fleet.start_instances(zones);
+        fleet
+    }
+
+    fn start_instances(&mut self, zones: &[&str]) {
+        let start = |(number, zone): (usize, &&str)| {
+            Instance::start_in(zone, &format!("entry-{number}"), self.store.address())
+        };
+        self.instances = zones.iter().enumerate().map(start).collect();
+        self.instances.iter().for_each(Instance::wait_ready);
+        thread::sleep(SPREAD);
+    }
+
+    /// Sends a turn to an instance.
+    fn turn(&self, instance: usize, id: &str, previous: Option<&str>, input: &str) -> Message {
+        self.instances[instance].request(&turn(id, previous, input))
+    }
+
+    /// Sends a turn until it is answered with success; returns the other answers. An instance that
+    /// knows no engine yet, or is uncertain, refuses for a while.
+    fn turn_until_answered(
+        &self,
+        instance: usize,
+        id: &str,
+        previous: Option<&str>,
+        limit: Duration,
+    ) -> Vec<u16> {
+        let start = Instant::now();
+        let mut others = Vec::new();
+        loop {
+            let answer = self.turn(instance, id, previous, &input(id));
+            if answer.status() == 200 && answer.complete {
+                return others;
+            }
+            others.push(answer.status());
+            assert!(start.elapsed() < limit, "{id}: {others:?}");
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    /// Returns the body of the latest request that the engine got.
+    fn latest_prompt(&self) -> String {
+        self.engine.requests().last().unwrap().text()
+    }
+}
+
+/// Returns a turn; its program is the part of the identifier before a slash.
+fn turn(id: &str, previous: Option<&str>, input: &str) -> String {
+    let previous = previous.map_or(String::new(), |id| format!("Previous-Turn: {id}\r\n"));
+    let program = id.split_once('/').map_or("p", |(program, _)| program);
+    let headers = format!("{previous}Program-Id: {program}\r\nToken-Count: 50,40\r\n");
+    let text = request("POST", "/turn/x", &headers, input);
+    text.replace("Request-Id: r1", &format!("Request-Id: {id}"))
+}
+
+fn input(id: &str) -> String {
+    format!("in {id};")
+}
+
+/// Returns the prompt of a chain of turns with the inputs of [`input`].
+fn prompt(ids: &[&str]) -> String {
+    let inputs = ids.iter().map(|id| input(id));
+    inputs.collect::<Vec<_>>().join(OUTPUT)
+}
+
+/// Returns the value of a metric with a label.
+fn metric(instance: &Instance, name: &str, label: &str) -> u64 {
+    let text = get(instance.metrics, "/metrics").text();
+    let mut lines = text.lines().filter(|line| !line.starts_with('#'));
+    let line = lines.find(|line| line.contains(name) && line.contains(label));
+    let value = line.and_then(|line| line.rsplit(' ').next());
+    value.and_then(|value| value.parse().ok()).unwrap_or(0)
+}
+
+/// The bytes of a chain, of its branches, and the refusals of turns that can't be continued.
+#[test]
+fn turns_continue_at_one_instance() {
+    let fleet = Fleet::start(&["a"], engine());
+    let answered = |id, previous, expected: &[&str]| {
+        let answer = fleet.turn(0, id, previous, &input(id));
+        assert_eq!(answer.status(), 200, "{}", answer.text());
+        assert_eq!(fleet.latest_prompt(), prompt(expected));
+    };
+    answered("r1", None, &["r1"]);
+    answered("r2", Some("r1"), &["r1", "r2"]);
+    answered("r3", Some("r2"), &["r1", "r2", "r3"]);
+    answered("r4", Some("r2"), &["r1", "r2", "r4"]);
+    let passed_on = fleet.engine.requests().last().unwrap().clone();
+    assert_eq!(passed_on.header("previous-turn"), Some("r2"));
+    let refused = |previous, status: u16, reason| {
+        let answer = fleet.turn(0, "r9", Some(previous), "x");
+        assert_eq!((answer.status(), &*answer.text()), (status, reason));
+    };
+    refused("missing", 404, "unknown_turn");
+    refused("", 400, "invalid_header");
+    let instance = &fleet.instances[0];
+    assert_eq!(metric(instance, "history_turns", "kept"), 4);
+    assert_eq!(metric(instance, "history_chains", "local"), 3);
+    assert_eq!(metric(instance, "history_chains", "unknown"), 1);
+    // A prompt that is longer than a body may be.
+    configure_retained(&fleet.store, 2, prompt(&["r1", "r2"]).len());
+    thread::sleep(Duration::from_millis(1_500));
+    refused("r2", 413, "chain_too_long");
+    assert_eq!(fleet.engine.requests().len(), 4);
+}
+
+/// A deployment without kept turns must pay nothing for them.
+#[test]
+fn deployment_without_kept_turns_uses_no_topic() {
+    let engine = engine();
+    let deployment = Deployment::start(&[&engine]);
+    let answer = deployment.request(&request("POST", "/stream/x", "", "body"));
+    assert_eq!(answer.status(), 200);
+    thread::sleep(Duration::from_secs(1));
+    let topics = deployment.store.plain_topics();
+    assert!(!topics.contains(&"turns".to_owned()), "{topics:?}");
+    assert_eq!(metric(&deployment, "history_turns", ""), 0);
+}
+
+/// A stream that breaks off is not an answer: what an engine sent of it must not get into a prompt.
+#[test]
+fn turn_without_its_end_is_not_kept() {
+    let engine = Upstream::start(|number, request| match number {
+        0 => Action::Answer(events(request, 1..=3, true)),
+        1 => Action::Close(events(request, 1..=2, false)),
+        _ => Action::Close(Vec::new()),
+    });
+    let fleet = Fleet::start(&["a"], engine);
+    assert_eq!(fleet.turn(0, "r1", None, "x").status(), 200);
+    let answer = fleet.turn(0, "r2", Some("r1"), "x");
+    assert!(!answer.complete, "{}", answer.text());
+    let answer = fleet.turn(0, "r3", Some("r2"), "x");
+    assert_eq!((answer.status(), &*answer.text()), (404, "unknown_turn"));
+}
+
+/// The events before and after a break inside one answer are each in the prompt once.
+#[test]
+fn resumed_turn_has_each_event_once() {
+    let engine = Upstream::start(|number, request| match number {
+        0 => Action::Close(events(request, 1..=2, false)),
+        _ => {
+            let after = request.header("last-event-id");
+            let after: u64 = after.and_then(|id| id.parse().ok()).unwrap_or(0);
+            Action::Answer(events(request, after + 1..=3, true))
+        }
+    });
+    let fleet = Fleet::start(&["a"], engine);
+    let answer = fleet.turn(0, "r1", None, &input("r1"));
+    assert!(answer.complete, "{}", answer.text());
+    assert_eq!(fleet.engine.requests().len(), 2);
+    let answer = fleet.turn(0, "r2", Some("r1"), &input("r2"));
+    assert_eq!(answer.status(), 200);
+    assert_eq!(fleet.latest_prompt(), prompt(&["r1", "r2"]));
+}
+
+/// Reads an answer up to its second event.
+fn read_two_events(stream: &mut TcpStream) {
+    let mut text = String::new();
+    let mut buffer = [0; 1_024];
+    while !text.contains("id: 2\n") {
+        let length = stream.read(&mut buffer).unwrap();
+        assert!(length > 0, "the stream ended early: {text}");
+        text.push_str(&String::from_utf8_lossy(&buffer[..length]));
+    }
+}
+
+/// A caller takes its stream up after a lost connection. The instance that saw the earlier events
+/// has the whole output; another one must not keep a part of it, nor call the turn unknown.
+#[test]
+fn turn_that_a_caller_took_up_is_whole_or_unavailable() {
+    let engine = Upstream::start(|_, request| {
+        let after = request.header("last-event-id");
+        match after.and_then(|id| id.parse::<u64>().ok()) {
+            Some(after) => Action::Answer(events(request, after + 1..=3, true)),
+            None => {
+                let first = events(request, 1..=2, false);
+                Action::Pause(first, Duration::from_secs(3), Vec::new())
+            }
+        }
+    });
+    let fleet = Fleet::start(&["a", "a"], engine);
+    let mut stream = fleet.instances[0].connect();
+    stream
+        .write_all(turn("r1", None, &input("r1")).as_bytes())
+        .unwrap();
+    read_two_events(&mut stream);
+    drop(stream);
+    thread::sleep(Duration::from_millis(300));
+    let resumed = |id: &str| {
+        let headers = "Last-Event-Id: 2\r\nResumes: r1\r\nProgram-Id: p\r\n";
+        let text = request("POST", "/turn/x", headers, &input("r1"));
+        text.replace("Request-Id: r1", &format!("Request-Id: {id}"))
+    };
+    for (instance, id) in [(0, "s0"), (1, "s1")] {
+        let answer = fleet.instances[instance].request(&resumed(id));
+        assert!(
+            answer.complete && answer.status() == 200,
+            "{}",
+            answer.text()
+        );
+    }
+    for instance in [0, 1] {
+        let answer = fleet.turn(instance, "r2", Some("s1"), "x");
+        assert_eq!(
+            (answer.status(), &*answer.text()),
+            (503, "turn_unavailable")
+        );
+        assert!(answer.header("retry-after").is_some());
+    }
+    let mut stream = fleet.instances[1].connect();
+    stream
+        .write_all(turn("r3", Some("s0"), &input("r3")).as_bytes())
+        .unwrap();
+    read_two_events(&mut stream);
+    let prompts = fleet.engine.requests();
+    let expected = prompt(&["r1", "r3"]);
+    assert_eq!(prompts.last().unwrap().text(), expected);
+}
+
+/// Programs of a test; with as many, each of a few instances owns the partitions of some.
+const PROGRAMS: usize = 8;
+
+/// Continues the chain of each program by the turn with a number; returns the refusals.
+fn continue_all(fleet: &Fleet, number: usize, instance: usize, limit: Duration) -> Vec<u16> {
+    let mut refusals = Vec::new();
+    for program in 0..PROGRAMS {
+        let ids: Vec<_> = (0..=number)
+            .map(|turn| format!("p{program}/r{turn}"))
+            .collect();
+        let ids: Vec<_> = ids.iter().map(String::as_str).collect();
+        let previous = number.checked_sub(1).map(|previous| ids[previous]);
+        refusals.extend(fleet.turn_until_answered(instance, ids[number], previous, limit));
+        assert_eq!(fleet.latest_prompt(), prompt(&ids));
+    }
+    refusals
+}
+
+/// A turn must be readable everywhere as soon as its answer has ended, also by another program.
+#[test]
+fn turn_is_found_at_other_instances_at_once() {
+    let fleet = Fleet::start(&["a", "a", "b", "b"], engine());
+    for number in 0..8 {
+        let refusals = continue_all(&fleet, number, number % 4, Duration::ZERO);
+        assert!(refusals.is_empty(), "{refusals:?}");
+    }
+    // The first instance has not seen this turn, and the other program's owner has not either.
+    let answer = fleet.turn(0, "other/r0", Some("p1/r7"), "x");
+    assert_eq!(answer.status(), 200, "{}", answer.text());
+    let chain: Vec<_> = (0..8).map(|number| format!("p1/r{number}")).collect();
+    let chain: Vec<_> = chain.iter().map(String::as_str).collect();
+    let expected = prompt(&chain);
+    assert_eq!(fleet.latest_prompt(), format!("{expected}{OUTPUT}x"));
+    let by = |label| {
+        let counts = fleet.instances.iter();
+        let counts = counts.map(|instance| metric(instance, "history_chains", label));
+        counts.sum::<u64>()
+    };
+    assert_eq!((by("\"owner\""), by("others"), by("unknown")), (56, 1, 0));
+}
+
+/// An owner that dies must not take turns with it, nor make them unknown.
+#[test]
+fn chains_go_on_while_instances_die() {
+    let fleet = Fleet::start(&["a", "a", "b", "b"], engine());
+    continue_all(&fleet, 0, 0, Duration::ZERO);
+    for number in 1..4 {
+        fleet.instances[number - 1].signal("KILL");
+        let refusals = continue_all(&fleet, number, number, Duration::from_secs(5));
+        assert!(refusals.iter().all(|status| *status == 503), "{refusals:?}");
+    }
+}
+
+/// Turns have to be in the store before their answer ends: nothing else survives a loss of all
+/// instances.
+#[test]
+fn chains_go_on_after_a_restart_of_all_instances() {
+    let zones = ["a", "b", "b"];
+    let mut fleet = Fleet::start(&zones, engine());
+    continue_all(&fleet, 0, 0, Duration::ZERO);
+    continue_all(&fleet, 1, 1, Duration::ZERO);
+    for instance in &fleet.instances {
+        instance.signal("KILL");
+    }
+    let start = Instant::now();
+    fleet.start_instances(&zones);
+    let refusals = continue_all(&fleet, 2, 2, Duration::from_secs(5));
+    assert!(refusals.iter().all(|status| *status == 503), "{refusals:?}");
+    assert!(start.elapsed() < Duration::from_secs(15));
+}
+
+/// An append whose answer is lost may have taken effect; the turn must be in the chain once.
+#[test]
+fn chains_go_on_while_answers_of_the_store_are_lost() {
+    let fleet = Fleet::start(&["a", "b", "b"], engine());
+    for number in 0..4 {
+        fleet.store.set_faults(Faults {
+            lose_answers: 3,
+            ..Faults::default()
+        });
+        let refusals = continue_all(&fleet, number, number % 3, Duration::from_secs(5));
+        let allowed = |status: &u16| [200, 503].contains(status);
+        assert!(refusals.iter().all(allowed), "{refusals:?}");
+    }
+}
+
+/// Turns that end during an outage of the store are held by instances in other zones, which append
+/// them when it is back; nobody may call them unknown meanwhile.
+#[test]
+fn chains_go_on_through_an_outage_of_the_store() {
+    let zones = ["a", "b", "c"];
+    let mut fleet = Fleet::start(&zones, engine());
+    continue_all(&fleet, 0, 0, Duration::ZERO);
+    let set_busy = |busy| {
+        fleet.store.set_faults(Faults {
+            busy,
+            ..Faults::default()
+        });
+    };
+    set_busy(true);
+    let outage = Instant::now();
+    for number in 1..4 {
+        let refusals = continue_all(&fleet, number, number % 3, Duration::from_secs(5));
+        let allowed = |status: &u16| [200, 503].contains(status);
+        assert!(refusals.iter().all(allowed), "{refusals:?}");
+    }
+    let answer = fleet.turn(0, "p/r9", Some("missing"), "x");
+    assert_eq!(answer.status(), 503, "{}", answer.text());
+    thread::sleep(Duration::from_secs(10).saturating_sub(outage.elapsed()));
+    set_busy(false);
+    let refusals = continue_all(&fleet, 4, 0, Duration::from_secs(5));
+    assert!(refusals.iter().all(|status| *status == 503), "{refusals:?}");
+    let held = fleet.instances.iter();
+    let held: u64 = held
+        .map(|instance| metric(instance, "history_turns", "held"))
+        .sum();
+    assert!(held > 0, "no turn was held");
+    // What the instances held is in the store by now.
+    thread::sleep(Duration::from_secs(3));
+    for instance in &fleet.instances {
+        instance.signal("KILL");
+    }
+    fleet.start_instances(&zones);
+    let refusals = continue_all(&fleet, 5, 1, Duration::from_secs(5));
+    assert!(refusals.iter().all(|status| *status == 503), "{refusals:?}");
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -9,6 +9,8 @@
 mod endless;
 mod events;
 mod history;
+mod history_partition;
+mod history_serve;
 mod leaving;
 mod limit;
 mod limits;
