--- a/src/gateway/history/client.rs
+++ b/src/gateway/history/client.rs
@@ -94,13 +94,19 @@
 /// Time for which a holder waits for the store before it only holds a copy.
 const HOLDER_WAIT: Duration = Duration::from_millis(80);
 
+/// Pause before instances that did not hold a copy are asked again.
+const HOLD_PAUSE: Duration = Duration::from_millis(100);
+
+/// Maximum times that instances are asked to hold copies of a turn; its caller waits some seconds.
+const MAX_HOLD_ROUNDS: usize = 10;
+
 /// Instances that have to hold copies of a turn while the store does not answer.
 const HOLDERS: usize = 2;
 
 /// Maximum instances that are asked to hold a copy.
 const MAX_HOLDER_REQUESTS: usize = 6;
 
-/// Timeout of the query of the owner of the program's partition.
+/// Timeout of the queries of what owners have in memory.
 const FIRST_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Timeout of the queries of all partitions.
@@ -210,7 +216,8 @@
         actix_web::rt::spawn(async move {
             loop {
                 sleep(MAINTAIN_INTERVAL).await;
-                this.partitions.maintain().await;
+                this.partitions.maintain(this.certain()).await;
+                this.record_bytes();
             }
         });
     }
@@ -336,13 +343,14 @@
                 partitions,
                 key,
                 limit,
+                read,
             } => {
                 let indices: Option<Vec<_>> = partitions
                     .into_iter()
                     .map(|partition| self.index(partition))
                     .collect();
                 match indices {
-                    Some(indices) => self.find_here(&indices, &key, limit as usize).await,
+                    Some(indices) => self.find_here(&indices, &key, limit as usize, read).await,
                     None => Response::Unavailable,
                 }
             }
@@ -354,11 +362,23 @@
         (index < self.partitions.count()).then_some(index)
     }
 
-    /// Searches partitions that this instance owns.
-    async fn find_here(&self, indices: &[usize], key: &Key, limit: usize) -> Response {
+    /// Searches partitions that this instance owns, in memory, and in the log if `read`.
+    async fn find_here(&self, indices: &[usize], key: &Key, limit: usize, read: bool) -> Response {
         if !self.ready.get() {
             return Response::Unavailable;
         }
+        if !read {
+            let mut indices = indices.iter();
+            let found = indices.find_map(|index| {
+                let found = self.partitions.find_in_memory(*index, key, limit)?;
+                Some((*index, found))
+            });
+            return match found {
+                Some((index, Search::Found(turns))) => Response::chain(index, &turns),
+                Some((_, Search::TooLong)) => Response::TooLong,
+                _ => Response::Unavailable,
+            };
+        }
         let searches = indices.iter().map(|index| async move {
             match self.partitions.find(*index, key, limit).await {
                 Some(Search::Found(turns)) => Response::chain(*index, &turns),
@@ -461,39 +481,56 @@
         if !self.ready.get() {
             return ("unavailable", Err(Refused::Unavailable));
         }
-        let owner = self.owner(home);
-        let first = self
-            .ask(owner.as_ref(), vec![home], key, limit, FIRST_TIMEOUT)
-            .await;
-        let known_unknown = match first {
-            Response::Unknown => true,
-            Response::Unavailable => false,
-            found => return ("owner", self.accept(found)),
+        let all = 0..self.partitions.count();
+        let others = all.clone().filter(|index| *index != home).collect();
+        // A read to the end of all partitions is only for turns that no owner has in memory.
+        let phases = [
+            ("owner", vec![home], false, FIRST_TIMEOUT),
+            ("others", others, false, FIRST_TIMEOUT),
+            ("others", all.collect(), true, ALL_TIMEOUT),
+        ];
+        let mut response = Response::Unavailable;
+        for (source, indices, read, time) in phases {
+            response = self.ask_owners(indices, key, limit, read, time).await;
+            if matches!(response, Response::Chain { .. } | Response::TooLong) {
+                return (source, self.accept(response));
+            }
+        }
+        let refused = match response {
+            Response::Unknown => Refused::Unknown,
+            _ => Refused::Unavailable,
         };
+        ("others", Err(refused))
+    }
+
+    /// Asks the owners of partitions for a turn, all at once; returns the first answer with turns.
+    async fn ask_owners(
+        &self,
+        indices: Vec<usize>,
+        key: &Key,
+        limit: usize,
+        read: bool,
+        time: Duration,
+    ) -> Response {
         let mut owners: Map<Option<Instance>, Vec<usize>> = Map::default();
-        for index in (0..self.partitions.count()).filter(|index| *index != home || !known_unknown) {
+        for index in indices {
             owners.entry(self.owner(index)).or_default().push(index);
         }
         let requests = owners.into_iter().map(|(owner, indices)| async move {
-            let asked = self.ask(owner.as_ref(), indices, key, limit, ALL_TIMEOUT);
-            asked.await
+            let asked = self.ask(owner.as_ref(), indices, key, limit, read);
+            let response = timeout(time, asked).await;
+            response.unwrap_or(Response::Unavailable)
         });
         let mut requests: FuturesUnordered<_> = requests.collect();
-        let mut certain = true;
+        let mut merged = Response::Unknown;
         while let Some(response) = requests.next().await {
             match response {
+                Response::Chain { .. } | Response::TooLong => return response,
                 Response::Unknown => {}
-                Response::Chain { .. } | Response::TooLong => {
-                    return ("others", self.accept(response));
-                }
-                _ => certain = false,
+                _ => merged = Response::Unavailable,
             }
         }
-        let refused = match certain {
-            true => Refused::Unknown,
-            false => Refused::Unavailable,
-        };
-        ("others", Err(refused))
+        merged
     }
 
     /// Asks the owner of partitions for a turn; `None` stands for this instance.
@@ -503,18 +540,18 @@
         indices: Vec<usize>,
         key: &Key,
         limit: usize,
-        time: Duration,
+        read: bool,
     ) -> Response {
         let Some(owner) = owner else {
-            let found = timeout(time, self.find_here(&indices, key, limit)).await;
-            return found.unwrap_or(Response::Unavailable);
+            return self.find_here(&indices, key, limit, read).await;
         };
         let request = Request::Find {
             partitions: indices.into_iter().map(|index| index as u32).collect(),
             key: key.clone(),
             limit: limit as u64,
+            read,
         };
-        let response = self.request(owner, request, time).await;
+        let response = self.request(owner, request, ALL_TIMEOUT).await;
         response.unwrap_or(Response::Unavailable)
     }
 
@@ -552,8 +589,8 @@
         if safety.is_some() {
             let mut cache = self.cache.borrow_mut();
             cache.insert(Time::monotonic(), open.partition, turn);
-            let held = self.partitions.memory() + cache.memory();
-            self.metrics.record_history_bytes(held as u64);
+            drop(cache);
+            self.record_bytes();
         } else {
             log::warn!(
                 request = &*turn.key.id, partition = open.partition;
@@ -563,6 +600,11 @@
         safety.is_some()
     }
 
+    fn record_bytes(&self) {
+        let held = self.partitions.memory() + self.cache.borrow().memory();
+        self.metrics.record_history_bytes(held as u64);
+    }
+
     async fn make_safe(&self, index: usize, turn: &Rc<Turn>) -> Option<Safety> {
         if let Some(owner) = self.owner(index).filter(|owner| !self.avoids(owner)) {
             let request = Request::Keep {
@@ -609,28 +651,29 @@
     ///
     /// Those that would own the partition next come first, so that a new owner knows the turn.
     async fn hold_elsewhere(&self, index: usize, turn: &Rc<Turn>) -> bool {
-        let candidates = self.holders(index);
-        let mut candidates = candidates.iter();
-        let ask = |name: &Instance| {
-            let (name, turn) = (name.clone(), Turn::clone(turn));
-            async move {
-                let partition = index as u32;
+        let mut copies: Vec<Instance> = Vec::new();
+        for _ in 0..MAX_HOLD_ROUNDS {
+            let mut candidates = self.holders(index);
+            candidates.retain(|name| !copies.contains(name));
+            let mut candidates = candidates.into_iter();
+            let ask = |name: Instance| async {
+                let (partition, turn) = (index as u32, Turn::clone(turn));
                 let request = Request::Hold { partition, turn };
                 let response = self.request(&name, request, HOLD_TIMEOUT).await;
-                matches!(response, Some(Response::Kept(_)))
-            }
-        };
-        let mut requests: FuturesUnordered<_> =
-            candidates.by_ref().take(HOLDERS).map(ask).collect();
-        let mut copies = 0;
-        while let Some(held) = requests.next().await {
-            match held {
-                true => copies += 1,
-                false => requests.extend(candidates.next().map(ask)),
-            }
-            if copies == HOLDERS {
-                return true;
+                matches!(response, Some(Response::Kept(_))).then_some(name)
+            };
+            let first = candidates.by_ref().take(HOLDERS - copies.len());
+            let mut requests: FuturesUnordered<_> = first.map(ask).collect();
+            while let Some(held) = requests.next().await {
+                match held {
+                    Some(name) => copies.push(name),
+                    None => requests.extend(candidates.next().map(ask)),
+                }
+                if copies.len() == HOLDERS {
+                    return true;
+                }
             }
+            sleep(HOLD_PAUSE).await;
         }
         false
     }
--- a/src/gateway/history/partition.rs
+++ b/src/gateway/history/partition.rs
@@ -75,7 +75,7 @@
 struct Waiting {
     turn: Rc<Turn>,
     /// Notified once it is in the log.
-    stored: Option<oneshot::Sender<()>>,
+    stored: Vec<oneshot::Sender<()>>,
 }
 
 #[derive(Default)]
@@ -240,10 +240,15 @@
 
     fn enqueue(&self, index: usize, turn: Rc<Turn>, stored: Option<oneshot::Sender<()>>) {
         let partition = &self.partitions[index];
+        let mut queue = partition.queue.borrow_mut();
+        let mut waiting = queue.iter_mut();
+        if let Some(waiting) = waiting.find(|waiting| waiting.turn.key == turn.key) {
+            return waiting.stored.extend(stored);
+        }
         let queued_bytes = self.queued_bytes.get() + turn.memory();
         self.queued_bytes.set(queued_bytes);
-        let waiting = Waiting { turn, stored };
-        partition.queue.borrow_mut().push_back(waiting);
+        let stored = stored.into_iter().collect();
+        queue.push_back(Waiting { turn, stored });
         partition.wake.notify_one();
     }
 
@@ -344,8 +349,10 @@
         for waiting in queue.drain(..turns.len()) {
             let queued_bytes = self.queued_bytes.get() - waiting.turn.memory();
             self.queued_bytes.set(queued_bytes);
-            // The caller may have left.
-            let _ = waiting.stored.map(|stored| stored.send(()));
+            for stored in waiting.stored {
+                // The caller may have left.
+                let _ = stored.send(());
+            }
         }
     }
 
@@ -406,6 +413,15 @@
         Ok(!batch.records.is_empty())
     }
 
+    /// Searches the memory of a partition; `None` if the turns are not there.
+    pub fn find_in_memory(&self, index: usize, key: &Key, limit: usize) -> Option<Search> {
+        let mut tree = self.partitions[index].tree.borrow_mut();
+        match tree.chain(Time::monotonic(), key, limit) {
+            Search::Unknown | Search::Incomplete => None,
+            found => Some(found),
+        }
+    }
+
     /// Searches a partition for a turn and all turns before it; `None` if the result is not certain.
     ///
     /// A turn is unknown only after the partition was read to its end, as other instances may have
@@ -415,14 +431,13 @@
         if !partition.owned.get() && !partition.loaded.get() {
             return None;
         }
+        if let Some(found) = self.find_in_memory(index, key, limit) {
+            return Some(found);
+        }
         let chain = || {
             let now = Time::monotonic();
             partition.tree.borrow_mut().chain(now, key, limit)
         };
-        match chain() {
-            Search::Unknown | Search::Incomplete => {}
-            found => return Some(found),
-        }
         let read = timeout(READ_TIMEOUT, self.read_to_end(index)).await;
         if !matches!(read, Ok(Ok(()))) {
             return None;
@@ -436,7 +451,11 @@
 
     /// Drops turns that are no longer needed, in memory and in the log, and appends turns again that
     /// the log is about to drop.
-    pub async fn maintain(&self) {
+    ///
+    /// Unless it is `certain` that no turn is missing in the log, nothing is dropped while there is
+    /// space, as a missing turn may continue one that is not needed otherwise.
+    pub async fn maintain(&self, certain: bool) {
+        let drops = certain || self.memory() > self.max_memory / 2;
         for index in 0..self.partitions.len() {
             let partition = &self.partitions[index];
             let now = Time::monotonic();
@@ -446,8 +465,7 @@
                 }
                 continue;
             }
-            // Turns that instances hold may continue turns that are not needed otherwise.
-            if !partition.loaded.get() || !self.path.settled() {
+            if !partition.loaded.get() || !drops {
                 continue;
             }
             // Other instances may have appended turns that continue older ones.
@@ -492,11 +510,7 @@
         let before_ms = wall_ms().saturating_sub(RENEW_AGE_MS);
         let old = partition.tree.borrow().appended_before(before_ms);
         for turn in old {
-            let queued = {
-                let queue = partition.queue.borrow();
-                queue.iter().any(|waiting| waiting.turn.key == turn.key)
-            };
-            if !queued && self.queued_bytes.get() + turn.memory() <= MAX_QUEUED_BYTES {
+            if self.queued_bytes.get() + turn.memory() <= MAX_QUEUED_BYTES {
                 self.enqueue(index, turn, None);
             }
         }
--- a/src/gateway/history/wire.rs
+++ b/src/gateway/history/wire.rs
@@ -49,6 +49,10 @@
         /// Maximum length of the prompt of the turns.
         #[serde(rename = "l")]
         limit: u64,
+        /// Whether to read the partitions to their end if the turn is not in memory; otherwise
+        /// `Unavailable` replies.
+        #[serde(rename = "r", default)]
+        read: bool,
     },
 }
 
--- a/tests/gateway/history_partition.rs
+++ b/tests/gateway/history_partition.rs
@@ -167,7 +167,7 @@
         sleep(Duration::from_millis(300)).await;
         // Another instance continues an old turn, of which the owner has not heard.
         log.push(0, encode(&turn("r3", Some("r1"), 60_000), 0)[0].clone());
-        owner.maintain().await;
+        owner.maintain(true).await;
         let offsets: Vec<_> = log.records(0).iter().map(|(offset, _)| *offset).collect();
         assert_eq!(offsets[..3], [1, 2, 3]);
         assert_eq!(find(&owner, "r2").await, Some(2));
@@ -192,10 +192,10 @@
             encode(&turn("new", Some("old"), 60_000), now_ms)[0].clone(),
         );
         let owner = own(&log, LIMIT).await;
-        owner.maintain().await;
+        owner.maintain(true).await;
         sleep(Duration::from_millis(100)).await;
         assert_eq!(log.records(0).len(), 3);
-        owner.maintain().await;
+        owner.maintain(true).await;
         log.expire(0, 1);
         assert_eq!(find(&*own(&log, LIMIT).await, "new").await, Some(2));
     });
@@ -212,7 +212,7 @@
             append(&owner, turn(&format!("r{number}"), None, 60_000)).await;
         }
         assert!(owner.memory() <= 10_000);
-        owner.maintain().await;
+        owner.maintain(true).await;
         assert_eq!(log.records(0).len(), 20);
         assert_eq!(find(&owner, "r0").await, Some(1));
         assert_eq!(find(&owner, "r19").await, None);
--- a/tests/gateway/history_serve.rs
+++ b/tests/gateway/history_serve.rs
@@ -16,7 +16,11 @@
 
 use serde_json::json;
 use standin::{
-    server::Server,
+    server::{
+        Network,
+        Outage,
+        Server, //
+    },
     store::{
         self,
         Faults,
@@ -389,20 +393,52 @@
     }
 }
 
+/// An answer that ends before its turn is in the store leaves a turn that is gone with its instance.
+#[test]
+fn answer_ends_after_its_turn_is_stored() {
+    let fleet = Fleet::start(&["a"], engine());
+    fleet.store.set_faults(Faults {
+        network: Network {
+            latency_ms: 120,
+            ..Network::default()
+        },
+        ..Faults::default()
+    });
+    for number in 1..4 {
+        let answer = fleet.turn(0, &format!("r{number}"), None, "x");
+        assert!(answer.complete && answer.status() == 200);
+        assert_eq!(fleet.store.retained("turns"), number);
+    }
+}
+
+/// The store answers nothing but refusals.
+#[test]
+fn chains_go_on_while_the_store_refuses_all() {
+    check_outage(Faults {
+        busy: true,
+        ..Faults::default()
+    });
+}
+
+/// The store answers nothing at all, so that each call takes as long as it may.
+#[test]
+fn chains_go_on_while_the_store_is_silent() {
+    check_outage(Faults {
+        network: Network {
+            outage: Some(Outage::Silent),
+            ..Network::default()
+        },
+        ..Faults::default()
+    });
+}
+
 /// Turns that end during an outage of the store are held by instances in other zones, which append
 /// them when it is back; nobody may call them unknown meanwhile.
-#[test]
-fn chains_go_on_through_an_outage_of_the_store() {
+fn check_outage(faults: Faults) {
     let zones = ["a", "b", "c"];
     let mut fleet = Fleet::start(&zones, engine());
     continue_all(&fleet, 0, 0, Duration::ZERO);
-    let set_busy = |busy| {
-        fleet.store.set_faults(Faults {
-            busy,
-            ..Faults::default()
-        });
-    };
-    set_busy(true);
+    fleet.store.set_faults(faults);
     let outage = Instant::now();
     for number in 1..4 {
         let refusals = continue_all(&fleet, number, number % 3, Duration::from_secs(5));
@@ -412,7 +448,10 @@
     let answer = fleet.turn(0, "p/r9", Some("missing"), "x");
     assert_eq!(answer.status(), 503, "{}", answer.text());
     thread::sleep(Duration::from_secs(10).saturating_sub(outage.elapsed()));
-    set_busy(false);
+    fleet.store.set_faults(Faults::default());
+    // The instances may still hold turns that the store has not.
+    let answer = fleet.turn(0, "p/r9", Some("missing"), "x");
+    assert_eq!(answer.status(), 503, "{}", answer.text());
     let refusals = continue_all(&fleet, 4, 0, Duration::from_secs(5));
     assert!(refusals.iter().all(|status| *status == 503), "{refusals:?}");
     let held = fleet.instances.iter();
@@ -421,7 +460,9 @@
         .sum();
     assert!(held > 0, "no turn was held");
     // What the instances held is in the store by now.
-    thread::sleep(Duration::from_secs(3));
+    thread::sleep(Duration::from_secs(4));
+    let answer = fleet.turn(0, "p/r9", Some("missing"), "x");
+    assert_eq!(answer.status(), 404, "{}", answer.text());
     for instance in &fleet.instances {
         instance.signal("KILL");
     }
@@ -429,3 +470,23 @@
     let refusals = continue_all(&fleet, 5, 1, Duration::from_secs(5));
     assert!(refusals.iter().all(|status| *status == 503), "{refusals:?}");
 }
+
+/// A turn that ended during an outage must not depend on the instance that answered it, nor on the
+/// owner of its partition.
+#[test]
+fn turns_held_in_an_outage_survive_their_instance() {
+    let fleet = Fleet::start(&["a", "b", "c"], engine());
+    continue_all(&fleet, 0, 0, Duration::ZERO);
+    fleet.store.set_faults(Faults {
+        busy: true,
+        ..Faults::default()
+    });
+    let refusals = continue_all(&fleet, 1, 0, Duration::from_secs(5));
+    let allowed = |status: &u16| [200, 503].contains(status);
+    assert!(refusals.iter().all(allowed), "{refusals:?}");
+    fleet.instances[0].signal("KILL");
+    thread::sleep(Duration::from_secs(3));
+    fleet.store.set_faults(Faults::default());
+    let refusals = continue_all(&fleet, 2, 1, Duration::from_secs(6));
+    assert!(refusals.iter().all(|status| *status == 503), "{refusals:?}");
+}
