--- a/tests/gateway/history_serve.rs
+++ b/tests/gateway/history_serve.rs
@@ -450,8 +450,12 @@
     thread::sleep(Duration::from_secs(10).saturating_sub(outage.elapsed()));
     fleet.store.set_faults(Faults::default());
     // The instances may still hold turns that the store has not.
-    let answer = fleet.turn(0, "p/r9", Some("missing"), "x");
-    assert_eq!(answer.status(), 503, "{}", answer.text());
+    let recovery = Instant::now();
+    while recovery.elapsed() < Duration::from_secs(2) {
+        let answer = fleet.turn(0, "p/r9", Some("missing"), "x");
+        assert_eq!(answer.status(), 503, "{:?}", recovery.elapsed());
+        thread::sleep(Duration::from_millis(50));
+    }
     let refusals = continue_all(&fleet, 4, 0, Duration::from_secs(5));
     assert!(refusals.iter().all(|status| *status == 503), "{refusals:?}");
     let held = fleet.instances.iter();
