--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -32,6 +32,7 @@
 };
 use crate::{
     clock::Time,
+    log::Log,
     member::Snapshot,
     name::Instance,
     peer::wire::Body, //
@@ -240,7 +241,9 @@
         }
         self.table()
     }
+}
 
+impl<D, L: Log + 'static> Gateway<D, L> {
     /// Puts a configuration into effect unless the current one is as new, and retains its bytes for
     /// other instances. `source` says where it comes from.
     pub fn adopt(&self, published: Published, source: &'static str) {
--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -8,6 +8,7 @@
     account::Reservation,
     configuration::Configurations,
     dispatcher::Dispatcher,
+    history::client::Histories,
     origin::Origins,
     owner::{
         Request,
@@ -41,6 +42,7 @@
     tunnels: Rc<Tunnels>,
     quotas: Rc<Quotas>,
     configurations: Rc<Configurations>,
+    histories: Option<Rc<Histories<L>>>,
 }
 
 impl<L> Endpoint<L> {
@@ -62,6 +64,7 @@
             tunnels,
             quotas,
             configurations: Rc::default(),
+            histories: None,
         }
     }
 
@@ -72,6 +75,14 @@
             ..self
         }
     }
+
+    /// Handles requests about kept turns too.
+    pub fn with_histories(self, histories: Rc<Histories<L>>) -> Self {
+        Self {
+            histories: Some(histories),
+            ..self
+        }
+    }
 }
 
 impl<L: Log + 'static> Handler for Endpoint<L> {
@@ -118,10 +129,20 @@
                 }
                 return;
             }
+            Body::History(request) => {
+                if let Some(histories) = self.histories.clone() {
+                    actix_web::rt::spawn(async move {
+                        let response = histories.handle(request).await;
+                        respond(reply, Body::Histories(response));
+                    });
+                }
+                return;
+            }
             Body::ListReports => return respond(reply, Body::Reports(self.reports.list())),
             _ => return,
         };
         let replica = self.replica.clone();
+        let histories = self.histories.clone();
         match request {
             Request::Open(reservation) => {
                 let pending = replica.open(reservation);
@@ -187,6 +208,24 @@
                     respond(reply, Body::Accounted(answer));
                 });
             }
+            Request::AppendTurns { partition, records } => {
+                actix_web::rt::spawn(async move {
+                    let answer = match histories {
+                        Some(histories) => histories.append_for_peer(partition, &records).await,
+                        None => Response::Refused,
+                    };
+                    respond(reply, Body::Accounted(answer));
+                });
+            }
+            Request::ReadTurns { partition, from } => {
+                actix_web::rt::spawn(async move {
+                    let answer = match histories {
+                        Some(histories) => histories.read_for_peer(partition, from).await,
+                        None => Response::Refused,
+                    };
+                    respond(reply, Body::Accounted(answer));
+                });
+            }
         }
     }
 }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -207,7 +207,7 @@
 
 /// Runs a future that never returns, and begins anew after each pause of the process, with the number
 /// of pauses.
-async fn after_each_pause<D, L, F: Future<Output = ()>>(
+async fn after_each_pause<D, L: Log + 'static, F: Future<Output = ()>>(
     gateway: &Gateway<D, L>,
     begin: impl Fn(u64) -> F,
 ) {
@@ -239,7 +239,11 @@
 }
 
 /// Ends the wait of requests for the configuration after a pause, if the store does not.
-async fn confirm<D, L>(gateway: &Gateway<D, L>, feed: &impl Decode<Item = Published>, pauses: u64) {
+async fn confirm<D, L: Log + 'static>(
+    gateway: &Gateway<D, L>,
+    feed: &impl Decode<Item = Published>,
+    pauses: u64,
+) {
     let state = &gateway.configurations;
     let reread = timeout(REREAD_TIMEOUT, state.wait_confirmed(pauses));
     if reread.await.is_err() {
@@ -252,7 +256,10 @@
 }
 
 /// Asks other instances for the configuration while it can't be read.
-async fn query_while_behind<D, L>(gateway: &Gateway<D, L>, feed: &impl Decode<Item = Published>) {
+async fn query_while_behind<D, L: Log + 'static>(
+    gateway: &Gateway<D, L>,
+    feed: &impl Decode<Item = Published>,
+) {
     loop {
         sleep(QUERY_INTERVAL).await;
         if gateway.configurations.is_behind(Time::monotonic()) {
@@ -261,7 +268,7 @@
     }
 }
 
-async fn check_pauses<D, L>(gateway: &Gateway<D, L>) {
+async fn check_pauses<D, L: Log + 'static>(gateway: &Gateway<D, L>) {
     loop {
         sleep(PAUSE_CHECK_INTERVAL).await;
         gateway.configurations.check_pause(Time::boot());
@@ -269,7 +276,10 @@
 }
 
 /// Asks other instances for a newer configuration; returns whether one answered.
-async fn query<D, L>(gateway: &Gateway<D, L>, feed: &impl Decode<Item = Published>) -> bool {
+async fn query<D, L: Log + 'static>(
+    gateway: &Gateway<D, L>,
+    feed: &impl Decode<Item = Published>,
+) -> bool {
     let version = gateway.table().map(|table| table.version());
     let answers = gateway.configurations.query(version).await;
     let answered = !answers.is_empty();
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -5,6 +5,7 @@
     future::Future,
     net::SocketAddr,
     rc::Rc,
+    sync::Arc,
     time::{
         Duration,
         Instant, //
@@ -71,6 +72,7 @@
         Refusal,
         HELD_REASON, //
     },
+    history,
     operate::{
         self,
         Refused, //
@@ -330,10 +332,18 @@
         .and_then(|host| host.to_str().ok());
     let (table, route) = find_route(gateway, table, host.unwrap_or(""), request.path()).await?;
     authenticate(gateway, &table, &route, &call)?;
-    let body = read(payload, table.limits().body).await?;
+    let limit = table.limits().body;
+    let body = read(payload, limit).await?;
     // The body may have taken long to arrive, and the key may have been revoked since.
     let latest = gateway.table().unwrap_or_else(|| table.clone());
     let tenant = authenticate(gateway, &latest, &route, &call)?;
+    let (body, turn) = match route.retention {
+        Some(retention) => {
+            let tenant = tenant.as_ref().map(|tenant| &tenant.name);
+            open_turn(gateway, &call, tenant, retention, body, limit).await?
+        }
+        None => (body, None),
+    };
     let timeout = call.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let service = route.service(key(&call)).clone();
     let engine = table
@@ -356,6 +366,7 @@
         uri: request.uri().clone(),
         headers: end_to_end(headers),
         body,
+        turn,
         cache_tokens,
         arrived,
         deadline: arrived + timeout,
@@ -437,6 +448,36 @@
     Ok((table, route))
 }
 
+/// Returns the prompt of a turn on a route that keeps turns, and the turn.
+async fn open_turn<D: Dialect, L: Log + 'static>(
+    gateway: &Gateway<D, L>,
+    call: &Call,
+    tenant: Option<&Arc<str>>,
+    retention: Duration,
+    input: Bytes,
+    limit: usize,
+) -> Result<(Bytes, Option<history::client::Open>), Refusal> {
+    let invalid = Refusal::invalid;
+    let unavailable = || {
+        let retry_after = history::client::RETRY_AFTER;
+        Refusal::after(&Sends::default(), "turn_unavailable", retry_after)
+    };
+    let histories = gateway.histories.get().ok_or_else(unavailable)?;
+    match histories.open(call, tenant, retention, input, limit).await {
+        Ok((prompt, turn)) => Ok((prompt, Some(turn))),
+        Err(history::client::Refused::Invalid) => {
+            Err(invalid(StatusCode::BAD_REQUEST, "invalid_header"))
+        }
+        Err(history::client::Refused::Unknown) => {
+            Err(invalid(StatusCode::NOT_FOUND, "unknown_turn"))
+        }
+        Err(history::client::Refused::TooLong) => {
+            Err(invalid(StatusCode::PAYLOAD_TOO_LARGE, "chain_too_long"))
+        }
+        Err(history::client::Refused::Unavailable) => Err(unavailable()),
+    }
+}
+
 /// Waits for the start of an answer, and gives it up once the request is held back.
 async fn unless<T>(
     held: impl Future<Output = ()>,
--- a/src/gateway/operate.rs
+++ b/src/gateway/operate.rs
@@ -21,7 +21,10 @@
     state::Gateway,
     view::Report, //
 };
-use crate::clock::Time;
+use crate::{
+    clock::Time,
+    log::Log, //
+};
 
 /// Refusals that are retained.
 const MAX_REFUSALS: usize = 512;
@@ -118,7 +121,7 @@
 type Shared<D, L> = Data<Rc<Gateway<D, L>>>;
 
 /// Adds the routes of the views.
-pub fn configure<D: 'static, L: 'static>(app: &mut web::ServiceConfig) {
+pub fn configure<D: 'static, L: Log + 'static>(app: &mut web::ServiceConfig) {
     let view = |report: fn(&Gateway<D, L>) -> Report| {
         web::get().to(move |gateway: Shared<D, L>| async move { respond(&report(&gateway)) })
     };
@@ -137,20 +140,16 @@
 }
 
 /// Returns the quotas of all tenants, and the credit of those for which this instance issues it.
-fn tenants<D, L>(_: &Gateway<D, L>) -> Report {
-    Report::new(&[
-        "tenant",
-        "rate_per_s",
-        "burst",
-        "issuer",
-        "credit",
-        "denials",
-    ])
+fn tenants<D, L>(gateway: &Gateway<D, L>) -> Report {
+    gateway.quotas.report()
 }
 
 /// Returns the partitions of retained turns that this instance owns.
-fn histories<D, L>(_: &Gateway<D, L>) -> Report {
-    Report::new(&["partition", "turns", "bytes"])
+fn histories<D, L: Log + 'static>(gateway: &Gateway<D, L>) -> Report {
+    let histories = gateway.histories.get();
+    histories
+        .map(|histories| histories.report())
+        .unwrap_or_default()
 }
 
 /// Returns the turns that wait at this instance as a dispatcher.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{
         Cell,
+        OnceCell,
         RefCell, //
     },
     future::Future,
@@ -14,8 +15,9 @@
 
 use super::{
     configuration::Configurations, dial::Dialer, dispatcher::Placer, fleet::Fleet,
-    metrics::Metrics, operate::Refusals, origin::Directory, owner::Client, permit::Limiter,
-    reports::Reports, route::Table, settings::Settings, tenant::credit::Quotas, throttle::Throttle,
+    history::client::Histories, metrics::Metrics, operate::Refusals, origin::Directory,
+    owner::Client, permit::Limiter, reports::Reports, route::Table, settings::Settings,
+    tenant::credit::Quotas, throttle::Throttle,
 };
 use crate::log::Log;
 
@@ -43,6 +45,8 @@
     pub reports: Rc<Reports>,
     /// Quotas of tenants.
     pub quotas: Rc<Quotas>,
+    /// Kept turns.
+    pub histories: OnceCell<Rc<Histories<L>>>,
     /// Metrics.
     pub metrics: Metrics,
     /// The latest refusals, for operators.
@@ -67,6 +71,25 @@
             && self.table.borrow().is_some()
             && !self.accounts.isolated()
     }
+
+    /// Puts a configuration into effect unless the current one is as new; returns whether it did.
+    pub fn configure(&self, table: Table) -> bool {
+        let mut current = self.table.borrow_mut();
+        let newer = current
+            .as_ref()
+            .is_none_or(|current| table.version() > current.version());
+        if newer {
+            let table = Rc::new(table);
+            self.quotas.configure(&table);
+            *current = Some(table);
+        }
+        drop(current);
+        let retains = self.table().is_some_and(|table| table.retains_turns());
+        if let Some(histories) = self.histories.get().filter(|_| newer && retains) {
+            histories.start();
+        }
+        newer
+    }
 }
 
 impl<D, L> Gateway<D, L> {
@@ -93,6 +116,7 @@
             origins,
             reports,
             quotas: Rc::new(Quotas::new(metrics.clone())),
+            histories: OnceCell::new(),
             metrics,
             refusals: Refusals::default(),
             log_throttle: Throttle::default(),
@@ -108,20 +132,6 @@
         self.table.borrow().clone()
     }
 
-    /// Puts a configuration into effect unless the current one is as new; returns whether it did.
-    pub fn configure(&self, table: Table) -> bool {
-        let mut current = self.table.borrow_mut();
-        let newer = current
-            .as_ref()
-            .is_none_or(|current| table.version() > current.version());
-        if newer {
-            let table = Rc::new(table);
-            self.quotas.configure(&table);
-            *current = Some(table);
-        }
-        newer
-    }
-
     /// Makes the readiness check fail, so that the balancer sends callers to other instances;
     /// requests are still served.
     pub fn stop(&self) {
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -25,6 +25,7 @@
     gateway::{
         configuration,
         dispatcher,
+        history,
         limit,
         owner,
         permit,
@@ -265,6 +266,12 @@
     /// Reply to a request for a credit of a quota.
     #[serde(rename = "qr")]
     Credited(credit::Response),
+    /// Request about kept turns; `Histories` replies.
+    #[serde(rename = "hq")]
+    History(history::wire::Request),
+    /// Reply to a request about kept turns.
+    #[serde(rename = "hr")]
+    Histories(history::wire::Response),
     /// The sender sends no more requests on this link; the receiver closes it once it is unused.
     #[serde(rename = "re")]
     Retire,
