--- a/src/gateway/lifecycle.rs
+++ b/src/gateway/lifecycle.rs
@@ -161,8 +161,8 @@
     reports.connect(peers.clone());
     let cut_off = accounts.clone();
     let cut_off = move || !cut_off.joined() || cut_off.isolated();
-    gateway.quotas.connect(peers.clone(), cut_off);
-    spawn(gateway.quotas.clone().run());
+    gateway.quotas.connect(peers.clone());
+    spawn(gateway.quotas.clone().run(cut_off));
     gateway.configurations.connect(peers.clone());
     histories.connect(peers.clone());
     spawn(reports::publish(Holds::new(store.clone()), unpublished));
--- a/src/gateway/tenant/credit.rs
+++ b/src/gateway/tenant/credit.rs
@@ -1,7 +1,10 @@
 //! Requests credits of the quotas of tenants, and issues those that this instance is responsible for.
 
 use std::{
-    cell::RefCell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
     rc::Rc,
     sync::Arc,
     time::Duration, //
@@ -35,7 +38,8 @@
     },
     member::{
         Snapshot,
-        State, //
+        State,
+        View, //
     },
     name::Instance,
     peer::wire::Body,
@@ -156,8 +160,12 @@
     denials: RefCell<Map<Arc<str>, Denial>>,
     /// Times until which instances are not asked.
     avoided: RefCell<Map<Instance, Time>>,
-    /// Returns whether this instance is cut off, or does not know the others yet.
-    isolated: RefCell<Box<dyn Fn() -> bool>>,
+    /// Whether this instance is cut off from the others, or does not know them yet.
+    cut_off: Cell<bool>,
+    /// Revision of the membership view from which the members were determined.
+    revision: Cell<Option<u64>>,
+    /// Whether no other zone is in use by that view.
+    alone: Cell<bool>,
     metrics: Metrics,
 }
 
@@ -171,16 +179,17 @@
             members: RefCell::default(),
             denials: RefCell::default(),
             avoided: RefCell::default(),
-            isolated: RefCell::new(Box::new(|| false)),
+            cut_off: Cell::new(false),
+            revision: Cell::new(None),
+            alone: Cell::new(false),
             metrics,
         }
     }
 
-    /// Adds the links to other instances; `isolated` tells whether this one is cut off from them or
-    /// does not know them yet.
-    pub fn connect(&self, peers: Peers, isolated: impl Fn() -> bool + 'static) {
+    /// Adds the links to other instances, which are not known yet.
+    pub fn connect(&self, peers: Peers) {
         self.peers.replace(Some(peers));
-        *self.isolated.borrow_mut() = Box::new(isolated);
+        self.cut_off.set(true);
     }
 
     /// Applies a new version of the configuration.
@@ -191,10 +200,12 @@
         self.denials.borrow_mut().retain(|name, _| limited(name));
     }
 
-    /// Follows the members and notices pauses of the process; never returns.
-    pub async fn run(self: Rc<Self>) {
+    /// Follows the members and notices pauses of the process; `cut_off` tells whether this instance is
+    /// cut off from the others or does not know them yet. Never returns.
+    pub async fn run(self: Rc<Self>, cut_off: impl Fn() -> bool) {
         loop {
             sleep(TICK).await;
+            self.cut_off.set(cut_off());
             if self.limits() {
                 self.update();
             }
@@ -227,10 +238,17 @@
         let now = Time::boot();
         let mut credits = self.credits.borrow_mut();
         credits.tick(now);
-        let Some((_, snapshot)) = self.snapshot() else {
+        let Some(peers) = self.peers.borrow().clone() else {
             return;
         };
-        credits.set_isolated(now, (self.isolated.borrow())() || is_cut_off(&snapshot));
+        let revision = Some(peers.roster.read(View::revision));
+        if self.revision.replace(revision) == revision {
+            credits.set_isolated(now, self.cut_off.get() || self.alone.get());
+            return;
+        }
+        let snapshot = peers.roster.snapshot();
+        self.alone.set(is_cut_off(&snapshot));
+        credits.set_isolated(now, self.cut_off.get() || self.alone.get());
         let local = snapshot.local();
         let members = (snapshot.large(None), snapshot.large(Some(&local.zone)));
         let known = self.members.borrow();
--- a/src/gateway/tenant/mod.rs
+++ b/src/gateway/tenant/mod.rs
@@ -49,6 +49,7 @@
             let entries = keys.into_iter().map(|key| (key, tenant.clone()));
             directory.keys.extend(entries);
             directory.names.insert(tenant.name.clone(), tenant.clone());
+            directory.names.insert(tenant.name.clone(), tenant.clone());
             directory.tenants.push(tenant);
         }
         directory
