--- a/src/gateway/tenant/mod.rs
+++ b/src/gateway/tenant/mod.rs
@@ -3,6 +3,7 @@
 pub mod credit;
 pub mod key;
 pub mod quota;
+pub mod start;
 
 use std::{
     rc::Rc,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -15,7 +15,10 @@
 };
 
 use awc::{
-    http::StatusCode,
+    http::{
+        header,
+        StatusCode, //
+    },
     ClientRequest, //
 };
 use base64::{
@@ -400,12 +403,19 @@
 
     async fn trim(&self, partition: u32, before: u64) -> Result<(), Failure> {
         let (store, topic) = (&self.store, &self.name);
-        let call = format!("log-trim?topic={topic}&part={partition}&before={before}");
+        let trim = wire::Trim {
+            topic,
+            part: partition,
+            before,
+        };
+        let body = serde_json::to_vec(&trim).map_err(unknown)?;
+        let request = store.post("log-trim");
+        let request = request.insert_header((header::CONTENT_TYPE, "application/json"));
         let (status, _) = store
             .call(
                 "trim",
-                store.post(&call),
-                Bytes::new(),
+                request,
+                body.into(),
                 Duration::ZERO,
                 &Timeout::fixed(CALL_TIMEOUT),
             )
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -6,7 +6,10 @@
     time::Duration, //
 };
 
-use serde::Deserialize;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use thiserror::Error;
 
 use crate::gateway::{
@@ -330,6 +333,18 @@
     pub offset: u64,
 }
 
+/// Request to delete the oldest records of a partition.
+#[derive(Debug)]
+#[derive(Serialize)]
+pub struct Trim<'a> {
+    /// The topic.
+    pub topic: &'a str,
+    /// The partition.
+    pub part: u32,
+    /// Offset of the first record to keep.
+    pub before: u64,
+}
+
 /// Answer to a read of records that have expired.
 #[derive(Debug)]
 #[derive(Deserialize)]
