Hold copies of turns in other zones also when none of them is reachable

In a zone that was just partitioned, the views already had no instance of another zone, so that instances of the same zone held the copies of its turns and these counted as safe.

--- a/src/gateway/history/client.rs
+++ b/src/gateway/history/client.rs
@@ -678,28 +678,15 @@
         false
     }
 
-    /// Returns instances to hold copies, alternating between the other zones; those of the local zone
-    /// only if there is no other one.
+    /// Returns instances to hold copies.
     fn holders(&self, index: usize) -> Vec<Instance> {
         let (others, _) = self.ranking(index);
-        let local = self.peers.borrow().as_ref().map(|peers| {
-            let snapshot = peers.roster.snapshot();
-            snapshot.local().zone.clone()
-        });
-        let remote = others.iter().any(|(_, zone)| Some(zone) != local.as_ref());
-        let mut zones: Map<Zone, usize> = Map::default();
-        let eligible = others.into_iter().enumerate();
-        let eligible = eligible.filter(|(_, (_, zone))| !remote || Some(zone) != local.as_ref());
-        let mut ordered: Vec<_> = eligible
-            .map(|(rank, (name, zone))| {
-                let round = zones.entry(zone).or_default();
-                *round += 1;
-                (*round, rank, name)
-            })
-            .collect();
-        ordered.sort();
-        let names = ordered.into_iter().map(|(_, _, name)| name);
-        names.take(MAX_HOLDER_REQUESTS).collect()
+        let Some(peers) = self.peers.borrow().clone() else {
+            return Vec::new();
+        };
+        let snapshot = peers.roster.snapshot();
+        let several = snapshot.zones().count() > 1;
+        holders(others, &snapshot.local().zone, several)
     }
 
     /// Appends a turn for another instance, or holds a copy of it.
@@ -830,3 +817,22 @@
         }
     }
 }
+
+/// Returns instances to hold copies, of those that are `usable` in the order in which they take over,
+/// alternating between the other zones. Those of the local zone hold copies only if it is the only one
+/// known: if it is cut off from the `several` others, they do not learn of the turns until it is back.
+pub fn holders(usable: Vec<(Instance, Zone)>, local: &Zone, several: bool) -> Vec<Instance> {
+    let mut zones: Map<Zone, usize> = Map::default();
+    let eligible = usable.into_iter().enumerate();
+    let eligible = eligible.filter(|(_, (_, zone))| !several || zone != local);
+    let mut ordered: Vec<_> = eligible
+        .map(|(rank, (name, zone))| {
+            let round = zones.entry(zone).or_default();
+            *round += 1;
+            (*round, rank, name)
+        })
+        .collect();
+    ordered.sort();
+    let names = ordered.into_iter().map(|(_, _, name)| name);
+    names.take(MAX_HOLDER_REQUESTS).collect()
+}
--- a/tests/gateway/history.rs
+++ b/tests/gateway/history.rs
@@ -15,6 +15,7 @@
     clock::Time,
     gateway::history::{
         cache::Cache,
+        client::holders,
         output::{
             append_data,
             Broken,
@@ -34,6 +35,10 @@
             MAX_RECORD_BYTES, //
         },
     },
+    name::{
+        Instance,
+        Zone, //
+    },
 };
 use proptest::prelude::*;
 
@@ -289,3 +294,22 @@
         let _ = Decoder::default().decode(second(0), 0, &bytes);
     }
 }
+
+/// Copies that only instances of a partitioned zone hold are no use to the others, which answered 404
+/// for turns that had just been answered there.
+#[test]
+fn holders_of_a_partitioned_zone_are_none() {
+    let name = |name: &str| Instance::try_from(name).unwrap();
+    let zone = |zone: &str| Zone::try_from(zone).unwrap();
+    let local = vec![(name("a-1"), zone("a")), (name("a-2"), zone("a"))];
+    assert_eq!(holders(local.clone(), &zone("a"), true), []);
+    assert_eq!(holders(local.clone(), &zone("a"), false).len(), 2);
+    let mut all = local;
+    all.extend([
+        (name("b-1"), zone("b")),
+        (name("b-2"), zone("b")),
+        (name("c-1"), zone("c")),
+    ]);
+    let expected = [name("b-1"), name("c-1"), name("b-2")];
+    assert_eq!(holders(all, &zone("a"), true), expected);
+}
