--- a/tests/gateway/quota.rs
+++ b/tests/gateway/quota.rs
@@ -514,3 +514,28 @@
     let verdict = credits.take(Time(time(60_575).0 - 100), &tenant(), quota);
     assert_eq!(verdict, Verdict::Denied(Duration::from_millis(1)));
 }
+
+/// Another instance may issue beside one that is cut off, and the bucket is worth nothing afterwards.
+#[test]
+fn credits_are_not_issued_while_cut_off_and_begin_anew_afterwards() {
+    let quota = Quota {
+        rate: 100.0,
+        burst: 500.0,
+    };
+    let mut credits = Credits::new(time(0));
+    (0..60_000)
+        .step_by(500)
+        .for_each(|ms| credits.tick(time(ms)));
+    let mut granted = |ms, isolated| {
+        credits.set_isolated(time(ms), isolated);
+        let take = || credits.take(time(ms), &tenant(), quota);
+        let verdicts = std::iter::repeat_with(take).take(400);
+        verdicts
+            .filter(|verdict| *verdict == Verdict::Granted)
+            .count()
+    };
+    assert_eq!(granted(60_000, false), 400);
+    assert_eq!(granted(60_100, true), 0);
+    // Less than the slack, which is 120.
+    assert!(granted(60_200, false) < 60);
+}
