--- a/src/ctl/flags.rs
+++ b/src/ctl/flags.rs
@@ -69,8 +69,7 @@
         /// List the calls that wait for an upstream.
         cmd queues {}
         /// Show a view of gateway instances: tenants (with their quotas), histories (partitions
-        /// of retained turns), queues (turns that wait for an engine), or why (the refusals
-        /// of a request).
+        /// of retained turns), or why (the refusals of a request).
         cmd gateway {
             required view: View
             /// Request of the view why.
@@ -93,8 +92,6 @@
     Tenants,
     /// Partitions of retained turns.
     Histories,
-    /// Turns that wait for an engine.
-    Queues,
     /// Refusals of a request.
     Why,
 }
@@ -106,9 +103,8 @@
         match text {
             "tenants" => Ok(Self::Tenants),
             "histories" => Ok(Self::Histories),
-            "queues" => Ok(Self::Queues),
             "why" => Ok(Self::Why),
-            _ => Err("must be tenants, histories, queues or why".to_owned()),
+            _ => Err("must be tenants, histories or why".to_owned()),
         }
     }
 }
--- a/src/ctl/gateway.rs
+++ b/src/ctl/gateway.rs
@@ -40,7 +40,6 @@
         (View::Why, Some(request)) => return why(request, client, printer).await,
         (View::Tenants, None) => "/operator/tenants",
         (View::Histories, None) => "/operator/histories",
-        (View::Queues, None) => "/operator/queues",
         (View::Why, None) => {
             let message = "no request is given; use gypsumctl gateway why REQUEST";
             return Err(Failure::Usage(message.to_owned()));
--- a/src/gateway/operate.rs
+++ b/src/gateway/operate.rs
@@ -127,7 +127,6 @@
     };
     app.route("/operator/tenants", view(tenants))
         .route("/operator/histories", view(histories))
-        .route("/operator/queues", view(queues))
         .route("/operator/requests/{id}", web::get().to(refusals::<D, L>));
 }
 
@@ -151,8 +150,3 @@
         .map(|histories| histories.report())
         .unwrap_or_default()
 }
-
-/// Returns the turns that wait at this instance as a dispatcher.
-fn queues<D, L>(_: &Gateway<D, L>) -> Report {
-    Report::new(&["service", "class", "waiting"])
-}
