--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -381,8 +381,7 @@
     let Some(tenant) = job.tenant.clone() else {
         return forward(gateway, job, tokens_per_event).await;
     };
-    let program = job.call.program.as_ref().map(|program| &*program.id);
-    let credit = gateway.quotas.take(&tenant, program).await;
+    let credit = gateway.quotas.take(&tenant).await;
     let credit = credit.map_err(|fault| Refusal::without_credit(&Sends::default(), fault))?;
     let answered = forward(gateway, job, tokens_per_event).await;
     match (&answered, credit) {
--- a/src/gateway/tenant/credit.rs
+++ b/src/gateway/tenant/credit.rs
@@ -34,7 +34,6 @@
     },
     hash::{
         rendezvous,
-        stable,
         Map, //
     },
     member::{
@@ -44,7 +43,6 @@
     },
     name::Instance,
     peer::wire::Body,
-    policy::recent::Recent,
 };
 
 /// Timeout of a request for a credit: several round trips between zones, and little beside the time in
@@ -84,9 +82,6 @@
         /// Whether the issuer has none, so that the share of the zone is requested.
         #[serde(rename = "z", default, skip_serializing_if = "std::ops::Not::not")]
         share: bool,
-        /// Hash of the program that the request belongs to.
-        #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
-        program: Option<u64>,
     },
     /// Gives back a credit that was not used; no response follows.
     #[serde(rename = "r")]
@@ -125,9 +120,6 @@
     Refused,
 }
 
-/// Programs under way here whose requests are known; a program lasts for seconds.
-const MAX_PROGRAMS: usize = 4_096;
-
 /// Reason why a request got no credit.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Fault {
@@ -166,8 +158,6 @@
     credits: RefCell<Credits>,
     members: RefCell<Members>,
     denials: RefCell<Map<Arc<str>, Denial>>,
-    /// Programs that got a credit here.
-    programs: RefCell<Recent<u64, ()>>,
     /// Times until which instances are not asked.
     avoided: RefCell<Map<Instance, Time>>,
     /// Whether this instance is cut off from the others, or does not know them yet.
@@ -188,7 +178,6 @@
             credits: RefCell::new(Credits::new(Time::boot())),
             members: RefCell::default(),
             denials: RefCell::default(),
-            programs: RefCell::new(Recent::new(MAX_PROGRAMS)),
             avoided: RefCell::default(),
             cut_off: Cell::new(false),
             revision: Cell::new(None),
@@ -291,21 +280,12 @@
         (*picked != snapshot.local().instance).then(|| (peers, picked.clone()))
     }
 
-    /// Takes a credit for one request of a tenant, and of a `program` if it belongs to one; `None` if
-    /// the tenant has no quota.
-    pub async fn take(
-        &self,
-        tenant: &Tenant,
-        program: Option<&str>,
-    ) -> Result<Option<Credit>, Fault> {
+    /// Takes a credit for one request of a tenant; `None` if the tenant has no quota.
+    pub async fn take(&self, tenant: &Tenant) -> Result<Option<Credit>, Fault> {
         let Some(quota) = tenant.quota else {
             return Ok(None);
         };
-        let program = program.map(|program| stable(program.as_bytes()));
-        let begun = program.is_some_and(|program| self.programs.borrow().get(&program).is_some());
-        // Programs under way come before those that caused the refusal.
-        let denied = || self.known_denial(&tenant.name, quota);
-        if let Some(wait) = (!begun).then(denied).flatten() {
+        if let Some(wait) = self.known_denial(&tenant.name, quota) {
             return Err(Fault::OverQuota(wait));
         }
         self.update();
@@ -316,10 +296,9 @@
         for share in asked.into_iter().chain([true]) {
             let issuer = self.issuer(&tenant.name, share);
             let (response, from) = match issuer {
-                None => (self.issue(&tenant.name, share, program), None),
+                None => (self.issue(&tenant.name, share), None),
                 Some((peers, name)) => {
-                    let asked = (&tenant.name, program);
-                    let response = self.ask(&peers, &name, asked, share).await;
+                    let response = self.ask(&peers, &name, &tenant.name, share).await;
                     (response, Some(name))
                 }
             };
@@ -331,9 +310,6 @@
                         (Some(_), true) => "zone",
                     };
                     self.metrics.granted_quota(by);
-                    if let Some(program) = program {
-                        self.programs.borrow_mut().insert(program, ());
-                    }
                     return Ok(Some(Credit {
                         tenant: tenant.name.clone(),
                         from,
@@ -377,7 +353,7 @@
         &self,
         peers: &Peers,
         issuer: &Instance,
-        (tenant, program): (&Arc<str>, Option<u64>),
+        tenant: &Arc<str>,
         share: bool,
     ) -> Response {
         let asked = Time::boot();
@@ -388,7 +364,6 @@
         let request = Request::Take {
             tenant: tenant.clone(),
             share,
-            program,
         };
         let answer = peers
             .mesh
@@ -411,7 +386,7 @@
     }
 
     /// Issues a credit by the configuration of this instance.
-    fn issue(&self, tenant: &str, share: bool, program: Option<u64>) -> Response {
+    fn issue(&self, tenant: &str, share: bool) -> Response {
         let table = self.table.borrow();
         let tenants = table.as_ref().and_then(|table| table.tenants());
         let Some(tenant) = tenants.and_then(|tenants| tenants.get(tenant)) else {
@@ -425,12 +400,12 @@
         let mut credits = self.credits.borrow_mut();
         let now = Time::boot();
         let verdict = match share {
-            false => credits.take(now, &tenant.name, quota, program),
+            false => credits.take(now, &tenant.name, quota),
             true => credits.take_share(now, &tenant.name, quota, zones),
         };
         match verdict {
             Verdict::Granted => Response::Granted,
-            Verdict::Denied(wait) | Verdict::Delayed(wait) => Response::Denied {
+            Verdict::Denied(wait) => Response::Denied {
                 wait_us: wait.as_micros() as u64,
             },
             Verdict::Unavailable => Response::Unavailable,
@@ -463,14 +438,10 @@
     pub fn handle(&self, request: Request) -> Option<Response> {
         self.update();
         match request {
-            Request::Take {
-                tenant,
-                share,
-                program,
-            } => {
+            Request::Take { tenant, share } => {
                 let issues = self.issuer(&tenant, share).is_none();
                 Some(match issues {
-                    true => self.issue(&tenant, share, program),
+                    true => self.issue(&tenant, share),
                     false => Response::Refused,
                 })
             }
--- a/src/gateway/tenant/mod.rs
+++ b/src/gateway/tenant/mod.rs
@@ -3,7 +3,6 @@
 pub mod credit;
 pub mod key;
 pub mod quota;
-pub mod start;
 
 use std::{
     rc::Rc,
--- a/src/gateway/tenant/quota.rs
+++ b/src/gateway/tenant/quota.rs
@@ -18,10 +18,7 @@
     time::Duration, //
 };
 
-use super::{
-    start::Starts,
-    Quota, //
-};
+use super::Quota;
 use crate::{
     clock::Time,
     hash::Map, //
@@ -87,8 +84,6 @@
     Granted,
     /// The tenant is over its quota; the time until there is a credit for the request.
     Denied(Duration),
-    /// Credits are scarce and are kept for programs under way; the time until the program may start.
-    Delayed(Duration),
     /// There is no credit here, and this instance doesn't know whether the tenant is over its quota.
     Unavailable,
 }
@@ -175,7 +170,6 @@
     /// Time of the latest credit that was promised to a refused caller.
     promised: Time,
     count: Count,
-    starts: Starts,
 }
 
 impl Bucket {
@@ -191,7 +185,6 @@
             denials: 0,
             promised: now,
             count: Count::new(now),
-            starts: Starts::new(now),
         }
     }
 
@@ -220,30 +213,16 @@
             requested: 0,
             promised: now,
             count: Count::new(now),
-            starts: Starts::new(now),
         };
     }
 
-    fn take(&mut self, now: Time, program: Option<u64>) -> Verdict {
+    fn take(&mut self, now: Time) -> Verdict {
         self.fill(now);
         self.requested += 1;
-        // A fresh issuer does not know the programs under way.
-        let settled = now.since(self.since) >= WINDOW;
-        if let Some(program) = program.filter(|_| settled) {
-            let (quota, level) = (self.quota, self.level);
-            let delay = self.starts.delay(now, quota, program, level, MAX_WAIT);
-            if let Some(delay) = delay {
-                self.denials += 1;
-                return Verdict::Delayed(delay);
-            }
-        }
         let max = self.quota.window() + (DEPTH_SHARE + 0.05) * self.quota.slack();
         if self.level >= 1.0 && self.count.get(now) + 1.0 <= max {
             self.level -= 1.0;
             self.count.add(now);
-            if let Some(program) = program {
-                self.starts.granted(program);
-            }
             return Verdict::Granted;
         }
         if now.since(self.since) < WINDOW && !self.is_over(now) {
@@ -363,14 +342,8 @@
         self.isolated
     }
 
-    /// Takes a credit of a tenant, as its issuer, for a request of a `program` if it belongs to one.
-    pub fn take(
-        &mut self,
-        now: Time,
-        tenant: &Arc<str>,
-        quota: Quota,
-        program: Option<u64>,
-    ) -> Verdict {
+    /// Takes a credit of a tenant, as its issuer.
+    pub fn take(&mut self, now: Time, tenant: &Arc<str>, quota: Quota) -> Verdict {
         self.tick(now);
         if self.isolated {
             return Verdict::Unavailable;
@@ -379,7 +352,7 @@
         let bucket = self.buckets.entry(tenant.clone());
         let bucket = bucket.or_insert_with(|| Bucket::new(now, quota, event));
         bucket.set_quota(now, quota);
-        bucket.take(now, program)
+        bucket.take(now)
     }
 
     /// Takes a credit of the share that the zone of this instance has, as one of `zones`.
--- a/src/policy/recent/mod.rs
+++ b/src/policy/recent/mod.rs
@@ -11,7 +11,7 @@
 ///
 /// Two generations bound the memory without an LRU list: when the newer one is full, the older one
 /// is dropped.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Recent<K, V> {
     newer: Map<K, V>,
     older: Map<K, V>,
