Learn the speeds of engines, services and plain calls from answers

The constants of balance::Settings are those of one site: elsewhere they are wrong by 1.6 times for engines and 0.3 to 3.5 times for calls, and an engine at 0.55 of the nominal speed got as many turns as others.

Instances measure the times of turns that were neither lost nor resumed and send them with the end of the turn to the dispatcher, which learns a step and a reading speed for each service and a factor for each engine. Each instance learns the duration of its plain calls by route.

Unit tests: wrong priors are corrected within 20 turns; an engine at 0.46 is told apart to 10 %.

--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -24,6 +24,7 @@
         Prompt, //
     },
     load::Load,
+    overload::speed::Speeds,
     registry::Server,
 };
 use crate::{
@@ -35,11 +36,11 @@
 };
 
 /// Mean fraction of a turn's maximum tokens that is generated.
-const MEAN_OUTPUT: f64 = 0.45;
+pub const MEAN_OUTPUT: f64 = 0.45;
 
 /// Relative growth of the duration of a turn with each other turn in the batch: its share of the
 /// steps, and the prompts that the engine reads for it in between.
-const BATCH_SLOWDOWN: f64 = 0.04;
+pub const BATCH_SLOWDOWN: f64 = 0.04;
 
 /// Cost of the delay of each other turn in the batch, as a fraction of the time for which the engine
 /// reads a prompt. Without it, turns at a peak leave engines that are busy and have their prompt for
@@ -67,7 +68,7 @@
 /// Cost of an avoided upstream: more than any load.
 const AVOIDED_COST_MS: f64 = 10_000.0;
 
-/// Speed of the upstreams, and costs of leaving the availability zone.
+/// Priors of the speed of upstreams, and costs of leaving the availability zone.
 #[derive(Clone, Copy, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -104,6 +105,8 @@
     pub zone: &'a str,
     /// Prompt and its prefixes; `None` for a call to a plain service.
     pub prompt: Option<(&'a Prompt, &'a [Prefix])>,
+    /// Name of the route, by which the duration of plain calls is learned.
+    pub route: &'a str,
     /// Object that a call to a plain service concerns, if upstreams that handled it recently work
     /// faster.
     pub object: Option<&'a str>,
@@ -148,7 +151,7 @@
 
 /// Picks the upstream with the lowest expected time.
 pub fn pick<'a>(
-    settings: &Settings,
+    (settings, speeds): (&Settings, &Speeds),
     request: &Request<'_>,
     servers: impl Iterator<Item = &'a Rc<Server>>,
     loads: &Map<SocketAddr, Load>,
@@ -164,7 +167,7 @@
     let choice = |server: &&Rc<Server>| {
         let load = loads.get(&server.address).unwrap_or(&unknown_load);
         let presumed = preferred.as_deref() == Some(&*server.id);
-        let mut choice = estimate(settings, request, server, load, presumed, usage);
+        let mut choice = estimate((settings, speeds), request, server, load, presumed, usage);
         choice.inputs.cost_ms *= 1.0 + rng.random_range(-request.jitter..=request.jitter);
         choice
     };
@@ -213,7 +216,7 @@
 }
 
 fn estimate(
-    settings: &Settings,
+    (settings, speeds): (&Settings, &Speeds),
     request: &Request<'_>,
     server: &Rc<Server>,
     load: &Load,
@@ -239,13 +242,14 @@
                 (f64::from(prefix.tokens) * PRESUMED_CACHED) as u32
             });
         }
+        let speed = speeds.engine(now, settings, &server.service, server.address);
         unread = u64::from(prompt.tokens.saturating_sub(cached));
-        let read_ms = unread as f64 / settings.read_tokens_per_ms;
-        let pending_ms = load.pending_prefill() as f64 / settings.read_tokens_per_ms;
+        let read_ms = unread as f64 / speed.read_tokens_per_ms;
+        let pending_ms = load.pending_prefill() as f64 / speed.read_tokens_per_ms;
         let interference = INTERFERENCE * running.min(slots);
         let prefill_ms = pending_ms + read_ms * (1.0 + interference);
         let slowdown = 1.0 + BATCH_SLOWDOWN * running.min(slots);
-        let decode_ms = f64::from(prompt.max_tokens) * MEAN_OUTPUT * settings.step_ms * slowdown;
+        let decode_ms = f64::from(prompt.max_tokens) * MEAN_OUTPUT * speed.step_ms * slowdown;
         let rounds_ahead = ((running + 1.0 - slots) / slots).max(0.0);
         cost_ms += pace * (prefill_ms + decode_ms * (1.0 + rounds_ahead));
         cost_ms += if remote { settings.turn_zone_ms } else { 0.0 };
@@ -254,7 +258,8 @@
         // More free slots make a call no faster, but an upstream with few of them is soon full.
         let slowdown = 0.2 * running / slots;
         let work = if presumed { WARM_WORK } else { 1.0 };
-        cost_ms += settings.call_ms * pace * (work + ahead + slowdown);
+        let call_ms = speeds.call_ms(settings, request.route);
+        cost_ms += call_ms * pace * (work + ahead + slowdown);
         cost_ms += if remote { settings.call_zone_ms } else { 0.0 };
     }
     cost_ms += load.permit_wait(now).as_secs_f64() * 1_000.0;
--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -36,6 +36,10 @@
         Flight, //
     },
     load::Report,
+    overload::speed::{
+        Context,
+        Times, //
+    },
     peers::Peers,
     permit::{
         Limiter,
@@ -60,7 +64,7 @@
 pub type Ticket = u64;
 
 /// A turn that needs an upstream.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct Order {
     /// Number of the placement.
@@ -136,6 +140,9 @@
         /// How it ended.
         #[serde(rename = "o")]
         outcome: Outcome,
+        /// Times of a turn that was neither resumed nor lost.
+        #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
+        times: Option<Times>,
     },
 }
 
@@ -176,6 +183,9 @@
     flight: Flight,
     prefixes: Vec<Prefix>,
     placed: Time,
+    inputs: Inputs,
+    /// Whether the engine could read the prompt at once.
+    undisturbed: bool,
 }
 
 /// Places the turns of the instances of one availability zone.
@@ -213,6 +223,7 @@
             now,
             zone: &self.zone,
             prompt: Some((&prompt, &order.prefixes)),
+            route: "",
             object: None,
             excluded,
             version: order.version.as_deref(),
@@ -257,7 +268,11 @@
     }
 
     fn record(&self, now: Time, from: &Instance, order: Order, choice: Choice) -> Placed {
+        let address = choice.server.address;
         let turn = Turn {
+            undisturbed: self.fleet.load(address, |load| load.pending_prefill() == 0)
+                && choice.inputs.running < f64::from(choice.server.slots),
+            inputs: choice.inputs,
             server: choice.server.clone(),
             flight: Flight::new(&self.fleet, choice.server.address, choice.inputs.unread),
             prefixes: order.prefixes,
@@ -300,11 +315,21 @@
         }
     }
 
-    /// Records the end of a turn.
-    pub fn ended(&self, now: Time, from: &Instance, ticket: Ticket, outcome: Outcome) {
+    /// Records the end of a turn, and its times if it was neither resumed nor lost.
+    pub fn ended(
+        &self,
+        now: Time,
+        from: &Instance,
+        ticket: Ticket,
+        outcome: Outcome,
+        times: Option<Times>,
+    ) {
         let Some(turn) = self.turns.borrow_mut().remove(&(from.clone(), ticket)) else {
             return;
         };
+        if let Some(times) = times {
+            self.learn(now, &turn, times);
+        }
         match outcome {
             Outcome::Ended => {}
             Outcome::Failed => self.fleet.failed(now, turn.flight.upstream()),
@@ -312,6 +337,18 @@
         }
     }
 
+    fn learn(&self, now: Time, turn: &Turn, times: Times) {
+        let upstream = turn.flight.upstream();
+        let running = self.fleet.load(upstream, |load| load.running(now) - 1.0);
+        let most = f64::from(turn.server.slots) - 1.0;
+        let context = Context {
+            unread: turn.undisturbed.then_some(turn.inputs.unread),
+            batch: ((running + turn.inputs.running) / 2.0).clamp(0.0, most),
+            pace: turn.inputs.pace,
+        };
+        self.fleet.record_turn(now, &turn.server, context, times);
+    }
+
     /// Returns the number of turns in flight.
     pub fn turns(&self) -> usize {
         self.turns.borrow().len()
@@ -334,7 +371,11 @@
                 capacity,
                 leaving,
             } => self.started(now, from, ticket, report, capacity, leaving),
-            Request::Ended { ticket, outcome } => self.ended(now, from, ticket, outcome),
+            Request::Ended {
+                ticket,
+                outcome,
+                times,
+            } => self.ended(now, from, ticket, outcome, times),
         }
         None
     }
@@ -400,6 +441,7 @@
             peers,
             dispatcher,
             outcome: Outcome::Ended,
+            times: None,
         };
         let body = Body::Dispatch(Request::Place(order));
         let Placement {
@@ -430,6 +472,7 @@
     peers: Peers,
     dispatcher: Instance,
     outcome: Outcome,
+    times: Option<Times>,
 }
 
 impl Placement {
@@ -456,9 +499,10 @@
         });
     }
 
-    /// Records how the turn ended.
-    pub fn ended(mut self, outcome: Outcome) {
+    /// Records how the turn ended, and its times if it was neither resumed nor lost.
+    pub fn ended(mut self, outcome: Outcome, times: Option<Times>) {
         self.outcome = outcome;
+        self.times = times;
     }
 }
 
@@ -467,6 +511,7 @@
         self.notify(Request::Ended {
             ticket: self.ticket,
             outcome: self.outcome,
+            times: self.times,
         });
     }
 }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -7,6 +7,8 @@
     },
     net::SocketAddr,
     rc::Rc,
+    sync::Arc,
+    time::Duration,
 };
 
 use super::{
@@ -23,6 +25,11 @@
         Load,
         Report, //
     },
+    overload::speed::{
+        Context,
+        Speeds,
+        Times, //
+    },
     registry::{
         Registry,
         Server, //
@@ -42,6 +49,8 @@
     /// Whether the registry has been read since the start.
     pub registered: Cell<bool>,
     loads: RefCell<Map<SocketAddr, Load>>,
+    /// Learned speeds of upstreams.
+    pub speeds: RefCell<Speeds>,
     /// Limits that upstreams named.
     pub limits: RefCell<Notices>,
 }
@@ -55,11 +64,38 @@
         }
     }
 
+    /// Stops learning the speeds of upstreams unless `enabled`.
+    pub fn learn(self, enabled: bool) -> Self {
+        self.speeds.replace(Speeds::new(enabled));
+        self
+    }
+
+    /// Returns the priors of the speeds.
+    pub fn settings(&self) -> &balance::Settings {
+        &self.settings
+    }
+
+    /// Records the times of a turn.
+    pub fn record_turn(&self, now: Time, server: &Server, context: Context, times: Times) {
+        let upstream = (&server.service, server.address);
+        let mut speeds = self.speeds.borrow_mut();
+        speeds.record_turn(now, &self.settings, upstream, context, times);
+    }
+
+    /// Records the time of a plain call to an upstream that was chosen from these inputs.
+    pub fn record_call(&self, route: &Arc<str>, choice: &Choice, took: Duration) {
+        let (slots, inputs) = (f64::from(choice.server.slots), choice.inputs);
+        let ahead = (inputs.running + 1.0 - slots).max(0.0) / slots;
+        let slowdown = inputs.pace * (1.0 + ahead);
+        let mut speeds = self.speeds.borrow_mut();
+        speeds.record_call(&self.settings, route, slowdown, took);
+    }
+
     /// Picks the upstream of a request.
     pub fn pick(&self, service: &str, request: &balance::Request<'_>) -> Option<Choice> {
         let registry = self.registry.borrow();
         balance::pick(
-            &self.settings,
+            (&self.settings, &self.speeds.borrow()),
             request,
             registry.usable(request.now, service),
             &self.loads.borrow(),
@@ -135,6 +171,8 @@
         self.limits
             .borrow_mut()
             .retain(|upstream| registry.get(upstream).is_some());
+        let known = |address| registry.has_address(address);
+        self.speeds.borrow_mut().retain(known);
         let now = Time::monotonic();
         self.loads
             .borrow_mut()
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -411,6 +411,7 @@
                 .prompt
                 .as_ref()
                 .map(|prompt| (prompt, &job.prefixes[..])),
+            route: &job.route.name,
             object: job.call.object.as_deref().filter(|_| job.route.sticky),
             excluded,
             version,
@@ -725,10 +726,15 @@
                 false => job.deadline.min(Instant::now() + RESEND_TIMEOUT),
             };
             let target = (&choice, &permit);
+            let sent = Instant::now();
             let reason = match self.exchange(job, target, &mut sends, limit).await {
                 Ok(answer) => {
                     let server = &choice.server;
                     self.reports.record_completed(&job.fingerprint, server);
+                    if attempts == 0 && answer.head.status.is_success() {
+                        let name = &job.route.name;
+                        self.fleet.record_call(name, &choice, sent.elapsed());
+                    }
                     return Ok(answer);
                 }
                 Err(reason) => reason,
--- a/src/gateway/lifecycle.rs
+++ b/src/gateway/lifecycle.rs
@@ -110,7 +110,8 @@
     let topic = Topic::new(store.clone(), ACCOUNTS);
     let replica = Rc::new(Replica::new(topic, settings.store.partitions));
     let accounts = Rc::new(Client::new(replica.clone()));
-    let fleet = Rc::new(Fleet::new(settings.balance));
+    let fleet = Fleet::new(settings.balance).learn(settings.overload.learn);
+    let fleet = Rc::new(fleet);
     let tunnels = Rc::new(Tunnels::new(fleet.clone()));
     let dialer = Rc::new(Dialer::new(tunnels.clone(), metrics.clone()));
     let dispatcher = Rc::new(Dispatcher::new(settings.zone.as_str(), fleet));
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -1,6 +1,9 @@
 //! Load of one upstream, as estimated by one instance.
 
-use std::time::Duration;
+use std::{
+    collections::VecDeque,
+    time::Duration, //
+};
 
 use serde::{
     Deserialize,
@@ -22,6 +25,9 @@
 /// Decay time of the reported requests of other clients: the duration of a turn.
 const REPORT_DECAY: Duration = Duration::from_millis(800);
 
+/// Lag of load reports: requests that ended since are still in them.
+const REPORT_LAG: Duration = Duration::from_millis(100);
+
 /// Time for which an upstream is avoided after the first failure to reach it.
 const MIN_AVOID: Duration = Duration::from_millis(300);
 
@@ -62,6 +68,8 @@
 pub struct Load {
     /// Requests of this instance in flight.
     local: u32,
+    /// Ends of local requests within the lag of reports.
+    ended: VecDeque<Time>,
     /// Prompt tokens of local requests that the upstream still has to process.
     pending_prefill: u64,
     reported: Option<Reported>,
@@ -80,6 +88,7 @@
     fn default() -> Self {
         Self {
             local: 0,
+            ended: VecDeque::new(),
             pending_prefill: 0,
             reported: None,
             failures: 0,
@@ -113,12 +122,27 @@
         self.local = self.local.saturating_sub(1);
     }
 
-    /// Records a report; it includes the local requests in flight.
+    /// Records that reports of the near future may still include a request that ended.
+    pub fn note_end(&mut self, now: Time) {
+        self.drop_ended(now);
+        self.ended.push_back(now);
+    }
+
+    /// Drops ends that the next report covers.
+    fn drop_ended(&mut self, now: Time) {
+        while let Some(true) = self.ended.front().map(|at| now.since(*at) >= REPORT_LAG) {
+            self.ended.pop_front();
+        }
+    }
+
+    /// Records a report; it includes the local requests in flight, and those that have just ended.
     pub fn report(&mut self, now: Time, report: Report) {
         let all = report.running + report.waiting;
+        self.drop_ended(now);
+        let local = self.local + self.ended.len() as u32;
         self.reported = Some(Reported {
             at: now,
-            foreign: f64::from(all.saturating_sub(self.local)),
+            foreign: f64::from(all.saturating_sub(local)),
             pace: report.pace,
         });
     }
@@ -162,6 +186,11 @@
         self.next_permit.since(now)
     }
 
+    /// Returns the requests that the upstream can take at once without queueing any.
+    pub fn free_slots(&self, now: Time, slots: u32) -> u32 {
+        slots.saturating_sub(self.running(now).round() as u32)
+    }
+
     /// Returns the estimated requests in flight from all clients.
     pub fn running(&self, now: Time) -> f64 {
         let foreign = self.reported.map_or(0.0, |reported| {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -31,6 +31,7 @@
 pub mod metrics;
 pub mod origin;
 pub mod outage;
+pub mod overload;
 pub mod owner;
 pub mod path;
 pub mod peers;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -47,6 +47,7 @@
         Origin,
         Search, //
     },
+    overload::speed::Times,
     owner::Client,
     proof::Sends,
     registry::Server,
@@ -142,6 +143,10 @@
     events: u64,
     /// Where the stream began; `None` before its first event. All further events are from there.
     origin: Option<Origin>,
+    /// Time of the latest send.
+    sent: Instant,
+    /// Times of the first and the latest event.
+    events_at: Option<(Instant, Instant)>,
 }
 
 /// Reason why a stream ended before it was complete.
@@ -171,6 +176,8 @@
             tokens_per_event,
             events: 0,
             origin: None,
+            sent: Instant::now(),
+            events_at: None,
         };
         relay.find_origin().await?;
         let mut pending = relay.reserve();
@@ -422,6 +429,7 @@
                 .flatten();
             let limit = self.job.deadline.min(Instant::now() + FIRST_EVENT_TIMEOUT);
             self.began = false;
+            self.sent = Instant::now();
             let sent = self
                 .gateway
                 .send(&self.job, (&choice, &permit), after, &mut self.sends, limit)
@@ -540,7 +548,7 @@
     /// Reports the end of the latest send to the dispatcher that placed it.
     fn end_placement(&mut self, outcome: Outcome) {
         if let Some(placement) = self.placement.take() {
-            placement.ended(outcome);
+            placement.ended(outcome, None);
         }
     }
 
@@ -644,6 +652,9 @@
         self.last = Some(id);
         self.events += 1;
         self.began = true;
+        let now = Instant::now();
+        let first = self.events_at.map_or(now, |(first, _)| first);
+        self.events_at = Some((first, now));
         if self.origin.is_none() {
             self.record_origin();
         }
@@ -667,7 +678,9 @@
     }
 
     fn finish(&mut self) {
-        self.end_placement(Outcome::Ended);
+        if let Some(placement) = self.placement.take() {
+            placement.ended(Outcome::Ended, self.times());
+        }
         if let Some(exchange) = self.exchange.take() {
             let server = &exchange.server;
             let reports = &self.gateway.reports;
@@ -684,6 +697,18 @@
         self.gateway.log_answer(&self.job, 200, upstream);
     }
 
+    /// Returns the times of the turn; `None` if it was resumed.
+    fn times(&self) -> Option<Times> {
+        let (first, last) = self.events_at?;
+        let whole = self.resumes == 0 && self.job.call.after.is_none() && self.events > 1;
+        whole.then(|| Times {
+            first_us: first.saturating_duration_since(self.sent).as_micros() as u64,
+            first_tokens: self.tokens_per_event,
+            decode_us: last.saturating_duration_since(first).as_micros() as u64,
+            tokens: (self.events - 1) * self.tokens_per_event,
+        })
+    }
+
     /// Connects again after the stream broke.
     async fn reconnect(&mut self) -> Result<(), Interruption> {
         let head = self
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -14,7 +14,10 @@
     Serialize, //
 };
 
-use super::balance;
+use super::{
+    balance,
+    overload, //
+};
 use crate::{
     config,
     name::{
@@ -53,6 +56,9 @@
     /// Parameters of the choice of upstreams.
     #[serde(default)]
     pub balance: balance::Settings,
+    /// Switches of the mechanisms against overload.
+    #[serde(default)]
+    pub overload: overload::Settings,
     /// Share of a core that this instance may use, in cores; larger instances do more of the work
     /// that instances do for each other. 0 if unknown.
     #[serde(default)]
--- a/tests/gateway/balance.rs
+++ b/tests/gateway/balance.rs
@@ -23,6 +23,7 @@
             Load,
             Report, //
         },
+        overload::speed::Speeds,
         registry::Server,
     },
     hash::Map,
@@ -102,6 +103,7 @@
             now: NOW,
             zone: "a",
             prompt: prompt.map(|prompt| (prompt, &prefixes[..])),
+            route: "",
             object,
             excluded,
             version: None,
@@ -109,7 +111,8 @@
         };
         let settings = Settings::default();
         let servers = self.servers.iter();
-        let choice = pick(&settings, &request, servers, &self.loads, &mut self.rng)?;
+        let priors = (&settings, &Speeds::default());
+        let choice = pick(priors, &request, servers, &self.loads, &mut self.rng)?;
         Some(choice.server.address)
     }
 }
--- a/tests/gateway/dispatcher.rs
+++ b/tests/gateway/dispatcher.rs
@@ -100,9 +100,7 @@
         tokens: prompt.tokens,
         max_tokens: prompt.max_tokens,
         prefixes: prompt.prefixes(),
-        excluded: Vec::new(),
-        version: None,
-        max_wait_ms: 0,
+        ..Order::default()
     }
 }
 
@@ -242,6 +240,7 @@
                             now: time(now),
                             zone: "a",
                             prompt: Some((&prompt, &prefixes)),
+                            route: "",
                             object: None,
                             excluded: &[],
                             version: None,
@@ -302,7 +301,7 @@
                 guard.take();
                 if let Policy::Dispatched(dispatcher) = policy {
                     let from = instance(*from);
-                    dispatcher.ended(time(now), &from, flight as u64, Outcome::Ended);
+                    dispatcher.ended(time(now), &from, flight as u64, Outcome::Ended, None);
                 }
             }
         }
@@ -336,9 +335,9 @@
     let dispatcher = Dispatcher::new("a", fleet(1));
     let (from, prompt) = (instance(1), prompt(1, 1, 0));
     dispatcher.place(time(0), &from, order(7, &prompt));
-    dispatcher.ended(time(1), &instance(2), 7, Outcome::Ended);
+    dispatcher.ended(time(1), &instance(2), 7, Outcome::Ended, None);
     assert_eq!(dispatcher.turns(), 1);
-    dispatcher.ended(time(1), &from, 7, Outcome::Ended);
+    dispatcher.ended(time(1), &from, 7, Outcome::Ended, None);
     assert_eq!(dispatcher.turns(), 0);
 }
 
@@ -357,7 +356,7 @@
     let dispatcher = Dispatcher::new("a", fleet(2));
     let prompt = prompt(1, 1, 0);
     let placed = dispatcher.place(time(0), &instance(1), order(1, &prompt));
-    dispatcher.ended(time(1), &instance(1), 1, Outcome::Unreachable);
+    dispatcher.ended(time(1), &instance(1), 1, Outcome::Unreachable, None);
     let next = dispatcher.place(time(2), &instance(2), order(2, &prompt));
     assert_ne!(placed.upstream, next.upstream);
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod limits;
 mod origin;
 mod outage;
+mod overload;
 mod owner;
 mod permit;
 mod quarantine;
--- /dev/null
+++ b/tests/gateway/overload/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of the mechanisms against overload.
+
+mod speed;
