Register engines with 16 slots in tests of the gateway

The tests registered engines with 4 slots and had them run more at once: streams_of_a_crashed_engine_go_on_at_its_version breaks 10 streams of one engine. With the queue of the zone, an engine gets no more turns than it has slots, so six of the ten streams waited and the test failed. Engines of the platform have 12 to 16 slots. No assertion is changed.

--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -539,7 +539,7 @@
 pub fn register(store: &Server<Store>, id: &str, upstream: &Upstream, state: &str, version: &str) {
     let entry = json!({
         "service": "s", "address": upstream.address, "zone": "a", "version": version,
-        "slots": 4, "state": state, "coldLeftMs": 0, "sequence": 1, "born": 1,
+        "slots": 16, "state": state, "coldLeftMs": 0, "sequence": 1, "born": 1,
     });
     store.put("keyed.servers", id, entry.to_string().as_bytes());
 }
