--- a/src/clock/mod.rs
+++ b/src/clock/mod.rs
@@ -8,7 +8,6 @@
     sync::OnceLock,
     time::{
         Duration,
-        Instant,
         SystemTime,
         UNIX_EPOCH, //
     },
@@ -22,6 +21,7 @@
     Deserialize,
     Serialize, //
 };
+use tokio::time::Instant;
 
 /// One hour in microseconds.
 const HOUR_US: u64 = 3_600_000_000;
@@ -43,7 +43,8 @@
 
     /// Returns the time since the first call in this process plus one hour, from a monotonic clock.
     ///
-    /// The hour keeps times shortly before the first call distinct from the zero time.
+    /// The hour keeps times shortly before the first call distinct from the zero time. In a runtime
+    /// whose clock is paused, the time is that of the runtime.
     pub fn monotonic() -> Self {
         static START: OnceLock<Instant> = OnceLock::new();
         Self(HOUR_US) + START.get_or_init(Instant::now).elapsed()
--- a/src/gateway/account.rs
+++ b/src/gateway/account.rs
@@ -20,7 +20,7 @@
 
 /// Time after its last record after which a program is dropped; a stopped program resumes within
 /// the routes' retention of 60 s.
-const RETENTION: Duration = Duration::from_secs(150);
+pub(super) const RETENTION: Duration = Duration::from_secs(150);
 
 /// Multiple of a turn's maximum that has to be left of the budget for the turn to start before the
 /// decision: the turn itself, and one more that another instance may have started.
@@ -129,6 +129,12 @@
 }
 
 impl Entry {
+    /// Returns the program.
+    pub fn program(&self) -> Program {
+        let (Self::Open { program, .. } | Self::Close { program, .. }) = *self;
+        program
+    }
+
     /// Returns the turn, or the number of the reserve.
     pub fn turn(&self) -> Turn {
         let (Self::Open { turn, .. } | Self::Close { turn, .. }) = *self;
--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 
 use super::{
-    account::Reservation,
     configuration::Configurations,
     dispatcher::Dispatcher,
     history::client::Histories,
@@ -14,10 +13,7 @@
         Request,
         Response, //
     },
-    replica::{
-        Decision,
-        Replica, //
-    },
+    replica::Replica,
     reports::Reports,
     tenant::credit::Quotas,
     tunnel::Tunnels,
@@ -141,31 +137,8 @@
             Body::ListReports => return respond(reply, Body::Reports(self.reports.list())),
             _ => return,
         };
-        let replica = self.replica.clone();
         let histories = self.histories.clone();
         match request {
-            Request::Open(reservation) => {
-                let pending = replica.open(reservation);
-                actix_web::rt::spawn(async move {
-                    let answer = pending.decision.await;
-                    let answer = answer.unwrap_or(Decision::Unavailable);
-                    respond(
-                        reply,
-                        Body::Accounted(decided(&replica, &reservation, answer)),
-                    );
-                });
-            }
-            Request::Hold(entry) => {
-                replica.hold(entry);
-                respond(reply, Body::Accounted(Response::Held));
-            }
-            Request::Reclaim { program, id } => {
-                let answer = match replica.reserves.reclaim(program, id) {
-                    Some(used) => Response::Returned(used),
-                    None => Response::Refused,
-                };
-                respond(reply, Body::Accounted(answer));
-            }
             Request::KeepOrigin(stream, origin) => self.origins.record(stream, origin),
             Request::FindOrigin(stream) => {
                 let answer = match self.origins.get(stream) {
@@ -174,40 +147,6 @@
                 };
                 respond(reply, Body::Accounted(answer));
             }
-            Request::Ping => {
-                let settled = replica.path().settled();
-                respond(reply, Body::Accounted(Response::Pong { settled }));
-            }
-            Request::LogStatus => {
-                actix_web::rt::spawn(async move {
-                    let answer = match replica.reaches_log().await {
-                        true => Response::LogReachable,
-                        false => Response::Refused,
-                    };
-                    respond(reply, Body::Accounted(answer));
-                });
-            }
-            Request::Append { partition, records } => {
-                actix_web::rt::spawn(async move {
-                    let answer = match replica.append_for_peer(partition, &records).await {
-                        Some(offset) => Response::Appended(offset),
-                        None => Response::Refused,
-                    };
-                    respond(reply, Body::Accounted(answer));
-                });
-            }
-            Request::Read { partition, from } => {
-                actix_web::rt::spawn(async move {
-                    let answer = match replica.read_for_peer(partition, from).await {
-                        Some(batch) => Response::Records {
-                            records: batch.records,
-                            next: batch.next,
-                        },
-                        None => Response::Refused,
-                    };
-                    respond(reply, Body::Accounted(answer));
-                });
-            }
             Request::AppendTurns { partition, records } => {
                 actix_web::rt::spawn(async move {
                     let answer = match histories {
@@ -226,27 +165,18 @@
                     respond(reply, Body::Accounted(answer));
                 });
             }
+            request => {
+                let replica = self.replica.clone();
+                actix_web::rt::spawn(async move {
+                    if let Some(answer) = replica.answer(&from, request).await {
+                        respond(reply, Body::Accounted(answer));
+                    }
+                });
+            }
         }
     }
 }
 
-/// Returns the response about a turn that was decided.
-fn decided<L: Log + 'static>(
-    replica: &Replica<L>,
-    reservation: &Reservation,
-    decision: Decision,
-) -> Response {
-    let charged = replica.charged(reservation.program);
-    match reservation.reserve {
-        Some(reserve) => Response::DecidedWithReserve {
-            decision,
-            charged,
-            reserved: replica.has_reserve(reservation.program, reserve.id),
-        },
-        None => Response::Decided(decision, charged),
-    }
-}
-
 fn respond(reply: Responder, answer: Body) {
     if reply.finish(answer).is_err() {
         log::debug!("peer: answer is dropped because the requester stopped waiting");
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,7 +6,7 @@
 //! `docs/platform.md` gives the reasons.
 //!
 //! The decisions do no I/O ([`route`], [`registry`], [`load`], [`balance`], [`fleet`],
-//! [`account`], [`outage`], [`timeout`], [`limit`], [`slots`], [`quarantine`]); sockets are in
+//! [`account`], [`outage`], [`witness`], [`timeout`], [`limit`], [`slots`], [`quarantine`]); sockets are in
 //! [`connection`], [`pool`], [`dial`], [`tunnel`], [`forward`], [`relay`] and [`front`].
 
 pub mod account;
@@ -55,3 +55,4 @@
 pub mod timeout;
 pub mod tunnel;
 pub mod view;
+pub mod witness;
--- a/src/gateway/owner.rs
+++ b/src/gateway/owner.rs
@@ -38,7 +38,8 @@
     outage::Outage,
     peers::{
         name_hash,
-        Peers, //
+        Peers,
+        Transport, //
     },
     replica::{
         self,
@@ -54,6 +55,7 @@
     },
     log::Log,
     name::Instance,
+    peer::Mesh,
     policy::recent::Recent,
 };
 
@@ -94,6 +96,23 @@
     /// Apply and append the record of a turn that ended or was granted without the recipient.
     #[serde(rename = "h")]
     Hold(Entry),
+    /// Register the sender as a writer of a partition.
+    #[serde(rename = "rw")]
+    Register {
+        /// Partition.
+        #[serde(rename = "p")]
+        partition: u32,
+    },
+    /// Hold the grant of a turn that the sender makes as the owner without the log.
+    #[serde(rename = "hg")]
+    HoldGrant {
+        /// Record of the turn.
+        #[serde(rename = "e")]
+        entry: Entry,
+        /// Microseconds since the sender last read the partition to its end.
+        #[serde(rename = "a")]
+        read_age_us: u64,
+    },
     /// Keep where a stream began.
     #[serde(rename = "k")]
     KeepOrigin(origin::Stream, Origin),
@@ -197,6 +216,9 @@
         #[serde(rename = "n")]
         next: u64,
     },
+    /// The sender is registered as a writer.
+    #[serde(rename = "rw")]
+    Registered,
     /// The record was applied and queued for the log.
     #[serde(rename = "h")]
     Held,
@@ -216,9 +238,9 @@
 }
 
 /// Routes the account requests of this instance to the owners of the partitions.
-pub struct Client<L> {
-    replica: Rc<Replica<L>>,
-    peers: RefCell<Option<Rc<Peers>>>,
+pub struct Client<L, T = Mesh> {
+    replica: Rc<Replica<L, T>>,
+    peers: RefCell<Option<Rc<Peers<T>>>>,
     /// Charges that owners reported recently.
     charges: RefCell<Recent<Program, u64>>,
     /// Owners that did not answer, and the time until which they get no requests.
@@ -235,9 +257,9 @@
     ownership_revision: Cell<Option<u64>>,
 }
 
-impl<L: Log + 'static> Client<L> {
+impl<L: Log + 'static, T: Transport> Client<L, T> {
     /// Returns a client that knows no other instances; all partitions are local.
-    pub fn new(replica: Rc<Replica<L>>) -> Self {
+    pub fn new(replica: Rc<Replica<L, T>>) -> Self {
         Self {
             replica,
             peers: RefCell::default(),
@@ -252,7 +274,7 @@
     }
 
     /// Adds the links to other instances; which instances exist is not known yet.
-    pub fn connect(&self, peers: Peers) {
+    pub fn connect(&self, peers: Peers<T>) {
         let holder = name_hash(&peers.roster.snapshot().local().instance);
         self.replica.reserves.set_holder(holder);
         self.peers.replace(Some(Rc::new(peers)));
@@ -272,7 +294,7 @@
     }
 
     /// Returns the owner of a partition, or `None` if it is this instance.
-    fn remote_owner(&self, partition: usize) -> Option<(Rc<Peers>, Instance)> {
+    fn remote_owner(&self, partition: usize) -> Option<(Rc<Peers<T>>, Instance)> {
         let peers = self.peers.borrow().clone()?;
         let snapshot = peers.roster.snapshot();
         let local = &snapshot.local().instance;
@@ -285,7 +307,7 @@
 
     /// Returns up to `count` other instances that own partitions, in an order given by `key`; `None`
     /// if the other instances are not known yet.
-    pub fn owners(&self, key: u64, count: usize) -> Option<(Rc<Peers>, Vec<Instance>)> {
+    pub fn owners(&self, key: u64, count: usize) -> Option<(Rc<Peers<T>>, Vec<Instance>)> {
         let peers = self.peers.borrow().clone().filter(|_| self.joined.get())?;
         let partitions = self.replica.partitions();
         let mut owners = Vec::new();
@@ -497,7 +519,7 @@
     /// decide.
     async fn decide(
         &self,
-        peers: &Peers,
+        peers: &Peers<T>,
         owner: Instance,
         reservation: Reservation,
     ) -> replica::Decision {
@@ -541,7 +563,7 @@
     /// the whole partition first, and hundreds of them would keep the store busy for seconds.
     async fn decide_by_standby(
         &self,
-        peers: &Peers,
+        peers: &Peers<T>,
         owner: &Instance,
         reservation: Reservation,
     ) -> replica::Decision {
@@ -577,7 +599,7 @@
 
     /// Returns the instances that decide about a program through the log if its owner can't; `None`
     /// stands for this instance.
-    fn standbys(&self, peers: &Peers, owner: &Instance, program: Program) -> Vec<Option<Instance>> {
+    fn standbys(&self, peers: &Peers<T>, owner: &Instance, program: Program) -> Vec<Option<Instance>> {
         let snapshot = peers.roster.snapshot();
         let local = &snapshot.local().instance;
         let key = (self.replica.partition_of(program) as u64).to_be_bytes();
@@ -603,7 +625,7 @@
 
     async fn decide_by_peer(
         &self,
-        peers: &Peers,
+        peers: &Peers<T>,
         name: &Instance,
         reservation: Reservation,
     ) -> replica::Decision {
@@ -616,7 +638,7 @@
 
     async fn decide_by_owner(
         &self,
-        peers: &Peers,
+        peers: &Peers<T>,
         owner: &Instance,
         reservation: Reservation,
     ) -> Option<replica::Decision> {
--- a/src/gateway/path.rs
+++ b/src/gateway/path.rs
@@ -20,7 +20,6 @@
 
 use super::{
     account::{
-        Entry,
         Program,
         Turn, //
     },
@@ -34,6 +33,7 @@
     },
     peers::{
         Peers,
+        Transport,
         HELP_TIMEOUT, //
     },
 };
@@ -44,6 +44,7 @@
         Failure,
         Log, //
     },
+    peer::Mesh,
 };
 
 /// Minimum time between tests of a failing direct path; also how long a success proves that it
@@ -97,10 +98,10 @@
 }
 
 /// The path to the log.
-pub struct Path<L> {
+pub struct Path<L, T = Mesh> {
     direct: L,
     topic: Topic,
-    peers: RefCell<Option<Peers>>,
+    peers: RefCell<Option<Peers<T>>>,
     /// Whether the latest call over the direct path failed.
     failing: Cell<bool>,
     outage: Cell<(Time, Outage)>,
@@ -120,7 +121,7 @@
     failure_alert: Notify,
 }
 
-impl<L: Log> Path<L> {
+impl<L: Log, T: Transport> Path<L, T> {
     /// Returns a path without peers.
     pub fn new(direct: L) -> Self {
         Self::to_topic(direct, Topic::Accounts)
@@ -145,7 +146,7 @@
     }
 
     /// Adds the paths through other instances.
-    pub fn connect(&self, peers: Peers) {
+    pub fn connect(&self, peers: Peers<T>) {
         self.peers.replace(Some(peers));
     }
 
@@ -179,7 +180,7 @@
     }
 
     /// Records the result of a call over the direct path.
-    fn record<T>(&self, result: &Result<T, Failure>) {
+    fn record<R>(&self, result: &Result<R, Failure>) {
         let now = Time::monotonic();
         match result {
             Ok(_) | Err(Failure::Expired { .. }) => {
@@ -198,7 +199,7 @@
     }
 
     /// Records the result of a read over the direct path.
-    fn record_read<T>(&self, result: &Result<T, Failure>) {
+    fn record_read<R>(&self, result: &Result<R, Failure>) {
         self.record(result);
         if matches!(result, Err(failure) if !matches!(failure, Failure::Expired { .. })) {
             self.unreachable.set(true);
@@ -371,13 +372,9 @@
         self.outage.set((now, outage));
     }
 
-    /// Has another instance hold a turn granted without the log; returns whether one does.
-    pub async fn hold(&self, entry: Entry) -> bool {
-        let peers = self.peers.borrow().clone();
-        match peers {
-            Some(peers) => peers.hold(entry).await,
-            None => false,
-        }
+    /// Returns the links to other instances; `None` before they are connected.
+    pub fn peers(&self) -> Option<Peers<T>> {
+        self.peers.borrow().clone()
     }
 
     /// Has the holder of a reserve give it back; returns the tokens used of it if it does.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -12,11 +12,13 @@
         StreamExt as _, //
     },
 };
-use rand::seq::IteratorRandom as _;
+use rand::{
+    seq::IteratorRandom as _,
+    Rng, //
+};
 
 use super::{
     account::{
-        Entry,
         Program,
         Turn, //
     },
@@ -28,11 +30,18 @@
         Request,
         Response, //
     },
+    witness::WITNESSES,
 };
 use crate::{
-    hash,
+    hash::{
+        self,
+        Map, //
+    },
     member::Roster,
-    name::Instance,
+    name::{
+        Instance,
+        Zone, //
+    },
     peer::{
         wire::Body,
         Mesh,
@@ -48,7 +57,7 @@
 pub const HELP_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Timeout for another instance to hold a turn: many round trips between zones.
-const HOLD_TIMEOUT: Duration = Duration::from_millis(100);
+pub const HOLD_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Timeout of a ping; leaves room for a slowed machine.
 const PING_TIMEOUT: Duration = Duration::from_millis(400);
@@ -60,11 +69,81 @@
 /// Maximum instances that are probed for whether they reach the log.
 const PROBE_SAMPLE: usize = 48;
 
+/// Carries account requests to other instances.
+#[allow(async_fn_in_trait)]
+pub trait Transport: Clone + 'static {
+    /// Sends a request without waiting for an answer.
+    fn notify(&self, to: &Instance, request: Request) -> Result<(), Unreachable>;
+
+    /// Sends a request; `None` if no answer came within the `limit`.
+    async fn request(&self, to: &Instance, request: Request, limit: Duration) -> Option<Response>;
+
+    /// Returns the source of random choices among instances.
+    fn rng(&self) -> impl Rng;
+}
+
+impl Transport for Mesh {
+    fn notify(&self, to: &Instance, request: Request) -> Result<(), Unreachable> {
+        self.send(to, Body::Account(request))
+    }
+
+    async fn request(&self, to: &Instance, request: Request, limit: Duration) -> Option<Response> {
+        match Self::request(self, to, Body::Account(request), limit).await {
+            Ok(Body::Accounted(answer)) => Some(answer),
+            Ok(_) => None,
+            Err(error) => {
+                log::debug!(peer = to.as_str(), error:%; "account: peer did not answer a request");
+                None
+            }
+        }
+    }
+
+    fn rng(&self) -> impl Rng {
+        rand::rng()
+    }
+}
+
+/// What the witnesses of a partition said.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Vote {
+    /// Witnesses that have to accept.
+    majority: usize,
+    /// Whether there are other availability zones.
+    remote_zones: bool,
+    accepting: usize,
+    /// Accepting witnesses in other availability zones.
+    accepting_remote: usize,
+    refusing: usize,
+}
+
+impl Vote {
+    fn count(&mut self, accepts: bool, remote: bool) {
+        match accepts {
+            true => {
+                self.accepting += 1;
+                self.accepting_remote += usize::from(remote);
+            }
+            false => self.refusing += 1,
+        }
+    }
+
+    /// Returns whether a majority accepts, one of it in another availability zone if there is one.
+    pub fn accepted(&self) -> bool {
+        let spread = self.accepting_remote > 0 || !self.remote_zones;
+        self.accepting >= self.majority && spread
+    }
+
+    /// Returns whether no witness objects, or a majority accepts despite the others.
+    pub fn unopposed(&self) -> bool {
+        self.refusing == 0 || self.accepting >= self.majority
+    }
+}
+
 /// Links to other instances.
 #[derive(Clone)]
-pub struct Peers {
+pub struct Peers<T = Mesh> {
     /// The links.
-    pub mesh: Mesh,
+    pub mesh: T,
     /// The known instances.
     pub roster: Roster,
 }
@@ -74,7 +153,7 @@
     hash::stable(instance.as_str().as_bytes())
 }
 
-impl Peers {
+impl<T: Transport> Peers<T> {
     /// Returns the other instances that may get requests.
     fn others(&self) -> Vec<Instance> {
         let snapshot = self.roster.snapshot();
@@ -100,20 +179,75 @@
         helpers.into_iter().take(MAX_HELPERS).cloned().collect()
     }
 
-    /// Has another instance hold a turn granted without the log; returns whether one does.
+    /// Returns the witnesses of a partition, which all instances determine from the known instances
+    /// and not from the usable ones, on which they may disagree.
     ///
-    /// With several availability zones it has to be in another one, so that an owner in an isolated
-    /// zone finds none.
-    pub async fn hold(&self, entry: Entry) -> bool {
-        for name in self.holders() {
-            let held = self
-                .request(&name, Request::Hold(entry), HOLD_TIMEOUT)
-                .await;
-            if held == Some(Response::Held) {
-                return true;
+    /// They are spread over the availability zones.
+    fn witnesses(&self, partition: usize) -> Vec<(Instance, Zone)> {
+        let snapshot = self.roster.snapshot();
+        let local = snapshot.local();
+        let mut zones = Map::<Instance, Zone>::default();
+        zones.insert(local.instance.clone(), local.zone.clone());
+        let known = snapshot.peers().map(|peer| &peer.entry);
+        zones.extend(known.map(|entry| (entry.instance.clone(), entry.zone.clone())));
+        let key = (partition as u64).to_be_bytes();
+        let ranked = hash::ranking(&key, zones.keys());
+        let mut chosen_in_zone = Map::<&Zone, usize>::default();
+        let mut candidates: Vec<_> = ranked
+            .into_iter()
+            .enumerate()
+            .map(|(rank, name)| {
+                let zone = &zones[name];
+                let round = chosen_in_zone.entry(zone).or_default();
+                *round += 1;
+                (*round, rank, name, zone)
+            })
+            .collect();
+        candidates.sort_unstable();
+        let chosen = candidates.into_iter().take(WITNESSES);
+        chosen
+            .map(|(_, _, name, zone)| (name.clone(), zone.clone()))
+            .collect()
+    }
+
+    /// Asks the witnesses of a partition, of which this instance may be one; returns what they
+    /// said once that is certain, or once all answered or `limit` has passed.
+    pub async fn ask_witnesses(
+        &self,
+        partition: usize,
+        request: &Request,
+        limit: Duration,
+        ask_local: impl FnOnce() -> bool,
+    ) -> Vote {
+        let witnesses = self.witnesses(partition);
+        let snapshot = self.roster.snapshot();
+        let local = snapshot.local();
+        let mut vote = Vote {
+            majority: witnesses.len() / 2 + 1,
+            remote_zones: snapshot.zones().any(|zone| *zone != local.zone),
+            ..Vote::default()
+        };
+        if witnesses.iter().any(|(name, _)| *name == local.instance) {
+            vote.count(ask_local(), false);
+        }
+        let others = witnesses.iter().filter(|(name, _)| *name != local.instance);
+        let requests = others.map(|(name, zone)| async {
+            let remote = *zone != local.zone;
+            let answer = self.request(name, request.clone(), limit).await;
+            (answer, remote)
+        });
+        let mut answers: FuturesUnordered<_> = requests.collect();
+        while let Some((answer, remote)) = answers.next().await {
+            match answer {
+                Some(Response::Held | Response::Registered) => vote.count(true, remote),
+                Some(_) => vote.count(false, remote),
+                None => {}
+            }
+            if vote.accepted() {
+                break;
             }
         }
-        false
+        vote
     }
 
     /// Has the holder of a reserve give it back; returns the tokens used of it if it does.
@@ -127,17 +261,6 @@
         }
     }
 
-    /// Picks instances that may hold a grant.
-    fn holders(&self) -> Vec<Instance> {
-        let snapshot = self.roster.snapshot();
-        let local = snapshot.local();
-        let others = self.others();
-        let remote = |name: &&Instance| !snapshot.live(&local.zone).contains(name);
-        let multi_zone = snapshot.zones().any(|zone| *zone != local.zone);
-        let eligible = others.iter().filter(|name| !multi_zone || remote(name));
-        eligible.cloned().sample(&mut rand::rng(), MAX_HELPERS)
-    }
-
     /// Sends a request to instances concurrently; returns the first answer that is not a refusal,
     /// or a refusal if there is no other answer.
     pub async fn request_any(
@@ -169,7 +292,7 @@
         let known = self.roster.snapshot().peers().count();
         let live = self.others();
         let others = live.iter().filter(|name| !helpers.contains(name));
-        let sample = others.sample(&mut rand::rng(), PROBE_SAMPLE);
+        let sample = others.sample(&mut self.mesh.rng(), PROBE_SAMPLE);
         let requests = sample.iter().map(|name| async move {
             let answer = self.request(name, Request::LogStatus, HELP_TIMEOUT).await;
             (name, answer)
@@ -206,7 +329,7 @@
             let known = snapshot.peers().map(|peer| &peer.entry);
             let eligible = known.filter(|entry| (entry.zone == *zone) == local);
             let names = eligible.map(|entry| entry.instance.clone());
-            names.sample(&mut rand::rng(), PING_SAMPLE)
+            names.sample(&mut self.mesh.rng(), PING_SAMPLE)
         };
         let (local, remote) = (sample(true), sample(false));
         let multi_zone = !remote.is_empty();
@@ -235,7 +358,7 @@
 
     /// Sends a request to another instance without waiting for an answer.
     pub fn notify(&self, to: &Instance, request: Request) -> Result<(), Unreachable> {
-        self.mesh.send(to, Body::Account(request))
+        self.mesh.notify(to, request)
     }
 
     /// Sends an account request to another instance; `None` if no answer came within the `limit`.
@@ -245,13 +368,6 @@
         request: Request,
         limit: Duration,
     ) -> Option<Response> {
-        match self.mesh.request(to, Body::Account(request), limit).await {
-            Ok(Body::Accounted(answer)) => Some(answer),
-            Ok(_) => None,
-            Err(error) => {
-                log::debug!(peer = to.as_str(), error:%; "account: peer did not answer a request");
-                None
-            }
-        }
+        self.mesh.request(to, request, limit).await
     }
 }
--- a/src/gateway/replica.rs
+++ b/src/gateway/replica.rs
@@ -37,8 +37,21 @@
         Verdict, //
     },
     outage::Outage,
+    owner::{
+        Request,
+        Response, //
+    },
     path::Path,
+    peers::{
+        Transport,
+        HOLD_TIMEOUT, //
+    },
     reserve::Reserves,
+    witness::{
+        Witness,
+        MESSAGE_MARGIN,
+        REGISTRATION_TTL, //
+    },
 };
 use crate::{
     clock::Time,
@@ -48,6 +61,8 @@
         Failure,
         Log, //
     },
+    name::Instance,
+    peer::Mesh,
 };
 
 /// Maximum time for which records of ended turns wait for a new turn, to share its append.
@@ -94,6 +109,9 @@
 }
 
 struct Partition {
+    index: usize,
+    /// Start of this instance.
+    started: Time,
     accounts: RefCell<Accounts>,
     waiters: RefCell<Vec<Waiter>>,
     /// Records still to be appended, for which no caller waits.
@@ -111,11 +129,20 @@
     owned: Cell<bool>,
     /// Whether all records from before this instance became the owner have been applied.
     caught_up: Cell<bool>,
+    /// Time at which the partition was to be read once more after this instance became the owner:
+    /// an earlier writer may have appended until its registration ended.
+    reread_at: Cell<Option<Time>>,
+    /// Time before which all records that had been appended are applied.
+    read_at: Cell<Time>,
+    /// End of the registration of this instance as a writer.
+    registered_until: Cell<Time>,
+    /// What this instance knows as a witness of the partition.
+    witness: RefCell<Witness>,
 }
 
 /// Token accounts of programs in all partitions.
-pub struct Replica<L> {
-    log: Rc<Path<L>>,
+pub struct Replica<L, T = Mesh> {
+    log: Rc<Path<L, T>>,
     partitions: Vec<Rc<Partition>>,
     /// Reserves that this instance holds.
     pub reserves: Reserves,
@@ -132,11 +159,13 @@
     bytes.into()
 }
 
-impl<L: Log + 'static> Replica<L> {
+impl<L: Log + 'static, T: Transport> Replica<L, T> {
     /// Returns a replica of the accounts in the partitions of a log; nothing is read yet.
     pub fn new(log: L, partitions: u32) -> Self {
-        let partition = |_| {
+        let partition = |index| {
             Rc::new(Partition {
+                index,
+                started: Time::monotonic(),
                 accounts: RefCell::default(),
                 waiters: RefCell::default(),
                 backlog: RefCell::default(),
@@ -147,17 +176,21 @@
                 log_failing: Cell::new(false),
                 owned: Cell::new(true),
                 caught_up: Cell::new(false),
+                reread_at: Cell::new(None),
+                read_at: Cell::default(),
+                registered_until: Cell::default(),
+                witness: RefCell::default(),
             })
         };
         Self {
             log: Rc::new(Path::new(log)),
-            partitions: (0..partitions.max(1)).map(partition).collect(),
+            partitions: (0..partitions.max(1) as usize).map(partition).collect(),
             reserves: Reserves::default(),
         }
     }
 
     /// Returns the path to the log.
-    pub fn path(&self) -> &Path<L> {
+    pub fn path(&self) -> &Path<L, T> {
         &self.log
     }
 
@@ -225,6 +258,77 @@
         }
     }
 
+    /// Answers the request of another instance; `None` if the request is not about accounts.
+    pub async fn answer(&self, from: &Instance, request: Request) -> Option<Response> {
+        let answer = match request {
+            Request::Open(reservation) => {
+                let decision = self.open(reservation).decision.await;
+                self.decided(&reservation, decision.unwrap_or(Decision::Unavailable))
+            }
+            Request::Hold(entry) => {
+                self.hold(entry);
+                Response::Held
+            }
+            Request::Register { partition } => {
+                let partition = self.partitions.get(partition as usize)?;
+                match partition.admit_writer(Time::monotonic(), from) {
+                    true => Response::Registered,
+                    false => Response::Refused,
+                }
+            }
+            Request::HoldGrant { entry, read_age_us } => {
+                let partition = self.partition(entry.program());
+                let now = Time::monotonic();
+                let read_at = now - Duration::from_micros(read_age_us);
+                match partition.admit_grant(now, from, read_at) {
+                    true => {
+                        partition.hold(entry);
+                        Response::Held
+                    }
+                    false => Response::Refused,
+                }
+            }
+            Request::Reclaim { program, id } => {
+                let used = self.reserves.reclaim(program, id);
+                used.map_or(Response::Refused, Response::Returned)
+            }
+            Request::Ping => {
+                let settled = self.log.settled();
+                Response::Pong { settled }
+            }
+            Request::LogStatus => match self.reaches_log().await {
+                true => Response::LogReachable,
+                false => Response::Refused,
+            },
+            Request::Append { partition, records } => {
+                let offset = self.append_for_peer(partition, &records).await;
+                offset.map_or(Response::Refused, Response::Appended)
+            }
+            Request::Read { partition, from } => match self.read_for_peer(partition, from).await {
+                Some(Batch { records, next }) => Response::Records { records, next },
+                None => Response::Refused,
+            },
+            Request::KeepOrigin(..)
+            | Request::FindOrigin(_)
+            | Request::AppendTurns { .. }
+            | Request::ReadTurns { .. } => return None,
+        };
+        Some(answer)
+    }
+
+    /// Returns the response about a turn that was decided.
+    fn decided(&self, reservation: &Reservation, decision: Decision) -> Response {
+        let charged = self.charged(reservation.program);
+        match reservation.reserve {
+            Some(reserve) => Response::DecidedWithReserve {
+                decision,
+                charged,
+                reserved: self.has_reserve(reservation.program, reserve.id),
+            },
+            None => Response::Decided(decision, charged),
+        }
+    }
+
     /// Returns whether all partitions have been read to their end since the start.
     pub fn loaded(&self) -> bool {
         self.partitions
@@ -295,14 +399,12 @@
             // knows them.
             let settling = !partition.caught_up.get() && !self.log.settled();
             if settling {
-                let waiters = mem::take(&mut *partition.waiters.borrow_mut());
-                waiters
-                    .into_iter()
-                    .for_each(|waiter| waiter.reply(Decision::Unavailable));
+                partition.refuse_waiters();
             }
             let blind = partition.appends_blindly();
             let unread = !partition.loaded.get() && !blind;
-            if unread || (partition.needs_catch_up() && !settling) {
+            let stale = partition.needs_catch_up() || partition.must_reread();
+            if unread || (stale && !settling) {
                 if let Err(failure) = self.load(index).await {
                     log::warn!(
                         partition = index, failure:%;
@@ -313,7 +415,15 @@
                     continue;
                 }
                 partition.loaded.set(true);
-                partition.caught_up.set(partition.owned.get() && !settling);
+                partition.record_read(partition.owned.get() && !settling);
+            }
+            let opens = !partition.waiters.borrow().is_empty();
+            if opens && !partition.register(&self.log).await {
+                log::debug!(
+                    partition = index;
+                    "account: another owner grants turns without the log"
+                );
+                partition.refuse_waiters();
             }
             let full = partition.backlog.borrow().len() > MAX_BATCH_RECORDS;
             // The records of the backlog come before turns whose decision may presume them.
@@ -384,6 +494,7 @@
             let before = self.partitions[index].applied.get();
             self.follow(index).await?;
             if self.partitions[index].applied.get() == before {
+                self.partitions[index].read_at.set(start);
                 let took_ms = Time::monotonic().since(start).as_millis() as u64;
                 log::info!(
                     partition = index, records = before - first, took_ms;
@@ -438,6 +549,7 @@
     /// Appends records, then applies all records up to and including them.
     async fn commit(&self, index: usize, entries: &[Entry]) -> Result<(), Failure> {
         let partition = &self.partitions[index];
+        let start = Time::monotonic();
         let offset = self.append(index, entries).await?;
         let end = offset + entries.len() as u64;
         if partition.applied.get() == offset {
@@ -449,14 +561,15 @@
         while partition.applied.get() < end {
             self.follow(index).await?;
         }
+        partition.read_at.set(start);
         Ok(())
     }
 
     /// Decides about a turn while the log is unreachable.
     ///
-    /// Only the owner grants turns then, and only if most instances can't reach the log: all turns
-    /// of the program are decided by it, so its account is complete. Another instance holds a copy
-    /// of the grant, so that it survives the loss of the owner.
+    /// Only the owner grants turns then, and only if most instances can't reach the log. A majority
+    /// of the witnesses holds each grant, so that it survives the loss of the owner, and ensures that
+    /// the account here is complete.
     fn decide_offline(&self, partition: &Rc<Partition>, waiter: Waiter) {
         let known = partition.owned.get() && partition.caught_up.get();
         if !known || self.log.outage() != Outage::Total {
@@ -473,7 +586,7 @@
         let partition = partition.clone();
         let log = self.log.clone();
         actix_web::rt::spawn(async move {
-            if !log.hold(entry).await {
+            if !partition.grant(&log, entry).await {
                 return waiter.reply(Decision::Unavailable);
             }
             partition.reserve_offline(&log, &waiter.reservation).await;
@@ -518,8 +631,7 @@
 
     /// Applies a record for which no caller waits, and queues it for the log.
     pub fn hold(&self, entry: Entry) {
-        let (Entry::Open { program, .. } | Entry::Close { program, .. }) = entry;
-        self.partition(program).hold(entry);
+        self.partition(entry.program()).hold(entry);
     }
 
     /// Returns whether the direct path to the log works; tests it unless it succeeded just now.
@@ -553,6 +665,90 @@
         self.wake.notify_one();
     }
 
+    /// Returns whether grants are held here that are still to be appended.
+    fn holds_grants(&self) -> bool {
+        let backlog = self.backlog.borrow();
+        backlog.iter().any(|entry| matches!(entry, Entry::Open { .. }))
+    }
+
+    /// Registers a writer here, as a witness; returns whether it may write.
+    fn admit_writer(&self, now: Time, writer: &Instance) -> bool {
+        let pending = self.holds_grants();
+        self.witness.borrow_mut().register(now, writer, pending)
+    }
+
+    /// Returns whether a grant without the log is complete, as far as is known here as a witness.
+    fn admit_grant(&self, now: Time, owner: &Instance, read_at: Time) -> bool {
+        let pending = self.holds_grants();
+        let mut witness = self.witness.borrow_mut();
+        witness.accept(now, self.started, owner, read_at, pending)
+    }
+
+    /// Registers this instance as a writer, unless its registration lasts for some time; returns
+    /// whether it may write.
+    ///
+    /// It may also write if too few witnesses answer, as then no owner gets a majority either.
+    async fn register<L: Log, T: Transport>(&self, log: &Path<L, T>) -> bool {
+        let now = Time::monotonic();
+        let Some(peers) = log.peers() else {
+            self.registered_until.set(now + REGISTRATION_TTL);
+            return true;
+        };
+        if now + REGISTRATION_TTL / 2 < self.registered_until.get() {
+            return true;
+        }
+        let request = Request::Register {
+            partition: self.index as u32,
+        };
+        let snapshot = peers.roster.snapshot();
+        let admit = || self.admit_writer(now, &snapshot.local().instance);
+        let vote = peers.ask_witnesses(self.index, &request, HOLD_TIMEOUT, admit);
+        let registered = vote.await.unopposed();
+        if registered {
+            self.registered_until.set(now + REGISTRATION_TTL);
+        }
+        registered
+    }
+
+    /// Has a majority of the witnesses hold a grant that is made without the log.
+    async fn grant<L: Log, T: Transport>(&self, log: &Path<L, T>, entry: Entry) -> bool {
+        let Some(peers) = log.peers() else {
+            return false;
+        };
+        let (now, read_at) = (Time::monotonic(), self.read_at.get());
+        let request = Request::HoldGrant {
+            entry,
+            read_age_us: now.since(read_at).as_micros() as u64,
+        };
+        let snapshot = peers.roster.snapshot();
+        let admit = || self.admit_grant(now, &snapshot.local().instance, read_at);
+        let vote = peers.ask_witnesses(self.index, &request, HOLD_TIMEOUT, admit);
+        vote.await.accepted()
+    }
+
+    /// Records that the partition was read to its end.
+    fn record_read(&self, caught_up: bool) {
+        if caught_up && !self.caught_up.get() {
+            let settled = Time::monotonic() + REGISTRATION_TTL + MESSAGE_MARGIN * 2;
+            self.reread_at.set(Some(settled));
+        }
+        self.caught_up.set(caught_up);
+    }
+
+    /// Returns whether the owner has to read the partition once more.
+    fn must_reread(&self) -> bool {
+        let due = |at: Time| at <= Time::monotonic() && self.read_at.get() < at;
+        self.owned.get() && self.reread_at.get().is_some_and(due)
+    }
+
+    /// Answers the waiting turns that no decision is possible.
+    fn refuse_waiters(&self) {
+        let waiters = mem::take(&mut *self.waiters.borrow_mut());
+        waiters
+            .into_iter()
+            .for_each(|waiter| waiter.reply(Decision::Unavailable));
+    }
+
     /// Applies the records that are not in the log yet, to decide without it.
     fn apply_backlog(&self) {
         let now = Time::monotonic();
@@ -564,7 +760,11 @@
 
     /// Grants the reserve that is requested with a turn, if it leaves enough of the budget and
     /// another instance holds a copy of the grant.
-    async fn reserve_offline<L: Log>(&self, log: &Path<L>, reservation: &Reservation) {
+    async fn reserve_offline<L: Log, T: Transport>(
+        &self,
+        log: &Path<L, T>,
+        reservation: &Reservation,
+    ) {
         let Some(entry) = reservation.reserve_entry(true) else {
             return;
         };
@@ -574,7 +774,7 @@
             return;
         }
         self.hold(entry);
-        if !log.hold(entry).await {
+        if !self.grant(log, entry).await {
             let used = 0;
             self.hold(Entry::Close {
                 program,
@@ -625,11 +825,19 @@
         while self.waiters.borrow().is_empty()
             && self.backlog.borrow().is_empty()
             && !self.needs_catch_up()
+            && !self.must_reread()
         {
-            self.wake.notified().await;
+            let now = Time::monotonic();
+            match self.reread_at.get().filter(|at| *at > now) {
+                Some(at) => drop(timeout(at.since(now), self.wake.notified()).await),
+                None => self.wake.notified().await,
+            }
         }
         let opened = async {
-            while self.waiters.borrow().is_empty() && !self.needs_catch_up() {
+            while self.waiters.borrow().is_empty()
+                && !self.needs_catch_up()
+                && !self.must_reread()
+            {
                 self.wake.notified().await;
             }
         };
@@ -643,6 +851,10 @@
             .borrow()
             .verdict(waiter.reservation.program, waiter.reservation.turn);
         let decision = match verdict {
+            // Another owner may have granted turns since.
+            Some(Verdict::Granted) if self.registered_until.get() < Time::monotonic() => {
+                Decision::Unavailable
+            }
             Some(Verdict::Granted) => Decision::Granted,
             Some(Verdict::Spent) => self.spent(waiter.reservation.program),
             None => Decision::Unavailable,
--- /dev/null
+++ b/tests/gateway/account_search.rs
@@ -0,0 +1,690 @@
+//! Searches orders of faults for one in which a program gets more tokens than its budget and one
+//! more turn, with the instances' own decisions over simulated links, clocks and a log in memory.
+//!
+//! Guards budgets against the pattern of outages of the store beside instances that disagree on
+//! who is live: cut, killed, restarted or slow ones.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    env,
+    future::{
+        pending,
+        Future, //
+    },
+    rc::Rc,
+    time::Duration,
+};
+
+use actix_web::rt::{
+    spawn,
+    System,
+    SystemRunner, //
+};
+use bytes::Bytes;
+use gypsumlever::{
+    clock::Time,
+    gateway::{
+        owner::{
+            Client,
+            Request,
+            Response, //
+        },
+        peers::{
+            Peers,
+            Transport, //
+        },
+        replica::{
+            Decision,
+            Replica, //
+        },
+    },
+    hash::{
+        Map,
+        Set, //
+    },
+    log::{
+        memory::{
+            Fault,
+            Memory,
+            Service, //
+        },
+        Batch,
+        Bounds,
+        Failure,
+        Log, //
+    },
+    member::{
+        Entry,
+        Listed,
+        Roster,
+        State,
+        View, //
+    },
+    name::{
+        Instance,
+        Zone, //
+    },
+    peer::Unreachable,
+};
+use rand::{
+    rngs::StdRng,
+    seq::IndexedRandom as _,
+    Rng,
+    RngExt as _,
+    SeedableRng as _, //
+};
+use tokio::{
+    runtime,
+    sync::oneshot,
+    time::{
+        sleep,
+        timeout, //
+    }, //
+};
+
+/// Partitions of the accounts.
+const PARTITIONS: u32 = 2;
+
+/// Instances with their availability zones.
+const INSTANCES: [(&str, &str); 7] = [
+    ("a1", "a"),
+    ("a2", "a"),
+    ("b1", "b"),
+    ("b2", "b"),
+    ("c1", "c"),
+    ("c2", "c"),
+    ("c3", "c"),
+];
+
+/// Budgets of the programs; the largest one is large enough for reserves.
+const BUDGETS: [u64; 4] = [250, 300, 300, 1_000];
+
+/// Maximum tokens of a turn.
+const MAX_TOKENS: u64 = 100;
+
+/// Timeout of a call of the log's client.
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Seeds in which a seeded defect has to be found.
+const MAX_DEFECT_SEEDS: u64 = 1_000;
+
+/// Simulated duration of a run.
+const DURATION: Duration = Duration::from_secs(14);
+
+/// A log whose unanswered calls end with the client's timeout.
+#[derive(Clone)]
+struct Remote {
+    log: Memory,
+}
+
+impl Remote {
+    async fn call<T>(&self, call: impl Future<Output = Result<T, Failure>>) -> Result<T, Failure> {
+        let result = call.await;
+        if matches!(result, Err(Failure::Unknown(_))) {
+            sleep(CALL_TIMEOUT).await;
+        }
+        result
+    }
+}
+
+impl Log for Remote {
+    async fn append(&self, partition: u32, records: &[Bytes]) -> Result<u64, Failure> {
+        self.call(self.log.append(partition, records)).await
+    }
+
+    async fn read(&self, partition: u32, from: u64, wait: Duration) -> Result<Batch, Failure> {
+        self.call(self.log.read(partition, from, wait)).await
+    }
+
+    async fn bounds(&self, partition: u32) -> Result<Bounds, Failure> {
+        self.call(self.log.bounds(partition)).await
+    }
+}
+
+/// One run of an instance's process.
+struct Process {
+    number: u64,
+    replica: Rc<Replica<Remote, Line>>,
+    client: Rc<Client<Remote, Line>>,
+    roster: Roster,
+    log: Memory,
+}
+
+/// A defect of the witnesses, to show that the search finds it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Defect {
+    None,
+    /// Witnesses hold the grants of every owner.
+    HoldsAll,
+}
+
+impl Defect {
+    /// Returns what the requester is told in place of an answer.
+    fn apply(self, request: &Request, answer: Option<Response>) -> Option<Response> {
+        let refused = answer == Some(Response::Refused);
+        match request {
+            Request::HoldGrant { .. } if self == Self::HoldsAll && refused => Some(Response::Held),
+            _ => answer,
+        }
+    }
+}
+
+/// The simulated deployment.
+struct World {
+    defect: Defect,
+    log: Memory,
+    processes: RefCell<Map<Instance, Rc<Process>>>,
+    /// Pairs of instances of which the first does not reach the second.
+    cut: RefCell<Set<(Instance, Instance)>>,
+    rng: RefCell<StdRng>,
+    next_number: Cell<u64>,
+    /// Tokens sent to callers, by program.
+    sent: RefCell<Vec<u64>>,
+    /// Descriptions of the faults, for the report of a broken budget.
+    faults: RefCell<Vec<String>>,
+    /// Report of the first broken budget.
+    broken: RefCell<Option<String>>,
+}
+
+/// Links of one process to the other instances.
+#[derive(Clone)]
+struct Line {
+    world: Rc<World>,
+    from: Instance,
+    number: u64,
+}
+
+impl Line {
+    /// Returns the process that a message reaches; `None` if it is lost.
+    fn target(&self, to: &Instance) -> Option<Rc<Process>> {
+        let alive = self.world.is_running(&self.from, self.number);
+        let cut = self.world.cut.borrow();
+        let reaches = alive && !cut.contains(&(self.from.clone(), to.clone()));
+        let process = self.world.processes.borrow().get(to).cloned();
+        process.filter(|_| reaches)
+    }
+
+    async fn delay(&self) {
+        let micros = self.world.rng.borrow_mut().random_range(200..3_000);
+        sleep(Duration::from_micros(micros)).await;
+    }
+}
+
+impl Transport for Line {
+    fn notify(&self, to: &Instance, request: Request) -> Result<(), Unreachable> {
+        let (this, to) = (self.clone(), to.clone());
+        spawn(async move {
+            this.delay().await;
+            if let Some(process) = this.target(&to) {
+                process.replica.answer(&this.from, request).await;
+            }
+        });
+        Ok(())
+    }
+
+    async fn request(&self, to: &Instance, request: Request, limit: Duration) -> Option<Response> {
+        let defect = self.world.defect;
+        let (reply, answer) = oneshot::channel();
+        let (this, to) = (self.clone(), to.clone());
+        // The recipient goes on if the requester stops waiting.
+        spawn(async move {
+            this.delay().await;
+            let Some(process) = this.target(&to) else {
+                return pending().await;
+            };
+            let answer = process.replica.answer(&this.from, request.clone()).await;
+            let answer = defect.apply(&request, answer);
+            this.delay().await;
+            match this.target(&to) {
+                Some(same) if same.number == process.number => {
+                    let _ = reply.send(answer);
+                }
+                _ => pending().await,
+            }
+        });
+        timeout(limit, answer).await.ok()?.ok()?
+    }
+
+    fn rng(&self) -> impl Rng {
+        StdRng::seed_from_u64(self.world.rng.borrow_mut().random())
+    }
+}
+
+fn name(index: usize) -> Instance {
+    Instance::try_from(INSTANCES[index].0).unwrap()
+}
+
+fn zone(index: usize) -> Zone {
+    Zone::try_from(INSTANCES[index].1).unwrap()
+}
+
+fn entry(index: usize, incarnation: u64) -> Entry {
+    Entry {
+        instance: name(index),
+        incarnation,
+        state: State::Live,
+        zone: zone(index),
+        address: "127.0.0.1:1".into(),
+        capacity: 0,
+    }
+}
+
+impl World {
+    fn new(seed: u64, defect: Defect) -> Rc<Self> {
+        Rc::new(Self {
+            defect,
+            log: Memory::new(PARTITIONS),
+            processes: RefCell::default(),
+            cut: RefCell::default(),
+            rng: RefCell::new(StdRng::seed_from_u64(seed)),
+            next_number: Cell::new(1),
+            sent: RefCell::new(vec![0; BUDGETS.len()]),
+            faults: RefCell::default(),
+            broken: RefCell::default(),
+        })
+    }
+
+    fn is_running(&self, instance: &Instance, number: u64) -> bool {
+        let processes = self.processes.borrow();
+        processes
+            .get(instance)
+            .is_some_and(|process| process.number == number)
+    }
+
+    fn random_ms(&self, from: u64, to: u64) -> Duration {
+        Duration::from_millis(self.rng.borrow_mut().random_range(from..to))
+    }
+
+    fn chance(&self, probability: f64) -> bool {
+        self.rng.borrow_mut().random_bool(probability)
+    }
+
+    fn pick(&self) -> usize {
+        self.rng.borrow_mut().random_range(0..INSTANCES.len())
+    }
+
+    fn note(&self, fault: String) {
+        let at_ms = Time::monotonic().0 / 1_000 % 1_000_000;
+        self.faults.borrow_mut().push(format!("{at_ms} ms: {fault}"));
+    }
+
+    fn process(&self, index: usize) -> Option<Rc<Process>> {
+        self.processes.borrow().get(&name(index)).cloned()
+    }
+
+    /// Starts the process of an instance, which knows all others from the platform's list.
+    fn start(self: &Rc<Self>, index: usize) {
+        let number = self.next_number.get();
+        self.next_number.set(number + 1);
+        let log = self.log.share();
+        let replica = Rc::new(Replica::new(Remote { log: log.clone() }, PARTITIONS));
+        let client = Rc::new(Client::new(replica.clone()));
+        let roster = Roster::new(View::new(entry(index, number)));
+        let line = Line {
+            world: self.clone(),
+            from: name(index),
+            number,
+        };
+        let peers = Peers {
+            mesh: line,
+            roster: roster.clone(),
+        };
+        replica.path().connect(peers.clone());
+        client.connect(peers);
+        spawn(replica.clone().run());
+        let listed: Vec<_> = (0..INSTANCES.len())
+            .map(|other| Listed {
+                instance: name(other),
+                zone: zone(other),
+                address: "127.0.0.1:1".into(),
+                leaving: false,
+            })
+            .collect();
+        roster.update(|view| view.apply_list(Time::monotonic(), &listed));
+        let process = Rc::new(Process {
+            number,
+            replica,
+            client: client.clone(),
+            roster: roster.clone(),
+            log,
+        });
+        self.processes.borrow_mut().insert(name(index), process);
+        spawn(async move {
+            client.join().await;
+            let mut changes = roster.subscribe();
+            loop {
+                client.update_ownership();
+                if changes.changed().await.is_err() {
+                    return;
+                }
+            }
+        });
+    }
+
+    /// Makes `viewer` regard another instance as unreachable, or as live again.
+    fn set_reached(&self, viewer: usize, other: usize, reached: bool) {
+        let (Some(process), number) = (
+            self.process(viewer),
+            self.process(other).map_or(0, |process| process.number),
+        ) else {
+            return;
+        };
+        let now = Time::monotonic();
+        process.roster.update(|view| match reached {
+            true => {
+                // An instance that is reached again has refuted the suspicion.
+                let incarnation = number * 1_000 + now.0 % 1_000;
+                view.record_contact(now, &entry(other, incarnation));
+            }
+            false => view.record_failure(now, &name(other)),
+        });
+    }
+
+    /// Ends the process of an instance, and starts it again.
+    async fn restart(self: Rc<Self>, index: usize, down: Duration) {
+        self.note(format!("{} is killed for {down:?}", name(index)));
+        if let Some(process) = self.processes.borrow_mut().remove(&name(index)) {
+            process.log.set_service(Service::Unresponsive);
+        }
+        for viewer in (0..INSTANCES.len()).filter(|viewer| *viewer != index) {
+            let (this, delay) = (self.clone(), self.random_ms(1, 1_500));
+            spawn(async move {
+                sleep(delay).await;
+                this.set_reached(viewer, index, false);
+            });
+        }
+        sleep(down).await;
+        self.start(index);
+        for viewer in (0..INSTANCES.len()).filter(|viewer| *viewer != index) {
+            let (this, delay) = (self.clone(), self.random_ms(1, 1_500));
+            spawn(async move {
+                sleep(delay).await;
+                this.set_reached(viewer, index, true);
+            });
+        }
+    }
+
+    /// Sets the state of the store for all instances, which notice its end at different times.
+    async fn store_down(self: Rc<Self>, service: Service, duration: Duration) {
+        self.note(format!("store is {service:?} for {duration:?}"));
+        let set = |service| {
+            for process in self.processes.borrow().values() {
+                process.log.set_service(service);
+            }
+        };
+        let end = Time::monotonic() + duration;
+        while Time::monotonic() < end {
+            // Also reaches processes that start meanwhile.
+            set(service);
+            sleep(Duration::from_millis(5)).await;
+        }
+        set(Service::Up);
+    }
+
+    /// Cuts the links between an instance, or its availability zone, and others.
+    async fn cut(self: Rc<Self>, index: usize, whole_zone: bool, duration: Duration) {
+        self.note(format!(
+            "{} is cut off for {duration:?}, zone {whole_zone}",
+            name(index)
+        ));
+        let inside = |other: usize| match whole_zone {
+            true => zone(other) == zone(index),
+            false => other == index,
+        };
+        let mut pairs = Vec::new();
+        for first in 0..INSTANCES.len() {
+            for second in 0..INSTANCES.len() {
+                if inside(first) != inside(second) {
+                    pairs.push((first, second));
+                }
+            }
+        }
+        for (first, second) in &pairs {
+            self.cut.borrow_mut().insert((name(*first), name(*second)));
+            let (this, delay) = (self.clone(), self.random_ms(200, 2_500));
+            let (first, second) = (*first, *second);
+            spawn(async move {
+                sleep(delay).await;
+                if this.cut.borrow().contains(&(name(first), name(second))) {
+                    this.set_reached(first, second, false);
+                }
+            });
+        }
+        sleep(duration).await;
+        for (first, second) in pairs {
+            self.cut.borrow_mut().remove(&(name(first), name(second)));
+            let (this, delay) = (self.clone(), self.random_ms(1, 1_500));
+            spawn(async move {
+                sleep(delay).await;
+                this.set_reached(first, second, true);
+            });
+        }
+    }
+
+    /// Lets one instance regard another as unreachable for a while.
+    async fn disagree(self: Rc<Self>, viewer: usize, other: usize, duration: Duration) {
+        self.note(format!(
+            "{} does not reach {} for {duration:?}",
+            name(viewer),
+            name(other)
+        ));
+        self.set_reached(viewer, other, false);
+        sleep(duration).await;
+        self.set_reached(viewer, other, true);
+    }
+
+    /// Starts one random fault.
+    fn disturb(self: &Rc<Self>) {
+        let (index, other) = (self.pick(), self.pick());
+        let kind = self.rng.borrow_mut().random_range(0..20);
+        match kind {
+            0..=3 => {
+                let service = match self.chance(0.5) {
+                    true => Service::Unresponsive,
+                    false => Service::Refusing,
+                };
+                let duration = self.random_ms(500, 5_000);
+                spawn(self.clone().store_down(service, duration));
+            }
+            4..=5 => {
+                let down = self.random_ms(200, 2_000);
+                spawn(self.clone().restart(index, down));
+            }
+            6..=7 => {
+                let (zone, duration) = (self.chance(0.5), self.random_ms(500, 5_000));
+                spawn(self.clone().cut(index, zone, duration));
+            }
+            8..=13 if index != other => {
+                let duration = self.random_ms(300, 5_000);
+                spawn(self.clone().disagree(index, other, duration));
+            }
+            14..=16 => {
+                let faults = [Fault::ResponseLost, Fault::Late, Fault::RequestLost];
+                let fault = *faults.choose(&mut self.rng.borrow_mut()).unwrap();
+                self.note(format!("{}: next append {fault:?}", name(index)));
+                if let Some(process) = self.process(index) {
+                    process.log.fail([fault]);
+                }
+            }
+            17 => {
+                let (this, duration) = (self.clone(), self.random_ms(500, 5_000));
+                let latency = self.random_ms(30, 400);
+                self.note(format!("store answers after {latency:?} for {duration:?}"));
+                spawn(async move {
+                    let set = |latency| {
+                        for process in this.processes.borrow().values() {
+                            process.log.set_latency(latency);
+                        }
+                    };
+                    set(latency);
+                    sleep(duration).await;
+                    set(Duration::ZERO);
+                });
+            }
+            _ => {}
+        }
+    }
+
+    /// Runs turns of a program one after the other, as a program does that never ends.
+    async fn call(self: Rc<Self>, program: usize) {
+        let home = self.pick();
+        let max_emission = Duration::from_millis(400);
+        loop {
+            sleep(self.random_ms(5, 60)).await;
+            let index = match self.chance(0.7) {
+                true => home,
+                false => self.pick(),
+            };
+            let Some(process) = self.process(index) else {
+                continue;
+            };
+            let id = format!("program-{program}");
+            let turn = self.rng.borrow_mut().random();
+            let pending = process.client.open(&id, turn, MAX_TOKENS, BUDGETS[program]);
+            let decision = timeout(Duration::from_millis(2_000), pending.decision).await;
+            if !matches!(decision, Ok(Ok(Decision::Granted))) {
+                // A refusal closes no turn that was denied, and closes others without tokens.
+                if !matches!(decision, Ok(Ok(Decision::Spent))) {
+                    process.client.close(&id, turn, 0);
+                }
+                sleep(self.random_ms(50, 150)).await;
+                continue;
+            }
+            let tokens = self.rng.borrow_mut().random_range(0..=MAX_TOKENS);
+            sleep(self.random_ms(10, 100)).await;
+            for _ in 0..4 {
+                if !self.is_running(&name(index), process.number) {
+                    break;
+                }
+                self.send(program, tokens / 4);
+                sleep(max_emission / 8).await;
+            }
+            if self.is_running(&name(index), process.number) {
+                process.client.close(&id, turn, tokens / 4 * 4);
+            }
+        }
+    }
+
+    /// Opens a first turn of 40 programs one after the other; returns how many are granted within
+    /// 100 ms.
+    async fn open_some(&self, prefix: &str) -> usize {
+        let mut granted = 0;
+        for program in 0..40 {
+            let id = format!("{prefix}-{program}");
+            let process = self.process(program % INSTANCES.len()).unwrap();
+            let turn = self.rng.borrow_mut().random();
+            let pending = process.client.open(&id, turn, MAX_TOKENS, 1_000);
+            let decision = timeout(Duration::from_millis(100), pending.decision).await;
+            granted += usize::from(matches!(decision, Ok(Ok(Decision::Granted))));
+            process.client.close(&id, turn, MAX_TOKENS / 2);
+        }
+        granted
+    }
+
+    fn send(&self, program: usize, tokens: u64) {
+        let mut sent = self.sent.borrow_mut();
+        sent[program] += tokens;
+        let allowed = BUDGETS[program] + MAX_TOKENS;
+        if sent[program] > allowed && self.broken.borrow().is_none() {
+            self.note(format!("program {program} got more than {allowed} tokens"));
+            let report = self.faults.borrow().join("\n");
+            self.broken.replace(Some(report));
+        }
+    }
+}
+
+/// Returns a system whose clock jumps to the next event.
+fn paused() -> SystemRunner {
+    System::with_tokio_rt(|| {
+        runtime::Builder::new_current_thread()
+            .enable_all()
+            .start_paused(true)
+            .build()
+            .unwrap()
+    })
+}
+
+/// Plays the faults of one seed; returns the tokens sent to callers, or the report of a broken
+/// budget.
+fn play(seed: u64, defect: Defect) -> Result<u64, String> {
+    paused().block_on(async {
+        let world = World::new(seed, defect);
+        (0..INSTANCES.len()).for_each(|index| world.start(index));
+        sleep(Duration::from_millis(500)).await;
+        for program in 0..BUDGETS.len() {
+            for _ in 0..3 {
+                // Most programs begin beside the faults.
+                let (world, delay) = (world.clone(), world.random_ms(0, 6_000));
+                spawn(async move {
+                    sleep(delay).await;
+                    world.call(program).await;
+                });
+            }
+        }
+        let end = Time::monotonic() + DURATION;
+        while Time::monotonic() < end {
+            sleep(world.random_ms(50, 600)).await;
+            world.disturb();
+        }
+        let broken = world.broken.take();
+        let sent = world.sent.borrow().iter().sum();
+        broken.map_or(Ok(sent), Err)
+    })
+}
+
+/// Returns the seeds to play: some, or those that the environment names.
+fn seeds() -> std::ops::Range<u64> {
+    let number = |variable: &str| env::var(variable).ok()?.parse().ok();
+    let first = number("GYPSUMLEVER_SEARCH_FIRST").unwrap_or(0);
+    first..first + number("GYPSUMLEVER_SEARCH_SEEDS").unwrap_or(40)
+}
+
+/// Two instances that each regard themselves as the owner of a partition must not both grant a
+/// program its budget.
+#[test]
+fn search_finds_no_order_of_faults_that_breaks_a_budget() {
+    let mut broken = Vec::new();
+    let mut sent = 0;
+    for seed in seeds() {
+        match play(seed, Defect::None) {
+            Ok(tokens) => sent += tokens,
+            Err(report) => {
+                eprintln!("seed {seed}:\n{report}");
+                broken.push(seed);
+            }
+        }
+    }
+    eprintln!("{sent} tokens were sent for the seeds {:?}", seeds());
+    assert!(broken.is_empty(), "seeds {broken:?} of {:?}", seeds());
+    assert!(sent > 0, "no turn was granted");
+}
+
+/// A search that finds nothing proves nothing.
+#[test]
+fn search_finds_witnesses_that_hold_the_grants_of_all_owners() {
+    let found = (0..MAX_DEFECT_SEEDS).find(|seed| play(*seed, Defect::HoldsAll).is_err());
+    assert!(found.is_some(), "no seed breaks a budget");
+}
+
+/// Programs that begin in an outage of the whole store have no reserve.
+#[test]
+fn open_grants_new_programs_while_the_store_is_down() {
+    for service in [Service::Refusing, Service::Unresponsive] {
+        paused().block_on(async {
+            let world = World::new(1, Defect::None);
+            (0..INSTANCES.len()).for_each(|index| world.start(index));
+            // Owners that start have to learn of all earlier writers.
+            sleep(Duration::from_secs(8)).await;
+            world.open_some("before").await;
+            spawn(world.clone().store_down(service, Duration::from_secs(4)));
+            sleep(Duration::from_secs(2)).await;
+            let granted = world.open_some("during").await;
+            assert!(granted >= 38, "{granted} of 40 new programs were granted");
+            sleep(Duration::from_secs(4)).await;
+            assert_eq!(world.open_some("after").await, 40);
+        });
+    }
+}
--- a/tests/gateway/replica.rs
+++ b/tests/gateway/replica.rs
@@ -20,6 +20,7 @@
         Memory,
         Service, //
     },
+    peer::Mesh,
 };
 use tokio::time::{
     sleep,
@@ -162,7 +163,7 @@
         let log = Memory::new(2);
         let owner = start(log.share()).await;
         assert_eq!(open(&owner, 1, 150).await, Decision::Granted);
-        let other = Rc::new(Replica::new(log.share(), 2));
+        let other = Rc::new(Replica::<_, Mesh>::new(log.share(), 2));
         let partitions = 0..other.partitions();
         partitions
             .clone()
