Repeat appends to accounts while no answer comes

Cause: a store that executes a third of the writes without an answer kept each of these appends waiting for its timeout of 500 ms, and turns of its partition with them. Records that are appended twice change nothing, so an append is repeated up to twice after the time that appends rarely exceed, which follows their mean and deviation (RFC 6298).

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,7 +6,7 @@
 //! `docs/platform.md` gives the reasons.
 //!
 //! The decisions do no I/O ([`route`], [`registry`], [`load`], [`balance`], [`fleet`],
-//! [`account`], [`outage`], [`witness`], [`timeout`], [`limit`], [`slots`], [`quarantine`]); sockets are in
+//! [`account`], [`outage`], [`witness`], [`latency`], [`timeout`], [`limit`], [`slots`], [`quarantine`]); sockets are in
 //! [`connection`], [`pool`], [`dial`], [`tunnel`], [`forward`], [`relay`] and [`front`].
 
 pub mod account;
@@ -27,6 +27,7 @@
 pub mod forward;
 pub mod front;
 pub mod history;
+pub mod latency;
 pub mod lifecycle;
 pub mod limit;
 pub mod load;
--- a/src/gateway/path.rs
+++ b/src/gateway/path.rs
@@ -11,11 +11,20 @@
 };
 
 use bytes::Bytes;
-use futures_util::future::join;
+use futures_util::{
+    future::join,
+    stream::{
+        FuturesUnordered,
+        StreamExt as _, //
+    }, //
+};
 use rand::RngExt as _;
 use tokio::{
     sync::Notify,
-    time::sleep, //
+    time::{
+        sleep,
+        timeout, //
+    }, //
 };
 
 use super::{
@@ -23,6 +32,7 @@
         Program,
         Turn, //
     },
+    latency::Latency,
     outage::{
         Outage,
         Probe, //
@@ -70,6 +80,13 @@
 /// within 1 s, takes at most 0.5 s, and is followed by an append within 0.25 s.
 const SETTLE_TIME: Duration = Duration::from_millis(2_500);
 
+/// Range of the time without an answer after which an append is repeated. The longest one is within
+/// the timeout of the call.
+const REPEAT_DELAY: [Duration; 2] = [Duration::from_millis(15), Duration::from_millis(400)];
+
+/// Maximum appends of the same records.
+const MAX_APPENDS: usize = 3;
+
 /// Topic of the log, which other instances have to know to execute calls.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Topic {
@@ -119,6 +136,8 @@
     unreachable_at: Cell<Option<Time>>,
     /// Notified of each failed call to any topic of the store.
     failure_alert: Notify,
+    /// How long appends over the direct path take.
+    append_latency: Latency,
 }
 
 impl<L: Log, T: Transport> Path<L, T> {
@@ -142,6 +161,7 @@
             unreachable: Cell::new(false),
             unreachable_at: Cell::new(None),
             failure_alert: Notify::new(),
+            append_latency: Latency::default(),
         }
     }
 
@@ -213,11 +233,51 @@
         partition: u32,
         records: &[Bytes],
     ) -> Option<Result<u64, Failure>> {
-        let result = self.direct()?.append(partition, records).await;
+        let result = self.append_repeatedly(partition, records).await?;
         self.record(&result);
         Some(result)
     }
 
+    /// Appends records, and again while no answer comes; records that are appended twice change
+    /// nothing.
+    async fn append_repeatedly(
+        &self,
+        partition: u32,
+        records: &[Bytes],
+    ) -> Option<Result<u64, Failure>> {
+        let direct = self.direct()?;
+        let start = Time::monotonic();
+        let mut appends = FuturesUnordered::new();
+        appends.push(direct.append(partition, records));
+        let mut repeats_left = match self.topic {
+            Topic::Accounts => MAX_APPENDS - 1,
+            Topic::Turns => 0,
+        };
+        loop {
+            let delay = match repeats_left {
+                0 => Duration::MAX,
+                _ => self.append_latency.limit(REPEAT_DELAY),
+            };
+            match timeout(delay, appends.next()).await {
+                Ok(Some(Ok(offset))) => {
+                    self.append_latency.record(Time::monotonic().since(start));
+                    return Some(Ok(offset));
+                }
+                Ok(Some(failure)) if appends.is_empty() => return Some(failure),
+                Ok(_) => {}
+                Err(_) => {
+                    repeats_left -= 1;
+                    appends.push(direct.append(partition, records));
+                }
+            }
+        }
+    }
+
+    /// Returns the time that an append rarely exceeds, within a range.
+    pub fn append_limit(&self, range: [Duration; 2]) -> Duration {
+        self.append_latency.limit(range)
+    }
+
     /// Reads records over the direct path only; `None` while it is failing.
     pub async fn read_directly(&self, partition: u32, from: u64) -> Option<Result<Batch, Failure>> {
         let result = self.direct()?.read(partition, from, Duration::ZERO).await;
@@ -325,7 +385,11 @@
             }
             join(self.test_direct(), self.check_isolation(Time::monotonic())).await;
             // Jitter: instances that were refused together must not retry together.
-            sleep(RETRY_INTERVAL.mul_f64(rand::rng().random_range(1.0..2.0))).await;
+            let jitter = match self.peers() {
+                Some(peers) => peers.mesh.rng().random_range(1.0..2.0),
+                None => 1.0,
+            };
+            sleep(RETRY_INTERVAL.mul_f64(jitter)).await;
         }
     }
 
