Grant turns with the witnesses while the store is late

Cause: on a store that answers 60 times later, each turn waited for an append of its partition, and new programs met their deadlines.

Change: an owner whose append takes longer than usual has a majority of the witnesses hold the grant of a turn and answers, while the append goes on. A program has at most one such turn that is not in the log, so that a loss of power of all instances costs no more than one turn of its budget. The reserve that a program requested is confirmed once it is in the log. Writers yield to an owner that has applied all that they wrote.

--- a/src/gateway/owner.rs
+++ b/src/gateway/owner.rs
@@ -46,6 +46,7 @@
         Pending,
         Replica, //
     },
+    reserve,
 };
 use crate::{
     clock::Time,
@@ -102,6 +103,16 @@
         /// Partition.
         #[serde(rename = "p")]
         partition: u32,
+        /// Number of the registration.
+        #[serde(rename = "g")]
+        generation: u64,
+    },
+    /// Give the registration as a writer of a partition up.
+    #[serde(rename = "yw")]
+    Yield {
+        /// Partition.
+        #[serde(rename = "p")]
+        partition: u32,
     },
     /// Hold the grant of a turn that the sender makes as the owner without the log.
     #[serde(rename = "hg")]
@@ -112,6 +123,19 @@
         /// Microseconds since the sender last read the partition to its end.
         #[serde(rename = "a")]
         read_age_us: u64,
+        /// Writers that yielded, with the numbers of their registrations.
+        #[serde(rename = "y")]
+        yielded: Vec<(Instance, u64)>,
+    },
+    /// Drop held grants that are in the log.
+    #[serde(rename = "rg")]
+    ReleaseGrants {
+        /// Partition.
+        #[serde(rename = "p")]
+        partition: u32,
+        /// The turns.
+        #[serde(rename = "t")]
+        turns: Vec<Turn>,
     },
     /// Keep where a stream began.
     #[serde(rename = "k")]
@@ -119,6 +143,16 @@
     /// Report where a stream began.
     #[serde(rename = "w")]
     FindOrigin(origin::Stream),
+    /// Learn that a requested reserve is charged.
+    #[serde(rename = "gc")]
+    ConfirmReserve {
+        /// Program.
+        #[serde(rename = "p")]
+        program: Program,
+        /// The reserve.
+        #[serde(rename = "r")]
+        reserve: reserve::Request,
+    },
     /// Give a reserve back that the recipient holds.
     #[serde(rename = "g")]
     Reclaim {
@@ -219,6 +253,19 @@
     /// The sender is registered as a writer.
     #[serde(rename = "rw")]
     Registered,
+    /// The registration is given up.
+    #[serde(rename = "yw")]
+    Yielded {
+        /// Number of the registration.
+        #[serde(rename = "g")]
+        generation: u64,
+        /// Offset after the last record with which the writer granted a turn.
+        #[serde(rename = "e")]
+        end: u64,
+    },
+    /// These writers may have written what the owner has not applied.
+    #[serde(rename = "b")]
+    Blocked(Vec<Instance>),
     /// The record was applied and queued for the log.
     #[serde(rename = "h")]
     Held,
@@ -599,7 +646,12 @@
 
     /// Returns the instances that decide about a program through the log if its owner can't; `None`
     /// stands for this instance.
-    fn standbys(&self, peers: &Peers<T>, owner: &Instance, program: Program) -> Vec<Option<Instance>> {
+    fn standbys(
+        &self,
+        peers: &Peers<T>,
+        owner: &Instance,
+        program: Program,
+    ) -> Vec<Option<Instance>> {
         let snapshot = peers.roster.snapshot();
         let local = &snapshot.local().instance;
         let key = (self.replica.partition_of(program) as u64).to_be_bytes();
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -30,6 +30,7 @@
         Request,
         Response, //
     },
+    reserve,
     witness::WITNESSES,
 };
 use crate::{
@@ -104,7 +105,7 @@
 }
 
 /// What the witnesses of a partition said.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Vote {
     /// Witnesses that have to accept.
     majority: usize,
@@ -114,16 +115,24 @@
     /// Accepting witnesses in other availability zones.
     accepting_remote: usize,
     refusing: usize,
+    /// Writers for which witnesses refused a grant.
+    pub blocking: Vec<Instance>,
 }
 
 impl Vote {
-    fn count(&mut self, accepts: bool, remote: bool) {
-        match accepts {
-            true => {
+    /// Counts the answer of a witness.
+    fn count(&mut self, answer: Option<Response>, remote: bool) {
+        match answer {
+            Some(Response::Held | Response::Registered) => {
                 self.accepting += 1;
                 self.accepting_remote += usize::from(remote);
             }
-            false => self.refusing += 1,
+            Some(Response::Blocked(writers)) => {
+                self.refusing += 1;
+                self.blocking.extend(writers);
+            }
+            Some(_) => self.refusing += 1,
+            None => {}
         }
     }
 
@@ -133,9 +142,9 @@
         self.accepting >= self.majority && spread
     }
 
-    /// Returns whether no witness objects, or a majority accepts despite the others.
-    pub fn unopposed(&self) -> bool {
-        self.refusing == 0 || self.accepting >= self.majority
+    /// Returns whether a witness refused.
+    pub fn is_opposed(&self) -> bool {
+        self.refusing > 0
     }
 }
 
@@ -210,52 +219,75 @@
             .collect()
     }
 
+    /// Notifies the other witnesses of a partition.
+    pub fn notify_witnesses(&self, partition: usize, request: &Request) {
+        let snapshot = self.roster.snapshot();
+        let local = &snapshot.local().instance;
+        for (name, _) in self.witnesses(partition) {
+            if name != *local && self.notify(&name, request.clone()).is_err() {
+                log::debug!(peer = name.as_str(); "account: witness can't be notified");
+            }
+        }
+    }
+
     /// Asks the witnesses of a partition, of which this instance may be one; returns what they
-    /// said once that is certain, or once all answered or `limit` has passed.
+    /// said once that is `certain`, or once all answered or their time has passed.
     pub async fn ask_witnesses(
         &self,
         partition: usize,
         request: &Request,
-        limit: Duration,
-        ask_local: impl FnOnce() -> bool,
+        certain: impl Fn(&Vote) -> bool,
+        ask_local: impl FnOnce() -> Response,
     ) -> Vote {
         let witnesses = self.witnesses(partition);
         let snapshot = self.roster.snapshot();
         let local = snapshot.local();
         let mut vote = Vote {
-            majority: witnesses.len() / 2 + 1,
+            // A grant that only the owner holds is lost with it.
+            majority: (witnesses.len() / 2 + 1).max(2),
             remote_zones: snapshot.zones().any(|zone| *zone != local.zone),
             ..Vote::default()
         };
         if witnesses.iter().any(|(name, _)| *name == local.instance) {
-            vote.count(ask_local(), false);
+            vote.count(Some(ask_local()), false);
         }
         let others = witnesses.iter().filter(|(name, _)| *name != local.instance);
         let requests = others.map(|(name, zone)| async {
             let remote = *zone != local.zone;
-            let answer = self.request(name, request.clone(), limit).await;
+            let answer = self.request(name, request.clone(), HOLD_TIMEOUT).await;
             (answer, remote)
         });
         let mut answers: FuturesUnordered<_> = requests.collect();
         while let Some((answer, remote)) = answers.next().await {
-            match answer {
-                Some(Response::Held | Response::Registered) => vote.count(true, remote),
-                Some(_) => vote.count(false, remote),
-                None => {}
-            }
-            if vote.accepted() {
+            vote.count(answer, remote);
+            if certain(&vote) {
                 break;
             }
         }
         vote
     }
 
+    /// Returns the live instance with a hash of the name, which holds a reserve.
+    fn holder(&self, hash: u64) -> Option<Instance> {
+        let others = self.others();
+        others.into_iter().find(|name| name_hash(name) == hash)
+    }
+
+    /// Tells the holder of a reserve that it is charged.
+    pub fn confirm_reserve(
+        &self,
+        program: Program,
+        reserve: reserve::Request,
+    ) -> Result<(), Unreachable> {
+        let holder = self.holder(reserve.holder).ok_or(Unreachable::Unknown)?;
+        self.notify(&holder, Request::ConfirmReserve { program, reserve })
+    }
+
     /// Has the holder of a reserve give it back; returns the tokens used of it if it does.
     pub async fn reclaim(&self, holder: u64, program: Program, id: Turn) -> Option<u64> {
-        let others = self.others();
-        let name = others.iter().find(|name| name_hash(name) == holder)?;
+        let name = self.holder(holder)?;
         let request = Request::Reclaim { program, id };
-        match self.request(name, request, HOLD_TIMEOUT).await {
+        match self.request(&name, request, HOLD_TIMEOUT).await {
             Some(Response::Returned(used)) => Some(used),
             _ => None,
         }
@@ -328,8 +360,10 @@
         let sample = |local: bool| {
             let known = snapshot.peers().map(|peer| &peer.entry);
             let eligible = known.filter(|entry| (entry.zone == *zone) == local);
-            let names = eligible.map(|entry| entry.instance.clone());
-            names.sample(&mut self.mesh.rng(), PING_SAMPLE)
+            let mut names: Vec<_> = eligible.map(|entry| entry.instance.clone()).collect();
+            // The order of a map differs from run to run.
+            names.sort_unstable();
+            names.into_iter().sample(&mut self.mesh.rng(), PING_SAMPLE)
         };
         let (local, remote) = (sample(true), sample(false));
         let multi_zone = !remote.is_empty();
--- a/src/gateway/replica.rs
+++ b/src/gateway/replica.rs
@@ -7,11 +7,13 @@
     },
     collections::VecDeque,
     mem,
+    pin::pin,
     rc::Rc,
     time::Duration,
 };
 
 use bytes::Bytes;
+use futures_util::future::join_all;
 use serde::{
     Deserialize,
     Serialize, //
@@ -43,11 +45,17 @@
     },
     path::Path,
     peers::{
+        Peers,
         Transport,
+        Vote,
         HOLD_TIMEOUT, //
     },
-    reserve::Reserves,
+    reserve::{
+        self,
+        Reserves, //
+    },
     witness::{
+        Grant,
         Witness,
         MESSAGE_MARGIN,
         REGISTRATION_TTL, //
@@ -55,7 +63,11 @@
 };
 use crate::{
     clock::Time,
-    hash,
+    hash::{
+        self,
+        Map,
+        Set, //
+    },
     log::{
         Batch,
         Failure,
@@ -74,6 +86,14 @@
 /// Time after a failure for which turns are decided without calling the log.
 const OFFLINE_TIME: Duration = Duration::from_millis(1_000);
 
+/// Range of the time without an answer of the log after which turns are granted before it answers.
+/// It follows the store's usual answers; its end is a part of a turn that callers hardly notice.
+const EARLY_DELAY: [Duration; 2] = [Duration::from_millis(30), Duration::from_millis(60)];
+
+/// Time for which a witness leaves it to the owner to append a grant, so that a slow store does not
+/// get each one several times.
+const HOLD_TIME: Duration = Duration::from_millis(1_500);
+
 /// Maximum records of one append; keeps it far below the log's limit of 2 MiB.
 const MAX_BATCH_RECORDS: usize = 2_000;
 
@@ -136,8 +156,25 @@
     read_at: Cell<Time>,
     /// End of the registration of this instance as a writer.
     registered_until: Cell<Time>,
+    /// Whether the registration is being renewed.
+    renewing: Cell<bool>,
+    /// Number of the registration.
+    generation: Cell<u64>,
+    /// Offset after the last record with which this instance granted a turn.
+    granted_to: Cell<u64>,
     /// What this instance knows as a witness of the partition.
     witness: RefCell<Witness>,
+    /// Grants of another owner that are held here as a witness and not queued for the log yet.
+    held: RefCell<Vec<Entry>>,
+    /// Whether the log takes long to answer, so that turns are granted before it does.
+    late: Cell<bool>,
+    /// Turns that were granted before the log answered and are not in the log yet, by program.
+    ///
+    /// There is at most one of each program: if all instances lose power, the account lacks no more
+    /// than one turn.
+    unlogged: RefCell<Map<Program, Turn>>,
+    /// Reserves whose requesters were answered before the log was, by number.
+    unconfirmed: RefCell<Map<Turn, (Program, reserve::Request)>>,
 }
 
 /// Token accounts of programs in all partitions.
@@ -179,7 +216,14 @@
                 reread_at: Cell::new(None),
                 read_at: Cell::default(),
                 registered_until: Cell::default(),
+                renewing: Cell::new(false),
+                generation: Cell::new(0),
+                granted_to: Cell::new(0),
                 witness: RefCell::default(),
+                held: RefCell::default(),
+                late: Cell::new(false),
+                unlogged: RefCell::default(),
+                unconfirmed: RefCell::default(),
             })
         };
         Self {
@@ -258,6 +302,23 @@
         }
     }
 
+    /// Registers this instance as a writer of a partition, unless it is; returns whether it may
+    /// write. A registration that ends soon is renewed meanwhile.
+    async fn ensure_registered(&self, partition: &Rc<Partition>) -> bool {
+        let (now, end) = (Time::monotonic(), partition.registered_until.get());
+        if now >= end {
+            return partition.register(&self.log).await;
+        }
+        if now + REGISTRATION_TTL / 2 >= end && !partition.renewing.replace(true) {
+            let (partition, log) = (partition.clone(), self.log.clone());
+            actix_web::rt::spawn(async move {
+                partition.register(&log).await;
+                partition.renewing.set(false);
+            });
+        }
+        true
+    }
+
     /// Answers the request of another instance; `None` if the request is not about accounts.
     pub async fn answer(&self, from: &Instance, request: Request) -> Option<Response> {
         let answer = match request {
@@ -269,24 +330,45 @@
                 self.hold(entry);
                 Response::Held
             }
-            Request::Register { partition } => {
+            Request::Register {
+                partition,
+                generation,
+            } => {
                 let partition = self.partitions.get(partition as usize)?;
-                match partition.admit_writer(Time::monotonic(), from) {
-                    true => Response::Registered,
-                    false => Response::Refused,
-                }
+                partition.admit_writer(Time::monotonic(), from, generation)
             }
-            Request::HoldGrant { entry, read_age_us } => {
+            Request::Yield { partition } => {
+                let partition = self.partitions.get(partition as usize)?;
+                let (generation, end) = partition.give_up_registration();
+                Response::Yielded { generation, end }
+            }
+            Request::HoldGrant {
+                entry,
+                read_age_us,
+                yielded,
+            } => {
                 let partition = self.partition(entry.program());
                 let now = Time::monotonic();
-                let read_at = now - Duration::from_micros(read_age_us);
-                match partition.admit_grant(now, from, read_at) {
-                    true => {
-                        partition.hold(entry);
-                        Response::Held
-                    }
-                    false => Response::Refused,
+                let grant = Grant {
+                    owner: from,
+                    read_at: now - Duration::from_micros(read_age_us),
+                    yielded: &yielded,
+                };
+                let answer = partition.admit_grant(now, grant);
+                if answer == Response::Held {
+                    partition.hold_for_owner(entry);
                 }
+                answer
+            }
+            Request::ReleaseGrants { partition, turns } => {
+                let partition = self.partitions.get(partition as usize)?;
+                let mut held = partition.held.borrow_mut();
+                held.retain(|entry| !turns.contains(&entry.turn()));
+                Response::Held
+            }
+            Request::ConfirmReserve { program, reserve } => {
+                self.reserves.granted(program, &reserve);
+                Response::Held
             }
             Request::Reclaim { program, id } => {
                 let used = self.reserves.reclaim(program, id);
@@ -350,7 +432,7 @@
             && reservation.has_headroom(self.charged(reservation.program));
         if Time::monotonic() < partition.offline_until.get() {
             self.decide_offline(partition, waiter);
-        } else {
+        } else if let Err(waiter) = self.decide_early(partition, waiter, None) {
             partition.waiters.borrow_mut().push(waiter);
         }
         partition.wake.notify_one();
@@ -418,7 +500,7 @@
                 partition.record_read(partition.owned.get() && !settling);
             }
             let opens = !partition.waiters.borrow().is_empty();
-            if opens && !partition.register(&self.log).await {
+            if opens && !self.ensure_registered(partition).await {
                 log::debug!(
                     partition = index;
                     "account: another owner grants turns without the log"
@@ -431,7 +513,7 @@
                 true => Vec::new(),
                 false => mem::take(&mut *partition.waiters.borrow_mut()),
             };
-            let (reclaiming, waiters): (Vec<_>, _) = waiters
+            let (reclaiming, mut waiters): (Vec<_>, Vec<_>) = waiters
                 .into_iter()
                 .partition(|waiter| partition.must_reclaim(waiter));
             for waiter in reclaiming {
@@ -457,17 +539,22 @@
             }
             let committed = match blind {
                 true => self.append(index, &entries).await.map(|_| ()),
-                false => self.commit(index, &entries).await,
+                false => {
+                    self.commit_or_decide_early(index, &entries, &mut waiters)
+                        .await
+                }
             };
             match committed {
                 Ok(()) => {
                     partition.backlog.borrow_mut().drain(..count);
+                    self.record_logged(partition, &entries);
                     partition.offline_until.set(Time::default());
                     if partition.log_failing.replace(false) {
                         log::info!(partition = index; "account: log is reachable again");
                     }
                     waiters
                         .into_iter()
+                        .chain(partition.take_logged(&entries))
                         .for_each(|waiter| partition.answer(waiter));
                 }
                 Err(failure) => {
@@ -477,6 +564,7 @@
                             "account: log can't be reached; retrying"
                         );
                     }
+                    partition.late.set(true);
                     for waiter in waiters {
                         self.decide_offline(partition, waiter);
                     }
@@ -565,12 +653,155 @@
         Ok(())
     }
 
+    /// Appends records as [`Self::commit`] does; grants the turns among them earlier if the log takes
+    /// long.
+    async fn commit_or_decide_early(
+        &self,
+        index: usize,
+        entries: &[Entry],
+        waiters: &mut Vec<Waiter>,
+    ) -> Result<(), Failure> {
+        let partition = &self.partitions[index];
+        let mut commit = pin!(self.commit(index, entries));
+        let start = Time::monotonic();
+        let limit = self.log.append_limit(EARLY_DELAY);
+        let first = timeout(limit, &mut commit).await;
+        if let Ok(committed) = first {
+            if partition.late.replace(false) {
+                log::info!(partition = index; "account: log answers in time again");
+            }
+            return committed;
+        }
+        if partition.owned.get() && !partition.late.replace(true) {
+            log::warn!(
+                partition = index, limit_ms = limit.as_millis() as u64;
+                "account: log is late; granting turns with the witnesses"
+            );
+        }
+        // Turns that are in the append precede all records that were queued since.
+        let decide = |waiter| self.decide_early(partition, waiter, Some(entries)).err();
+        *waiters = mem::take(waiters).into_iter().filter_map(decide).collect();
+        let queued = mem::take(&mut *partition.waiters.borrow_mut());
+        let decide = |waiter| self.decide_early(partition, waiter, None).err();
+        let queued: Vec<_> = queued.into_iter().filter_map(decide).collect();
+        partition.waiters.borrow_mut().extend(queued);
+        let committed = commit.await;
+        log::debug!(
+            partition = index, took_ms = Time::monotonic().since(start).as_millis() as u64,
+            failed = committed.is_err();
+            "account: log answered late"
+        );
+        committed
+    }
+
+    /// Grants a turn before the log answers, if it is late, and this instance is the owner and the
+    /// program has no such turn yet; returns the turn otherwise.
+    ///
+    /// The witnesses hold the grant, so that only the loss of power of all instances can lose it.
+    /// `preceding` are the records before the turn in the log, if it is being appended.
+    fn decide_early(
+        &self,
+        partition: &Rc<Partition>,
+        waiter: Waiter,
+        preceding: Option<&[Entry]>,
+    ) -> Result<(), Waiter> {
+        let known = partition.owned.get() && partition.caught_up.get();
+        let reservation = waiter.reservation;
+        let Reservation { program, turn, .. } = reservation;
+        let reachable = self.log.outage() == Outage::None && self.log.peers().is_some();
+        if !known || !partition.late.get() || !reachable {
+            return Err(waiter);
+        }
+        if partition.unlogged.borrow().contains_key(&program) || partition.must_reclaim(&waiter) {
+            return Err(waiter);
+        }
+        let verdict = {
+            let accounts = partition.accounts.borrow();
+            let mut backlog = partition.backlog.borrow_mut();
+            let preceding = preceding.unwrap_or_else(|| backlog.make_contiguous());
+            accounts.predict_after(&reservation, preceding)
+        };
+        if verdict == Verdict::Spent {
+            return Err(waiter);
+        }
+        let entry = reservation.entry(true);
+        partition.unlogged.borrow_mut().insert(program, turn);
+        partition.hold(entry);
+        if let (Some(request), Some(reserve)) =
+            (reservation.reserve, reservation.reserve_entry(false))
+        {
+            let mut unconfirmed = partition.unconfirmed.borrow_mut();
+            unconfirmed.insert(request.id, (program, request));
+            // It is charged in the order of the log, as it need not be granted.
+            partition.backlog.borrow_mut().push_back(reserve);
+        }
+        let (partition, log) = (partition.clone(), self.log.clone());
+        actix_web::rt::spawn(async move {
+            if partition.grant(&log, entry).await {
+                return waiter.reply(Decision::Granted);
+            }
+            if Time::monotonic() < partition.offline_until.get() {
+                return waiter.reply(Decision::Unavailable);
+            }
+            partition.waiters.borrow_mut().push(waiter);
+            partition.wake.notify_one();
+        });
+        Ok(())
+    }
+
+    /// Records that entries are in the log and applied.
+    fn record_logged(&self, partition: &Partition, entries: &[Entry]) {
+        let granted = entries.iter().filter_map(|entry| match entry {
+            Entry::Open { turn, forced, .. } => forced.then_some(*turn),
+            Entry::Close { .. } => None,
+        });
+        let turns: Vec<_> = granted.collect();
+        if let Some(peers) = self.log.peers().filter(|_| !turns.is_empty()) {
+            let partition = partition.index as u32;
+            let request = Request::ReleaseGrants { partition, turns };
+            peers.notify_witnesses(partition as usize, &request);
+        }
+        for entry in entries {
+            let Entry::Open { program, turn, .. } = *entry else {
+                continue;
+            };
+            let mut unlogged = partition.unlogged.borrow_mut();
+            if unlogged.get(&program) == Some(&turn) {
+                unlogged.remove(&program);
+            }
+            drop(unlogged);
+            let unconfirmed = partition.unconfirmed.borrow_mut().remove(&turn);
+            if let Some((program, request)) = unconfirmed {
+                if self.has_reserve(program, request.id) {
+                    self.confirm_reserve(program, request);
+                }
+            }
+        }
+    }
+
+    /// Tells the instance that requested a reserve that it is charged.
+    fn confirm_reserve(&self, program: Program, request: reserve::Request) {
+        if self.reserves.is_holder(request.holder) {
+            return self.reserves.granted(program, &request);
+        }
+        let Some(peers) = self.log.peers() else {
+            return;
+        };
+        if let Err(error) = peers.confirm_reserve(program, request) {
+            log::debug!(program, error:%; "account: holder of a reserve can't be notified");
+        }
+    }
+
     /// Decides about a turn while the log is unreachable.
     ///
     /// Only the owner grants turns then, and only if most instances can't reach the log. A majority
     /// of the witnesses holds each grant, so that it survives the loss of the owner, and ensures that
     /// the account here is complete.
     fn decide_offline(&self, partition: &Rc<Partition>, waiter: Waiter) {
+        let waiter = match self.decide_early(partition, waiter, None) {
+            Ok(()) => return,
+            Err(waiter) => waiter,
+        };
         let known = partition.owned.get() && partition.caught_up.get();
         if !known || self.log.outage() != Outage::Total {
             return waiter.reply(Decision::Unavailable);
@@ -667,43 +898,64 @@
 
     /// Returns whether grants are held here that are still to be appended.
     fn holds_grants(&self) -> bool {
+        if !self.held.borrow().is_empty() {
+            return true;
+        }
         let backlog = self.backlog.borrow();
-        backlog.iter().any(|entry| matches!(entry, Entry::Open { .. }))
+        backlog
+            .iter()
+            .any(|entry| matches!(entry, Entry::Open { .. }))
     }
 
-    /// Registers a writer here, as a witness; returns whether it may write.
-    fn admit_writer(&self, now: Time, writer: &Instance) -> bool {
+    /// Registers a writer here, as a witness.
+    fn admit_writer(&self, now: Time, writer: &Instance, generation: u64) -> Response {
         let pending = self.holds_grants();
-        self.witness.borrow_mut().register(now, writer, pending)
+        let mut witness = self.witness.borrow_mut();
+        match witness.register(now, writer, generation, pending) {
+            true => Response::Registered,
+            false => Response::Refused,
+        }
     }
 
-    /// Returns whether a grant without the log is complete, as far as is known here as a witness.
-    fn admit_grant(&self, now: Time, owner: &Instance, read_at: Time) -> bool {
+    /// Decides as a witness whether a grant without the log may be held here.
+    fn admit_grant(&self, now: Time, grant: Grant<'_>) -> Response {
         let pending = self.holds_grants();
         let mut witness = self.witness.borrow_mut();
-        witness.accept(now, self.started, owner, read_at, pending)
+        match witness.accept(now, self.started, grant, pending) {
+            true => Response::Held,
+            false => Response::Blocked(witness.blocking(&grant).cloned().collect()),
+        }
     }
 
-    /// Registers this instance as a writer, unless its registration lasts for some time; returns
-    /// whether it may write.
+    /// Gives the registration as a writer up, so that turns which are being appended are not granted;
+    /// returns its number and the offset up to which this instance granted turns.
+    fn give_up_registration(&self) -> (u64, u64) {
+        self.registered_until.set(Time::default());
+        let generation = self.generation.get();
+        self.generation.set(generation + 1);
+        (generation, self.granted_to.get())
+    }
+
+    /// Registers this instance as a writer; returns whether it may write.
     ///
-    /// It may also write if too few witnesses answer, as then no owner gets a majority either.
+    /// No witness may object, also if a majority does not: some of these may have been restarted and
+    /// so have lost the grants that they held. It may also write if too few witnesses answer, as
+    /// then no owner gets a majority either.
     async fn register<L: Log, T: Transport>(&self, log: &Path<L, T>) -> bool {
         let now = Time::monotonic();
         let Some(peers) = log.peers() else {
             self.registered_until.set(now + REGISTRATION_TTL);
             return true;
         };
-        if now + REGISTRATION_TTL / 2 < self.registered_until.get() {
-            return true;
-        }
+        let generation = self.generation.get();
         let request = Request::Register {
             partition: self.index as u32,
+            generation,
         };
         let snapshot = peers.roster.snapshot();
-        let admit = || self.admit_writer(now, &snapshot.local().instance);
-        let vote = peers.ask_witnesses(self.index, &request, HOLD_TIMEOUT, admit);
-        let registered = vote.await.unopposed();
+        let admit = || self.admit_writer(now, &snapshot.local().instance, generation);
+        let vote = peers.ask_witnesses(self.index, &request, Vote::is_opposed, admit);
+        let registered = !vote.await.is_opposed() && self.generation.get() == generation;
         if registered {
             self.registered_until.set(now + REGISTRATION_TTL);
         }
@@ -715,15 +967,74 @@
         let Some(peers) = log.peers() else {
             return false;
         };
+        let vote = self.request_grant(&peers, entry, Vec::new()).await;
+        if vote.accepted() || vote.blocking.is_empty() {
+            return vote.accepted();
+        }
+        let yielded = self.request_yields(&peers, vote.blocking).await;
+        let accepted = self.request_grant(&peers, entry, yielded).await.accepted();
+        if !accepted {
+            // Some witnesses may hold the grant, and would let no other instance write.
+            let request = Request::ReleaseGrants {
+                partition: self.index as u32,
+                turns: vec![entry.turn()],
+            };
+            peers.notify_witnesses(self.index, &request);
+        }
+        accepted
+    }
+
+    async fn request_grant<T: Transport>(
+        &self,
+        peers: &Peers<T>,
+        entry: Entry,
+        yielded: Vec<(Instance, u64)>,
+    ) -> Vote {
         let (now, read_at) = (Time::monotonic(), self.read_at.get());
+        let snapshot = peers.roster.snapshot();
+        let grant = Grant {
+            owner: &snapshot.local().instance,
+            read_at,
+            yielded: &yielded,
+        };
         let request = Request::HoldGrant {
             entry,
             read_age_us: now.since(read_at).as_micros() as u64,
+            yielded: yielded.clone(),
         };
-        let snapshot = peers.roster.snapshot();
-        let admit = || self.admit_grant(now, &snapshot.local().instance, read_at);
-        let vote = peers.ask_witnesses(self.index, &request, HOLD_TIMEOUT, admit);
-        vote.await.accepted()
+        let admit = || self.admit_grant(now, grant);
+        let vote = peers.ask_witnesses(self.index, &request, Vote::accepted, admit);
+        vote.await
+    }
+
+    /// Has other writers give up their registrations; returns those that did and wrote nothing that
+    /// is not applied here.
+    async fn request_yields<T: Transport>(
+        &self,
+        peers: &Peers<T>,
+        mut writers: Vec<Instance>,
+    ) -> Vec<(Instance, u64)> {
+        writers.sort();
+        writers.dedup();
+        let request = Request::Yield {
+            partition: self.index as u32,
+        };
+        let requests = writers.into_iter().map(|name| {
+            let request = request.clone();
+            async move {
+                let answer = peers.request(&name, request, HOLD_TIMEOUT).await;
+                (name, answer)
+            }
+        });
+        let answers = join_all(requests).await.into_iter();
+        answers
+            .filter_map(|(name, answer)| match answer {
+                Some(Response::Yielded { generation, end }) if end <= self.applied.get() => {
+                    Some((name, generation))
+                }
+                _ => None,
+            })
+            .collect()
     }
 
     /// Records that the partition was read to its end.
@@ -741,6 +1052,24 @@
         self.owned.get() && self.reread_at.get().is_some_and(due)
     }
 
+    /// Removes and returns the waiting turns that are among the records in the log: the witnesses
+    /// refused to hold their grants while the log was late.
+    fn take_logged(&self, entries: &[Entry]) -> Vec<Waiter> {
+        let waiters = mem::take(&mut *self.waiters.borrow_mut());
+        if waiters.is_empty() {
+            return waiters;
+        }
+        let opens = entries.iter().filter_map(|entry| match entry {
+            Entry::Open { turn, .. } => Some(*turn),
+            Entry::Close { .. } => None,
+        });
+        let turns: Set<_> = opens.collect();
+        let is_logged = |waiter: &Waiter| turns.contains(&waiter.reservation.turn);
+        let (logged, waiting) = waiters.into_iter().partition(is_logged);
+        self.waiters.replace(waiting);
+        logged
+    }
+
     /// Answers the waiting turns that no decision is possible.
     fn refuse_waiters(&self) {
         let waiters = mem::take(&mut *self.waiters.borrow_mut());
@@ -749,6 +1078,23 @@
             .for_each(|waiter| waiter.reply(Decision::Unavailable));
     }
 
+    /// Holds a grant of an owner, and queues it for the log unless the owner appends it in time.
+    fn hold_for_owner(self: &Rc<Self>, entry: Entry) {
+        self.accounts.borrow_mut().apply(Time::monotonic(), &entry);
+        self.held.borrow_mut().push(entry);
+        let partition = self.clone();
+        actix_web::rt::spawn(async move {
+            sleep(HOLD_TIME).await;
+            let mut held = partition.held.borrow_mut();
+            let index = held.iter().position(|other| other.turn() == entry.turn());
+            if let Some(index) = index {
+                held.swap_remove(index);
+                drop(held);
+                partition.hold(entry);
+            }
+        });
+    }
+
     /// Applies the records that are not in the log yet, to decide without it.
     fn apply_backlog(&self) {
         let now = Time::monotonic();
@@ -834,9 +1180,7 @@
             }
         }
         let opened = async {
-            while self.waiters.borrow().is_empty()
-                && !self.needs_catch_up()
-                && !self.must_reread()
+            while self.waiters.borrow().is_empty() && !self.needs_catch_up() && !self.must_reread()
             {
                 self.wake.notified().await;
             }
@@ -855,7 +1199,10 @@
             Some(Verdict::Granted) if self.registered_until.get() < Time::monotonic() => {
                 Decision::Unavailable
             }
-            Some(Verdict::Granted) => Decision::Granted,
+            Some(Verdict::Granted) => {
+                self.granted_to.set(self.applied.get());
+                Decision::Granted
+            }
             Some(Verdict::Spent) => self.spent(waiter.reservation.program),
             None => Decision::Unavailable,
         };
