Append held grants through peers, and release grants that no majority holds

A witness refuses other writers while it holds a grant that is not in the log. One whose direct path to the log fails, or that holds a grant which failed elsewhere, refused them for as long.

--- a/src/gateway/replica/grant.rs
+++ b/src/gateway/replica/grant.rs
@@ -111,12 +111,12 @@
         let Some(peers) = log.peers() else {
             return false;
         };
-        let vote = self.request_grant(&peers, entry, Vec::new()).await;
-        if vote.accepted() || vote.blocking.is_empty() {
-            return vote.accepted();
+        let mut vote = self.request_grant(&peers, entry, Vec::new()).await;
+        if !vote.accepted() && !vote.blocking.is_empty() {
+            let yielded = self.request_yields(&peers, vote.blocking).await;
+            vote = self.request_grant(&peers, entry, yielded).await;
         }
-        let yielded = self.request_yields(&peers, vote.blocking).await;
-        let accepted = self.request_grant(&peers, entry, yielded).await.accepted();
+        let accepted = vote.accepted();
         if !accepted {
             // Some witnesses may hold the grant, and would let no other instance write.
             let request = Request::ReleaseGrants {
--- a/src/gateway/replica/mod.rs
+++ b/src/gateway/replica/mod.rs
@@ -522,9 +522,11 @@
 
     /// Appends records; returns the offset of the first one.
     async fn append(&self, index: usize, entries: &[Entry]) -> Result<u64, Failure> {
-        let owned = self.partitions[index].owned.get();
+        // Other writers are refused while a witness holds a grant that is not in the log.
+        let is_open = |entry: &Entry| matches!(entry, Entry::Open { .. });
+        let use_peers = self.partitions[index].owned.get() || entries.iter().any(is_open);
         let records: Vec<_> = entries.iter().map(encode).collect();
-        self.log.append(index as u32, &records, owned).await
+        self.log.append(index as u32, &records, use_peers).await
     }
 
     /// Appends records, then applies all records up to and including them.
