--- a/src/gateway/witness.rs
+++ b/src/gateway/witness.rs
@@ -5,8 +5,8 @@
 //! as a writer with a majority of the witnesses before. An owner that grants turns without the log
 //! has a majority of them hold each grant, and they do so only if no other instance can have
 //! written since the owner last read the partition to its end, or that one has yielded and the owner
-//! has read all that it wrote. Two majorities share a witness,
-//! so either the other writer is known there or it is refused.
+//! has read all that it wrote. Two majorities share a witness, so either the other writer is known
+//! there or it is refused.
 
 use std::time::Duration;
 
