--- /dev/null
+++ b/review/harness/cases.rs
@@ -0,0 +1,474 @@
+//! The cases. Each returns whether its rule was broken.
+
+use std::{
+    path::Path,
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc,
+    },
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
+};
+
+use crate::{
+    client::{Answer, Client, HOST},
+    deployment::Deployment,
+    engine::{Manner, Run},
+};
+
+pub fn run(case: &str, folder: &Path, trouble: bool) -> Result<bool, String> {
+    match case {
+        "held-turns" => held_turns(folder, trouble),
+        "budget" => budget(folder, trouble),
+        "helper" => helper(folder, trouble),
+        "begun" => begun(folder, trouble),
+        "resumed" => resumed(folder, trouble),
+        _ => Err(format!("there is no case {case}")),
+    }
+}
+
+/// Returns a configuration with some routes of one service.
+fn configuration(routes: &[(&str, &str, u32, &str)]) -> String {
+    let routes: Vec<_> = routes
+        .iter()
+        .map(|(prefix, kind, timeout_ms, more)| {
+            format!(
+                "{{\"name\":\"{prefix}\",\"host\":\"{HOST}\",\"pathPrefix\":\"{prefix}\",\"kind\":\"{kind}\",\"timeoutMs\":{timeout_ms},\"targetLatencyMs\":200,\"priority\":0,\"service\":\"app\",\"maxAttempts\":1{more}}}"
+            )
+        })
+        .collect();
+    format!(
+        "{{\"version\":1,\"routes\":[{}],\"services\":[{{\"name\":\"app\",\"maxConns\":400,\"engine\":{{\"tokensPerEvent\":10,\"kvCapacity\":500000}}}}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":5000,\"idleTimeoutMs\":30000}}}}",
+        routes.join(",")
+    )
+}
+
+/// Clients that send requests one after the other until they are stopped.
+struct Load {
+    stopped: Arc<AtomicBool>,
+    clients: Vec<JoinHandle<Vec<(String, Answer)>>>,
+}
+
+impl Load {
+    /// Starts clients, which send to these machines in turn.
+    fn start(
+        deployment: &Deployment,
+        name: &str,
+        path: &'static str,
+        headers: &str,
+        clients: usize,
+        machines: usize,
+    ) -> Self {
+        let stopped = Arc::<AtomicBool>::default();
+        let clients = (0..clients).map(|number| {
+            let client = deployment.client(number % machines);
+            let (stopped, name, headers) = (stopped.clone(), name.to_owned(), headers.to_owned());
+            thread::spawn(move || {
+                let mut answers = Vec::new();
+                for count in 0.. {
+                    if stopped.load(Ordering::SeqCst) {
+                        break;
+                    }
+                    let id = format!("{name}-{number}-{count}");
+                    let answer = client.request(&id, "POST", path, &headers, "{}");
+                    answers.push((id, answer));
+                    thread::sleep(Duration::from_millis(60));
+                }
+                answers
+            })
+        });
+        let clients = clients.collect();
+        Self { stopped, clients }
+    }
+
+    /// Stops the clients; returns what they got.
+    fn stop(self) -> Result<Vec<(String, Answer)>, String> {
+        self.stopped.store(true, Ordering::SeqCst);
+        let mut answers = Vec::new();
+        for client in self.clients {
+            answers.extend(client.join().map_err(|_| "a client failed")?);
+        }
+        Ok(answers)
+    }
+}
+
+/// Waits until an engine runs a request of some clients whose answer has no length, and `fits`.
+fn wait_unframed(deployment: &Deployment, name: &str, fits: impl Fn(&Run) -> bool) -> Option<Run> {
+    let until = Instant::now() + Duration::from_secs(12);
+    let known = deployment.runs.lock().unwrap().len();
+    while Instant::now() < until {
+        thread::sleep(Duration::from_millis(5));
+        let runs = deployment.runs.lock().unwrap();
+        let mut runs = runs.iter().skip(known);
+        if let Some(run) = runs.find(|run| run.unframed && run.id.starts_with(name) && fits(run)) {
+            return Some(run.clone());
+        }
+    }
+    None
+}
+
+/// A machine has lost its path to an engine, and the machine that carries its connections there is
+/// killed in the middle of an answer without a length.
+fn helper(folder: &Path, trouble: bool) -> Result<bool, String> {
+    let routes = [
+        ("/order/", "unsafe", 4_000, ""),
+        (
+            "/chat/",
+            "streaming",
+            4_000,
+            ",\"resumable\":true,\"sticky\":true",
+        ),
+    ];
+    let mut deployment = Deployment::start(folder, 4, 5, &configuration(&routes))?;
+    for engine in &deployment.engines[..3] {
+        *engine.manner.lock().unwrap() = Manner {
+            unframed_each: UNFRAMED_EACH,
+            bytes: BYTES,
+            pause: Duration::from_millis(400),
+            events: EVENTS,
+            ..Manner::default()
+        };
+    }
+    for engine in &deployment.engines[3..] {
+        let mut manner = engine.manner.lock().unwrap();
+        (manner.bytes, manner.events) = (BYTES, EVENTS);
+    }
+    if trouble {
+        deployment.paths[0][0].cut();
+        let text = "machine 1 has lost its path to i-1 (refused); all others have theirs";
+        deployment.record.note("network", text);
+    }
+    let mut broken = false;
+    for round in 1..=2 {
+        let (path, headers) = match round % 2 {
+            0 => (
+                "/chat/new",
+                "Deadline-Ms: 4000\r\nModel: m\r\nToken-Count: 100,80\r\n",
+            ),
+            _ => ("/order/new", "Deadline-Ms: 4000\r\n"),
+        };
+        let name = format!("r{round}");
+        let load = Load::start(&deployment, &name, path, headers, 8, 1);
+        let carried = |run: &Run| run.engine == "i-1" && (!trouble || run.machine > 1);
+        let run = wait_unframed(&deployment, &name, carried);
+        if run.is_none() {
+            deployment
+                .record
+                .note("check", "no answer without a length was seen");
+        }
+        let carrier = run.filter(|_| trouble).map(|run| run.machine - 1);
+        if let Some(machine) = carrier {
+            thread::sleep(Duration::from_millis(100));
+            deployment.kill(machine);
+        }
+        thread::sleep(Duration::from_millis(600));
+        for (id, answer) in load.stop()? {
+            broken |= is_cut_short(&deployment, path, &id, &answer);
+        }
+        if let Some(machine) = carrier {
+            deployment.start_gateway(machine)?;
+            deployment.wait_ready(&[machine])?;
+            deployment.settle();
+        }
+    }
+    Ok(broken)
+}
+
+/// Share of the answers of some engines that have no length, as one of so many: 0.025.
+const UNFRAMED_EACH: usize = 40;
+
+/// Bytes of a plain answer, and events of a stream.
+const BYTES: usize = 2_000;
+const EVENTS: u64 = 8;
+
+/// Returns whether a client got a success that looks whole and is not the whole answer of an engine.
+fn is_cut_short(deployment: &Deployment, path: &str, id: &str, answer: &Answer) -> bool {
+    if answer.status / 100 != 2 || !answer.looks_complete() {
+        return false;
+    }
+    let text = if path.starts_with("/chat/") {
+        let (got, whole) = (answer.events(), (1..=EVENTS).collect::<Vec<_>>());
+        if got == whole {
+            return false;
+        }
+        format!("{id}: ORDER: the stream ended as complete with events {got:?} of 1 to {EVENTS}")
+    } else {
+        let runs = deployment.runs.lock().unwrap();
+        let mut runs = runs.iter().filter(|run| run.id == id);
+        if runs.any(|run| run.whole == answer.body) {
+            return false;
+        }
+        format!(
+            "{id}: MIXED: a success with the engine's seal looks whole with {} of {BYTES} bytes",
+            answer.body.len()
+        )
+    };
+    deployment.record.note("check", &text);
+    true
+}
+
+/// A process is killed in the middle of a turn, the client takes the stream up at another machine, and
+/// goes on from the turn.
+fn resumed(folder: &Path, trouble: bool) -> Result<bool, String> {
+    let more = ",\"sticky\":true,\"resumable\":true,\"retain\":true,\"retentionS\":60";
+    let mut deployment = Deployment::start(
+        folder,
+        4,
+        3,
+        &configuration(&[("/chat/", "streaming", 4_000, more)]),
+    )?;
+    for engine in &deployment.engines {
+        let mut manner = engine.manner.lock().unwrap();
+        manner.events = EVENTS;
+        manner.gap = Duration::from_millis(100);
+    }
+    let headers = |more: &str| {
+        format!("Deadline-Ms: 4000\r\nProgram-Id: p1\r\nSession-Id: s1\r\nFinish-Ms: 60000\r\nModel: m\r\nToken-Count: 100,100\r\n{more}")
+    };
+    let mut previous = "turn-1";
+    let first = deployment.client(0);
+    let sent = first.send("turn-1", "POST", "/chat/new", &headers(""), "first input;");
+    if trouble {
+        thread::sleep(Duration::from_millis(350));
+        deployment.kill(0);
+    }
+    let answer = first.read("turn-1", sent);
+    if trouble {
+        let last = answer
+            .events()
+            .last()
+            .copied()
+            .ok_or("no event came before the kill")?;
+        let client = deployment.client(1);
+        let more = format!("Last-Event-Id: {last}\r\n");
+        let rest = client.request(
+            "turn-1b",
+            "POST",
+            "/chat/new",
+            &headers(&more),
+            "first input;",
+        );
+        let mut events = answer.events();
+        events.extend(rest.events());
+        let whole = events == (1..=EVENTS).collect::<Vec<_>>();
+        if !(rest.status == 200 && rest.looks_complete() && whole) {
+            return Err("the stream was not taken up".into());
+        }
+        deployment
+            .record
+            .note("check", "turn-1b: the turn is answered whole");
+        previous = "turn-1b";
+        deployment.start_gateway(0)?;
+        deployment.wait_ready(&[0])?;
+    } else if !answer.looks_complete() {
+        return Err("the first turn was not answered".into());
+    }
+    // The machines are in touch again.
+    thread::sleep(Duration::from_secs(6));
+    let (mut reached, mut controls) = (0, 0);
+    const TRIES: usize = 9;
+    for number in 0..TRIES {
+        let client = deployment.client(number % 4);
+        let more = format!("Previous-Turn: {previous}\r\n");
+        let next = format!("next-{number}");
+        client.request(&next, "POST", "/chat/new", &headers(&more), "next input;");
+        let control = format!("control-{number}");
+        client.request(&control, "POST", "/chat/new", &headers(""), "other input;");
+        let runs = deployment.runs.lock().unwrap();
+        let ran = |id: &str| usize::from(runs.iter().any(|run| run.id == id));
+        reached += ran(&next);
+        controls += ran(&control);
+        drop(runs);
+        thread::sleep(Duration::from_millis(500));
+    }
+    let text = format!("{reached} of {TRIES} turns that go on from {previous} reached an engine, and {controls} of {TRIES} first turns");
+    deployment.record.note("check", &text);
+    Ok(reached == 0 && controls * 10 >= TRIES * 9)
+}
+
+/// Turns of a program are kept and continued around an outage of the store, in the middle of which
+/// all processes are killed.
+fn held_turns(folder: &Path, trouble: bool) -> Result<bool, String> {
+    let routes = [(
+        "/chat/",
+        "streaming",
+        4_000,
+        ",\"sticky\":true,\"retain\":true,\"retentionS\":60",
+    )];
+    let mut deployment = Deployment::start(folder, 3, 2, &configuration(&routes))?;
+    let headers = |previous: &str| {
+        let previous = match previous {
+            "" => String::new(),
+            previous => format!("Previous-Turn: {previous}\r\n"),
+        };
+        format!("Deadline-Ms: 4000\r\nProgram-Id: p1\r\nSession-Id: s1\r\nFinish-Ms: 60000\r\nModel: m\r\nToken-Count: 100,100\r\n{previous}")
+    };
+    let client = deployment.client(0);
+    let mut previous = String::new();
+    let mut kept = Vec::new();
+    let mut turn = |client: &Client, id: &str, previous: &mut String| {
+        let answer = client.request(
+            id,
+            "POST",
+            "/chat/new",
+            &headers(previous),
+            &format!("input of {id};"),
+        );
+        if answer.status == 200 && answer.looks_complete() {
+            *previous = id.to_owned();
+            kept.push(id.to_owned());
+        }
+        answer
+    };
+    for number in 1..=2 {
+        turn(&client, &format!("turn-{number}"), &mut previous);
+    }
+    if previous != "turn-2" {
+        return Err("the first turns were not answered".into());
+    }
+    if trouble {
+        deployment.store.set_mode(crate::store::Mode::Busy);
+        deployment.record.note("store", "is down (503)");
+        thread::sleep(Duration::from_millis(1_500));
+    }
+    for number in 3..=5 {
+        turn(&client, &format!("turn-{number}"), &mut previous);
+        thread::sleep(Duration::from_millis(200));
+    }
+    let last = previous.clone();
+    deployment
+        .record
+        .note("check", &format!("answered whole: {}", kept.join(", ")));
+    if trouble {
+        for machine in 0..3 {
+            deployment.kill(machine);
+        }
+        for machine in 0..3 {
+            deployment.start_gateway(machine)?;
+        }
+        thread::sleep(Duration::from_millis(1_500));
+        deployment.store.set_mode(crate::store::Mode::Up);
+        deployment.record.note("store", "is back");
+        deployment.wait_ready(&[0, 1, 2])?;
+        thread::sleep(Duration::from_secs(6));
+    }
+    let mut broken = false;
+    for (number, machine) in [(1, 0), (2, 1), (3, 2)] {
+        let id = format!("next-{number}");
+        let client = deployment.client(machine);
+        let answer = client.request(&id, "POST", "/chat/new", &headers(&last), "next input;");
+        if [404, 410].contains(&answer.status) {
+            let text = format!(
+                "{id}: LOST: answered {}, though {last} was answered whole less than 60 s ago",
+                answer.status
+            );
+            deployment.record.note("check", &text);
+            broken = true;
+        }
+    }
+    Ok(broken)
+}
+
+/// A program spends its budget during an outage of the store, in which all processes are killed, and
+/// goes on afterwards.
+fn budget(folder: &Path, trouble: bool) -> Result<bool, String> {
+    const BUDGET: usize = 1_000;
+    const TURN: usize = 100;
+    let routes = [(
+        "/chat/",
+        "streaming",
+        4_000,
+        ",\"resumable\":true,\"sticky\":true",
+    )];
+    let mut deployment = Deployment::start(folder, 3, 2, &configuration(&routes))?;
+    for engine in &deployment.engines {
+        // Ten tokens an event.
+        engine.manner.lock().unwrap().events = 10;
+    }
+    let headers = format!("Deadline-Ms: 4000\r\nProgram-Id: p1\r\nSession-Id: s1\r\nFinish-Ms: 60000\r\nToken-Budget: {BUDGET}\r\nModel: m\r\nToken-Count: 100,{TURN}\r\n");
+    let mut tokens = 0;
+    let mut turn = |client: &Client, id: String| {
+        let answer = client.request(&id, "POST", "/chat/new", &headers, "{}");
+        tokens += answer.events().len() * 10;
+        (answer.status, tokens)
+    };
+    let client = deployment.client(0);
+    let mut total = turn(&client, "turn-1".to_owned()).1;
+    if total == 0 {
+        return Err("the first turn was not answered".into());
+    }
+    if trouble {
+        deployment.store.set_mode(crate::store::Mode::Busy);
+        deployment.record.note("store", "is down (503)");
+        thread::sleep(Duration::from_millis(1_500));
+    }
+    for number in 2..=12 {
+        total = turn(&client, format!("turn-{number}")).1;
+    }
+    deployment
+        .record
+        .note("check", &format!("{total} tokens of a budget of {BUDGET}"));
+    if trouble {
+        for machine in 0..3 {
+            deployment.kill(machine);
+        }
+        for machine in 0..3 {
+            deployment.start_gateway(machine)?;
+        }
+        thread::sleep(Duration::from_millis(500));
+        deployment.store.set_mode(crate::store::Mode::Up);
+        deployment.record.note("store", "is back");
+        deployment.wait_ready(&[0, 1, 2])?;
+        thread::sleep(Duration::from_secs(6));
+    }
+    for number in 1..=14 {
+        let client = deployment.client(number % 3);
+        total = turn(&client, format!("later-{number}")).1;
+    }
+    let broken = total > BUDGET + TURN;
+    let text = format!(
+        "{total} tokens were handed out; the budget is {BUDGET}, and {TURN} for one turn more"
+    );
+    deployment.record.note("check", &text);
+    Ok(broken)
+}
+
+/// An engine crashes when it has begun to run a stream that may run once, and before its first event;
+/// the answer has no length.
+fn begun(folder: &Path, trouble: bool) -> Result<bool, String> {
+    let routes = [("/chat/", "streaming", 4_000, ",\"sticky\":true")];
+    let deployment = Deployment::start(folder, 2, 7, &configuration(&routes))?;
+    for (number, engine) in deployment.engines.iter().enumerate() {
+        let mut manner = engine.manner.lock().unwrap();
+        manner.first = Duration::from_millis(150);
+        manner.unframed_each = if number < 4 { UNFRAMED_EACH } else { 0 };
+    }
+    let headers = "Deadline-Ms: 4000\r\nModel: m\r\nToken-Count: 100,80\r\n";
+    let load = Load::start(&deployment, "chat", "/chat/new", headers, 28, 2);
+    let run = wait_unframed(&deployment, "chat", |_| true);
+    let run = run.ok_or("no answer without a length was seen")?;
+    if trouble {
+        thread::sleep(Duration::from_millis(50));
+        let engines = deployment.engines.iter().enumerate();
+        for (number, engine) in engines.filter(|(_, engine)| engine.id == run.engine) {
+            for paths in &deployment.paths {
+                paths[number].refuse();
+            }
+            engine.crash();
+        }
+    }
+    thread::sleep(Duration::from_secs(2));
+    let mut broken = false;
+    for (id, _) in load.stop()? {
+        let runs = deployment.runs.lock().unwrap();
+        let engines = runs.iter().filter(|run| run.id == id);
+        let engines: Vec<_> = engines.map(|run| run.engine.clone()).collect();
+        drop(runs);
+        if engines.len() > 1 {
+            let text = format!("{id}: TWICE: it must run once at most, and ran at {engines:?}");
+            deployment.record.note("check", &text);
+            broken = true;
+        }
+    }
+    Ok(broken)
+}
