--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -19,7 +19,7 @@
 pub fn run(case: &str, folder: &Path, trouble: bool) -> Result<bool, String> {
     match case {
         "held-turns" => held_turns(folder, trouble),
-        "budget" => budget(folder, trouble),
+        "unseen" => unseen(folder, trouble),
         "helper" => helper(folder, trouble),
         "begun" => begun(folder, trouble),
         "resumed" => resumed(folder, trouble),
@@ -369,9 +369,9 @@
     Ok(broken)
 }
 
-/// A program spends its budget during an outage of the store, in which all processes are killed, and
-/// goes on afterwards.
-fn budget(folder: &Path, trouble: bool) -> Result<bool, String> {
+/// A program goes on in a zone that is cut off and reaches the store; then the store is down, and the
+/// program goes on outside of the zone.
+fn unseen(folder: &Path, trouble: bool) -> Result<bool, String> {
     const BUDGET: usize = 1_000;
     const TURN: usize = 100;
     let routes = [(
@@ -380,57 +380,66 @@
         4_000,
         ",\"resumable\":true,\"sticky\":true",
     )];
-    let mut deployment = Deployment::start(folder, 3, 2, &configuration(&routes))?;
+    let deployment = Deployment::start_linked(folder, 6, 3, &configuration(&routes))?;
     for engine in &deployment.engines {
         // Ten tokens an event.
-        engine.manner.lock().unwrap().events = 10;
+        let mut manner = engine.manner.lock().unwrap();
+        (manner.events, manner.gap) = (10, Duration::from_millis(5));
     }
-    let headers = format!("Deadline-Ms: 4000\r\nProgram-Id: p1\r\nSession-Id: s1\r\nFinish-Ms: 60000\r\nToken-Budget: {BUDGET}\r\nModel: m\r\nToken-Count: 100,{TURN}\r\n");
-    let mut tokens = 0;
-    let mut turn = |client: &Client, id: String| {
-        let answer = client.request(&id, "POST", "/chat/new", &headers, "{}");
-        tokens += answer.events().len() * 10;
-        (answer.status, tokens)
+    let programs: Vec<_> = (1..=8).map(|number| format!("p{number}")).collect();
+    let mut tokens = vec![0; programs.len()];
+    let mut turns = |round: &str, machine: usize, count: usize| {
+        let clients = programs.iter().map(|program| {
+            let client = deployment.client(machine);
+            let headers = format!("Deadline-Ms: 4000\r\nProgram-Id: {program}\r\nSession-Id: s1\r\nFinish-Ms: 60000\r\nToken-Budget: {BUDGET}\r\nModel: m\r\nToken-Count: 100,{TURN}\r\n");
+            let name = format!("{round}-{program}");
+            thread::spawn(move || {
+                let turn = |number| {
+                    let id = format!("{name}-{number}");
+                    client.request(&id, "POST", "/chat/new", &headers, "{}").events().len() * 10
+                };
+                (0..count).map(turn).sum::<usize>()
+            })
+        });
+        let clients: Vec<_> = clients.collect();
+        for (sum, client) in tokens.iter_mut().zip(clients) {
+            *sum += client.join().unwrap_or(0);
+        }
+        deployment
+            .record
+            .note("check", &format!("tokens after {round}: {tokens:?}"));
+        tokens.clone()
     };
-    let client = deployment.client(0);
-    let mut total = turn(&client, "turn-1".to_owned()).1;
-    if total == 0 {
-        return Err("the first turn was not answered".into());
-    }
-    if trouble {
-        deployment.store.set_mode(crate::store::Mode::Busy);
-        deployment.record.note("store", "is down (503)");
-        thread::sleep(Duration::from_millis(1_500));
-    }
-    for number in 2..=12 {
-        total = turn(&client, format!("turn-{number}")).1;
-    }
-    deployment
-        .record
-        .note("check", &format!("{total} tokens of a budget of {BUDGET}"));
-    if trouble {
-        for machine in 0..3 {
-            deployment.kill(machine);
+    // Machines 1 and 4 are in zone a, 3 and 6 in zone c.
+    turns("first", 0, 1);
+    thread::scope(|scope| {
+        if trouble {
+            deployment.cut_zone('c', true);
+            scope.spawn(|| {
+                thread::sleep(Duration::from_millis(5_400));
+                deployment.cut_zone('c', false);
+            });
+            thread::sleep(Duration::from_millis(1_600));
         }
-        for machine in 0..3 {
-            deployment.start_gateway(machine)?;
+        turns("inside", 2, 6);
+        if trouble {
+            deployment.store.set_mode(crate::store::Mode::Busy);
+            deployment.record.note("store", "is down (503)");
+            scope.spawn(|| {
+                thread::sleep(Duration::from_millis(4_500));
+                deployment.store.set_mode(crate::store::Mode::Up);
+                deployment.record.note("store", "is back");
+            });
+            thread::sleep(Duration::from_millis(1_200));
         }
-        thread::sleep(Duration::from_millis(500));
-        deployment.store.set_mode(crate::store::Mode::Up);
-        deployment.record.note("store", "is back");
-        deployment.wait_ready(&[0, 1, 2])?;
-        thread::sleep(Duration::from_secs(6));
-    }
-    for number in 1..=14 {
-        let client = deployment.client(number % 3);
-        total = turn(&client, format!("later-{number}")).1;
-    }
-    let broken = total > BUDGET + TURN;
-    let text = format!(
-        "{total} tokens were handed out; the budget is {BUDGET}, and {TURN} for one turn more"
-    );
+        turns("outside", 0, 8);
+    });
+    thread::sleep(Duration::from_secs(5));
+    let sums = turns("later", 1, 3);
+    let most = sums.iter().copied().max().unwrap_or(0);
+    let text = format!("at most {most} tokens were handed out to a program; its budget is {BUDGET}, and {TURN} for one turn more");
     deployment.record.note("check", &text);
-    Ok(broken)
+    Ok(most > BUDGET + TURN)
 }
 
 /// An engine crashes when it has begun to run a stream that may run once, and before its first event;
--- a/review/harness/deployment.rs
+++ b/review/harness/deployment.rs
@@ -17,9 +17,10 @@
 use crate::{
     client::Client,
     engine::{Engine, Runs},
+    link::Link,
     path::{Origins, Path},
     record::Record,
-    store::{address_mark, Store},
+    store::{address_mark, Store, View},
     wire::{signal, SIGKILL},
 };
 
@@ -38,6 +39,7 @@
     pub runs: Runs,
     /// Paths of each machine to each engine.
     pub paths: Vec<Vec<Path>>,
+    pub links: Vec<Link>,
     port: u16,
     folder: PathBuf,
     gateways: Vec<Option<Child>>,
@@ -78,6 +80,26 @@
         machines: usize,
         engines: usize,
         configuration: &str,
+    ) -> Result<Self, String> {
+        Self::start_with(folder, machines, engines, configuration, false)
+    }
+
+    /// Starts a deployment whose links between machines can be cut.
+    pub fn start_linked(
+        folder: &std::path::Path,
+        machines: usize,
+        engines: usize,
+        configuration: &str,
+    ) -> Result<Self, String> {
+        Self::start_with(folder, machines, engines, configuration, true)
+    }
+
+    fn start_with(
+        folder: &std::path::Path,
+        machines: usize,
+        engines: usize,
+        configuration: &str,
+        linked: bool,
     ) -> Result<Self, String> {
         let text = |error: std::io::Error| error.to_string();
         let record = Record::create(folder).map_err(text)?;
@@ -94,6 +116,7 @@
             engines: Vec::new(),
             runs,
             paths: Vec::new(),
+            links: Vec::new(),
             port,
             folder: temporary,
             gateways: Vec::new(),
@@ -118,9 +141,17 @@
                 let path = Path::start(address, engine.address, machine + 1, origins.clone());
                 paths.push(path.map_err(text)?);
             }
-            let addresses = paths.iter().map(|path| path.address).collect();
+            let view = View {
+                paths: paths.iter().map(|path| path.address).collect(),
+                links: linked.then_some((machine + 1, port + 3, machines)),
+            };
+            let others = (0..machines).filter(|other| linked && *other != machine);
+            for other in others {
+                let link = Link::start(machine + 1, other + 1, port + 3, machines);
+                deployment.links.push(link.map_err(text)?);
+            }
             let way = SocketAddr::from((ip(3, machine, 0), port));
-            deployment.store.serve(way, addresses).map_err(text)?;
+            deployment.store.serve(way, view).map_err(text)?;
             deployment.paths.push(paths);
             deployment.gateways.push(None);
         }
@@ -220,6 +251,25 @@
         thread::sleep(SPREAD);
     }
 
+    /// Partitions the machines of a zone from the others, or ends that.
+    pub fn cut_zone(&self, name: char, cut: bool) {
+        let inside = |machine: usize| zone(machine - 1) == name;
+        for link in &self.links {
+            if inside(link.from) != inside(link.to) {
+                link.set_cut(cut);
+            }
+        }
+        let what = if cut {
+            "partitioned from the others"
+        } else {
+            "reaches the others again"
+        };
+        self.record.note(
+            "network",
+            &format!("zone {name} is {what}").replace("is reaches", "reaches"),
+        );
+    }
+
     pub fn client(&self, machine: usize) -> Client {
         Client {
             front: self.address(machine, 0),
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -2,12 +2,14 @@
 //! stand-ins of the store, the engines, the paths between machines and engines, and the clients.
 //!
 //! Uses the standard library only. All addresses are loopback addresses: machine `i` has the address
-//! 127.1.0.i, its path to engine `j` 127.2.i.j, and its way to the store 127.3.0.i.
+//! 127.1.0.i, its path to engine `j` 127.2.i.j, its way to the store 127.3.0.i, and, where links can be
+//! cut, its link to machine `j` 127.5.i.j.
 
 mod cases;
 mod client;
 mod deployment;
 mod engine;
+mod link;
 mod path;
 mod record;
 mod store;
--- a/review/harness/store.rs
+++ b/review/harness/store.rs
@@ -12,7 +12,10 @@
     time::{Duration, Instant},
 };
 
-use crate::wire::{write_answer, Head, Reader};
+use crate::{
+    link,
+    wire::{write_answer, Head, Reader},
+};
 
 /// How the store answers.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -91,20 +94,20 @@
         (offset, end)
     }
 
-    /// Serves a machine; `paths` are its paths to the engines.
-    pub fn serve(&self, address: SocketAddr, paths: Vec<SocketAddr>) -> std::io::Result<()> {
+    /// Serves a machine.
+    pub fn serve(&self, address: SocketAddr, view: View) -> std::io::Result<()> {
         let listener = TcpListener::bind(address)?;
         let store = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (store, paths) = (store.clone(), paths.clone());
-                thread::spawn(move || store.connection(stream, &paths));
+                let (store, view) = (store.clone(), view.clone());
+                thread::spawn(move || store.connection(stream, &view));
             }
         });
         Ok(())
     }
 
-    fn connection(&self, stream: TcpStream, paths: &[SocketAddr]) {
+    fn connection(&self, stream: TcpStream, view: &View) {
         let _ = stream.set_nodelay(true);
         let Ok(writer) = stream.try_clone() else {
             return;
@@ -113,7 +116,7 @@
         while let Ok(head) = reader.head() {
             let (body, _) = reader.body(&head, false);
             thread::sleep(Duration::from_millis(2));
-            if self.answer(&writer, &head, &body, paths).is_err() {
+            if self.answer(&writer, &head, &body, view).is_err() {
                 return;
             }
         }
@@ -124,7 +127,7 @@
         writer: &TcpStream,
         head: &Head,
         body: &[u8],
-        paths: &[SocketAddr],
+        view: &View,
     ) -> std::io::Result<()> {
         let (call, query) = head.target().split_once('?').unwrap_or((head.target(), ""));
         let query: HashMap<_, _> = query
@@ -142,7 +145,7 @@
         if self.0 .0.lock().unwrap().mode == Mode::Busy {
             return write_answer(writer, "503 Service Unavailable", "", b"");
         }
-        let localise = |value: &[u8]| localise(value, paths);
+        let localise = |value: &[u8]| view.localise(value);
         match call {
             "/v1/log-append" => {
                 if ["keyed.op", "keyed.servers"].contains(&topic) {
@@ -229,19 +232,33 @@
     writer.flush()
 }
 
-/// Puts the addresses of a machine's paths into a record.
-fn localise(value: &[u8], paths: &[SocketAddr]) -> Vec<u8> {
-    let Ok(text) = std::str::from_utf8(value) else {
-        return value.to_vec();
-    };
-    if !text.contains("@path-") {
-        return value.to_vec();
-    }
-    let mut text = text.to_owned();
-    for (engine, address) in paths.iter().enumerate() {
-        text = text.replace(&address_mark(engine), &address.to_string());
+/// What a machine reads instead of the addresses of engines and of other machines.
+#[derive(Clone, Default)]
+pub struct View {
+    /// Paths of the machine to the engines.
+    pub paths: Vec<SocketAddr>,
+    /// Machine, port of the links and number of machines, if the machine uses links that can be cut.
+    pub links: Option<(usize, u16, usize)>,
+}
+
+impl View {
+    /// Puts the addresses that the machine uses into a record.
+    fn localise(&self, value: &[u8]) -> Vec<u8> {
+        let value = match self.links {
+            Some((machine, port, machines)) => link::localise(value, machine, port, machines),
+            None => value.to_vec(),
+        };
+        match std::str::from_utf8(&value) {
+            Ok(text) if text.contains("@path-") => {
+                let mut text = text.to_owned();
+                for (engine, address) in self.paths.iter().enumerate() {
+                    text = text.replace(&address_mark(engine), &address.to_string());
+                }
+                text.into_bytes()
+            }
+            _ => value,
+        }
     }
-    text.into_bytes()
 }
 
 fn base64(bytes: &[u8]) -> String {
