--- a/review/harness/deployment.rs
+++ b/review/harness/deployment.rs
@@ -60,12 +60,18 @@
     }
 }
 
-/// Returns the first of some ports that no socket has on any loopback address that is used.
+/// Returns the first of some ports that no socket has on the loopback addresses that are used.
 fn free_ports() -> Result<u16, String> {
     let first = std::process::id() % 500 * 20;
     for number in 0..500 {
         let port = 10_000 + ((first + number * 20) % 20_000) as u16;
-        let free = (0..16).all(|offset| TcpListener::bind(("0.0.0.0", port + offset)).is_ok());
+        let hosts = [ip(1, 0, 0), ip(2, 0, 0), ip(3, 0, 0), ip(4, 0, 0)];
+        let free = (0..16).all(|offset| {
+            let mut addresses = hosts
+                .iter()
+                .map(|host| SocketAddr::from((*host, port + offset)));
+            addresses.all(|address| TcpListener::bind(address).is_ok())
+        });
         if free {
             return Ok(port);
         }
