--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -92,21 +92,38 @@
     }
 }
 
-/// Waits until an engine runs a request of some clients whose answer has no length, and `fits`.
-fn wait_unframed(deployment: &Deployment, name: &str, fits: impl Fn(&Run) -> bool) -> Option<Run> {
-    let until = Instant::now() + Duration::from_secs(12);
+/// Waits until an engine runs a request whose answer has no length, and that `fits`.
+fn wait_unframed(
+    deployment: &Deployment,
+    until: Instant,
+    fits: impl Fn(&Run) -> bool,
+) -> Option<Run> {
     let known = deployment.runs.lock().unwrap().len();
     while Instant::now() < until {
         thread::sleep(Duration::from_millis(5));
         let runs = deployment.runs.lock().unwrap();
         let mut runs = runs.iter().skip(known);
-        if let Some(run) = runs.find(|run| run.unframed && run.id.starts_with(name) && fits(run)) {
+        if let Some(run) = runs.find(|run| run.unframed && fits(run)) {
             return Some(run.clone());
         }
     }
     None
 }
 
+/// Time for which answers have no length and a path is cut; the pages name 5 s for both.
+const WINDOW: Duration = Duration::from_millis(4_800);
+
+/// Has the first engines give some of their answers without a length, or none again.
+fn set_unframed(deployment: &Deployment, engines: usize, unframed: bool) {
+    for engine in &deployment.engines[..engines] {
+        engine.manner.lock().unwrap().unframed_each = if unframed { UNFRAMED_EACH } else { 0 };
+    }
+    let what = if unframed { "begin" } else { "end" };
+    deployment
+        .record
+        .note("engines", &format!("answers without a length {what}"));
+}
+
 /// A machine has lost its path to an engine, and the machine that carries its connections there is
 /// killed in the middle of an answer without a length.
 fn helper(folder: &Path, trouble: bool) -> Result<bool, String> {
@@ -120,37 +137,35 @@
         ),
     ];
     let mut deployment = Deployment::start(folder, 4, 5, &configuration(&routes))?;
-    for engine in &deployment.engines[..3] {
+    for engine in &deployment.engines {
         *engine.manner.lock().unwrap() = Manner {
-            unframed_each: UNFRAMED_EACH,
             bytes: BYTES,
             pause: Duration::from_millis(400),
             events: EVENTS,
             ..Manner::default()
         };
     }
-    for engine in &deployment.engines[3..] {
-        let mut manner = engine.manner.lock().unwrap();
-        (manner.bytes, manner.events) = (BYTES, EVENTS);
-    }
-    if trouble {
-        deployment.paths[0][0].cut();
-        let text = "machine 1 has lost its path to i-1 (refused); all others have theirs";
-        deployment.record.note("network", text);
-    }
     let mut broken = false;
-    for round in 1..=2 {
-        let (path, headers) = match round % 2 {
-            0 => (
-                "/chat/new",
-                "Deadline-Ms: 4000\r\nModel: m\r\nToken-Count: 100,80\r\n",
-            ),
-            _ => ("/order/new", "Deadline-Ms: 4000\r\n"),
-        };
-        let name = format!("r{round}");
-        let load = Load::start(&deployment, &name, path, headers, 8, 1);
+    let order = ("order", "/order/new", "Deadline-Ms: 4000\r\n", 8);
+    let chat = (
+        "chat",
+        "/chat/new",
+        "Deadline-Ms: 4000\r\nModel: m\r\nToken-Count: 100,80\r\n",
+        24,
+    );
+    for (name, path, headers, clients) in [order, chat] {
+        let load = Load::start(&deployment, name, path, headers, clients, 1);
+        thread::sleep(Duration::from_secs(1));
+        let until = Instant::now() + WINDOW;
+        set_unframed(&deployment, 3, true);
+        if trouble {
+            deployment.paths[0][0].cut();
+            let text = "machine 1 has lost its path to i-1 (refused); all others have theirs";
+            deployment.record.note("network", text);
+        }
         let carried = |run: &Run| run.engine == "i-1" && (!trouble || run.machine > 1);
-        let run = wait_unframed(&deployment, &name, carried);
+        // The answer has to end within the window too.
+        let run = wait_unframed(&deployment, until - Duration::from_millis(600), carried);
         if run.is_none() {
             deployment
                 .record
@@ -161,15 +176,23 @@
             thread::sleep(Duration::from_millis(100));
             deployment.kill(machine);
         }
-        thread::sleep(Duration::from_millis(600));
+        thread::sleep(Duration::from_millis(400));
+        set_unframed(&deployment, 3, false);
+        if trouble {
+            deployment.paths[0][0].heal()?;
+            deployment
+                .record
+                .note("network", "machine 1 has its path to i-1 again");
+        }
+        thread::sleep(Duration::from_millis(500));
         for (id, answer) in load.stop()? {
             broken |= is_cut_short(&deployment, path, &id, &answer);
         }
         if let Some(machine) = carrier {
             deployment.start_gateway(machine)?;
             deployment.wait_ready(&[machine])?;
-            deployment.settle();
         }
+        deployment.settle();
     }
     Ok(broken)
 }
@@ -421,14 +444,15 @@
 fn begun(folder: &Path, trouble: bool) -> Result<bool, String> {
     let routes = [("/chat/", "streaming", 4_000, ",\"sticky\":true")];
     let deployment = Deployment::start(folder, 2, 7, &configuration(&routes))?;
-    for (number, engine) in deployment.engines.iter().enumerate() {
-        let mut manner = engine.manner.lock().unwrap();
-        manner.first = Duration::from_millis(150);
-        manner.unframed_each = if number < 4 { UNFRAMED_EACH } else { 0 };
+    for engine in &deployment.engines {
+        engine.manner.lock().unwrap().first = Duration::from_millis(150);
     }
     let headers = "Deadline-Ms: 4000\r\nModel: m\r\nToken-Count: 100,80\r\n";
     let load = Load::start(&deployment, "chat", "/chat/new", headers, 28, 2);
-    let run = wait_unframed(&deployment, "chat", |_| true);
+    thread::sleep(Duration::from_secs(2));
+    let until = Instant::now() + WINDOW;
+    set_unframed(&deployment, 4, true);
+    let run = wait_unframed(&deployment, until - Duration::from_millis(400), |_| true);
     let run = run.ok_or("no answer without a length was seen")?;
     if trouble {
         thread::sleep(Duration::from_millis(50));
@@ -440,6 +464,8 @@
             engine.crash();
         }
     }
+    thread::sleep(Duration::from_millis(300));
+    set_unframed(&deployment, 4, false);
     thread::sleep(Duration::from_secs(2));
     let mut broken = false;
     for (id, _) in load.stop()? {
--- a/review/harness/path.rs
+++ b/review/harness/path.rs
@@ -19,6 +19,9 @@
 
 pub struct Path {
     pub address: SocketAddr,
+    engine: SocketAddr,
+    machine: usize,
+    origins: Origins,
     cut: Arc<AtomicBool>,
     open: Arc<Mutex<Vec<TcpStream>>>,
 }
@@ -32,16 +35,21 @@
     ) -> std::io::Result<Self> {
         let path = Self {
             address,
+            engine,
+            machine,
+            origins,
             cut: Arc::default(),
             open: Arc::default(),
         };
-        let listener = TcpListener::bind(address)?;
-        path.listen(listener, engine, machine, origins);
+        path.listen()?;
         Ok(path)
     }
 
-    fn listen(&self, listener: TcpListener, engine: SocketAddr, machine: usize, origins: Origins) {
+    /// Accepts connections until they are refused.
+    fn listen(&self) -> std::io::Result<()> {
+        let listener = TcpListener::bind(self.address)?;
         let (cut, open) = (self.cut.clone(), self.open.clone());
+        let (engine, machine, origins) = (self.engine, self.machine, self.origins.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 if cut.load(Ordering::SeqCst) {
@@ -67,6 +75,7 @@
                 }
             }
         });
+        Ok(())
     }
 
     /// Refuses new connections.
@@ -86,6 +95,12 @@
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
+
+    /// Ends a cut.
+    pub fn heal(&self) -> Result<(), String> {
+        self.cut.store(false, Ordering::SeqCst);
+        self.listen().map_err(|error| error.to_string())
+    }
 }
 
 /// Passes bytes on; an end is passed on as an end, and a reset as a reset.
