Ask all instances for a turn before it is unknown

Cause: the absence of a turn in the log was taken for its absence, unless a whole zone was unreachable or the owner had noticed an outage. Instances that can't reach the store keep turns for each other, and may be cut off or end before they append them.

Change: a turn that the log lacks has copies at three instances. Before 404 all instances are asked for copies, and at most two may be missing; processes that ended without leaving count as missing for the retention. One that answers has to have watched the others for as long, or since the first start, which the platform names. A copy that is found is served. Instances that come back at another address before anybody reached them are followed there.

--- a/src/gateway/history/client.rs
+++ b/src/gateway/history/client.rs
@@ -25,14 +25,21 @@
         StreamExt as _, //
     },
 };
-use tokio::time::{
-    sleep,
-    timeout,
-    timeout_at, //
+use tokio::{
+    sync::Semaphore,
+    time::{
+        sleep,
+        timeout,
+        timeout_at, //
+    },
 };
 
 use super::{
     cache::Cache,
+    census::{
+        Census,
+        COPIES, //
+    },
     output::{
         Broken,
         Output, //
@@ -46,6 +53,7 @@
         Turn, //
     },
     wire::{
+        Attestation,
         Request,
         Response,
         Safety, //
@@ -70,6 +78,7 @@
         Failure,
         Log, //
     },
+    member::snapshot::Status,
     name::{
         Instance,
         Zone, //
@@ -100,8 +109,8 @@
 /// Maximum times that instances are asked to hold copies of a turn; its caller waits some seconds.
 const MAX_HOLD_ROUNDS: usize = 10;
 
-/// Instances that have to hold copies of a turn while the store does not answer.
-const HOLDERS: usize = 2;
+/// Other instances that have to hold copies of a turn while the store does not answer.
+const HOLDERS: usize = COPIES - 1;
 
 /// Maximum instances that are asked to hold a copy.
 const MAX_HOLDER_REQUESTS: usize = 6;
@@ -112,6 +121,20 @@
 /// Timeout of the queries of all partitions.
 const ALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Timeout for another instance to tell whether it holds a turn: many round trips between zones, and
+/// a new link.
+const ATTEST_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Maximum turns at the same time for which all instances are asked, so that unknown turns do not
+/// occupy the links.
+const MAX_CENSUSES: usize = 2;
+
+/// Time for which no instance is asked again after answers that allowed no conclusion.
+const CENSUS_PAUSE: Duration = Duration::from_secs(1);
+
+/// Margin for steps of the clock by which losses of instances are recorded.
+const CLOCK_MARGIN: Duration = Duration::from_secs(10);
+
 /// Time for which an owner that did not answer gets no turns to keep.
 const AVOID_TIME: Duration = Duration::from_secs(1);
 
@@ -137,6 +160,16 @@
     Unavailable,
 }
 
+/// What all instances together know of a turn that the log lacks.
+enum Copies {
+    /// There is none.
+    None,
+    /// An instance that did not answer, or was lost, may hold or may have held one.
+    Uncertain,
+    /// Turns of a partition that an instance holds, the wanted one last.
+    Held(usize, Vec<Rc<Turn>>),
+}
+
 /// A turn that is being answered.
 #[derive(Clone, Debug)]
 pub struct Open {
@@ -158,6 +191,13 @@
     started: Cell<bool>,
     /// Whether the owners of the partitions are known.
     ready: Cell<bool>,
+    /// Time since which losses of other instances are noticed here.
+    observed_since: Time,
+    /// Whether no instance kept turns before `observed_since`.
+    first_start: bool,
+    censuses: Semaphore,
+    /// Time until which the answers of all instances would allow no conclusion either.
+    inconclusive_until: Cell<Time>,
 }
 
 impl<L: Log + 'static> Histories<L> {
@@ -166,6 +206,7 @@
         path: Path<L>,
         partitions: u32,
         settings: settings::History,
+        first_start: bool,
         accounts: Rc<owner::Client<L>>,
         metrics: Metrics,
     ) -> Self {
@@ -182,6 +223,10 @@
             metrics,
             started: Cell::new(false),
             ready: Cell::new(false),
+            observed_since: Time::monotonic(),
+            first_start,
+            censuses: Semaphore::new(MAX_CENSUSES),
+            inconclusive_until: Cell::default(),
         }
     }
 
@@ -354,6 +399,111 @@
                     None => Response::Unavailable,
                 }
             }
+            Request::Attest { key, ttl_ms } => {
+                Response::Attested(self.attest(&key, Duration::from_millis(ttl_ms)))
+            }
+        }
+    }
+
+    /// Tells what this instance knows of a turn that the log lacks.
+    fn attest(&self, key: &Key, retention: Duration) -> Attestation {
+        let held = self.partitions.find_waiting(key);
+        let (partition, held) = held.unwrap_or_default();
+        let observed = match self.first_start {
+            true => Duration::MAX,
+            false => Time::monotonic().since(self.observed_since),
+        };
+        let lost = self.peers.borrow().as_ref().map(|peers| {
+            peers.roster.read(|view| {
+                let since = Time::now() - (retention + CLOCK_MARGIN);
+                view.lost_since(since).take(COPIES).cloned().collect()
+            })
+        });
+        Attestation {
+            held: held.iter().map(|turn| Turn::clone(turn)).collect(),
+            partition: partition as u32,
+            observed_ms: observed.as_millis().try_into().unwrap_or(u64::MAX),
+            lost: lost.unwrap_or_default(),
+        }
+    }
+
+    /// Asks all instances for a turn that the log lacks.
+    async fn find_copies(&self, key: &Key, retention: Duration) -> Copies {
+        let paused = Time::monotonic() < self.inconclusive_until.get();
+        let permit = self.censuses.try_acquire();
+        let Some(_permit) = permit.ok().filter(|_| !paused) else {
+            return Copies::Uncertain;
+        };
+        let mut census = Census::default();
+        let peers = self.peers.borrow().clone();
+        let names: Vec<_> = peers.iter().flat_map(others).collect();
+        let request = Request::Attest {
+            key: key.clone(),
+            ttl_ms: retention.as_millis() as u64,
+        };
+        let requests = names.into_iter().map(|name| {
+            let request = request.clone();
+            async move {
+                let response = self.request(&name, request, ATTEST_TIMEOUT).await;
+                (Some(name), response)
+            }
+        });
+        let mut answers: FuturesUnordered<_> = requests.collect();
+        let mut next = Some((None, Some(Response::Attested(self.attest(key, retention)))));
+        while let Some((name, answer)) = next {
+            match (answer, name) {
+                (Some(Response::Attested(attestation)), _) if attestation.held.is_empty() => {
+                    let observed = Duration::from_millis(attestation.observed_ms);
+                    census.count_answer(observed, attestation.lost);
+                }
+                (Some(Response::Attested(attestation)), _) => {
+                    let turns = attestation.held.into_iter().map(Rc::new).collect();
+                    return match self.index(attestation.partition) {
+                        Some(index) => Copies::Held(index, turns),
+                        None => Copies::Uncertain,
+                    };
+                }
+                (_, name) => name.into_iter().for_each(|name| census.count_silent(name)),
+            }
+            next = answers.next().await;
+        }
+        if census.is_conclusive(retention) {
+            return Copies::None;
+        }
+        let until = Time::monotonic() + CENSUS_PAUSE;
+        self.inconclusive_until.set(until);
+        log::debug!(
+            census:? = census;
+            "history: instances that may have held the turn can't be asked; it is not unknown"
+        );
+        Copies::Uncertain
+    }
+
+    /// Returns the turns before held ones, followed by these.
+    async fn find_before(
+        &self,
+        (index, held): (usize, Vec<Rc<Turn>>),
+        home: usize,
+        limit: usize,
+        retention: Duration,
+    ) -> Result<(usize, Vec<Rc<Turn>>), Refused> {
+        if held.iter().any(|turn| turn.output.is_none()) {
+            return Err(Refused::Unavailable);
+        }
+        let length = held.iter().map(|turn| turn.length()).sum::<usize>();
+        let limit = limit.checked_sub(length).ok_or(Refused::TooLong)?;
+        let Some(parent) = held.first().and_then(|turn| turn.parent()) else {
+            return Ok((index, held));
+        };
+        let found = Box::pin(self.find(&parent, home, limit, retention)).await;
+        match found {
+            Ok((_, mut chain)) => {
+                chain.extend(held);
+                Ok((index, chain))
+            }
+            // It was found when the turns that continue it were answered.
+            Err(Refused::Unknown) => Err(Refused::Unavailable),
+            Err(refused) => Err(refused),
         }
     }
 
@@ -384,16 +534,22 @@
                 Some(Search::Found(turns)) => Response::chain(*index, &turns),
                 Some(Search::TooLong) => Response::TooLong,
                 Some(Search::Unknown) if self.certain() => Response::Unknown,
-                _ => Response::Unavailable,
+                found => {
+                    log::debug!(
+                        partition = index, found:?, log_settled = self.path.settled(),
+                        accounts_settled = self.accounts.settled();
+                        "history: owner can't tell whether there is a turn"
+                    );
+                    Response::Unavailable
+                }
             }
         });
         merge(join_all(searches).await)
     }
 
-    /// Returns whether no instance can hold turns that are not in the log.
+    /// Returns whether no outage of the store is known after which turns may be missing in the log.
     ///
-    /// Instances that can't reach the store hold turns for each other; here the store may be
-    /// reachable while their zone is not.
+    /// Outages of other instances only are not known here; see [`Self::find_copies`].
     fn certain(&self) -> bool {
         let peers = self.peers.borrow();
         let reachable = peers.as_ref().is_none_or(|peers| {
@@ -426,7 +582,9 @@
         let (partition, prompt) = match previous {
             Some(previous) => {
                 let start = Instant::now();
-                let found = self.find(&key(previous), home(previous), limit).await;
+                let previous_key = key(previous);
+                let found = self.find(&previous_key, home(previous), limit, retention);
+                let found = found.await;
                 self.metrics.record_history_find(start.elapsed());
                 let (partition, chain) = found?;
                 let turns = chain.iter().map(|turn| &**turn);
@@ -455,13 +613,14 @@
         key: &Key,
         home: usize,
         limit: usize,
+        retention: Duration,
     ) -> Result<(usize, Vec<Rc<Turn>>), Refused> {
         let now = Time::monotonic();
         let cached = self.cache.borrow_mut().chain(now, key, limit);
         let (source, found) = match cached {
             Some((partition, Search::Found(chain))) => ("local", Ok((partition, chain))),
             Some((_, Search::TooLong)) => ("local", Err(Refused::TooLong)),
-            _ => self.find_at_owners(key, home, limit).await,
+            _ => self.find_at_owners(key, home, limit, retention).await,
         };
         let source = match &found {
             Ok(_) | Err(Refused::TooLong | Refused::Invalid) => source,
@@ -477,6 +636,7 @@
         key: &Key,
         home: usize,
         limit: usize,
+        retention: Duration,
     ) -> (&'static str, Result<(usize, Vec<Rc<Turn>>), Refused>) {
         if !self.ready.get() {
             return ("unavailable", Err(Refused::Unavailable));
@@ -487,7 +647,7 @@
         let phases = [
             ("owner", vec![home], false, FIRST_TIMEOUT),
             ("others", others, false, FIRST_TIMEOUT),
-            ("others", all.collect(), true, ALL_TIMEOUT),
+            ("others", all.clone().collect(), true, ALL_TIMEOUT),
         ];
         let mut response = Response::Unavailable;
         for (source, indices, read, time) in phases {
@@ -496,11 +656,26 @@
                 return (source, self.accept(response));
             }
         }
-        let refused = match response {
-            Response::Unknown => Refused::Unknown,
-            _ => Refused::Unavailable,
-        };
-        ("others", Err(refused))
+        if response != Response::Unknown {
+            return ("others", Err(Refused::Unavailable));
+        }
+        match self.find_copies(key, retention).await {
+            Copies::None => {}
+            Copies::Uncertain => return ("others", Err(Refused::Unavailable)),
+            Copies::Held(index, held) => {
+                let found = self.find_before((index, held), home, limit, retention);
+                return ("copies", found.await);
+            }
+        }
+        // A copy may have been appended, and dropped, after the first read.
+        let all = all.collect();
+        match self.ask_owners(all, key, limit, true, ALL_TIMEOUT).await {
+            Response::Unknown => ("others", Err(Refused::Unknown)),
+            response @ (Response::Chain { .. } | Response::TooLong) => {
+                ("others", self.accept(response))
+            }
+            _ => ("others", Err(Refused::Unavailable)),
+        }
     }
 
     /// Asks the owners of partitions for a turn, all at once; returns the first answer with turns.
@@ -818,6 +993,13 @@
     }
 }
 
+/// Returns the other instances that run or may run, as far as is known.
+fn others(peers: &Peers) -> Vec<Instance> {
+    let snapshot = peers.roster.snapshot();
+    let running = snapshot.peers().filter(|peer| peer.status != Status::Gone);
+    running.map(|peer| peer.entry.instance.clone()).collect()
+}
+
 /// Returns instances to hold copies, of those that are `usable` in the order in which they take over,
 /// alternating between the other zones. Those of the local zone hold copies only if it is the only one
 /// known: if it is cut off from the `several` others, they do not learn of the turns until it is back.
--- a/src/gateway/history/mod.rs
+++ b/src/gateway/history/mod.rs
@@ -4,10 +4,11 @@
 //! owner, which appends the turns of all instances and answers queries from memory.
 //! `docs/design/history.md` gives the reasons.
 //!
-//! [`turn`], [`tree`], [`output`] and [`cache`] do no I/O; [`partition`] calls the log and
+//! [`turn`], [`tree`], [`output`], [`cache`] and [`census`] do no I/O; [`partition`] calls the log and
 //! [`client`] other instances.
 
 pub mod cache;
+pub mod census;
 pub mod client;
 pub mod output;
 pub mod partition;
--- a/src/gateway/history/partition.rs
+++ b/src/gateway/history/partition.rs
@@ -252,6 +252,32 @@
         partition.wake.notify_one();
     }
 
+    /// Returns a turn that waits to be appended, after those before it that wait too, oldest first,
+    /// with its partition.
+    pub fn find_waiting(&self, key: &Key) -> Option<(usize, Vec<Rc<Turn>>)> {
+        let waiting = |index: usize, key: &Key| {
+            let queue = self.partitions[index].queue.borrow();
+            let mut turns = queue.iter().map(|waiting| &waiting.turn);
+            turns.find(|turn| turn.key == *key).cloned()
+        };
+        let mut found = (0..self.partitions.len()).filter_map(|index| {
+            let last = waiting(index, key)?;
+            Some((index, last))
+        });
+        let (index, last) = found.next()?;
+        let mut chain = vec![last];
+        // A caller that uses an identifier twice may close a cycle.
+        let most = self.partitions[index].queue.borrow().len();
+        while let Some(turn) = chain.last().and_then(|turn| turn.parent()) {
+            match waiting(index, &turn) {
+                Some(turn) if chain.len() < most => chain.push(turn),
+                _ => break,
+            }
+        }
+        chain.reverse();
+        Some((index, chain))
+    }
+
     /// Makes a turn that is not in the log yet known to queries of a partition that this instance owns.
     pub fn announce(&self, index: usize, turn: Rc<Turn>) {
         let partition = &self.partitions[index];
--- a/src/gateway/history/wire.rs
+++ b/src/gateway/history/wire.rs
@@ -11,6 +11,7 @@
     Key,
     Turn, //
 };
+use crate::name::Instance;
 
 /// Request of another instance.
 #[derive(Clone, Debug, PartialEq)]
@@ -54,6 +55,16 @@
         #[serde(rename = "r", default)]
         read: bool,
     },
+    /// Tell whether the recipient holds a turn that is not in the log; `Attested` replies.
+    #[serde(rename = "a")]
+    Attest {
+        /// The turn.
+        #[serde(rename = "k")]
+        key: Key,
+        /// Time for which turns can be continued, in milliseconds.
+        #[serde(rename = "l")]
+        ttl_ms: u64,
+    },
 }
 
 /// How a turn is safe.
@@ -68,6 +79,25 @@
     Held,
 }
 
+/// What an instance knows of a turn that the log lacks.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Attestation {
+    /// The turn if it is held, after those before it that are held too, oldest first.
+    #[serde(rename = "t")]
+    pub held: Vec<Turn>,
+    /// Partition of the turns that are held.
+    #[serde(rename = "p")]
+    pub partition: u32,
+    /// Time for which the sender has observed the other instances, in milliseconds.
+    #[serde(rename = "o")]
+    pub observed_ms: u64,
+    /// Some of the instances that were lost while the turn can be continued; enough of them for a
+    /// conclusion.
+    #[serde(rename = "x")]
+    pub lost: Vec<Instance>,
+}
+
 /// Reply to another instance.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -85,6 +115,9 @@
         #[serde(rename = "t")]
         turns: Vec<Turn>,
     },
+    /// What the sender knows of a turn that the log lacks.
+    #[serde(rename = "a")]
+    Attested(Attestation),
     /// The turns are longer than the limit.
     #[serde(rename = "l")]
     TooLong,
--- a/src/gateway/lifecycle.rs
+++ b/src/gateway/lifecycle.rs
@@ -127,6 +127,7 @@
         path::Path::to_topic(turns, path::Topic::Turns),
         settings.store.partitions,
         settings.history,
+        settings.first_start,
         accounts.clone(),
         metrics.clone(),
     ));
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -56,6 +56,10 @@
     /// Memory for kept turns.
     #[serde(default)]
     pub history: History,
+    /// Whether the deployment starts for the first time. Otherwise an instance that starts does not
+    /// know what the instances before it held.
+    #[serde(default)]
+    pub first_start: bool,
     /// Share of a core that this instance may use, in cores; larger instances do more of the work
     /// that instances do for each other. 0 if unknown.
     #[serde(default)]
--- a/src/member/entry.rs
+++ b/src/member/entry.rs
@@ -58,12 +58,16 @@
     #[serde(rename = "a")]
     pub address: Arc<str>,
     /// Processor capacity in thousandths of a core; 0 if unknown.
-    #[serde(rename = "c", default, skip_serializing_if = "is_zero")]
+    #[serde(rename = "c", default, skip_serializing_if = "is_default")]
     pub capacity: u32,
+    /// Start of the process in Unix milliseconds; 0 if unknown. Unlike the incarnation, it only
+    /// changes with a restart.
+    #[serde(rename = "b", default, skip_serializing_if = "is_default")]
+    pub started: u64,
 }
 
-fn is_zero(capacity: &u32) -> bool {
-    *capacity == 0
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
 }
 
 impl Entry {
--- a/src/member/roster.rs
+++ b/src/member/roster.rs
@@ -61,6 +61,7 @@
             zone,
             address: address.into(),
             capacity: 0,
+            started: Time::now().0 / 1_000,
         }))
     }
 
--- a/src/member/view.rs
+++ b/src/member/view.rs
@@ -57,6 +57,9 @@
 /// Time for which the departure of an upstream is retained after its last report.
 const DEPARTURE_RETENTION: Duration = Duration::from_secs(3_600);
 
+/// Time for which the loss of a process is retained.
+const LOSS_RETENTION: Duration = Duration::from_secs(3_600);
+
 /// Maximum clock skew at which the time of an upstream's report is used.
 const MAX_CLOCK_SKEW: Duration = Duration::from_secs(300);
 
@@ -140,6 +143,9 @@
     highest_applied: Vec<u64>,
     pub(super) members: BTreeMap<Instance, Member>,
     departures: BTreeMap<(Pool, Upstream), Departure>,
+    /// Processes that ended without leaving or can't be reached any more, by instance and start,
+    /// with the times at which this instance learned of it.
+    losses: BTreeMap<(Instance, u64), Time>,
     pending: Vec<Change>,
     /// Pairs of an instance to notify and one that it regards as live although it is suspected or
     /// gone here.
@@ -190,6 +196,7 @@
             highest_applied: Vec::new(),
             members: BTreeMap::new(),
             departures: BTreeMap::new(),
+            losses: BTreeMap::new(),
             pending: Vec::new(),
             corrections: Vec::new(),
             revision: 0,
@@ -245,6 +252,14 @@
         self.departures.get(&(pool.clone(), upstream.clone()))
     }
 
+    /// Returns the instances of which a process was lost with all that it had in memory, or may have
+    /// been, since a time.
+    pub fn lost_since(&self, since: Time) -> impl Iterator<Item = &Instance> {
+        let losses = self.losses.iter();
+        let recent = losses.filter(move |(_, at)| **at >= since);
+        recent.map(|((instance, _), _)| instance)
+    }
+
     /// Sets the load and the applied offsets of this instance.
     pub fn report(&mut self, load: u32, applied: Vec<u64>) {
         self.load = load;
@@ -291,6 +306,15 @@
     }
 
     fn apply_listed(&mut self, now: Time, listed: &Listed) {
+        let known = self.members.get(&listed.instance);
+        // An instance that was never reached may have come back at another address.
+        let moved = known.is_some_and(|member| {
+            let entry = &member.entry;
+            entry.incarnation == 0 && *entry.address != *listed.address
+        });
+        if moved {
+            self.members.remove(&listed.instance);
+        }
         if !self.members.contains_key(&listed.instance) {
             let entry = Entry {
                 instance: listed.instance.clone(),
@@ -299,6 +323,7 @@
                 zone: listed.zone.clone(),
                 address: listed.address.as_str().into(),
                 capacity: 0,
+                started: 0,
             };
             self.insert(now, entry);
         }
@@ -450,6 +475,16 @@
         if is_shared(&member.entry) {
             self.digest = self.digest.wrapping_sub(entry_hash(&member.entry));
         }
+        let name = &entry.instance;
+        let (old, restarted) = (&member.entry, member.entry.started != entry.started);
+        let stopped = old.state == State::Leaving || member.left;
+        if old.started > 0 && !stopped && (restarted || entry.state == State::Gone) {
+            let key = (name.clone(), old.started);
+            self.losses.entry(key).or_insert(now);
+        }
+        if entry.state != State::Gone {
+            self.losses.remove(&(name.clone(), entry.started));
+        }
         member.disputed_by = None;
         member.left = member.entry.state == State::Leaving && entry.state == State::Gone;
         member.entry = entry;
@@ -556,6 +591,7 @@
 
     fn expire(&mut self, now: Time) {
         let mut sum = 0_u64;
+        self.losses.retain(|_, at| *at + LOSS_RETENTION >= now);
         self.departures.retain(|_, departure| {
             let retain = Time(departure.version) + DEPARTURE_RETENTION >= now;
             if !retain {
--- a/tests/gateway/accounts/mod.rs
+++ b/tests/gateway/accounts/mod.rs
@@ -265,6 +265,7 @@
         zone: zone(index),
         address: "127.0.0.1:1".into(),
         capacity: 0,
+        started: 0,
     }
 }
 
--- a/tests/gateway/history.rs
+++ b/tests/gateway/history.rs
@@ -15,6 +15,7 @@
     clock::Time,
     gateway::history::{
         cache::Cache,
+        census::Census,
         client::holders,
         output::{
             append_data,
@@ -313,3 +314,21 @@
     let expected = [name("b-1"), name("c-1"), name("b-2")];
     assert_eq!(holders(all, &zone("a"), true), expected);
 }
+
+/// A turn that the log lacks is unknown only if so few instances are missing that one which holds it
+/// must have answered, and these have watched each other for as long as turns are kept.
+#[test]
+fn census_is_conclusive_with_few_missing_and_long_observation() {
+    let name = |name: &str| Instance::try_from(name).unwrap();
+    let retention = Duration::from_secs(60);
+    let mut census = Census::default();
+    census.count_answer(Duration::from_secs(59), []);
+    assert!(!census.is_conclusive(retention));
+    census.count_answer(Duration::from_secs(60), [name("a")]);
+    census.count_answer(Duration::from_secs(1), [name("a")]);
+    census.count_silent(name("b"));
+    census.count_silent(name("a"));
+    assert!(census.is_conclusive(retention));
+    census.count_answer(Duration::from_secs(1), [name("c")]);
+    assert!(!census.is_conclusive(retention));
+}
--- a/tests/gateway/history_serve.rs
+++ b/tests/gateway/history_serve.rs
@@ -6,7 +6,10 @@
         Read as _,
         Write as _, //
     },
-    net::TcpStream,
+    net::{
+        SocketAddr,
+        TcpStream, //
+    },
     thread,
     time::{
         Duration,
@@ -45,10 +48,19 @@
 
 /// Publishes a configuration whose route `/turn/` keeps turns.
 fn configure_retained(store: &Server<Store>, version: u64, max_body_bytes: usize) {
+    configure_retention(store, version, max_body_bytes, 60);
+}
+
+fn configure_retention(
+    store: &Server<Store>,
+    version: u64,
+    max_body_bytes: usize,
+    retention_s: u64,
+) {
     let route = json!({
         "name": "turn", "host": "h.example", "pathPrefix": "/turn/", "kind": "streaming",
         "timeoutMs": 4000, "targetLatencyMs": 200, "priority": 0, "service": "s",
-        "maxAttempts": 1, "resumable": true, "retain": true, "retentionS": 60,
+        "maxAttempts": 1, "resumable": true, "retain": true, "retentionS": retention_s,
     });
     let config = json!({
         "version": version,
@@ -88,13 +100,21 @@
             instances: Vec::new(),
             engine,
         };
-        fleet.start_instances(zones);
+        fleet.start_instances_with(zones, Instance::start_in);
         fleet
     }
 
     fn start_instances(&mut self, zones: &[&str]) {
+        self.start_instances_with(zones, Instance::start_again);
+    }
+
+    fn start_instances_with(
+        &mut self,
+        zones: &[&str],
+        start: impl Fn(&str, &str, SocketAddr) -> Instance,
+    ) {
         let start = |(number, zone): (usize, &&str)| {
-            Instance::start_in(zone, &format!("entry-{number}"), self.store.address())
+            start(zone, &format!("entry-{number}"), self.store.address())
         };
         self.instances = zones.iter().enumerate().map(start).collect();
         self.instances.iter().for_each(Instance::wait_ready);
@@ -497,3 +517,80 @@
     let refusals = continue_all(&fleet, 2, 1, Duration::from_secs(6));
     assert!(refusals.iter().all(|status| *status == 503), "{refusals:?}");
 }
+
+/// Instances that are cut off from the others and from the store answered turns, and the others said
+/// 404 for them: neither the store nor the loss of a zone shows that these turns exist.
+#[test]
+fn turn_of_instances_that_are_cut_off_is_not_unknown() {
+    let fleet = Fleet::start(&["a", "b", "b", "a", "b"], engine());
+    let (cut_off, others) = fleet.instances.split_at(3);
+    continue_all(&fleet, 0, 3, Duration::ZERO);
+    let signal = |instances: &[Instance], name| {
+        for instance in instances {
+            instance.signal(name);
+        }
+    };
+    signal(others, "STOP");
+    // Requests that are sent before the others count as gone would reach them later.
+    thread::sleep(Duration::from_secs(6));
+    fleet.store.set_faults(Faults {
+        busy: true,
+        ..Faults::default()
+    });
+    // Owners that don't answer are avoided, and an outage is known, after some tries.
+    let answered = fleet.turn_until_answered(0, "p/r1", None, Duration::from_secs(8));
+    assert!(!answered.contains(&404), "{answered:?}");
+    signal(cut_off, "STOP");
+    fleet.store.set_faults(Faults::default());
+    signal(others, "CONT");
+    for number in 0..40 {
+        let answer = fleet.turn(3 + number % 2, "p/r2", Some("p/r1"), "x");
+        assert_eq!(answer.status(), 503, "{}", answer.text());
+        thread::sleep(Duration::from_millis(100));
+    }
+    // Turns that are kept are served meanwhile.
+    let kept = fleet.turn_until_answered(4, "p0/r1", Some("p0/r0"), Duration::from_secs(5));
+    assert!(!kept.contains(&404), "{kept:?}");
+    signal(cut_off, "CONT");
+    let refusals = fleet.turn_until_answered(4, "p/r2", Some("p/r1"), Duration::from_secs(8));
+    assert!(!refusals.contains(&404), "{refusals:?}");
+    assert_eq!(fleet.latest_prompt(), prompt(&["p/r1", "p/r2"]));
+}
+
+/// Instances answered turns in an outage of the store, all were killed before it was back, and the
+/// next ones said 404 for these turns.
+#[test]
+fn turns_held_in_an_outage_are_not_unknown_after_a_kill_of_all() {
+    let zones = ["a", "b", "c"];
+    let mut fleet = Fleet::start(&zones, engine());
+    let retention = Duration::from_secs(12);
+    configure_retention(&fleet.store, 2, 100_000, retention.as_secs());
+    continue_all(&fleet, 0, 0, Duration::ZERO);
+    thread::sleep(Duration::from_secs(1));
+    fleet.store.set_faults(Faults {
+        busy: true,
+        ..Faults::default()
+    });
+    let limit = Duration::from_secs(5);
+    let refusals = fleet.turn_until_answered(0, "p0/r1", Some("p0/r0"), limit);
+    assert!(!refusals.contains(&404), "{refusals:?}");
+    for instance in &fleet.instances {
+        instance.signal("KILL");
+    }
+    fleet.store.set_faults(Faults::default());
+    let start = Instant::now();
+    fleet.start_instances(&zones);
+    let refusals = fleet.turn_until_answered(1, "p1/r1", Some("p1/r0"), limit);
+    assert!(!refusals.contains(&404), "{refusals:?}");
+    let mut number = 0;
+    while start.elapsed() < retention - Duration::from_secs(2) {
+        let answer = fleet.turn(number % 3, "p0/r2", Some("p0/r1"), "x");
+        assert_eq!(answer.status(), 503, "{}", answer.text());
+        number += 1;
+        thread::sleep(Duration::from_millis(100));
+    }
+    // Once a turn from before could not be continued any more, an unknown one is known to be.
+    thread::sleep(Duration::from_secs(4));
+    let answer = fleet.turn(2, "p/r9", Some("missing"), "x");
+    assert_eq!(answer.status(), 404, "{}", answer.text());
+}
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -365,17 +365,28 @@
         Self::start_in("a", name, store)
     }
 
-    /// Starts a process in an availability zone.
+    /// Starts a process in an availability zone, in a deployment that starts for the first time.
     pub fn start_in(zone: &str, name: &str, store: SocketAddr) -> Self {
-        Self::start_with(zone, name, store, "test")
+        Self::start_with(zone, name, store, "test", true)
+    }
+
+    /// Starts a process in an availability zone after others, which may have ended.
+    pub fn start_again(zone: &str, name: &str, store: SocketAddr) -> Self {
+        Self::start_with(zone, name, store, "test", false)
     }
 
     /// Starts a process that has no links to the others, as they refuse its secret.
     pub fn start_apart(name: &str, store: SocketAddr) -> Self {
-        Self::start_with("a", name, store, "other")
+        Self::start_with("a", name, store, "other", false)
     }
 
-    fn start_with(zone: &str, name: &str, store: SocketAddr, secret: &str) -> Self {
+    fn start_with(
+        zone: &str,
+        name: &str,
+        store: SocketAddr,
+        secret: &str,
+        first_start: bool,
+    ) -> Self {
         static NUMBER: AtomicU32 = AtomicU32::new(0);
         let [callers, ready, metrics, peers, tunnels] = [
             free_address(),
@@ -397,6 +408,7 @@
             },
             "store": { "address": store, "partitions": 12 },
             "grace_s": 8,
+            "first_start": first_start,
         });
         fs::write(&settings, text.to_string()).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_gypsumleverd"))
--- a/tests/gossip_net/mod.rs
+++ b/tests/gossip_net/mod.rs
@@ -119,6 +119,7 @@
                 zone: Zone::try_from(format!("cairo-{}", index % 3)).unwrap(),
                 address: format!("10.0.{}.{}:7001", index / 256, index % 256).into(),
                 capacity: 0,
+                started: 0,
             })
             .collect();
         let down: Vec<_> = (0..size).sample(&mut rng, (size as f64 * missing) as usize);
--- a/tests/member_view.rs
+++ b/tests/member_view.rs
@@ -41,6 +41,7 @@
         zone: zone(if name < "m" { "a" } else { "b" }),
         address: format!("{name}:1").into(),
         capacity: 0,
+        started: 0,
     }
 }
 
@@ -528,3 +529,53 @@
         assert_ne!(own.issuer(service).cloned(), before[0]);
     }
 }
+
+/// What a process had in memory is gone with it, also if another one has its name by now. Instances
+/// that left, or that refuted a suspicion, lost nothing.
+#[test]
+fn lost_since_names_processes_that_ended_without_leaving() {
+    let process = |name: &str, incarnation, started, state| Entry {
+        started,
+        ..entry(name, incarnation, state)
+    };
+    let second = |number| Time::default() + Duration::from_secs(number);
+    let mut view = View::new(live("a"));
+    for name in ["killed", "restarted", "left", "refuted", "unknown"] {
+        view.merge(second(1), &process(name, 1, 10, State::Live));
+    }
+    view.merge(second(2), &process("restarted", 20, 20, State::Live));
+    view.merge(second(2), &process("left", 1, 10, State::Leaving));
+    view.merge(second(3), &process("left", 30, 30, State::Live));
+    // Only the platform's list names it.
+    view.apply_list(second(3), &[listed("never-seen")]);
+    for name in ["killed", "refuted", "never-seen"] {
+        view.record_failure(second(4), &instance(name));
+    }
+    view.tick(second(10));
+    let lost = |view: &View, since| {
+        let names = view.lost_since(second(since));
+        names
+            .map(|name| name.as_str().to_owned())
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(lost(&view, 0), ["killed", "refuted", "restarted"]);
+    view.record_contact(second(11), &process("refuted", 2, 10, State::Live));
+    assert_eq!(lost(&view, 0), ["killed", "restarted"]);
+    assert_eq!(lost(&view, 5), ["killed"]);
+}
+
+/// An instance that was restarted at another address while nobody reached it stayed unreachable.
+#[test]
+fn apply_list_follows_the_address_of_an_instance_that_was_never_reached() {
+    let mut view = View::new(live("a"));
+    let at = |address: &str| Listed {
+        address: address.into(),
+        ..listed("b")
+    };
+    view.apply_list(Time(1), &[at("b:1")]);
+    view.record_failure(Time(2), &instance("b"));
+    view.apply_list(Time(3), &[at("b:2")]);
+    let snapshot = view.snapshot();
+    assert_eq!(snapshot.address(&instance("b")), Some("b:2"));
+    assert_eq!(snapshot.peer(&instance("b")).unwrap().status, Status::Live);
+}
--- a/tests/peer_mesh.rs
+++ b/tests/peer_mesh.rs
@@ -541,6 +541,7 @@
             zone: Zone::try_from("a").unwrap(),
             address: "127.0.0.1:1".into(),
             capacity: 0,
+            started: 0,
         },
         secret: "secret".into(),
     }
--- a/tests/peer_wire.rs
+++ b/tests/peer_wire.rs
@@ -56,6 +56,7 @@
         zone: Zone::try_from("cairo-a").unwrap(),
         address: "10.20.30.40:7001".into(),
         capacity: 0,
+        started: 0,
     }
 }
 
