Bound what is granted without the log, and presume it lost with all

Cause: in an outage owners granted turns up to the budget, which only witnesses held. If all are killed, the accounts that the next instances read lack them, and the tokens are granted again.

Change: without the log, a program gets a third of what the log leaves of its budget, and one turn. Instances that start while no other has run since before the oldest programs charge that third, as a reserve that nobody can return, and grant nothing without the log for 150 s. What even returned reserves would not cover is refused with 402, other turns with 503.

--- a/src/gateway/account.rs
+++ b/src/gateway/account.rs
@@ -285,6 +285,18 @@
         reserves.map(|(id, holder)| (*id, *holder)).collect()
     }
 
+    /// Returns whether the budget does not cover a turn even if all reserves are returned unused.
+    pub fn is_spent(&self, reservation: &Reservation) -> bool {
+        let account = self.programs.get(&reservation.program);
+        let reserved = account.into_iter().flat_map(|account| {
+            let turns = account.reserves.keys();
+            turns.filter_map(|id| account.turns.get(id))
+        });
+        let reserved: u64 = reserved.map(|state| state.charge()).sum();
+        let charged = self.charged(reservation.program) - reserved;
+        charged + reservation.max_tokens > reservation.budget
+    }
+
     /// Returns the tokens charged to a program.
     pub fn charged(&self, program: Program) -> u64 {
         self.programs
--- a/src/gateway/lifecycle.rs
+++ b/src/gateway/lifecycle.rs
@@ -114,6 +114,9 @@
     let store = Rc::new(Store::new(&settings.store, metrics.clone()));
     let topic = Topic::new(store.clone(), ACCOUNTS);
     let replica = Rc::new(Replica::new(topic, settings.store.partitions));
+    if settings.first_start {
+        replica.path().set_first_start();
+    }
     let accounts = Rc::new(Client::new(replica.clone()));
     let fleet = Rc::new(Fleet::new(settings.balance));
     let tunnels = Rc::new(Tunnels::new(fleet.clone()));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,10 +6,11 @@
 //! `docs/platform.md` gives the reasons.
 //!
 //! The decisions do no I/O ([`route`], [`registry`], [`load`], [`balance`], [`fleet`],
-//! [`account`], [`outage`], [`witness`], [`latency`], [`timeout`], [`limit`], [`slots`], [`quarantine`]); sockets are in
-//! [`connection`], [`pool`], [`dial`], [`tunnel`], [`forward`], [`relay`] and [`front`].
+//! [`account`], [`allowance`], [`outage`], [`witness`], [`latency`], [`timeout`], [`limit`], [`slots`],
+//! [`quarantine`]); sockets are in [`connection`], [`pool`], [`dial`], [`tunnel`], [`forward`], [`relay`] and [`front`].
 
 pub mod account;
+pub mod allowance;
 pub mod balance;
 pub mod cache;
 pub mod call;
--- a/src/gateway/outage.rs
+++ b/src/gateway/outage.rs
@@ -45,6 +45,8 @@
     /// Whether an answering instance may know of turns that were granted during an outage and are
     /// not in the log yet.
     pub unsettled: bool,
+    /// Whether an answering instance knows that no grants were lost with all instances.
+    pub complete: bool,
 }
 
 impl Reachability {
--- a/src/gateway/owner.rs
+++ b/src/gateway/owner.rs
@@ -275,6 +275,9 @@
         /// Whether all grants of the latest outage are in the log, as far as this instance knows.
         #[serde(rename = "s")]
         settled: bool,
+        /// Whether no grants were lost with all instances.
+        #[serde(rename = "c", default)]
+        complete: bool,
     },
     /// This instance reaches the log.
     #[serde(rename = "q")]
--- a/src/gateway/path.rs
+++ b/src/gateway/path.rs
@@ -29,6 +29,7 @@
 
 use super::{
     account::{
+        self,
         Program,
         Turn, //
     },
@@ -134,6 +135,11 @@
     unreachable: Cell<bool>,
     /// Latest time at which the log was unreachable for this instance or for a peer that said so.
     unreachable_at: Cell<Option<Time>>,
+    /// Start of this instance.
+    started: Time,
+    /// Whether some instance has run at each moment since the deployment started, so that grants
+    /// which the log lacks can't have been lost with all instances.
+    unbroken: Cell<bool>,
     /// Notified of each failed call to any topic of the store.
     failure_alert: Notify,
     /// How long appends over the direct path take.
@@ -160,6 +166,8 @@
             last_success: Cell::new(Time::default()),
             unreachable: Cell::new(false),
             unreachable_at: Cell::new(None),
+            started: Time::monotonic(),
+            unbroken: Cell::new(false),
             failure_alert: Notify::new(),
             append_latency: Latency::default(),
         }
@@ -295,14 +303,32 @@
         self.failure_alert.notify_one();
     }
 
-    /// Queries other instances for an outage that ended before this instance started.
+    /// Records that the deployment starts for the first time with this instance.
+    pub fn set_first_start(&self) {
+        self.unbroken.set(true);
+    }
+
+    /// Returns whether the log has all grants that no instance holds, apart from those of programs
+    /// that have ended.
+    pub fn is_complete(&self) -> bool {
+        let uptime = Time::monotonic().since(self.started);
+        self.unbroken.get() || uptime >= account::RETENTION
+    }
+
+    /// Queries other instances for an outage that ended before this instance started, and for
+    /// whether grants may have been lost before.
     ///
-    /// If all instances start together, no instance holds a grant that is not in the log.
+    /// If all instances start together, none holds a grant that is not in the log, but instances
+    /// that were killed may have held some.
     pub async fn learn_past_outage(&self) {
         let Some(peers) = self.peers.borrow().clone() else {
             return;
         };
-        if peers.reachability().await.unsettled {
+        let reachability = peers.reachability().await;
+        if reachability.complete {
+            self.unbroken.set(true);
+        }
+        if reachability.unsettled {
             log::info!(
                 "account: a peer reports a recent outage of the log; waiting until its grants are appended"
             );
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -372,19 +372,21 @@
             multi_zone,
             local: local.len(),
             remote: remote.len(),
-            unsettled: local.into_iter().chain(remote).any(|settled| !settled),
+            unsettled: local.iter().chain(&remote).any(|(settled, _)| !settled),
+            complete: local.iter().chain(&remote).any(|(_, complete)| *complete),
         }
     }
 
-    /// Pings instances; returns for each that answers whether it considers the log settled.
-    async fn ping(&self, names: &[Instance]) -> Vec<bool> {
+    /// Pings instances; returns for each that answers whether it considers the log settled, and
+    /// complete.
+    async fn ping(&self, names: &[Instance]) -> Vec<(bool, bool)> {
         let requests = names
             .iter()
             .map(|name| self.request(name, Request::Ping, PING_TIMEOUT));
         let answers = join_all(requests).await.into_iter();
         answers
             .filter_map(|answer| match answer {
-                Some(Response::Pong { settled }) => Some(settled),
+                Some(Response::Pong { settled, complete }) => Some((settled, complete)),
                 _ => None,
             })
             .collect()
--- a/src/gateway/replica/mod.rs
+++ b/src/gateway/replica/mod.rs
@@ -26,6 +26,7 @@
         Turn,
         Verdict, //
     },
+    allowance::Unlogged,
     outage::Outage,
     owner::{
         Request,
@@ -268,8 +269,8 @@
                 used.map_or(Response::Refused, Response::Returned)
             }
             Request::Ping => {
-                let settled = self.log.settled();
-                Response::Pong { settled }
+                let (settled, complete) = (self.log.settled(), self.log.is_complete());
+                Response::Pong { settled, complete }
             }
             Request::LogStatus => match self.reaches_log().await {
                 true => Response::LogReachable,
@@ -400,6 +401,9 @@
                 );
                 partition.refuse_waiters();
             }
+            if !self.log.is_complete() && !settling {
+                partition.presume_lost();
+            }
             let full = partition.backlog.borrow().len() > MAX_BATCH_RECORDS;
             // The records of the backlog come before turns whose decision may presume them.
             let waiters = match settling || full {
@@ -457,10 +461,7 @@
                             "account: log can't be reached; retrying"
                         );
                     }
-                    partition.late.set(true);
-                    for waiter in waiters {
-                        self.decide_offline(partition, waiter);
-                    }
+                    partition.waiters.borrow_mut().splice(0..0, waiters);
                     self.go_offline(partition);
                     sleep(RETRY_INTERVAL).await;
                 }
@@ -589,10 +590,13 @@
         committed
     }
 
-    /// Grants a turn before the log answers, if it is late, and this instance is the owner and the
-    /// program has no such turn yet; returns the turn otherwise.
+    /// Grants a turn before the log answers, if this instance is the owner, and the log is late and
+    /// lacks no turn of the program, or most instances can't reach the log and the turns that it
+    /// lacks are within the allowance; returns the turn otherwise.
     ///
-    /// The witnesses hold the grant, so that only the loss of power of all instances can lose it.
+    /// A majority of the witnesses holds the grant, so that it survives the loss of the owner, and
+    /// ensures that the account here is complete. Only the loss of all instances can lose it; those
+    /// after them grant no turn without the log, as two losses may exceed the allowance.
     /// `preceding` are the records before the turn in the log, if it is being appended.
     fn decide_early(
         &self,
@@ -603,11 +607,16 @@
         let known = partition.owned.get() && partition.caught_up.get();
         let reservation = waiter.reservation;
         let Reservation { program, turn, .. } = reservation;
-        let reachable = self.log.outage() == Outage::None && self.log.peers().is_some();
-        if !known || !partition.late.get() || !reachable {
+        let connected = !self.log.outage().isolated() && self.log.peers().is_some();
+        if !known || !partition.late.get() || !connected || !self.log.is_complete() {
             return Err(waiter);
         }
-        if partition.unlogged.borrow().contains_key(&program) || partition.must_reclaim(&waiter) {
+        let outage = self.log.outage() == Outage::Total;
+        let unlogged = partition.unlogged.borrow();
+        let admits = |unlogged: &Unlogged| outage && unlogged.admits();
+        let admitted = unlogged.get(&program).is_none_or(admits);
+        drop(unlogged);
+        if !admitted || partition.must_reclaim(&waiter) {
             return Err(waiter);
         }
         let verdict = {
@@ -620,7 +629,13 @@
             return Err(waiter);
         }
         let entry = reservation.entry(true);
-        partition.unlogged.borrow_mut().insert(program, turn);
+        let charged = self.charged(program);
+        partition
+            .unlogged
+            .borrow_mut()
+            .entry(program)
+            .or_insert_with(|| Unlogged::new(reservation.budget, charged))
+            .open(turn, reservation.max_tokens);
         partition.hold(entry);
         if let (Some(request), Some(reserve)) =
             (reservation.reserve, reservation.reserve_entry(false))
@@ -657,11 +672,18 @@
             peers.notify_witnesses(partition as usize, &request);
         }
         for entry in entries {
-            let Entry::Open { program, turn, .. } = *entry else {
+            let Entry::Open {
+                program,
+                turn,
+                max_tokens,
+                ..
+            } = *entry
+            else {
                 continue;
             };
             let mut unlogged = partition.unlogged.borrow_mut();
-            if unlogged.get(&program) == Some(&turn) {
+            let turns = unlogged.get_mut(&program);
+            if turns.is_some_and(|turns| turns.record_logged(turn, max_tokens)) {
                 unlogged.remove(&program);
             }
             drop(unlogged);
@@ -689,9 +711,7 @@
 
     /// Decides about a turn while the log is unreachable.
     ///
-    /// Only the owner grants turns then, and only if most instances can't reach the log. A majority
-    /// of the witnesses holds each grant, so that it survives the loss of the owner, and ensures that
-    /// the account here is complete.
+    /// Only the owner does, and only if most instances can't reach the log.
     fn decide_offline(&self, partition: &Rc<Partition>, waiter: Waiter) {
         let waiter = match self.decide_early(partition, waiter, None) {
             Ok(()) => return,
@@ -703,21 +723,11 @@
         }
         partition.apply_backlog();
         let verdict = partition.accounts.borrow().predict(&waiter.reservation);
-        if verdict == Verdict::Spent {
-            let decision = partition.spent(waiter.reservation.program);
-            return waiter.reply(decision);
-        }
-        let entry = waiter.reservation.entry(true);
-        partition.hold(entry);
-        let partition = partition.clone();
-        let log = self.log.clone();
-        actix_web::rt::spawn(async move {
-            if !partition.grant(&log, entry).await {
-                return waiter.reply(Decision::Unavailable);
-            }
-            partition.reserve_offline(&log, &waiter.reservation).await;
-            waiter.reply(Decision::Granted);
-        });
+        let decision = match verdict {
+            Verdict::Spent => partition.spent(&waiter.reservation),
+            Verdict::Granted => Decision::Unavailable,
+        };
+        waiter.reply(decision);
     }
 
     /// Reclaims the reserves of a program whose budget does not cover a turn otherwise, and decides
@@ -749,6 +759,7 @@
         partition
             .offline_until
             .set(Time::monotonic() + OFFLINE_TIME);
+        partition.late.set(true);
         let waiters = mem::take(&mut *partition.waiters.borrow_mut());
         waiters
             .into_iter()
--- a/src/gateway/replica/partition.rs
+++ b/src/gateway/replica/partition.rs
@@ -28,8 +28,10 @@
             Turn,
             Verdict, //
         },
-        path::Path,
-        peers::Transport,
+        allowance::{
+            allowance,
+            Unlogged, //
+        },
         reserve,
         witness::{
             Witness,
@@ -45,7 +47,6 @@
         Map,
         Set, //
     },
-    log::Log,
 };
 
 /// Maximum time for which records of ended turns wait for a new turn, to share its append.
@@ -99,10 +100,10 @@
     /// Whether the log takes long to answer, so that turns are granted before it does.
     pub(super) late: Cell<bool>,
     /// Turns that were granted before the log answered and are not in the log yet, by program.
-    ///
-    /// There is at most one of each program: if all instances lose power, the account lacks no more
-    /// than one turn.
-    pub(super) unlogged: RefCell<Map<Program, Turn>>,
+    pub(super) unlogged: RefCell<Map<Program, Unlogged>>,
+    /// Programs whose account was charged with what may have been granted to them and lost with all
+    /// instances.
+    pub(super) presumed: RefCell<Set<Program>>,
     /// Reserves whose requesters were answered before the log was, by number.
     pub(super) unconfirmed: RefCell<Map<Turn, (Program, reserve::Request)>>,
 }
@@ -140,6 +141,7 @@
             held: RefCell::default(),
             late: Cell::new(false),
             unlogged: RefCell::default(),
+            presumed: RefCell::default(),
             unconfirmed: RefCell::default(),
         }
     }
@@ -150,13 +152,47 @@
     /// precede it there, as other instances would not charge these. The start of a turn is applied
     /// at once, which only refuses more.
     pub(super) fn hold(&self, entry: Entry) {
-        if matches!(entry, Entry::Open { .. }) {
-            self.accounts.borrow_mut().apply(Time::monotonic(), &entry);
+        match entry {
+            Entry::Open { .. } => {
+                self.accounts.borrow_mut().apply(Time::monotonic(), &entry);
+            }
+            Entry::Close {
+                program,
+                turn,
+                used,
+            } => {
+                if let Some(unlogged) = self.unlogged.borrow_mut().get_mut(&program) {
+                    unlogged.close(turn, used);
+                }
+            }
         }
         self.backlog.borrow_mut().push_back(entry);
         self.wake.notify_one();
     }
 
+    /// Charges the programs of waiting turns with what may have been granted to them without the log
+    /// and lost with all instances, as reserves that nobody can return.
+    pub(super) fn presume_lost(&self) {
+        let reservations = self.waiters.borrow();
+        let reservations = reservations.iter().map(|waiter| waiter.reservation);
+        for reservation in reservations {
+            let program = reservation.program;
+            if !self.presumed.borrow_mut().insert(program) {
+                continue;
+            }
+            let charged = self.accounts.borrow().charged(program);
+            let tokens = allowance(reservation.budget, charged);
+            self.hold(Entry::Open {
+                program,
+                turn: rand::random(),
+                max_tokens: tokens,
+                budget: reservation.budget,
+                forced: true,
+                holder: Some(reserve::NO_HOLDER),
+            });
+        }
+    }
+
     /// Records that the partition was read to its end.
     pub(super) fn record_read(&self, caught_up: bool) {
         if caught_up && !self.caught_up.get() {
@@ -207,34 +243,6 @@
         }
     }
 
-    /// Grants the reserve that is requested with a turn, if it leaves enough of the budget and
-    /// another instance holds a copy of the grant.
-    pub(super) async fn reserve_offline<L: Log, T: Transport>(
-        &self,
-        log: &Path<L, T>,
-        reservation: &Reservation,
-    ) {
-        let Some(entry) = reservation.reserve_entry(true) else {
-            return;
-        };
-        let tokens = reservation.reserve.map_or(0, |reserve| reserve.tokens);
-        let (program, turn) = (reservation.program, entry.turn());
-        if self.accounts.borrow().charged(program) + tokens > reservation.budget {
-            return;
-        }
-        self.hold(entry);
-        if !self.grant(log, entry).await {
-            let used = 0;
-            self.hold(Entry::Close {
-                program,
-                turn,
-                used,
-            });
-            // The requester must not be told that it has the reserve.
-            self.apply_backlog();
-        }
-    }
-
     /// Returns whether the budget covers a turn only once its reserves are reclaimed.
     pub(super) fn must_reclaim(&self, waiter: &Waiter) -> bool {
         let accounts = self.accounts.borrow();
@@ -250,9 +258,9 @@
     }
 
     /// Returns the decision on a turn that the account does not cover: the budget is not spent
-    /// while a reserve of it could not be reclaimed.
-    pub(super) fn spent(&self, program: Program) -> Decision {
-        match self.accounts.borrow().reserves(program).is_empty() {
+    /// while a reserve that would cover the turn could not be reclaimed.
+    pub(super) fn spent(&self, reservation: &Reservation) -> Decision {
+        match self.accounts.borrow().is_spent(reservation) {
             true => Decision::Spent,
             false => Decision::Unavailable,
         }
@@ -306,7 +314,7 @@
                 self.granted_to.set(self.applied.get());
                 Decision::Granted
             }
-            Some(Verdict::Spent) => self.spent(waiter.reservation.program),
+            Some(Verdict::Spent) => self.spent(&waiter.reservation),
             None => Decision::Unavailable,
         };
         waiter.reply(decision);
--- a/src/gateway/reserve.rs
+++ b/src/gateway/reserve.rs
@@ -37,6 +37,9 @@
 /// Maximum programs with a recorded reserve; a program lasts for seconds.
 const MAX_PROGRAMS: usize = 4_096;
 
+/// Holder of a reserve that nobody can return, in place of the hash of a name.
+pub const NO_HOLDER: u64 = 0;
+
 /// Time after which a reserve that was not confirmed is requested again, under another number.
 const REQUEST_TTL_US: u64 = 3_000_000;
 
--- a/tests/gateway/accounts/mod.rs
+++ b/tests/gateway/accounts/mod.rs
@@ -107,6 +107,9 @@
 /// Timeout of a call of the log's client.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Number of the first process.
+const FIRST_NUMBER: u64 = 1;
+
 /// Simulated duration of a run.
 const DURATION: Duration = Duration::from_secs(14);
 
@@ -277,7 +280,7 @@
             processes: RefCell::default(),
             cut: RefCell::default(),
             rng: RefCell::new(StdRng::seed_from_u64(seed)),
-            next_number: Cell::new(1),
+            next_number: Cell::new(FIRST_NUMBER),
             sent: RefCell::new(vec![0; BUDGETS.len()]),
             faults: RefCell::default(),
             broken: RefCell::default(),
@@ -331,6 +334,10 @@
             mesh: line,
             roster: roster.clone(),
         };
+        // The processes of the first start get the first numbers.
+        if number < FIRST_NUMBER + INSTANCES.len() as u64 {
+            replica.path().set_first_start();
+        }
         replica.path().connect(peers.clone());
         client.connect(peers);
         spawn(replica.clone().run());
@@ -547,7 +554,12 @@
                 sleep(self.random_ms(50, 150)).await;
                 continue;
             }
-            let tokens = self.rng.borrow_mut().random_range(0..=MAX_TOKENS);
+            let least = match self.defect {
+                Defect::None => 0,
+                // Defects that allow one turn more show only if turns use what they may.
+                Defect::HoldsAll => MAX_TOKENS,
+            };
+            let tokens = self.rng.borrow_mut().random_range(least..=MAX_TOKENS);
             sleep(self.random_ms(10, 100)).await;
             for _ in 0..4 {
                 if !self.is_running(&name(index), process.number) {
--- a/tests/gateway/accounts/store.rs
+++ b/tests/gateway/accounts/store.rs
@@ -17,7 +17,8 @@
     paused,
     Defect,
     World,
-    INSTANCES, //
+    INSTANCES,
+    MAX_TOKENS, //
 };
 
 /// Programs that begin beside a fault.
@@ -95,3 +96,31 @@
         assert_eq!(world.open_turns("program", 3).await, 1);
     });
 }
+
+/// In each outage of the store the owner granted any number of turns that only instances held, and
+/// all were killed before these were in the log.
+#[test]
+fn open_holds_the_budget_over_outages_in_which_all_are_killed() {
+    for service in [Service::Refusing, Service::Unresponsive] {
+        paused().block_on(async {
+            let world = start().await;
+            let mut granted = world.open_turns("program", 2).await;
+            for _ in 0..2 {
+                let outage = world.clone().store_down(service, Duration::from_secs(5));
+                spawn(outage);
+                sleep(Duration::from_secs(2)).await;
+                let during = world.open_turns("program", 4).await;
+                granted += during;
+                for index in 0..INSTANCES.len() {
+                    spawn(world.clone().restart(index, Duration::from_secs(1)));
+                }
+                sleep(Duration::from_secs(12)).await;
+            }
+            granted += world.open_turns("program", 12).await;
+            let tokens = granted as u64 * MAX_TOKENS / 2;
+            assert!(tokens <= 500 + MAX_TOKENS, "{tokens} tokens");
+            // The log has what was granted while it was available.
+            assert!(tokens >= 500 - MAX_TOKENS, "{tokens} tokens");
+        });
+    }
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod account;
 mod accounts;
+mod allowance;
 mod balance;
 mod connection;
 mod deadly;
--- a/tests/gateway/outage.rs
+++ b/tests/gateway/outage.rs
@@ -61,6 +61,7 @@
             local,
             remote,
             unsettled: false,
+            complete: false,
         };
         assert_eq!(reachability.isolation(), expected, "{reachability:?}");
     }
--- a/tests/gateway/owner.rs
+++ b/tests/gateway/owner.rs
@@ -130,6 +130,7 @@
             delay: delay.clone(),
         };
         let replica = Rc::new(Replica::new(remote, PARTITIONS));
+        replica.path().set_first_start();
         let client = Rc::new(Client::new(replica.clone()));
         let roster = Roster::start(name.clone(), zone_name.clone(), &address.to_string());
         let settings = Settings::new("test", name.clone(), zone_name, address, "test");
@@ -631,6 +632,7 @@
             Rc::new(Replica::new(remote, PARTITIONS))
         });
         for replica in [&owner, &next] {
+            replica.path().set_first_start();
             actix_web::rt::spawn(replica.clone().run());
             while !replica.loaded() {
                 sleep(Duration::from_millis(5)).await;
--- a/tests/gateway/replica.rs
+++ b/tests/gateway/replica.rs
@@ -32,6 +32,7 @@
 /// Starts an instance on a log.
 async fn start(log: Memory) -> Rc<Replica<Memory>> {
     let replica = Rc::new(Replica::new(log, 2));
+    replica.path().set_first_start();
     actix_web::rt::spawn(replica.clone().run());
     while !replica.loaded() {
         sleep(Duration::from_millis(5)).await;
@@ -114,6 +115,7 @@
         let log = Memory::new(2);
         log.set_service(Service::Refusing);
         let replica = Rc::new(Replica::new(log, 2));
+        replica.path().set_first_start();
         actix_web::rt::spawn(replica.clone().run());
         assert_eq!(open(&replica, 1, 1_000).await, Decision::Unavailable);
         assert!(!replica.loaded());
