Frame what a tunnel passes on, so that only the upstream ends an answer

Cause: a tunnel passed raw bytes. The system closes the connections of a process that is killed, which is how an answer without a length ends. A reset marked answers that the upstream broke, but a process that is gone sends none.

Change: what an upstream sends passes in frames with their lengths, and an empty frame states that the upstream ended its connection. The request for such tunnels has a new name; between builds there are no tunnels during an upgrade.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -38,6 +38,7 @@
 use thiserror::Error;
 use tokio::{
     io::{
+        AsyncRead,
         AsyncReadExt as _,
         AsyncWriteExt as _, //
     },
@@ -49,6 +50,7 @@
     Encoder as _, //
 };
 
+use super::frames;
 use crate::name::Instance;
 
 /// Timeout of a connection attempt: many round trips between zones, far less than a deadline.
@@ -112,6 +114,8 @@
     stream: TcpStream,
     /// Instance through which the connection leads; `None` if it is direct.
     helper: Option<Instance>,
+    /// Takes the upstream's bytes out of the helper's frames; `None` if the connection is direct.
+    frames: Option<frames::Decoder>,
     codec: Codec,
     buffer: BytesMut,
     /// Bytes received, less what their content makes up for; at most [`MAX_OVERHEAD_BYTES`].
@@ -165,6 +169,31 @@
         && !empty.contains(&head.status)
 }
 
+/// Reads bytes of the upstream; returns their number, or 0 once the upstream ended its connection.
+///
+/// The end of a connection to a helper is not that of the upstream's. No bytes are lost if the future
+/// is dropped.
+async fn receive(
+    reader: &mut (impl AsyncRead + Unpin),
+    frames: &mut Option<frames::Decoder>,
+    buffer: &mut BytesMut,
+) -> io::Result<usize> {
+    let Some(frames) = frames else {
+        return reader.read_buf(buffer).await;
+    };
+    let before = buffer.len();
+    loop {
+        frames.decode(buffer);
+        if buffer.len() > before || frames.ended() {
+            return Ok(buffer.len() - before);
+        }
+        make_room(&mut frames.buffer);
+        if reader.read_buf(&mut frames.buffer).await? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    }
+}
+
 /// Opens a TCP connection that notices within a short time if its path is lost.
 pub async fn dial(address: SocketAddr) -> io::Result<TcpStream> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
@@ -193,6 +222,7 @@
     pub fn new(stream: TcpStream, helper: Option<Instance>) -> Self {
         Self {
             stream,
+            frames: helper.as_ref().map(|_| frames::Decoder::default()),
             helper,
             codec: Codec::Head(codec()),
             buffer: BytesMut::new(),
@@ -267,7 +297,7 @@
                     Err(error) => break Err(Fault::Broken(error)),
                     Ok(_) => {}
                 },
-                read = reader.read_buf(&mut self.buffer) => match read {
+                read = receive(&mut reader, &mut self.frames, &mut self.buffer) => match read {
                     Ok(0) if out.len() == total => {
                         break Err(Fault::Unsent(io::ErrorKind::ConnectionAborted.into()));
                     }
@@ -325,7 +355,7 @@
                 Codec::Head(_) | Codec::Exhausted => return Ok(None),
             }
             make_room(&mut self.buffer);
-            match self.stream.read_buf(&mut self.buffer).await {
+            match receive(&mut self.stream, &mut self.frames, &mut self.buffer).await {
                 Ok(0) if self.until_close => {
                     self.codec = Codec::Exhausted;
                     return Ok(None);
@@ -358,7 +388,9 @@
     ///
     /// Bytes received after an answer belong to no request; such a connection is not reused.
     pub fn reusable(&self) -> bool {
-        self.keep_alive && self.buffer.is_empty() && matches!(self.codec, Codec::Head(_))
+        let extra =
+            !self.buffer.is_empty() || self.frames.as_ref().is_some_and(frames::Decoder::pending);
+        self.keep_alive && !extra && matches!(self.codec, Codec::Head(_))
     }
 
     /// Returns how long the connection has been idle.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,7 +6,7 @@
 //! `docs/platform.md` gives the reasons.
 //!
 //! The decisions do no I/O ([`route`], [`registry`], [`load`], [`balance`], [`fleet`],
-//! [`account`], [`allowance`], [`outage`], [`witness`], [`latency`], [`timeout`], [`limit`], [`slots`],
+//! [`account`], [`allowance`], [`frames`], [`outage`], [`witness`], [`latency`], [`timeout`], [`limit`], [`slots`],
 //! [`quarantine`]); sockets are in [`connection`], [`pool`], [`dial`], [`tunnel`], [`forward`], [`relay`] and [`front`].
 
 pub mod account;
@@ -26,6 +26,7 @@
 pub mod fleet;
 pub mod follow;
 pub mod forward;
+pub mod frames;
 pub mod front;
 pub mod history;
 pub mod latency;
--- a/src/gateway/tunnel.rs
+++ b/src/gateway/tunnel.rs
@@ -2,7 +2,8 @@
 //!
 //! The other instance requests a tunnel over its link, which both have authenticated, and gets a
 //! random number. It connects to the tunnel port and sends the number, and bytes pass in both
-//! directions from then on. A tunnel leads only to an upstream of the registry.
+//! directions from then on, those of the upstream in [`frames`]. A tunnel leads only to an upstream of
+//! the registry.
 
 use std::{
     cell::{
@@ -27,7 +28,6 @@
     Deserialize,
     Serialize, //
 };
-use socket2::SockRef;
 use tokio::{
     io::{
         AsyncReadExt as _,
@@ -46,6 +46,7 @@
 use super::{
     connection,
     fleet::Fleet,
+    frames,
     front,
     registry::Server,
     settings, //
@@ -277,47 +278,36 @@
             // A peer that closes its connection gave the request up; the upstream must notice.
             let read = peer_reader.read(&mut buffer).await;
             let Some(length) = read.ok().filter(|length| *length > 0) else {
-                return End::Closed;
+                return;
             };
             activity.waiting.set(true);
             if upstream_writer.write_all(&buffer[..length]).await.is_err() {
-                return End::Broken;
+                return;
             }
         }
     };
     let answers = async {
-        let mut buffer = [0; BUFFER_BYTES];
-        loop {
-            let length = match upstream_reader.read(&mut buffer).await {
-                Ok(0) => return End::Closed,
-                Ok(length) => length,
-                Err(_) => return End::Broken,
-            };
+        let mut buffer = [0; frames::HEADER_BYTES + BUFFER_BYTES];
+        // Without the end frame, the answer counts as broken at the peer.
+        while let Ok(length) = upstream_reader
+            .read(&mut buffer[frames::HEADER_BYTES..])
+            .await
+        {
             activity.waiting.set(false);
             activity.answered.set(Some(Instant::now()));
-            if peer_writer.write_all(&buffer[..length]).await.is_err() {
-                return End::Closed;
+            buffer[..frames::HEADER_BYTES].copy_from_slice(&frames::header(length as u32));
+            let frame = &buffer[..frames::HEADER_BYTES + length];
+            if peer_writer.write_all(frame).await.is_err() || length == 0 {
+                return;
             }
         }
     };
-    let end = tokio::select! {
-        end = requests => end,
-        end = answers => end,
-    };
-    if matches!(end, End::Broken) {
-        // The peer must not take a broken answer for one that ends with its connection.
-        let _ = SockRef::from(&peer).set_linger(Some(Duration::ZERO));
+    tokio::select! {
+        () = requests => {}
+        () = answers => {}
     }
 }
 
-/// How a tunnel ended.
-enum End {
-    /// One side closed its connection, or the peer broke it.
-    Closed,
-    /// The upstream broke its connection.
-    Broken,
-}
-
 /// When bytes passed on a tunnel.
 #[derive(Default)]
 struct Activity {
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -255,7 +255,9 @@
     #[serde(rename = "vr")]
     Configuration(Option<configuration::Document>),
     /// Requests a tunnel to the upstream with this identifier; `Tunnel` replies.
-    #[serde(rename = "tq")]
+    ///
+    /// Under the name `tq`, older builds request a tunnel without frames, which is not supported.
+    #[serde(rename = "tf")]
     OpenTunnel(Arc<str>),
     /// Reply to a request for a tunnel.
     #[serde(rename = "tr")]
--- a/tests/gateway/stranded.rs
+++ b/tests/gateway/stranded.rs
@@ -306,6 +306,65 @@
     assert_eq!(answer.status(), 502, "{}", answer.text());
 }
 
+/// Returns the head of an answer that ends with its connection.
+fn unframed_head(request: &Message, more: &str) -> String {
+    let id = request.header("request-id").unwrap_or("");
+    format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: s\r\n{more}\r\n")
+}
+
+/// Sends a request through the only helper, which is killed in the middle of the answer; returns
+/// what the caller gets.
+fn kill_helper_in_answer(path: &str, first: &'static str, rest: &'static str) -> Message {
+    let slow = Upstream::start(move |_, request| {
+        let first = unframed_head(request, "") + first;
+        Action::Parts(
+            vec![first.into_bytes(), rest.into()],
+            Duration::from_millis(600),
+        )
+    });
+    let fleet = Fleet::start(1, &[(slow.address, refusing())]);
+    let mut caller = fleet.stranded.connect();
+    let text = request("POST", path, "", "");
+    caller.write_all(text.as_bytes()).unwrap();
+    while slow.requests().is_empty() {
+        thread::sleep(Duration::from_millis(5));
+    }
+    thread::sleep(Duration::from_millis(200));
+    fleet.helpers[0].signal("KILL");
+    read(&mut caller).unwrap_or_default()
+}
+
+/// The system closes the connections of a process that is killed as an upstream does at the end of
+/// an answer: half an answer passed for the whole one.
+#[test]
+fn answer_without_a_length_is_not_complete_when_its_helper_is_killed() {
+    let answer = kill_helper_in_answer("/once/x", "half", "the other half");
+    assert_eq!(answer.status(), 502, "{}", answer.text());
+}
+
+/// As above; the events that came before must not end as a whole stream.
+#[test]
+fn stream_without_a_length_is_not_complete_when_its_helper_is_killed() {
+    let first = "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n";
+    let answer = kill_helper_in_answer("/stream/x", first, "id: 3\ndata: e3\n\n");
+    assert!(!answer.complete, "{}", answer.text());
+}
+
+#[test]
+fn answer_without_a_length_is_complete_behind_a_tunnel() {
+    let closing = Upstream::start(|_, request| {
+        let head = unframed_head(request, "");
+        let half = "x".repeat(30_000);
+        Action::Parts(
+            vec![(head + &half).into_bytes(), half.into()],
+            Duration::from_millis(50),
+        )
+    });
+    let fleet = Fleet::start(1, &[(closing.address, refusing())]);
+    let answer = send(&fleet.stranded, "/once/x");
+    assert_eq!((answer.status(), answer.body.len()), (200, 60_000));
+}
+
 #[test]
 fn upstream_behind_a_tunnel_notices_that_the_caller_left() {
     let silent = Upstream::start(|_, _| Action::Silent);
