Read the newest records past keys and values of any kind

Cause: the key after which a page begins was put into the query as it is, so that a space, a quotation mark or a line break made the call invalid, and & or # another call. Keys that are no text were replaced by text that may be another key's. A start in the future under the identifier of an upstream made its sound reports count as older.

Change: keys are percent-encoded; records are decoded one by one; keys that are no text are skipped in both ways of reading, and pages begin after the last key that is text. Pages that do not advance end the read with an error, which is logged once. Keys are escaped in the log.

Evidence: entries::odd_entries_hide_no_upstream (not ready in 20 s) and entries::report_from_the_future_does_not_replace_an_upstream fail with the raw key and without the bound; both pass now, with pages of 1, 2, 7 and 500 records. The stand-in gives pages as the platform does, and takes their size from its settings.

--- a/src/gateway/lifecycle.rs
+++ b/src/gateway/lifecycle.rs
@@ -249,6 +249,7 @@
 async fn follow_members(gateway: Rc<Gateway<Dialect, Topic>>, store: Rc<Store>, roster: Roster) {
     let instances = Instances::new(store);
     let settings = &gateway.settings;
+    let mut failing = false;
     loop {
         match instances.list().await {
             Ok(listed) => {
@@ -257,9 +258,10 @@
             }
             // A peer that still knows this instance from before its restart may have sent its view.
             Err(_) if roster.snapshot().live_count() > 1 => break,
-            Err(error) => log::warn!(
+            Err(error) if !std::mem::replace(&mut failing, true) => log::warn!(
                 "member: list of instances can't be read from the store; retrying: {error:#}"
             ),
+            Err(_) => {}
         }
         sleep(RETRY_INTERVAL).await;
     }
--- a/src/platform/feed.rs
+++ b/src/platform/feed.rs
@@ -18,6 +18,7 @@
 };
 
 use super::{
+    newest::is_exact,
     store::{
         Store,
         Topic, //
@@ -68,7 +69,7 @@
 const SERVERS_TOPIC: &str = "keyed.servers";
 
 /// Splits a record of a keyed topic into key and value; an empty value means that the key was
-/// removed. Returns `None` for an invalid record.
+/// removed. Returns `None` for an invalid record, and for a key that is no text.
 fn split_key(mut record: Bytes) -> Option<(String, Bytes)> {
     if record.is_empty() {
         return None;
@@ -77,8 +78,8 @@
     if record.len() < length {
         return None;
     }
-    let key = record.split_to(length);
-    Some((String::from_utf8_lossy(&key).into_owned(), record))
+    let key = String::from_utf8(record.split_to(length).into()).ok()?;
+    is_exact(&key).then_some((key, record))
 }
 
 /// Returns the record of a key; an empty value removes the key.
@@ -180,7 +181,7 @@
             Ok(server) => Change::Present(server),
             Err(error) => {
                 log::warn!(
-                    upstream = id.as_str(), error:%;
+                    upstream:? = id, error:%;
                     "registry: report of the upstream is invalid; removing the upstream"
                 );
                 Change::Unreadable(id.into())
@@ -247,7 +248,7 @@
         let name = item.0.clone();
         let record = record(item);
         if record.is_none() {
-            log::warn!(key = name.as_str(); "quarantine: hold in the store is invalid; skipping it");
+            log::warn!(key:? = name; "quarantine: hold in the store is invalid; skipping it");
         }
         record
     });
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod dialect;
 pub mod feed;
+pub mod newest;
 pub mod store;
 mod wire;
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -21,10 +21,6 @@
     },
     ClientRequest, //
 };
-use base64::{
-    prelude::BASE64_STANDARD,
-    Engine as _, //
-};
 use bytes::{
     Buf as _,
     BufMut as _,
@@ -32,12 +28,19 @@
     BytesMut, //
 };
 use futures_util::StreamExt as _;
+use percent_encoding::{
+    utf8_percent_encode,
+    NON_ALPHANUMERIC, //
+};
 use tokio::time::{
     error::Elapsed,
     timeout, //
 };
 
-use super::wire;
+use super::{
+    newest::Pages,
+    wire, //
+};
 use crate::{
     gateway::{
         metrics::Metrics,
@@ -255,11 +258,12 @@
     /// Returns the newest record of each key of a keyed topic, and the offset of the next read.
     pub async fn newest(&self) -> Result<(Vec<(String, Bytes)>, u64), Failure> {
         let (store, topic) = (&self.store, &self.name);
-        let mut records = Vec::new();
+        let mut pages = Pages::default();
         let mut next = None;
         loop {
             let mut call = format!("log-newest?topic={topic}&part=0");
-            if let Some((key, _)) = records.last() {
+            if let Some(key) = pages.after() {
+                let key = utf8_percent_encode(key, NON_ALPHANUMERIC);
                 call.push_str(&format!("&after={key}"));
             }
             let request = store.get(&call);
@@ -276,25 +280,19 @@
                 return Err(Failure::NotApplied(format!("status {status}")));
             }
             self.record_length(body.len());
-            let page: wire::Newest = serde_json::from_slice(&body).map_err(unknown)?;
+            let text = String::from_utf8_lossy(&body);
+            let page: wire::Newest<'_> = serde_json::from_str(&text).map_err(unknown)?;
             // The pages are not a consistent snapshot: reading on from the end of the first page
             // repeats the changes that later pages may have missed.
             next.get_or_insert(page.end);
-            let empty = page.items.is_empty();
-            for item in page.items {
-                match BASE64_STANDARD.decode(&item.value) {
-                    Ok(value) => records.push((item.key, value.into())),
-                    Err(error) => {
-                        log::warn!(
-                            key = item.key.as_str(), error:%;
-                            "store: value is not valid base64; using an empty one"
-                        );
-                        records.push((item.key, Bytes::new()));
-                    }
-                }
+            let more = page.more && !page.items.is_empty();
+            pages.push(page.items);
+            if !more {
+                return Ok((pages.records, next.unwrap_or(page.end)));
             }
-            if !page.more || empty {
-                return Ok((records, next.unwrap_or(page.end)));
+            if !pages.advance() {
+                let text = "pages of the newest records do not advance";
+                return Err(Failure::NotApplied(text.into()));
             }
         }
     }
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -10,25 +10,29 @@
     Deserialize,
     Serialize, //
 };
+use serde_json::value::RawValue;
 use thiserror::Error;
 
-use crate::gateway::{
-    cache::DEFAULT_CAPACITY,
-    registry,
-    route::{
-        Engine,
-        Kind,
-        Limits,
-        Route,
-        Service,
-        Share,
-        Table, //
-    },
-    tenant::{
-        key::Key,
-        Directory,
-        Quota,
-        Tenant, //
+use crate::{
+    clock::Time,
+    gateway::{
+        cache::DEFAULT_CAPACITY,
+        registry,
+        route::{
+            Engine,
+            Kind,
+            Limits,
+            Route,
+            Service,
+            Share,
+            Table, //
+        },
+        tenant::{
+            key::Key,
+            Directory,
+            Quota,
+            Tenant, //
+        },
     },
 };
 
@@ -287,9 +291,17 @@
     Draining,
 }
 
+/// Time by which the start of a server may seem to be in the future. A report with a later one would
+/// make all others of that server count as older.
+const MAX_START_SKEW: Duration = Duration::from_secs(24 * 3_600);
+
 /// Decodes the report of a server; at least one slot is assumed.
 pub fn server(id: &str, body: &[u8]) -> Result<registry::Server, Invalid> {
     let report: Report = serde_json::from_slice(body)?;
+    let latest = Time::now() + MAX_START_SKEW;
+    if report.born > latest.0 / 1_000 {
+        return Err(Invalid::Value(format!("born: {} is not yet", report.born)));
+    }
     Ok(registry::Server {
         id: id.into(),
         service: report.service,
@@ -306,9 +318,10 @@
 /// Page of the newest records of a topic, one for each key.
 #[derive(Debug)]
 #[derive(Deserialize)]
-pub struct Newest {
-    /// Records of this page.
-    pub items: Vec<Item>,
+pub struct Newest<'a> {
+    /// Records of this page. They are decoded one by one, as any writer may have written one.
+    #[serde(borrow)]
+    pub items: Vec<&'a RawValue>,
     /// Whether more keys follow the last one.
     pub more: bool,
     /// Offset that the next record of the topic will get.
--- a/standin/src/store/mod.rs
+++ b/standin/src/store/mod.rs
@@ -46,6 +46,8 @@
     pub listen: SocketAddr,
     /// Address of the control routes, which network faults don't affect.
     pub control: SocketAddr,
+    /// Maximum records of a page of the newest ones.
+    pub page_items: usize,
 }
 
 impl Default for Config {
@@ -53,6 +55,7 @@
         Self {
             listen: LOOPBACK_ANY_PORT,
             control: LOOPBACK_ANY_PORT,
+            page_items: 500,
         }
     }
 }
@@ -99,6 +102,7 @@
 /// A stand-in for the platform's metadata store.
 #[derive(Default)]
 pub struct Store {
+    page_items: usize,
     inner: Mutex<Inner>,
     /// Wakes waiting reads on an append.
     appended: Notify,
@@ -106,7 +110,11 @@
 
 /// Starts a store; fails if an address can't be bound.
 pub fn start(config: Config) -> io::Result<Server<Store>> {
-    Server::start(Store::default(), config.listen, config.control)
+    let store = Store {
+        page_items: config.page_items,
+        ..Store::default()
+    };
+    Server::start(store, config.listen, config.control)
 }
 
 impl Store {
@@ -115,9 +123,10 @@
     }
 
     /// Sets the value of a key in a keyed topic, as an operator or a server does.
-    pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
+    pub fn put(&self, topic: &str, key: impl AsRef<[u8]>, value: &[u8]) {
+        let key = key.as_ref();
         let mut record = vec![key.len() as u8];
-        record.extend_from_slice(key.as_bytes());
+        record.extend_from_slice(key);
         record.extend_from_slice(value);
         self.append(topic, 0, vec![record.into()]);
     }
--- a/standin/src/store/routes.rs
+++ b/standin/src/store/routes.rs
@@ -50,6 +50,9 @@
         .route("/control/records/{topic}/{key}", web::delete().to(remove));
 }
 
+/// Length of the values of a page of the newest records from which on no further one is added.
+const MAX_PAGE_BYTES: usize = 700_000;
+
 #[derive(Debug)]
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -60,6 +63,8 @@
     from: u64,
     #[serde(default)]
     wait_ms: u64,
+    /// Key after which a page begins.
+    after: Option<String>,
 }
 
 /// Body of a request to drop records.
@@ -183,14 +188,19 @@
     }
     let empty = Partition::default();
     let partition = inner.partitions.get(&parameters.key()).unwrap_or(&empty);
-    let items: Vec<_> = partition
-        .newest()
-        .map(|(key, (value, offset))| {
-            let value = BASE64_STANDARD.encode(value);
-            json!({ "key": key, "value": value, "offset": offset })
-        })
-        .collect();
-    HttpResponse::Ok().json(json!({ "items": items, "more": false, "end": partition.end() }))
+    let after = parameters.after.as_deref().map(str::as_bytes);
+    let mut newest = partition.newest(after).peekable();
+    let (mut items, mut bytes) = (Vec::new(), 0);
+    while items.len() < store.page_items && bytes < MAX_PAGE_BYTES {
+        let Some((key, (value, offset))) = newest.next() else {
+            break;
+        };
+        let (key, value) = (String::from_utf8_lossy(key), BASE64_STANDARD.encode(value));
+        bytes += value.len();
+        items.push(json!({ "key": key, "value": value, "offset": offset }));
+    }
+    let more = newest.peek().is_some();
+    HttpResponse::Ok().json(json!({ "items": items, "more": more, "end": partition.end() }))
 }
 
 async fn trim(store: Data<Store>, body: Json<Trim>) -> HttpResponse {
--- a/standin/src/store/topic.rs
+++ b/standin/src/store/topic.rs
@@ -1,6 +1,9 @@
 //! A partition: records, and the newest value of each key.
 
-use std::collections::BTreeMap;
+use std::{
+    collections::BTreeMap,
+    ops::Bound, //
+};
 
 use bytes::{
     Buf as _,
@@ -12,8 +15,8 @@
 pub(super) struct Partition {
     first: u64,
     records: Vec<Bytes>,
-    /// Newest value of each key and its offset, in a keyed topic.
-    newest: BTreeMap<String, (Bytes, u64)>,
+    /// Newest value of each key and its offset, in a keyed topic. A key may hold any bytes.
+    newest: BTreeMap<Bytes, (Bytes, u64)>,
 }
 
 impl Partition {
@@ -35,7 +38,6 @@
         }
         let length = usize::from(record.get_u8()).min(record.len());
         let key = record.split_to(length);
-        let key = String::from_utf8_lossy(&key).into_owned();
         match record.is_empty() {
             true => self.newest.remove(&key),
             false => self.newest.insert(key, (record, self.end())),
@@ -71,8 +73,12 @@
         Some(self.records.get(skip..).unwrap_or_default())
     }
 
-    /// Returns the newest value of each key and its offset.
-    pub(super) fn newest(&self) -> impl Iterator<Item = (&String, &(Bytes, u64))> {
-        self.newest.iter()
+    /// Returns the newest value of each key after `after` and its offset, in the order of the keys.
+    pub(super) fn newest(
+        &self,
+        after: Option<&[u8]>,
+    ) -> impl Iterator<Item = (&Bytes, &(Bytes, u64))> {
+        let after = after.map_or(Bound::Unbounded, Bound::Excluded);
+        self.newest.range::<[u8], _>((after, Bound::Unbounded))
     }
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod dialect;
 mod dispatcher;
 mod endless;
+mod entries;
 mod events;
 mod follow;
 mod history;
