Take a refusal as the proof for the one send that it answers

Cause: the identifier of an answer names the request and not the send. The next send of a refused request could use the same connection, where the repeated refusal was taken as its proof. A refusal without an identifier was taken as a proof too.

Change: a connection records the requests that were refused on it and carries no other send of them. A refusal without an identifier proves nothing, and 421 without a proof is not passed on.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -51,7 +51,10 @@
 };
 
 use super::frames;
-use crate::name::Instance;
+use crate::{
+    hash,
+    name::Instance, //
+};
 
 /// Timeout of a connection attempt: many round trips between zones, far less than a deadline.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -72,6 +75,9 @@
 /// Maximum bytes of bodies of skipped answers.
 const MAX_SKIPPED_BYTES: usize = 1 << 20;
 
+/// Maximum refused requests that a connection records before it is not used again.
+const MAX_REFUSED: usize = 64;
+
 /// Maximum bytes received that are no content: heads, interim answers, sizes of chunks and trailers.
 const MAX_OVERHEAD_BYTES: usize = 256 << 10;
 
@@ -128,6 +134,9 @@
     keep_alive_timeout: Option<Duration>,
     /// When the latest answer was complete.
     idle_since: Instant,
+    /// Hashes of the identifiers of requests that the upstream refused on this connection. It may
+    /// write the refusals once more, which would answer another send of these requests.
+    refused: Vec<u64>,
 }
 
 fn codec() -> ClientCodec {
@@ -231,9 +240,21 @@
             keep_alive: true,
             keep_alive_timeout: None,
             idle_since: Instant::now(),
+            refused: Vec::new(),
         }
     }
 
+    /// Records that the upstream refused a request.
+    pub fn record_refusal(&mut self, request: &str) {
+        self.refused.push(hash::stable(request.as_bytes()));
+    }
+
+    /// Returns whether the upstream refused a request here, so that another send of it needs another
+    /// connection.
+    pub fn has_refused(&self, request: &str) -> bool {
+        !self.refused.is_empty() && self.refused.contains(&hash::stable(request.as_bytes()))
+    }
+
     /// Returns the instance through which the connection leads, unless it is direct.
     pub fn helper(&self) -> Option<&Instance> {
         self.helper.as_ref()
@@ -390,7 +411,8 @@
     pub fn reusable(&self) -> bool {
         let extra =
             !self.buffer.is_empty() || self.frames.as_ref().is_some_and(frames::Decoder::pending);
-        self.keep_alive && !extra && matches!(self.codec, Codec::Head(_))
+        let refused = self.refused.len() >= MAX_REFUSED;
+        self.keep_alive && !refused && !extra && matches!(self.codec, Codec::Head(_))
     }
 
     /// Returns how long the connection has been idle.
--- a/src/gateway/dial.rs
+++ b/src/gateway/dial.rs
@@ -212,9 +212,15 @@
         &self.tunnels
     }
 
-    /// Returns an idle connection to an upstream, or opens one; if `once`, only a recently used one.
-    pub async fn take(&self, server: &Server, once: bool) -> Result<Connection, Fault> {
-        while let Some(connection) = self.pool.take(server.address, once) {
+    /// Returns an idle connection to an upstream for a request, or opens one; if `once`, only a
+    /// recently used one.
+    pub async fn take(
+        &self,
+        server: &Server,
+        request: &str,
+        once: bool,
+    ) -> Result<Connection, Fault> {
+        while let Some(connection) = self.pool.take(server.address, request, once) {
             let lost = self.paths.borrow().is_lost(server.address);
             let usable = |helper| lost && self.is_live(helper);
             if connection.helper().is_none_or(usable) {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -531,7 +531,7 @@
         loop {
             let taken = match fresh {
                 true => self.dialer.open(server).await,
-                false => self.dialer.take(server, once).await,
+                false => self.dialer.take(server, &job.call.id, once).await,
             };
             let mut connection = match taken {
                 Ok(connection) => connection,
@@ -685,9 +685,12 @@
             self.fleet
                 .failed(Time::monotonic(), exchange.server.address);
         }
-        let refused = reply.not_run || status == StatusCode::MISDIRECTED_REQUEST;
+        // An answer without an identifier may be one to an earlier request.
+        let named = reply.id.is_some();
+        let refused = named && (reply.not_run || status == StatusCode::MISDIRECTED_REQUEST);
         if refused {
             sends.refused();
+            exchange.connection.record_refusal(&job.call.id);
             exchange.flight.prefilled();
             // A short body is read so that the connection can be reused.
             let limit = Instant::now() + RETRY_PAUSE;
@@ -707,6 +710,7 @@
         }
         let promise = [
             StatusCode::REQUEST_TIMEOUT,
+            StatusCode::MISDIRECTED_REQUEST,
             StatusCode::TOO_MANY_REQUESTS,
             StatusCode::SERVICE_UNAVAILABLE,
         ];
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -37,9 +37,10 @@
 }
 
 impl Pool {
-    /// Returns an idle connection; if `once`, only a recently used one.
-    pub fn take(&self, address: SocketAddr, once: bool) -> Option<Connection> {
-        while let Some(connection) = self.pop(address) {
+    /// Returns an idle connection on which the upstream has not refused a request; if `once`, only a
+    /// recently used one.
+    pub fn take(&self, address: SocketAddr, request: &str, once: bool) -> Option<Connection> {
+        while let Some(connection) = self.pop(address, request) {
             let fits = !once || connection.idle() < MAX_IDLE_TIME_ONCE;
             if fits && usable(&connection) && connection.healthy() {
                 return Some(connection);
@@ -48,8 +49,12 @@
         None
     }
 
-    fn pop(&self, address: SocketAddr) -> Option<Connection> {
-        self.idle.borrow_mut().get_mut(&address)?.pop()
+    fn pop(&self, address: SocketAddr, request: &str) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(&address)?;
+        let fits = |connection: &Connection| !connection.has_refused(request);
+        let index = connections.iter().rposition(fits)?;
+        Some(connections.remove(index))
     }
 
     /// Returns a connection to the pool after a complete answer.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -29,6 +29,7 @@
 mod quota;
 mod recovery;
 mod registry;
+mod repeated;
 mod replica;
 mod reports;
 mod reserve;
