Continue a stream only with an answer that goes on with it

Cause: any success was taken for the rest of a stream that broke off, whatever its type. An error ended the stream although an attempt was left.

Change: the answer has to have the status, content type and encoding of the head that the caller has. Another one is a failed attempt. Its first event has to be the next one, if the identifiers so far had equal steps.

Evidence: resumption::answer_that_continues_no_stream_breaks_it_off and resumption::stream_goes_on_after_an_answer_that_does_not_continue_it failed before and pass now.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -30,6 +30,45 @@
     pub bytes: Bytes,
 }
 
+/// Equal steps between identifiers from which on they are taken for consecutive.
+const MIN_EVEN_STEPS: u32 = 2;
+
+/// Identifiers of the events of a stream so far.
+///
+/// They increase, and need not be consecutive. Those that were so far stay it, so that a gap after a
+/// break shows that an event is missing.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Sequence {
+    last: Option<u64>,
+    step: Option<u64>,
+    /// Number of equal steps; 0 once two steps differed.
+    even_steps: u32,
+    uneven: bool,
+}
+
+impl Sequence {
+    /// Adds the identifier of the next event.
+    pub fn push(&mut self, id: u64) {
+        let step = self.last.map(|last| id.saturating_sub(last));
+        self.last = Some(id);
+        let Some(step) = step else {
+            return;
+        };
+        self.uneven |= self.step.is_some_and(|known| known != step);
+        self.step = Some(step);
+        self.even_steps = if self.uneven { 0 } else { self.even_steps + 1 };
+    }
+
+    /// Returns whether an event may be the next one after a break.
+    pub fn admits(&self, id: u64) -> bool {
+        match (self.last, self.step) {
+            (Some(last), Some(step)) if self.even_steps >= MIN_EVEN_STEPS => id == last + step,
+            (Some(last), _) => id > last,
+            (None, _) => true,
+        }
+    }
+}
+
 /// Splits the bytes of a stream into events.
 #[derive(Debug, Default)]
 pub struct Splitter {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -10,7 +10,14 @@
     },
 };
 
-use actix_http::ResponseHead;
+use actix_http::{
+    header::{
+        self,
+        HeaderValue, //
+    },
+    ResponseHead,
+    StatusCode, //
+};
 use bytes::Bytes;
 use tokio::time::{
     sleep,
@@ -29,7 +36,10 @@
         Outcome,
         Placement, //
     },
-    events::Splitter,
+    events::{
+        Sequence,
+        Splitter, //
+    },
     forward::{
         body,
         broken,
@@ -113,6 +123,28 @@
     }
 }
 
+/// What the answers of one stream have in common.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct Form {
+    status: StatusCode,
+    /// Content type without parameters, in lower case.
+    content_type: Option<String>,
+    encoding: Option<HeaderValue>,
+}
+
+impl From<&ResponseHead> for Form {
+    fn from(head: &ResponseHead) -> Self {
+        let content_type = head.headers.get(header::CONTENT_TYPE);
+        let content_type = content_type.and_then(|value| value.to_str().ok());
+        let content_type = content_type.and_then(|value| value.split(';').next());
+        Self {
+            status: head.status,
+            content_type: content_type.map(|value| value.trim().to_ascii_lowercase()),
+            encoding: head.headers.get(header::CONTENT_ENCODING).cloned(),
+        }
+    }
+}
+
 /// Start of the answer to a request for a stream.
 pub enum Started<D: Dialect, L: Log + 'static> {
     /// Events follow the head.
@@ -136,6 +168,10 @@
     latest: Option<Rc<Server>>,
     resumes: u32,
     lease: Option<Lease<L>>,
+    /// Form of the answer that the caller gets; `None` before the first head.
+    form: Option<Form>,
+    /// Identifiers of the events sent to the caller.
+    sequence: Sequence,
     /// Whether the latest send brought an event.
     began: bool,
     /// First event, which was read before the answer was started.
@@ -172,6 +208,8 @@
             latest: None,
             resumes: 0,
             lease: None,
+            form: None,
+            sequence: Sequence::default(),
             began: false,
             first: None,
             tokens_per_event,
@@ -440,6 +478,18 @@
                 .send(&self.job, (&choice, &permit), after, &mut self.sends, limit)
                 .await;
             match sent {
+                Sent::Answered(exchange) if !self.continues(&exchange.head) => {
+                    log::warn!(
+                        request = &*self.job.call.id, upstream = &*exchange.server.id,
+                        status = exchange.head.status.as_u16();
+                        "relay: answer does not continue the stream; trying another upstream"
+                    );
+                    self.latest = None;
+                    self.end_placement(Outcome::Failed);
+                    retries.exclude(address);
+                    self.resume("no_continuation")
+                        .map_err(|Interruption(reason)| self.failed(reason))?;
+                }
                 Sent::Answered(exchange) => {
                     self.latest = Some(exchange.server.clone());
                     self.splitter = Splitter::after(self.last);
@@ -448,7 +498,8 @@
                         .status
                         .is_success()
                         .then(|| copy(&exchange.head));
-                    if head.is_some() {
+                    if let Some(head) = &head {
+                        self.form.get_or_insert_with(|| head.into());
                         self.record_continuation(&exchange.server);
                         let (prefixes, capacity) = (&self.job.prefixes, self.job.cache_tokens);
                         self.gateway
@@ -481,6 +532,12 @@
         }
     }
 
+    /// Returns whether an answer may follow behind the head that the caller gets.
+    fn continues(&self, head: &ResponseHead) -> bool {
+        let form = self.form.as_ref();
+        form.is_none_or(|form| *form == head.into())
+    }
+
     /// Logs and counts that the stream goes on after a break.
     fn record_continuation(&self, server: &Server) {
         let Some(last) = self.last else {
@@ -644,6 +701,10 @@
                 continue;
             };
             match self.splitter.event() {
+                Ok(Some(event)) if !self.began && !self.sequence.admits(event.id) => {
+                    self.resume_broken("gap").await?;
+                    continue;
+                }
                 Ok(Some(event)) => {
                     exchange.flight.prefilled();
                     return Ok(Some(self.deliver(event.id, event.bytes)));
@@ -693,6 +754,7 @@
             recorder.push(id, &bytes);
         }
         self.last = Some(id);
+        self.sequence.push(id);
         self.events += 1;
         self.began = true;
         if self.origin.is_none() {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -33,6 +33,7 @@
 mod replica;
 mod reports;
 mod reserve;
+mod resumption;
 mod route;
 mod serve;
 mod settings;
--- /dev/null
+++ b/tests/gateway/resumption.rs
@@ -0,0 +1,182 @@
+//! Guards streams that go on after a break against answers that don't continue them.
+
+use crate::support::{
+    request,
+    Action,
+    Deployment,
+    Message,
+    Upstream, //
+};
+
+const HEADERS: &str = "Token-Count: 50,40\r\nDeadline-Ms: 1500\r\n";
+
+/// Text that must not reach a caller in the middle of a stream.
+const OTHER: &str = "<html>not a stream</html>";
+
+/// How an answer states its end.
+#[derive(Clone, Copy, Debug)]
+enum Framing {
+    Length,
+    Chunks,
+    /// By the end of its connection.
+    Neither,
+}
+
+const FRAMINGS: [Framing; 3] = [Framing::Length, Framing::Chunks, Framing::Neither];
+
+/// Returns an answer to a request, with further headers.
+fn message(request: &Message, status: &str, headers: &str, framing: Framing, body: &str) -> Action {
+    let id = request.header("request-id").unwrap_or("");
+    let head = format!("HTTP/1.1 {status}\r\nRequest-Id: {id}\r\nServer-Seal: s\r\n{headers}");
+    let length = body.len();
+    match framing {
+        Framing::Length => {
+            let text = format!("{head}Content-Length: {length}\r\n\r\n{body}");
+            Action::Answer(text.into_bytes())
+        }
+        Framing::Chunks => {
+            let chunk = match length {
+                0 => String::new(),
+                length => format!("{length:x}\r\n{body}\r\n"),
+            };
+            let text = format!("{head}Transfer-Encoding: chunked\r\n\r\n{chunk}0\r\n\r\n");
+            Action::Answer(text.into_bytes())
+        }
+        Framing::Neither => Action::Close(format!("{head}\r\n{body}").into_bytes()),
+    }
+}
+
+const STREAM: &str = "Content-Type: text/event-stream\r\n";
+
+fn stream_events(ids: impl IntoIterator<Item = u64>) -> String {
+    let event = |id| format!("id: {id}\ndata: e{id}\n\n");
+    ids.into_iter().map(event).collect()
+}
+
+/// Returns the start of a stream up to an event, after which its connection breaks.
+fn broken(request: &Message, last: u64) -> Action {
+    let id = request.header("request-id").unwrap_or("");
+    let events = stream_events(1..=last);
+    let length = events.len();
+    let text = format!(
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: s\r\n{STREAM}Transfer-Encoding: chunked\r\n\r\n{length:x}\r\n{events}\r\n"
+    );
+    Action::Close(text.into_bytes())
+}
+
+/// An answer in place of the rest of a stream.
+type Other = (&'static str, &'static str, &'static str, String);
+
+fn others() -> Vec<Other> {
+    let html = "Content-Type: text/html\r\n";
+    let rest = || stream_events(4..=5);
+    vec![
+        ("html", "200 OK", html, OTHER.into()),
+        ("empty html", "200 OK", html, String::new()),
+        ("no type", "200 OK", "", OTHER.into()),
+        ("events as html", "200 OK", html, rest()),
+        ("events without a type", "200 OK", "", rest()),
+        (
+            "encoded",
+            "200 OK",
+            "Content-Type: text/event-stream\r\nContent-Encoding: gzip\r\n",
+            rest(),
+        ),
+        ("other text", "200 OK", STREAM, OTHER.into()),
+        ("other success", "206 Partial Content", STREAM, rest()),
+        ("own error", "500 Error", html, OTHER.into()),
+        ("not found", "404 Not Found", html, OTHER.into()),
+        ("error as a stream", "500 Error", STREAM, rest()),
+        ("from the start", "200 OK", STREAM, stream_events(1..=5)),
+        ("repeated event", "200 OK", STREAM, stream_events(3..=5)),
+        ("missing event", "200 OK", STREAM, stream_events(5..=6)),
+    ]
+}
+
+/// The text of another answer was in the middle of a stream, which ended as if it were complete.
+#[test]
+fn answer_that_continues_no_stream_breaks_it_off() {
+    for (name, status, headers, body) in others() {
+        for framing in FRAMINGS {
+            let text = body.clone();
+            let upstream = Upstream::start(move |number, request| match number {
+                0 => broken(request, 3),
+                _ => message(request, status, headers, framing, &text),
+            });
+            let deployment = Deployment::start(&[&upstream]);
+            let answer = deployment.request(&request("POST", "/stream/x", HEADERS, ""));
+            let context = format!("{name}, {framing:?}: {}", answer.text());
+            assert!(!answer.complete, "{context}");
+            assert_eq!(answer.text(), stream_events(1..=3), "{context}");
+            assert!(upstream.requests().len() > 1, "{context}");
+        }
+    }
+}
+
+/// One other answer is a failed attempt, and no reason to give the stream up.
+#[test]
+fn stream_goes_on_after_an_answer_that_does_not_continue_it() {
+    for (name, status, headers, body) in others() {
+        let upstream = Upstream::start(move |number, request| match number {
+            0 => broken(request, 3),
+            1 => message(request, status, headers, Framing::Length, &body),
+            _ => message(
+                request,
+                "200 OK",
+                "Content-Type: text/event-stream; charset=utf-8\r\n",
+                Framing::Neither,
+                &stream_events(4..=5),
+            ),
+        });
+        let deployment = Deployment::start(&[&upstream]);
+        let headers = "Token-Count: 50,40\r\nDeadline-Ms: 3000\r\n";
+        let answer = deployment.request(&request("POST", "/stream/x", headers, ""));
+        assert!(answer.complete, "{name}: {}", answer.text());
+        assert_eq!(answer.text(), stream_events(1..=5), "{name}");
+    }
+}
+
+/// Identifiers increase and need not follow each other: a stream whose identifiers have gaps goes on
+/// after a break.
+#[test]
+fn stream_with_gaps_goes_on_after_a_break() {
+    let upstream = Upstream::start(|number, request| match number {
+        0 => {
+            let id = request.header("request-id").unwrap_or("");
+            let events = stream_events([2, 3, 7]);
+            let text = format!(
+                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: s\r\n{STREAM}Content-Length: 900\r\n\r\n{events}"
+            );
+            Action::Close(text.into_bytes())
+        }
+        _ => message(
+            request,
+            "200 OK",
+            STREAM,
+            Framing::Chunks,
+            &stream_events([9, 12]),
+        ),
+    });
+    let deployment = Deployment::start(&[&upstream]);
+    let answer = deployment.request(&request("POST", "/stream/x", HEADERS, ""));
+    assert!(answer.complete, "{}", answer.text());
+    assert_eq!(answer.text(), stream_events([2, 3, 7, 9, 12]));
+}
+
+/// A stream without a length that ends inside an event has been broken off: it goes on elsewhere, or
+/// does not end as a whole one.
+#[test]
+fn stream_without_a_length_that_ends_inside_an_event_is_resumed() {
+    let upstream = Upstream::start(|number, request| {
+        let body = match number {
+            0 => stream_events(1..=3) + "id: 4\ndata: e",
+            _ => stream_events(4..=5),
+        };
+        message(request, "200 OK", STREAM, Framing::Neither, &body)
+    });
+    let deployment = Deployment::start(&[&upstream]);
+    let answer = deployment.request(&request("POST", "/stream/x", HEADERS, ""));
+    assert!(answer.complete, "{}", answer.text());
+    assert_eq!(answer.text(), stream_events(1..=5));
+    assert_eq!(upstream.requests().len(), 2);
+}
