End a stream without events once, and not when its connection ends

Each stream that ends without an event was sent twice.

Cause: the first event is read before the answer begins; none stood for "not read" and for "ended", so that the relay connected again without asking whether the stream may be resumed. The end of a connection before the first event passed for the end of the stream.

Change: the relay records the end of the stream. An answer that ends with its connection before its first event is broken off.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -415,6 +415,11 @@
         self.keep_alive && !refused && !extra && matches!(self.codec, Codec::Head(_))
     }
 
+    /// Returns whether the body of the latest answer ended with the connection, and not by its framing.
+    pub fn ended_with_body(&self) -> bool {
+        self.until_close
+    }
+
     /// Returns how long the connection has been idle.
     pub fn idle(&self) -> Duration {
         self.idle_since.elapsed()
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -176,6 +176,8 @@
     began: bool,
     /// First event, which was read before the answer was started.
     first: Option<Bytes>,
+    /// Whether the end of the stream was reached, also before its first event.
+    ended: bool,
     tokens_per_event: u64,
     events: u64,
     /// Where the stream began; `None` before its first event. All further events are from there.
@@ -212,6 +214,7 @@
             sequence: Sequence::default(),
             began: false,
             first: None,
+            ended: false,
             tokens_per_event,
             events: 0,
             origin: None,
@@ -692,6 +695,9 @@
         if let Some(first) = self.first.take() {
             return Ok(Some(first));
         }
+        if self.ended {
+            return Ok(None);
+        }
         // Bytes that complete no event are no progress.
         let mut waiting_since = Instant::now();
         loop {
@@ -722,7 +728,12 @@
             let limit = self.job.deadline.min(waiting_since + pause);
             match timeout_at(limit.into(), exchange.connection.chunk()).await {
                 Ok(Ok(Some(chunk))) => self.splitter.push(&chunk),
+                // The connections of an engine that crashes end as this answer does.
+                Ok(Ok(None)) if !self.began && exchange.connection.ended_with_body() => {
+                    self.resume_broken("cut").await?;
+                }
                 Ok(Ok(None)) if !self.splitter.partial() => {
+                    self.ended = true;
                     self.finish();
                     self.keep_turn().await?;
                     return Ok(None);
--- a/tests/gateway/resumption.rs
+++ b/tests/gateway/resumption.rs
@@ -1,5 +1,12 @@
 //! Guards streams that go on after a break against answers that don't continue them.
 
+use std::{
+    thread,
+    time::Duration, //
+};
+
+use serde_json::json;
+
 use crate::support::{
     request,
     Action,
@@ -180,3 +187,45 @@
     assert_eq!(answer.text(), stream_events(1..=5));
     assert_eq!(upstream.requests().len(), 2);
 }
+
+/// Publishes a route whose streams may run once.
+fn configure_once(deployment: &Deployment) {
+    let config = json!({
+        "version": 2,
+        "routes": [{
+            "name": "once", "host": "h.example", "pathPrefix": "/once-stream/", "kind": "streaming",
+            "timeoutMs": 3000, "targetLatencyMs": 200, "priority": 0, "service": "s", "maxAttempts": 2,
+        }],
+        "services": [{ "name": "s", "maxConns": 10, "engine": { "tokensPerEvent": 10 } }],
+        "limits": { "maxBodyBytes": 1000 },
+    });
+    let config = config.to_string();
+    deployment
+        .store
+        .put("keyed.op", "config", config.as_bytes());
+    thread::sleep(Duration::from_millis(1_200));
+}
+
+/// A stream that may run once was sent to a second engine when the first one had ended its answer
+/// before the first event.
+#[test]
+fn stream_that_ends_before_its_first_event_is_sent_once() {
+    for (framing, expected) in [
+        (Framing::Length, 200),
+        (Framing::Chunks, 200),
+        // An engine that crashes ends its connections as well, so that this one may have run in part.
+        (Framing::Neither, 502),
+    ] {
+        let engine = move || {
+            Upstream::start(move |_, request| message(request, "200 OK", STREAM, framing, ""))
+        };
+        let engines = [engine(), engine()];
+        let deployment = Deployment::start(&[&engines[0], &engines[1]]);
+        configure_once(&deployment);
+        let answer = deployment.request(&request("POST", "/once-stream/x", HEADERS, ""));
+        assert_eq!(answer.status(), expected, "{framing:?}: {}", answer.text());
+        assert!(!answer.text().contains("data"), "{framing:?}");
+        let sends: usize = engines.iter().map(|engine| engine.requests().len()).sum();
+        assert_eq!(sends, 1, "{framing:?}");
+    }
+}
