Charge programs for what owners may grant beside an unwitnessed writer

Cause: a writer in the cut zone registers with the witnesses that it reaches, which need not be a majority. An owner outside has the others and grants turns from an account that lacks what the writer appended.

Change: a writer without a majority of the witnesses charges programs with the part of the budget that an owner may grant without the log, as a reserve that nobody can return.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -142,6 +142,11 @@
         self.accepting >= self.majority && spread
     }
 
+    /// Returns whether a majority accepts, wherever it is.
+    pub fn has_majority(&self) -> bool {
+        self.accepting >= self.majority
+    }
+
     /// Returns whether a witness refused.
     pub fn is_opposed(&self) -> bool {
         self.refusing > 0
--- a/src/gateway/replica/grant.rs
+++ b/src/gateway/replica/grant.rs
@@ -83,8 +83,9 @@
     /// Registers this instance as a writer; returns whether it may write.
     ///
     /// No witness may object, also if a majority does not: some of these may have been restarted and
-    /// so have lost the grants that they held. It may also write if too few witnesses answer, as
-    /// then no owner gets a majority either.
+    /// so have lost the grants that they held. It may also write if too few witnesses answer. An owner
+    /// may have the others then, and grant turns without the log that this instance writes: programs
+    /// are charged with what these may get.
     pub(super) async fn register<L: Log, T: Transport>(&self, log: &Path<L, T>) -> bool {
         let now = Time::monotonic();
         let Some(peers) = log.peers() else {
@@ -99,7 +100,12 @@
         let snapshot = peers.roster.snapshot();
         let admit = || self.admit_writer(now, &snapshot.local().instance, generation);
         let vote = peers.ask_witnesses(self.index, &request, Vote::is_opposed, admit);
-        let registered = !vote.await.is_opposed() && self.generation.get() == generation;
+        let vote = vote.await;
+        let registered = !vote.is_opposed() && self.generation.get() == generation;
+        let regained = self.unwitnessed.replace(!vote.has_majority()) && vote.has_majority();
+        if regained && log.is_complete() {
+            self.presumed.borrow_mut().clear();
+        }
         if registered {
             self.registered_until.set(now + REGISTRATION_TTL);
         }
--- a/src/gateway/replica/mod.rs
+++ b/src/gateway/replica/mod.rs
@@ -401,8 +401,9 @@
                 );
                 partition.refuse_waiters();
             }
-            if !self.log.is_complete() && !settling {
-                partition.presume_lost();
+            let unknown = !self.log.is_complete() || partition.unwitnessed.get();
+            if unknown && !settling {
+                partition.presume_unlogged();
             }
             let full = partition.backlog.borrow().len() > MAX_BATCH_RECORDS;
             // The records of the backlog come before turns whose decision may presume them.
--- a/src/gateway/replica/partition.rs
+++ b/src/gateway/replica/partition.rs
@@ -101,8 +101,10 @@
     pub(super) late: Cell<bool>,
     /// Turns that were granted before the log answered and are not in the log yet, by program.
     pub(super) unlogged: RefCell<Map<Program, Unlogged>>,
-    /// Programs whose account was charged with what may have been granted to them and lost with all
-    /// instances.
+    /// Whether the latest registration as a writer did not reach a majority of the witnesses.
+    pub(super) unwitnessed: Cell<bool>,
+    /// Programs whose account was charged with what others may grant without the log, or have granted
+    /// and lost with all instances.
     pub(super) presumed: RefCell<Set<Program>>,
     /// Reserves whose requesters were answered before the log was, by number.
     pub(super) unconfirmed: RefCell<Map<Turn, (Program, reserve::Request)>>,
@@ -141,6 +143,7 @@
             held: RefCell::default(),
             late: Cell::new(false),
             unlogged: RefCell::default(),
+            unwitnessed: Cell::new(false),
             presumed: RefCell::default(),
             unconfirmed: RefCell::default(),
         }
@@ -170,9 +173,9 @@
         self.wake.notify_one();
     }
 
-    /// Charges the programs of waiting turns with what may have been granted to them without the log
-    /// and lost with all instances, as reserves that nobody can return.
-    pub(super) fn presume_lost(&self) {
+    /// Charges the programs of waiting turns with what they may get, or got, without the log and unknown
+    /// here, as reserves that nobody can return.
+    pub(super) fn presume_unlogged(&self) {
         let reservations = self.waiters.borrow();
         let reservations = reservations.iter().map(|waiter| waiter.reservation);
         for reservation in reservations {
--- a/tests/gateway/accounts/mod.rs
+++ b/tests/gateway/accounts/mod.rs
@@ -583,9 +583,14 @@
 
     /// Opens a turn; returns whether it is granted within 100 ms.
     async fn open(&self, index: usize, program: &str) -> bool {
+        self.open_within(index, program, 500).await
+    }
+
+    /// Opens a turn of a program with a budget; returns whether it is granted within 100 ms.
+    async fn open_within(&self, index: usize, program: &str, budget: u64) -> bool {
         let process = self.process(index).unwrap();
         let turn = self.rng.borrow_mut().random();
-        let pending = process.client.open(program, turn, MAX_TOKENS, 500);
+        let pending = process.client.open(program, turn, MAX_TOKENS, budget);
         let decision = timeout(Duration::from_millis(100), pending.decision).await;
         process.client.close(program, turn, MAX_TOKENS / 2);
         matches!(decision, Ok(Ok(Decision::Granted)))
--- a/tests/gateway/accounts/store.rs
+++ b/tests/gateway/accounts/store.rs
@@ -124,3 +124,41 @@
         });
     }
 }
+
+/// Instances of a zone that is cut off wrote what no majority of the witnesses heard of. In an outage
+/// that followed, an owner outside granted the same tokens again.
+#[test]
+fn open_holds_the_budget_over_a_cut_and_an_outage() {
+    const BUDGET: u64 = 2_000;
+    paused().block_on(async {
+        let world = start().await;
+        let (inside, outside) = (0, INSTANCES.len() - 1);
+        let open = async |index: usize, id: &str, turns: usize| {
+            let mut granted = 0;
+            for _ in 0..turns {
+                granted += usize::from(world.open_within(index, id, BUDGET).await);
+            }
+            granted
+        };
+        let mut granted_outside = 0;
+        for program in 0..8 {
+            let id = format!("program-{program}");
+            let mut granted = open(outside, &id, 1).await;
+            let cut = world.clone().cut(inside, true, Duration::from_secs(12));
+            spawn(cut);
+            sleep(Duration::from_secs(6)).await;
+            granted += open(inside, &id, 60).await;
+            let outage = Duration::from_secs(4);
+            spawn(world.clone().store_down(Service::Refusing, outage));
+            sleep(Duration::from_secs(2)).await;
+            let during = open(outside, &id, 30).await;
+            granted_outside += during;
+            sleep(Duration::from_secs(10)).await;
+            granted += during + open(outside, &id, 60).await;
+            let tokens = granted as u64 * MAX_TOKENS / 2;
+            assert!(tokens <= BUDGET + MAX_TOKENS, "{id}: {tokens} tokens");
+            assert!(tokens >= BUDGET / 2, "{id}: {tokens} tokens");
+        }
+        assert!(granted_outside > 0, "no turn was granted in an outage");
+    });
+}
