Count instances that can't be reached as missing for as long as they are

An instance that is cut off answers turns for as long as the cut lasts. Its loss was counted for the retention after it was noticed, so that 404 came back while it still held turns.

The test of the view names such an instance 100 s after its loss; it was written with the change.

--- a/src/gateway/history/client.rs
+++ b/src/gateway/history/client.rs
@@ -72,7 +72,8 @@
     },
     hash::{
         self,
-        Map, //
+        Map,
+        Set, //
     },
     log::{
         Failure,
@@ -415,8 +416,10 @@
         };
         let lost = self.peers.borrow().as_ref().map(|peers| {
             peers.roster.read(|view| {
-                let since = Time::now() - (retention + CLOCK_MARGIN);
-                view.lost_since(since).take(COPIES).cloned().collect()
+                let lost: Set<_> = view
+                    .lost_within(Time::now(), retention + CLOCK_MARGIN)
+                    .collect();
+                lost.into_iter().take(COPIES).cloned().collect()
             })
         });
         Attestation {
--- a/src/member/view.rs
+++ b/src/member/view.rs
@@ -252,12 +252,18 @@
         self.departures.get(&(pool.clone(), upstream.clone()))
     }
 
-    /// Returns the instances of which a process was lost with all that it had in memory, or may have
-    /// been, since a time.
-    pub fn lost_since(&self, since: Time) -> impl Iterator<Item = &Instance> {
+    /// Returns the instances of which a process was lost with all that it had in memory within a time,
+    /// and those that can't be reached and may go on elsewhere.
+    pub fn lost_within(&self, now: Time, time: Duration) -> impl Iterator<Item = &Instance> {
         let losses = self.losses.iter();
-        let recent = losses.filter(move |(_, at)| **at >= since);
-        recent.map(|((instance, _), _)| instance)
+        let recent = losses.filter(move |(_, at)| now.since(**at) <= time);
+        let recent = recent.map(|((instance, _), _)| instance);
+        let members = self.members.iter();
+        let gone = members.filter(move |(_, member)| {
+            let gone = member.entry.state == State::Gone && !member.left;
+            gone && member.entry.started > 0 && now.since(member.changed_at) < GONE_RETENTION
+        });
+        recent.chain(gone.map(|(instance, _)| instance))
     }
 
     /// Sets the load and the applied offsets of this instance.
--- a/tests/member_view.rs
+++ b/tests/member_view.rs
@@ -1,6 +1,9 @@
 //! Guards against views that never converge, return to an older state or follow a stale list.
 
-use std::time::Duration;
+use std::{
+    collections::BTreeSet,
+    time::Duration, //
+};
 
 use gypsumlever::{
     clock::Time,
@@ -533,7 +536,7 @@
 /// What a process had in memory is gone with it, also if another one has its name by now. Instances
 /// that left, or that refuted a suspicion, lost nothing.
 #[test]
-fn lost_since_names_processes_that_ended_without_leaving() {
+fn lost_within_names_processes_that_ended_without_leaving() {
     let process = |name: &str, incarnation, started, state| Entry {
         started,
         ..entry(name, incarnation, state)
@@ -552,16 +555,17 @@
         view.record_failure(second(4), &instance(name));
     }
     view.tick(second(10));
-    let lost = |view: &View, since| {
-        let names = view.lost_since(second(since));
-        names
-            .map(|name| name.as_str().to_owned())
-            .collect::<Vec<_>>()
+    let lost = |view: &View, now, time| {
+        let names = view.lost_within(second(now), Duration::from_secs(time));
+        let names: BTreeSet<_> = names.map(|name| name.as_str().to_owned()).collect();
+        names.into_iter().collect::<Vec<_>>()
     };
-    assert_eq!(lost(&view, 0), ["killed", "refuted", "restarted"]);
+    assert_eq!(lost(&view, 10, 20), ["killed", "refuted", "restarted"]);
     view.record_contact(second(11), &process("refuted", 2, 10, State::Live));
-    assert_eq!(lost(&view, 0), ["killed", "restarted"]);
-    assert_eq!(lost(&view, 5), ["killed"]);
+    assert_eq!(lost(&view, 11, 20), ["killed", "restarted"]);
+    // What can't be reached may go on elsewhere, and lose more later.
+    assert_eq!(lost(&view, 100, 20), ["killed"]);
+    assert!(lost(&view, 700, 20).is_empty());
 }
 
 /// An instance that was restarted at another address while nobody reached it stayed unreachable.
