--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -107,6 +107,8 @@
 /// What the witnesses of a partition said.
 #[derive(Clone, Debug, Default)]
 pub struct Vote {
+    /// Witnesses of the partition.
+    witnesses: usize,
     /// Witnesses that have to accept.
     majority: usize,
     /// Whether there are other availability zones.
@@ -142,9 +144,9 @@
         self.accepting >= self.majority && spread
     }
 
-    /// Returns whether a majority accepts, wherever it is.
-    pub fn has_majority(&self) -> bool {
-        self.accepting >= self.majority
+    /// Returns whether an owner may have a majority of witnesses that did not accept.
+    pub fn leaves_majority(&self) -> bool {
+        self.witnesses - self.accepting >= self.majority
     }
 
     /// Returns whether a witness refused.
@@ -248,6 +250,7 @@
         let snapshot = self.roster.snapshot();
         let local = snapshot.local();
         let mut vote = Vote {
+            witnesses: witnesses.len(),
             // A grant that only the owner holds is lost with it.
             majority: (witnesses.len() / 2 + 1).max(2),
             remote_zones: snapshot.zones().any(|zone| *zone != local.zone),
--- a/src/gateway/replica/grant.rs
+++ b/src/gateway/replica/grant.rs
@@ -102,7 +102,8 @@
         let vote = peers.ask_witnesses(self.index, &request, Vote::is_opposed, admit);
         let vote = vote.await;
         let registered = !vote.is_opposed() && self.generation.get() == generation;
-        let regained = self.unwitnessed.replace(!vote.has_majority()) && vote.has_majority();
+        let unwitnessed = vote.leaves_majority();
+        let regained = self.unwitnessed.replace(unwitnessed) && !unwitnessed;
         if regained && log.is_complete() {
             self.presumed.borrow_mut().clear();
         }
--- a/src/gateway/replica/partition.rs
+++ b/src/gateway/replica/partition.rs
@@ -101,7 +101,7 @@
     pub(super) late: Cell<bool>,
     /// Turns that were granted before the log answered and are not in the log yet, by program.
     pub(super) unlogged: RefCell<Map<Program, Unlogged>>,
-    /// Whether the latest registration as a writer did not reach a majority of the witnesses.
+    /// Whether a majority of the witnesses may not have heard of the latest registration as a writer.
     pub(super) unwitnessed: Cell<bool>,
     /// Programs whose account was charged with what others may grant without the log, or have granted
     /// and lost with all instances.
