Count how relayed streams end, and log where they go on

Logs and metrics could not tell a stream that its framing ends from one that ends with its connection, as that of a killed upstream does, nor where a continuation begins. stream_ends_total counts ends by mark and path; one log line names an end that only the connection marked, another the identifiers around a break. resumption::ends_of_streams_are_counted_by_their_mark holds the labels.

--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -32,6 +32,7 @@
     answers: Counter<u64>,
     placements: Counter<u64>,
     continuations: Counter<u64>,
+    stream_ends: Counter<u64>,
     limited_sends: Counter<u64>,
     permits: Counter<u64>,
     breaks: Counter<u64>,
@@ -80,6 +81,10 @@
                 "continuations",
                 "Streams that went on after a break, by who resumed them and the software version.",
             ),
+            stream_ends: counter(
+                "stream_ends",
+                "Streams passed on to their end, by what marked it and the path to the upstream.",
+            ),
             limited_sends: counter(
                 "limited_sends",
                 "Requests sent to upstreams with a limit, by kind.",
@@ -189,6 +194,13 @@
         self.0.continuations.add(1, &labels);
     }
 
+    /// Counts a stream that was passed on to its end, by what marked the end (its `framing`, or that of
+    /// the `connection`) and the path to the upstream (`direct` or `tunnel`).
+    pub fn ended_stream(&self, mark: &'static str, path: &'static str) {
+        let labels = [KeyValue::new("mark", mark), KeyValue::new("path", path)];
+        self.0.stream_ends.add(1, &labels);
+    }
+
     /// Counts a send to an upstream with a limit, by kind.
     pub fn sent_limited(&self, kind: &'static str) {
         self.0.limited_sends.add(1, &[KeyValue::new("kind", kind)]);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -761,6 +761,12 @@
     }
 
     fn deliver(&mut self, id: u64, bytes: Bytes) -> Bytes {
+        if let Some(last) = self.last.filter(|_| !self.began) {
+            log::info!(
+                request = &*self.job.call.id, last, id;
+                "relay: first event after a break"
+            );
+        }
         if let Some(recorder) = &mut self.recorder {
             recorder.push(id, &bytes);
         }
@@ -793,6 +799,7 @@
     fn finish(&mut self) {
         self.end_placement(Outcome::Ended);
         if let Some(exchange) = self.exchange.take() {
+            self.record_end(&exchange);
             let server = &exchange.server;
             let reports = &self.gateway.reports;
             reports.record_completed(&self.job.fingerprint, server);
@@ -808,6 +815,28 @@
         self.gateway.log_answer(&self.job, 200, upstream);
     }
 
+    /// Counts the end of the stream, and logs it if only the end of its connection marked it.
+    fn record_end(&self, exchange: &Exchange) {
+        let helper = exchange.connection.helper();
+        let mark = match exchange.connection.ended_with_body() {
+            true => "connection",
+            false => "framing",
+        };
+        let path = match helper {
+            Some(_) => "tunnel",
+            None => "direct",
+        };
+        self.gateway.metrics.ended_stream(mark, path);
+        if exchange.connection.ended_with_body() {
+            log::info!(
+                request = &*self.job.call.id, upstream = &*exchange.server.id,
+                helper = helper.map_or("", |helper| helper.as_str()),
+                events = self.events, last = self.last.unwrap_or(0);
+                "relay: stream ended with its connection"
+            );
+        }
+    }
+
     /// Connects again after the stream broke.
     async fn reconnect(&mut self) -> Result<(), Interruption> {
         let head = self
--- a/tests/gateway/resumption.rs
+++ b/tests/gateway/resumption.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 
 use crate::support::{
+    get,
     request,
     Action,
     Deployment,
@@ -229,3 +230,29 @@
         assert_eq!(sends, 1, "{framing:?}");
     }
 }
+
+/// An end of a stream that only its connection marked could not be told from a framed one.
+#[test]
+fn ends_of_streams_are_counted_by_their_mark() {
+    for (framing, mark) in [
+        (Framing::Length, "framing"),
+        (Framing::Chunks, "framing"),
+        (Framing::Neither, "connection"),
+    ] {
+        let upstream = Upstream::start(move |_, request| {
+            message(request, "200 OK", STREAM, framing, &stream_events(1..=3))
+        });
+        let deployment = Deployment::start(&[&upstream]);
+        let answer = deployment.request(&request("POST", "/stream/x", HEADERS, ""));
+        assert!(answer.complete, "{framing:?}: {}", answer.text());
+        let metrics = get(deployment.metrics, "/metrics").text();
+        let count = |line: &&str| line.starts_with("gypsumlever_gateway_stream_ends_total{");
+        let count = metrics.lines().find(count).unwrap_or("no count");
+        assert!(
+            count.contains(&format!("mark=\"{mark}\"")),
+            "{framing:?}: {count}"
+        );
+        assert!(count.contains("path=\"direct\""), "{framing:?}: {count}");
+        assert!(count.ends_with(" 1"), "{framing:?}: {count}");
+    }
+}
