Show that answers without a length pass for whole ones when their upstream ends

The system closes the connections of a process that ends with FIN, which also marks the end of an answer without a length. crashed::* ends an upstream in the middle of 12 answers at once: all 12 streams end as complete after event 2 of 6, also those that may run once, and 12 of 12 calls get 200 with half of the body.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod allowance;
 mod balance;
 mod connection;
+mod crashed;
 mod deadly;
 mod dialect;
 mod dispatcher;
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -162,6 +162,7 @@
     requests: Arc<Mutex<Vec<Message>>>,
     disconnected: Arc<AtomicU32>,
     stopped: Arc<AtomicBool>,
+    open: Arc<Mutex<Vec<Weak<TcpStream>>>>,
 }
 
 impl Upstream {
@@ -184,6 +185,7 @@
         let stopped: Arc<AtomicBool> = Arc::default();
         let stop = stopped.clone();
         let open: Arc<Mutex<Vec<Weak<TcpStream>>>> = Arc::default();
+        let connections = open.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 if stop.load(Ordering::SeqCst) {
@@ -205,9 +207,15 @@
             requests,
             disconnected,
             stopped,
+            open: connections,
         }
     }
 
+    /// Ends the upstream: all its connections end, and it accepts no others.
+    pub fn crash(&self) {
+        crash(self.address, &self.stopped, &self.open);
+    }
+
     /// Accepts no further connections.
     pub fn stop(&self) {
         refuse(self.address, &self.stopped);
