Check that an upstream lives on before its connection ends an answer

Callers saw streams that end as complete in the middle, all those of an upstream at once, and answers of half a body. The end of a connection marks the end of an answer without a length, and the system also ends the connections of a process that is killed. A new connection is opened now before such an end counts: if the upstream has ended, or can't be reached, the stream is resumed or breaks off visibly, and a call is sent again or answered 502. Sound answers of this kind wait 5 ms and the time of a connection, others do not.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -100,6 +100,10 @@
 /// Pause before upstreams that refused a call are retried.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 
+/// Time after the end of a connection after which others of the same upstream are checked: a process
+/// that ends closes its sockets one after the other.
+const END_DELAY: Duration = Duration::from_millis(5);
+
 /// Default for the time after which a refused caller may retry.
 pub const RETRY_AFTER: Duration = Duration::from_millis(150);
 
@@ -642,6 +646,24 @@
         }
     }
 
+    /// Returns whether an answer ended only because its upstream did, or may have.
+    ///
+    /// An answer without a length ends with its connection, and all connections of a process end with
+    /// it.
+    pub async fn ended_by_crash(&self, connection: &Connection, server: &Server) -> bool {
+        if !connection.ended_with_body() {
+            return false;
+        }
+        sleep(END_DELAY).await;
+        match self.dialer.examine(server).await {
+            Found::Alive(connection) => {
+                self.dialer.pool.put(server.address, *connection);
+                false
+            }
+            Found::Ended(_) | Found::Unknown => true,
+        }
+    }
+
     fn unreachable(&self, job: &Job<D, L>, server: &Server, fault: &Fault) {
         self.dialer.pool.discard(server.address);
         self.fleet.unreachable(Time::monotonic(), server.address);
@@ -795,7 +817,17 @@
             Sent::Answered(exchange) => exchange,
             Sent::NotRun(reason) | Sent::Lost(reason) => return Err(reason),
         };
-        match timeout_at(limit.into(), body(&mut exchange.connection)).await {
+        let read = async {
+            let body = body(&mut exchange.connection).await?;
+            match self
+                .ended_by_crash(&exchange.connection, &exchange.server)
+                .await
+            {
+                true => Err(Fault::Truncated),
+                false => Ok(body),
+            }
+        };
+        match timeout_at(limit.into(), read).await {
             Ok(Ok(body)) => {
                 self.dialer
                     .pool
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -675,8 +675,15 @@
         let Some(mut exchange) = self.exchange.take() else {
             return Err(self.failed("no_upstream"));
         };
-        let read = timeout_at(self.job.deadline.into(), body(&mut exchange.connection)).await;
-        let Ok(Ok(body)) = read else {
+        let gateway = &self.gateway;
+        let read = async {
+            let body = body(&mut exchange.connection).await.ok()?;
+            let (connection, server) = (&exchange.connection, &exchange.server);
+            let cut = gateway.ended_by_crash(connection, server).await;
+            (!cut).then_some(body)
+        };
+        let read = timeout_at(self.job.deadline.into(), read).await;
+        let Ok(Some(body)) = read else {
             return Err(Refusal::unknown("answer_cut"));
         };
         self.gateway
@@ -732,13 +739,18 @@
                 Ok(Ok(None)) if !self.began && exchange.connection.ended_with_body() => {
                     self.resume_broken("cut").await?;
                 }
-                Ok(Ok(None)) if !self.splitter.partial() => {
+                Ok(Ok(None)) if self.splitter.partial() => {
+                    self.resume_broken("cut_in_event").await?;
+                }
+                Ok(Ok(None)) if self.ended_by_crash().await => {
+                    self.resume_broken("cut").await?;
+                }
+                Ok(Ok(None)) => {
                     self.ended = true;
                     self.finish();
                     self.keep_turn().await?;
                     return Ok(None);
                 }
-                Ok(Ok(None)) => self.resume_broken("cut_in_event").await?,
                 Ok(Err(_)) => self.resume_broken("cut").await?,
                 Err(_) if Instant::now() < self.job.deadline && !self.can_resume() => {
                     waiting_since = Instant::now();
@@ -748,6 +760,17 @@
         }
     }
 
+    /// Returns whether the stream ended only because its upstream did, or may have.
+    async fn ended_by_crash(&self) -> bool {
+        let Some(exchange) = &self.exchange else {
+            return false;
+        };
+        let (connection, server) = (&exchange.connection, &exchange.server);
+        let ended = self.gateway.ended_by_crash(connection, server);
+        let limit = self.job.deadline;
+        timeout_at(limit.into(), ended).await.unwrap_or(true)
+    }
+
     /// Keeps the turn before the caller gets the end of the stream; until then the turn does not
     /// count as answered.
     async fn keep_turn(&mut self) -> Result<(), Interruption> {
