Take no stream up at a service that its route did not lead to before

A caller that takes a stream up need not name the request that began it. The gateway then took the service that the route selects now for the one that began the stream: after a route had moved, or on a split route without a session, where the identifier of each request selects the service, the rest came from another service.

An instance remembers for 30 s the configurations that led streams elsewhere, and refuses such a stream if its route did, or if it is split and the request names no session. A session selects the same service each time.

moved::* failed before: 200 with the events of the other service, in both.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -256,7 +256,7 @@
             Some(request) => self.gateway.origins.find(request).await,
             None => Search::Unknown,
         };
-        if !matches!(search, Search::Found(_)) {
+        if !matches!(search, Search::Found(_)) && self.knows_service() {
             let registry = self.gateway.fleet.registry.borrow();
             let now = Time::monotonic();
             if let Some(version) = registry.sole_version(now, &service) {
@@ -282,6 +282,16 @@
         }
     }
 
+    /// Returns whether the service that began a stream is known without its origin: requests of its
+    /// session have led to the same one lately.
+    fn knows_service(&self) -> bool {
+        let (call, route) = (&self.job.call, &self.job.route);
+        let program = call.program.as_ref();
+        let session = program.and_then(|program| program.session.as_ref());
+        let by_request = route.is_split() && session.is_none();
+        !by_request && self.gateway.kept_services(route, self.job.uri.path())
+    }
+
     /// Refuses a stream that no engine can continue.
     fn check_version(&self) -> Result<(), Refusal> {
         let Some(version) = self.version() else {
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -95,6 +95,12 @@
         }
         &self.shares[0].service
     }
+
+    /// Returns whether the request itself, and not only its route, selects the service.
+    pub fn is_split(&self) -> bool {
+        let selected = self.shares.iter().filter(|share| share.weight > 0.0);
+        selected.count() > 1
+    }
 }
 
 /// Model engines of a service.
@@ -217,6 +223,21 @@
         self.services.get(name)
     }
 
+    /// Returns whether requests for resumable streams lead to other services in another table.
+    pub fn moves_streams(&self, other: &Self) -> bool {
+        self.leads_elsewhere(other) || other.leads_elsewhere(self)
+    }
+
+    fn leads_elsewhere(&self, other: &Self) -> bool {
+        let routes = self.hosts.values().flatten();
+        let mut resumable =
+            routes.filter(|route| route.kind == Kind::Streaming { resumable: true });
+        resumable.any(|route| {
+            let other = other.route(&route.host, &route.prefix);
+            other.is_some_and(|other| other.shares != route.shares)
+        })
+    }
+
     /// Returns the route of a request: the one of its host with the longest matching prefix.
     pub fn route(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
         let host = host.split(':').next().unwrap_or(host);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -6,20 +6,50 @@
         OnceCell,
         RefCell, //
     },
+    collections::VecDeque,
     future::Future,
     marker::PhantomData,
-    rc::Rc, //
+    rc::Rc,
+    time::Duration, //
 };
 
 use tokio::sync::watch;
 
 use super::{
-    configuration::Configurations, dial::Dialer, dispatcher::Placer, fleet::Fleet,
-    history::client::Histories, metrics::Metrics, operate::Refusals, origin::Directory,
-    owner::Client, permit::Limiter, reports::Reports, route::Table, settings::Settings,
-    tenant::credit::Quotas, throttle::Throttle,
+    configuration::Configurations,
+    dial::Dialer,
+    dispatcher::Placer,
+    fleet::Fleet,
+    history::client::Histories,
+    metrics::Metrics,
+    operate::Refusals,
+    origin::Directory,
+    owner::Client,
+    permit::Limiter,
+    reports::Reports,
+    route::{Route, Table},
+    settings::Settings,
+    tenant::credit::Quotas,
+    throttle::Throttle,
 };
-use crate::log::Log;
+use crate::{
+    clock::Time,
+    log::Log, //
+};
+
+/// Time for which configurations are remembered that led streams to other services; callers take
+/// streams up within seconds, through instances that may know the new configuration later or earlier.
+const MOVE_RETENTION: Duration = Duration::from_secs(30);
+
+/// Maximum configurations that are remembered.
+const MAX_MOVES: usize = 16;
+
+/// Configuration that led streams to other services than the one after it.
+struct Moved {
+    table: Rc<Table>,
+    /// When it was replaced.
+    since: Time,
+}
 
 /// State of an instance.
 pub struct Gateway<D, L> {
@@ -27,6 +57,8 @@
     pub settings: Settings,
     /// Configuration in effect.
     table: RefCell<Option<Rc<Table>>>,
+    /// Earlier configurations; at most [`MAX_MOVES`], the latest last.
+    moved: RefCell<VecDeque<Moved>>,
     /// Bytes of the configuration, and whether it is the newest.
     pub configurations: Rc<Configurations>,
     /// Upstreams that exist, and their load.
@@ -81,7 +113,9 @@
         if newer {
             let table = Rc::new(table);
             self.quotas.configure(&table);
-            *current = Some(table);
+            if let Some(old) = current.replace(table.clone()) {
+                self.record_move(old, &table);
+            }
         }
         drop(current);
         let retains = self.table().is_some_and(|table| table.retains_turns());
@@ -107,6 +141,7 @@
         Self {
             settings,
             table: RefCell::default(),
+            moved: RefCell::default(),
             configurations: Rc::default(),
             fleet,
             limiter,
@@ -132,6 +167,32 @@
         self.table.borrow().clone()
     }
 
+    /// Remembers a configuration if streams lead to other services after it.
+    fn record_move(&self, old: Rc<Table>, new: &Table) {
+        if !old.moves_streams(new) {
+            return;
+        }
+        let mut moved = self.moved.borrow_mut();
+        if moved.len() >= MAX_MOVES {
+            moved.pop_front();
+        }
+        let since = Time::monotonic();
+        moved.push_back(Moved { table: old, since });
+    }
+
+    /// Returns whether requests to a path of a route have led to the same services lately.
+    pub fn kept_services(&self, route: &Route, path: &str) -> bool {
+        let now = Time::monotonic();
+        let moved = self.moved.borrow();
+        let mut recent = moved
+            .iter()
+            .filter(|moved| now.since(moved.since) < MOVE_RETENTION);
+        recent.all(|moved| {
+            let old = moved.table.route(&route.host, path);
+            old.is_none_or(|old| old.shares == route.shares)
+        })
+    }
+
     /// Makes the readiness check fail, so that the balancer sends callers to other instances;
     /// requests are still served.
     pub fn stop(&self) {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -20,6 +20,7 @@
 mod leaving;
 mod limit;
 mod limits;
+mod moved;
 mod operate;
 mod origin;
 mod outage;
