Fail a read of the store whose answer is cut off

The HTTP client takes the end of a connection for the end of a body, whatever length the answer states. A read that was cut behind its header passed for one of a partition without records, so that an instance could hold a partition of kept turns for read to its end and a turn for unknown.

The length of each answer of the store is checked. store::read_that_is_cut_off_fails failed before (an empty batch).

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -174,6 +174,12 @@
                     return Ok(Err(unknown("the answer exceeds the maximum length")));
                 }
             }
+            // The client takes the end of the connection for that of the body.
+            let length = response.headers().get(header::CONTENT_LENGTH);
+            let length = length.and_then(|length| length.to_str().ok()?.parse().ok());
+            if length.is_some_and(|length: usize| bytes.len() < length) {
+                return Ok(Err(unknown("the answer was cut off")));
+            }
             Ok::<_, Elapsed>(Ok((response.status(), bytes.freeze())))
         };
         let result = match exchange.await {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -39,6 +39,7 @@
 mod route;
 mod serve;
 mod settings;
+mod store;
 mod stranded;
 mod support;
 mod tenant;
