Tell an upstream that ended from one that takes no connection

The check after an answer without a length took any new connection for a living upstream, also one that a process accepts while it closes its sockets, and any failure for a dead one, also that of a full queue. A new connection has to last for 5 ms now, one that is reset is repeated once, and only a refusal, or a failure beside an upstream that is gone from the registry, shows that the process has ended.

--- a/src/gateway/dial.rs
+++ b/src/gateway/dial.rs
@@ -26,7 +26,10 @@
 };
 use tokio::{
     io::AsyncWriteExt as _,
-    time::timeout, //
+    time::{
+        sleep,
+        timeout, //
+    },
 };
 
 use super::{
@@ -74,6 +77,16 @@
 /// Time for which an upstream that is down is tried directly only.
 const DOWN_TIME: Duration = Duration::from_millis(700);
 
+/// Time for which a new connection has to last to show that an upstream lives: a process that ends
+/// closes its sockets one after the other.
+const PROBE_TIME: Duration = Duration::from_millis(5);
+
+/// Connections opened to find an upstream alive.
+const MAX_PROBES: usize = 2;
+
+/// Timeout of finding an upstream alive through other instances.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Upstreams that this instance can't reach while others can, from which on it presumes that it has
 /// lost its paths to all.
 const MIN_LOST: usize = 2;
@@ -306,6 +319,33 @@
         ended.map_or(Found::Unknown, Found::Ended)
     }
 
+    /// Returns whether an upstream lives on after it closed a connection; all connections of a process
+    /// end with it.
+    pub async fn survives(&self, server: &Server, closed: &Connection) -> bool {
+        if closed.helper().is_some() {
+            let found = timeout(PROBE_TIMEOUT, self.examine(server)).await;
+            return matches!(found, Ok(Found::Alive(_)));
+        }
+        for _ in 0..MAX_PROBES {
+            match self.open_direct(server.address).await {
+                Ok(connection) => {
+                    sleep(PROBE_TIME).await;
+                    if connection.healthy() {
+                        self.pool.put(server.address, connection);
+                        return true;
+                    }
+                }
+                Err(Fault::Connect(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                    return false;
+                }
+                // A process that ended would refuse.
+                Err(_) => return !self.tunnels.is_gone(server),
+            }
+        }
+        // One that has as many connections as it takes resets further ones.
+        true
+    }
+
     /// Returns the state of an upstream that another instance reaches.
     fn found_through(&self, server: &Server, connection: Connection) -> Found {
         if !self.paths.borrow().is_lost(server.address) {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -100,10 +100,6 @@
 /// Pause before upstreams that refused a call are retried.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 
-/// Time after the end of a connection after which others of the same upstream are checked: a process
-/// that ends closes its sockets one after the other.
-const END_DELAY: Duration = Duration::from_millis(5);
-
 /// Default for the time after which a refused caller may retry.
 pub const RETRY_AFTER: Duration = Duration::from_millis(150);
 
@@ -646,22 +642,12 @@
         }
     }
 
-    /// Returns whether an answer ended only because its upstream did, or may have.
+    /// Returns whether an answer ended only because its upstream did.
     ///
     /// An answer without a length ends with its connection, and all connections of a process end with
     /// it.
     pub async fn ended_by_crash(&self, connection: &Connection, server: &Server) -> bool {
-        if !connection.ended_with_body() {
-            return false;
-        }
-        sleep(END_DELAY).await;
-        match self.dialer.examine(server).await {
-            Found::Alive(connection) => {
-                self.dialer.pool.put(server.address, *connection);
-                false
-            }
-            Found::Ended(_) | Found::Unknown => true,
-        }
+        connection.ended_with_body() && !self.dialer.survives(server, connection).await
     }
 
     fn unreachable(&self, job: &Job<D, L>, server: &Server, fault: &Fault) {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -746,7 +746,7 @@
             match timeout_at(limit.into(), exchange.connection.chunk()).await {
                 Ok(Ok(Some(chunk))) => self.splitter.push(&chunk),
                 // The connections of an engine that crashes end as this answer does.
-                Ok(Ok(None)) if !self.began && exchange.connection.ended_with_body() => {
+                Ok(Ok(None)) if self.last.is_none() && exchange.connection.ended_with_body() => {
                     self.resume_broken("cut").await?;
                 }
                 Ok(Ok(None)) if self.splitter.partial() => {
@@ -770,7 +770,7 @@
         }
     }
 
-    /// Returns whether the stream ended only because its upstream did, or may have.
+    /// Returns whether the stream ended only because its upstream did.
     async fn ended_by_crash(&self) -> bool {
         let Some(exchange) = &self.exchange else {
             return false;
--- a/tests/gateway/crashed.rs
+++ b/tests/gateway/crashed.rs
@@ -2,13 +2,18 @@
 //! system closes its connections in the way that marks the end of such an answer.
 
 use std::{
+    io::Write as _,
+    net::TcpListener,
     thread,
     time::Duration, //
 };
 
 use serde_json::json;
+use socket2::SockRef;
 
 use crate::support::{
+    events,
+    read,
     request,
     Action,
     Deployment,
@@ -139,3 +144,51 @@
     assert_eq!(ending.requests().len(), ANSWERS);
     assert_eq!(sound.requests().len(), 0);
 }
+
+/// An upstream that has as many connections as it takes resets further ones, and a sound answer
+/// without a length counted as cut.
+#[test]
+fn answer_without_a_length_is_complete_at_the_limit_of_connections() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for (number, stream) in listener.incoming().flatten().enumerate() {
+            let request = match number {
+                0 => read(&mut &stream),
+                _ => None,
+            };
+            if let Some(request) = request {
+                (&stream).write_all(&unframed(&request, "whole")).unwrap();
+                continue;
+            }
+            let linger = Some(Duration::ZERO);
+            SockRef::from(&stream).set_linger(linger).unwrap();
+        }
+    });
+    let deployment = Deployment::start(&[]);
+    let entry = json!({
+        "service": "s", "address": address, "zone": "a", "version": "v1", "slots": 4,
+        "state": "ready", "coldLeftMs": 0, "sequence": 1, "born": 1,
+    });
+    let entry = entry.to_string();
+    let store = &deployment.store;
+    store.put("keyed.servers", "i-0", entry.as_bytes());
+    thread::sleep(NOTICE);
+    let answer = deployment.request(&request("POST", "/once/x", HEADERS, ""));
+    assert_eq!((answer.status(), answer.text()), (200, "whole".into()));
+}
+
+/// A stream that broke after its last event was broken off, as the answer without further events ended
+/// with its connection.
+#[test]
+fn stream_without_further_events_ends_after_its_resumption() {
+    let upstream = Upstream::start(|number, request| match number {
+        0 => Action::Close(events(request, 1..=3, false)),
+        _ => Action::Close(unframed(request, "")),
+    });
+    let deployment = Deployment::start(&[&upstream]);
+    let answer = deployment.request(&request("POST", "/stream/x", HEADERS, ""));
+    assert!(answer.complete, "{}", answer.text());
+    assert_eq!(answer.text(), stream_events(1..=3));
+    assert_eq!(upstream.requests().len(), 2);
+}
