Answer the requests that come late in a planned stop

Callers whose bodies became whole late in the grace period of a stopping instance lost their connections without a byte of an answer, although their requests had been passed on and run, unsafe ones included. Nothing compared the time that an answer takes with the time until the process ends, and only the deadline of a request ended a wait for its answer.

The end of the stop is known to all requests now. One is passed on only if its answer can be expected before it, from the earlier answers of its route, or its deadline if that is earlier or the route has none; otherwise it gets 503 with the proof that it has not run, also from a queue. At 93 % of the grace period the requests that are left are answered: 504 if they were passed on, 503 if not, and a stream that has begun ends with an error. The process ends at 97 % instead of 90 %, or once it is quiet. Sends are shared between a request and its handler, so that the handler can tell which of them applies.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -110,6 +110,9 @@
 /// Reason code for a request that is held back because it crashes upstreams.
 pub const HELD_REASON: &str = "crashes_upstreams";
 
+/// Reason code for a request that can't be answered before the instance stops.
+pub const STOPPING_REASON: &str = "stopping";
+
 /// Headers that apply to one connection only.
 const HOP_BY_HOP: [HeaderName; 10] = [
     header::CONNECTION,
@@ -155,6 +158,8 @@
     pub turn: Option<Open>,
     /// Arrival time of the request.
     pub arrived: Instant,
+    /// Time at which the whole request was received.
+    pub complete: Instant,
     /// Time at which the final answer is due.
     pub deadline: Instant,
     /// Tokens that the cache of an engine of the service holds.
@@ -163,6 +168,8 @@
     pub version: u64,
     /// Values from which the latest upstream was chosen.
     pub inputs: Cell<balance::Inputs>,
+    /// Sends of the request.
+    pub sends: Sends,
     /// Counts the request as being answered.
     pub busy: Busy<D, L>,
 }
@@ -242,6 +249,15 @@
         Self::after(sends, HELD_REASON, left)
     }
 
+    /// Refuses a request that can't be answered before the instance stops; it promises that the
+    /// request has not run if that is proven.
+    pub fn stopping(sends: &Sends) -> Self {
+        match sends.not_run() {
+            Some(proof) => Self::not_run(&proof, STOPPING_REASON, RETRY_AFTER),
+            None => Self::new(StatusCode::GATEWAY_TIMEOUT, STOPPING_REASON),
+        }
+    }
+
     /// Reports that the request may have run, with an unknown outcome.
     pub fn unknown(reason: &'static str) -> Self {
         Self::new(StatusCode::BAD_GATEWAY, reason)
@@ -548,6 +564,10 @@
                 self.dialer.pool.put(address, connection);
                 return Sent::NotRun("permit_expired");
             }
+            if sends.not_run().is_some() && self.grace.is_late(&job.route, job.deadline) {
+                self.dialer.pool.put(address, connection);
+                return Sent::NotRun(STOPPING_REASON);
+            }
             let head = self.head(job, server, after);
             if self.fleet.limit(server).is_some() {
                 let kind = match job.call.prompt {
@@ -746,7 +766,7 @@
 
     /// Answers a request that is not a stream.
     pub async fn call(self: &Rc<Self>, job: &Job<D, L>) -> Result<Answer, Refusal> {
-        let mut sends = Sends::default();
+        let mut sends = job.sends.clone();
         let mut retries = Retries::new(job.arrived, job.deadline, RETRY_SHARE, RETRY_PAUSE);
         loop {
             if Instant::now() >= job.deadline {
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -70,7 +70,8 @@
         Answer,
         Job,
         Refusal,
-        HELD_REASON, //
+        HELD_REASON,
+        STOPPING_REASON, //
     },
     history,
     operate::{
@@ -236,10 +237,13 @@
 ) -> HttpResponse {
     let gateway = gateway.get_ref().clone();
     let arrived = Instant::now();
-    match answer(&gateway, &request, payload).await {
-        Ok(response) => response,
-        Err(refusal) => refuse(&gateway, &request, &refusal, arrived),
-    }
+    let sends = Sends::default();
+    let answered = tokio::select! {
+        biased;
+        answered = answer(&gateway, &request, payload, &sends) => answered,
+        () = gateway.grace.ended() => Err(Refusal::stopping(&sends)),
+    };
+    answered.unwrap_or_else(|refusal| refuse(&gateway, &request, &refusal, arrived))
 }
 
 fn refuse<D: Dialect, L: Log + 'static>(
@@ -309,16 +313,13 @@
     gateway: &Rc<Gateway<D, L>>,
     request: &HttpRequest,
     payload: web::Payload,
+    sends: &Sends,
 ) -> Result<HttpResponse, Refusal> {
     let arrived = Instant::now();
     let busy = Busy::new(gateway);
     let headers = request.headers();
     let Some(table) = gateway.table() else {
-        return Err(Refusal::after(
-            &Sends::default(),
-            "starting",
-            STARTING_RETRY_AFTER,
-        ));
+        return Err(Refusal::after(sends, "starting", STARTING_RETRY_AFTER));
     };
     if headers.contains_key(header::TRANSFER_ENCODING)
         && headers.contains_key(header::CONTENT_LENGTH)
@@ -334,6 +335,7 @@
     authenticate(gateway, &table, &route, &call)?;
     let limit = table.limits().body;
     let body = read(payload, limit).await?;
+    let complete = Instant::now();
     // The body may have taken long to arrive, and the key may have been revoked since.
     let latest = gateway.table().unwrap_or_else(|| table.clone());
     let tenant = authenticate(gateway, &latest, &route, &call)?;
@@ -369,20 +371,25 @@
         turn,
         cache_tokens,
         arrived,
+        complete,
         deadline: arrived + timeout,
         version: table.version(),
         inputs: Cell::default(),
+        sends: sends.clone(),
         busy,
     };
     gateway.reports.sync().await;
     if let Some(left) = gateway.reports.held(&job.fingerprint) {
-        return Err(Refusal::held(&Sends::default(), left));
+        return Err(Refusal::held(sends, left));
+    }
+    if gateway.grace.is_late(&job.route, job.deadline) {
+        return Err(Refusal::stopping(sends));
     }
     let Some(tenant) = job.tenant.clone() else {
         return forward(gateway, job, tokens_per_event).await;
     };
     let credit = gateway.quotas.take(&tenant).await;
-    let credit = credit.map_err(|fault| Refusal::without_credit(&Sends::default(), fault))?;
+    let credit = credit.map_err(|fault| Refusal::without_credit(sends, fault))?;
     let answered = forward(gateway, job, tokens_per_event).await;
     match (&answered, credit) {
         (Ok(_), _) => gateway.metrics.tenant_request(&tenant.name, "admitted"),
@@ -400,14 +407,24 @@
     job: Job<D, L>,
     tokens_per_event: u32,
 ) -> Result<HttpResponse, Refusal> {
+    let (route, sends, deadline) = (job.route.clone(), job.sends.clone(), job.deadline);
     let held = gateway.reports.wait_held(job.fingerprint);
-    match job.route.kind {
+    let given_up = async {
+        tokio::select! {
+            () = held => Refusal::unknown(HELD_REASON),
+            () = gateway.grace.late(&sends, &route, deadline) => Refusal::stopping(&sends),
+        }
+    };
+    match route.kind {
         Kind::Streaming { .. } => {
             let start = Relay::start(gateway.clone(), job, tokens_per_event.into());
-            stream(gateway, unless(held, start).await?)
+            stream(gateway, unless(given_up, start).await?)
         }
         Kind::Idempotent | Kind::Once => {
-            let answer = unless(held, gateway.call(&job)).await?;
+            let answer = unless(given_up, gateway.call(&job)).await?;
+            if answer.head.status.is_success() {
+                gateway.grace.record(&route, job.complete.elapsed());
+            }
             gateway.metrics.record_total(job.arrived.elapsed());
             gateway.log_answer(&job, answer.head.status.as_u16(), &answer.server.id);
             Ok(pass_on::<D, L>(gateway, answer))
@@ -478,15 +495,15 @@
     }
 }
 
-/// Waits for the start of an answer, and gives it up once the request is held back.
+/// Waits for the start of an answer, and gives it up if there is a reason to refuse the request.
 async fn unless<T>(
-    held: impl Future<Output = ()>,
+    given_up: impl Future<Output = Refusal>,
     answer: impl Future<Output = Result<T, Refusal>>,
 ) -> Result<T, Refusal> {
     tokio::select! {
         biased;
         answer = answer => answer,
-        () = held => Err(Refusal::unknown(HELD_REASON)),
+        refusal = given_up => Err(refusal),
     }
 }
 
@@ -567,9 +584,15 @@
         Started::Answer(answer) => return Ok(pass_on::<D, L>(gateway, answer)),
     };
     gateway.metrics.answered("stream");
-    let events = unfold(relay, |mut relay| async move {
-        match relay.next().await {
-            Ok(Some(event)) => Some((Ok(event), relay)),
+    let state = (relay, Box::pin(gateway.grace.ended()));
+    let events = unfold(state, |(mut relay, mut ended)| async move {
+        let next = tokio::select! {
+            biased;
+            next = relay.next() => next,
+            () = &mut ended => Err(Interruption(STOPPING_REASON)),
+        };
+        match next {
+            Ok(Some(event)) => Some((Ok(event), (relay, ended))),
             Ok(None) => None,
             Err(Interruption(reason)) => {
                 let request = relay.request();
@@ -579,7 +602,7 @@
                 );
                 // The HTTP service writes what it has before it polls again, but not after an error.
                 tokio::task::yield_now().await;
-                Some((Err(std::io::Error::other(reason)), relay))
+                Some((Err(std::io::Error::other(reason)), (relay, ended)))
             }
         }
     });
--- a/src/gateway/lifecycle.rs
+++ b/src/gateway/lifecycle.rs
@@ -81,8 +81,12 @@
 /// stops after two failed checks.
 const BALANCER_DRAIN: Duration = Duration::from_millis(2_600);
 
-/// Fraction of the grace period after which the process ends even with requests in flight.
-const GRACE_SHARE: f64 = 0.9;
+/// Fraction of the grace period after which every request is answered.
+const ANSWER_SHARE: f64 = 0.93;
+
+/// Fraction of the grace period after which the process ends even with answers to write or records to
+/// append.
+const GRACE_SHARE: f64 = 0.97;
 
 /// Time without requests in flight or records to append after which a stopping process ends.
 const QUIET_TIME: Duration = Duration::from_millis(400);
@@ -307,8 +311,8 @@
 /// Serves until the balancer sends no more callers and all requests are answered, or the grace
 /// period is nearly over.
 async fn drain(gateway: &Gateway<Dialect, Topic>, replica: &Replica<Topic>, grace: Duration) {
-    gateway.stop();
     let start = Instant::now();
+    gateway.stop(start + grace.mul_f64(ANSWER_SHARE));
     let mut quiet_since = start;
     while start.elapsed() < grace.mul_f64(GRACE_SHARE) {
         sleep(CHECK_INTERVAL).await;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 pub mod forward;
 pub mod frames;
 pub mod front;
+pub mod grace;
 pub mod history;
 pub mod latency;
 pub mod lifecycle;
--- a/src/gateway/proof.rs
+++ b/src/gateway/proof.rs
@@ -1,7 +1,11 @@
 //! Proof that a request has not run, which every refusal that promises this requires, and evidence
 //! that an upstream has ended, without which a request may not run on more upstreams.
 
-use std::net::SocketAddr;
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    rc::Rc, //
+};
 
 /// One send of a request.
 #[derive(Debug)]
@@ -11,9 +15,9 @@
     ended: bool,
 }
 
-/// Sends of one request that ran, or may have run.
-#[derive(Debug, Default)]
-pub struct Sends(Vec<Send>);
+/// Sends of one request that ran, or may have run; clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct Sends(Rc<RefCell<Vec<Send>>>);
 
 /// Proof that no upstream ran the request and none will.
 #[derive(Debug)]
@@ -53,7 +57,7 @@
     ///
     /// Called before the first byte is written; [`Self::refused`] undoes it.
     pub fn started(&mut self, upstream: SocketAddr) {
-        self.0.push(Send {
+        self.0.borrow_mut().push(Send {
             upstream,
             ended: false,
         });
@@ -61,19 +65,21 @@
 
     /// Records that the upstream of the latest send did not run the request and won't.
     pub fn refused(&mut self) {
-        self.0.pop();
+        self.0.borrow_mut().pop();
     }
 
     /// Records that an upstream has ended; whether it ran the request stays unknown.
     pub fn ended(&mut self, upstream: SocketAddr, _: &Ended) {
-        for send in self.0.iter_mut().filter(|send| send.upstream == upstream) {
+        let mut sends = self.0.borrow_mut();
+        for send in sends.iter_mut().filter(|send| send.upstream == upstream) {
             send.ended = true;
         }
     }
 
     /// Returns the number of live upstreams that ran the request, or may have.
     pub fn attempts(&self) -> usize {
-        let live = self.0.iter().filter(|send| !send.ended);
+        let sends = self.0.borrow();
+        let live = sends.iter().filter(|send| !send.ended);
         let mut upstreams: Vec<_> = live.map(|send| send.upstream).collect();
         upstreams.sort_unstable();
         upstreams.dedup();
@@ -83,11 +89,11 @@
     /// Returns whether a live upstream ran the request, or may have.
     pub fn ran_on(&self, upstream: SocketAddr) -> bool {
         let here = |send: &Send| send.upstream == upstream && !send.ended;
-        self.0.iter().any(here)
+        self.0.borrow().iter().any(here)
     }
 
     /// Returns the proof that the request has not run, if that is known.
     pub fn not_run(&self) -> Option<NotRun> {
-        self.0.is_empty().then_some(NotRun(()))
+        self.0.borrow().is_empty().then_some(NotRun(()))
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -201,10 +201,10 @@
         let recorder = turn.map(|(turn, histories)| Recorder::new(histories, turn, &job.call));
         let mut relay = Self {
             last: job.call.after,
+            sends: job.sends.clone(),
             splitter: Splitter::after(job.call.after),
             gateway,
             job,
-            sends: Sends::default(),
             exchange: None,
             placement: None,
             latest: None,
@@ -834,6 +834,8 @@
         self.gateway
             .metrics
             .record_total(self.job.arrived.elapsed());
+        let took = self.job.complete.elapsed();
+        self.gateway.grace.record(&self.job.route, took);
         let upstream = self.latest.as_ref().map_or("", |server| &*server.id);
         self.gateway.log_answer(&self.job, 200, upstream);
     }
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -217,6 +217,12 @@
         self.services.get(name)
     }
 
+    /// Returns whether there is a route of this name.
+    pub fn has_route(&self, name: &str) -> bool {
+        let mut routes = self.hosts.values().flatten();
+        routes.any(|route| *route.name == *name)
+    }
+
     /// Returns the route of a request: the one of its host with the longest matching prefix.
     pub fn route(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
         let host = host.split(':').next().unwrap_or(host);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -8,13 +8,14 @@
     },
     future::Future,
     marker::PhantomData,
-    rc::Rc, //
+    rc::Rc,
+    time::Instant, //
 };
 
 use tokio::sync::watch;
 
 use super::{
-    configuration::Configurations, dial::Dialer, dispatcher::Placer, fleet::Fleet,
+    configuration::Configurations, dial::Dialer, dispatcher::Placer, fleet::Fleet, grace::Grace,
     history::client::Histories, metrics::Metrics, operate::Refusals, origin::Directory,
     owner::Client, permit::Limiter, reports::Reports, route::Table, settings::Settings,
     tenant::credit::Quotas, throttle::Throttle,
@@ -54,6 +55,8 @@
     /// Rate limit of log lines about requests.
     pub log_throttle: Throttle,
     stopping: Cell<bool>,
+    /// End of a planned stop.
+    pub grace: Grace,
     /// Set once idle connections of callers have to be closed.
     closing: watch::Sender<bool>,
     /// Number of requests being answered.
@@ -81,6 +84,7 @@
         if newer {
             let table = Rc::new(table);
             self.quotas.configure(&table);
+            self.grace.retain(|route| table.has_route(route));
             *current = Some(table);
         }
         drop(current);
@@ -121,6 +125,7 @@
             refusals: Refusals::default(),
             log_throttle: Throttle::default(),
             stopping: Cell::new(false),
+            grace: Grace::default(),
             closing: watch::Sender::new(false),
             busy: Cell::new(0),
             dialect: PhantomData,
@@ -133,9 +138,10 @@
     }
 
     /// Makes the readiness check fail, so that the balancer sends callers to other instances;
-    /// requests are still served.
-    pub fn stop(&self) {
+    /// requests are still served, as far as they can be answered by `end`.
+    pub fn stop(&self, end: Instant) {
         self.stopping.set(true);
+        self.grace.begin(end);
     }
 
     /// Closes the idle connections of callers, and each other connection after its answer.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -38,6 +38,7 @@
 mod route;
 mod serve;
 mod settings;
+mod stopping;
 mod stranded;
 mod support;
 mod tenant;
