--- a/tests/gateway/stranded.rs
+++ b/tests/gateway/stranded.rs
@@ -402,6 +402,42 @@
     assert!(fleet.helpers[0].wait_exit());
 }
 
+/// Guards against requests that go through a helper which ends before their answers.
+#[test]
+fn request_does_not_go_through_a_helper_that_stops() {
+    let work_time = Duration::from_millis(1_600);
+    let slow = Upstream::start(move |_, request| {
+        Action::Pause(Vec::new(), work_time, answer(request, "200 OK", "answer"))
+    });
+    let mut fleet = Fleet::start(1, &[(slow.address, refusing())]);
+    assert_eq!(send(&fleet.stranded, "/once/x").status(), 200);
+    let other = Instance::start_in("b", "helper-1", fleet.helpers_store.address());
+    other.wait_ready();
+    let entry = json!({ "zone": "b", "address": other.peers.to_string() });
+    let text = entry.to_string();
+    fleet
+        .store
+        .put("keyed.instances", "helper-1", text.as_bytes());
+    thread::sleep(SPREAD);
+    let stranded = &fleet.stranded;
+    let helper = &mut fleet.helpers[0];
+    thread::scope(|scope| {
+        let mut sent = Vec::new();
+        for number in 0..2 * REQUESTS {
+            if number == 2 {
+                helper.signal("TERM");
+            }
+            sent.push(scope.spawn(|| send(stranded, "/once/x")));
+            thread::sleep(Duration::from_millis(250));
+        }
+        for (number, answer) in sent.into_iter().enumerate() {
+            let answer = answer.join().unwrap();
+            assert_eq!(answer.status(), 200, "{number}: {}", answer.text());
+        }
+    });
+    assert!(helper.wait_exit());
+}
+
 /// An upstream that sends the first event of a stream at once, and the others over 1.6 s; a resumed
 /// stream gets the rest at once.
 fn slow_stream() -> Upstream {
