--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -10,7 +10,10 @@
     future::Future,
     marker::PhantomData,
     rc::Rc,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use tokio::sync::watch;
@@ -20,6 +23,7 @@
     dial::Dialer,
     dispatcher::Placer,
     fleet::Fleet,
+    grace::Grace,
     history::client::Histories,
     metrics::Metrics,
     operate::Refusals,
@@ -27,7 +31,10 @@
     owner::Client,
     permit::Limiter,
     reports::Reports,
-    route::{Route, Table},
+    route::{
+        Route,
+        Table, //
+    },
     settings::Settings,
     tenant::credit::Quotas,
     throttle::Throttle,
@@ -86,6 +93,8 @@
     /// Rate limit of log lines about requests.
     pub log_throttle: Throttle,
     stopping: Cell<bool>,
+    /// End of a planned stop.
+    pub grace: Grace,
     /// Set once idle connections of callers have to be closed.
     closing: watch::Sender<bool>,
     /// Number of requests being answered.
@@ -113,6 +122,7 @@
         if newer {
             let table = Rc::new(table);
             self.quotas.configure(&table);
+            self.grace.retain(|route| table.has_route(route));
             if let Some(old) = current.replace(table.clone()) {
                 self.record_move(old, &table);
             }
@@ -156,6 +166,7 @@
             refusals: Refusals::default(),
             log_throttle: Throttle::default(),
             stopping: Cell::new(false),
+            grace: Grace::default(),
             closing: watch::Sender::new(false),
             busy: Cell::new(0),
             dialect: PhantomData,
@@ -194,9 +205,10 @@
     }
 
     /// Makes the readiness check fail, so that the balancer sends callers to other instances;
-    /// requests are still served.
-    pub fn stop(&self) {
+    /// requests are still served, as far as they can be answered by `end`.
+    pub fn stop(&self, end: Instant) {
         self.stopping.set(true);
+        self.grace.begin(end);
     }
 
     /// Closes the idle connections of callers, and each other connection after its answer.
