Watch an upstream with a second connection while an answer without a length lasts

A connection that is opened when the head arrives ends with the process that answers. It is checked when the answer ends; without one, as at a limit of connections, the check is as before.

crashed::streams_without_a_length_go_on_after_their_upstream_started_again failed before: streams ended as complete after event 2 of 6.

--- a/src/gateway/dial.rs
+++ b/src/gateway/dial.rs
@@ -77,8 +77,8 @@
 /// Time for which an upstream that is down is tried directly only.
 const DOWN_TIME: Duration = Duration::from_millis(700);
 
-/// Time for which a new connection has to last to show that an upstream lives: a process that ends
-/// closes its sockets one after the other.
+/// Time for which a connection has to last to show that an upstream lives: a process that ends closes
+/// its sockets one after the other.
 const PROBE_TIME: Duration = Duration::from_millis(5);
 
 /// Connections opened to find an upstream alive.
@@ -179,6 +179,19 @@
     Unknown,
 }
 
+/// Connection that is opened while an upstream answers on another one. All connections of a process
+/// end with it, and one that is opened afterwards may lead to the next process at the address.
+#[derive(Clone, Default)]
+pub struct Witness(Rc<RefCell<Option<Connection>>>);
+
+impl Witness {
+    /// Closes the connection if the upstream ended it before its answer.
+    pub fn check(&self) {
+        let mut connection = self.0.borrow_mut();
+        connection.take_if(|connection| !connection.healthy());
+    }
+}
+
 /// Replies of other instances that opened no tunnel to an upstream.
 #[derive(Default)]
 struct Refusals {
@@ -319,9 +332,31 @@
         ended.map_or(Found::Unknown, Found::Ended)
     }
 
-    /// Returns whether an upstream lives on after it closed a connection; all connections of a process
-    /// end with it.
-    pub async fn survives(&self, server: &Server, closed: &Connection) -> bool {
+    /// Opens a connection in the background that shows whether an upstream lives on after its answer.
+    pub fn witness(self: &Rc<Self>, server: &Rc<Server>) -> Witness {
+        let witness = Witness::default();
+        let (dialer, server, opened) = (self.clone(), server.clone(), witness.clone());
+        actix_web::rt::spawn(async move {
+            let Ok(connection) = dialer.open(&server).await else {
+                return;
+            };
+            sleep(PROBE_TIME).await;
+            if connection.healthy() {
+                opened.0.replace(Some(connection));
+            }
+        });
+        witness
+    }
+
+    /// Returns whether an upstream lives on after it closed a connection.
+    pub async fn survives(&self, server: &Server, closed: &Connection, witness: &Witness) -> bool {
+        let opened = witness.0.take();
+        if let Some(connection) = opened {
+            sleep(PROBE_TIME).await;
+            let alive = connection.healthy();
+            self.pool.put(server.address, connection);
+            return alive;
+        }
         if closed.helper().is_some() {
             let found = timeout(PROBE_TIMEOUT, self.examine(server)).await;
             return matches!(found, Ok(Found::Alive(_)));
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -45,7 +45,10 @@
         Connection,
         Fault, //
     },
-    dial::Found,
+    dial::{
+        Found,
+        Witness, //
+    },
     dialect::{
         Dialect,
         Dispatch, //
@@ -301,6 +304,8 @@
     pub report: Option<Report>,
     /// Whether the upstream stated with the head that it leaves.
     pub leaving: bool,
+    /// Shows whether the upstream lives on, if the answer ends with its connection.
+    pub witness: Witness,
     /// The upstream.
     pub server: Rc<Server>,
 }
@@ -568,6 +573,7 @@
                         flight,
                         report: None,
                         leaving: false,
+                        witness: Witness::default(),
                         server: server.clone(),
                     };
                     return self.classify(job, exchange, sends).await;
@@ -646,8 +652,13 @@
     ///
     /// An answer without a length ends with its connection, and all connections of a process end with
     /// it.
-    pub async fn ended_by_crash(&self, connection: &Connection, server: &Server) -> bool {
-        connection.ended_with_body() && !self.dialer.survives(server, connection).await
+    pub async fn ended_by_crash(&self, exchange: &Exchange) -> bool {
+        let (connection, server) = (&exchange.connection, &exchange.server);
+        connection.ended_with_body()
+            && !self
+                .dialer
+                .survives(server, connection, &exchange.witness)
+                .await
     }
 
     fn unreachable(&self, job: &Job<D, L>, server: &Server, fault: &Fault) {
@@ -727,6 +738,9 @@
             // did not state; a success without a signature is not trusted either.
             return Sent::Lost("unproven");
         }
+        if exchange.connection.ended_with_body() {
+            exchange.witness = self.dialer.witness(&exchange.server);
+        }
         Sent::Answered(Box::new(exchange))
     }
 
@@ -805,10 +819,7 @@
         };
         let read = async {
             let body = body(&mut exchange.connection).await?;
-            match self
-                .ended_by_crash(&exchange.connection, &exchange.server)
-                .await
-            {
+            match self.ended_by_crash(&exchange).await {
                 true => Err(Fault::Truncated),
                 false => Ok(body),
             }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -688,8 +688,7 @@
         let gateway = &self.gateway;
         let read = async {
             let body = body(&mut exchange.connection).await.ok()?;
-            let (connection, server) = (&exchange.connection, &exchange.server);
-            let cut = gateway.ended_by_crash(connection, server).await;
+            let cut = gateway.ended_by_crash(&exchange).await;
             (!cut).then_some(body)
         };
         let read = timeout_at(self.job.deadline.into(), read).await;
@@ -744,7 +743,10 @@
             };
             let limit = self.job.deadline.min(waiting_since + pause);
             match timeout_at(limit.into(), exchange.connection.chunk()).await {
-                Ok(Ok(Some(chunk))) => self.splitter.push(&chunk),
+                Ok(Ok(Some(chunk))) => {
+                    exchange.witness.check();
+                    self.splitter.push(&chunk);
+                }
                 // The connections of an engine that crashes end as this answer does.
                 Ok(Ok(None)) if self.last.is_none() && exchange.connection.ended_with_body() => {
                     self.resume_broken("cut").await?;
@@ -775,8 +777,7 @@
         let Some(exchange) = &self.exchange else {
             return false;
         };
-        let (connection, server) = (&exchange.connection, &exchange.server);
-        let ended = self.gateway.ended_by_crash(connection, server);
+        let ended = self.gateway.ended_by_crash(exchange);
         let limit = self.job.deadline;
         timeout_at(limit.into(), ended).await.unwrap_or(true)
     }
--- a/tests/gateway/crashed.rs
+++ b/tests/gateway/crashed.rs
@@ -192,3 +192,32 @@
     assert_eq!(answer.text(), stream_events(1..=3));
     assert_eq!(upstream.requests().len(), 2);
 }
+
+/// The upstream starts again at its address before its connections have ended: a connection that is
+/// opened then reaches the new process.
+#[test]
+fn streams_without_a_length_go_on_after_their_upstream_started_again() {
+    let ending =
+        Upstream::start(|_, request| Action::Pause(unframed(request, HALF), PAUSE, Vec::new()));
+    let deployment = Deployment::start(&[&ending]);
+    let (again, answers) = thread::scope(|scope| {
+        let call = || deployment.request(&request("POST", "/stream/x", HEADERS, ""));
+        let callers: Vec<_> = (0..ANSWERS).map(|_| scope.spawn(call)).collect();
+        while ending.requests().len() < ANSWERS {
+            thread::sleep(Duration::from_millis(5));
+        }
+        thread::sleep(Duration::from_millis(200));
+        ending.stop();
+        let again = Upstream::start_at(ending.address, |_, request| {
+            Action::Close(unframed(request, &rest(request)))
+        });
+        ending.end_connections();
+        let answers = callers.into_iter().map(|caller| caller.join().unwrap());
+        (again, answers.collect::<Vec<_>>())
+    });
+    for answer in answers {
+        assert!(answer.complete, "{}", answer.text());
+        assert_eq!(answer.text(), stream_events(1..=6));
+    }
+    assert_eq!(again.requests().len(), ANSWERS);
+}
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -216,6 +216,11 @@
         crash(self.address, &self.stopped, &self.open);
     }
 
+    /// Ends all connections.
+    pub fn end_connections(&self) {
+        end(&self.open);
+    }
+
     /// Accepts no further connections.
     pub fn stop(&self) {
         refuse(self.address, &self.stopped);
@@ -244,8 +249,11 @@
 
 fn crash(address: SocketAddr, stopped: &AtomicBool, open: &Mutex<Vec<Weak<TcpStream>>>) {
     refuse(address, stopped);
-    let open = open.lock().unwrap();
-    for stream in open.iter().filter_map(Weak::upgrade) {
+    end(open);
+}
+
+fn end(open: &Mutex<Vec<Weak<TcpStream>>>) {
+    for stream in open.lock().unwrap().iter().filter_map(Weak::upgrade) {
         // The caller may have closed it.
         let _ = stream.shutdown(std::net::Shutdown::Both);
     }
