Add a soak of event streams on real processes

Plays streams through gateway processes while engines, instances and the store fail by turns, and checks each event that clients receive.

--- /dev/null
+++ b/examples/soak/check.rs
@@ -0,0 +1,195 @@
+//! Content of streams, and checks of the events that a client receives.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Software versions of engines; each has content of its own.
+pub const VERSIONS: [&str; 3] = ["v1", "v2", "v3"];
+
+/// Fewest events of a stream.
+const MIN_EVENTS: u64 = 4;
+
+/// Number of lengths that streams have.
+const LENGTHS: u64 = 24;
+
+/// What a stream consists of: it depends on the request, the service and the software version only.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Content {
+    hash: u64,
+    /// Number of events.
+    pub total: u64,
+    /// Bytes that each event holds besides.
+    padding: usize,
+}
+
+impl Content {
+    /// Returns the content of the answer of a service to a body.
+    ///
+    /// A body may state the padding, as in `padding=2000`.
+    pub fn new(service: &str, version: &str, body: &str) -> Self {
+        let text = format!("{service} {version} {body}");
+        let hash = xxh3_64_with_seed(text.as_bytes(), 0);
+        let field = |name: &str| {
+            let value = body.split(' ').find_map(|word| word.strip_prefix(name));
+            value.and_then(|value| value.parse().ok()).unwrap_or(0)
+        };
+        Self {
+            hash,
+            total: MIN_EVENTS + hash % LENGTHS,
+            padding: field("padding="),
+        }
+    }
+
+    /// Returns an event, with the identifier of the run that makes it.
+    pub fn event(&self, number: u64, run: &str) -> String {
+        let data = self.data(number);
+        format!("id: {number}\ndata: {data} run={run}\n\n")
+    }
+
+    /// Returns the part of an event that does not depend on its run.
+    fn data(&self, number: u64) -> String {
+        let Self {
+            hash,
+            total,
+            padding,
+        } = *self;
+        let filling = "x".repeat(padding);
+        format!("{hash:016x} {number} of {total} {filling}")
+    }
+}
+
+/// Kind of a finding.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Kind {
+    /// An event is missing.
+    Missing,
+    /// An event comes again, or its number is lower than that of the one before it.
+    Repeated,
+    /// The stream ends as complete before its last event.
+    EarlyEnd,
+    /// An event, or the head, belongs to another request.
+    Foreign,
+    /// An event is from another software version than the events before it.
+    Version,
+    /// As `Version`, after a resumption that does not name the request that it resumes.
+    UnnamedVersion,
+    /// Events of a stream that can't be resumed are from several runs, or a run comes again after
+    /// another one.
+    Runs,
+    /// A success without the signature of an engine.
+    Unsigned,
+}
+
+/// Checks the events of one stream, over all requests that the client sends for it.
+#[derive(Clone, Debug)]
+pub struct Checker {
+    contents: Vec<Content>,
+    resumable: bool,
+    /// Whether the current request resumes the stream without a name of the one before.
+    unnamed: bool,
+    /// Content of the version that the events are from.
+    content: Option<Content>,
+    last: u64,
+    /// Runs that made events, in order of their first event.
+    runs: Vec<String>,
+}
+
+impl Checker {
+    /// Returns a checker for the answer of a service to a body.
+    pub fn new(service: &str, body: &str, resumable: bool) -> Self {
+        let contents = VERSIONS.iter();
+        Self {
+            contents: contents
+                .map(|version| Content::new(service, version, body))
+                .collect(),
+            resumable,
+            unnamed: false,
+            content: None,
+            last: 0,
+            runs: Vec::new(),
+        }
+    }
+
+    /// Returns the number of the last event received; 0 if there was none.
+    pub fn last(&self) -> u64 {
+        self.last
+    }
+
+    /// Returns whether all events were received.
+    pub fn complete(&self) -> bool {
+        self.content
+            .is_some_and(|content| content.total == self.last)
+    }
+
+    /// Returns the runs that made events.
+    pub fn runs(&self) -> &[String] {
+        &self.runs
+    }
+
+    /// Notes that the next events answer a request that resumes the stream.
+    pub fn resume(&mut self, named: bool) {
+        self.unnamed = !named;
+    }
+
+    /// Checks an event with its empty line.
+    pub fn event(&mut self, text: &str) -> Result<(), Kind> {
+        let (number, data, run) = parse(text).ok_or(Kind::Foreign)?;
+        let is_from = |content: &&Content| content.data(number) == data;
+        let Some(content) = self.contents.iter().find(is_from).copied() else {
+            let known = self
+                .content
+                .filter(|content| data.starts_with(&content.start()));
+            // The number is not that of the content.
+            return Err(known.map_or(Kind::Foreign, |_| Kind::Repeated));
+        };
+        let result = self.sequence(content, number, run);
+        self.content = self.content.or(Some(content));
+        self.last = number;
+        if self.runs.last().is_none_or(|last| last != run) {
+            self.runs.push(run.to_owned());
+        }
+        result
+    }
+
+    fn sequence(&self, content: Content, number: u64, run: &str) -> Result<(), Kind> {
+        if self.content.is_some_and(|known| known != content) {
+            return Err(match self.unnamed {
+                true => Kind::UnnamedVersion,
+                false => Kind::Version,
+            });
+        }
+        if number <= self.last {
+            return Err(Kind::Repeated);
+        }
+        if number > self.last + 1 {
+            return Err(Kind::Missing);
+        }
+        let other = self.runs.last().is_some_and(|last| last != run);
+        if other && (!self.resumable || self.runs.iter().any(|before| before == run)) {
+            return Err(Kind::Runs);
+        }
+        Ok(())
+    }
+
+    /// Checks an answer that ended as complete; `rest` is what follows the last whole event.
+    pub fn end(&self, rest: &[u8]) -> Result<(), Kind> {
+        match self.complete() && rest.is_empty() {
+            true => Ok(()),
+            false => Err(Kind::EarlyEnd),
+        }
+    }
+}
+
+impl Content {
+    /// Returns the beginning of the data of each event.
+    fn start(&self) -> String {
+        format!("{:016x} ", self.hash)
+    }
+}
+
+/// Returns the number, the data and the run of an event.
+fn parse(text: &str) -> Option<(u64, &str, &str)> {
+    let text = text.strip_prefix("id: ")?.strip_suffix("\n\n")?;
+    let (number, data) = text.split_once("\ndata: ")?;
+    let (data, run) = data.rsplit_once(" run=")?;
+    Some((number.parse().ok()?, data, run))
+}
--- /dev/null
+++ b/examples/soak/deployment.rs
@@ -0,0 +1,501 @@
+//! Processes of a deployment: a store, engines and gateway instances.
+
+use std::{
+    env, fs,
+    io::Write as _,
+    net::{
+        SocketAddr,
+        TcpListener,
+        TcpStream, //
+    },
+    path::PathBuf,
+    process::{
+        Child,
+        Command,
+        Stdio, //
+    },
+    sync::{
+        atomic::{
+            AtomicBool,
+            AtomicU64,
+            Ordering, //
+        },
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    thread,
+    time::{
+        Duration,
+        Instant,
+        SystemTime,
+        UNIX_EPOCH, //
+    },
+};
+
+use anyhow::{
+    ensure,
+    Context as _, //
+};
+use serde_json::json;
+use standin::{
+    server::Server,
+    store::{
+        self,
+        Store, //
+    },
+};
+
+use crate::{
+    check::VERSIONS,
+    engine::SLOTS,
+    flags::Run,
+    wire::Reader, //
+};
+
+/// Services; each has routes of its own.
+pub const SERVICES: [&str; 2] = ["s", "t"];
+
+/// Interval at which engines report.
+const HEARTBEAT: Duration = Duration::from_millis(400);
+
+/// Time without a report after which the entry of an engine is removed.
+const EXPIRY: Duration = Duration::from_millis(1_200);
+
+/// Time between SIGTERM and the end of an instance.
+const GRACE_S: u64 = 5;
+
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Time in which instances learn of each other.
+const SPREAD: Duration = Duration::from_millis(2_500);
+
+/// An engine process, or the place of one.
+pub struct Slot {
+    /// Identifier.
+    pub id: String,
+    /// Software version.
+    pub version: &'static str,
+    /// Address that it listens on.
+    pub address: SocketAddr,
+    /// Whether it reports that it drains.
+    pub draining: bool,
+    /// Whether the process is stopped.
+    pub frozen: bool,
+    service: &'static str,
+    child: Option<Child>,
+    born: u64,
+    sequence: u64,
+    /// Time of the last report.
+    reported: Instant,
+    /// Identifiers that are no longer used, with the time of their last report.
+    gone: Vec<(String, Instant)>,
+}
+
+/// A gateway instance.
+pub struct Instance {
+    /// Name.
+    pub name: String,
+    /// Address for clients.
+    pub callers: SocketAddr,
+    ready: SocketAddr,
+    settings: PathBuf,
+    child: Mutex<Option<Child>>,
+}
+
+/// Processes of a deployment, which end when it is dropped.
+pub struct Deployment {
+    /// The store.
+    pub store: Server<Store>,
+    /// Gateway instances.
+    pub instances: Vec<Instance>,
+    /// Whether the deployment ends.
+    pub stopped: AtomicBool,
+    /// Folder with settings and logs.
+    pub folder: PathBuf,
+    engines: Vec<Mutex<Slot>>,
+    /// Addresses for engines; there are more of them than engines.
+    addresses: Vec<SocketAddr>,
+    next_engine: AtomicU64,
+    gateway: PathBuf,
+    framing: String,
+    defect: Option<String>,
+}
+
+/// Locks a mutex; threads that panic leave processes as they are.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Returns addresses that no socket has, below the ports that the kernel hands out.
+fn free_addresses(count: usize) -> Vec<SocketAddr> {
+    let first = std::process::id() % 100 * 200;
+    let ports = (0..20_000).map(|offset| 10_000 + ((first + offset) % 20_000) as u16);
+    let addresses = ports.map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+    let free = addresses.filter(|address| TcpListener::bind(address).is_ok());
+    free.take(count).collect()
+}
+
+/// Sends a signal to a process.
+fn signal(pid: u32, name: &str) {
+    let status = Command::new("kill")
+        .args(["-s", name, &pid.to_string()])
+        .status();
+    if !status.is_ok_and(|status| status.success()) {
+        eprintln!("soak: {name} can't be sent to process {pid}");
+    }
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default().as_millis() as u64
+}
+
+impl Deployment {
+    /// Starts all processes, and waits until the instances are ready and know each other.
+    pub fn start(flags: &Run) -> anyhow::Result<Self> {
+        let folder = env::temp_dir().join(format!("gypsumlever-soak-{}", std::process::id()));
+        fs::create_dir_all(&folder)?;
+        let instances = flags.instances.unwrap_or(4);
+        let engines = flags.engines.unwrap_or(8);
+        let mut addresses = free_addresses(5 * instances + 2 * engines);
+        let store = store::start(store::Config::default())?;
+        let instances = (0..instances)
+            .map(|number| {
+                let own: Vec<_> = addresses.drain(..5).collect();
+                Instance::new(number, &own, &store, &folder, !flags.no_first_start)
+            })
+            .collect::<anyhow::Result<Vec<_>>>()?;
+        let versions = flags.versions.unwrap_or(2).clamp(1, VERSIONS.len());
+        let engines = (0..engines).map(|number| {
+            Mutex::new(Slot {
+                id: format!("i-{number}"),
+                version: VERSIONS[number / SERVICES.len() % versions],
+                address: addresses[number],
+                draining: false,
+                frozen: false,
+                service: SERVICES[number % SERVICES.len()],
+                child: None,
+                born: 0,
+                sequence: 0,
+                reported: Instant::now(),
+                gone: Vec::new(),
+            })
+        });
+        let deployment = Self {
+            engines: engines.collect(),
+            store,
+            instances,
+            stopped: AtomicBool::new(false),
+            folder,
+            addresses,
+            next_engine: AtomicU64::new(100),
+            gateway: flags.gateway.clone(),
+            framing: flags.framing.clone().unwrap_or_else(|| "mixed".to_owned()),
+            defect: flags.defect.clone(),
+        };
+        deployment.configure(1);
+        for number in 0..deployment.engines.len() {
+            deployment.start_engine(number)?;
+        }
+        deployment.report_engines();
+        for number in 0..deployment.instances.len() {
+            deployment.start_instance(number)?;
+        }
+        for instance in &deployment.instances {
+            ensure!(instance.wait_ready(), "{} is not ready", instance.name);
+        }
+        thread::sleep(SPREAD);
+        Ok(deployment)
+    }
+
+    /// Returns the number of engines.
+    pub fn engine_count(&self) -> usize {
+        self.engines.len()
+    }
+
+    /// Returns an engine.
+    pub fn engine(&self, number: usize) -> MutexGuard<'_, Slot> {
+        lock(&self.engines[number])
+    }
+
+    /// Publishes a configuration, which is the same for all versions but for a timeout and routes
+    /// without requests.
+    pub fn configure(&self, version: u64) {
+        let route = |service: &str, resumable: bool| {
+            let prefix = format!(
+                "/{service}/{}/",
+                if resumable { "resumable" } else { "once" }
+            );
+            json!({
+                "name": prefix, "host": "h.example", "pathPrefix": prefix, "kind": "streaming",
+                "timeoutMs": 8000 + version % 7 * 10, "targetLatencyMs": 500, "gapAimMs": 400,
+                "priority": 0, "service": service, "maxAttempts": 3, "resumable": resumable,
+            })
+        };
+        let mut routes: Vec<_> = SERVICES
+            .iter()
+            .flat_map(|service| [route(service, true), route(service, false)])
+            .collect();
+        routes.extend((0..version % 5).map(|number| route(&format!("idle-{number}"), true)));
+        let services = SERVICES.iter().map(
+            |name| json!({ "name": name, "maxConns": 200, "engine": { "tokensPerEvent": 10 } }),
+        );
+        let mut services: Vec<_> = services.collect();
+        services.extend((0..5).map(|number| json!({ "name": format!("idle-{number}") })));
+        let config = json!({
+            "version": version, "routes": routes, "services": services,
+            "limits": { "maxBodyBytes": 100_000 },
+        });
+        self.store
+            .put("keyed.op", "config", config.to_string().as_bytes());
+    }
+
+    /// Has the engines that run report to the store, as often as engines do, unless it is away.
+    fn report_engines(&self) {
+        let faults = self.store.faults();
+        if faults.busy || faults.network.outage.is_some() {
+            return;
+        }
+        for engine in &self.engines {
+            let slot = &mut *lock(engine);
+            let expired = |(_, last): &(String, Instant)| last.elapsed() > EXPIRY;
+            for (id, _) in slot.gone.extract_if(.., |entry| expired(entry)) {
+                if id != slot.id {
+                    self.store.remove("keyed.servers", &id);
+                }
+            }
+            if slot.child.is_some() && !slot.frozen {
+                slot.report(&self.store);
+            } else if slot.reported.elapsed() > EXPIRY {
+                self.store.remove("keyed.servers", &slot.id);
+            }
+        }
+    }
+
+    /// Reports engines until the deployment ends.
+    pub fn report_until_stopped(&self) {
+        while !self.stopped.load(Ordering::SeqCst) {
+            self.report_engines();
+            thread::sleep(HEARTBEAT);
+        }
+    }
+
+    /// Returns an identifier that no engine had.
+    pub fn new_id(&self) -> String {
+        format!("i-{}", self.next_engine.fetch_add(1, Ordering::SeqCst))
+    }
+
+    /// Returns addresses that no engine has.
+    pub fn free_addresses(&self) -> Vec<SocketAddr> {
+        let engines = self.engines.iter();
+        let used: Vec<_> = engines.map(|engine| lock(engine).address).collect();
+        let free = self.addresses.iter().filter(|one| !used.contains(one));
+        free.copied().collect()
+    }
+
+    /// Starts an engine process in its place.
+    pub fn start_engine(&self, number: usize) -> anyhow::Result<()> {
+        let mut slot = self.engine(number);
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.folder.join("engines.log"))?;
+        let mut command = Command::new(env::current_exe()?);
+        command
+            .args(["engine", "--id", &slot.id, "--service", slot.service])
+            .args(["--version", slot.version, "--framing", &self.framing])
+            .args(["--address", &slot.address.to_string()])
+            .stdin(Stdio::piped())
+            .stdout(Stdio::null())
+            .stderr(log);
+        if let Some(defect) = &self.defect {
+            command.args(["--defect", defect]);
+        }
+        let child = command.spawn().context("engine")?;
+        let until = Instant::now() + START_TIMEOUT;
+        while TcpStream::connect(slot.address).is_err() {
+            ensure!(Instant::now() < until, "an engine does not listen");
+            thread::sleep(Duration::from_millis(5));
+        }
+        slot.child = Some(child);
+        // An engine that starts again has a later start.
+        slot.born = unix_ms().max(slot.born + 1);
+        slot.sequence = 0;
+        (slot.draining, slot.frozen) = (false, false);
+        if self.store.faults() == store::Faults::default() {
+            slot.report(&self.store);
+        }
+        Ok(())
+    }
+
+    /// Starts an instance.
+    pub fn start_instance(&self, number: usize) -> anyhow::Result<()> {
+        let instance = &self.instances[number];
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("{}.log", instance.name)))?;
+        let child = Command::new(&self.gateway)
+            .arg("gateway")
+            .env("GYPSUMLEVER_SETTINGS", &instance.settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()
+            .with_context(|| format!("{} can't be started", self.gateway.display()))?;
+        *lock(&instance.child) = Some(child);
+        Ok(())
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        for engine in &self.engines {
+            lock(engine).kill();
+        }
+        for instance in &self.instances {
+            instance.kill();
+        }
+    }
+}
+
+impl Slot {
+    fn report(&mut self, store: &Store) {
+        self.sequence += 1;
+        self.reported = Instant::now();
+        let state = if self.draining { "draining" } else { "ready" };
+        let entry = json!({
+            "service": self.service, "address": self.address, "zone": "a",
+            "version": self.version, "slots": SLOTS, "state": state, "coldLeftMs": 0,
+            "sequence": self.sequence, "born": self.born,
+        });
+        store.put("keyed.servers", &self.id, entry.to_string().as_bytes());
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, name: &str) {
+        if let Some(child) = &self.child {
+            signal(child.id(), name);
+        }
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // It may have ended already.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Asks the process to end after its streams; it can be waited for.
+    pub fn leave(&mut self) -> Option<Child> {
+        let mut child = self.child.take()?;
+        if let Some(mut input) = child.stdin.take() {
+            // It may have ended already.
+            let _ = input.write_all(b"leave\n");
+        }
+        Some(child)
+    }
+
+    /// Takes another identifier.
+    pub fn rename(&mut self, id: String) {
+        let old = std::mem::replace(&mut self.id, id);
+        self.gone.push((old, self.reported));
+    }
+}
+
+impl Instance {
+    fn new(
+        number: usize,
+        addresses: &[SocketAddr],
+        store: &Server<Store>,
+        folder: &std::path::Path,
+        first_start: bool,
+    ) -> anyhow::Result<Self> {
+        let name = format!("entry-{number}");
+        let mut settings = json!({
+            "instance": name,
+            "zone": if number % 2 == 0 { "a" } else { "b" },
+            "listen": { "callers": addresses[0], "ready": addresses[1], "metrics": addresses[2] },
+            "peers": {
+                "listen": addresses[3], "cluster": "soak", "secret": "soak",
+                "tunnels": {
+                    "ip": "127.0.0.1", "ports": [addresses[4].port(), addresses[4].port()],
+                },
+            },
+            "store": { "address": store.address(), "partitions": 12 },
+            "grace_s": GRACE_S,
+        });
+        if first_start {
+            settings["first_start"] = json!(true);
+        }
+        let file = folder.join(format!("{name}.yaml"));
+        fs::write(&file, settings.to_string())?;
+        Ok(Self {
+            name,
+            callers: addresses[0],
+            ready: addresses[1],
+            settings: file,
+            child: Mutex::new(None),
+        })
+    }
+
+    /// Waits until the readiness check passes; returns whether it did.
+    pub fn wait_ready(&self) -> bool {
+        let until = Instant::now() + START_TIMEOUT;
+        while Instant::now() < until {
+            if self.is_ready().unwrap_or(false) {
+                return true;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        false
+    }
+
+    fn is_ready(&self) -> std::io::Result<bool> {
+        let mut stream = TcpStream::connect(self.ready)?;
+        stream.set_read_timeout(Some(Duration::from_secs(1)))?;
+        stream.write_all(b"GET /v1/readiness HTTP/1.1\r\nHost: h.example\r\n\r\n")?;
+        Ok(Reader::new(stream).head()?.word(1) == "200")
+    }
+
+    /// Removes what states that the deployment starts for the first time.
+    pub fn set_started(&self) -> std::io::Result<()> {
+        let text = fs::read_to_string(&self.settings)?;
+        fs::write(&self.settings, text.replace("\"first_start\":true,", ""))
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, name: &str) {
+        if let Some(child) = &*lock(&self.child) {
+            signal(child.id(), name);
+        }
+    }
+
+    /// Kills the process.
+    pub fn kill(&self) {
+        if let Some(mut child) = lock(&self.child).take() {
+            // It may have ended already.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Stops the process, and kills it after the grace as the platform does.
+    pub fn stop(&self) {
+        self.signal("TERM");
+        let until = Instant::now() + Duration::from_secs(GRACE_S);
+        while Instant::now() < until {
+            let mut child = lock(&self.child);
+            let ended = child.as_mut().map(|child| child.try_wait());
+            if !matches!(ended, Some(Ok(None))) {
+                break;
+            }
+            drop(child);
+            thread::sleep(Duration::from_millis(20));
+        }
+        self.kill();
+    }
+}
--- /dev/null
+++ b/examples/soak/main.rs
@@ -0,0 +1,154 @@
+//! Soak of event streams on real processes: instances, engines and a store that fail by turns.
+//!
+//! Build the daemon first, then `cargo run --example soak -- run --gateway target/debug/gypsumleverd`.
+//! It exits with status 1 if a client saw an event that is missing, repeated or foreign, or an answer
+//! that ended early as complete.
+
+mod check;
+mod client;
+mod deployment;
+mod engine;
+mod faults;
+mod record;
+mod wire;
+
+mod flags {
+    //! Command line of the tool.
+
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Soaks event streams of gateway instances.
+        cmd soak {
+            /// Play streams with faults, and check them.
+            cmd run {
+                /// Daemon to start as instances.
+                required --gateway gateway: PathBuf
+                /// Seed of faults and streams; 1 by default.
+                optional --seed seed: u64
+                /// Seconds of faults and new streams; 30 by default.
+                optional --seconds seconds: u64
+                /// Kinds of faults, separated by commas, `all` or `none`; `all` by default.
+                optional --faults faults: String
+                /// Number of faults that overlap at most; 2 by default.
+                optional --operators operators: usize
+                /// Number of clients; 48 by default.
+                optional --clients clients: usize
+                /// Number of instances; 4 by default.
+                optional --instances instances: usize
+                /// Number of engines; 8 by default.
+                optional --engines engines: usize
+                /// Number of software versions that the engines begin with; 2 by default.
+                optional --versions versions: usize
+                /// Framing of answers: `length`, `chunks`, `close` or `mixed`, which is the default.
+                optional --framing framing: String
+                /// Percent of the resumptions that don't name the request that they resume.
+                optional --unnamed unnamed: u32
+                /// Defect of the engines, to test the checks: `skip`, `repeat`, `early-end` or `foreign`.
+                optional --defect defect: String
+                /// Leave the field `first_start` out of the settings.
+                optional --no-first-start
+                /// Keep the folder with logs also if there are no findings.
+                optional --keep-logs
+            }
+            /// Run an engine; used by `run`.
+            cmd engine {
+                /// Identifier.
+                required --id id: String
+                /// Service.
+                required --service service: String
+                /// Software version.
+                required --version version: String
+                /// Address to listen on.
+                required --address address: String
+                /// Framing of answers.
+                optional --framing framing: String
+                /// Defect.
+                optional --defect defect: String
+            }
+        }
+    }
+}
+
+use std::{
+    fs,
+    process::ExitCode,
+    sync::{
+        atomic::Ordering,
+        Arc, //
+    },
+    thread,
+    time::Duration,
+};
+
+use anyhow::Context as _;
+
+use client::Clients;
+use deployment::Deployment;
+use faults::Operators;
+use flags::{
+    Run,
+    Soak,
+    SoakCmd, //
+};
+use record::Record;
+
+/// Stack of a client's thread, in bytes.
+const STACK_BYTES: usize = 256 << 10;
+
+fn main() -> anyhow::Result<ExitCode> {
+    match Soak::from_env_or_exit().subcommand {
+        SoakCmd::Engine(flags) => engine::run(&flags).map(|()| ExitCode::SUCCESS),
+        SoakCmd::Run(flags) => soak(&flags),
+    }
+}
+
+/// Plays a soak; fails if there are findings.
+fn soak(flags: &Run) -> anyhow::Result<ExitCode> {
+    let seed = flags.seed.unwrap_or(1);
+    let faults = faults::parse(flags.faults.as_deref().unwrap_or("all"))?;
+    let unnamed = f64::from(flags.unnamed.unwrap_or(0).min(100)) / 100.0;
+    let deployment = Arc::new(Deployment::start(flags)?);
+    for instance in &deployment.instances {
+        instance.set_started()?;
+    }
+    let record = Arc::new(Record::new(seed));
+    let clients = Arc::new(Clients::new(
+        deployment.clone(),
+        record.clone(),
+        seed,
+        unnamed,
+    ));
+    let operators = &Operators::new(&deployment, &record, faults);
+    let result = thread::scope(|scope| {
+        scope.spawn(|| deployment.report_until_stopped());
+        for number in 0..flags.clients.unwrap_or(48) as u64 {
+            let (clients, seed) = (clients.clone(), seed << 32 | number);
+            let run = move || clients.run(seed);
+            thread::Builder::new()
+                .stack_size(STACK_BYTES)
+                .spawn_scoped(scope, run)?;
+        }
+        let operators: Vec<_> = (0..flags.operators.unwrap_or(2) as u64)
+            .map(|number| scope.spawn(move || operators.run(seed << 32 | 1 << 31 | number)))
+            .collect();
+        thread::sleep(Duration::from_secs(flags.seconds.unwrap_or(30)));
+        deployment.stopped.store(true, Ordering::SeqCst);
+        operators.into_iter().try_for_each(|operator| {
+            let joined = operator.join();
+            joined.unwrap_or_else(|_| Err(anyhow::anyhow!("an operator panicked")))
+        })
+    });
+    let findings = record.summary();
+    let folder = deployment.folder.clone();
+    if findings > 0 || result.is_err() || flags.keep_logs {
+        println!("logs: {}", folder.display());
+    } else {
+        fs::remove_dir_all(&folder).context("temporary folder")?;
+    }
+    result?;
+    Ok(match findings {
+        0 => ExitCode::SUCCESS,
+        _ => ExitCode::FAILURE,
+    })
+}
--- /dev/null
+++ b/examples/soak/record.rs
@@ -0,0 +1,120 @@
+//! Record of a soak: faults, findings and counts.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use crate::check::Kind;
+
+/// Time before a finding in which faults are printed with it.
+const FAULT_WINDOW: Duration = Duration::from_secs(2);
+
+/// What is known of a finding.
+#[derive(Debug)]
+pub struct Finding<'a> {
+    /// Kind.
+    pub kind: Kind,
+    /// Request that the client waited for.
+    pub request: &'a str,
+    /// Instance that was asked.
+    pub instance: &'a str,
+    /// Runs of engines that made the events so far.
+    pub runs: &'a [String],
+    /// Framing of the answer, what came last and how the stream was asked for.
+    pub details: String,
+}
+
+#[derive(Default)]
+struct Inner {
+    faults: Vec<(Duration, String)>,
+    findings: BTreeMap<Kind, u64>,
+    counts: BTreeMap<String, u64>,
+}
+
+/// Record of a soak.
+pub struct Record {
+    start: Instant,
+    seed: u64,
+    inner: Mutex<Inner>,
+}
+
+impl Record {
+    /// Returns an empty record.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            start: Instant::now(),
+            seed,
+            inner: Mutex::default(),
+        }
+    }
+
+    fn inner(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes a fault, or its end.
+    pub fn fault(&self, text: String) {
+        let at = self.start.elapsed();
+        self.inner().faults.push((at, text));
+    }
+
+    /// Counts something.
+    pub fn count(&self, name: impl Into<String>) {
+        *self.inner().counts.entry(name.into()).or_default() += 1;
+    }
+
+    /// Notes and prints a finding.
+    pub fn finding(&self, finding: &Finding<'_>) {
+        let at = self.start.elapsed();
+        let mut inner = self.inner();
+        *inner.findings.entry(finding.kind).or_default() += 1;
+        let Finding {
+            kind,
+            request,
+            instance,
+            runs,
+            details,
+        } = finding;
+        println!(
+            "finding: {kind:?}, seed {}, {:.3} s, {}, request {request} at {instance}, runs {runs:?}, {details}",
+            self.seed,
+            at.as_secs_f64(),
+            unix_time(),
+        );
+        let recent = inner.faults.iter().rev();
+        let recent = recent.take_while(|(time, _)| *time + FAULT_WINDOW >= at);
+        for (time, fault) in recent {
+            println!("    {:.3} s: {fault}", time.as_secs_f64());
+        }
+    }
+
+    /// Prints the counts, and returns the number of findings.
+    pub fn summary(&self) -> u64 {
+        let inner = self.inner();
+        for (name, count) in &inner.counts {
+            println!("{name}: {count}");
+        }
+        println!("faults: {}", inner.faults.len());
+        for (kind, count) in &inner.findings {
+            println!("findings of kind {kind:?}: {count}");
+        }
+        let findings = inner.findings.values().sum();
+        println!("findings: {findings}, seed {}", self.seed);
+        findings
+    }
+}
+
+/// Returns the wall-clock time in seconds, as the logs of instances have it.
+fn unix_time() -> String {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    format!("unix {:.3}", since.unwrap_or_default().as_secs_f64())
+}
