--- a/examples/soak/check.rs
+++ b/examples/soak/check.rs
@@ -79,6 +79,15 @@
     Unsigned,
 }
 
+/// Checks the head of a success: it names its request, and the engine signed it.
+pub fn head(request: &str, named: Option<&str>, signed: bool) -> Result<(), Kind> {
+    match (named == Some(request), signed) {
+        (true, true) => Ok(()),
+        (false, _) => Err(Kind::Foreign),
+        (true, false) => Err(Kind::Unsigned),
+    }
+}
+
 /// Checks the events of one stream, over all requests that the client sends for it.
 #[derive(Clone, Debug)]
 pub struct Checker {
--- a/examples/soak/client.rs
+++ b/examples/soak/client.rs
@@ -26,6 +26,7 @@
 
 use crate::{
     check::{
+        self,
         Checker,
         Kind, //
     },
@@ -333,12 +334,12 @@
             while let Ok(Some(_)) = reader.part(&mut framing) {}
             return Err(End::Refused(status));
         }
-        let Some(seal) = head.header("server-seal") else {
-            return Err(self.wrong(attempt, Kind::Unsigned, checker, &marks));
-        };
-        if head.header("request-id") != Some(&attempt.id) {
-            return Err(self.wrong(attempt, Kind::Foreign, checker, &format!("{head:?}")));
+        let seal = head.header("server-seal");
+        let named = head.header("request-id");
+        if let Err(kind) = check::head(&attempt.id, named, seal.is_some()) {
+            return Err(self.wrong(attempt, kind, checker, &format!("{head:?}")));
         }
+        let seal = seal.unwrap_or_default();
         let details = format!("{marks} after event {}, sealed by {seal}", checker.last());
         Ok(Answer {
             framing,
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -44,6 +44,8 @@
 pub enum Fault {
     /// An engine is killed, and starts again with the same software version.
     EngineKill,
+    /// An engine is killed, and starts again at once under its identifier and address.
+    EngineRestart,
     /// An engine is killed, and starts again with another software version.
     EngineVersion,
     /// An engine is stopped for a while.
@@ -65,8 +67,9 @@
 }
 
 /// Kinds of faults, with the names that the command line has for them.
-const FAULTS: [(&str, Fault); 10] = [
+const FAULTS: [(&str, Fault); 11] = [
     ("engine-kill", Fault::EngineKill),
+    ("engine-restart", Fault::EngineRestart),
     ("engine-version", Fault::EngineVersion),
     ("engine-stop", Fault::EngineStop),
     ("engine-leave", Fault::EngineLeave),
@@ -139,7 +142,11 @@
 
     fn cause(&self, fault: Fault, rng: &mut SmallRng) -> anyhow::Result<()> {
         match fault {
-            Fault::EngineKill | Fault::EngineVersion | Fault::EngineStop | Fault::EngineLeave => {
+            Fault::EngineKill
+            | Fault::EngineRestart
+            | Fault::EngineVersion
+            | Fault::EngineStop
+            | Fault::EngineLeave => {
                 let number = rng.random_range(0..self.engines.len());
                 let Ok(_guard) = self.engines[number].try_lock() else {
                     return Ok(());
@@ -178,6 +185,9 @@
             slot.kill();
             slot.id.clone()
         };
+        if fault == Fault::EngineRestart {
+            return self.start_engine(number, &id);
+        }
         pause(match rng.random_bool(0.5) {
             true => rng.random_range(0..100),
             false => rng.random_range(100..2_500),
