--- a/examples/soak/deployment.rs
+++ b/examples/soak/deployment.rs
@@ -417,7 +417,7 @@
         let name = format!("entry-{number}");
         let mut settings = json!({
             "instance": name,
-            "zone": if number % 2 == 0 { "a" } else { "b" },
+            "zone": if number.is_multiple_of(2) { "a" } else { "b" },
             "listen": { "callers": addresses[0], "ready": addresses[1], "metrics": addresses[2] },
             "peers": {
                 "listen": addresses[3], "cluster": "soak", "secret": "soak",
--- a/examples/soak/engine.rs
+++ b/examples/soak/engine.rs
@@ -265,8 +265,8 @@
         writer.write_all(text.as_bytes())?;
         let gap = body.split(' ').find_map(|word| word.strip_prefix("gap="));
         let gap = Duration::from_millis(gap.and_then(|gap| gap.parse().ok()).unwrap_or(0));
-        let mut events = events.chunks(rng.random_range(1..3));
-        while let Some(group) = events.next() {
+        let groups = events.chunks(rng.random_range(1..3));
+        for group in groups {
             thread::sleep(gap);
             let mut text = group.concat().into_bytes();
             let rest = text.split_off(match rng.random_bool(0.1) {
