--- a/examples/soak/deployment.rs
+++ b/examples/soak/deployment.rs
@@ -163,7 +163,7 @@
         let instances = (0..instances)
             .map(|number| {
                 let own: Vec<_> = addresses.drain(..5).collect();
-                Instance::new(number, &own, &store, &folder, !flags.no_first_start)
+                Instance::new(number, &own, &store, &folder, flags)
             })
             .collect::<anyhow::Result<Vec<_>>>()?;
         let versions = flags.versions.unwrap_or(2).clamp(1, VERSIONS.len());
@@ -412,7 +412,7 @@
         addresses: &[SocketAddr],
         store: &Server<Store>,
         folder: &std::path::Path,
-        first_start: bool,
+        flags: &Run,
     ) -> anyhow::Result<Self> {
         let name = format!("entry-{number}");
         let mut settings = json!({
@@ -428,9 +428,14 @@
             "store": { "address": store.address(), "partitions": 12 },
             "grace_s": GRACE_S,
         });
-        if first_start {
+        if !flags.no_first_start {
             settings["first_start"] = json!(true);
         }
+        if flags.no_tunnels {
+            if let Some(peers) = settings["peers"].as_object_mut() {
+                peers.remove("tunnels");
+            }
+        }
         let file = folder.join(format!("{name}.yaml"));
         fs::write(&file, settings.to_string())?;
         Ok(Self {
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -48,6 +48,8 @@
                 optional --defect defect: String
                 /// Leave the field `first_start` out of the settings.
                 optional --no-first-start
+                /// Leave the field `tunnels` out of the settings.
+                optional --no-tunnels
                 /// Keep the folder with logs also if there are no findings.
                 optional --keep-logs
             }
