Take only a stream of events for the rest of one that a caller takes up

Cause: what continues a stream is compared with the head that the caller got. A caller that takes its stream up has none from this instance, so that any success passed.

Change: a success with another content type than text/event-stream is a failed attempt there, as it is within an answer. Errors are passed on, and events without a content type, which engines of some services send.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -81,6 +81,9 @@
 /// Time without a further event after which a stream is resumed, for the same reasons.
 const NEXT_EVENT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Content type of streams.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// Maximum resumptions of a broken stream.
 const MAX_RESUMES: u32 = 4;
 
@@ -535,10 +538,18 @@
         }
     }
 
-    /// Returns whether an answer may follow behind the head that the caller gets.
+    /// Returns whether an answer may follow behind the head that the caller gets, or behind the events
+    /// that it has.
     fn continues(&self, head: &ResponseHead) -> bool {
-        let form = self.form.as_ref();
-        form.is_none_or(|form| *form == head.into())
+        let form = Form::from(head);
+        match &self.form {
+            Some(begun) => *begun == form,
+            None if self.last.is_none() || !form.status.is_success() => true,
+            None => {
+                let content_type = form.content_type.as_deref();
+                content_type.is_none_or(|content_type| content_type == EVENT_STREAM)
+            }
+        }
     }
 
     /// Logs and counts that the stream goes on after a break.
--- a/tests/gateway/resumption.rs
+++ b/tests/gateway/resumption.rs
@@ -256,3 +256,57 @@
         assert!(count.ends_with(" 1"), "{framing:?}: {count}");
     }
 }
+
+/// Returns a request that takes a stream up after an event.
+fn taken_up(after: u64) -> String {
+    let headers = format!("{HEADERS}Last-Event-Id: {after}\r\nResumes: lost\r\n");
+    request("POST", "/stream/x", &headers, "")
+}
+
+/// A caller that took its stream up got another text as the rest of it, with the engine's signature.
+#[test]
+fn caller_gets_no_other_text_as_the_rest_of_its_stream() {
+    let html = "Content-Type: text/html\r\n";
+    for body in [OTHER.to_owned(), String::new(), stream_events(3..=5)] {
+        for framing in FRAMINGS {
+            let text = body.clone();
+            let upstream =
+                Upstream::start(move |_, request| message(request, "200 OK", html, framing, &text));
+            let deployment = Deployment::start(&[&upstream]);
+            let answer = deployment.request(&taken_up(2));
+            let context = format!("{body:?}, {framing:?}: {}", answer.text());
+            assert_eq!(answer.status(), 502, "{context}");
+            assert!(!upstream.requests().is_empty(), "{context}");
+        }
+    }
+}
+
+/// Only another text is no rest of a stream: one without a type is, and so is the error of an engine.
+#[test]
+fn caller_gets_the_rest_of_its_stream_and_errors_of_engines() {
+    let cases = [
+        ("200 OK", "", 200),
+        ("200 OK", STREAM, 200),
+        (
+            "200 OK",
+            "Content-Type: Text/Event-Stream; charset=utf-8\r\n",
+            200,
+        ),
+        ("500 Error", "Content-Type: text/html\r\n", 500),
+    ];
+    for (status, headers, expected) in cases {
+        let upstream = Upstream::start(move |_, request| {
+            message(
+                request,
+                status,
+                headers,
+                Framing::Length,
+                &stream_events(3..=5),
+            )
+        });
+        let deployment = Deployment::start(&[&upstream]);
+        let answer = deployment.request(&taken_up(2));
+        assert_eq!(answer.status(), expected, "{headers}: {}", answer.text());
+        assert_eq!(answer.text(), stream_events(3..=5), "{headers}");
+    }
+}
