Take a gap after a break for a missing event where a service has none

Cause: three events of the same stream had to show equal steps before a gap counted, and a caller that takes a stream up names one event only.

Change: an instance learns from whole streams, for each service and software version, the first identifier and the step. After 8 whole streams that agree, the first event after a break has to be the next one. Identifiers need not be consecutive, so one answer that differs ends this for good, and nothing is concluded from answers behind a break. In the same way answers without a content type continue no stream once 8 whole streams had one.

Evidence: resumption::missing_event_after_one_or_two_breaks_a_stream_off, resumption::caller_gets_its_stream_from_the_next_event_on and resumption::caller_gets_no_answer_without_a_type_if_whole_streams_have_one failed before.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -30,6 +30,26 @@
     pub bytes: Bytes,
 }
 
+/// Identifiers of the events of a stream: the first one, and equal steps from there.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Numbering {
+    /// Identifier of the first event.
+    pub first: u64,
+    /// Step between two events; at least 1.
+    pub step: u64,
+}
+
+impl Numbering {
+    /// Returns the identifier that follows `last`; `None` if that one is not of the series.
+    pub fn next(&self, last: u64) -> Option<u64> {
+        match last.checked_sub(self.first) {
+            None => Some(self.first),
+            Some(offset) if offset % self.step == 0 => last.checked_add(self.step),
+            Some(_) => None,
+        }
+    }
+}
+
 /// Equal steps between identifiers from which on they are taken for consecutive.
 const MIN_EVEN_STEPS: u32 = 2;
 
@@ -39,17 +59,22 @@
 /// break shows that an event is missing.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Sequence {
+    first: Option<u64>,
     last: Option<u64>,
     step: Option<u64>,
     /// Number of equal steps; 0 once two steps differed.
     even_steps: u32,
     uneven: bool,
+    /// Identifier that the next event must have, if the numbering of the stream is known.
+    expected: Option<u64>,
 }
 
 impl Sequence {
     /// Adds the identifier of the next event.
     pub fn push(&mut self, id: u64) {
         let step = self.last.map(|last| id.saturating_sub(last));
+        self.first.get_or_insert(id);
+        self.expected = None;
         self.last = Some(id);
         let Some(step) = step else {
             return;
@@ -59,8 +84,39 @@
         self.even_steps = if self.uneven { 0 } else { self.even_steps + 1 };
     }
 
+    /// Returns the identifier of the first event.
+    pub fn first(&self) -> Option<u64> {
+        self.first
+    }
+
+    /// Returns whether two steps differed.
+    pub fn is_uneven(&self) -> bool {
+        self.uneven
+    }
+
+    /// Returns how the events are numbered, if enough steps were equal and none differed.
+    pub fn numbering(&self) -> Option<Numbering> {
+        let step = self.step.filter(|_| self.even_steps >= MIN_EVEN_STEPS)?;
+        let first = self.first?;
+        Some(Numbering { first, step })
+    }
+
+    /// Sets the numbering by which the next event has to follow `last`, unless a step so far contradicts
+    /// it.
+    pub fn resume(&mut self, last: u64, numbering: Option<Numbering>) {
+        let fits = |numbering: &Numbering| {
+            !self.uneven && self.step.is_none_or(|step| step == numbering.step)
+        };
+        self.expected = numbering
+            .filter(fits)
+            .and_then(|numbering| numbering.next(last));
+    }
+
     /// Returns whether an event may be the next one after a break.
     pub fn admits(&self, id: u64) -> bool {
+        if self.expected.is_some_and(|expected| id != expected) {
+            return false;
+        }
         match (self.last, self.step) {
             (Some(last), Some(step)) if self.even_steps >= MIN_EVEN_STEPS => id == last + step,
             (Some(last), _) => id > last,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -51,6 +51,7 @@
 pub mod reserve;
 pub mod route;
 pub mod settings;
+pub mod shape;
 pub mod slots;
 pub mod state;
 pub mod tenant;
--- a/src/gateway/origin.rs
+++ b/src/gateway/origin.rs
@@ -50,7 +50,7 @@
 }
 
 /// What began a stream. Streams of different origins don't fit together.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct Origin {
     /// Service.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -545,18 +545,45 @@
         match &self.form {
             Some(begun) => *begun == form,
             None if self.last.is_none() || !form.status.is_success() => true,
-            None => {
-                let content_type = form.content_type.as_deref();
-                content_type.is_none_or(|content_type| content_type == EVENT_STREAM)
-            }
+            None => match form.content_type.as_deref() {
+                Some(content_type) => content_type == EVENT_STREAM,
+                None => !self
+                    .origin
+                    .as_ref()
+                    .is_some_and(|origin| self.gateway.shapes.is_typed(origin)),
+            },
+        }
+    }
+
+    /// Records the events of the first answer, if it began the stream.
+    fn record_shape(&self, whole: bool) {
+        if let Some(origin) = self
+            .origin
+            .as_ref()
+            .filter(|_| self.resumes == 0 && self.job.call.after.is_none())
+        {
+            let content_type = self
+                .form
+                .as_ref()
+                .and_then(|form| form.content_type.as_deref());
+            let typed = content_type.is_some();
+            self.gateway
+                .shapes
+                .record(origin, &self.sequence, typed, whole);
         }
     }
 
-    /// Logs and counts that the stream goes on after a break.
-    fn record_continuation(&self, server: &Server) {
+    /// Logs and counts that the stream goes on after a break, and determines its next event.
+    fn record_continuation(&mut self, server: &Server) {
         let Some(last) = self.last else {
             return;
         };
+        let shapes = &self.gateway.shapes;
+        let numbering = self
+            .origin
+            .as_ref()
+            .and_then(|origin| shapes.numbering(origin));
+        self.sequence.resume(last, numbering);
         let version = match self.version() {
             Some(version) if *version == server.version => "same",
             Some(_) => "other",
@@ -586,6 +613,7 @@
         if !self.resumable() || !resends_left || Instant::now() >= self.job.deadline {
             return Err(Interruption(reason));
         }
+        self.record_shape(false);
         self.resumes += 1;
         self.gateway.metrics.retried(reason);
         let upstream = self.latest.as_ref().map_or("", |server| &*server.id);
@@ -831,6 +859,7 @@
     }
 
     fn finish(&mut self) {
+        self.record_shape(true);
         self.end_placement(Outcome::Ended);
         if let Some(exchange) = self.exchange.take() {
             self.record_end(&exchange);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -17,7 +17,7 @@
     configuration::Configurations, dial::Dialer, dispatcher::Placer, fleet::Fleet,
     history::client::Histories, metrics::Metrics, operate::Refusals, origin::Directory,
     owner::Client, permit::Limiter, reports::Reports, route::Table, settings::Settings,
-    tenant::credit::Quotas, throttle::Throttle,
+    shape::Shapes, tenant::credit::Quotas, throttle::Throttle,
 };
 use crate::log::Log;
 
@@ -41,6 +41,8 @@
     pub accounts: Rc<Client<L>>,
     /// Origins of streams.
     pub origins: Directory<L>,
+    /// What whole streams have in common.
+    pub shapes: Shapes,
     /// Requests that crash upstreams.
     pub reports: Rc<Reports>,
     /// Quotas of tenants.
@@ -114,6 +116,7 @@
             dialer,
             accounts,
             origins,
+            shapes: Shapes::default(),
             reports,
             quotas: Rc::new(Quotas::new(metrics.clone())),
             histories: OnceCell::new(),
--- a/tests/gateway/resumption.rs
+++ b/tests/gateway/resumption.rs
@@ -310,3 +310,113 @@
         assert_eq!(answer.text(), stream_events(3..=5), "{headers}");
     }
 }
+
+/// Whole streams after which an instance knows how a service numbers events.
+const WHOLE_STREAMS: usize = 8;
+
+/// Returns whether a request is for a stream that is sent as a whole.
+fn is_whole(request: &Message) -> bool {
+    request.start_line.contains("/stream/whole")
+}
+
+/// Starts a deployment that has relayed whole streams, the last one with other identifiers; other
+/// requests are answered by `answer`.
+fn after_whole_streams(
+    ids: &'static [u64],
+    last_ids: &'static [u64],
+    answer: impl Fn(&Message) -> Action + Send + Sync + 'static,
+) -> (Upstream, Deployment) {
+    let upstream = Upstream::start(move |number, request| match is_whole(request) {
+        true => {
+            let last = number + 1 == WHOLE_STREAMS;
+            let ids = if last { last_ids } else { ids };
+            let events = stream_events(ids.iter().copied());
+            message(request, "200 OK", STREAM, Framing::Chunks, &events)
+        }
+        false => answer(request),
+    });
+    let deployment = Deployment::start(&[&upstream]);
+    for _ in 0..WHOLE_STREAMS {
+        let whole = deployment.request(&request("POST", "/stream/whole", HEADERS, ""));
+        assert!(whole.complete, "{}", whole.text());
+    }
+    (upstream, deployment)
+}
+
+/// A stream that broke off after one or two events went on without the next one.
+#[test]
+fn missing_event_after_one_or_two_breaks_a_stream_off() {
+    for before in [1, 2] {
+        for (next, complete) in [(before + 1, true), (before + 2, false)] {
+            let ids = &[1, 2, 3, 4, 5];
+            let (_upstream, deployment) =
+                after_whole_streams(ids, ids, move |request| {
+                    match request.header("last-event-id") {
+                        None => broken(request, before),
+                        Some(_) => {
+                            let events = stream_events(next..=6);
+                            message(request, "200 OK", STREAM, Framing::Chunks, &events)
+                        }
+                    }
+                });
+            let answer = deployment.request(&request("POST", "/stream/x", HEADERS, ""));
+            let context = format!("{next} after {before}: {}", answer.text());
+            assert_eq!(answer.complete, complete, "{context}");
+            let last = if complete { 6 } else { before };
+            assert_eq!(answer.text(), stream_events(1..=last), "{context}");
+        }
+    }
+}
+
+/// A caller that took its stream up after an event got it without the next one. A service whose
+/// streams leave out identifiers, even one of them, must not be hindered.
+#[test]
+fn caller_gets_its_stream_from_the_next_event_on() {
+    let consecutive: &[u64] = &[1, 2, 3, 4, 5];
+    let tens: &[u64] = &[0, 10, 20, 30];
+    let other_start: &[u64] = &[2, 3, 4];
+    let gaps: &[u64] = &[1, 2, 4, 5];
+    let single: &[u64] = &[1];
+    let cases = [
+        (consecutive, consecutive, 2, 3, true),
+        (consecutive, consecutive, 2, 4, false),
+        (consecutive, consecutive, 0, 1, true),
+        (consecutive, consecutive, 0, 2, false),
+        (tens, tens, 0, 10, true),
+        (tens, tens, 0, 20, false),
+        // Not an identifier of the service.
+        (tens, tens, 5, 30, true),
+        (consecutive, gaps, 2, 4, true),
+        (consecutive, tens, 2, 4, true),
+        (consecutive, other_start, 2, 4, true),
+        (gaps, gaps, 2, 4, true),
+        // Too few.
+        (consecutive, single, 2, 4, true),
+    ];
+    for (ids, last_ids, after, next, served) in cases {
+        let (_upstream, deployment) = after_whole_streams(ids, last_ids, move |request| {
+            let events = stream_events([next, next + 1]);
+            message(request, "200 OK", STREAM, Framing::Chunks, &events)
+        });
+        let answer = deployment.request(&taken_up(after));
+        let context = format!("{ids:?}, {next} after {after}: {}", answer.text());
+        assert_eq!(answer.status(), if served { 200 } else { 502 }, "{context}");
+    }
+}
+
+/// A caller got events without a type as the rest of a stream of a service that states the type.
+#[test]
+fn caller_gets_no_answer_without_a_type_if_whole_streams_have_one() {
+    let ids = &[1, 2, 3, 4, 5];
+    let (_upstream, deployment) = after_whole_streams(ids, ids, |request| {
+        message(
+            request,
+            "200 OK",
+            "",
+            Framing::Length,
+            &stream_events(3..=5),
+        )
+    });
+    let answer = deployment.request(&taken_up(2));
+    assert_eq!(answer.status(), 502, "{}", answer.text());
+}
