Confirm the start of an engine before a stream goes on there

Callers saw streams of two software versions: an engine ended in the middle of 8 streams and started again under its identifier and address with another version, and all 8 went on there at once. The same held for streams that callers took up.

Cause: the entry of the old process stays until the report of the new one is read, and Expect-Instance names the same identifier.

Change: once an engine has answered, the registry is read anew before a stream goes on (one read, coalesced, at most 20 a second); a later start with another version ends the try. After a refused connection streams under way wait for a report, for 2 s at most, as another process takes the address then. Without the evidence that the engine has ended they go nowhere else.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -23,6 +23,7 @@
         Load,
         Report, //
     },
+    refresh::Refresh,
     registry::{
         Registry,
         Server, //
@@ -39,6 +40,8 @@
     settings: balance::Settings,
     /// Upstreams that exist.
     pub registry: RefCell<Registry>,
+    /// Reads of the registry on demand.
+    pub refresh: Refresh,
     /// Whether the registry has been read since the start.
     pub registered: Cell<bool>,
     loads: RefCell<Map<SocketAddr, Load>>,
@@ -87,6 +90,19 @@
         self.load(upstream, |load| load.unreachable(now));
     }
 
+    /// Returns whether an upstream that answered still has the software version of its entry, as far as
+    /// the registry shows. While the store fails, no entry changes.
+    pub async fn confirm_version(&self, server: &Server) -> bool {
+        let failing = self.registry.borrow().is_failing();
+        if !failing && !self.refresh.read().await {
+            log::warn!(
+                upstream = &*server.id;
+                "registry: entries can't be read; presuming that the upstream is the same"
+            );
+        }
+        !self.registry.borrow().is_replaced(server)
+    }
+
     /// Records that an upstream said in an answer that it leaves.
     pub fn leave(&self, now: Time, server: &Server) {
         if self.registry.borrow_mut().leave(now, server) {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -57,6 +57,9 @@
 /// requests after 2 s.
 const REGISTRY_PAUSE: Duration = Duration::from_millis(600);
 
+/// Time between reads of the registry on demand.
+const REFRESH_PAUSE: Duration = Duration::from_millis(50);
+
 /// Time between retries while the store is unreachable.
 const RETRY_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -301,14 +304,39 @@
     feed: impl Feed<Item = Change>,
 ) {
     let timing = (POLL_WAIT, REGISTRY_PAUSE);
-    follow(
-        "registry",
-        &feed,
-        &Servers(gateway),
-        &Cell::new(None),
-        timing,
-    )
-    .await;
+    let position = Cell::new(None);
+    let sink = Servers(gateway.clone());
+    join!(
+        follow("registry", &feed, &sink, &position, timing),
+        refresh(&gateway, &feed, &sink, &position),
+    );
+}
+
+/// Reads the registry on demand; never returns. The position stays: an older read that is under way
+/// may undo a change, which the next one repeats.
+async fn refresh<D, L: Log + 'static>(
+    gateway: &Gateway<D, L>,
+    feed: &impl Feed<Item = Change>,
+    sink: &Servers<D, L>,
+    position: &Cell<Option<u64>>,
+) {
+    let refresh = &gateway.fleet.refresh;
+    loop {
+        refresh.requested().await;
+        let begun = Time::monotonic();
+        if let Some(from) = position.get() {
+            match feed.changes(from, Duration::ZERO).await {
+                Ok(page) => {
+                    page.items.into_iter().for_each(|change| sink.apply(change));
+                    refresh.record(begun);
+                }
+                Err(failure) => {
+                    log::debug!(failure:%; "store: registry can't be read on demand");
+                }
+            }
+        }
+        sleep(REFRESH_PAUSE).await;
+    }
 }
 
 /// Reads a feed from a position on, or its complete state first, with the time that a read waits for
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::Cell,
+    io::ErrorKind,
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
@@ -666,7 +667,11 @@
 
     fn unreachable(&self, job: &Job<D, L>, server: &Server, fault: &Fault) {
         self.dialer.pool.discard(server.address);
-        self.fleet.unreachable(Time::monotonic(), server.address);
+        let now = Time::monotonic();
+        self.fleet.unreachable(now, server.address);
+        if matches!(fault, Fault::Connect(error) if error.kind() == ErrorKind::ConnectionRefused) {
+            self.fleet.registry.borrow_mut().refuse(now, server);
+        }
         log::warn!(
             request = &*job.call.id, upstream = &*server.id, fault:%;
             "forward: upstream can't be reached; avoiding it for a while"
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -44,6 +44,7 @@
 pub mod pool;
 pub mod proof;
 pub mod quarantine;
+pub mod refresh;
 pub mod registry;
 pub mod relay;
 pub mod replica;
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -102,6 +102,10 @@
 /// Incarnation of a server: its identifier and the time of its start.
 type Incarnation = (Arc<str>, u64);
 
+/// Time since the latest refused connection within which a server that has started again has
+/// reported it.
+const REPORT_TIME: Duration = Duration::from_secs(2);
+
 struct Record {
     server: Rc<Server>,
     /// Whether the entry disappeared while the store was failing.
@@ -119,6 +123,9 @@
     /// Servers that said in an answer that they leave, and when; they never take requests again,
     /// whatever their reports say.
     leaving: Map<Incarnation, Time>,
+    /// Servers that refused a connection within [`REPORT_TIME`], at least, and when: their processes
+    /// have ended, and others may have their addresses before they report.
+    refused: Map<Incarnation, Time>,
     /// Latest read of the entries, or of their changes.
     last_read: Option<Time>,
     /// Latest failed call to the store.
@@ -142,6 +149,11 @@
         self.last_failure = Some(now);
     }
 
+    /// Returns whether the latest call to the store failed.
+    pub fn is_failing(&self) -> bool {
+        self.last_failure > self.last_read
+    }
+
     fn failed_within(&self, now: Time, span: Duration) -> bool {
         self.last_failure.is_some_and(|at| now.since(at) < span)
     }
@@ -297,6 +309,34 @@
             .filter(move |server| &*server.service == service && self.takes_requests(server))
     }
 
+    /// Records that a server refused a connection.
+    pub fn refuse(&mut self, now: Time, server: &Server) {
+        self.refused
+            .retain(|_, since| now.since(*since) < REPORT_TIME);
+        self.refused
+            .insert((server.id.clone(), server.started), now);
+    }
+
+    /// Returns whether another process may have the address of a server, which has not reported yet.
+    pub fn is_doubtful(&self, now: Time, server: &Server) -> bool {
+        if self.refused.is_empty() {
+            return false;
+        }
+        let refused = self.refused.get(&(server.id.clone(), server.started));
+        refused.is_some_and(|since| now.since(*since) < REPORT_TIME)
+    }
+
+    /// Returns whether a later start with the identifier or at the address of a server is known that
+    /// has another software version.
+    pub fn is_replaced(&self, server: &Server) -> bool {
+        let mut servers = self.records.values().map(|record| &record.server);
+        servers.any(|other| {
+            let same_place = other.id == server.id || other.address == server.address;
+            let fits = other.service == server.service && other.version == server.version;
+            same_place && other.started > server.started && !fits
+        })
+    }
+
     /// Returns whether a server may still get requests.
     pub fn is_usable(&self, now: Time, server: &Server) -> bool {
         let lapsed = self.failed_within(now, REREGISTRATION);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -464,6 +464,12 @@
             let choice = target.choice;
             self.placement = target.placement;
             let address = choice.server.address;
+            if self.is_doubtful(&choice.server) {
+                self.end_placement(Outcome::Unreachable);
+                self.release(&choice.server).await;
+                retries.exclude(address);
+                continue;
+            }
             let wait = retries.max_wait();
             let permit = self.gateway.permit(&choice.server, target.permit, wait);
             let permit = match permit.await {
@@ -483,8 +489,14 @@
                 .gateway
                 .send(&self.job, (&choice, &permit), after, &mut self.sends, limit)
                 .await;
+            let fits = match &sent {
+                Sent::Answered(exchange) => {
+                    self.continues(&exchange.head) && self.confirms(&exchange.server).await
+                }
+                Sent::NotRun(_) | Sent::Lost(_) => true,
+            };
             match sent {
-                Sent::Answered(exchange) if !self.continues(&exchange.head) => {
+                Sent::Answered(exchange) if !fits => {
                     log::warn!(
                         request = &*self.job.call.id, upstream = &*exchange.server.id,
                         status = exchange.head.status.as_u16();
@@ -555,6 +567,18 @@
         }
     }
 
+    /// Returns whether an upstream may have another software version than its entry says, while the
+    /// stream needs that one.
+    fn is_doubtful(&self, server: &Server) -> bool {
+        let registry = self.gateway.fleet.registry.borrow();
+        self.last.is_some() && registry.is_doubtful(Time::monotonic(), server)
+    }
+
+    /// Returns whether an upstream that answered has the software version that the stream needs.
+    async fn confirms(&self, server: &Server) -> bool {
+        self.last.is_none() || self.gateway.fleet.confirm_version(server).await
+    }
+
     /// Records the events of the first answer, if it began the stream.
     fn record_shape(&self, whole: bool) {
         if let Some(origin) = self
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -34,6 +34,7 @@
 mod replica;
 mod reports;
 mod reserve;
+mod restarted;
 mod resumption;
 mod route;
 mod serve;
