Presume no single version right after a start while engines are young

Callers saw a stream of version v1 go on at v2 after all instances had started again: the last engine of v1 had just gone, so that the new instances saw one version only, and nobody knew where the stream began.

Cause: a service counts as one of a single version if none has gone for 30 s as far as the instance knows, and one that has just started knows nothing.

Change: for 30 s after the first read of the registry, nothing is concluded if an engine of the service started within 35 s before that read, as while versions replace each other.

Evidence: restarted::stream_is_not_taken_up_at_instances_that_never_saw_its_version failed before, with the events of v2.

--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -88,6 +88,9 @@
 /// changes and the pause after it.
 const MAX_READ_AGE: Duration = Duration::from_secs(3);
 
+/// Difference between the clocks of servers and of this instance.
+const MAX_SKEW: Duration = Duration::from_secs(5);
+
 /// Version of a server that is gone.
 struct Retired {
     service: Arc<str>,
@@ -126,6 +129,8 @@
     /// Servers that refused a connection within [`REPORT_TIME`], at least, and when: their processes
     /// have ended, and others may have their addresses before they report.
     refused: Map<Incarnation, Time>,
+    /// First read of the entries.
+    first_read: Option<Time>,
     /// Latest read of the entries, or of their changes.
     last_read: Option<Time>,
     /// Latest failed call to the store.
@@ -135,6 +140,7 @@
 impl Registry {
     /// Records that the entries or their changes were read.
     pub fn record_read(&mut self, now: Time) {
+        self.first_read.get_or_insert(now);
         self.last_read = Some(now);
     }
 
@@ -281,6 +287,22 @@
             .then(|| first.clone())
     }
 
+    /// Returns whether a version of a service may have gone shortly before the first read, which was
+    /// not long ago: a server of the service had started shortly before it as well. `wall` is the
+    /// time since the Unix epoch.
+    pub fn may_lack_versions(&self, now: Time, wall: Time, service: &str) -> bool {
+        let Some(first_read) = self.first_read else {
+            return true;
+        };
+        let known_for = now.since(first_read);
+        if known_for >= VERSION_RETENTION {
+            return false;
+        }
+        let oldest = wall - known_for - (VERSION_RETENTION + MAX_SKEW);
+        let mut servers = self.records.values().map(|record| &record.server);
+        servers.any(|server| &*server.service == service && server.started > (oldest.0 / 1_000))
+    }
+
     fn absent(&mut self, now: Time, id: &str) -> Effect {
         if !self.failed_within(now, REREGISTRATION + OUTAGE_MARGIN) {
             return self.remove(now, id);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -262,11 +262,17 @@
         if !matches!(search, Search::Found(_)) {
             let registry = self.gateway.fleet.registry.borrow();
             let now = Time::monotonic();
-            if let Some(version) = registry.sole_version(now, &service) {
-                let service = service.clone();
-                search = Search::Found(Origin { service, version });
-            } else if !registry.is_current(now) {
-                search = Search::Unanswered;
+            match registry.sole_version(now, &service) {
+                // Instances that have run for longer may know.
+                Some(_) if registry.may_lack_versions(now, Time::now(), &service) => {
+                    search = Search::Unanswered;
+                }
+                Some(version) => {
+                    let service = service.clone();
+                    search = Search::Found(Origin { service, version });
+                }
+                None if !registry.is_current(now) => search = Search::Unanswered,
+                None => {}
             }
         }
         match search {
--- a/tests/gateway/restarted.rs
+++ b/tests/gateway/restarted.rs
@@ -11,16 +11,24 @@
         TcpStream, //
     },
     thread,
-    time::Duration, //
+    time::{
+        Duration,
+        SystemTime,
+        UNIX_EPOCH, //
+    },
 };
 
 use serde_json::json;
 use standin::{
     server::Server,
-    store::Store, //
+    store::{
+        self,
+        Store, //
+    },
 };
 
 use crate::support::{
+    configure,
     read,
     register,
     request,
@@ -214,3 +222,29 @@
     let answer = deployment.request(&turn("s2", "Last-Event-Id: 2\r\n"));
     assert_eq!(answer.status(), 503, "{}", answer.text());
 }
+
+/// All instances start again just after the last engine of a version is gone; none of them has seen
+/// that version.
+#[test]
+fn stream_is_not_taken_up_at_instances_that_never_saw_its_version() {
+    let store = store::start(store::Config::default()).unwrap();
+    configure(&store, 1, 0);
+    let old = engine(ANY, "v1");
+    register(&store, "i-0", &old, "ready", "v1");
+    let first = Instance::start("entry-1", store.address());
+    first.wait_ready();
+    thread::sleep(READ);
+    let mut streams = begin(&first, 1);
+    read_two_events(&mut streams[0]);
+    let new = engine(ANY, "v2");
+    let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    register_start(&store, &new, "v2", born.as_millis() as u64);
+    drop(first);
+    let again = Instance::start_again("a", "entry-1", store.address());
+    again.wait_ready();
+    for headers in ["Resumes: r0\r\n", ""] {
+        let answer = again.request(&turn("s1", &format!("Last-Event-Id: 2\r\n{headers}")));
+        assert!(!answer.text().contains("v2"), "{headers}{}", answer.text());
+        assert_eq!(answer.status(), 503, "{headers}{}", answer.text());
+    }
+}
