--- a/tests/gateway/restarted.rs
+++ b/tests/gateway/restarted.rs
@@ -23,6 +23,7 @@
     server::Server,
     store::{
         self,
+        Faults,
         Store, //
     },
 };
@@ -181,6 +182,29 @@
     }
 }
 
+/// As above, while the store fails, so that the new start can't be reported.
+#[test]
+fn streams_do_not_go_on_at_a_new_version_while_the_store_fails() {
+    let old = engine(ANY, "v1");
+    let deployment = Deployment::start(&[&old]);
+    deployment.store.set_faults(Faults {
+        busy: true,
+        ..Faults::default()
+    });
+    let mut streams = begin(&deployment, STREAMS);
+    streams.iter_mut().for_each(read_two_events);
+    old.crash();
+    thread::sleep(Duration::from_millis(300));
+    let new = engine(old.address, "v2");
+    for stream in &mut streams {
+        let mut text = String::new();
+        // The connection may be reset.
+        let _ = stream.read_to_string(&mut text);
+        assert!(!text.contains("v2"), "{text}");
+    }
+    assert_eq!(new.requests().len(), 0);
+}
+
 /// Lets an engine start again while the caller of a stream takes it up; returns the answer.
 fn take_up_after_restart(headers: &str) -> Message {
     let old = engine(ANY, "v1");
