--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -88,6 +88,9 @@
 /// changes and the pause after it.
 const MAX_READ_AGE: Duration = Duration::from_secs(3);
 
+/// Difference between the clocks of servers and of this instance.
+const MAX_SKEW: Duration = Duration::from_secs(5);
+
 /// Version of a server that is gone.
 struct Retired {
     service: Arc<str>,
@@ -102,6 +105,10 @@
 /// Incarnation of a server: its identifier and the time of its start.
 type Incarnation = (Arc<str>, u64);
 
+/// Time since the latest refused connection within which a server that has started again has
+/// reported it.
+const REPORT_TIME: Duration = Duration::from_secs(2);
+
 struct Record {
     server: Rc<Server>,
     /// Whether the entry disappeared while the store was failing.
@@ -119,6 +126,11 @@
     /// Servers that said in an answer that they leave, and when; they never take requests again,
     /// whatever their reports say.
     leaving: Map<Incarnation, Time>,
+    /// Servers that refused a connection within [`REPORT_TIME`], at least, and when: their processes
+    /// have ended, and others may have their addresses before they report.
+    refused: Map<Incarnation, Time>,
+    /// First read of the entries.
+    first_read: Option<Time>,
     /// Latest read of the entries, or of their changes.
     last_read: Option<Time>,
     /// Latest failed call to the store.
@@ -128,6 +140,7 @@
 impl Registry {
     /// Records that the entries or their changes were read.
     pub fn record_read(&mut self, now: Time) {
+        self.first_read.get_or_insert(now);
         self.last_read = Some(now);
     }
 
@@ -142,6 +155,11 @@
         self.last_failure = Some(now);
     }
 
+    /// Returns whether the latest call to the store failed.
+    pub fn is_failing(&self) -> bool {
+        self.last_failure > self.last_read
+    }
+
     fn failed_within(&self, now: Time, span: Duration) -> bool {
         self.last_failure.is_some_and(|at| now.since(at) < span)
     }
@@ -269,6 +287,22 @@
             .then(|| first.clone())
     }
 
+    /// Returns whether a version of a service may have gone shortly before the first read, which was
+    /// not long ago: a server of the service had started shortly before it as well. `wall` is the
+    /// time since the Unix epoch.
+    pub fn may_lack_versions(&self, now: Time, wall: Time, service: &str) -> bool {
+        let Some(first_read) = self.first_read else {
+            return true;
+        };
+        let known_for = now.since(first_read);
+        if known_for >= VERSION_RETENTION {
+            return false;
+        }
+        let oldest = wall - known_for - (VERSION_RETENTION + MAX_SKEW);
+        let mut servers = self.records.values().map(|record| &record.server);
+        servers.any(|server| &*server.service == service && server.started > (oldest.0 / 1_000))
+    }
+
     fn absent(&mut self, now: Time, id: &str) -> Effect {
         if !self.failed_within(now, REREGISTRATION + OUTAGE_MARGIN) {
             return self.remove(now, id);
@@ -297,6 +331,34 @@
             .filter(move |server| &*server.service == service && self.takes_requests(server))
     }
 
+    /// Records that a server refused a connection.
+    pub fn refuse(&mut self, now: Time, server: &Server) {
+        self.refused
+            .retain(|_, since| now.since(*since) < REPORT_TIME);
+        self.refused
+            .insert((server.id.clone(), server.started), now);
+    }
+
+    /// Returns whether another process may have the address of a server, which has not reported yet.
+    pub fn is_doubtful(&self, now: Time, server: &Server) -> bool {
+        if self.refused.is_empty() {
+            return false;
+        }
+        let refused = self.refused.get(&(server.id.clone(), server.started));
+        refused.is_some_and(|since| now.since(*since) < REPORT_TIME)
+    }
+
+    /// Returns whether a later start with the identifier or at the address of a server is known that
+    /// has another software version.
+    pub fn is_replaced(&self, server: &Server) -> bool {
+        let mut servers = self.records.values().map(|record| &record.server);
+        servers.any(|other| {
+            let same_place = other.id == server.id || other.address == server.address;
+            let fits = other.service == server.service && other.version == server.version;
+            same_place && other.started > server.started && !fits
+        })
+    }
+
     /// Returns whether a server may still get requests.
     pub fn is_usable(&self, now: Time, server: &Server) -> bool {
         let lapsed = self.failed_within(now, REREGISTRATION);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -81,6 +81,9 @@
 /// Time without a further event after which a stream is resumed, for the same reasons.
 const NEXT_EVENT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Content type of streams.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// Maximum resumptions of a broken stream.
 const MAX_RESUMES: u32 = 4;
 
@@ -259,11 +262,17 @@
         if !matches!(search, Search::Found(_)) && self.knows_service() {
             let registry = self.gateway.fleet.registry.borrow();
             let now = Time::monotonic();
-            if let Some(version) = registry.sole_version(now, &service) {
-                let service = service.clone();
-                search = Search::Found(Origin { service, version });
-            } else if !registry.is_current(now) {
-                search = Search::Unanswered;
+            match registry.sole_version(now, &service) {
+                // Instances that have run for longer may know.
+                Some(_) if registry.may_lack_versions(now, Time::now(), &service) => {
+                    search = Search::Unanswered;
+                }
+                Some(version) => {
+                    let service = service.clone();
+                    search = Search::Found(Origin { service, version });
+                }
+                None if !registry.is_current(now) => search = Search::Unanswered,
+                None => {}
             }
         }
         match search {
@@ -471,6 +480,12 @@
             let choice = target.choice;
             self.placement = target.placement;
             let address = choice.server.address;
+            if self.is_doubtful(&choice.server) {
+                self.end_placement(Outcome::Unreachable);
+                self.release(&choice.server).await;
+                retries.exclude(address);
+                continue;
+            }
             let wait = retries.max_wait();
             let permit = self.gateway.permit(&choice.server, target.permit, wait);
             let permit = match permit.await {
@@ -490,8 +505,14 @@
                 .gateway
                 .send(&self.job, (&choice, &permit), after, &mut self.sends, limit)
                 .await;
+            let fits = match &sent {
+                Sent::Answered(exchange) => {
+                    self.continues(&exchange.head) && self.confirms(&exchange.server).await
+                }
+                Sent::NotRun(_) | Sent::Lost(_) => true,
+            };
             match sent {
-                Sent::Answered(exchange) if !self.continues(&exchange.head) => {
+                Sent::Answered(exchange) if !fits => {
                     log::warn!(
                         request = &*self.job.call.id, upstream = &*exchange.server.id,
                         status = exchange.head.status.as_u16();
@@ -545,17 +566,64 @@
         }
     }
 
-    /// Returns whether an answer may follow behind the head that the caller gets.
+    /// Returns whether an answer may follow behind the head that the caller gets, or behind the events
+    /// that it has.
     fn continues(&self, head: &ResponseHead) -> bool {
-        let form = self.form.as_ref();
-        form.is_none_or(|form| *form == head.into())
+        let form = Form::from(head);
+        match &self.form {
+            Some(begun) => *begun == form,
+            None if self.last.is_none() || !form.status.is_success() => true,
+            None => match form.content_type.as_deref() {
+                Some(content_type) => content_type == EVENT_STREAM,
+                None => !self
+                    .origin
+                    .as_ref()
+                    .is_some_and(|origin| self.gateway.shapes.is_typed(origin)),
+            },
+        }
+    }
+
+    /// Returns whether an upstream may have another software version than its entry says, while the
+    /// stream needs that one.
+    fn is_doubtful(&self, server: &Server) -> bool {
+        let registry = self.gateway.fleet.registry.borrow();
+        self.last.is_some() && registry.is_doubtful(Time::monotonic(), server)
+    }
+
+    /// Returns whether an upstream that answered has the software version that the stream needs.
+    async fn confirms(&self, server: &Server) -> bool {
+        self.last.is_none() || self.gateway.fleet.confirm_version(server).await
+    }
+
+    /// Records the events of the first answer, if it began the stream.
+    fn record_shape(&self, whole: bool) {
+        if let Some(origin) = self
+            .origin
+            .as_ref()
+            .filter(|_| self.resumes == 0 && self.job.call.after.is_none())
+        {
+            let content_type = self
+                .form
+                .as_ref()
+                .and_then(|form| form.content_type.as_deref());
+            let typed = content_type.is_some();
+            self.gateway
+                .shapes
+                .record(origin, &self.sequence, typed, whole);
+        }
     }
 
-    /// Logs and counts that the stream goes on after a break.
-    fn record_continuation(&self, server: &Server) {
+    /// Logs and counts that the stream goes on after a break, and determines its next event.
+    fn record_continuation(&mut self, server: &Server) {
         let Some(last) = self.last else {
             return;
         };
+        let shapes = &self.gateway.shapes;
+        let numbering = self
+            .origin
+            .as_ref()
+            .and_then(|origin| shapes.numbering(origin));
+        self.sequence.resume(last, numbering);
         let version = match self.version() {
             Some(version) if *version == server.version => "same",
             Some(_) => "other",
@@ -585,6 +653,7 @@
         if !self.resumable() || !resends_left || Instant::now() >= self.job.deadline {
             return Err(Interruption(reason));
         }
+        self.record_shape(false);
         self.resumes += 1;
         self.gateway.metrics.retried(reason);
         let upstream = self.latest.as_ref().map_or("", |server| &*server.id);
@@ -831,6 +900,7 @@
     }
 
     fn finish(&mut self) {
+        self.record_shape(true);
         self.end_placement(Outcome::Ended);
         if let Some(exchange) = self.exchange.take() {
             self.record_end(&exchange);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -36,6 +36,7 @@
         Table, //
     },
     settings::Settings,
+    shape::Shapes,
     tenant::credit::Quotas,
     throttle::Throttle,
 };
@@ -80,6 +81,8 @@
     pub accounts: Rc<Client<L>>,
     /// Origins of streams.
     pub origins: Directory<L>,
+    /// What whole streams have in common.
+    pub shapes: Shapes,
     /// Requests that crash upstreams.
     pub reports: Rc<Reports>,
     /// Quotas of tenants.
@@ -159,6 +162,7 @@
             dialer,
             accounts,
             origins,
+            shapes: Shapes::default(),
             reports,
             quotas: Rc::new(Quotas::new(metrics.clone())),
             histories: OnceCell::new(),
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -35,6 +35,7 @@
 mod replica;
 mod reports;
 mod reserve;
+mod restarted;
 mod resumption;
 mod route;
 mod serve;
