--- a/tests/gateway/connection.rs
+++ b/tests/gateway/connection.rs
@@ -143,6 +143,36 @@
     });
 }
 
+/// A head that stops at any byte is no answer.
+#[test]
+fn send_fails_at_each_part_of_a_head() {
+    const HEADS: [&[u8]; 4] = [
+        b"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 2\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nRequest-Id: 1\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nServer-Seal: s\r\n\r\n",
+        b"HTTP/1.1 103 Early Hints\nLink: </a>\n\nHTTP/1.0 200 OK\nRequest-Id: 1\n\n",
+    ];
+    System::new().block_on(async {
+        for (head, length) in HEADS
+            .iter()
+            .flat_map(|head| (0..head.len()).map(move |length| (head, length)))
+        {
+            let part = &head[..length];
+            let address = upstream(move |mut stream| {
+                read_head(&mut stream);
+                stream.write_all(part).unwrap();
+            });
+            let mut connection = Connection::open(address).await.unwrap();
+            let result = exchange(&mut connection, "1").await;
+            let text = String::from_utf8_lossy(part);
+            assert!(
+                matches!(result, Err(Fault::Truncated)),
+                "{text:?}: {result:?}"
+            );
+        }
+    });
+}
+
 #[test]
 fn send_skips_late_answer_to_another_request() {
     System::new().block_on(async {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod entries;
 mod events;
 mod follow;
+mod heads;
 mod history;
 mod history_partition;
 mod history_serve;
--- a/tests/gateway/stranded.rs
+++ b/tests/gateway/stranded.rs
@@ -81,9 +81,9 @@
 
 /// An instance and its helpers. Each side reads a store of its own, in which the same upstreams have
 /// other addresses, so that the paths of one instance can be lost alone.
-struct Fleet {
+pub struct Fleet {
     store: Server<Store>,
-    stranded: Instance,
+    pub stranded: Instance,
     helpers_store: Server<Store>,
     helpers: Vec<Instance>,
 }
@@ -99,7 +99,7 @@
 impl Fleet {
     /// Starts helpers that reach upstreams at their addresses, and an instance that knows other
     /// addresses of them.
-    fn start(helpers: usize, upstreams: &[(SocketAddr, SocketAddr)]) -> Self {
+    pub fn start(helpers: usize, upstreams: &[(SocketAddr, SocketAddr)]) -> Self {
         let helpers_store = store::start(store::Config::default()).unwrap();
         let store = store::start(store::Config::default()).unwrap();
         configure(&helpers_store, 1, 0);
@@ -159,7 +159,7 @@
 }
 
 /// Returns an address that refuses connections.
-fn refusing() -> SocketAddr {
+pub fn refusing() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     listener.local_addr().unwrap()
 }
