Let interim answers leave no state for the answer behind them

Callers could get a 200 with half of a body: an upstream that sends 101, a whole head with a length, and stops in the body. After 101 the codec is in the mode of an upgraded connection, and the end of the connection counted as the end of the body although it had a length. A 1xx that states a length left a body decoder, on which debug builds panic.

Each interim answer is now followed by a fresh codec, and 101 is a fault, as no request asks for an upgrade.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -291,6 +291,13 @@
             };
             if let Some(head) = codec.decode(&mut self.buffer).map_err(invalid)? {
                 let interim = head.status.is_informational();
+                if head.status == StatusCode::SWITCHING_PROTOCOLS {
+                    break Err(invalid("it switches the protocol"));
+                }
+                if interim {
+                    // The library expects the body of an interim answer that states a length.
+                    self.codec = Codec::Head(self::codec());
+                }
                 if !interim && accepts(&head) {
                     self.keep_alive = out.is_empty();
                     break self.start_body(&head).map(|()| head);
--- a/tests/gateway/heads.rs
+++ b/tests/gateway/heads.rs
@@ -187,6 +187,30 @@
     rows
 }
 
+/// Answers whose heads don't tell how the body ends.
+fn ambiguous(id: &str, body: &str) -> Vec<Row> {
+    let length = body.len();
+    let plain = framings(id, body)[0].1.clone();
+    let switch = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n";
+    let refused = [
+        (
+            "cut after 101",
+            format!("{switch}{plain}{}", &body[..length / 2]),
+        ),
+        (
+            "cut after 100 with a length",
+            format!(
+                "HTTP/1.1 100 Continue\r\nContent-Length: 4\r\n\r\n{plain}{}",
+                &body[..length / 2]
+            ),
+        ),
+    ];
+    refused
+        .into_iter()
+        .map(|(name, answer)| Row::new(name, false, answer))
+        .collect()
+}
+
 /// Streams that break after two events, and whose resumption stops in its head.
 fn cut_resumptions(id: &str, _: &str) -> Vec<Row> {
     let [_, (_, chunked, _), _] = framings(id, "");
@@ -204,11 +228,12 @@
 
 type Table = fn(&str, &str) -> Vec<Row>;
 
-const TABLES: [(&str, Table); 5] = [
+const TABLES: [(&str, Table); 6] = [
     ("heads", cut_heads),
     ("interim", cut_interim),
     ("bodies", cut_bodies),
     ("whole", whole_answers),
+    ("ambiguous", ambiguous),
     ("resumptions", cut_resumptions),
 ];
 
@@ -349,6 +374,12 @@
     check(&PREFIXES, &["whole"]);
 }
 
+/// Answers that were cut after an interim answer were passed on with a short body.
+#[test]
+fn answers_with_ambiguous_heads_are_not_passed_on() {
+    check(&PREFIXES, &["ambiguous"]);
+}
+
 /// As `head_that_stops_is_no_answer`, through a tunnel.
 #[test]
 fn head_that_stops_behind_a_tunnel_is_no_answer() {
