Determine the framing of an answer from its head alone

Callers got 200 with an empty body if an upstream's answer names the transfer coding identity, or offers an upgrade to WebSocket beside a length; sizes of chunks and a part of the body if an HTTP/1.0 answer has both a length and chunks; and 502 in place of a whole HTTP/1.0 answer without a length. Answers to HEAD, and 304 with a length, kept the connection waiting for a body.

The codec decided on the framing and the gateway on answers without one; where each expected the other to know, the body was empty. gateway::connection decides alone now, by RFC 9112, section 6.3. A head with two lengths, or a coding other than chunks, doesn't show where the body ends and is a fault: 502 or another send.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -18,14 +18,15 @@
     h1::{
         ClientCodec,
         ClientPayloadCodec,
-        Message,
-        MessageType, //
+        Message, //
     },
     header,
+    Method,
     RequestHead,
     RequestHeadType,
     ResponseHead,
-    StatusCode, //
+    StatusCode,
+    Version, //
 };
 use bytes::{
     Bytes,
@@ -108,8 +109,10 @@
 
 enum Codec {
     Head(ClientCodec),
-    Body(ClientPayloadCodec),
-    /// The body has no length and ends with the connection; the library treats it as empty.
+    /// The body ends after as many further bytes.
+    Sized(u64),
+    Chunked(ClientPayloadCodec),
+    /// The body ends with the connection.
     UntilClose,
     /// No further answer can follow on the connection.
     Exhausted,
@@ -126,6 +129,8 @@
     buffer: BytesMut,
     /// Bytes received, less what their content makes up for; at most [`MAX_OVERHEAD_BYTES`].
     overhead: usize,
+    /// Whether the request asks for an answer without a body.
+    bodiless: bool,
     /// Whether the body of the answer ends with the connection.
     until_close: bool,
     /// Whether the upstream keeps the connection open after this answer.
@@ -170,12 +175,47 @@
     }
 }
 
-/// Returns whether an answer has a body that ends with the connection.
-fn unframed(head: &ResponseHead) -> bool {
+/// How the end of a body is marked.
+enum Framing {
+    /// There is no body.
+    Empty,
+    /// By its length.
+    Sized(u64),
+    /// By the last chunk.
+    Chunked,
+    /// By the end of the connection.
+    UntilClose,
+}
+
+/// Returns the framing of an answer's body (RFC 9112, section 6.3); `bodiless` states that the request
+/// asks for no body.
+///
+/// A head that states two lengths, or a transfer coding other than chunks, doesn't show where the body
+/// ends, so that a part of it could count as the whole.
+fn framing(head: &ResponseHead, bodiless: bool) -> Result<Framing, Fault> {
+    let headers = head.headers();
+    let coding = headers.get(header::TRANSFER_ENCODING);
+    let length = headers.get(header::CONTENT_LENGTH);
     let empty = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED];
-    !head.headers().contains_key(header::CONTENT_LENGTH)
-        && !head.headers().contains_key(header::TRANSFER_ENCODING)
-        && !empty.contains(&head.status)
+    match (coding, length) {
+        _ if bodiless || empty.contains(&head.status) => Ok(Framing::Empty),
+        (Some(_), Some(_)) => Err(invalid("it has both a length and chunks")),
+        (Some(_), None) if head.version < Version::HTTP_11 => {
+            Err(invalid("it has chunks in a version without them"))
+        }
+        (Some(coding), None) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => {
+            Ok(Framing::Chunked)
+        }
+        (Some(_), None) => Err(invalid("its transfer coding is not known")),
+        (None, Some(length)) => {
+            let length = length.to_str().ok().and_then(|length| length.parse().ok());
+            match length.ok_or_else(|| invalid("its length is not a number"))? {
+                0 => Ok(Framing::Empty),
+                length => Ok(Framing::Sized(length)),
+            }
+        }
+        (None, None) => Ok(Framing::UntilClose),
+    }
 }
 
 /// Reads bytes of the upstream; returns their number, or 0 once the upstream ended its connection.
@@ -236,6 +276,7 @@
             codec: Codec::Head(codec()),
             buffer: BytesMut::new(),
             overhead: 0,
+            bodiless: false,
             until_close: false,
             keep_alive: true,
             keep_alive_timeout: None,
@@ -277,6 +318,7 @@
             0 => BodySize::None,
             length => BodySize::Sized(length as u64),
         };
+        self.bodiless = head.method == Method::HEAD;
         let mut out = BytesMut::with_capacity(1_024 + body.len());
         let head = Message::Item((RequestHeadType::Owned(head), length));
         codec.encode(head, &mut out).map_err(Fault::Unsent)?;
@@ -346,13 +388,15 @@
         let Codec::Head(codec) = std::mem::replace(&mut self.codec, Codec::Exhausted) else {
             return Err(invalid("the connection is in use"));
         };
-        let unframed_body = codec.message_type() == MessageType::None && unframed(head);
-        self.until_close = unframed_body || codec.message_type() == MessageType::Stream;
-        self.keep_alive &= !self.until_close && !closes(head);
-        self.codec = match codec.message_type() {
-            _ if unframed_body => Codec::UntilClose,
-            MessageType::None => Codec::Head(codec),
-            _ => Codec::Body(codec.into_payload_codec()),
+        let framing = framing(head, self.bodiless)?;
+        self.until_close = matches!(framing, Framing::UntilClose);
+        self.keep_alive &= !self.until_close && !closes(head) && head.version >= Version::HTTP_11;
+        self.codec = match framing {
+            // The library expects a body in some of these answers.
+            Framing::Empty => Codec::Head(self::codec()),
+            Framing::Sized(length) => Codec::Sized(length),
+            Framing::Chunked => Codec::Chunked(codec.into_payload_codec()),
+            Framing::UntilClose => Codec::UntilClose,
         };
         self.idle_since = Instant::now();
         Ok(())
@@ -362,7 +406,18 @@
     pub async fn chunk(&mut self) -> Result<Option<Bytes>, Fault> {
         loop {
             match &mut self.codec {
-                Codec::Body(codec) => match codec.decode(&mut self.buffer).map_err(invalid)? {
+                Codec::Sized(0) => {
+                    self.finish();
+                    return Ok(None);
+                }
+                Codec::Sized(left) if !self.buffer.is_empty() => {
+                    self.overhead = 0;
+                    let length = (self.buffer.len() as u64).min(*left);
+                    *left -= length;
+                    return Ok(Some(self.buffer.split_to(length as usize).freeze()));
+                }
+                Codec::Sized(_) => {}
+                Codec::Chunked(codec) => match codec.decode(&mut self.buffer).map_err(invalid)? {
                     Some(Some(chunk)) if chunk.is_empty() => continue,
                     Some(Some(chunk)) => {
                         let content = chunk.len().saturating_mul(OVERHEAD_PER_BYTE);
@@ -406,10 +461,7 @@
 
     fn finish(&mut self) {
         self.idle_since = Instant::now();
-        let codec = std::mem::replace(&mut self.codec, Codec::Exhausted);
-        if let Codec::Body(codec) = codec {
-            self.codec = Codec::Head(codec.into_message_codec());
-        }
+        self.codec = Codec::Head(codec());
     }
 
     /// Returns whether another request may follow the latest answer.
--- a/tests/gateway/connection.rs
+++ b/tests/gateway/connection.rs
@@ -173,6 +173,40 @@
     });
 }
 
+/// Answers without a body left the connection waiting for one.
+#[test]
+fn answer_without_a_body_is_whole_at_the_end_of_its_head() {
+    let cases = [
+        (
+            Method::GET,
+            "HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n",
+        ),
+        (Method::HEAD, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"),
+        (Method::HEAD, "HTTP/1.1 200 OK\r\n\r\n"),
+    ];
+    System::new().block_on(async {
+        for (method, answer) in cases {
+            let (end, ends) = mpsc::channel::<()>();
+            let address = upstream(move |mut stream| {
+                read_head(&mut stream);
+                stream.write_all(answer.as_bytes()).unwrap();
+                let _ = ends.recv();
+            });
+            let mut connection = Connection::open(address).await.unwrap();
+            let mut request = head("1");
+            request.method = method;
+            let exchange = async {
+                connection.send(request, &Bytes::new(), |_| true).await?;
+                body(&mut connection).await
+            };
+            let read = tokio::time::timeout(Duration::from_secs(2), exchange).await;
+            assert_eq!(read.expect(answer).unwrap(), "", "{answer}");
+            assert!(connection.reusable(), "{answer}");
+            drop(end);
+        }
+    });
+}
+
 #[test]
 fn send_skips_late_answer_to_another_request() {
     System::new().block_on(async {
--- a/tests/gateway/heads.rs
+++ b/tests/gateway/heads.rs
@@ -179,20 +179,48 @@
         row("100", format!("HTTP/1.1 100 Continue\r\n\r\n{head}{text}"));
         let hints = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
         row("103", format!("{hints}{head}{text}"));
+        row("offers an upgrade", with("Upgrade: websocket") + &text);
         row("close", with("Connection: close") + &text);
     }
-    let [_, (_, chunked, _), _] = framings(id, body);
+    let [(_, sized, text), (_, chunked, _), (_, unframed, _)] = framings(id, body);
     let trailing = chunked + &chunks(body, "X-Sum: 1\r\n");
     rows.push(Row::new("trailers", true, trailing));
+    for (name, head) in [("length", sized), ("connection", unframed)] {
+        let old = head.replacen("HTTP/1.1", "HTTP/1.0", 1) + &text;
+        rows.push(Row {
+            closes: true,
+            ..Row::new(format!("{name}, HTTP/1.0"), true, old)
+        });
+    }
     rows
 }
 
 /// Answers whose heads don't tell how the body ends.
 fn ambiguous(id: &str, body: &str) -> Vec<Row> {
     let length = body.len();
+    let sized = |length: usize| format!("Content-Length: {length}\r\n");
+    let coded = "Transfer-Encoding: chunked\r\n";
+    let both = |length: usize| head(id, &(sized(length) + coded)) + &chunks(body, "");
+    let old = |lines: &str| head(id, lines).replacen("HTTP/1.1", "HTTP/1.0", 1);
     let plain = framings(id, body)[0].1.clone();
     let switch = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n";
     let refused = [
+        ("both lengths", both(length)),
+        ("both lengths, short", both(length / 2)),
+        ("both lengths, long", both(length + 9)),
+        (
+            "two lengths",
+            head(id, &(sized(length / 2) + &sized(length))) + body,
+        ),
+        (
+            "identity",
+            head(id, "Transfer-Encoding: identity\r\n") + body,
+        ),
+        ("chunks in HTTP/1.0", old(coded) + &chunks(body, "")),
+        (
+            "both in HTTP/1.0",
+            old(&(sized(length / 2) + coded)) + &chunks(body, ""),
+        ),
         (
             "cut after 101",
             format!("{switch}{plain}{}", &body[..length / 2]),
@@ -368,13 +396,14 @@
     check(&PREFIXES, &["bodies"]);
 }
 
-/// Answers are passed on whole in every form that a recipient takes.
+/// Answers that offer an upgrade to WebSocket were passed on with an empty body.
 #[test]
 fn answers_in_every_form_are_passed_on_whole() {
     check(&PREFIXES, &["whole"]);
 }
 
-/// Answers that were cut after an interim answer were passed on with a short body.
+/// Answers with an unknown transfer coding were passed on with an empty body, and those cut after an
+/// interim answer with a short one.
 #[test]
 fn answers_with_ambiguous_heads_are_not_passed_on() {
     check(&PREFIXES, &["ambiguous"]);
