Give callers of HTTP/1.0 whole streams with a length

A caller of HTTP/1.0 got the sizes of chunks as a part of the stream, as the HTTP service sends it chunks, which its version doesn't have. A stream that broke off, or whose gateway was killed, ended for it as a whole one does.

Streams without chunks would end with their connections, which the system also ends if a process is killed. So the gateway now reads the whole stream before it answers such a caller, with a length, and answers 502 if it breaks off. Streams to callers of HTTP/1.1 that close their connections have chunks, as a test shows.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -88,7 +88,7 @@
 use crate::clock::Time;
 
 /// Maximum length of a buffered answer; answers that are not streams are sent only when complete.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
+pub const MAX_ANSWER_BYTES: usize = 8 << 20;
 
 /// Time without an answer after which an idempotent call is sent to another upstream: the longest
 /// normal processing time on a slowed upstream with a short queue.
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -27,10 +27,15 @@
     ServiceFactory, //
 };
 use actix_web::{
+    body::{
+        to_bytes_limited,
+        BoxBody, //
+    },
     dev::AppConfig,
     http::{
         header,
-        StatusCode, //
+        StatusCode,
+        Version, //
     },
     web::{
         self,
@@ -70,7 +75,8 @@
         Answer,
         Job,
         Refusal,
-        HELD_REASON, //
+        HELD_REASON,
+        MAX_ANSWER_BYTES, //
     },
     history,
     operate::{
@@ -236,12 +242,29 @@
 ) -> HttpResponse {
     let gateway = gateway.get_ref().clone();
     let arrived = Instant::now();
-    match answer(&gateway, &request, payload).await {
+    let answered = match answer(&gateway, &request, payload).await {
+        Ok(response) if request.version() < Version::HTTP_11 => complete(response).await,
+        answered => answered,
+    };
+    match answered {
         Ok(response) => response,
         Err(refusal) => refuse(&gateway, &request, &refusal, arrived),
     }
 }
 
+/// Waits for the whole body, so that the answer gets a length.
+///
+/// HTTP/1.0 has no chunks: a stream would end with its connection, which also ends if the stream breaks
+/// off or the process is killed.
+async fn complete(response: HttpResponse) -> Result<HttpResponse, Refusal> {
+    let (response, body) = response.into_parts();
+    match to_bytes_limited(body, MAX_ANSWER_BYTES).await {
+        Ok(Ok(body)) => Ok(response.set_body(BoxBody::new(body))),
+        Ok(Err(_)) => Err(Refusal::unknown("stream_cut")),
+        Err(_) => Err(Refusal::unknown("stream_too_long")),
+    }
+}
+
 fn refuse<D: Dialect, L: Log + 'static>(
     gateway: &Gateway<D, L>,
     request: &HttpRequest,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod dialect;
 mod dispatcher;
 mod endless;
+mod ends;
 mod entries;
 mod events;
 mod follow;
