--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -27,10 +27,15 @@
     ServiceFactory, //
 };
 use actix_web::{
+    body::{
+        to_bytes_limited,
+        BoxBody, //
+    },
     dev::AppConfig,
     http::{
         header,
-        StatusCode, //
+        StatusCode,
+        Version, //
     },
     web::{
         self,
@@ -71,6 +76,7 @@
         Job,
         Refusal,
         HELD_REASON,
+        MAX_ANSWER_BYTES,
         STOPPING_REASON, //
     },
     history,
@@ -243,9 +249,26 @@
         answered = answer(&gateway, &request, payload, &sends) => answered,
         () = gateway.grace.ended() => Err(Refusal::stopping(&sends)),
     };
+    let answered = match answered {
+        Ok(response) if request.version() < Version::HTTP_11 => complete(response).await,
+        answered => answered,
+    };
     answered.unwrap_or_else(|refusal| refuse(&gateway, &request, &refusal, arrived))
 }
 
+/// Waits for the whole body, so that the answer gets a length.
+///
+/// HTTP/1.0 has no chunks: a stream would end with its connection, which also ends if the stream breaks
+/// off or the process is killed.
+async fn complete(response: HttpResponse) -> Result<HttpResponse, Refusal> {
+    let (response, body) = response.into_parts();
+    match to_bytes_limited(body, MAX_ANSWER_BYTES).await {
+        Ok(Ok(body)) => Ok(response.set_body(BoxBody::new(body))),
+        Ok(Err(_)) => Err(Refusal::unknown("stream_cut")),
+        Err(_) => Err(Refusal::unknown("stream_too_long")),
+    }
+}
+
 fn refuse<D: Dialect, L: Log + 'static>(
     gateway: &Gateway<D, L>,
     request: &HttpRequest,
