--- a/src/gateway/dial.rs
+++ b/src/gateway/dial.rs
@@ -182,9 +182,9 @@
 /// Connection that is opened while an upstream answers on another one. All connections of a process
 /// end with it, and one that is opened afterwards may lead to the next process at the address.
 #[derive(Clone, Default)]
-pub struct Witness(Rc<RefCell<Option<Connection>>>);
+pub struct Probe(Rc<RefCell<Option<Connection>>>);
 
-impl Witness {
+impl Probe {
     /// Closes the connection if the upstream ended it before its answer.
     pub fn check(&self) {
         let mut connection = self.0.borrow_mut();
@@ -333,9 +333,9 @@
     }
 
     /// Opens a connection in the background that shows whether an upstream lives on after its answer.
-    pub fn witness(self: &Rc<Self>, server: &Rc<Server>) -> Witness {
-        let witness = Witness::default();
-        let (dialer, server, opened) = (self.clone(), server.clone(), witness.clone());
+    pub fn probe(self: &Rc<Self>, server: &Rc<Server>) -> Probe {
+        let probe = Probe::default();
+        let (dialer, server, opened) = (self.clone(), server.clone(), probe.clone());
         actix_web::rt::spawn(async move {
             let Ok(connection) = dialer.open(&server).await else {
                 return;
@@ -345,16 +345,18 @@
                 opened.0.replace(Some(connection));
             }
         });
-        witness
+        probe
     }
 
     /// Returns whether an upstream lives on after it closed a connection.
-    pub async fn survives(&self, server: &Server, closed: &Connection, witness: &Witness) -> bool {
-        let opened = witness.0.take();
+    pub async fn survives(&self, server: &Server, closed: &Connection, probe: &Probe) -> bool {
+        let opened = probe.0.take();
         if let Some(connection) = opened {
             sleep(PROBE_TIME).await;
             let alive = connection.healthy();
-            self.pool.put(server.address, connection);
+            if alive {
+                self.pool.put(server.address, connection);
+            }
             return alive;
         }
         if closed.helper().is_some() {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -48,7 +48,7 @@
     },
     dial::{
         Found,
-        Witness, //
+        Probe, //
     },
     dialect::{
         Dialect,
@@ -322,7 +322,7 @@
     /// Whether the upstream stated with the head that it leaves.
     pub leaving: bool,
     /// Shows whether the upstream lives on, if the answer ends with its connection.
-    pub witness: Witness,
+    pub probe: Probe,
     /// The upstream.
     pub server: Rc<Server>,
 }
@@ -594,7 +594,7 @@
                         flight,
                         report: None,
                         leaving: false,
-                        witness: Witness::default(),
+                        probe: Probe::default(),
                         server: server.clone(),
                     };
                     return self.classify(job, exchange, sends).await;
@@ -678,7 +678,7 @@
         connection.ended_with_body()
             && !self
                 .dialer
-                .survives(server, connection, &exchange.witness)
+                .survives(server, connection, &exchange.probe)
                 .await
     }
 
@@ -764,7 +764,7 @@
             return Sent::Lost("unproven");
         }
         if exchange.connection.ended_with_body() {
-            exchange.witness = self.dialer.witness(&exchange.server);
+            exchange.probe = self.dialer.probe(&exchange.server);
         }
         Sent::Answered(Box::new(exchange))
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -813,7 +813,7 @@
             let limit = self.job.deadline.min(waiting_since + pause);
             match timeout_at(limit.into(), exchange.connection.chunk()).await {
                 Ok(Ok(Some(chunk))) => {
-                    exchange.witness.check();
+                    exchange.probe.check();
                     self.splitter.push(&chunk);
                 }
                 // The connections of an engine that crashes end as this answer does.
