--- a/examples/soak/deployment.rs
+++ b/examples/soak/deployment.rs
@@ -301,11 +301,14 @@
             .create(true)
             .append(true)
             .open(self.folder.join("engines.log"))?;
+        // An engine that starts again has a later start.
+        slot.born = unix_ms().max(slot.born + 1);
         let mut command = Command::new(env::current_exe()?);
         command
             .args(["engine", "--id", &slot.id, "--service", slot.service])
             .args(["--version", slot.version, "--framing", &self.framing])
             .args(["--address", &slot.address.to_string()])
+            .args(["--born", &slot.born.to_string()])
             .stdin(Stdio::piped())
             .stdout(Stdio::null())
             .stderr(log);
@@ -319,8 +322,6 @@
             thread::sleep(Duration::from_millis(5));
         }
         slot.child = Some(child);
-        // An engine that starts again has a later start.
-        slot.born = unix_ms().max(slot.born + 1);
         slot.sequence = 0;
         (slot.draining, slot.frozen) = (false, false);
         if self.store.faults() == store::Faults::default() {
--- a/examples/soak/engine.rs
+++ b/examples/soak/engine.rs
@@ -31,6 +31,7 @@
     Context as _, //
 };
 use rand::RngExt as _;
+use serde_json::json;
 
 use crate::{
     check::Content,
@@ -76,6 +77,8 @@
     id: String,
     service: String,
     version: String,
+    /// Start in Unix milliseconds.
+    born: u64,
     framing: Option<Framing>,
     defect: Option<Defect>,
     running: AtomicUsize,
@@ -110,6 +113,7 @@
         id: flags.id.clone(),
         service: flags.service.clone(),
         version: flags.version.clone(),
+        born: flags.born,
         framing: framing(flags.framing.as_deref().unwrap_or("mixed"))?,
         defect: flags.defect.as_deref().map(defect).transpose()?,
         running: AtomicUsize::new(0),
@@ -159,6 +163,10 @@
                 self.refuse(&mut writer, &head, "200 OK", "")?;
                 continue;
             }
+            if head.word(1) == "/v1/report" {
+                writer.write_all(self.report().as_bytes())?;
+                continue;
+            }
             if head.header("expect-instance") != Some(&self.id) {
                 self.refuse(
                     &mut writer,
@@ -194,6 +202,20 @@
         format!("Request-Id: {request}\r\nInstance-Id: {id}\r\nServer-Load: {running},0,{SLOTS}\r\n{leaving}")
     }
 
+    /// Returns the answer in which the engine describes itself.
+    fn report(&self) -> String {
+        let running = self.running.load(Ordering::SeqCst);
+        let report = json!({
+            "stage": "both", "models": [], "busy": false, "sequence": 0, "waiting": 0,
+            "running": running, "kvUsed": 0, "kvTotal": 0, "handles": 0, "born": self.born,
+        });
+        let report = report.to_string();
+        let length = report.len();
+        format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n\r\n{report}"
+        )
+    }
+
     fn refuse(
         &self,
         writer: &mut TcpStream,
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -52,6 +52,8 @@
     EngineStop,
     /// An engine drains and leaves; another one starts.
     EngineLeave,
+    /// An engine drains and leaves; another one starts with the next software version.
+    EngineRelease,
     /// An instance is killed, and starts again.
     InstanceKill,
     /// An instance gets SIGTERM, and starts again.
@@ -67,12 +69,13 @@
 }
 
 /// Kinds of faults, with the names that the command line has for them.
-const FAULTS: [(&str, Fault); 11] = [
+const FAULTS: [(&str, Fault); 12] = [
     ("engine-kill", Fault::EngineKill),
     ("engine-restart", Fault::EngineRestart),
     ("engine-version", Fault::EngineVersion),
     ("engine-stop", Fault::EngineStop),
     ("engine-leave", Fault::EngineLeave),
+    ("engine-release", Fault::EngineRelease),
     ("instance-kill", Fault::InstanceKill),
     ("instance-term", Fault::InstanceTerm),
     ("instance-pause", Fault::InstancePause),
@@ -146,14 +149,17 @@
             | Fault::EngineRestart
             | Fault::EngineVersion
             | Fault::EngineStop
-            | Fault::EngineLeave => {
+            | Fault::EngineLeave
+            | Fault::EngineRelease => {
                 let number = rng.random_range(0..self.engines.len());
                 let Ok(_guard) = self.engines[number].try_lock() else {
                     return Ok(());
                 };
                 match fault {
                     Fault::EngineStop => self.stop_engine(number, rng),
-                    Fault::EngineLeave => return self.leave(number, rng),
+                    Fault::EngineLeave | Fault::EngineRelease => {
+                        return self.leave(number, fault, rng);
+                    }
                     _ => return self.kill_engine(number, fault, rng),
                 }
             }
@@ -235,7 +241,7 @@
         self.note(format!("engine {id} continued"));
     }
 
-    fn leave(&self, number: usize, rng: &mut SmallRng) -> anyhow::Result<()> {
+    fn leave(&self, number: usize, fault: Fault, rng: &mut SmallRng) -> anyhow::Result<()> {
         {
             let mut slot = self.deployment.engine(number);
             slot.draining = true;
@@ -251,7 +257,14 @@
         }
         self.note(format!("engine {id} left"));
         let new = self.deployment.new_id();
-        self.deployment.engine(number).rename(new);
+        {
+            let mut slot = self.deployment.engine(number);
+            slot.rename(new);
+            if fault == Fault::EngineRelease {
+                let known = VERSIONS.iter().position(|one| *one == slot.version);
+                slot.version = VERSIONS[(known.unwrap_or(0) + 1) % VERSIONS.len()];
+            }
+        }
         self.start_engine(number, &id)
     }
 
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -63,6 +63,8 @@
                 required --version version: String
                 /// Address to listen on.
                 required --address address: String
+                /// Time of the start in Unix milliseconds.
+                required --born born: u64
                 /// Framing of answers.
                 optional --framing framing: String
                 /// Defect.
