Let scripted upstreams of the gateway's tests report their start

Upstreams answer GET /v1/report beside their script: with 404 unless they have a start, and else with a report that has it as born. Such requests are counted apart, so that scripts and counts of requests mean what they did.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod history;
 mod history_partition;
 mod history_serve;
+mod identity;
 mod latency;
 mod leaving;
 mod limit;
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -155,12 +155,44 @@
     Parts(Vec<Vec<u8>>, Duration),
 }
 
-/// An upstream that follows a script.
+/// What an upstream says of itself.
+#[derive(Clone)]
+struct Report {
+    born: Option<u64>,
+    count: Arc<AtomicU32>,
+}
+
+impl Report {
+    /// Answers a request for the report; returns `None` for other requests.
+    fn answer(&self, request: &Message) -> Option<Vec<u8>> {
+        if !request.start_line.starts_with("GET /v1/report ") {
+            return None;
+        }
+        self.count.fetch_add(1, Ordering::SeqCst);
+        let Some(born) = self.born else {
+            return Some(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n".to_vec());
+        };
+        let body = json!({
+            "stage": "both", "models": [{ "name": "m", "version": 1, "adapters": [] }],
+            "busy": false, "sequence": 1, "waiting": 0, "running": 0, "kvUsed": 0,
+            "kvTotal": 90_000, "handles": 0, "born": born,
+        });
+        let body = body.to_string();
+        let length = body.len();
+        let text = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n\r\n{body}"
+        );
+        Some(text.into_bytes())
+    }
+}
+
+/// An upstream that follows a script, and answers requests for its report beside the script.
 pub struct Upstream {
     /// Address that it listens on.
     pub address: SocketAddr,
     requests: Arc<Mutex<Vec<Message>>>,
     disconnected: Arc<AtomicU32>,
+    report: Report,
     stopped: Arc<AtomicBool>,
     open: Arc<Mutex<Vec<Weak<TcpStream>>>>,
 }
@@ -175,13 +207,35 @@
     pub fn start_at(
         address: SocketAddr,
         script: impl Fn(usize, &Message) -> Action + Send + Sync + 'static,
+    ) -> Self {
+        Self::start_process(address, None, script)
+    }
+
+    /// Starts an upstream at an address that reports the time of its start in Unix milliseconds.
+    pub fn start_born(
+        address: SocketAddr,
+        born: u64,
+        script: impl Fn(usize, &Message) -> Action + Send + Sync + 'static,
+    ) -> Self {
+        Self::start_process(address, Some(born), script)
+    }
+
+    fn start_process(
+        address: SocketAddr,
+        born: Option<u64>,
+        script: impl Fn(usize, &Message) -> Action + Send + Sync + 'static,
     ) -> Self {
         let listener = TcpListener::bind(address).unwrap();
         let address = listener.local_addr().unwrap();
         let requests: Arc<Mutex<Vec<Message>>> = Arc::default();
         let disconnected: Arc<AtomicU32> = Arc::default();
+        let report = Report {
+            born,
+            count: Arc::default(),
+        };
         let script = Arc::new(script);
         let (received, left) = (requests.clone(), disconnected.clone());
+        let asked = report.clone();
         let stopped: Arc<AtomicBool> = Arc::default();
         let stop = stopped.clone();
         let open: Arc<Mutex<Vec<Weak<TcpStream>>>> = Arc::default();
@@ -192,11 +246,12 @@
                     return;
                 }
                 let (received, left, script) = (received.clone(), left.clone(), script.clone());
+                let asked = asked.clone();
                 let stream = Arc::new(stream);
                 open.lock().unwrap().push(Arc::downgrade(&stream));
                 let (open, stop) = (open.clone(), stop.clone());
                 thread::spawn(move || {
-                    if serve(&stream, &received, &left, &*script) {
+                    if serve(&stream, &received, &left, &asked, &*script) {
                         crash(address, &stop, &open);
                     }
                 });
@@ -206,6 +261,7 @@
             address,
             requests,
             disconnected,
+            report,
             stopped,
             open: connections,
         }
@@ -226,11 +282,16 @@
         refuse(self.address, &self.stopped);
     }
 
-    /// Returns the requests received.
+    /// Returns the requests received, without those for its report.
     pub fn requests(&self) -> Vec<Message> {
         self.requests.lock().unwrap().clone()
     }
 
+    /// Returns the number of requests for its report.
+    pub fn reports(&self) -> u32 {
+        self.report.count.load(Ordering::SeqCst)
+    }
+
     /// Returns the number of callers that disconnected without an answer.
     pub fn disconnected(&self) -> u32 {
         self.disconnected.load(Ordering::SeqCst)
@@ -264,9 +325,16 @@
     mut stream: &TcpStream,
     requests: &Mutex<Vec<Message>>,
     disconnected: &AtomicU32,
+    report: &Report,
     script: &(impl Fn(usize, &Message) -> Action + ?Sized),
 ) -> bool {
     while let Some(request) = read(&mut stream) {
+        if let Some(answer) = report.answer(&request) {
+            if stream.write_all(&answer).is_err() {
+                return false;
+            }
+            continue;
+        }
         let number = {
             let mut requests = requests.lock().unwrap();
             requests.push(request.clone());
