Show that streams go on at another version of an engine unseen

An engine is replaced at its address, under its identifier, by a start of another version, and the instance can't know: the store refuses, is silent or slow, or the report is late by a second. fleet::confirm_version says yes while the store does not answer, and while the entry is the old one.

--- a/tests/gateway/identity.rs
+++ b/tests/gateway/identity.rs
@@ -1,16 +1,296 @@
 //! Guards streams against going on at a process that their instance takes for another: the entry or the
 //! address of an engine stands for a process only until it starts again.
 
-use std::net::SocketAddr;
+use std::{
+    io::{
+        Read as _,
+        Write as _, //
+    },
+    net::{
+        SocketAddr,
+        TcpStream, //
+    },
+    thread,
+    time::Duration, //
+};
+
+use serde_json::json;
+use standin::{
+    server::{
+        Network,
+        Outage,
+        Server, //
+    },
+    store::{
+        Faults,
+        Store, //
+    },
+};
 
 use crate::support::{
     get,
+    request,
     Action,
+    Deployment,
+    Instance,
+    Message,
     Upstream, //
 };
 
+/// Streams of a test.
+const STREAMS: usize = 8;
+
+/// Events of a stream.
+const EVENTS: u64 = 5;
+
+/// Time for which an engine stalls after the first events of a stream.
+const STALL: Duration = Duration::from_secs(4);
+
+/// Time for which the report of a new start does not reach the store.
+const UNREPORTED: Duration = Duration::from_secs(1);
+
 const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
 
+/// A start of an engine.
+#[derive(Clone, Copy, Debug)]
+struct Start {
+    version: &'static str,
+    born: u64,
+    /// Whether the engine reports its start.
+    reports: bool,
+}
+
+impl Start {
+    const fn new(version: &'static str, born: u64) -> Self {
+        Self {
+            version,
+            born,
+            reports: true,
+        }
+    }
+
+    fn without_report(self) -> Self {
+        Self {
+            reports: false,
+            ..self
+        }
+    }
+
+    /// Starts the engine, which follows a script.
+    fn run(
+        self,
+        address: SocketAddr,
+        script: impl Fn(&Message) -> Action + Send + Sync + 'static,
+    ) -> Upstream {
+        let script = move |_: usize, request: &Message| script(request);
+        match self.reports {
+            true => Upstream::start_born(address, self.born, script),
+            false => Upstream::start_at(address, script),
+        }
+    }
+
+    /// Starts the engine, which sends two events of a new stream and stalls, and the rest of others.
+    fn run_stalling(self, address: SocketAddr) -> Upstream {
+        self.run(address, move |request| match after(request) {
+            Some(after) => Action::Answer(events(request, self.version, after + 1..=EVENTS)),
+            None => Action::Pause(events(request, self.version, 1..=2), STALL, Vec::new()),
+        })
+    }
+
+    fn register(self, store: &Server<Store>, id: &str, address: SocketAddr) {
+        let entry = json!({
+            "service": "s", "address": address, "zone": "a", "version": self.version,
+            "slots": 4, "state": "ready", "coldLeftMs": 0, "sequence": 1, "born": self.born,
+        });
+        store.put("keyed.servers", id, entry.to_string().as_bytes());
+    }
+}
+
+const V1: Start = Start::new("v1", 1);
+const V2: Start = Start::new("v2", 2);
+
+fn after(request: &Message) -> Option<u64> {
+    let after = request.header("last-event-id");
+    after.and_then(|id| id.parse().ok())
+}
+
+/// Returns the text of events that name the software version of their engine.
+fn event_text(version: &str, ids: std::ops::RangeInclusive<u64>) -> String {
+    ids.map(|id| format!("id: {id}\ndata: {version}\n\n"))
+        .collect()
+}
+
+/// Returns an answer in chunks, which ends with the last event.
+fn events(request: &Message, version: &str, ids: std::ops::RangeInclusive<u64>) -> Vec<u8> {
+    let id = request.header("request-id").unwrap_or("");
+    let ended = *ids.end() == EVENTS;
+    let mut text = format!(
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+    );
+    for id in ids {
+        let event = event_text(version, id..=id);
+        text.push_str(&format!("{:x}\r\n{event}\r\n", event.len()));
+    }
+    if ended {
+        text.push_str("0\r\n\r\n");
+    }
+    text.into_bytes()
+}
+
+fn turn(id: &str, headers: &str) -> String {
+    let headers = format!("{headers}Token-Count: 50,40\r\n");
+    let text = request("POST", "/stream/x", &headers, "");
+    text.replace("Request-Id: r1", &format!("Request-Id: {id}"))
+}
+
+/// Begins a stream and reads its first two events.
+fn begin(instance: &Instance, number: usize) -> Stream {
+    let mut connection = instance.connect();
+    let text = turn(&format!("r{number}"), "");
+    connection.write_all(text.as_bytes()).unwrap();
+    let mut stream = Stream {
+        connection,
+        text: String::new(),
+    };
+    while !stream.text.contains("id: 2\n") {
+        assert!(stream.read(), "the stream ended early: {}", stream.text);
+    }
+    stream
+}
+
+fn begin_all(instance: &Instance) -> Vec<Stream> {
+    thread::scope(|scope| {
+        let begin = |number| scope.spawn(move || begin(instance, number));
+        let streams: Vec<_> = (0..STREAMS).map(begin).collect();
+        let streams = streams.into_iter().map(|stream| stream.join().unwrap());
+        streams.collect()
+    })
+}
+
+/// A stream as its caller reads it.
+struct Stream {
+    connection: TcpStream,
+    /// Bytes read so far.
+    text: String,
+}
+
+impl Stream {
+    /// Reads further bytes; returns whether there were any.
+    fn read(&mut self) -> bool {
+        let mut buffer = [0; 1_024];
+        // The connection may be reset.
+        let length = self.connection.read(&mut buffer).unwrap_or(0);
+        let text = String::from_utf8_lossy(&buffer[..length]);
+        self.text.push_str(&text);
+        length > 0
+    }
+
+    /// Reads the rest; returns whether the stream was complete, and its text.
+    fn finish(mut self) -> (bool, String) {
+        while !self.text.ends_with("0\r\n\r\n") && self.read() {}
+        (self.text.ends_with("0\r\n\r\n"), self.text)
+    }
+}
+
+/// Takes the streams up after their second event, all at once.
+fn take_up_all(instance: &Instance, first: usize) -> Vec<Message> {
+    let take_up = |number: usize| {
+        let headers = format!("Last-Event-Id: 2\r\nResumes: r{number}\r\n");
+        instance.request(&turn(&format!("s{}", first + number), &headers))
+    };
+    thread::scope(|scope| {
+        let answers: Vec<_> = (0..STREAMS)
+            .map(|number| scope.spawn(move || take_up(number)))
+            .collect();
+        let answers = answers.into_iter().map(|answer| answer.join().unwrap());
+        answers.collect()
+    })
+}
+
+/// Returns whether an answer asks its caller to retry later.
+fn is_refused(answer: &Message) -> bool {
+    answer.status() == 503 && answer.header("retry-after").is_some()
+}
+
+/// Ends an engine whose successor is at its address before its connections end, so that none is
+/// refused in between.
+fn replace(old: &Upstream, start: impl FnOnce(SocketAddr) -> Upstream) -> Upstream {
+    old.stop();
+    let new = start(old.address);
+    old.end_connections();
+    new
+}
+
+/// Why an instance does not know of a new start.
+#[derive(Clone, Copy, Debug)]
+enum Trouble {
+    /// The store refuses connections.
+    Refusing,
+    /// The store is silent.
+    Silent,
+    /// The store is slow, and the report is late.
+    Slow,
+    /// The report is late.
+    Late,
+}
+
+const TROUBLES: [Trouble; 4] = [
+    Trouble::Refusing,
+    Trouble::Silent,
+    Trouble::Slow,
+    Trouble::Late,
+];
+
+/// Troubles in which nothing tells whether an engine without a report started again.
+const OUTAGES: [Trouble; 2] = [Trouble::Refusing, Trouble::Silent];
+
+impl Trouble {
+    fn begin(self, store: &Server<Store>) {
+        let network = match self {
+            Self::Refusing => Network {
+                outage: Some(Outage::Refuse),
+                ..Network::default()
+            },
+            Self::Silent => Network {
+                outage: Some(Outage::Silent),
+                ..Network::default()
+            },
+            Self::Slow => Network {
+                latency_ms: 600,
+                ..Network::default()
+            },
+            Self::Late => Network::default(),
+        };
+        store.set_faults(Faults {
+            network,
+            ..Faults::default()
+        });
+    }
+}
+
+/// Runs each case at the same time; fails if one of them counts streams.
+fn assert_none<C: Copy + Send + Sync + std::fmt::Debug>(
+    cases: &[C],
+    count: impl Fn(C) -> Vec<String> + Sync,
+) {
+    let found: Vec<_> = thread::scope(|scope| {
+        let count = &count;
+        let runs: Vec<_> = cases
+            .iter()
+            .map(|case| (case, scope.spawn(move || count(*case))))
+            .collect();
+        let found = runs
+            .into_iter()
+            .map(|(case, run)| (case, run.join().unwrap()));
+        found.collect()
+    });
+    for (case, wrong) in &found {
+        let first = wrong.first();
+        println!("{case:?}: {} streams of {STREAMS}: {first:?}", wrong.len());
+    }
+    assert!(found.iter().all(|(_, wrong)| wrong.is_empty()));
+}
+
 /// An upstream of these tests that said the start of another process would hide each of the faults.
 #[test]
 fn report_names_the_start_of_its_own_process() {
@@ -26,3 +306,72 @@
     assert_eq!(get(unnamed.address, "/v1/report").status(), 404);
     assert_eq!(unnamed.requests().len() + new.requests().len(), 0);
 }
+
+/// Replaces the engine of streams in the middle; returns those that went on at the new one.
+fn replace_in_streams(old: Start, new: Start, trouble: Trouble) -> Vec<String> {
+    let engine = old.run_stalling(ANY);
+    let deployment = Deployment::start(&[&engine]);
+    trouble.begin(&deployment.store);
+    let streams = begin_all(&deployment);
+    let _new = replace(&engine, |address| new.run_stalling(address));
+    thread::sleep(UNREPORTED);
+    new.register(&deployment.store, "i-0", engine.address);
+    let answers = streams.into_iter().map(Stream::finish);
+    let wrong = answers.filter(|(complete, text)| *complete || text.contains(new.version));
+    wrong.map(|(_, text)| text).collect()
+}
+
+/// Streams went on at another version of their engine, as its new entry had not been read: the store
+/// failed or was slow, or the report came late.
+#[test]
+fn streams_do_not_go_on_at_a_process_that_says_another_start() {
+    assert_none(&TROUBLES, |trouble| replace_in_streams(V1, V2, trouble));
+}
+
+/// As above; nothing confirms an engine that says nothing while the store fails.
+#[test]
+fn streams_do_not_go_on_at_a_silent_process_while_the_store_fails() {
+    let [old, new] = [V1, V2].map(Start::without_report);
+    assert_none(&OUTAGES, |trouble| replace_in_streams(old, new, trouble));
+}
+
+/// Replaces the engine of streams whose callers left, and who take them up; returns the answers that
+/// are not as `expected`.
+fn replace_before_resumption(
+    old: Start,
+    new: Start,
+    trouble: Trouble,
+    expected: impl Fn(&Message) -> bool,
+) -> Vec<String> {
+    let engine = old.run_stalling(ANY);
+    let deployment = Deployment::start(&[&engine]);
+    trouble.begin(&deployment.store);
+    drop(begin_all(&deployment));
+    let _new = replace(&engine, |address| new.run_stalling(address));
+    let answers = take_up_all(&deployment, 0);
+    let wrong = answers
+        .iter()
+        .filter(|answer| answer.text().contains(new.version) || !expected(answer));
+    wrong
+        .map(|answer| answer.start_line.clone() + &answer.text())
+        .collect()
+}
+
+/// Callers took their streams up at another version of their engine, whose new entry had not been
+/// read.
+#[test]
+fn streams_are_not_taken_up_at_a_process_that_says_another_start() {
+    assert_none(&TROUBLES, |trouble| {
+        replace_before_resumption(V1, V2, trouble, is_refused)
+    });
+}
+
+/// As above; nothing confirms an engine that says nothing while the store fails.
+#[test]
+fn streams_are_not_taken_up_at_a_silent_process_while_the_store_fails() {
+    let [old, new] = [V1, V2].map(Start::without_report);
+    assert_none(&OUTAGES, |trouble| {
+        // An engine that was asked may have run the request.
+        replace_before_resumption(old, new, trouble, |answer| answer.status() >= 500)
+    });
+}
