Show that streams count as those of the version before their engine's

A stream begins at an engine that has started again with another version, before its report is in the store. record_origin takes the version of the entry, and what goes on does so at an engine of that version.

--- a/tests/gateway/identity.rs
+++ b/tests/gateway/identity.rs
@@ -22,12 +22,14 @@
         Server, //
     },
     store::{
+        self,
         Faults,
         Store, //
     },
 };
 
 use crate::support::{
+    configure,
     get,
     request,
     Action,
@@ -49,6 +51,12 @@
 /// Time for which the report of a new start does not reach the store.
 const UNREPORTED: Duration = Duration::from_secs(1);
 
+/// Time in which instances read a change of the registry.
+const READ: Duration = Duration::from_millis(1_500);
+
+/// Time in which instances learn of each other.
+const SPREAD: Duration = Duration::from_millis(2_500);
+
 const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
 
 /// A start of an engine.
@@ -375,3 +383,83 @@
         replace_before_resumption(old, new, trouble, |answer| answer.status() >= 500)
     });
 }
+
+/// Instances on a store with one engine.
+struct Pair {
+    store: Server<Store>,
+    instances: [Instance; 2],
+}
+
+impl Pair {
+    /// Starts instances that know of an engine, and of each other.
+    fn start(start: Start, engine: SocketAddr) -> Self {
+        let store = store::start(store::Config::default()).unwrap();
+        configure(&store, 1, 0);
+        start.register(&store, "i-0", engine);
+        let instances = ["entry-0", "entry-1"].map(|name| Instance::start(name, store.address()));
+        instances.iter().for_each(Instance::wait_ready);
+        thread::sleep(SPREAD);
+        Self { store, instances }
+    }
+}
+
+/// Begins streams at a start whose entry still names the one before; returns what goes on at the
+/// version of that entry after an instance, or the one that began the streams, was asked for the rest.
+fn take_up_streams_of_unreported_start(start: fn(Start) -> Start, at: usize) -> Vec<String> {
+    let [old, new] = [V1, V2].map(start);
+    let ended = old.run_stalling(ANY);
+    let pair = Pair::start(old, ended.address);
+    ended.crash();
+    let engine = new.run_stalling(ended.address);
+    drop(begin_all(&pair.instances[0]));
+    let other = old.run_stalling(ANY);
+    new.register(&pair.store, "i-0", engine.address);
+    old.register(&pair.store, "i-1", other.address);
+    thread::sleep(READ);
+    let answers = take_up_all(&pair.instances[at], 0);
+    let rest = event_text(new.version, 3..=EVENTS);
+    let wrong = answers
+        .iter()
+        .filter(|answer| answer.status() != 503 && answer.text() != rest);
+    wrong
+        .map(|answer| answer.start_line.clone() + &answer.text())
+        .collect()
+}
+
+/// Streams that began at an engine before its new entry was read counted as those of the version
+/// before, and their callers were sent to an engine of that version.
+#[test]
+fn streams_of_an_unreported_start_are_not_taken_up_at_the_version_before() {
+    let cases = [
+        ("same instance", 0, false),
+        ("other instance", 1, false),
+        ("same instance, no report", 0, true),
+        ("other instance, no report", 1, true),
+    ];
+    assert_none(&cases, |(_, at, silent)| match silent {
+        true => take_up_streams_of_unreported_start(Start::without_report, at),
+        false => take_up_streams_of_unreported_start(|start| start, at),
+    });
+}
+
+/// As above, for streams whose engine ends before its callers leave.
+#[test]
+fn streams_of_an_unreported_start_do_not_go_on_at_the_version_before() {
+    assert_none(&[true, false], |reports| {
+        let [old, new] = [V1, V2].map(|start| Start { reports, ..start });
+        let ended = old.run_stalling(ANY);
+        let deployment = Deployment::start(&[&ended]);
+        ended.crash();
+        let engine = new.run_stalling(ended.address);
+        let streams = begin_all(&deployment);
+        let other = old.run_stalling(ANY);
+        new.register(&deployment.store, "i-0", engine.address);
+        old.register(&deployment.store, "i-1", other.address);
+        // Less than the time after which an instance resumes a stream that stalls.
+        thread::sleep(Duration::from_millis(1_100));
+        engine.crash();
+        let answers = streams.into_iter().map(Stream::finish);
+        let wrong = answers.filter(|(complete, text)| *complete || text.contains(old.version));
+        wrong.map(|(_, text)| text).collect()
+    });
+}
