Show that the end of a process passes for that of a confirmed answer

An answer without a length continues a stream, and its instance waits up to 250 ms for a slow store to confirm the engine. The engine starts again in that time: the connection that watches it ends, Probe::check drops it with the first bytes of the answer, and survives() then finds the new process.

--- a/tests/gateway/identity.rs
+++ b/tests/gateway/identity.rs
@@ -11,7 +11,10 @@
         TcpStream, //
     },
     thread,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant as Moment, //
+    },
 };
 
 use serde_json::json;
@@ -77,7 +80,7 @@
         }
     }
 
-    fn without_report(self) -> Self {
+    const fn without_report(self) -> Self {
         Self {
             reports: false,
             ..self
@@ -229,6 +232,13 @@
     new
 }
 
+/// Returns the text of an answer that ends with its connection.
+fn unframed(request: &Message, body: &str) -> Vec<u8> {
+    let id = request.header("request-id").unwrap_or("");
+    let head = format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: s\r\n\r\n");
+    (head + body).into_bytes()
+}
+
 /// Why an instance does not know of a new start.
 #[derive(Clone, Copy, Debug)]
 enum Trouble {
@@ -463,3 +473,78 @@
         wrong.map(|(_, text)| text).collect()
     });
 }
+
+/// Sends two events of a new stream, and two of the rest of others in an answer that would end with
+/// its connection.
+fn run_unframed(start: Start, address: SocketAddr, begun: fn(Vec<u8>) -> Action) -> Upstream {
+    start.run(address, move |request| match after(request) {
+        Some(_) => {
+            let first = unframed(request, &event_text(start.version, 3..=4));
+            Action::Pause(first, STALL, Vec::new())
+        }
+        None => begun(events(request, start.version, 1..=2)),
+    })
+}
+
+/// Starts an engine again in the middle of its answers, which the instance has not yet confirmed as
+/// its store is slow.
+fn restart_in_resumptions(engine: &Upstream, start: Start) -> Upstream {
+    // Some may be refused without being sent.
+    let until = Moment::now() + Duration::from_secs(1);
+    while engine.requests().len() < 2 * STREAMS && Moment::now() < until {
+        thread::sleep(Duration::from_millis(1));
+    }
+    thread::sleep(Duration::from_millis(50));
+    let again = Start { born: 3, ..start };
+    replace(engine, |address| {
+        again.run(address, move |request| {
+            let after = after(request).unwrap_or(0);
+            Action::Close(unframed(
+                request,
+                &event_text(start.version, after + 1..=EVENTS),
+            ))
+        })
+    })
+}
+
+const REPORTING: [Start; 2] = [V1, V1.without_report()];
+
+/// The end of a process in the middle of what a caller took up counted as the end of the stream, as
+/// the next process was at its address before the answer was confirmed.
+#[test]
+fn streams_that_are_taken_up_do_not_end_with_their_process() {
+    assert_none(&REPORTING, |start| {
+        let engine = run_unframed(start, ANY, |first| Action::Pause(first, STALL, Vec::new()));
+        let deployment = Deployment::start(&[&engine]);
+        drop(begin_all(&deployment));
+        Trouble::Slow.begin(&deployment.store);
+        let (_again, answers) = thread::scope(|scope| {
+            let answers = scope.spawn(|| take_up_all(&deployment, 0));
+            let again = restart_in_resumptions(&engine, start);
+            (again, answers.join().unwrap())
+        });
+        let rest = event_text(start.version, 3..=EVENTS);
+        let wrong = answers
+            .iter()
+            .filter(|answer| answer.status() == 200 && answer.complete && answer.text() != rest);
+        wrong
+            .map(|answer| answer.start_line.clone() + &answer.text())
+            .collect()
+    });
+}
+
+/// As above, for streams that the instance itself takes up.
+#[test]
+fn streams_that_go_on_do_not_end_with_their_process() {
+    assert_none(&REPORTING, |start| {
+        let engine = run_unframed(start, ANY, Action::Close);
+        let deployment = Deployment::start(&[&engine]);
+        Trouble::Slow.begin(&deployment.store);
+        let streams = begin_all(&deployment);
+        let _again = restart_in_resumptions(&engine, start);
+        let last = event_text(start.version, EVENTS..=EVENTS);
+        let answers = streams.into_iter().map(Stream::finish);
+        let wrong = answers.filter(|(complete, text)| *complete && !text.contains(&last));
+        wrong.map(|(_, text)| text).collect()
+    });
+}
