Show that callers that name nothing are sent to the version before theirs

Each instance reads the registry every 0.6 s at its own time. A stream begins through the first instance that has read the entry of the first engine of a new version, and is taken up at once, without Resumes, at the two others: Registry::sole_version still names the version before there, as the read that it relies on is up to 3 s old.

--- a/tests/gateway/identity.rs
+++ b/tests/gateway/identity.rs
@@ -10,10 +10,19 @@
         SocketAddr,
         TcpStream, //
     },
+    sync::{
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+        mpsc, //
+    },
     thread,
     time::{
         Duration,
-        Instant as Moment, //
+        Instant as Moment,
+        SystemTime,
+        UNIX_EPOCH, //
     },
 };
 
@@ -109,8 +118,12 @@
     }
 
     fn register(self, store: &Server<Store>, id: &str, address: SocketAddr) {
+        self.register_for("s", store, id, address);
+    }
+
+    fn register_for(self, service: &str, store: &Server<Store>, id: &str, address: SocketAddr) {
         let entry = json!({
-            "service": "s", "address": address, "zone": "a", "version": self.version,
+            "service": service, "address": address, "zone": "a", "version": self.version,
             "slots": 4, "state": "ready", "coldLeftMs": 0, "sequence": 1, "born": self.born,
         });
         store.put("keyed.servers", id, entry.to_string().as_bytes());
@@ -156,8 +169,11 @@
 
 /// Begins a stream and reads its first two events.
 fn begin(instance: &Instance, number: usize) -> Stream {
+    begin_with(instance, &turn(&format!("r{number}"), ""))
+}
+
+fn begin_with(instance: &Instance, text: &str) -> Stream {
     let mut connection = instance.connect();
-    let text = turn(&format!("r{number}"), "");
     connection.write_all(text.as_bytes()).unwrap();
     let mut stream = Stream {
         connection,
@@ -548,3 +564,131 @@
         wrong.map(|(_, text)| text).collect()
     });
 }
+
+/// Publishes a configuration with a streaming route to each of the services `s0` to `s7`.
+fn configure_services(store: &Server<Store>) {
+    let route = |number: usize| {
+        json!({
+            "name": format!("stream-{number}"), "host": "h.example",
+            "pathPrefix": format!("/stream-{number}/"), "kind": "streaming", "timeoutMs": 3000,
+            "targetLatencyMs": 200, "priority": 0, "service": format!("s{number}"),
+            "maxAttempts": 1, "resumable": true,
+        })
+    };
+    let service = |number: usize| {
+        json!({
+            "name": format!("s{number}"), "maxConns": 10, "engine": { "tokensPerEvent": 10 },
+        })
+    };
+    let config = json!({
+        "version": 1,
+        "routes": (0..STREAMS).map(route).collect::<Vec<_>>(),
+        "services": (0..STREAMS).map(service).collect::<Vec<_>>(),
+        "limits": { "maxBodyBytes": 1000 },
+    });
+    store.put("keyed.op", "config", config.to_string().as_bytes());
+}
+
+/// Lets a report arrive every few milliseconds, as those of many engines do, so that reads of the
+/// registry don't wait for one.
+fn report_continuously(store: &Server<Store>, ended: &AtomicBool) {
+    let until = Moment::now() + Duration::from_secs(60);
+    while !ended.load(Ordering::SeqCst) && Moment::now() < until {
+        V1.register_for("other", store, "i-other", ANY);
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Starts an engine that takes no new streams, but the rest of others.
+fn run_full(start: Start) -> Upstream {
+    start.run(ANY, move |request| match after(request) {
+        Some(after) => Action::Answer(events(request, start.version, after + 1..=EVENTS)),
+        None => {
+            let id = request.header("request-id").unwrap_or("");
+            let head = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nNot-Run: 1";
+            Action::Answer(format!("{head}\r\nRequest-Id: {id}\r\n\r\n").into_bytes())
+        }
+    })
+}
+
+fn path(number: usize) -> String {
+    format!("/stream-{number}/")
+}
+
+/// Callers that don't name the request which they resume were sent to the only version that an
+/// instance had read of, while their streams had begun at the first engine of a new one.
+#[test]
+fn streams_without_a_name_are_not_taken_up_before_their_version_is_read() {
+    let store = store::start(store::Config::default()).unwrap();
+    configure_services(&store);
+    let old: Vec<_> = (0..STREAMS)
+        .map(|number| {
+            let engine = run_full(V1);
+            V1.register_for(
+                &format!("s{number}"),
+                &store,
+                &format!("old-{number}"),
+                engine.address,
+            );
+            engine
+        })
+        .collect();
+    // Those that start together read the registry together.
+    let instances = ["entry-0", "entry-1", "entry-2"].map(|name| {
+        thread::sleep(Duration::from_millis(200));
+        Instance::start(name, store.address())
+    });
+    instances.iter().for_each(Instance::wait_ready);
+    thread::sleep(SPREAD);
+    let ended = AtomicBool::new(false);
+    let take_up = |number: usize| {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+        let start = Start {
+            born: since_epoch.as_millis() as u64,
+            ..V2
+        };
+        let engine = start.run_stalling(ANY);
+        let (service, id) = (format!("s{number}"), format!("new-{number}"));
+        start.register_for(&service, &store, &id, engine.address);
+        let (sender, begun) = mpsc::channel();
+        let answers = thread::scope(|scope| {
+            for (at, instance) in instances.iter().enumerate() {
+                let text = turn(&format!("r{number}-{at}"), "");
+                let text = text.replace("/stream/", &path(number));
+                let sender = sender.clone();
+                scope.spawn(move || {
+                    let stream = begin_with(instance, &text);
+                    // The first one is enough.
+                    let _ = sender.send((at, stream));
+                });
+            }
+            let (first, stream) = begun.recv().unwrap();
+            assert!(stream.text.contains(start.version), "{}", stream.text);
+            drop(stream);
+            let others = (0..instances.len()).filter(|at| *at != first);
+            let text = turn(&format!("s{number}"), "Last-Event-Id: 2\r\n");
+            let text = text.replace("/stream/", &path(number));
+            let answers: Vec<_> = others.map(|at| instances[at].request(&text)).collect();
+            answers
+        });
+        // The next try meets the reads at another time.
+        thread::sleep(Duration::from_millis(700 + 90 * number as u64));
+        let wrong = answers
+            .iter()
+            .find(|answer| answer.text().contains(V1.version));
+        wrong.map(|answer| answer.start_line.clone() + &answer.text())
+    };
+    let wrong: Vec<_> = thread::scope(|scope| {
+        scope.spawn(|| report_continuously(&store, &ended));
+        let wrong = (0..STREAMS).filter_map(take_up).collect();
+        ended.store(true, Ordering::SeqCst);
+        wrong
+    });
+    assert_eq!(old.len(), STREAMS);
+    assert!(
+        wrong.is_empty(),
+        "{} streams of {STREAMS}: {:?}",
+        wrong.len(),
+        wrong[0]
+    );
+}
