--- a/tests/gateway/identity.rs
+++ b/tests/gateway/identity.rs
@@ -692,3 +692,64 @@
         wrong[0]
     );
 }
+
+/// Breaks streams of an engine that lives on, or lets their callers take them up; returns those that
+/// are not complete.
+fn go_on(start: Start, trouble: Trouble, by_caller: bool, framed: bool) -> Vec<String> {
+    let engine = start.run(ANY, move |request| match after(request) {
+        Some(after) if framed => Action::Answer(events(request, start.version, after + 1..=EVENTS)),
+        Some(after) => {
+            let rest = event_text(start.version, after + 1..=EVENTS);
+            Action::Close(unframed(request, &rest))
+        }
+        None => Action::Pause(events(request, start.version, 1..=2), STALL, Vec::new()),
+    });
+    let deployment = Deployment::start(&[&engine]);
+    trouble.begin(&deployment.store);
+    let streams = begin_all(&deployment);
+    if by_caller {
+        drop(streams);
+        let rest = event_text(start.version, 3..=EVENTS);
+        let answers = take_up_all(&deployment, 0);
+        let wrong = answers
+            .iter()
+            .filter(|answer| !answer.complete || answer.text() != rest);
+        return wrong
+            .map(|answer| answer.start_line.clone() + &answer.text())
+            .collect();
+    }
+    engine.end_connections();
+    let last = event_text(start.version, EVENTS..=EVENTS);
+    let answers = streams.into_iter().map(Stream::finish);
+    let wrong = answers.filter(|(complete, text)| !complete || !text.contains(&last));
+    wrong.map(|(_, text)| text).collect()
+}
+
+/// Streams go on at the process that began them, which says so, while the store fails.
+#[test]
+fn streams_go_on_at_the_same_process_while_the_store_fails() {
+    let troubles = [Trouble::Refusing, Trouble::Silent, Trouble::Slow];
+    let cases = troubles.map(|trouble| [(trouble, true), (trouble, false)]);
+    assert_none(cases.as_flattened(), |(trouble, by_caller)| {
+        go_on(V1, trouble, by_caller, true)
+    });
+}
+
+/// As above, where the end of the connection marks the end of the rest.
+#[test]
+fn streams_without_a_length_go_on_at_the_same_process_while_the_store_fails() {
+    let troubles = [Trouble::Refusing, Trouble::Silent, Trouble::Slow];
+    let cases = troubles.map(|trouble| [(trouble, true), (trouble, false)]);
+    assert_none(cases.as_flattened(), |(trouble, by_caller)| {
+        go_on(V1, trouble, by_caller, false)
+    });
+}
+
+/// Streams go on at an engine that reports nothing, as the entries confirm it.
+#[test]
+fn streams_go_on_at_a_silent_process_while_the_store_is_sound() {
+    let cases = [(true, true), (true, false), (false, true), (false, false)];
+    assert_none(&cases, |(by_caller, framed)| {
+        go_on(V1.without_report(), Trouble::Late, by_caller, framed)
+    });
+}
