--- a/tests/gateway/identity.rs
+++ b/tests/gateway/identity.rs
@@ -40,15 +40,21 @@
     },
 };
 
-use crate::support::{
-    configure,
-    get,
-    request,
-    Action,
-    Deployment,
-    Instance,
-    Message,
-    Upstream, //
+use crate::{
+    stranded::{
+        refusing,
+        Fleet, //
+    },
+    support::{
+        configure,
+        get,
+        request,
+        Action,
+        Deployment,
+        Instance,
+        Message,
+        Upstream, //
+    },
 };
 
 /// Streams of a test.
@@ -753,3 +759,69 @@
         go_on(V1.without_report(), Trouble::Late, by_caller, framed)
     });
 }
+
+/// Where the next start of an engine listens.
+#[derive(Clone, Copy, Debug)]
+enum Place {
+    Same,
+    Other,
+}
+
+/// Replaces an engine that an instance reaches through another one only; the store of the first one
+/// fails, so that each means another start by the same identifier. Returns the streams that went on
+/// at the new start.
+fn replace_behind_a_tunnel(place: Place, by_caller: bool) -> Vec<String> {
+    let engine = V1.run_stalling(ANY);
+    let fleet = Fleet::start(1, &[(engine.address, refusing())]);
+    let streams = begin_all(&fleet.stranded);
+    Trouble::Refusing.begin(&fleet.store);
+    let (streams, left) = match by_caller {
+        true => (Vec::new(), streams),
+        false => (streams, Vec::new()),
+    };
+    drop(left);
+    let _new = match place {
+        Place::Same => {
+            V2.register(&fleet.helpers_store, "i-0", engine.address);
+            // The other instance reads the entry, and streams that stall are not yet resumed.
+            thread::sleep(Duration::from_millis(1_100));
+            replace(&engine, |address| V2.run_stalling(address))
+        }
+        Place::Other => {
+            let new = V2.run_stalling(ANY);
+            V2.register(&fleet.helpers_store, "i-0", new.address);
+            thread::sleep(Duration::from_millis(1_100));
+            engine.crash();
+            new
+        }
+    };
+    let answers: Vec<_> = match by_caller {
+        true => {
+            let answers = take_up_all(&fleet.stranded, 0);
+            let texts = answers
+                .iter()
+                .map(|answer| answer.start_line.clone() + &answer.text());
+            texts.collect()
+        }
+        false => {
+            let answers = streams.into_iter().map(Stream::finish);
+            answers.map(|(_, text)| text).collect()
+        }
+    };
+    let wrong = answers.into_iter().filter(|text| text.contains(V2.version));
+    wrong.collect()
+}
+
+/// A tunnel leads to whichever start of an engine the other instance knows, and streams went on there.
+#[test]
+fn streams_do_not_go_on_at_another_start_behind_a_tunnel() {
+    let cases = [
+        (Place::Same, true),
+        (Place::Same, false),
+        (Place::Other, true),
+        (Place::Other, false),
+    ];
+    assert_none(&cases, |(place, by_caller)| {
+        replace_behind_a_tunnel(place, by_caller)
+    });
+}
--- a/tests/gateway/stranded.rs
+++ b/tests/gateway/stranded.rs
@@ -82,9 +82,9 @@
 /// An instance and its helpers. Each side reads a store of its own, in which the same upstreams have
 /// other addresses, so that the paths of one instance can be lost alone.
 pub struct Fleet {
-    store: Server<Store>,
+    pub store: Server<Store>,
     pub stranded: Instance,
-    helpers_store: Server<Store>,
+    pub helpers_store: Server<Store>,
     helpers: Vec<Instance>,
 }
 
