Ask upstreams which process answers, and count what they say

An upstream states when it started (GET /v1/report, born). Before the rest of a stream goes out, it is asked on the same connection, and the answer is counted (identities: same, other, unstated, failed) and logged at the debug level. It changes no decision yet. Nothing is asked for streams that begin.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -51,8 +51,12 @@
     Encoder as _, //
 };
 
-use super::frames;
+use super::{
+    frames,
+    identity::Identity, //
+};
 use crate::{
+    clock::Time,
     hash,
     name::Instance, //
 };
@@ -142,6 +146,10 @@
     /// Hashes of the identifiers of requests that the upstream refused on this connection. It may
     /// write the refusals once more, which would answer another send of these requests.
     refused: Vec<u64>,
+    /// When the connection was opened, on the monotonic clock; a helper opened its part before.
+    opened: Time,
+    /// What the process at the other end stated of itself; it stays the same process.
+    identity: Option<Identity>,
 }
 
 fn codec() -> ClientCodec {
@@ -282,9 +290,26 @@
             keep_alive_timeout: None,
             idle_since: Instant::now(),
             refused: Vec::new(),
+            opened: Time::monotonic(),
+            identity: None,
         }
     }
 
+    /// Returns when the connection was opened, on the monotonic clock.
+    pub fn opened(&self) -> Time {
+        self.opened
+    }
+
+    /// Returns what the process at the other end stated of itself, if it was asked.
+    pub fn identity(&self) -> Option<Identity> {
+        self.identity
+    }
+
+    /// Records what the process at the other end stated of itself.
+    pub fn identify(&mut self, identity: Identity) {
+        self.identity = Some(identity);
+    }
+
     /// Records that the upstream refused a request.
     pub fn record_refusal(&mut self, request: &str) {
         self.refused.push(hash::stable(request.as_bytes()));
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -51,6 +51,9 @@
     /// Path of the readiness check.
     const READINESS: &'static str;
 
+    /// Path at which an upstream describes itself.
+    const DESCRIPTION: &'static str;
+
     /// Decodes the headers of a caller's request.
     fn call(headers: &HeaderMap) -> Result<Call, Invalid>;
 
@@ -60,6 +63,10 @@
     /// Decodes the headers of an upstream's answer.
     fn reply(headers: &HeaderMap) -> Reply<'_>;
 
+    /// Decodes when an upstream started, in Unix milliseconds, from its description; `None` if that
+    /// does not state it.
+    fn started(description: &[u8]) -> Option<u64>;
+
     /// Returns whether a header of an upstream's answer is withheld from callers.
     fn internal(name: &HeaderName) -> bool;
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -61,6 +61,7 @@
     fingerprint::Fingerprint,
     fleet::Flight,
     history::client::Open,
+    identity::Need,
     limit::Notice,
     load::{
         Load,
@@ -89,7 +90,10 @@
         Tenant, //
     },
 };
-use crate::clock::Time;
+use crate::{
+    clock::Time,
+    log::Log, //
+};
 
 /// Maximum length of a buffered answer; answers that are not streams are sent only when complete.
 pub const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -444,7 +448,7 @@
     pub body: Bytes,
 }
 
-impl<D: Dialect, L: 'static> Gateway<D, L> {
+impl<D: Dialect, L: Log + 'static> Gateway<D, L> {
     /// Picks the upstream of a job, of a `version` if there is one.
     pub fn choose(
         &self,
@@ -535,12 +539,12 @@
     }
 
     /// Sends a request to an upstream and waits until `limit` for the head of the answer; `after`
-    /// is the event after which a stream resumes.
+    /// is the event after which a stream resumes, and `need` which process may answer.
     pub async fn send(
         self: &Rc<Self>,
         job: &Job<D, L>,
         (choice, permit): (&Choice, &Permit),
-        after: Option<u64>,
+        (after, need): (Option<u64>, Need),
         sends: &mut Sends,
         limit: Instant,
     ) -> Sent {
@@ -549,7 +553,7 @@
         let once = !job.route.kind.repeatable();
         job.inputs.set(choice.inputs);
         let flight = Flight::new(&self.fleet, address, choice.inputs.unread);
-        let mut fresh = false;
+        let (mut fresh, mut need) = (false, need);
         loop {
             let taken = match fresh {
                 true => self.dialer.open(server).await,
@@ -562,6 +566,14 @@
                     return Sent::NotRun("unreachable");
                 }
             };
+            if need == Need::Known {
+                let identified = self.identify(server, &mut connection);
+                let identified = timeout_at(limit.into(), identified).await;
+                if !matches!(identified, Ok(Ok(_))) || !connection.reusable() {
+                    need = Need::Any;
+                    continue;
+                }
+            }
             if !permit.usable() {
                 self.dialer.pool.put(address, connection);
                 return Sent::NotRun("permit_expired");
@@ -838,7 +850,10 @@
         sends: &mut Sends,
         limit: Instant,
     ) -> Result<Answer, &'static str> {
-        let mut exchange = match self.send(job, target, None, sends, limit).await {
+        let mut exchange = match self
+            .send(job, target, (None, Need::Any), sends, limit)
+            .await
+        {
             Sent::Answered(exchange) => exchange,
             Sent::NotRun(reason) | Sent::Lost(reason) => return Err(reason),
         };
--- /dev/null
+++ b/src/gateway/identity.rs
@@ -0,0 +1,133 @@
+//! Identity of the process at the other end of a connection.
+//!
+//! The entry of an upstream, and its address, may stand for another process than the one that answers:
+//! an upstream that starts again is reported later, and not at all while the store fails. A connection
+//! leads to one process for as long as it lasts, and an upstream states when it started. So what it
+//! states on a connection holds for everything that is written there, whatever the registry shows.
+
+use std::{
+    io::ErrorKind,
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use actix_http::{
+    header::{
+        self,
+        HeaderValue, //
+    },
+    Method,
+    RequestHead,
+    ResponseHead,
+    StatusCode,
+    Uri, //
+};
+use bytes::Bytes;
+use tokio::time::timeout;
+
+use super::{
+    connection::{
+        Connection,
+        Fault, //
+    },
+    dialect::Dialect,
+    forward::body,
+    registry::Server,
+    state::Gateway,
+};
+use crate::log::Log;
+
+/// Timeout of a question to an upstream; many round trips.
+const ASK_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// What an upstream states of its process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Identity {
+    /// Time of the start in Unix milliseconds.
+    Start(u64),
+    /// The upstream does not describe itself.
+    Unstated,
+}
+
+impl Identity {
+    /// Returns whether the process is the start that an entry names; `None` if they don't tell.
+    pub fn is(self, server: &Server) -> Option<bool> {
+        match self {
+            Self::Start(started) if server.started > 0 => Some(started == server.started),
+            _ => None,
+        }
+    }
+}
+
+/// What has to be known of the process that answers a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Need {
+    /// Any process may answer.
+    Any,
+    /// Any process may answer; which one does is counted.
+    Known,
+}
+
+/// Asks the process at the other end of a connection to identify itself, unless it has.
+pub async fn ask<D: Dialect>(
+    connection: &mut Connection,
+    address: SocketAddr,
+) -> Result<Identity, Fault> {
+    if let Some(identity) = connection.identity() {
+        return Ok(identity);
+    }
+    let mut head = RequestHead::default();
+    head.method = Method::GET;
+    head.uri = Uri::from_static(D::DESCRIPTION);
+    if let Ok(host) = HeaderValue::try_from(address.to_string()) {
+        head.headers.insert(header::HOST, host);
+    }
+    // An answer that names a request belongs to that one.
+    let accepts = |head: &ResponseHead| D::reply(&head.headers).id.is_none();
+    let answer = timeout(ASK_TIMEOUT, async {
+        let head = connection.send(head, &Bytes::new(), accepts).await?;
+        Ok::<_, Fault>((head.status, body(connection).await?))
+    });
+    let (status, body) = answer
+        .await
+        .map_err(|_| Fault::Broken(ErrorKind::TimedOut.into()))??;
+    let busy = [StatusCode::REQUEST_TIMEOUT, StatusCode::TOO_MANY_REQUESTS];
+    let identity = match status {
+        StatusCode::OK => D::started(&body).map_or(Identity::Unstated, Identity::Start),
+        status if status.is_client_error() && !busy.contains(&status) => Identity::Unstated,
+        status => return Err(Fault::Invalid(format!("description with status {status}"))),
+    };
+    connection.identify(identity);
+    Ok(identity)
+}
+
+impl<D: Dialect, L: Log + 'static> Gateway<D, L> {
+    /// Asks the process at the other end of a connection to an upstream to identify itself.
+    pub async fn identify(
+        &self,
+        server: &Server,
+        connection: &mut Connection,
+    ) -> Result<Identity, Fault> {
+        let asked = ask::<D>(connection, server.address).await;
+        let outcome = match &asked {
+            Ok(identity) => match identity.is(server) {
+                Some(true) => "same",
+                Some(false) => "other",
+                None => "unstated",
+            },
+            Err(_) => "failed",
+        };
+        self.metrics.identified(outcome);
+        match &asked {
+            Ok(identity) => log::debug!(
+                upstream = &*server.id, started = server.started, identity:?;
+                "identity: upstream is asked which process answers"
+            ),
+            Err(fault) => log::info!(
+                upstream = &*server.id, fault:%;
+                "identity: upstream doesn't say which process answers"
+            ),
+        }
+        asked
+    }
+}
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -32,6 +32,7 @@
     answers: Counter<u64>,
     placements: Counter<u64>,
     continuations: Counter<u64>,
+    identities: Counter<u64>,
     stream_ends: Counter<u64>,
     limited_sends: Counter<u64>,
     permits: Counter<u64>,
@@ -81,6 +82,10 @@
                 "continuations",
                 "Streams that went on after a break, by who resumed them and the software version.",
             ),
+            identities: counter(
+                "identities",
+                "Questions to upstreams which process answers, by what the answer showed.",
+            ),
             stream_ends: counter(
                 "stream_ends",
                 "Streams passed on to their end, by what marked it and the path to the upstream.",
@@ -194,6 +199,13 @@
         self.0.continuations.add(1, &labels);
     }
 
+    /// Counts a question which process answers at an upstream: the `same` as registered, an `other`
+    /// one, `unstated` by the upstream, or `failed`.
+    pub fn identified(&self, outcome: &'static str) {
+        let labels = [KeyValue::new("outcome", outcome)];
+        self.0.identities.add(1, &labels);
+    }
+
     /// Counts a stream that was passed on to its end, by what marked the end (its `framing`, or that of
     /// the `connection`) and the path to the upstream (`direct` or `tunnel`).
     pub fn ended_stream(&self, mark: &'static str, path: &'static str) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 pub mod front;
 pub mod grace;
 pub mod history;
+pub mod identity;
 pub mod latency;
 pub mod lifecycle;
 pub mod limit;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -55,6 +55,7 @@
         RETRY_AFTER, //
     },
     history::client::Recorder,
+    identity::Need,
     origin::{
         Origin,
         Search, //
@@ -503,7 +504,13 @@
             self.began = false;
             let sent = self
                 .gateway
-                .send(&self.job, (&choice, &permit), after, &mut self.sends, limit)
+                .send(
+                    &self.job,
+                    (&choice, &permit),
+                    (after, self.need()),
+                    &mut self.sends,
+                    limit,
+                )
                 .await;
             let fits = match &sent {
                 Sent::Answered(exchange) => {
@@ -590,6 +597,14 @@
         self.last.is_some() && registry.is_doubtful(Time::monotonic(), server)
     }
 
+    /// Returns what has to be known of the process that answers the next send.
+    fn need(&self) -> Need {
+        match self.last {
+            Some(_) => Need::Known,
+            None => Need::Any,
+        }
+    }
+
     /// Returns whether an upstream that answered has the software version that the stream needs.
     async fn confirms(&self, server: &Server) -> bool {
         self.last.is_none() || self.gateway.fleet.confirm_version(server).await
--- a/src/platform/dialect.rs
+++ b/src/platform/dialect.rs
@@ -14,6 +14,7 @@
     HeaderValue, //
 };
 
+use super::wire;
 use crate::gateway::{
     call::{
         Call,
@@ -218,6 +219,7 @@
 
 impl dialect::Dialect for Dialect {
     const READINESS: &'static str = "/v1/readiness";
+    const DESCRIPTION: &'static str = "/v1/report";
 
     fn call(headers: &HeaderMap) -> Result<Call, Invalid> {
         let id = text(headers, &REQUEST_ID).ok_or_else(|| Invalid(REQUEST_ID.to_string()))?;
@@ -277,6 +279,10 @@
         }
     }
 
+    fn started(description: &[u8]) -> Option<u64> {
+        wire::started(description)
+    }
+
     fn internal(name: &HeaderName) -> bool {
         INTERNAL.contains(name)
     }
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -315,6 +315,20 @@
     })
 }
 
+/// What a server states of itself, as far as it is used.
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct Description {
+    #[serde(default)]
+    born: Option<u64>,
+}
+
+/// Decodes when a server started, in Unix milliseconds, from its description of itself.
+pub fn started(body: &[u8]) -> Option<u64> {
+    let description: Description = serde_json::from_slice(body).ok()?;
+    description.born
+}
+
 /// Page of the newest records of a topic, one for each key.
 #[derive(Debug)]
 #[derive(Deserialize)]
