Send the rest of a stream only to the process that its entry names

An entry of the registry, and the address in it, stood for whichever process answered there: confirm_version said yes while the store failed or was slow, as entries don't change then. Processes do.

A connection leads to one process for as long as it lasts. The process is asked for its start before the request is written there, and the request goes out only if that is the start of the entry. Upstreams that don't describe themselves need a read of the registry that began after the connection was opened and succeeded; while the store fails the stream breaks visibly, or its caller gets a 503.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -90,17 +90,21 @@
         self.load(upstream, |load| load.unreachable(now));
     }
 
-    /// Returns whether an upstream that answered still has the software version of its entry, as far as
-    /// the registry shows. While the store fails, no entry changes.
-    pub async fn confirm_version(&self, server: &Server) -> bool {
+    /// Reads the registry; returns whether a read that began from now on succeeded. While the store
+    /// fails, no entry changes, although upstreams do.
+    pub async fn refresh(&self) -> bool {
         let failing = self.registry.borrow().is_failing();
-        if !failing && !self.refresh.read().await {
-            log::warn!(
-                upstream = &*server.id;
-                "registry: entries can't be read; presuming that the upstream is the same"
-            );
+        let read = !failing && self.refresh.read().await;
+        if !read {
+            log::info!("registry: entries can't be read; it can't be told which upstreams answer");
         }
-        !self.registry.borrow().is_replaced(server)
+        read
+    }
+
+    /// Returns whether the registry, read from now on, shows that an upstream has the software version
+    /// of its entry.
+    pub async fn confirm_version(&self, server: &Server) -> bool {
+        self.refresh().await && !self.registry.borrow().is_replaced(server)
     }
 
     /// Records that an upstream said in an answer that it leaves.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -553,7 +553,7 @@
         let once = !job.route.kind.repeatable();
         job.inputs.set(choice.inputs);
         let flight = Flight::new(&self.fleet, address, choice.inputs.unread);
-        let (mut fresh, mut need) = (false, need);
+        let mut fresh = false;
         loop {
             let taken = match fresh {
                 true => self.dialer.open(server).await,
@@ -566,12 +566,15 @@
                     return Sent::NotRun("unreachable");
                 }
             };
-            if need == Need::Known {
-                let identified = self.identify(server, &mut connection);
-                let identified = timeout_at(limit.into(), identified).await;
-                if !matches!(identified, Ok(Ok(_))) || !connection.reusable() {
-                    need = Need::Any;
-                    continue;
+            let identified = timeout_at(limit.into(), self.check(server, &mut connection, need));
+            match identified.await.unwrap_or(Err("unidentified")) {
+                Ok(()) if connection.reusable() => {}
+                // A kept connection may have ended, and an upstream may close one after its answer.
+                Ok(()) | Err("unidentified") if !std::mem::replace(&mut fresh, true) => continue,
+                Ok(()) => return Sent::NotRun("unidentified"),
+                Err(reason) => {
+                    self.dialer.pool.put(address, connection);
+                    return Sent::NotRun(reason);
                 }
             }
             if !permit.usable() {
@@ -694,6 +697,20 @@
                 .await
     }
 
+    /// Checks which process is at the other end of a connection to an upstream, as far as that is
+    /// needed; returns the reason if it must not get the request.
+    async fn check(
+        &self,
+        server: &Server,
+        connection: &mut Connection,
+        need: Need,
+    ) -> Result<(), &'static str> {
+        match need {
+            Need::Any => Ok(()),
+            Need::Same => self.verify(server, connection).await,
+        }
+    }
+
     fn unreachable(&self, job: &Job<D, L>, server: &Server, fault: &Fault) {
         self.dialer.pool.discard(server.address);
         let now = Time::monotonic();
--- a/src/gateway/identity.rs
+++ b/src/gateway/identity.rs
@@ -4,6 +4,10 @@
 //! an upstream that starts again is reported later, and not at all while the store fails. A connection
 //! leads to one process for as long as it lasts, and an upstream states when it started. So what it
 //! states on a connection holds for everything that is written there, whatever the registry shows.
+//!
+//! Upstreams that don't describe themselves are confirmed by a read of the registry that begins after
+//! their connection was opened, and by nothing while the store fails. A process that answers before its
+//! entry is written is not noticed there.
 
 use std::{
     io::ErrorKind,
@@ -35,11 +39,17 @@
     registry::Server,
     state::Gateway,
 };
-use crate::log::Log;
+use crate::{
+    clock::Time,
+    log::Log, //
+};
 
 /// Timeout of a question to an upstream; many round trips.
 const ASK_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Reason of a send that was not made because another process answers at the upstream's address.
+const OTHER_PROCESS: &str = "other_process";
+
 /// What an upstream states of its process.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Identity {
@@ -59,13 +69,13 @@
     }
 }
 
-/// What has to be known of the process that answers a request.
+/// Whether a request may be sent only to the process that the entry of its upstream names.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Need {
     /// Any process may answer.
     Any,
-    /// Any process may answer; which one does is counted.
-    Known,
+    /// No other process may answer.
+    Same,
 }
 
 /// Asks the process at the other end of a connection to identify itself, unless it has.
@@ -130,4 +140,31 @@
         }
         asked
     }
+
+    /// Checks that the process at the other end of a connection is the one that the entry of its
+    /// upstream names; returns the reason if it isn't, or if nothing tells.
+    pub async fn verify(
+        &self,
+        server: &Server,
+        connection: &mut Connection,
+    ) -> Result<(), &'static str> {
+        let identity = self.identify(server, connection).await;
+        let identity = identity.map_err(|_| "unidentified")?;
+        match identity.is(server) {
+            Some(true) => Ok(()),
+            Some(false) => {
+                let now = Time::monotonic();
+                self.fleet.registry.borrow_mut().refuse(now, server);
+                log::warn!(
+                    upstream = &*server.id, started = server.started, identity:?;
+                    "identity: another process answers than the one that is registered"
+                );
+                Err(OTHER_PROCESS)
+            }
+            None => match self.fleet.confirm_version(server).await {
+                true => Ok(()),
+                false => Err("unconfirmed"),
+            },
+        }
+    }
 }
--- a/src/gateway/refresh.rs
+++ b/src/gateway/refresh.rs
@@ -16,8 +16,9 @@
 
 use crate::clock::Time;
 
-/// Timeout of a read on demand; a pause between two reads, and many round trips to the store.
-const READ_TIMEOUT: Duration = Duration::from_millis(250);
+/// Timeout of a read on demand: many round trips to a store that is slow, and little of the time after
+/// which callers give up a stream.
+const READ_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Reads that are requested, and the latest one.
 #[derive(Debug)]
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -513,9 +513,7 @@
                 )
                 .await;
             let fits = match &sent {
-                Sent::Answered(exchange) => {
-                    self.continues(&exchange.head) && self.confirms(&exchange.server).await
-                }
+                Sent::Answered(exchange) => self.continues(&exchange.head),
                 Sent::NotRun(_) | Sent::Lost(_) => true,
             };
             match sent {
@@ -597,19 +595,14 @@
         self.last.is_some() && registry.is_doubtful(Time::monotonic(), server)
     }
 
-    /// Returns what has to be known of the process that answers the next send.
+    /// Returns which process may answer the next send.
     fn need(&self) -> Need {
         match self.last {
-            Some(_) => Need::Known,
+            Some(_) => Need::Same,
             None => Need::Any,
         }
     }
 
-    /// Returns whether an upstream that answered has the software version that the stream needs.
-    async fn confirms(&self, server: &Server) -> bool {
-        self.last.is_none() || self.gateway.fleet.confirm_version(server).await
-    }
-
     /// Records the events of the first answer, if it began the stream.
     fn record_shape(&self, whole: bool) {
         if let Some(origin) = self
