End an answer with its connection only if its process still answers

Upstreams of streams are asked once the connection has ended: only the start that wrote the answer may say its start. A process that ends answers on none of its connections, however long they last. Upstreams that don't describe themselves are watched as before.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -305,6 +305,11 @@
         self.identity
     }
 
+    /// Forgets what the process at the other end stated of itself, so that it is asked again.
+    pub fn forget_identity(&mut self) {
+        self.identity = None;
+    }
+
     /// Records what the process at the other end stated of itself.
     pub fn identify(&mut self, identity: Identity) {
         self.identity = Some(identity);
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -7,6 +7,7 @@
     },
     net::SocketAddr,
     rc::Rc,
+    sync::Arc, //
 };
 
 use super::{
@@ -47,6 +48,8 @@
     loads: RefCell<Map<SocketAddr, Load>>,
     /// Limits that upstreams named.
     pub limits: RefCell<Notices>,
+    /// Whether the upstreams of a service describe themselves.
+    descriptions: RefCell<Map<Arc<str>, bool>>,
 }
 
 impl Fleet {
@@ -107,6 +110,19 @@
         self.refresh().await && !self.registry.borrow().is_replaced(server)
     }
 
+    /// Records whether the upstreams of a service describe themselves.
+    pub fn record_description(&self, service: &Arc<str>, describes: bool) {
+        let mut descriptions = self.descriptions.borrow_mut();
+        if descriptions.get(service) != Some(&describes) {
+            descriptions.insert(service.clone(), describes);
+        }
+    }
+
+    /// Returns whether the upstreams of a service describe themselves, if one was asked.
+    pub fn describes(&self, service: &str) -> Option<bool> {
+        self.descriptions.borrow().get(service).copied()
+    }
+
     /// Records that an upstream said in an answer that it leaves.
     pub fn leave(&self, now: Time, server: &Server) {
         if self.registry.borrow_mut().leave(now, server) {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -327,6 +327,8 @@
     pub leaving: bool,
     /// Shows whether the upstream lives on, if the answer ends with its connection.
     pub probe: Probe,
+    /// Whether the upstream may describe itself: those of streams do.
+    pub described: bool,
     /// The upstream.
     pub server: Rc<Server>,
 }
@@ -610,6 +612,7 @@
                         report: None,
                         leaving: false,
                         probe: Probe::default(),
+                        described: matches!(job.route.kind, Kind::Streaming { .. }),
                         server: server.clone(),
                     };
                     return self.classify(job, exchange, sends).await;
@@ -690,11 +693,20 @@
     /// it.
     pub async fn ended_by_crash(&self, exchange: &Exchange) -> bool {
         let (connection, server) = (&exchange.connection, &exchange.server);
-        connection.ended_with_body()
-            && !self
-                .dialer
-                .survives(server, connection, &exchange.probe)
-                .await
+        if !connection.ended_with_body() {
+            return false;
+        }
+        let lives = match exchange.described {
+            true => self.lives(server, connection).await,
+            false => None,
+        };
+        match lives {
+            Some(lives) => !lives,
+            None => {
+                let survives = self.dialer.survives(server, connection, &exchange.probe);
+                !survives.await
+            }
+        }
     }
 
     /// Checks which process is at the other end of a connection to an upstream, as far as that is
@@ -713,17 +725,22 @@
 
     fn unreachable(&self, job: &Job<D, L>, server: &Server, fault: &Fault) {
         self.dialer.pool.discard(server.address);
-        let now = Time::monotonic();
-        self.fleet.unreachable(now, server.address);
-        if matches!(fault, Fault::Connect(error) if error.kind() == ErrorKind::ConnectionRefused) {
-            self.fleet.registry.borrow_mut().refuse(now, server);
-        }
+        self.fleet.unreachable(Time::monotonic(), server.address);
+        self.record_refusal(server, fault);
         log::warn!(
             request = &*job.call.id, upstream = &*server.id, fault:%;
             "forward: upstream can't be reached; avoiding it for a while"
         );
     }
 
+    /// Records that an upstream refused a connection, if that is why it can't be reached.
+    pub fn record_refusal(&self, server: &Server, fault: &Fault) {
+        if matches!(fault, Fault::Connect(error) if error.kind() == ErrorKind::ConnectionRefused) {
+            let mut registry = self.fleet.registry.borrow_mut();
+            registry.refuse(Time::monotonic(), server);
+        }
+    }
+
     fn head(&self, job: &Job<D, L>, server: &Server, after: Option<u64>) -> RequestHead {
         let mut head = RequestHead::default();
         head.method = job.method.clone();
@@ -792,7 +809,9 @@
             // did not state; a success without a signature is not trusted either.
             return Sent::Lost("unproven");
         }
-        if exchange.connection.ended_with_body() {
+        let described =
+            exchange.described && self.fleet.describes(&exchange.server.service) == Some(true);
+        if exchange.connection.ended_with_body() && !described {
             exchange.probe = self.dialer.probe(&exchange.server);
         }
         Sent::Answered(Box::new(exchange))
--- a/src/gateway/identity.rs
+++ b/src/gateway/identity.rs
@@ -47,6 +47,9 @@
 /// Timeout of a question to an upstream; many round trips.
 const ASK_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Maximum connections on which an upstream is asked; a kept one may have ended.
+const MAX_ASKS: usize = 2;
+
 /// Reason of a send that was not made because another process answers at the upstream's address.
 const OTHER_PROCESS: &str = "other_process";
 
@@ -129,10 +132,14 @@
         };
         self.metrics.identified(outcome);
         match &asked {
-            Ok(identity) => log::debug!(
-                upstream = &*server.id, started = server.started, identity:?;
-                "identity: upstream is asked which process answers"
-            ),
+            Ok(identity) => {
+                let describes = matches!(identity, Identity::Start(_));
+                self.fleet.record_description(&server.service, describes);
+                log::debug!(
+                    upstream = &*server.id, started = server.started, identity:?;
+                    "identity: upstream is asked which process answers"
+                );
+            }
             Err(fault) => log::info!(
                 upstream = &*server.id, fault:%;
                 "identity: upstream doesn't say which process answers"
@@ -167,4 +174,42 @@
             },
         }
     }
+
+    /// Returns whether the process that closed a connection lives on; `None` if it doesn't describe
+    /// itself.
+    ///
+    /// A process that ends closes its connections one after the other, and answers on none of them.
+    pub async fn lives(&self, server: &Server, closed: &Connection) -> Option<bool> {
+        let started = match closed.identity() {
+            Some(Identity::Start(started)) => started,
+            _ => server.started,
+        };
+        if started == 0 {
+            return None;
+        }
+        match self.ask(server).await {
+            Some(Identity::Start(found)) => Some(found == started),
+            Some(Identity::Unstated) => None,
+            None => Some(false),
+        }
+    }
+
+    /// Asks an upstream which process answers at its address now.
+    async fn ask(&self, server: &Server) -> Option<Identity> {
+        for _ in 0..MAX_ASKS {
+            let mut connection = match self.dialer.take(server, "", false).await {
+                Ok(connection) => connection,
+                Err(fault) => {
+                    self.record_refusal(server, &fault);
+                    return None;
+                }
+            };
+            connection.forget_identity();
+            if let Ok(identity) = self.identify(server, &mut connection).await {
+                self.dialer.pool.put(server.address, connection);
+                return Some(identity);
+            }
+        }
+        None
+    }
 }
