Prove at which process a stream began before it goes on elsewhere

The record of a stream names the start of its upstream. It counts as proved if the connection was identified, if reads of a sound registry showed the start unchanged for 5 s after the connection was opened, or if the upstream says the same start when the stream is to go on: it lived at the time then. Otherwise the stream breaks visibly, and a caller that takes it up gets a 503 with a time to retry. While the store fails, new streams that may be resumed ask at once. origin_proofs counts what proved a stream.

The price: a stream whose engine ends within 5 s after its connection was opened can't be proved, and breaks although others of its version run.

--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -139,10 +139,12 @@
         };
         let histories = self.histories.clone();
         match request {
-            Request::KeepOrigin(stream, origin) => self.origins.record(stream, origin),
+            Request::KeepOrigin(stream, beginning) => {
+                self.origins.record(Time::monotonic(), stream, beginning);
+            }
             Request::FindOrigin(stream) => {
-                let answer = match self.origins.get(stream) {
-                    Some(origin) => Response::Origin(origin),
+                let answer = match self.origins.get(Time::monotonic(), stream) {
+                    Some(beginning) => Response::Origin(beginning),
                     None => Response::Refused,
                 };
                 respond(reply, Body::Accounted(answer));
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -24,6 +24,7 @@
         Load,
         Report, //
     },
+    origin::Beginning,
     refresh::Refresh,
     registry::{
         Registry,
@@ -110,6 +111,21 @@
         self.refresh().await && !self.registry.borrow().is_replaced(server)
     }
 
+    /// As [`Self::confirm_version`], for the upstream at which a stream began.
+    pub async fn confirm_origin(&self, beginning: &Beginning) -> bool {
+        if !self.refresh().await {
+            return false;
+        }
+        let Beginning {
+            origin,
+            upstream,
+            started,
+            ..
+        } = beginning;
+        let registry = self.registry.borrow();
+        !registry.is_superseded(upstream, *started, &origin.service, &origin.version)
+    }
+
     /// Records whether the upstreams of a service describe themselves.
     pub fn record_description(&self, service: &Arc<str>, describes: bool) {
         let mut descriptions = self.descriptions.borrow_mut();
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -555,7 +555,7 @@
         let once = !job.route.kind.repeatable();
         job.inputs.set(choice.inputs);
         let flight = Flight::new(&self.fleet, address, choice.inputs.unread);
-        let mut fresh = false;
+        let (mut fresh, mut need) = (false, need);
         loop {
             let taken = match fresh {
                 true => self.dialer.open(server).await,
@@ -573,6 +573,10 @@
                 Ok(()) if connection.reusable() => {}
                 // A kept connection may have ended, and an upstream may close one after its answer.
                 Ok(()) | Err("unidentified") if !std::mem::replace(&mut fresh, true) => continue,
+                _ if need == Need::Known => {
+                    need = Need::Any;
+                    continue;
+                }
                 Ok(()) => return Sent::NotRun("unidentified"),
                 Err(reason) => {
                     self.dialer.pool.put(address, connection);
@@ -719,6 +723,10 @@
     ) -> Result<(), &'static str> {
         match need {
             Need::Any => Ok(()),
+            Need::Known => {
+                let identity = self.identify(server, connection).await;
+                identity.map(|_| ()).map_err(|_| "unidentified")
+            }
             Need::Same => self.verify(server, connection).await,
         }
     }
--- a/src/gateway/identity.rs
+++ b/src/gateway/identity.rs
@@ -12,7 +12,10 @@
 use std::{
     io::ErrorKind,
     net::SocketAddr,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use actix_http::{
@@ -27,7 +30,10 @@
     Uri, //
 };
 use bytes::Bytes;
-use tokio::time::timeout;
+use tokio::time::{
+    sleep,
+    timeout, //
+};
 
 use super::{
     connection::{
@@ -36,6 +42,7 @@
     },
     dialect::Dialect,
     forward::body,
+    origin::Beginning,
     registry::Server,
     state::Gateway,
 };
@@ -50,6 +57,13 @@
 /// Maximum connections on which an upstream is asked; a kept one may have ended.
 const MAX_ASKS: usize = 2;
 
+/// Time for which a stream waits until it is known whether the upstreams of its service describe
+/// themselves; an upstream that starts again takes a part of it.
+const DESCRIPTION_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Pause between two attempts to learn that.
+const DESCRIPTION_PAUSE: Duration = Duration::from_millis(50);
+
 /// Reason of a send that was not made because another process answers at the upstream's address.
 const OTHER_PROCESS: &str = "other_process";
 
@@ -77,6 +91,8 @@
 pub enum Need {
     /// Any process may answer.
     Any,
+    /// Any process may answer; which one does is to be known.
+    Known,
     /// No other process may answer.
     Same,
 }
@@ -175,6 +191,74 @@
         }
     }
 
+    /// Returns whether a stream began at the start of an upstream that its record names; `at` is not
+    /// before the connection was opened on which it began.
+    ///
+    /// A start that lives after that time had the address then.
+    pub async fn proves(&self, beginning: &Beginning, at: Time) -> bool {
+        let by = self.proof(beginning, at).await;
+        self.metrics.proved_origin(by.unwrap_or("nothing"));
+        if by.is_none() {
+            log::warn!(
+                upstream = &*beginning.upstream, started = beginning.started,
+                version = &*beginning.origin.version;
+                "identity: the process at which a stream began is not known"
+            );
+        }
+        by.is_some()
+    }
+
+    async fn proof(&self, beginning: &Beginning, at: Time) -> Option<&'static str> {
+        if beginning.proved {
+            return Some("record");
+        }
+        let server = {
+            let registry = self.fleet.registry.borrow();
+            if registry.is_settled(&beginning.upstream, beginning.started, at) {
+                return Some("registry");
+            }
+            registry.get(&beginning.upstream).cloned()
+        };
+        let service = &beginning.origin.service;
+        let until = Instant::now() + DESCRIPTION_TIMEOUT;
+        loop {
+            let asked = match &server {
+                Some(server) => self.ask(server).await,
+                None => None,
+            };
+            match asked {
+                Some(Identity::Start(started)) if beginning.started > 0 => {
+                    return (started == beginning.started).then_some("upstream");
+                }
+                Some(_) => break,
+                None => {}
+            }
+            if self.fleet.describes(service).is_none() {
+                self.ask_any(service, &beginning.upstream).await;
+            }
+            if self.fleet.describes(service).is_some() || Instant::now() >= until {
+                break;
+            }
+            sleep(DESCRIPTION_PAUSE).await;
+        }
+        if self.fleet.describes(service) != Some(false) {
+            return None;
+        }
+        self.fleet.confirm_origin(beginning).await.then_some("read")
+    }
+
+    /// Asks another upstream of a service, which tells whether all of them describe themselves.
+    async fn ask_any(&self, service: &str, except: &str) {
+        let other = {
+            let registry = self.fleet.registry.borrow();
+            let mut usable = registry.usable(Time::monotonic(), service);
+            usable.find(|server| &*server.id != except).cloned()
+        };
+        if let Some(other) = other {
+            self.ask(&other).await;
+        }
+    }
+
     /// Returns whether the process that closed a connection lives on; `None` if it doesn't describe
     /// itself.
     ///
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -33,6 +33,7 @@
     placements: Counter<u64>,
     continuations: Counter<u64>,
     identities: Counter<u64>,
+    origin_proofs: Counter<u64>,
     stream_ends: Counter<u64>,
     limited_sends: Counter<u64>,
     permits: Counter<u64>,
@@ -86,6 +87,10 @@
                 "identities",
                 "Questions to upstreams which process answers, by what the answer showed.",
             ),
+            origin_proofs: counter(
+                "origin_proofs",
+                "Streams to go on, by what proved the process at which they began.",
+            ),
             stream_ends: counter(
                 "stream_ends",
                 "Streams passed on to their end, by what marked it and the path to the upstream.",
@@ -206,6 +211,13 @@
         self.0.identities.add(1, &labels);
     }
 
+    /// Counts a stream that is to go on, by what proved the process at which it began: its `record`,
+    /// later reads of the `registry`, the `upstream` itself, a `read` for an upstream that does not
+    /// describe itself, or `nothing`.
+    pub fn proved_origin(&self, by: &'static str) {
+        self.0.origin_proofs.add(1, &[KeyValue::new("by", by)]);
+    }
+
     /// Counts a stream that was passed on to its end, by what marked the end (its `framing`, or that of
     /// the `connection`) and the path to the upstream (`direct` or `tunnel`).
     pub fn ended_stream(&self, mark: &'static str, path: &'static str) {
--- a/src/gateway/origin.rs
+++ b/src/gateway/origin.rs
@@ -26,6 +26,7 @@
     registry::Server,
 };
 use crate::{
+    clock::Time,
     hash,
     log::Log,
     policy::recent::Recent, //
@@ -70,8 +71,43 @@
     }
 }
 
-/// Origins that this instance keeps, for itself and for others.
-pub struct Origins(RefCell<Recent<Stream, Origin>>);
+/// Record of where a stream began.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct Beginning {
+    /// Service, and software version that the entry of the upstream named.
+    #[serde(flatten)]
+    pub origin: Origin,
+    /// Identifier of the upstream; empty in records of older builds.
+    #[serde(rename = "u", default)]
+    pub upstream: Arc<str>,
+    /// Start that the entry named, in Unix milliseconds; 0 if unknown.
+    #[serde(rename = "b", default)]
+    pub started: u64,
+    /// Whether the process that answered is known to be that start.
+    #[serde(rename = "p", default)]
+    pub proved: bool,
+    /// Milliseconds since the record was made, which was not before the connection was opened on which
+    /// the stream began.
+    #[serde(rename = "a", default)]
+    pub age_ms: u64,
+}
+
+impl Beginning {
+    /// Returns the record of a stream that begins at an upstream now.
+    pub fn new(server: &Server, proved: bool) -> Self {
+        Self {
+            origin: Origin::from(server),
+            upstream: server.id.clone(),
+            started: server.started,
+            proved,
+            age_ms: 0,
+        }
+    }
+}
+
+/// Origins that this instance keeps, for itself and for others, and when they were recorded.
+pub struct Origins(RefCell<Recent<Stream, (Beginning, Time)>>);
 
 impl Default for Origins {
     fn default() -> Self {
@@ -81,13 +117,18 @@
 
 impl Origins {
     /// Records where a stream began.
-    pub fn record(&self, stream: Stream, origin: Origin) {
-        self.0.borrow_mut().insert(stream, origin);
+    pub fn record(&self, now: Time, stream: Stream, beginning: Beginning) {
+        self.0.borrow_mut().insert(stream, (beginning, now));
     }
 
     /// Returns where a stream began, if it is known here.
-    pub fn get(&self, stream: Stream) -> Option<Origin> {
-        self.0.borrow().get(&stream).cloned()
+    pub fn get(&self, now: Time, stream: Stream) -> Option<Beginning> {
+        let streams = self.0.borrow();
+        let (beginning, recorded) = streams.get(&stream)?;
+        Some(Beginning {
+            age_ms: beginning.age_ms + now.since(*recorded).as_millis() as u64,
+            ..beginning.clone()
+        })
     }
 }
 
@@ -95,7 +136,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Search {
     /// It began there.
-    Found(Origin),
+    Found(Beginning),
     /// Nobody knows.
     Unknown,
     /// No keeper answered; other instances may know.
@@ -115,11 +156,11 @@
     }
 
     /// Records where the stream of a request began, and notifies its keepers.
-    pub fn record(&self, request: &str, origin: Origin) {
+    pub fn record(&self, request: &str, beginning: Beginning) {
         let stream = identify(request);
         if let Some((peers, keepers)) = self.accounts.owners(stream, KEEPERS) {
             for keeper in &keepers {
-                let notice = Request::KeepOrigin(stream, origin.clone());
+                let notice = Request::KeepOrigin(stream, beginning.clone());
                 if let Err(error) = peers.notify(keeper, notice) {
                     log::debug!(
                         peer = keeper.as_str(), error:%;
@@ -128,14 +169,14 @@
                 }
             }
         }
-        self.local.record(stream, origin);
+        self.local.record(Time::monotonic(), stream, beginning);
     }
 
     /// Searches this instance and the keepers for where the stream of a request began.
     pub async fn find(&self, request: &str) -> Search {
         let stream = identify(request);
-        if let Some(origin) = self.local.get(stream) {
-            return Search::Found(origin);
+        if let Some(beginning) = self.local.get(Time::monotonic(), stream) {
+            return Search::Found(beginning);
         }
         let Some((peers, keepers)) = self.accounts.owners(stream, KEEPERS) else {
             return Search::Unanswered;
@@ -145,7 +186,7 @@
         }
         let query = Request::FindOrigin(stream);
         match peers.request_any(&keepers, &query, QUERY_TIMEOUT).await {
-            Some(Response::Origin(origin)) => Search::Found(origin),
+            Some(Response::Origin(beginning)) => Search::Found(beginning),
             Some(_) => Search::Unknown,
             None => Search::Unanswered,
         }
--- a/src/gateway/owner.rs
+++ b/src/gateway/owner.rs
@@ -33,7 +33,7 @@
     },
     origin::{
         self,
-        Origin, //
+        Beginning, //
     },
     outage::Outage,
     peers::{
@@ -139,7 +139,7 @@
     },
     /// Keep where a stream began.
     #[serde(rename = "k")]
-    KeepOrigin(origin::Stream, Origin),
+    KeepOrigin(origin::Stream, Beginning),
     /// Report where a stream began.
     #[serde(rename = "w")]
     FindOrigin(origin::Stream),
@@ -233,7 +233,7 @@
     },
     /// Where a stream began.
     #[serde(rename = "w")]
-    Origin(Origin),
+    Origin(Beginning),
     /// Tokens that were used, or may still be, of a reserve that is given back.
     #[serde(rename = "g")]
     Returned(u64),
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -88,6 +88,11 @@
 /// changes and the pause after it.
 const MAX_READ_AGE: Duration = Duration::from_secs(3);
 
+/// Time after which a start that is still the latest one in the registry was so at its beginning: the
+/// entry of a process that ended is removed, or replaced by the next one, within three heartbeat
+/// intervals of 1.2 s.
+const SETTLE_TIME: Duration = Duration::from_secs(5);
+
 /// Difference between the clocks of servers and of this instance.
 const MAX_SKEW: Duration = Duration::from_secs(5);
 
@@ -98,6 +103,15 @@
     since: Time,
 }
 
+/// Start of a server that was replaced or is gone, and when it was known to be the latest one.
+struct Former {
+    id: Arc<str>,
+    started: u64,
+    /// Reads without a failure of the store in between that showed it as the latest one, the first
+    /// and the last.
+    shown: (Time, Time),
+}
+
 /// Time for which a server that said that it leaves may still be listed as one that does not; a
 /// store that lags or restores an old state shows it for seconds.
 const LEAVING_RETENTION: Duration = Duration::from_secs(300);
@@ -123,6 +137,8 @@
     unreadable: Set<Arc<str>>,
     /// Versions of servers that have gone within [`VERSION_RETENTION`], at least.
     retired: Vec<Retired>,
+    /// Starts that were replaced or have gone within [`VERSION_RETENTION`], at least.
+    former: Vec<Former>,
     /// Servers that said in an answer that they leave, and when; they never take requests again,
     /// whatever their reports say.
     leaving: Map<Incarnation, Time>,
@@ -133,6 +149,8 @@
     first_read: Option<Time>,
     /// Latest read of the entries, or of their changes.
     last_read: Option<Time>,
+    /// First read after the latest failed call to the store.
+    sound_since: Option<Time>,
     /// Latest failed call to the store.
     last_failure: Option<Time>,
 }
@@ -142,6 +160,7 @@
     pub fn record_read(&mut self, now: Time) {
         self.first_read.get_or_insert(now);
         self.last_read = Some(now);
+        self.sound_since.get_or_insert(now);
     }
 
     /// Returns whether the entries were read recently.
@@ -153,6 +172,22 @@
     /// Records that a call to the store failed.
     pub fn record_failure(&mut self, now: Time) {
         self.last_failure = Some(now);
+        self.sound_since = None;
+    }
+
+    /// Returns whether reads showed that a start of a server was the latest one at a moment: it still
+    /// was long enough afterwards, and the store did not fail meanwhile.
+    pub fn is_settled(&self, id: &str, started: u64, at: Time) -> bool {
+        let latest = self.records.get(id).filter(|record| !record.lapsed);
+        let shown = match latest.filter(|record| record.server.started == started) {
+            Some(_) => self.sound_since.zip(self.last_read),
+            None => {
+                let mut former = self.former.iter().rev();
+                let found = former.find(|former| &*former.id == id && former.started == started);
+                found.map(|former| former.shown)
+            }
+        };
+        shown.is_some_and(|(first, last)| last.since(at.max(first)) >= SETTLE_TIME)
     }
 
     /// Returns whether the latest call to the store failed.
@@ -160,6 +195,11 @@
         self.last_failure > self.last_read
     }
 
+    /// Returns whether the entries were read lately, and the latest call to the store did not fail.
+    pub fn is_sound(&self, now: Time) -> bool {
+        self.is_current(now) && !self.is_failing()
+    }
+
     fn failed_within(&self, now: Time, span: Duration) -> bool {
         self.last_failure.is_some_and(|at| now.since(at) < span)
     }
@@ -214,6 +254,9 @@
         };
         let replaced = self.records.insert(record.server.id.clone(), record);
         if let Some(replaced) = replaced {
+            if self.records[&replaced.server.id].server.started != replaced.server.started {
+                self.record_former(now, &replaced.server);
+            }
             self.retire(now, &replaced.server);
         }
         effect
@@ -222,6 +265,7 @@
     fn remove(&mut self, now: Time, id: &str) -> Effect {
         match self.records.remove(id) {
             Some(removed) => {
+                self.record_former(now, &removed.server);
                 self.retire(now, &removed.server);
                 Effect::Removed
             }
@@ -229,6 +273,20 @@
         }
     }
 
+    /// Remembers a start that was replaced or is gone.
+    fn record_former(&mut self, now: Time, server: &Server) {
+        let Some(shown) = self.sound_since.zip(self.last_read) else {
+            return;
+        };
+        self.former
+            .retain(|former| now.since(former.shown.1) < VERSION_RETENTION);
+        self.former.push(Former {
+            id: server.id.clone(),
+            started: server.started,
+            shown,
+        });
+    }
+
     /// Remembers the version of a server that is gone, unless others of its service have it.
     fn retire(&mut self, now: Time, server: &Server) {
         self.retired
@@ -359,6 +417,16 @@
         })
     }
 
+    /// Returns whether a later start with an identifier is known that has another service or software
+    /// version.
+    pub fn is_superseded(&self, id: &str, started: u64, service: &str, version: &str) -> bool {
+        self.records.get(id).is_some_and(|record| {
+            let server = &record.server;
+            let fits = &*server.service == service && &*server.version == version;
+            server.started > started && !fits
+        })
+    }
+
     /// Returns whether a server may still get requests.
     pub fn is_usable(&self, now: Time, server: &Server) -> bool {
         let lapsed = self.failed_within(now, REREGISTRATION);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -57,6 +57,7 @@
     history::client::Recorder,
     identity::Need,
     origin::{
+        Beginning,
         Origin,
         Search, //
     },
@@ -186,10 +187,15 @@
     events: u64,
     /// Where the stream began; `None` before its first event. All further events are from there.
     origin: Option<Origin>,
+    /// Record of where the stream began, and when the connection was opened, unless it is proved.
+    unproved: Option<(Beginning, Time)>,
     /// Collects the output of a turn that is kept.
     recorder: Option<Recorder<L>>,
 }
 
+/// The registry does not show all versions that have served.
+struct Stale;
+
 /// Reason why a stream ended before it was complete.
 #[derive(Clone, Copy, Debug)]
 pub struct Interruption(pub &'static str);
@@ -222,6 +228,7 @@
             tokens_per_event,
             events: 0,
             origin: None,
+            unproved: None,
             recorder,
         };
         relay.find_origin().await?;
@@ -261,25 +268,20 @@
             None => Search::Unknown,
         };
         if !matches!(search, Search::Found(_)) && self.knows_service() {
-            let registry = self.gateway.fleet.registry.borrow();
-            let now = Time::monotonic();
-            match registry.sole_version(now, &service) {
-                // Instances that have run for longer may know.
-                Some(_) if registry.may_lack_versions(now, Time::now(), &service) => {
-                    search = Search::Unanswered;
-                }
-                Some(version) => {
-                    let service = service.clone();
-                    search = Search::Found(Origin { service, version });
-                }
-                None if !registry.is_current(now) => search = Search::Unanswered,
-                None => {}
+            match self.presume_version() {
+                Ok(Some(version)) => return self.set_origin(Origin { service, version }),
+                Ok(None) => {}
+                Err(Stale) => search = Search::Unanswered,
             }
         }
         match search {
-            Search::Found(origin) if origin.service == service => {
-                self.origin = Some(origin);
-                self.check_version()
+            Search::Found(beginning) if beginning.origin.service == service => {
+                let now = Time::monotonic();
+                let recorded = now - Duration::from_millis(beginning.age_ms);
+                match self.gateway.proves(&beginning, recorded).await {
+                    true => self.set_origin(beginning.origin),
+                    false => Err(Refusal::after(&self.sends, "origin_unproved", RETRY_AFTER)),
+                }
             }
             Search::Found(_) => Err(Refusal::unservable(&self.sends, "version_gone")),
             Search::Unknown => Err(Refusal::unservable(&self.sends, "origin_unknown")),
@@ -292,6 +294,24 @@
         }
     }
 
+    /// Returns the version of a stream of which nobody knows where it began: the only one that has
+    /// served lately, if there is one.
+    fn presume_version(&self) -> Result<Option<Arc<str>>, Stale> {
+        let (service, now) = (&self.job.service, Time::monotonic());
+        let registry = self.gateway.fleet.registry.borrow();
+        match registry.sole_version(now, service) {
+            // Instances that have run for longer may know.
+            Some(_) if registry.may_lack_versions(now, Time::now(), service) => Err(Stale),
+            None if !registry.is_current(now) => Err(Stale),
+            version => Ok(version),
+        }
+    }
+
+    fn set_origin(&mut self, origin: Origin) -> Result<(), Refusal> {
+        self.origin = Some(origin);
+        self.check_version()
+    }
+
     /// Returns whether the service that began a stream is known without its origin: requests of its
     /// session have led to the same one lately.
     fn knows_service(&self) -> bool {
@@ -464,6 +484,9 @@
             if Instant::now() >= self.job.deadline {
                 return Err(self.failed("deadline"));
             }
+            if !self.prove_origin().await {
+                return Err(self.failed("origin_unproved"));
+            }
             let Some(target) = self.place(&mut retries).await else {
                 self.check_version()?;
                 let limited = retries.limited();
@@ -596,13 +619,28 @@
     }
 
     /// Returns which process may answer the next send.
+    ///
+    /// A stream that begins while the store fails is proved by its upstream at once, as the registry
+    /// can't show later where it began.
     fn need(&self) -> Need {
+        let registry = self.gateway.fleet.registry.borrow();
         match self.last {
             Some(_) => Need::Same,
-            None => Need::Any,
+            None if !self.resumable() || registry.is_sound(Time::monotonic()) => Need::Any,
+            None => Need::Known,
         }
     }
 
+    /// Returns whether the stream is known to have begun where its origin says, if it has begun.
+    async fn prove_origin(&mut self) -> bool {
+        let Some((beginning, opened)) = self.unproved.take() else {
+            return true;
+        };
+        let proved = self.gateway.proves(&beginning, opened).await;
+        self.unproved = (!proved).then_some((beginning, opened));
+        proved
+    }
+
     /// Records the events of the first answer, if it began the stream.
     fn record_shape(&self, whole: bool) {
         if let Some(origin) = self
@@ -899,12 +937,19 @@
         let Some(exchange) = &self.exchange else {
             return;
         };
-        let origin = Origin::from(&*exchange.server);
+        let (server, connection) = (&exchange.server, &exchange.connection);
+        let identity = connection.identity();
+        let proved = identity.and_then(|identity| identity.is(server)) == Some(true) || {
+            let registry = self.gateway.fleet.registry.borrow();
+            registry.is_settled(&server.id, server.started, connection.opened())
+        };
+        let beginning = Beginning::new(server, proved);
         if self.resumable() {
             let request = &self.job.call.id;
-            self.gateway.origins.record(request, origin.clone());
+            self.gateway.origins.record(request, beginning.clone());
         }
-        self.origin = Some(origin);
+        self.origin = Some(beginning.origin.clone());
+        self.unproved = (!proved).then(|| (beginning, connection.opened()));
     }
 
     fn finish(&mut self) {
--- a/tests/gateway/registry.rs
+++ b/tests/gateway/registry.rs
@@ -249,3 +249,45 @@
     present(&mut registry, other("near", "z", 3));
     assert_eq!(ids(&registry), ["near"]);
 }
+
+/// A start that was taken for settled too early would be that of an entry that had not been replaced
+/// yet.
+#[test]
+fn is_settled_only_long_after_a_moment_and_without_a_failure() {
+    let mut registry = Registry::default();
+    registry.record_read(at(0));
+    present(&mut registry, server("a", 1, 1));
+    registry.record_read(at(4_900));
+    assert!(!registry.is_settled("a", 1, at(0)));
+    registry.record_read(at(6_000));
+    assert!(registry.is_settled("a", 1, at(1_000)));
+    assert!(!registry.is_settled("a", 1, at(1_001)));
+    assert!(!registry.is_settled("a", 2, at(0)));
+    assert!(!registry.is_settled("b", 1, at(0)));
+    // Reports are late after an outage, and a read may have missed them.
+    registry.record_failure(at(6_500));
+    assert!(!registry.is_settled("a", 1, at(1_000)));
+    registry.record_read(at(7_000));
+    registry.record_read(at(11_999));
+    assert!(!registry.is_settled("a", 1, at(1_000)));
+    registry.record_read(at(12_000));
+    assert!(registry.is_settled("a", 1, at(7_000)));
+}
+
+/// A stream that began at a start which has ended since is taken up elsewhere.
+#[test]
+fn is_settled_knows_former_starts_by_the_reads_before_their_end() {
+    for end in [
+        Change::Present(server("a", 2, 1)),
+        Change::Absent("a".into()),
+    ] {
+        let mut registry = Registry::default();
+        registry.record_read(at(0));
+        present(&mut registry, server("a", 1, 1));
+        registry.record_read(at(8_000));
+        registry.apply(at(8_500), end);
+        registry.record_read(at(20_000));
+        assert!(registry.is_settled("a", 1, at(3_000)));
+        assert!(!registry.is_settled("a", 1, at(3_001)));
+    }
+}
