Read the registry before the version of an unnamed stream is presumed

Callers of the platform name no request that they resume.

The registry is read first, and the read has to succeed; otherwise the caller gets a 503 with a time to retry.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -268,7 +268,7 @@
             None => Search::Unknown,
         };
         if !matches!(search, Search::Found(_)) && self.knows_service() {
-            match self.presume_version() {
+            match self.presume_version().await {
                 Ok(Some(version)) => return self.set_origin(Origin { service, version }),
                 Ok(None) => {}
                 Err(Stale) => search = Search::Unanswered,
@@ -295,8 +295,11 @@
     }
 
     /// Returns the version of a stream of which nobody knows where it began: the only one that has
-    /// served lately, if there is one.
-    fn presume_version(&self) -> Result<Option<Arc<str>>, Stale> {
+    /// served lately, if there is one. Other instances may have read of another one before.
+    async fn presume_version(&self) -> Result<Option<Arc<str>>, Stale> {
+        if !self.gateway.fleet.refresh().await {
+            return Err(Stale);
+        }
         let (service, now) = (&self.job.service, Time::monotonic());
         let registry = self.gateway.fleet.registry.borrow();
         match registry.sole_version(now, service) {
