Show a program with all turns that were committed before the request

path_one_program failed once: an instance returned 3 of 4 turns of a program just after another one had answered the fourth as committed. GET /v1/programs/{id} waited only until the replica knew the program, so that it could lag behind the log. docs/api.md allows that nowhere: all instances are equal, and a turn with `durability: committed` is in the log.

The instance now asks the log for its end, and waits until the replica has applied everything before it, for one second at most. That is one more call to the log for each request for a history.

ledger_commit: catch_up_to_turns_of_another_instance has an instance whose records arrive 200 ms late.

--- a/src/api/programs.rs
+++ b/src/api/programs.rs
@@ -235,6 +235,7 @@
 
 async fn load_history(app: &App, path: &str, http: &HttpRequest) -> Result<History, Refusal> {
     let (program, customer, class, deadline) = authorized_program(app, path, http).await?;
+    app.shared().catch_up(&customer).await;
     let turns = app.shared().history(&program).await?;
     let item = |(turn, found): (u32, &std::sync::Arc<crate::ledger::record::Turn>)| Item {
         turn,
--- a/src/executor/mod.rs
+++ b/src/executor/mod.rs
@@ -169,6 +169,14 @@
         Ok(())
     }
 
+    /// Waits until the replica has applied what the log of a customer holds now, as another instance
+    /// may have committed it for the same caller. While the log is down, the replica may lag.
+    pub async fn catch_up(&self, customer: &Customer) {
+        if self.ledger.available_for(customer) {
+            self.ledger.catch_up(customer, MAX_REPLICA_WAIT).await;
+        }
+    }
+
     /// Returns the committed turns of a program.
     pub async fn committed(&self, program: &Program) -> Result<Vec<Arc<Turn>>, Refusal> {
         self.ledger.history(program).await.map_err(|error| {
--- a/src/ledger/handle.rs
+++ b/src/ledger/handle.rs
@@ -31,6 +31,7 @@
         history::{
             self,
             Fetch,
+            Job,
             Location,
             Reader,
             Turns, //
@@ -104,8 +105,8 @@
         // The log's futures stay on this thread, so that the `Arc` is never sent to another one.
         #[allow(clippy::arc_with_non_send_sync)]
         let log = Arc::new(log);
-        for (partition, fetches) in (0..).zip(receivers) {
-            spawn_local(Reader::new(log.clone(), shared.clone(), partition, fetches).run());
+        for (partition, jobs) in (0..).zip(receivers) {
+            spawn_local(Reader::new(log.clone(), shared.clone(), partition, jobs).run());
             spawn_local(Writer::new(log.clone(), shared.clone(), partition).run());
             spawn_local(Follower::new(log.clone(), shared.clone(), partition).run());
         }
@@ -268,7 +269,7 @@
             locations,
             reply,
         };
-        let sent = self.partition(customer).fetches.try_send(fetch);
+        let sent = self.partition(customer).jobs.try_send(Job::Fetch(fetch));
         sent.map_err(|error| history::Error::Unavailable(error.to_string()))?;
         match found.await {
             Ok(Ok(found)) => Ok(found),
@@ -277,6 +278,24 @@
         }
     }
 
+    /// Waits up to `limit` until the state contains what the log holds now of a customer; returns
+    /// whether it does.
+    pub async fn catch_up(&self, customer: &Customer, limit: Duration) -> bool {
+        let partitions = self.shared.partitions.len() as u32;
+        let index = partition(customer, partitions);
+        let mut applied = self.shared.applied.subscribe();
+        let (reply, end) = oneshot::channel();
+        let reached = async {
+            let sent = self.shared.partition(index).jobs.try_send(Job::End(reply));
+            let Ok(Ok(end)) = end.await else {
+                return false;
+            };
+            let reached = applied.wait_for(|applied| applied[index as usize] >= end);
+            sent.is_ok() && reached.await.is_ok()
+        };
+        timeout(limit, reached).await.unwrap_or(false)
+    }
+
     /// Encodes the state of a partition for a starting instance.
     pub fn export(&self, partition: u32) -> Option<bytes::Bytes> {
         self.state().export(partition)
--- a/src/ledger/history.rs
+++ b/src/ledger/history.rs
@@ -63,12 +63,20 @@
     pub(crate) reply: oneshot::Sender<Result<Turns, Failure>>,
 }
 
+/// Work for a [`Reader`].
+#[derive(Debug)]
+pub(crate) enum Job {
+    Fetch(Fetch),
+    /// Returns the offset after the last record that the log holds now.
+    End(oneshot::Sender<Result<u64, Failure>>),
+}
+
 /// Reads older records of one partition.
 pub(crate) struct Reader<L> {
     log: Arc<L>,
     shared: Arc<Shared>,
     partition: u32,
-    fetches: mpsc::Receiver<Fetch>,
+    jobs: mpsc::Receiver<Job>,
 }
 
 impl<L: Log> Reader<L> {
@@ -76,29 +84,31 @@
         log: Arc<L>,
         shared: Arc<Shared>,
         partition: u32,
-        fetches: mpsc::Receiver<Fetch>,
+        jobs: mpsc::Receiver<Job>,
     ) -> Self {
         Self {
             log,
             shared,
             partition,
-            fetches,
+            jobs,
         }
     }
 
     pub(crate) async fn run(mut self) {
-        while let Some(fetch) = self.fetches.recv().await {
-            let Fetch {
-                program,
-                locations,
-                reply,
-            } = fetch;
-            if reply.is_closed() {
-                continue;
-            }
-            let found = self.fetch(&program, locations).await;
+        while let Some(job) = self.jobs.recv().await {
             // The requester may have been cancelled.
-            let _ = reply.send(found);
+            match job {
+                Job::Fetch(fetch) if !fetch.reply.is_closed() => {
+                    let found = self.fetch(&fetch.program, fetch.locations).await;
+                    let _ = fetch.reply.send(found);
+                }
+                Job::End(reply) if !reply.is_closed() => {
+                    let limit = self.shared.settings.operation_timeout;
+                    let bounds = with_timeout(limit, self.log.bounds(self.partition)).await;
+                    let _ = reply.send(bounds.map(|bounds| bounds.end));
+                }
+                Job::Fetch(_) | Job::End(_) => {}
+            }
         }
     }
 
--- a/src/ledger/shared.rs
+++ b/src/ledger/shared.rs
@@ -23,7 +23,7 @@
 use crate::ledger::{
     cache::Cache,
     health::Health,
-    history::Fetch,
+    history::Job,
     queue::Queue,
     settings::Settings,
     state::{
@@ -33,14 +33,14 @@
 };
 
 /// Maximum number of requests for texts per partition that wait for the reader.
-const MAX_QUEUED_FETCHES: usize = 256;
+const MAX_QUEUED_JOBS: usize = 256;
 
 /// Shared state of one partition.
 #[derive(Debug)]
 pub(crate) struct Partition {
     pub(crate) queue: Queue,
     pub(crate) health: Health,
-    pub(crate) fetches: mpsc::Sender<Fetch>,
+    pub(crate) jobs: mpsc::Sender<Job>,
 }
 
 /// State shared by the handles and the tasks of a ledger.
@@ -60,14 +60,14 @@
 
 impl Shared {
     /// Also returns the receivers of requests for texts, one per partition.
-    pub(crate) fn new(settings: Settings) -> (Self, Vec<mpsc::Receiver<Fetch>>) {
+    pub(crate) fn new(settings: Settings) -> (Self, Vec<mpsc::Receiver<Job>>) {
         let count = settings.partitions.max(1);
         let partition = |_| {
-            let (fetches, receiver) = mpsc::channel(MAX_QUEUED_FETCHES);
+            let (jobs, receiver) = mpsc::channel(MAX_QUEUED_JOBS);
             let partition = Partition {
                 queue: Queue::default(),
                 health: Health::new(settings.failure_detection),
-                fetches,
+                jobs,
             };
             (partition, receiver)
         };
--- a/tests/ledger_commit.rs
+++ b/tests/ledger_commit.rs
@@ -31,10 +31,16 @@
         Refusal,
         Settings, //
     },
-    log::memory::{
-        Fault,
-        Memory,
-        Service, //
+    log::{
+        memory::{
+            Fault,
+            Memory,
+            Service, //
+        },
+        Batch,
+        Bounds,
+        Failure,
+        Log, //
     },
     money::Money,
     name::Customer,
@@ -47,6 +53,25 @@
 };
 use tokio::time::sleep;
 
+/// Log whose records reach an instance late.
+struct Slow(Memory);
+
+impl Log for Slow {
+    async fn append(&self, partition: u32, records: &[Bytes]) -> Result<u64, Failure> {
+        self.0.append(partition, records).await
+    }
+
+    async fn read(&self, partition: u32, from: u64, wait: Duration) -> Result<Batch, Failure> {
+        let batch = self.0.read(partition, from, wait).await;
+        sleep(Duration::from_millis(200)).await;
+        batch
+    }
+
+    async fn bounds(&self, partition: u32) -> Result<Bounds, Failure> {
+        self.0.bounds(partition).await
+    }
+}
+
 /// Returns the number of copies of a record in the log.
 fn copies(log: &Memory, record: &Record) -> usize {
     let records = log.records(0);
@@ -382,3 +407,36 @@
         accept(&ledger, publish(1, 10)).await;
     });
 }
+
+/// Guards against a history without a turn that another instance has answered as committed.
+#[test]
+fn catch_up_to_turns_of_another_instance() {
+    run(async {
+        let log = Memory::new(1);
+        let first = Ledger::start(log.share(), settings("a"));
+        let second = Ledger::start(Slow(log.share()), settings("b"));
+        accept(&first, publish(1, 1_000)).await;
+        let program = start_program(&first).await;
+        wait_until(|| second.state().program(&program).is_some()).await;
+        for index in 0..3 {
+            accept(&first, turn(&program, index)).await;
+            let limit = Duration::from_secs(5);
+            assert!(second.catch_up(&customer(), limit).await);
+            let history = second.history(&program).await.unwrap();
+            assert_eq!(history.len() as u32, index + 1);
+        }
+    });
+}
+
+/// Guards against a history that waits for as long as the log does not answer.
+#[test]
+fn catch_up_while_log_is_unresponsive() {
+    run(async {
+        let log = Memory::new(1);
+        let ledger = Ledger::start(log.clone(), settings("a"));
+        accept(&ledger, publish(1, 1_000)).await;
+        log.set_service(Service::Unresponsive);
+        let limit = Duration::from_millis(50);
+        assert!(!ledger.catch_up(&customer(), limit).await);
+    });
+}
