Wait in tests until the gateway has read the registry

resumption::stream_goes_on_after_an_answer_that_does_not_continue_it and endless::head_without_end_is_given_up failed with no_upstream. A deployment slept for 0.8 s, or 1 s after a change, in which the registry is read on an idle machine. The log of a gateway in such a run, at load 33 on 8 cores: the request was refused as no_upstream 5 ms before the registry was read.

The store stand-in records from which offset each topic is read. A gateway that reads from the end on has applied all records, and the tests wait for this after their pause. What they assert is unchanged.

--- a/standin/src/store/mod.rs
+++ b/standin/src/store/mod.rs
@@ -95,6 +95,8 @@
     faults: Faults,
     stats: Stats,
     partitions: Map<(String, u32), Partition>,
+    /// Highest offset from which each topic was read.
+    positions: Map<String, u64>,
     /// Time at which the answers to all reads so far are transferred.
     reads_done: Option<Instant>,
 }
@@ -161,6 +163,15 @@
             .sum()
     }
 
+    /// Returns whether a reader has applied all records of a keyed topic, as it reads from the end on.
+    pub fn is_read(&self, topic: &str) -> bool {
+        let inner = self.inner();
+        let partition = inner.partitions.get(&(topic.to_owned(), 0));
+        let position = inner.positions.get(topic);
+        partition
+            .is_none_or(|partition| position.is_some_and(|position| *position >= partition.end()))
+    }
+
     /// Reserves the share of an answer to a read; returns when it is transferred.
     fn reserve_read(&self, bytes: usize) -> Instant {
         let mut inner = self.inner();
--- a/standin/src/store/routes.rs
+++ b/standin/src/store/routes.rs
@@ -118,7 +118,13 @@
 }
 
 async fn read(store: Data<Store>, parameters: Query<Parameters>) -> HttpResponse {
-    store.inner().stats.reads += 1;
+    {
+        let mut inner = store.inner();
+        inner.stats.reads += 1;
+        let topic = parameters.topic.clone();
+        let position = inner.positions.entry(topic).or_default();
+        *position = parameters.from.max(*position);
+    }
     let wait = Duration::from_millis(parameters.wait_ms).min(MAX_WAIT);
     let arrived = async {
         loop {
--- a/tests/gateway/endless.rs
+++ b/tests/gateway/endless.rs
@@ -117,6 +117,7 @@
         .store
         .put("keyed.servers", "i-0", text.as_bytes());
     thread::sleep(Duration::from_secs(1));
+    deployment.wait_registry();
     let start = Instant::now();
     let headers = "Token-Count: 50,40\r\nDeadline-Ms: 3000\r\n";
     let message = deployment.request(&request("POST", path, headers, ""));
@@ -137,6 +138,7 @@
     deployment.store.remove("keyed.servers", "i-0");
     register(&deployment.store, "i-1", &sound, "ready", "v1");
     thread::sleep(Duration::from_secs(1));
+    deployment.wait_registry();
     let answer = deployment.request(&request("POST", "/once/x", "", ""));
     assert_eq!(answer.text(), "sound", "{path}");
     message
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -541,6 +541,7 @@
         deployment.wait_ready();
         // The registry is reread after its pause.
         thread::sleep(Duration::from_millis(800));
+        deployment.wait_registry();
         deployment
     }
 
@@ -557,6 +558,15 @@
         configure(&self.store, version, 0);
     }
 
+    /// Waits until the gateway has applied all entries of servers.
+    pub fn wait_registry(&self) {
+        let until = Instant::now() + START_TIMEOUT;
+        while !self.store.is_read("keyed.servers") {
+            assert!(Instant::now() < until, "the registry is not read");
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
     /// Publishes the entry of a server.
     pub fn register(&self, id: &str, upstream: &Upstream, state: &str) {
         register(&self.store, id, upstream, state, "v1");
