Keep test processes that run at the same time apart

A test process hands out ports from a block that its identifier selects, modulo 100. Two processes with the same remainder have the same block. If they start at the same time, each sees the same ports as free, and one instance of two has the port. The other one ends, and its test goes on with the instance of the other test. A process now claims a block by a socket that it keeps, and takes another block if it needs more ports.

Addresses that refuse connections were released, so that a socket of another test could take them, and answer. They are kept now.

--- a/tests/gateway/stranded.rs
+++ b/tests/gateway/stranded.rs
@@ -158,8 +158,18 @@
     }
 }
 
-/// Returns an address that refuses connections.
+/// Returns an address that refuses connections, also after others took free ports.
 pub fn refusing() -> SocketAddr {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+    socket.bind(&any.into()).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    std::mem::forget(socket);
+    address
+}
+
+/// Returns an address at which no socket listens yet.
+fn unused() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     listener.local_addr().unwrap()
 }
@@ -257,7 +267,7 @@
 #[test]
 fn stranded_instance_connects_directly_once_it_can() {
     let reached = [sound(), sound()];
-    let addresses = [refusing(), refusing()];
+    let addresses = [unused(), unused()];
     let fleet = Fleet::start(
         1,
         &[
@@ -302,7 +312,7 @@
     });
     let fleet = Fleet::start(1, &[(resetting.address, refusing())]);
     let answer = send(&fleet.stranded, "/once/x");
-    assert_eq!(resetting.requests().len(), 1);
+    assert_eq!(resetting.requests().len(), 1, "{}", answer.text());
     assert_eq!(answer.status(), 502, "{}", answer.text());
 }
 
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -359,16 +359,58 @@
     settings: PathBuf,
 }
 
-/// Returns an address that no socket has.
-///
-/// Its port is below those that the kernel hands out, so that no connection takes it before the
-/// process listens. Test processes that run at the same time begin at different ports.
+/// Ports that one test process hands out. They are below those that the kernel hands out, so that no
+/// connection takes them before a gateway listens.
+const BLOCK_PORTS: u16 = 200;
+
+/// Blocks of ports, and the port at which the first one is claimed.
+const BLOCKS: u16 = 100;
+const FIRST_CLAIM: u16 = 9_800;
+const FIRST_PORT: u16 = 10_000;
+
+/// Blocks of ports of this process.
+struct Ports {
+    /// Each block, and the socket that keeps other test processes from it.
+    claimed: Vec<(u16, TcpListener)>,
+    handed_out: usize,
+}
+
+impl Ports {
+    /// Claims a block that no test process has, if there is one.
+    fn claim(&mut self) {
+        let first = std::process::id() as u16 % BLOCKS;
+        let blocks = (0..BLOCKS).map(|offset| (first + offset) % BLOCKS);
+        let claim = |block| Some((block, TcpListener::bind(local(FIRST_CLAIM + block)).ok()?));
+        self.claimed.extend(blocks.filter_map(claim).next());
+    }
+
+    /// Returns the next port; the first one follows on the last.
+    fn next(&mut self) -> u16 {
+        let ports = usize::from(BLOCK_PORTS);
+        if self.handed_out == self.claimed.len() * ports {
+            self.claim();
+        }
+        assert!(!self.claimed.is_empty(), "no block of ports is free");
+        let index = self.handed_out % (self.claimed.len() * ports);
+        self.handed_out = index + 1;
+        let (block, _) = &self.claimed[index / ports];
+        FIRST_PORT + block * BLOCK_PORTS + (index % ports) as u16
+    }
+}
+
+fn local(port: u16) -> SocketAddr {
+    ([127, 0, 0, 1], port).into()
+}
+
+/// Returns an address that no socket has, and that no other test process uses.
 fn free_address() -> SocketAddr {
-    static COUNT: AtomicU32 = AtomicU32::new(0);
-    let first = std::process::id() % 100 * 200;
+    static PORTS: Mutex<Ports> = Mutex::new(Ports {
+        claimed: Vec::new(),
+        handed_out: 0,
+    });
+    let mut ports = PORTS.lock().unwrap();
     loop {
-        let offset = first + COUNT.fetch_add(1, Ordering::SeqCst);
-        let address = SocketAddr::from(([127, 0, 0, 1], 10_000 + (offset % 20_000) as u16));
+        let address = local(ports.next());
         if TcpListener::bind(address).is_ok() {
             return address;
         }
