--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -151,6 +151,8 @@
         fs::remove_dir_all(&folder).context("temporary folder")?;
     }
     result?;
+    // A run without a whole stream has checked nothing.
+    anyhow::ensure!(record.counted("streams complete") > 0, "no stream is complete");
     Ok(match findings {
         0 => ExitCode::SUCCESS,
         _ => ExitCode::FAILURE,
--- a/examples/soak/record.rs
+++ b/examples/soak/record.rs
@@ -72,6 +72,11 @@
         *self.inner().counts.entry(name.into()).or_default() += 1;
     }
 
+    /// Returns a count.
+    pub fn counted(&self, name: &str) -> u64 {
+        self.inner().counts.get(name).copied().unwrap_or(0)
+    }
+
     /// Notes and prints a finding.
     pub fn finding(&self, finding: &Finding<'_>) {
         let at = self.start.elapsed();
