Put proxies between the processes of the soak, and disturb their links

The soak killed, stopped and paused processes, and no connection was slow, silent or reset on its own. With a fault of links, a loopback proxy is in front of each engine, of each instance for its clients and of the store for each instance. Connections are reset, silenced one way or both ways, slowed to some KiB/s or delayed: for one of these, for all engines of a service or for all instances of a zone to the store. A link passes ends and resets as they come, and refuses connections while its engine is away, as the address of the engine itself does. Connections between instances have no proxy: an instance announces the address that it listens on.

--- a/examples/soak/deployment.rs
+++ b/examples/soak/deployment.rs
@@ -50,6 +50,7 @@
     check::VERSIONS,
     engine::SLOTS,
     flags::Run,
+    link::Link,
     wire::Reader, //
 };
 
@@ -98,6 +99,8 @@
     pub name: String,
     /// Address for clients.
     pub callers: SocketAddr,
+    /// Whether it is in zone `a`; else it is in zone `b`.
+    pub first_zone: bool,
     ready: SocketAddr,
     settings: PathBuf,
     child: Mutex<Option<Child>>,
@@ -113,9 +116,14 @@
     pub stopped: AtomicBool,
     /// Folder with settings and logs.
     pub folder: PathBuf,
+    /// Links from instances to the store and from clients to instances, by instance; empty without
+    /// faults of links.
+    pub links: Vec<[Link; 2]>,
     engines: Vec<Mutex<Slot>>,
     /// Addresses for engines; there are more of them than engines.
     addresses: Vec<SocketAddr>,
+    /// Links in front of engines, by address; empty without faults of links.
+    engine_links: Vec<Link>,
     next_engine: AtomicU64,
     gateway: PathBuf,
     framing: String,
@@ -153,19 +161,37 @@
 
 impl Deployment {
     /// Starts all processes, and waits until the instances are ready and know each other.
-    pub fn start(flags: &Run) -> anyhow::Result<Self> {
+    ///
+    /// With links, a proxy is in front of each engine, of each instance for its clients and of the
+    /// store for each instance.
+    pub fn start(flags: &Run, with_links: bool) -> anyhow::Result<Self> {
         let folder = env::temp_dir().join(format!("gypsumlever-soak-{}", std::process::id()));
         fs::create_dir_all(&folder)?;
         let instances = flags.instances.unwrap_or(4);
         let engines = flags.engines.unwrap_or(8);
-        let mut addresses = free_addresses(5 * instances + 2 * engines);
+        let mut addresses = free_addresses(7 * instances + 4 * engines);
         let store = store::start(store::Config::default())?;
+        let mut links = Vec::new();
         let instances = (0..instances)
             .map(|number| {
-                let own: Vec<_> = addresses.drain(..5).collect();
-                Instance::new(number, &own, &store, &folder, flags)
+                let own: Vec<_> = addresses.drain(..7).collect();
+                if !with_links {
+                    return Instance::new(number, &own, store.address(), &folder, flags);
+                }
+                let to_store = Link::new(own[5], store.address());
+                let to_instance = Link::new(own[6], own[0]);
+                to_store.open()?;
+                to_instance.open()?;
+                let mut instance = Instance::new(number, &own, own[5], &folder, flags)?;
+                instance.callers = own[6];
+                links.push([to_store, to_instance]);
+                Ok(instance)
             })
             .collect::<anyhow::Result<Vec<_>>>()?;
+        let targets = addresses.split_off(2 * engines);
+        let engine_links = addresses.iter().zip(targets);
+        let engine_links = engine_links.map(|(address, target)| Link::new(*address, target));
+        let engine_links = engine_links.filter(|_| with_links).collect();
         let versions = flags.versions.unwrap_or(2).clamp(1, VERSIONS.len());
         let engines = (0..engines).map(|number| {
             Mutex::new(Slot {
@@ -189,6 +215,8 @@
             stopped: AtomicBool::new(false),
             folder,
             addresses,
+            links,
+            engine_links,
             next_engine: AtomicU64::new(100),
             gateway: flags.gateway.clone(),
             framing: flags.framing.clone().unwrap_or_else(|| "mixed".to_owned()),
@@ -219,6 +247,20 @@
         lock(&self.engines[number])
     }
 
+    /// Returns the link in front of an address of an engine.
+    pub fn engine_link(&self, address: SocketAddr) -> Option<&Link> {
+        let mut links = self.engine_links.iter();
+        links.find(|link| link.address == address)
+    }
+
+    /// Kills an engine.
+    pub fn kill_engine(&self, slot: &mut Slot) {
+        slot.kill();
+        if let Some(link) = self.engine_link(slot.address) {
+            link.close();
+        }
+    }
+
     /// Publishes a configuration, which is the same for all versions but for a timeout and routes
     /// without requests.
     pub fn configure(&self, version: u64) {
@@ -303,11 +345,13 @@
             .open(self.folder.join("engines.log"))?;
         // An engine that starts again has a later start.
         slot.born = unix_ms().max(slot.born + 1);
+        let link = self.engine_link(slot.address);
+        let listen = link.map_or(slot.address, Link::target);
         let mut command = Command::new(env::current_exe()?);
         command
             .args(["engine", "--id", &slot.id, "--service", slot.service])
             .args(["--version", slot.version, "--framing", &self.framing])
-            .args(["--address", &slot.address.to_string()])
+            .args(["--address", &listen.to_string()])
             .args(["--born", &slot.born.to_string()])
             .stdin(Stdio::piped())
             .stdout(Stdio::null())
@@ -317,10 +361,13 @@
         }
         let child = command.spawn().context("engine")?;
         let until = Instant::now() + START_TIMEOUT;
-        while TcpStream::connect(slot.address).is_err() {
+        while TcpStream::connect(listen).is_err() {
             ensure!(Instant::now() < until, "an engine does not listen");
             thread::sleep(Duration::from_millis(5));
         }
+        if let Some(link) = link {
+            link.open().context("link")?;
+        }
         slot.child = Some(child);
         slot.sequence = 0;
         (slot.draining, slot.frozen) = (false, false);
@@ -411,14 +458,15 @@
     fn new(
         number: usize,
         addresses: &[SocketAddr],
-        store: &Server<Store>,
+        store: SocketAddr,
         folder: &std::path::Path,
         flags: &Run,
     ) -> anyhow::Result<Self> {
         let name = format!("entry-{number}");
+        let first_zone = number.is_multiple_of(2);
         let mut settings = json!({
             "instance": name,
-            "zone": if number.is_multiple_of(2) { "a" } else { "b" },
+            "zone": if first_zone { "a" } else { "b" },
             "listen": { "callers": addresses[0], "ready": addresses[1], "metrics": addresses[2] },
             "peers": {
                 "listen": addresses[3], "cluster": "soak", "secret": "soak",
@@ -426,7 +474,7 @@
                     "ip": "127.0.0.1", "ports": [addresses[4].port(), addresses[4].port()],
                 },
             },
-            "store": { "address": store.address(), "partitions": 12 },
+            "store": { "address": store, "partitions": 12 },
             "grace_s": GRACE_S,
         });
         if !flags.no_first_start {
@@ -442,6 +490,7 @@
         Ok(Self {
             name,
             callers: addresses[0],
+            first_zone,
             ready: addresses[1],
             settings: file,
             child: Mutex::new(None),
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -33,6 +33,10 @@
 use crate::{
     check::VERSIONS,
     deployment::Deployment,
+    link::{
+        Link,
+        Mode, //
+    },
     record::Record, //
 };
 
@@ -66,10 +70,18 @@
     Store,
     /// Versions of the configuration follow each other quickly.
     Configuration,
+    /// Connections are reset, and new ones too for a while.
+    LinkReset,
+    /// Connections are silent, one way or both ways, and go on or are reset afterwards.
+    LinkSilent,
+    /// Connections pass a few KiB per second.
+    LinkSlow,
+    /// Connections pass bytes later.
+    LinkDelay,
 }
 
 /// Kinds of faults, with the names that the command line has for them.
-const FAULTS: [(&str, Fault); 12] = [
+const FAULTS: [(&str, Fault); 16] = [
     ("engine-kill", Fault::EngineKill),
     ("engine-restart", Fault::EngineRestart),
     ("engine-version", Fault::EngineVersion),
@@ -82,8 +94,25 @@
     ("instance-all", Fault::InstanceAll),
     ("store", Fault::Store),
     ("configuration", Fault::Configuration),
+    ("link-reset", Fault::LinkReset),
+    ("link-silent", Fault::LinkSilent),
+    ("link-slow", Fault::LinkSlow),
+    ("link-delay", Fault::LinkDelay),
+];
+
+/// Faults of links.
+const LINK_FAULTS: [Fault; 4] = [
+    Fault::LinkReset,
+    Fault::LinkSilent,
+    Fault::LinkSlow,
+    Fault::LinkDelay,
 ];
 
+/// Returns whether some of the faults disturb links.
+pub fn use_links(faults: &[Fault]) -> bool {
+    faults.iter().any(|fault| LINK_FAULTS.contains(fault))
+}
+
 /// Returns the faults of a list with commas; all of them for `all`, and none for `none`.
 pub fn parse(list: &str) -> anyhow::Result<Vec<Fault>> {
     match list {
@@ -180,6 +209,9 @@
                     pause(rng.random_range(20..150));
                 }
             }
+            Fault::LinkReset | Fault::LinkSilent | Fault::LinkSlow | Fault::LinkDelay => {
+                self.disturb_links(fault, rng);
+            }
         }
         Ok(())
     }
@@ -188,7 +220,7 @@
         let id = {
             let mut slot = self.deployment.engine(number);
             self.note(format!("engine {} killed", slot.id));
-            slot.kill();
+            self.deployment.kill_engine(&mut slot);
             slot.id.clone()
         };
         if fault == Fault::EngineRestart {
@@ -255,6 +287,12 @@
         if let Some(mut child) = child {
             child.wait()?;
         }
+        if let Some(link) = self
+            .deployment
+            .engine_link(self.deployment.engine(number).address)
+        {
+            link.close();
+        }
         self.note(format!("engine {id} left"));
         let new = self.deployment.new_id();
         {
@@ -335,6 +373,79 @@
         Ok(())
     }
 
+    /// Disturbs the link of an engine, of all engines of a service, between an instance and the
+    /// store or its clients, or between all instances of a zone and the store.
+    fn disturb_links(&self, fault: Fault, rng: &mut SmallRng) {
+        let deployment = self.deployment;
+        let (engines, instances) = (self.engines.len(), self.instances.len());
+        let (engine, instance) = (rng.random_range(0..engines), rng.random_range(0..instances));
+        let first_zone = rng.random_bool(0.5);
+        let engine_link = |number| deployment.engine_link(deployment.engine(number).address);
+        let store_links = || deployment.links.iter().map(|[to_store, _]| to_store);
+        let (name, links): (String, Vec<&Link>) = match rng.random_range(0..6) {
+            0 | 1 => (
+                format!("engine {engine}"),
+                engine_link(engine).into_iter().collect(),
+            ),
+            2 => {
+                let same = (0..engines).filter(|number| number % 2 == engine % 2);
+                (
+                    "engines of a service".into(),
+                    same.filter_map(engine_link).collect(),
+                )
+            }
+            3 => {
+                let name = format!("entry-{instance} to the store");
+                (name, store_links().skip(instance).take(1).collect())
+            }
+            4 => {
+                let name = format!("clients to entry-{instance}");
+                let [_, to_instance] = &deployment.links[instance];
+                (name, vec![to_instance])
+            }
+            _ => {
+                let zone = deployment.instances.iter().zip(store_links());
+                let zone = zone.filter(|(instance, _)| instance.first_zone == first_zone);
+                (
+                    "a zone to the store".into(),
+                    zone.map(|(_, link)| link).collect(),
+                )
+            }
+        };
+        let mode = match fault {
+            Fault::LinkSilent => {
+                let way = rng.random_range(0..3);
+                Mode::Silent {
+                    up: way != 1,
+                    down: way != 2,
+                }
+            }
+            Fault::LinkSlow => Mode::Slow(rng.random_range(1..16) << 10),
+            Fault::LinkDelay => Mode::Delay(Duration::from_millis(rng.random_range(20..400))),
+            _ if rng.random_bool(0.5) => Mode::Refuse,
+            _ => Mode::Open,
+        };
+        let reset_after = fault == Fault::LinkSilent && rng.random_bool(0.4);
+        let reset_before = fault == Fault::LinkReset;
+        self.note(format!(
+            "link of {name}: {mode:?}, reset first: {reset_before}"
+        ));
+        for link in &links {
+            link.set_mode(mode);
+            if reset_before {
+                link.reset();
+            }
+        }
+        pause(rng.random_range(200..3_500));
+        for link in &links {
+            if reset_after {
+                link.reset();
+            }
+            link.set_mode(Mode::Open);
+        }
+        self.note(format!("link of {name} is open, reset: {reset_after}"));
+    }
+
     fn disturb_store(&self, rng: &mut SmallRng) {
         let Ok(_guard) = self.store.try_lock() else {
             return;
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -9,6 +9,7 @@
 mod deployment;
 mod engine;
 mod faults;
+mod link;
 mod record;
 mod wire;
 
@@ -112,7 +113,7 @@
     let seed = flags.seed.unwrap_or(1);
     let faults = faults::parse(flags.faults.as_deref().unwrap_or("all"))?;
     let unnamed = f64::from(flags.unnamed.unwrap_or(0).min(100)) / 100.0;
-    let deployment = Arc::new(Deployment::start(flags)?);
+    let deployment = Arc::new(Deployment::start(flags, faults::use_links(&faults))?);
     for instance in &deployment.instances {
         instance.set_started()?;
     }
@@ -152,7 +153,10 @@
     }
     result?;
     // A run without a whole stream has checked nothing.
-    anyhow::ensure!(record.counted("streams complete") > 0, "no stream is complete");
+    anyhow::ensure!(
+        record.counted("streams complete") > 0,
+        "no stream is complete"
+    );
     Ok(match findings {
         0 => ExitCode::SUCCESS,
         _ => ExitCode::FAILURE,
