Let the engines of the soak break some of their answers

The engines of the soak were sound but for their ends. The checker reads the fields of an event in place of one exact text, and finds line ends that a gateway changed.

--- a/examples/soak/check.rs
+++ b/examples/soak/check.rs
@@ -11,13 +11,39 @@
 /// Number of lengths that streams have.
 const LENGTHS: u64 = 24;
 
+/// How the lines of an event are written.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Form {
+    /// One line for each field.
+    Plain,
+    /// Lines end with a carriage return too.
+    Crlf,
+    /// Comments come before and in the event.
+    Comments,
+    /// The data has several lines.
+    Lines,
+}
+
+/// Returns where the first event of some bytes ends, with its empty line.
+pub fn event_end(bytes: &[u8]) -> Option<usize> {
+    let mut start = 0;
+    while let Some(length) = bytes[start..].iter().position(|byte| *byte == b'\n') {
+        let line = &bytes[start..start + length];
+        start += length + 1;
+        if line.is_empty() || line == b"\r" {
+            return Some(start);
+        }
+    }
+    None
+}
+
 /// What a stream consists of: it depends on the request, the service and the software version only.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Content {
     hash: u64,
     /// Number of events.
     pub total: u64,
-    /// Bytes that each event holds besides.
+    /// Characters that each event holds besides.
     padding: usize,
 }
 
@@ -45,6 +71,23 @@
         format!("id: {number}\ndata: {data} run={run}\n\n")
     }
 
+    /// As `event`; the identifier of the run has to end with the form's name.
+    pub fn event_in(&self, form: Form, number: u64, run: &str) -> String {
+        let event = self.event(number, run);
+        match form {
+            Form::Plain => event,
+            Form::Crlf => event.replace('\n', "\r\n"),
+            Form::Comments => {
+                let event = event.replace("\ndata: ", "\n: id\ndata: ");
+                format!(": comment\n\n: comment é\n{event}")
+            }
+            // The first spaces are those of the fields.
+            Form::Lines => event
+                .replacen(" of ", "\ndata: of ", 1)
+                .replace(" run=", "\ndata: run="),
+        }
+    }
+
     /// Returns the part of an event that does not depend on its run.
     fn data(&self, number: u64) -> String {
         let Self {
@@ -52,7 +95,7 @@
             total,
             padding,
         } = *self;
-        let filling = "x".repeat(padding);
+        let filling: String = "xé漢".chars().cycle().take(padding).collect();
         format!("{hash:016x} {number} of {total} {filling}")
     }
 }
@@ -141,7 +184,16 @@
 
     /// Checks an event with its empty line.
     pub fn event(&mut self, text: &str) -> Result<(), Kind> {
-        let (number, data, run) = parse(text).ok_or(Kind::Foreign)?;
+        let fields = Fields::parse(text).ok_or(Kind::Foreign)?;
+        if fields == Fields::default() {
+            // It has comments only.
+            return Ok(());
+        }
+        let (number, data, run) = fields.event().ok_or(Kind::Foreign)?;
+        // Events are passed on as they are.
+        if text.contains('\r') != run.ends_with("Crlf") {
+            return Err(Kind::Foreign);
+        }
         let is_from = |content: &&Content| content.data(number) == data;
         let Some(content) = self.contents.iter().find(is_from).copied() else {
             let known = self
@@ -195,10 +247,39 @@
     }
 }
 
-/// Returns the number, the data and the run of an event.
-fn parse(text: &str) -> Option<(u64, &str, &str)> {
-    let text = text.strip_prefix("id: ")?.strip_suffix("\n\n")?;
-    let (number, data) = text.split_once("\ndata: ")?;
-    let (data, run) = data.rsplit_once(" run=")?;
-    Some((number.parse().ok()?, data, run))
+/// Fields of an event.
+#[derive(Debug, Default, Eq, PartialEq)]
+struct Fields {
+    id: Option<u64>,
+    /// Lines of the data, separated by spaces.
+    data: Option<String>,
+}
+
+impl Fields {
+    /// Returns the fields of an event with its empty line; `None` if it isn't well formed.
+    fn parse(text: &str) -> Option<Self> {
+        let lines = text.strip_suffix("\n\n");
+        let lines = lines.or_else(|| text.strip_suffix("\r\n\r\n"))?;
+        let mut fields = Self::default();
+        for line in lines.lines().filter(|line| !line.starts_with(':')) {
+            match line.split_once(": ")? {
+                ("id", id) if fields.id.is_none() => fields.id = Some(id.parse().ok()?),
+                ("data", line) => match &mut fields.data {
+                    Some(data) => {
+                        data.push(' ');
+                        data.push_str(line);
+                    }
+                    None => fields.data = Some(line.to_owned()),
+                },
+                _ => return None,
+            }
+        }
+        Some(fields)
+    }
+
+    /// Returns the number, the data and the run.
+    fn event(&self) -> Option<(u64, &str, &str)> {
+        let (data, run) = self.data.as_ref()?.rsplit_once(" run=")?;
+        Some((self.id?, data, run))
+    }
 }
--- a/examples/soak/client.rs
+++ b/examples/soak/client.rs
@@ -374,8 +374,8 @@
                 Err(_) => return End::Broken,
             };
             answer.rest.extend_from_slice(&part);
-            while let Some(at) = answer.rest.windows(2).position(|pair| pair == b"\n\n") {
-                let event: Vec<u8> = answer.rest.drain(..at + 2).collect();
+            while let Some(end) = check::event_end(&answer.rest) {
+                let event: Vec<u8> = answer.rest.drain(..end).collect();
                 let event = String::from_utf8_lossy(&event);
                 if let Err(kind) = checker.event(&event) {
                     let start: String = event.chars().take(80).collect();
--- a/examples/soak/deployment.rs
+++ b/examples/soak/deployment.rs
@@ -127,6 +127,7 @@
     next_engine: AtomicU64,
     gateway: PathBuf,
     framing: String,
+    flaws: String,
     defect: Option<String>,
 }
 
@@ -154,9 +155,10 @@
     }
 }
 
-fn unix_ms() -> u64 {
+/// Returns the time since the Unix epoch.
+pub fn unix_time() -> Duration {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.unwrap_or_default().as_millis() as u64
+    since.unwrap_or_default()
 }
 
 impl Deployment {
@@ -220,6 +222,7 @@
             next_engine: AtomicU64::new(100),
             gateway: flags.gateway.clone(),
             framing: flags.framing.clone().unwrap_or_else(|| "mixed".to_owned()),
+            flaws: flags.flaws.clone().unwrap_or_else(|| "none".to_owned()),
             defect: flags.defect.clone(),
         };
         deployment.configure(1);
@@ -344,7 +347,7 @@
             .append(true)
             .open(self.folder.join("engines.log"))?;
         // An engine that starts again has a later start.
-        slot.born = unix_ms().max(slot.born + 1);
+        slot.born = (unix_time().as_millis() as u64).max(slot.born + 1);
         let link = self.engine_link(slot.address);
         let listen = link.map_or(slot.address, Link::target);
         let mut command = Command::new(env::current_exe()?);
@@ -352,6 +355,7 @@
             .args(["engine", "--id", &slot.id, "--service", slot.service])
             .args(["--version", slot.version, "--framing", &self.framing])
             .args(["--address", &listen.to_string()])
+            .args(["--flaws", &self.flaws])
             .args(["--born", &slot.born.to_string()])
             .stdin(Stdio::piped())
             .stdout(Stdio::null())
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -45,6 +45,9 @@
                 optional --framing framing: String
                 /// Percent of the resumptions that don't name the request that they resume.
                 optional --unnamed unnamed: u32
+                /// What engines do to some answers: `cut`, `second`, `other`, `error`, `fin`, `limit` and
+                /// `forms`, separated by commas, `all` or `none`, which is the default.
+                optional --flaws flaws: String
                 /// Defect of the engines, to test the checks: `skip`, `repeat`, `early-end` or `foreign`.
                 optional --defect defect: String
                 /// Leave the field `first_start` out of the settings.
@@ -68,6 +71,8 @@
                 required --born born: u64
                 /// Framing of answers.
                 optional --framing framing: String
+                /// Flaws.
+                optional --flaws flaws: String
                 /// Defect.
                 optional --defect defect: String
             }
--- a/examples/soak/record.rs
+++ b/examples/soak/record.rs
@@ -13,7 +13,10 @@
     },
 };
 
-use crate::check::Kind;
+use crate::{
+    check::Kind,
+    deployment, //
+};
 
 /// Time before a finding in which faults are printed with it.
 const FAULT_WINDOW: Duration = Duration::from_secs(2);
@@ -120,6 +123,5 @@
 
 /// Returns the wall-clock time in seconds, as the logs of instances have it.
 fn unix_time() -> String {
-    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    format!("unix {:.3}", since.unwrap_or_default().as_secs_f64())
+    format!("unix {:.3}", deployment::unix_time().as_secs_f64())
 }
--- a/tests/soak_check.rs
+++ b/tests/soak_check.rs
@@ -4,9 +4,11 @@
 mod check;
 
 use check::{
+    event_end,
     head,
     Checker,
     Content,
+    Form,
     Kind,
     VERSIONS, //
 };
@@ -127,3 +129,46 @@
     assert_eq!(head("r1", Some("r2"), true), Err(Kind::Foreign));
     assert_eq!(head("r1", None, true), Err(Kind::Foreign));
 }
+
+const FORMS: [(Form, &str); 4] = [
+    (Form::Plain, "a/Plain"),
+    (Form::Crlf, "a/Crlf"),
+    (Form::Comments, "a/Comments"),
+    (Form::Lines, "a/Lines"),
+];
+
+// A form that the checker does not read makes sound streams look broken.
+#[test]
+fn events_of_all_forms_are_complete() {
+    for (form, run) in FORMS {
+        let mut checker = Checker::new("s", BODY, true);
+        let numbers = 1..=content(0).total;
+        let text: String = numbers
+            .map(|number| content(0).event_in(form, number, run))
+            .collect();
+        let mut rest = text.as_bytes();
+        while let Some(end) = event_end(rest) {
+            let event = std::str::from_utf8(&rest[..end]).unwrap();
+            assert_eq!(checker.event(event), Ok(()), "{event:?}");
+            rest = &rest[end..];
+        }
+        assert_eq!(checker.end(rest), Ok(()), "{form:?}");
+        assert_eq!(checker.runs(), [run]);
+    }
+}
+
+// A gateway that writes other line ends than its engine changes the answer.
+#[test]
+fn changed_line_end_is_found() {
+    let text = content(0).event_in(Form::Crlf, 3, "a/Crlf");
+    let changed = text.replace("\r\n", "\n");
+    assert_eq!(checker(true, 2).event(&changed), Err(Kind::Foreign));
+}
+
+// A gateway that joins the start of one event and the rest of another one shows two numbers.
+#[test]
+fn joined_events_are_found() {
+    let event = content(0).event(3, "a");
+    let joined = format!("{}{event}", event.trim_end().to_owned() + "\n");
+    assert_eq!(checker(true, 2).event(&joined), Err(Kind::Foreign));
+}
