Check what engines ran against what the clients of the soak asked for

The soak checked streams alone, so that a request that must run once could run twice, or run after a refusal that promises that it does not. Engines now write a line for each run. At the end the runs are compared with the requests: runs that no client asked for, second runs and runs after a refusal of requests that may run once (TWICE, REFUSED), runs on more engines or with more time than allowed (BUDGET), runs long after the report that an engine drains (DRAIN), answers late after the deadline, requests without an answer and connections closed without one (LOST). Three requests of ten are plain calls that may run once, some of them longer than their deadline.

Clients skip instances whose readiness check failed twice, as the balancer does, and refusals are counted by reason. Some engines leave without a report; their entries go and they serve on.

Each check has tests in tests/soak_check.rs.

--- a/examples/soak/check.rs
+++ b/examples/soak/check.rs
@@ -120,6 +120,22 @@
     Runs,
     /// A success without the signature of an engine.
     Unsigned,
+    /// An engine ran a request that no client sent.
+    Unasked,
+    /// A request that may run once only ran more often.
+    Twice,
+    /// A request whose answer promises that it does not run has run.
+    Refused,
+    /// Requests run on more engines than they may, or with more time than is left.
+    Budget,
+    /// A request reached an engine long after the report that it drains.
+    Drain,
+    /// An answer came long after the deadline.
+    Late,
+    /// There was neither an answer nor the end of the connection.
+    Unanswered,
+    /// Connections ended without an answer.
+    Lost,
 }
 
 /// Checks the head of a success: it names its request, and the engine signed it.
--- a/examples/soak/client.rs
+++ b/examples/soak/client.rs
@@ -1,7 +1,10 @@
 //! Clients: they play streams, take up those that break, and check what they receive.
 
 use std::{
-    io::Write as _,
+    io::{
+        ErrorKind,
+        Write as _, //
+    },
     net::TcpStream,
     sync::{
         atomic::{
@@ -31,6 +34,7 @@
         Kind, //
     },
     deployment::{
+        unix_time,
         Deployment,
         SERVICES, //
     },
@@ -38,6 +42,7 @@
         Finding,
         Record, //
     },
+    runs::Asked,
     wire::{
         Framing,
         Reader, //
@@ -55,6 +60,18 @@
 /// Time for which a client waits for a stream.
 const DEADLINE: Duration = Duration::from_secs(12);
 
+/// Longest time that a route lets a request wait.
+const ROUTE_TIMEOUT: Duration = Duration::from_millis(8_060);
+
+/// Time beyond a deadline for which a client waits for an answer.
+const OVERTIME: Duration = Duration::from_secs(3);
+
+/// Share of the requests that are plain calls, which may run once.
+const CALL_SHARE: f64 = 0.3;
+
+/// Share of the calls whose engine works longer than the client waits.
+const LONG_SHARE: f64 = 0.05;
+
 /// Receive buffer of a client that reads slowly, in bytes.
 const SLOW_BUFFER: usize = 4 << 10;
 
@@ -74,6 +91,9 @@
 /// A stream that a client wants.
 struct Stream {
     service: &'static str,
+    route: &'static str,
+    /// Time for which the client waits.
+    deadline: Duration,
     resumable: bool,
     body: String,
     /// Headers of all its requests.
@@ -140,6 +160,11 @@
         let mut rng = SmallRng::seed_from_u64(seed);
         let mut kept = None;
         while !self.deployment.stopped.load(Ordering::SeqCst) {
+            if rng.random_bool(CALL_SHARE) {
+                let call = Arc::new(self.call(&mut rng));
+                self.play(&call, &mut kept, &mut rng);
+                continue;
+            }
             let turns = match rng.random_bool(0.25) {
                 true => rng.random_range(2..5),
                 false => 0,
@@ -156,6 +181,26 @@
         self.number.fetch_add(1, Ordering::SeqCst)
     }
 
+    /// Returns a call, whose answer has the content of a stream.
+    fn call(&self, rng: &mut SmallRng) -> Stream {
+        let (seed, number) = (self.seed, self.next());
+        let work = match rng.random_bool(LONG_SHARE) {
+            true => 4_000,
+            false => rng.random_range(0..300),
+        };
+        Stream {
+            service: SERVICES[rng.random_range(0..SERVICES.len())],
+            route: "call",
+            deadline: Duration::from_millis(rng.random_range(1_000..3_000)),
+            resumable: false,
+            body: format!("call {seed}-{number} work={work}"),
+            headers: String::new(),
+            program: false,
+            slow: None,
+            leave_after: None,
+        }
+    }
+
     fn stream(&self, program: Option<u32>, turn: u32, rng: &mut SmallRng) -> Stream {
         let padding = match rng.random_bool(0.15) {
             true => rng.random_range(1_000..12_000),
@@ -177,6 +222,8 @@
         }
         Stream {
             service: SERVICES[rng.random_range(0..SERVICES.len())],
+            route: if resumable { "resumable" } else { "once" },
+            deadline: DEADLINE,
             resumable,
             body: format!("prompt {seed}-{number} gap={gap} padding={padding}"),
             headers,
@@ -191,11 +238,15 @@
     fn play(
         self: &Arc<Self>,
         stream: &Arc<Stream>,
-        kept: &mut Option<Connection>,
+        idle: &mut Option<Connection>,
         rng: &mut SmallRng,
     ) {
-        self.record.count("streams");
-        let until = Instant::now() + DEADLINE;
+        let noun = match stream.route {
+            "call" => "calls",
+            _ => "streams",
+        };
+        self.record.count(noun);
+        let until = Instant::now() + stream.deadline;
         let mut checker = Checker::new(stream.service, &stream.body, stream.resumable);
         // Request that brought the first event.
         let mut first: Option<String> = None;
@@ -216,7 +267,9 @@
                     headers.push_str(&format!("Resumes: {name}\r\n"));
                 }
             }
-            let connection = match kept.take().filter(|_| attempt == 0) {
+            let kept = idle.take().filter(|_| attempt == 0);
+            let fresh = kept.is_none();
+            let connection = match kept {
                 Some(connection) => connection,
                 None => match self.connect(stream, rng) {
                     Some(connection) => connection,
@@ -232,10 +285,24 @@
                 instance,
                 stream: stream.clone(),
             };
+            self.record.count("requests");
+            let mut asked = Asked {
+                once: !stream.resumable,
+                sent: unix_time().as_secs_f64(),
+                deadline: left.min(ROUTE_TIMEOUT).as_secs_f64(),
+                ..Asked::default()
+            };
+            self.record.asked(&id, asked.clone());
             let begun = match this.send(&mut reader, &headers) {
-                Ok(()) => self.begin(&this, &mut reader, &checker),
+                Ok(()) => self.begin(&this, &mut reader, &checker, &mut asked),
                 Err(_) => Err(End::Silent),
             };
+            // A kept connection may have ended before the request.
+            asked.calm = (fresh || asked.status.is_some())
+                && self
+                    .record
+                    .calm(&instance.to_string(), asked.sent, unix_time().as_secs_f64());
+            self.record.asked(&id, asked);
             let (end, answer) = match begun {
                 Ok(mut answer) => {
                     let may_leave = attempt == 0;
@@ -249,25 +316,24 @@
             }
             match end {
                 End::Complete => {
-                    self.record.count("streams complete");
+                    self.record.count(format!("{noun} complete"));
                     let after_end = reader.pending();
                     if after_end {
                         self.wrong(&this, Kind::Foreign, &checker, "bytes after the end");
                     } else if stream.slow.is_none() && rng.random_bool(0.9) {
-                        *kept = Some(Connection { instance, reader });
+                        *idle = Some(Connection { instance, reader });
                     }
                     return;
                 }
                 End::Wrong(_) => return,
                 End::Refused(status) => {
-                    self.record.count(format!("answers with status {status}"));
                     let promise = matches!(status, 408 | 421 | 429 | 503);
                     if status == 402 || !(promise || stream.resumable) {
                         break;
                     }
                 }
                 End::Broken | End::Left | End::Silent if !stream.resumable => {
-                    self.record.count("streams broken, not resumable");
+                    self.record.count(format!("{noun} broken, not resumable"));
                     return;
                 }
                 End::Broken | End::Left | End::Silent => {
@@ -286,7 +352,7 @@
             }
             pause(rng);
         }
-        self.record.count("streams given up");
+        self.record.count(format!("{noun} given up"));
     }
 
     /// Reads and checks the rest of an answer beside the next request.
@@ -306,7 +372,8 @@
     }
 
     fn connect(&self, stream: &Stream, rng: &mut SmallRng) -> Option<Connection> {
-        let instance = rng.random_range(0..self.deployment.instances.len());
+        let rotation = self.deployment.rotation();
+        let instance = rotation[rng.random_range(0..rotation.len())];
         let address = self.deployment.instances[instance].callers;
         let connection = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT).ok()?;
         connection.set_nodelay(true).ok()?;
@@ -325,13 +392,30 @@
         attempt: &Attempt,
         reader: &mut Reader,
         checker: &Checker,
+        asked: &mut Asked,
     ) -> Result<Answer, End> {
-        let head = reader.head().map_err(|_| End::Silent)?;
+        let start = Instant::now();
+        let wait = Duration::from_secs_f64(asked.deadline) + OVERTIME;
+        let set = |reader: &Reader, wait| reader.stream.set_read_timeout(Some(wait));
+        set(reader, wait).map_err(|_| End::Silent)?;
+        let head = reader.head();
+        if !matches!(&head, Err(error) if error.kind() == ErrorKind::WouldBlock) {
+            asked.took = Some(start.elapsed().as_secs_f64());
+        }
+        let head = head.map_err(|_| End::Silent)?;
+        set(reader, READ_TIMEOUT).map_err(|_| End::Silent)?;
         let status = head.word(1).parse().unwrap_or(0);
+        asked.status = Some(status);
         let mut framing = head.framing();
         let marks = format!("{framing:?}");
         if !(200..300).contains(&status) {
-            while let Ok(Some(_)) = reader.part(&mut framing) {}
+            let mut reason = Vec::new();
+            while let Ok(Some(part)) = reader.part(&mut framing) {
+                reason.extend_from_slice(&part);
+            }
+            let reason = String::from_utf8_lossy(&reason);
+            self.record
+                .count(format!("answers with status {status}, {reason}"));
             return Err(End::Refused(status));
         }
         let seal = head.header("server-seal");
@@ -417,11 +501,10 @@
     fn send(&self, reader: &mut Reader, headers: &str) -> std::io::Result<()> {
         let Stream {
             service,
-            resumable,
+            route,
             body,
             ..
         } = &*self.stream;
-        let route = if *resumable { "resumable" } else { "once" };
         let text = format!(
             "POST /{service}/{route}/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {}\r\nContent-Length: {}\r\n{headers}\r\n{body}",
             self.id,
--- a/examples/soak/deployment.rs
+++ b/examples/soak/deployment.rs
@@ -1,6 +1,7 @@
 //! Processes of a deployment: a store, engines and gateway instances.
 
 use std::{
+    collections::BTreeMap,
     env, fs,
     io::Write as _,
     net::{
@@ -18,6 +19,7 @@
         atomic::{
             AtomicBool,
             AtomicU64,
+            AtomicUsize,
             Ordering, //
         },
         Mutex,
@@ -51,6 +53,10 @@
     engine::SLOTS,
     flags::Run,
     link::Link,
+    runs::{
+        self,
+        MAX_ENGINES, //
+    },
     wire::Reader, //
 };
 
@@ -68,6 +74,15 @@
 
 const START_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Interval of the checks of the readiness.
+const READINESS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Failed checks in a row after which an instance gets no new connections.
+const MAX_MISSES: usize = 2;
+
+/// Name of the file with the runs of engines.
+const RUNS: &str = "runs.log";
+
 /// Time in which instances learn of each other.
 const SPREAD: Duration = Duration::from_millis(2_500);
 
@@ -101,6 +116,8 @@
     pub callers: SocketAddr,
     /// Whether it is in zone `a`; else it is in zone `b`.
     pub first_zone: bool,
+    /// Checks of the readiness in a row that failed.
+    misses: AtomicUsize,
     ready: SocketAddr,
     settings: PathBuf,
     child: Mutex<Option<Child>>,
@@ -125,6 +142,8 @@
     /// Links in front of engines, by address; empty without faults of links.
     engine_links: Vec<Link>,
     next_engine: AtomicU64,
+    /// First reports that engines drain, in seconds of Unix time.
+    drained: Mutex<BTreeMap<String, f64>>,
     gateway: PathBuf,
     framing: String,
     flaws: String,
@@ -220,6 +239,7 @@
             links,
             engine_links,
             next_engine: AtomicU64::new(100),
+            drained: Mutex::default(),
             gateway: flags.gateway.clone(),
             framing: flags.framing.clone().unwrap_or_else(|| "mixed".to_owned()),
             flaws: flags.flaws.clone().unwrap_or_else(|| "none".to_owned()),
@@ -267,22 +287,26 @@
     /// Publishes a configuration, which is the same for all versions but for a timeout and routes
     /// without requests.
     pub fn configure(&self, version: u64) {
-        let route = |service: &str, resumable: bool| {
-            let prefix = format!(
-                "/{service}/{}/",
-                if resumable { "resumable" } else { "once" }
-            );
+        let route = |service: &str, name: &str| {
+            let prefix = format!("/{service}/{name}/");
+            let kind = if name == "call" {
+                "unsafe"
+            } else {
+                "streaming"
+            };
             json!({
-                "name": prefix, "host": "h.example", "pathPrefix": prefix, "kind": "streaming",
+                "name": prefix, "host": "h.example", "pathPrefix": prefix, "kind": kind,
                 "timeoutMs": 8000 + version % 7 * 10, "targetLatencyMs": 500, "gapAimMs": 400,
-                "priority": 0, "service": service, "maxAttempts": 3, "resumable": resumable,
+                "priority": 0, "service": service, "maxAttempts": MAX_ENGINES,
+                "resumable": name == "resumable",
             })
         };
+        let names = ["resumable", "once", "call"];
         let mut routes: Vec<_> = SERVICES
             .iter()
-            .flat_map(|service| [route(service, true), route(service, false)])
+            .flat_map(|service| names.map(|name| route(service, name)))
             .collect();
-        routes.extend((0..version % 5).map(|number| route(&format!("idle-{number}"), true)));
+        routes.extend((0..version % 5).map(|number| route(&format!("idle-{number}"), "resumable")));
         let services = SERVICES.iter().map(
             |name| json!({ "name": name, "maxConns": 200, "engine": { "tokensPerEvent": 10 } }),
         );
@@ -312,6 +336,11 @@
             }
             if slot.child.is_some() && !slot.frozen {
                 slot.report(&self.store);
+                if slot.draining {
+                    let mut drained = lock(&self.drained);
+                    let first = drained.entry(slot.id.clone());
+                    first.or_insert_with(|| unix_time().as_secs_f64());
+                }
             } else if slot.reported.elapsed() > EXPIRY {
                 self.store.remove("keyed.servers", &slot.id);
             }
@@ -326,6 +355,49 @@
         }
     }
 
+    /// Checks the readiness of the instances each second until the deployment ends, as the balancer
+    /// does.
+    pub fn check_until_stopped(&self) {
+        while !self.stopped.load(Ordering::SeqCst) {
+            thread::scope(|scope| {
+                for instance in &self.instances {
+                    scope.spawn(|| match instance.is_ready() {
+                        Ok(true) => instance.misses.store(0, Ordering::SeqCst),
+                        _ => drop(instance.misses.fetch_add(1, Ordering::SeqCst)),
+                    });
+                }
+            });
+            thread::sleep(READINESS_INTERVAL);
+        }
+    }
+
+    /// Returns the instances that get new connections: those in rotation, or all if these are fewer
+    /// than half.
+    pub fn rotation(&self) -> Vec<usize> {
+        let all = 0..self.instances.len();
+        let in_rotation = |number: &usize| {
+            let misses = self.instances[*number].misses.load(Ordering::SeqCst);
+            misses < MAX_MISSES
+        };
+        let rotation: Vec<_> = all.clone().filter(in_rotation).collect();
+        match 2 * rotation.len() < all.len() {
+            true => all.collect(),
+            false => rotation,
+        }
+    }
+
+    /// Returns the runs of all engines.
+    pub fn runs(&self) -> anyhow::Result<Vec<runs::Run>> {
+        let text = fs::read_to_string(self.folder.join(RUNS)).context("runs")?;
+        let parse = |line| runs::Run::parse(line).with_context(|| format!("run {line}"));
+        text.lines().map(parse).collect()
+    }
+
+    /// Returns when engines first reported that they drain, in seconds of Unix time.
+    pub fn drained(&self) -> BTreeMap<String, f64> {
+        lock(&self.drained).clone()
+    }
+
     /// Returns an identifier that no engine had.
     pub fn new_id(&self) -> String {
         format!("i-{}", self.next_engine.fetch_add(1, Ordering::SeqCst))
@@ -356,6 +428,8 @@
             .args(["--version", slot.version, "--framing", &self.framing])
             .args(["--address", &listen.to_string()])
             .args(["--flaws", &self.flaws])
+            .arg("--runs")
+            .arg(self.folder.join(RUNS))
             .args(["--born", &slot.born.to_string()])
             .stdin(Stdio::piped())
             .stdout(Stdio::null())
@@ -495,6 +569,7 @@
             name,
             callers: addresses[0],
             first_zone,
+            misses: AtomicUsize::new(0),
             ready: addresses[1],
             settings: file,
             child: Mutex::new(None),
--- a/examples/soak/engine.rs
+++ b/examples/soak/engine.rs
@@ -1,6 +1,7 @@
 //! Engine: a process that answers requests with event streams.
 
 use std::{
+    fs::File,
     io::{
         self,
         BufRead as _,
@@ -47,6 +48,7 @@
     },
     deployment::unix_time,
     flags,
+    runs::Run,
     wire::{
         Head,
         Reader, //
@@ -81,6 +83,8 @@
     EarlyEnd,
     /// The stream is the answer to another body.
     Foreign,
+    /// A request runs although the engine says that it does not.
+    Refused,
 }
 
 /// What an engine does to some of its answers and connections, as real ones do.
@@ -168,6 +172,8 @@
     framing: Option<Framing>,
     defect: Option<Defect>,
     flaws: Vec<Flaw>,
+    /// File that has a line for each run.
+    log: File,
     /// Request that was answered last.
     last: Mutex<Option<Request>>,
     /// Second in Unix time, and the number of requests in it.
@@ -208,6 +214,7 @@
         "repeat" => Defect::Repeat,
         "early-end" => Defect::EarlyEnd,
         "foreign" => Defect::Foreign,
+        "refused" => Defect::Refused,
         _ => bail!("unknown defect {name}"),
     })
 }
@@ -223,6 +230,11 @@
         framing: framing(flags.framing.as_deref().unwrap_or("mixed"))?,
         defect: flags.defect.as_deref().map(defect).transpose()?,
         flaws: flaws(flags.flaws.as_deref().unwrap_or("none"))?,
+        log: File::options()
+            .create(true)
+            .append(true)
+            .open(&flags.runs)
+            .context("runs")?,
         last: Mutex::default(),
         second: Mutex::default(),
         running: AtomicUsize::new(0),
@@ -340,9 +352,26 @@
     /// Answers a request, in due form or with a flaw; returns the framing of the answer.
     fn answer(&self, writer: &mut Writer, request: &Request) -> io::Result<Framing> {
         let mut rng = rand::rng();
-        if self.shows(Flaw::Error) {
-            let id = request.head.header("request-id").unwrap_or("");
-            let (status, headers) = match rng.random_range(0..3) {
+        let id = request.head.header("request-id").unwrap_or("");
+        let mut error = self.shows(Flaw::Error).then(|| rng.random_range(0..3));
+        let defect = self.defect == Some(Defect::Refused) && rng.random_bool(DEFECT_SHARE);
+        if defect || error != Some(1) {
+            let deadline = request.head.header("deadline-ms");
+            let deadline = deadline.and_then(|deadline| deadline.parse::<f64>().ok());
+            let run = Run {
+                at: unix_time().as_secs_f64(),
+                request: id.to_owned(),
+                engine: self.id.clone(),
+                deadline: deadline.map(|deadline| deadline / 1_000.0),
+            };
+            // One call, so that a kill leaves a whole line.
+            (&self.log).write_all(run.line().as_bytes())?;
+        }
+        if defect {
+            error = Some(1);
+        }
+        if let Some(error) = error {
+            let (status, headers) = match error {
                 0 => {
                     writer.write_all(b"\0\xff HTTP/1.1 200 OK\r\n\r\nid: 1\n")?;
                     return Ok(Framing::Close);
@@ -477,15 +506,19 @@
             Framing::Close => "Connection: close\r\n".to_owned(),
         };
         let common = self.headers(&request.head);
+        let field = |name: &str| {
+            let value = request
+                .body
+                .split(' ')
+                .find_map(|word| word.strip_prefix(name));
+            Duration::from_millis(value.and_then(|value| value.parse().ok()).unwrap_or(0))
+        };
+        thread::sleep(field("work="));
         let text = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nServer-Seal: {run}\r\n{common}{marks}\r\n"
         );
         writer.write_all(text.as_bytes())?;
-        let gap = request
-            .body
-            .split(' ')
-            .find_map(|word| word.strip_prefix("gap="));
-        let gap = Duration::from_millis(gap.and_then(|gap| gap.parse().ok()).unwrap_or(0));
+        let gap = field("gap=");
         let groups = events.chunks(rng.random_range(1..3));
         for group in groups {
             thread::sleep(gap);
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -276,10 +276,19 @@
     fn leave(&self, number: usize, fault: Fault, rng: &mut SmallRng) -> anyhow::Result<()> {
         {
             let mut slot = self.deployment.engine(number);
-            slot.draining = true;
-            self.note(format!("engine {} drains", slot.id));
+            // Some engines leave without a report; only their entries go.
+            match rng.random_bool(0.3) {
+                true => slot.frozen = true,
+                false => slot.draining = true,
+            }
+            let reports = if slot.draining {
+                "drains"
+            } else {
+                "reports no more"
+            };
+            self.note(format!("engine {} {reports}", slot.id));
         }
-        pause(rng.random_range(500..2_000));
+        pause(rng.random_range(500..4_500));
         let (id, child) = {
             let mut slot = self.deployment.engine(number);
             (slot.id.clone(), slot.leave())
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -2,7 +2,7 @@
 //!
 //! Build the daemon first, then `cargo run --example soak -- run --gateway target/debug/gypsumleverd`.
 //! It exits with status 1 if a client saw an event that is missing, repeated or foreign, or an answer
-//! that ended early as complete.
+//! that ended early as complete, or if engines ran requests that must not have run.
 
 mod check;
 mod client;
@@ -11,6 +11,7 @@
 mod faults;
 mod link;
 mod record;
+mod runs;
 mod wire;
 
 mod flags {
@@ -48,7 +49,8 @@
                 /// What engines do to some answers: `cut`, `second`, `other`, `error`, `fin`, `limit` and
                 /// `forms`, separated by commas, `all` or `none`, which is the default.
                 optional --flaws flaws: String
-                /// Defect of the engines, to test the checks: `skip`, `repeat`, `early-end` or `foreign`.
+                /// Defect of the engines, to test the checks: `skip`, `repeat`, `early-end`, `foreign` or
+                /// `refused`.
                 optional --defect defect: String
                 /// Leave the field `first_start` out of the settings.
                 optional --no-first-start
@@ -71,6 +73,8 @@
                 required --born born: u64
                 /// Framing of answers.
                 optional --framing framing: String
+                /// File that gets a line for each run.
+                required --runs runs: PathBuf
                 /// Flaws.
                 optional --flaws flaws: String
                 /// Defect.
@@ -132,6 +136,7 @@
     let operators = &Operators::new(&deployment, &record, faults);
     let result = thread::scope(|scope| {
         scope.spawn(|| deployment.report_until_stopped());
+        scope.spawn(|| deployment.check_until_stopped());
         for number in 0..flags.clients.unwrap_or(48) as u64 {
             let (clients, seed) = (clients.clone(), seed << 32 | number);
             let run = move || clients.run(seed);
@@ -149,6 +154,7 @@
             joined.unwrap_or_else(|_| Err(anyhow::anyhow!("an operator panicked")))
         })
     });
+    record.compare(&deployment.runs()?, &deployment.drained());
     let findings = record.summary();
     let folder = deployment.folder.clone();
     if findings > 0 || result.is_err() || flags.keep_logs {
--- a/examples/soak/record.rs
+++ b/examples/soak/record.rs
@@ -15,7 +15,12 @@
 
 use crate::{
     check::Kind,
-    deployment, //
+    deployment,
+    runs::{
+        self,
+        Asked,
+        Run, //
+    },
 };
 
 /// Time before a finding in which faults are printed with it.
@@ -36,8 +41,12 @@
     pub details: String,
 }
 
+/// Time for which a fault may still disturb what it names, its length included.
+const DISTURBED_S: f64 = 6.0;
+
 #[derive(Default)]
 struct Inner {
+    asked: BTreeMap<String, Asked>,
     faults: Vec<(Duration, String)>,
     findings: BTreeMap<Kind, u64>,
     counts: BTreeMap<String, u64>,
@@ -46,6 +55,8 @@
 /// Record of a soak.
 pub struct Record {
     start: Instant,
+    /// Start in seconds of Unix time.
+    started: f64,
     seed: u64,
     inner: Mutex<Inner>,
 }
@@ -55,6 +66,7 @@
     pub fn new(seed: u64) -> Self {
         Self {
             start: Instant::now(),
+            started: deployment::unix_time().as_secs_f64(),
             seed,
             inner: Mutex::default(),
         }
@@ -80,6 +92,42 @@
         self.inner().counts.get(name).copied().unwrap_or(0)
     }
 
+    /// Notes a request of a client.
+    pub fn asked(&self, id: &str, asked: Asked) {
+        self.inner().asked.insert(id.to_owned(), asked);
+    }
+
+    /// Returns whether no fault of an instance, or of any if none is named, of a link or of the
+    /// store has disturbed what happened since a time until now or a second time, in seconds of Unix
+    /// time.
+    pub fn calm(&self, instance: &str, since: f64, until: f64) -> bool {
+        let since = since - self.started - DISTURBED_S;
+        let until = until - self.started;
+        let instance = format!("entry-{instance}");
+        let names = [instance.as_str(), "all instances", "link", "store"];
+        let inner = self.inner();
+        let mut faults = inner.faults.iter().rev();
+        !faults.any(|(at, text)| {
+            (since..until).contains(&at.as_secs_f64())
+                && names.iter().any(|name| text.contains(name))
+        })
+    }
+
+    /// Compares what engines ran with what clients asked for, and notes findings.
+    pub fn compare(&self, runs: &[Run], drained: &BTreeMap<String, f64>) {
+        let asked = std::mem::take(&mut self.inner().asked);
+        let found = runs::check(runs, &asked, drained, |at| self.calm("", at, at));
+        for (kind, request, details) in found {
+            self.finding(&Finding {
+                kind,
+                request: &request,
+                instance: "all",
+                runs: &[],
+                details,
+            });
+        }
+    }
+
     /// Notes and prints a finding.
     pub fn finding(&self, finding: &Finding<'_>) {
         let at = self.start.elapsed();
@@ -108,8 +156,15 @@
     /// Prints the counts, and returns the number of findings.
     pub fn summary(&self) -> u64 {
         let inner = self.inner();
+        let requests = inner.counts.get("requests").copied().unwrap_or(0).max(1);
         for (name, count) in &inner.counts {
-            println!("{name}: {count}");
+            match name.starts_with("answers with status") {
+                true => println!(
+                    "{name}: {count}, {} in 1,000 requests",
+                    count * 1_000 / requests
+                ),
+                false => println!("{name}: {count}"),
+            }
         }
         println!("faults: {}", inner.faults.len());
         for (kind, count) in &inner.findings {
--- a/tests/soak_check.rs
+++ b/tests/soak_check.rs
@@ -2,6 +2,8 @@
 
 #[path = "../examples/soak/check.rs"]
 mod check;
+#[path = "../examples/soak/runs.rs"]
+mod runs;
 
 use check::{
     event_end,
@@ -12,6 +14,10 @@
     Kind,
     VERSIONS, //
 };
+use runs::{
+    Asked,
+    Run, //
+};
 
 const BODY: &str = "prompt 1 padding=20";
 
@@ -172,3 +178,163 @@
     let joined = format!("{}{event}", event.trim_end().to_owned() + "\n");
     assert_eq!(checker(true, 2).event(&joined), Err(Kind::Foreign));
 }
+
+/// Returns a request with a deadline of 2 s that was answered after some seconds, or not.
+fn asked(once: bool, status: Option<u16>, took: Option<f64>) -> Asked {
+    Asked {
+        once,
+        sent: 100.0,
+        deadline: 2.0,
+        status,
+        took,
+        calm: true,
+    }
+}
+
+fn run(request: &str, engine: &str, at: f64, deadline: Option<f64>) -> Run {
+    let (request, engine) = (request.to_owned(), engine.to_owned());
+    let run = Run {
+        at,
+        request,
+        engine,
+        deadline,
+    };
+    Run::parse(run.line().trim_end()).unwrap()
+}
+
+/// Returns the kinds of findings of runs of requests, with the engine `drained` drained at 100 s.
+fn found(runs: &[Run], asked: &[Asked]) -> Vec<Kind> {
+    let asked = asked.iter().enumerate();
+    let asked = asked.map(|(number, asked)| (format!("r{number}"), asked.clone()));
+    let drained = [("drained".to_owned(), 100.0)].into();
+    let found = runs::check(runs, &asked.collect(), &drained, |_| true);
+    found.into_iter().map(|(kind, _, _)| kind).collect()
+}
+
+fn sound() -> Asked {
+    asked(true, Some(200), Some(0.1))
+}
+
+// A check that finds something in sound runs can't be told from a fault.
+#[test]
+fn sound_runs_have_no_findings() {
+    let runs = [
+        run("r0", "a", 100.0, Some(2.0)),
+        run("r1", "a", 100.0, Some(2.0)),
+        run("r1", "b", 100.5, Some(1.5)),
+        run("r3", "drained", 101.9, Some(2.0)),
+    ];
+    let resumable = asked(false, Some(200), Some(0.1));
+    let refused = asked(true, Some(503), Some(0.1));
+    assert_eq!(found(&runs, &[sound(), resumable, refused, sound()]), []);
+}
+
+// Requests that may run once run twice after a send that was taken for lost.
+#[test]
+fn second_run_is_found() {
+    for deadline in [Some(2.0), Some(1.0)] {
+        let runs = [
+            run("r0", "a", 100.0, Some(2.0)),
+            run("r0", "b", 100.5, deadline),
+        ];
+        assert_eq!(found(&runs, &[sound()]), [Kind::Twice]);
+    }
+}
+
+// A client sends a refused request again, so that a run of the first one makes two.
+#[test]
+fn run_of_a_refused_request_is_found() {
+    let runs = [run("r0", "a", 105.0, Some(2.0))];
+    for status in [408, 421, 429, 503] {
+        let asked = asked(true, Some(status), Some(0.1));
+        assert_eq!(found(&runs, &[asked]), [Kind::Refused]);
+    }
+    for status in [500, 502, 504] {
+        assert_eq!(found(&runs, &[asked(true, Some(status), Some(0.1))]), []);
+    }
+}
+
+// A request that no client sent comes from another one's body or a changed identifier.
+#[test]
+fn run_without_a_request_is_found() {
+    let runs = [run("other", "a", 100.0, Some(2.0))];
+    assert_eq!(found(&runs, &[sound()]), [Kind::Unasked]);
+}
+
+// Requests that go to engine after engine multiply the load of a service that fails.
+#[test]
+fn too_many_engines_are_found() {
+    for (requests, kinds) in [(3, vec![]), (4, vec![Kind::Budget])] {
+        let runs = (0..requests).flat_map(|number| {
+            let request = format!("r{number}");
+            ["a", "b", "c", "d"].map(|engine| run(&request, engine, 100.0, Some(2.0)))
+        });
+        let runs: Vec<_> = runs.collect();
+        let asked = vec![asked(false, Some(200), Some(0.1)); requests];
+        assert_eq!(found(&runs, &asked), kinds);
+    }
+}
+
+// An engine with more time than is left works for clients that are gone.
+#[test]
+fn too_much_time_is_found() {
+    for deadline in [None, Some(2.6)] {
+        for (requests, kinds) in [(20, vec![]), (21, vec![Kind::Budget])] {
+            let runs = (0..requests).map(|number| run(&format!("r{number}"), "a", 100.0, deadline));
+            let runs: Vec<_> = runs.collect();
+            assert_eq!(found(&runs, &vec![sound(); requests]), kinds);
+        }
+    }
+}
+
+// A request that is sent again with the time of its first send lasts longer than its client waits.
+#[test]
+fn time_that_was_spent_is_found() {
+    for (left, kinds) in [(1.0, vec![]), (2.0, vec![Kind::Budget])] {
+        let runs = (0..21).flat_map(|number| {
+            let request = format!("r{number}");
+            [(100.0, 2.0), (101.0, left)].map(|(at, left)| run(&request, "a", at, Some(left)))
+        });
+        let runs: Vec<_> = runs.collect();
+        let asked = vec![asked(false, Some(200), Some(0.1)); 21];
+        assert_eq!(found(&runs, &asked), kinds);
+    }
+}
+
+// Requests that reach an engine long after its report that it drains are lost when it ends.
+#[test]
+fn run_at_a_drained_engine_is_found() {
+    let runs = [run("r0", "drained", 102.1, Some(2.0))];
+    assert_eq!(found(&runs, &[sound()]), [Kind::Drain]);
+    let asked = [("r0".to_owned(), sound())].into();
+    let drained = [("drained".to_owned(), 100.0)].into();
+    assert!(runs::check(&runs, &asked, &drained, |_| false).is_empty());
+}
+
+// Answers after the deadline hold clients that could have asked elsewhere.
+#[test]
+fn late_answers_are_found() {
+    let late = asked(true, Some(504), Some(2.6));
+    assert_eq!(found(&[], &vec![late.clone(); 7]), []);
+    assert_eq!(found(&[], &vec![late.clone(); 8]), [Kind::Late; 8]);
+    let mut most_in_time = vec![asked(true, Some(504), Some(2.1)); 24];
+    most_in_time.extend(vec![late; 8]);
+    assert_eq!(found(&[], &most_in_time), []);
+}
+
+// A request that is neither answered nor broken off holds its client until it gives up.
+#[test]
+fn request_without_an_answer_is_found() {
+    assert_eq!(found(&[], &[asked(true, None, None)]), [Kind::Unanswered]);
+    let mut disturbed = asked(true, None, None);
+    disturbed.calm = false;
+    assert_eq!(found(&[], &[disturbed]), []);
+}
+
+// Instances that close connections without an answer lose requests.
+#[test]
+fn closed_connections_are_found() {
+    let closed = asked(true, None, Some(0.1));
+    assert_eq!(found(&[], &vec![closed.clone(); 3]), []);
+    assert_eq!(found(&[], &vec![closed; 4]), [Kind::Lost; 4]);
+}
