--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -158,6 +158,7 @@
     let findings = record.summary();
     let folder = deployment.folder.clone();
     if findings > 0 || result.is_err() || flags.keep_logs {
+        fs::write(folder.join("faults.log"), record.faults())?;
         println!("logs: {}", folder.display());
     } else {
         fs::remove_dir_all(&folder).context("temporary folder")?;
--- a/examples/soak/record.rs
+++ b/examples/soak/record.rs
@@ -153,6 +153,14 @@
         }
     }
 
+    /// Returns all faults, one a line, with seconds from the start.
+    pub fn faults(&self) -> String {
+        let inner = self.inner();
+        let faults = inner.faults.iter();
+        let lines = faults.map(|(at, fault)| format!("{:.3} {fault}\n", at.as_secs_f64()));
+        lines.collect()
+    }
+
     /// Prints the counts, and returns the number of findings.
     pub fn summary(&self) -> u64 {
         let inner = self.inner();
