Keep the addresses of engines of the soak apart, and end their links at once

Two engines that moved at once could choose the same address; they now do so one after the other. A soak now holds the first port of each block that it uses. And the ends of the connections of a killed engine passed through proxies by threads that may be milliseconds apart on a busy machine, which no killed process does; a link now passes them in one go.

--- a/examples/soak/deployment.rs
+++ b/examples/soak/deployment.rs
@@ -39,6 +39,10 @@
     ensure,
     Context as _, //
 };
+use rand::{
+    Rng,
+    RngExt as _, //
+};
 use serde_json::json;
 use standin::{
     server::Server,
@@ -74,6 +78,11 @@
 
 const START_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Blocks of ports, each for one soak, and their size.
+const FIRST_PORT: u32 = 10_000;
+const PORT_BLOCKS: u32 = 100;
+const BLOCK_PORTS: u32 = 200;
+
 /// Interval of the checks of the readiness.
 const READINESS_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -141,6 +150,10 @@
     addresses: Vec<SocketAddr>,
     /// Links in front of engines, by address; empty without faults of links.
     engine_links: Vec<Link>,
+    /// Listeners that keep other soaks from the addresses.
+    _guards: Vec<TcpListener>,
+    /// Held while an engine gets another address.
+    moving: Mutex<()>,
     next_engine: AtomicU64,
     /// First reports that engines drain, in seconds of Unix time.
     drained: Mutex<BTreeMap<String, f64>>,
@@ -156,12 +169,27 @@
 }
 
 /// Returns addresses that no socket has, below the ports that the kernel hands out.
-fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let first = std::process::id() % 100 * 200;
-    let ports = (0..20_000).map(|offset| 10_000 + ((first + offset) % 20_000) as u16);
-    let addresses = ports.map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
-    let free = addresses.filter(|address| TcpListener::bind(address).is_ok());
-    free.take(count).collect()
+///
+/// The listeners hold the first port of each block, so that no other soak uses the block: addresses
+/// of processes that start again are free meanwhile.
+fn reserve_addresses(count: usize) -> (Vec<TcpListener>, Vec<SocketAddr>) {
+    let address = |port: u32| SocketAddr::from(([127, 0, 0, 1], port as u16));
+    let (mut guards, mut addresses) = (Vec::new(), Vec::new());
+    for block in 0..PORT_BLOCKS {
+        let block = (std::process::id() + block) % PORT_BLOCKS;
+        let first = FIRST_PORT + block * BLOCK_PORTS;
+        if addresses.len() >= count {
+            break;
+        }
+        let Ok(guard) = TcpListener::bind(address(first)) else {
+            continue;
+        };
+        guards.push(guard);
+        let block = (first + 1..first + BLOCK_PORTS).map(address);
+        addresses.extend(block.filter(|address| TcpListener::bind(address).is_ok()));
+    }
+    addresses.truncate(count);
+    (guards, addresses)
 }
 
 /// Sends a signal to a process.
@@ -190,7 +218,9 @@
         fs::create_dir_all(&folder)?;
         let instances = flags.instances.unwrap_or(4);
         let engines = flags.engines.unwrap_or(8);
-        let mut addresses = free_addresses(7 * instances + 4 * engines);
+        let count = 7 * instances + 4 * engines;
+        let (guards, mut addresses) = reserve_addresses(count);
+        ensure!(addresses.len() == count, "too few ports are free");
         let store = store::start(store::Config::default())?;
         let mut links = Vec::new();
         let instances = (0..instances)
@@ -238,6 +268,8 @@
             addresses,
             links,
             engine_links,
+            _guards: guards,
+            moving: Mutex::new(()),
             next_engine: AtomicU64::new(100),
             drained: Mutex::default(),
             gateway: flags.gateway.clone(),
@@ -278,9 +310,9 @@
 
     /// Kills an engine.
     pub fn kill_engine(&self, slot: &mut Slot) {
-        slot.kill();
-        if let Some(link) = self.engine_link(slot.address) {
-            link.close();
+        match self.engine_link(slot.address) {
+            Some(link) => link.end(|| slot.kill()),
+            None => slot.kill(),
         }
     }
 
@@ -403,12 +435,15 @@
         format!("i-{}", self.next_engine.fetch_add(1, Ordering::SeqCst))
     }
 
-    /// Returns addresses that no engine has.
-    pub fn free_addresses(&self) -> Vec<SocketAddr> {
+    /// Gives an engine an address that no engine has.
+    pub fn move_engine(&self, number: usize, rng: &mut impl Rng) {
+        // Two engines that move at once must not get the same one.
+        let _guard = lock(&self.moving);
         let engines = self.engines.iter();
         let used: Vec<_> = engines.map(|engine| lock(engine).address).collect();
         let free = self.addresses.iter().filter(|one| !used.contains(one));
-        free.copied().collect()
+        let free: Vec<_> = free.collect();
+        self.engine(number).address = *free[rng.random_range(0..free.len())];
     }
 
     /// Starts an engine process in its place.
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -230,15 +230,14 @@
             true => rng.random_range(0..100),
             false => rng.random_range(100..2_500),
         });
-        let free = self.deployment.free_addresses();
+        if rng.random_bool(0.5) {
+            self.deployment.move_engine(number, rng);
+        }
         {
             let mut slot = self.deployment.engine(number);
             if rng.random_bool(0.5) {
                 slot.rename(self.deployment.new_id());
             }
-            if rng.random_bool(0.5) {
-                slot.address = free[rng.random_range(0..free.len())];
-            }
             if fault == Fault::EngineVersion {
                 let known = VERSIONS.iter().position(|one| *one == slot.version);
                 let next = known.unwrap_or(0) + rng.random_range(1..VERSIONS.len());
--- a/examples/soak/link.rs
+++ b/examples/soak/link.rs
@@ -29,7 +29,10 @@
         self,
         JoinHandle, //
     },
-    time::Duration,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use socket2::SockRef;
@@ -42,6 +45,9 @@
 /// Interval at which a connection that waits looks for a change of its link.
 const POLL: Duration = Duration::from_millis(5);
 
+/// Time in which the ends of the connections of a process that ended are awaited.
+const END_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Bytes that are forwarded at once.
 const BUFFER: usize = 16 << 10;
 
@@ -85,6 +91,8 @@
 struct Shared {
     mode: Mutex<Mode>,
     closing: AtomicBool,
+    /// Whether the process behind the link is about to end.
+    ending: AtomicBool,
     count: AtomicUsize,
     /// Number of resets of all connections so far.
     resets: AtomicUsize,
@@ -98,6 +106,8 @@
     target: TcpStream,
     /// Whether both connections are to be reset.
     reset: AtomicBool,
+    /// Whether the connection to the target ended, and its end is still to be passed.
+    ended: AtomicBool,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -160,6 +170,28 @@
         }
     }
 
+    /// Ends the process behind the link and stops listening.
+    ///
+    /// The ends of its connections pass at once, as they do without a proxy; the threads that forward
+    /// them may be milliseconds apart on a busy machine.
+    pub fn end(&self, end: impl FnOnce()) {
+        self.shared.ending.store(true, Ordering::SeqCst);
+        end();
+        self.close();
+        let pairs = lock(&self.shared.pairs).clone();
+        let pairs: Vec<_> = pairs.iter().filter_map(Weak::upgrade).collect();
+        let until = Instant::now() + END_TIMEOUT;
+        let has_ended = |pair: &Arc<Pair>| pair.ended.load(Ordering::SeqCst);
+        while Instant::now() < until && !pairs.iter().all(has_ended) {
+            thread::sleep(POLL);
+        }
+        for pair in pairs.into_iter().filter(has_ended) {
+            // The caller may have closed it already.
+            let _ = pair.caller.shutdown(Shutdown::Write);
+        }
+        self.shared.ending.store(false, Ordering::SeqCst);
+    }
+
     /// Sets how the link behaves.
     pub fn set_mode(&self, mode: Mode) {
         *lock(&self.shared.mode) = mode;
@@ -210,6 +242,7 @@
             caller,
             target,
             reset: AtomicBool::new(false),
+            ended: AtomicBool::new(false),
         });
         {
             let mut pairs = lock(&shared.pairs);
@@ -265,6 +298,12 @@
             let length = from.read(&mut buffer[..size])?;
             self.hold(up, length)?;
             if length == 0 {
+                if !up {
+                    self.ended.store(true, Ordering::SeqCst);
+                    while self.shared.ending.load(Ordering::SeqCst) {
+                        thread::sleep(POLL);
+                    }
+                }
                 return to.shutdown(Shutdown::Write);
             }
             let mut part = &buffer[..length];
--- a/tests/soak_link.rs
+++ b/tests/soak_link.rs
@@ -155,3 +155,23 @@
     let error = caller.read(&mut [0; 1]).unwrap_err();
     assert_eq!(error.kind(), ErrorKind::ConnectionReset);
 }
+
+// Ends of a process that reach a gateway one after the other make it take the process for alive.
+#[test]
+fn ends_of_a_process_pass_at_once() {
+    let (link, listener) = link();
+    let connections: Vec<_> = (0..8).map(|_| connect(&link, &listener)).collect();
+    let (mut callers, targets): (Vec<_>, Vec<_>) = connections.into_iter().unzip();
+    link.end(|| {
+        for target in targets {
+            drop(target);
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        assert!(!arrives(&mut callers[0]));
+    });
+    for caller in &mut callers {
+        assert_eq!(caller.read(&mut [0; 1]).unwrap(), 0);
+    }
+    let error = TcpStream::connect(link.address).unwrap_err();
+    assert_eq!(error.kind(), ErrorKind::ConnectionRefused);
+}
