--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -2,14 +2,16 @@
 //!
 //! Build the daemon first, then `cargo run --example soak -- run --gateway target/debug/gypsumleverd`.
 //! It exits with status 1 if a client saw an event that is missing, repeated or foreign, or an answer
-//! that ended early as complete.
+//! that ended early as complete, or if engines ran requests that must not have run.
 
 mod check;
 mod client;
 mod deployment;
 mod engine;
 mod faults;
+mod link;
 mod record;
+mod runs;
 mod wire;
 
 mod flags {
@@ -44,7 +46,11 @@
                 optional --framing framing: String
                 /// Percent of the resumptions that don't name the request that they resume.
                 optional --unnamed unnamed: u32
-                /// Defect of the engines, to test the checks: `skip`, `repeat`, `early-end` or `foreign`.
+                /// What engines do to some answers: `cut`, `second`, `other`, `error`, `fin`, `limit` and
+                /// `forms`, separated by commas, `all` or `none`, which is the default.
+                optional --flaws flaws: String
+                /// Defect of the engines, to test the checks: `skip`, `repeat`, `early-end`, `foreign` or
+                /// `refused`.
                 optional --defect defect: String
                 /// Leave the field `first_start` out of the settings.
                 optional --no-first-start
@@ -67,6 +73,10 @@
                 required --born born: u64
                 /// Framing of answers.
                 optional --framing framing: String
+                /// File that gets a line for each run.
+                required --runs runs: PathBuf
+                /// Flaws.
+                optional --flaws flaws: String
                 /// Defect.
                 optional --defect defect: String
             }
@@ -112,7 +122,7 @@
     let seed = flags.seed.unwrap_or(1);
     let faults = faults::parse(flags.faults.as_deref().unwrap_or("all"))?;
     let unnamed = f64::from(flags.unnamed.unwrap_or(0).min(100)) / 100.0;
-    let deployment = Arc::new(Deployment::start(flags)?);
+    let deployment = Arc::new(Deployment::start(flags, faults::use_links(&faults))?);
     for instance in &deployment.instances {
         instance.set_started()?;
     }
@@ -126,6 +136,7 @@
     let operators = &Operators::new(&deployment, &record, faults);
     let result = thread::scope(|scope| {
         scope.spawn(|| deployment.report_until_stopped());
+        scope.spawn(|| deployment.check_until_stopped());
         for number in 0..flags.clients.unwrap_or(48) as u64 {
             let (clients, seed) = (clients.clone(), seed << 32 | number);
             let run = move || clients.run(seed);
@@ -143,14 +154,21 @@
             joined.unwrap_or_else(|_| Err(anyhow::anyhow!("an operator panicked")))
         })
     });
+    record.compare(&deployment.runs()?, &deployment.drained());
     let findings = record.summary();
     let folder = deployment.folder.clone();
     if findings > 0 || result.is_err() || flags.keep_logs {
+        fs::write(folder.join("faults.log"), record.faults())?;
         println!("logs: {}", folder.display());
     } else {
         fs::remove_dir_all(&folder).context("temporary folder")?;
     }
     result?;
+    // A run without a whole stream has checked nothing.
+    anyhow::ensure!(
+        record.counted("streams complete") > 0,
+        "no stream is complete"
+    );
     Ok(match findings {
         0 => ExitCode::SUCCESS,
         _ => ExitCode::FAILURE,
