Show that a process passes for the one that had its address before

What an upstream did, knew or answered is kept by its address or identifier in places beside the continuation of streams.

- An instance that is paused (SIGSTOP) while its upstream breaks an answer without a length off and starts again opens the connection that watches the upstream to the next process.
A call is answered 200 with half of its body (MIXED), a stream ends early as complete (ORDER).
- An examination of an upstream that ended finds the next process at the address alive, so that a stream on a route with one attempt breaks.
A control without such a process passes.
- A start counts as gone while the entry of the process that had its address before is listed.
- The prompts that an upstream held count as held by the next one.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -39,6 +39,7 @@
 mod reserve;
 mod restarted;
 mod resumption;
+mod reuse;
 mod route;
 mod serve;
 mod settings;
