Rely on no odd answer, old connection or lapsed entry as a proof of identity

Found by a review that had not seen the work, by reading: - one answer without a start (a garbled body, an engine of another service at the address) made a service count as one that doesn't describe itself; a service that has stated a start keeps doing it, and such an answer proves nothing; - a stream that began at another start than that of the entry could still be proved by reads of the registry; its version is not known; - an entry that lapsed in an outage, and one without a start, counted as settled; - streams that began within 2 s after an outage were not identified; - a kept connection to an earlier start made the later one doubtful for 2 s; - one answer now proves all streams that began at its start before it, and the proof ends at the deadline of the request.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -7,7 +7,8 @@
     },
     net::SocketAddr,
     rc::Rc,
-    sync::Arc, //
+    sync::Arc,
+    time::Duration, //
 };
 
 use super::{
@@ -36,6 +37,9 @@
     hash::Map, //
 };
 
+/// Time for which it is remembered when an upstream stated its start.
+const ALIVE_RETENTION: Duration = Duration::from_secs(60);
+
 /// The upstreams of all services.
 #[derive(Default)]
 pub struct Fleet {
@@ -51,6 +55,8 @@
     pub limits: RefCell<Notices>,
     /// Whether the upstreams of a service describe themselves.
     descriptions: RefCell<Map<Arc<str>, bool>>,
+    /// Start that an upstream stated latest, and when.
+    alive: RefCell<Map<Arc<str>, (u64, Time)>>,
 }
 
 impl Fleet {
@@ -126,14 +132,29 @@
         !registry.is_superseded(upstream, *started, &origin.service, &origin.version)
     }
 
-    /// Records whether the upstreams of a service describe themselves.
+    /// Records whether the upstreams of a service describe themselves. A service that does so keeps
+    /// doing it: an odd answer of one upstream must not end the proofs of all.
     pub fn record_description(&self, service: &Arc<str>, describes: bool) {
         let mut descriptions = self.descriptions.borrow_mut();
-        if descriptions.get(service) != Some(&describes) {
+        let known = descriptions.get(service).copied();
+        if known.is_none() || (describes && known == Some(false)) {
             descriptions.insert(service.clone(), describes);
         }
     }
 
+    /// Records that a start of an upstream answered; `now` is not before it did.
+    pub fn record_alive(&self, now: Time, server: &Server) {
+        let mut alive = self.alive.borrow_mut();
+        alive.insert(server.id.clone(), (server.started, now));
+    }
+
+    /// Returns whether a start of an upstream answered at a moment or later.
+    pub fn was_alive(&self, id: &str, started: u64, at: Time) -> bool {
+        let alive = self.alive.borrow();
+        let known = alive.get(id);
+        known.is_some_and(|(answered, last)| *answered == started && *last >= at)
+    }
+
     /// Returns whether the upstreams of a service describe themselves, if one was asked.
     pub fn describes(&self, service: &str) -> Option<bool> {
         self.descriptions.borrow().get(service).copied()
@@ -188,6 +209,10 @@
             .borrow_mut()
             .retain(|upstream| registry.get(upstream).is_some());
         let now = Time::monotonic();
+        // A stream that goes on later than this began long ago.
+        self.alive
+            .borrow_mut()
+            .retain(|_, (_, last)| now.since(*last) < ALIVE_RETENTION);
         self.loads
             .borrow_mut()
             .retain(|address, load| load.running(now) >= 1.0 || registry.has_address(*address));
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -61,7 +61,10 @@
     fingerprint::Fingerprint,
     fleet::Flight,
     history::client::Open,
-    identity::Need,
+    identity::{
+        Need,
+        OTHER_PROCESS, //
+    },
     limit::Notice,
     load::{
         Load,
@@ -572,14 +575,21 @@
             match identified.await.unwrap_or(Err("unidentified")) {
                 Ok(()) if connection.reusable() => {}
                 // A kept connection may have ended, and an upstream may close one after its answer.
-                Ok(()) | Err("unidentified") if !std::mem::replace(&mut fresh, true) => continue,
+                // It may also lead to an earlier start.
+                Ok(()) | Err("unidentified" | OTHER_PROCESS)
+                    if !std::mem::replace(&mut fresh, true) =>
+                {
+                    continue
+                }
                 _ if need == Need::Known => {
                     need = Need::Any;
                     continue;
                 }
                 Ok(()) => return Sent::NotRun("unidentified"),
                 Err(reason) => {
-                    self.dialer.pool.put(address, connection);
+                    if reason != OTHER_PROCESS {
+                        self.dialer.pool.put(address, connection);
+                    }
                     return Sent::NotRun(reason);
                 }
             }
--- a/src/gateway/identity.rs
+++ b/src/gateway/identity.rs
@@ -65,7 +65,7 @@
 const DESCRIPTION_PAUSE: Duration = Duration::from_millis(50);
 
 /// Reason of a send that was not made because another process answers at the upstream's address.
-const OTHER_PROCESS: &str = "other_process";
+pub const OTHER_PROCESS: &str = "other_process";
 
 /// What an upstream states of its process.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -137,7 +137,19 @@
         server: &Server,
         connection: &mut Connection,
     ) -> Result<Identity, Fault> {
-        let asked = ask::<D>(connection, server.address).await;
+        let asked_at = Time::monotonic();
+        let known = connection.identity().is_some();
+        let asked = match ask::<D>(connection, server.address).await {
+            // The service does; this is no answer of one of its upstreams that could be relied on.
+            Ok(Identity::Unstated) if self.fleet.describes(&server.service) == Some(true) => {
+                connection.forget_identity();
+                Err(Fault::Invalid("description without a start".into()))
+            }
+            asked => asked,
+        };
+        if known && asked.is_ok() {
+            return asked;
+        }
         let outcome = match &asked {
             Ok(identity) => match identity.is(server) {
                 Some(true) => "same",
@@ -151,6 +163,9 @@
             Ok(identity) => {
                 let describes = matches!(identity, Identity::Start(_));
                 self.fleet.record_description(&server.service, describes);
+                if identity.is(server) == Some(true) {
+                    self.fleet.record_alive(asked_at, server);
+                }
                 log::debug!(
                     upstream = &*server.id, started = server.started, identity:?;
                     "identity: upstream is asked which process answers"
@@ -176,8 +191,11 @@
         match identity.is(server) {
             Some(true) => Ok(()),
             Some(false) => {
-                let now = Time::monotonic();
-                self.fleet.registry.borrow_mut().refuse(now, server);
+                // A kept connection may lead to an earlier start.
+                if matches!(identity, Identity::Start(started) if started > server.started) {
+                    let mut registry = self.fleet.registry.borrow_mut();
+                    registry.refuse(Time::monotonic(), server);
+                }
                 log::warn!(
                     upstream = &*server.id, started = server.started, identity:?;
                     "identity: another process answers than the one that is registered"
@@ -212,6 +230,12 @@
         if beginning.proved {
             return Some("record");
         }
+        let Beginning {
+            upstream, started, ..
+        } = beginning;
+        if self.fleet.was_alive(upstream, *started, at) {
+            return Some("upstream");
+        }
         let server = {
             let registry = self.fleet.registry.borrow();
             if registry.is_settled(&beginning.upstream, beginning.started, at) {
--- a/src/gateway/refresh.rs
+++ b/src/gateway/refresh.rs
@@ -1,8 +1,8 @@
 //! Reads of the registry on demand.
 //!
 //! An upstream that starts again under its identifier and address may have another software version.
-//! Until its report is read, it seems to be the one before. So a stream goes on at an upstream only
-//! after a read that began when the upstream had answered.
+//! Until its report is read, it seems to be the one before. So a stream goes on at an upstream that
+//! does not describe itself only after a read that began when its connection was open.
 
 use std::time::Duration;
 
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -88,9 +88,8 @@
 /// changes and the pause after it.
 const MAX_READ_AGE: Duration = Duration::from_secs(3);
 
-/// Time after which a start that is still the latest one in the registry was so at its beginning: the
-/// entry of a process that ended is removed, or replaced by the next one, within three heartbeat
-/// intervals of 1.2 s.
+/// Time after which a start that is still the latest one in the registry was so at its beginning: more
+/// than the time after which the entry of a process that ended is removed or replaced.
 const SETTLE_TIME: Duration = Duration::from_secs(5);
 
 /// Difference between the clocks of servers and of this instance.
@@ -178,6 +177,9 @@
     /// Returns whether reads showed that a start of a server was the latest one at a moment: it still
     /// was long enough afterwards, and the store did not fail meanwhile.
     pub fn is_settled(&self, id: &str, started: u64, at: Time) -> bool {
+        if started == 0 {
+            return false;
+        }
         let latest = self.records.get(id).filter(|record| !record.lapsed);
         let shown = match latest.filter(|record| record.server.started == started) {
             Some(_) => self.sound_since.zip(self.last_read),
@@ -195,9 +197,12 @@
         self.last_failure > self.last_read
     }
 
-    /// Returns whether the entries were read lately, and the latest call to the store did not fail.
+    /// Returns whether the entries were read lately, and live servers have reported since the latest
+    /// failure of the store.
     pub fn is_sound(&self, now: Time) -> bool {
-        self.is_current(now) && !self.is_failing()
+        let reported = |since: Time| now.since(since) >= REREGISTRATION;
+        let sound = self.last_failure.is_none() || self.sound_since.is_some_and(reported);
+        self.is_current(now) && !self.is_failing() && sound
     }
 
     fn failed_within(&self, now: Time, span: Duration) -> bool {
@@ -254,7 +259,9 @@
         };
         let replaced = self.records.insert(record.server.id.clone(), record);
         if let Some(replaced) = replaced {
-            if self.records[&replaced.server.id].server.started != replaced.server.started {
+            if !replaced.lapsed
+                && self.records[&replaced.server.id].server.started != replaced.server.started
+            {
                 self.record_former(now, &replaced.server);
             }
             self.retire(now, &replaced.server);
@@ -265,7 +272,9 @@
     fn remove(&mut self, now: Time, id: &str) -> Effect {
         match self.records.remove(id) {
             Some(removed) => {
-                self.record_former(now, &removed.server);
+                if !removed.lapsed {
+                    self.record_former(now, &removed.server);
+                }
                 self.retire(now, &removed.server);
                 Effect::Removed
             }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -55,7 +55,10 @@
         RETRY_AFTER, //
     },
     history::client::Recorder,
-    identity::Need,
+    identity::{
+        Identity,
+        Need, //
+    },
     origin::{
         Beginning,
         Origin,
@@ -487,7 +490,8 @@
             if Instant::now() >= self.job.deadline {
                 return Err(self.failed("deadline"));
             }
-            if !self.prove_origin().await {
+            let proved = timeout_at(self.job.deadline.into(), self.prove_origin());
+            if !proved.await.unwrap_or(false) {
                 return Err(self.failed("origin_unproved"));
             }
             let Some(target) = self.place(&mut retries).await else {
@@ -942,11 +946,18 @@
         };
         let (server, connection) = (&exchange.server, &exchange.connection);
         let identity = connection.identity();
-        let proved = identity.and_then(|identity| identity.is(server)) == Some(true) || {
-            let registry = self.gateway.fleet.registry.borrow();
-            registry.is_settled(&server.id, server.started, connection.opened())
+        let proved = match identity.and_then(|identity| identity.is(server)) {
+            Some(same) => same,
+            None => {
+                let registry = self.gateway.fleet.registry.borrow();
+                registry.is_settled(&server.id, server.started, connection.opened())
+            }
         };
-        let beginning = Beginning::new(server, proved);
+        let mut beginning = Beginning::new(server, proved);
+        if matches!(identity, Some(Identity::Start(_))) && !proved {
+            // The version of another start than that of the entry is not known.
+            beginning.started = 0;
+        }
         if self.resumable() {
             let request = &self.job.call.id;
             self.gateway.origins.record(request, beginning.clone());
