--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -146,7 +146,8 @@
     /// Hashes of the identifiers of requests that the upstream refused on this connection. It may
     /// write the refusals once more, which would answer another send of these requests.
     refused: Vec<u64>,
-    /// When the connection was opened, on the monotonic clock; a helper opened its part before.
+    /// When the connection was opened, on the monotonic clock. A helper opened its part before; what
+    /// answers later lived at this time all the same.
     opened: Time,
     /// What the process at the other end stated of itself; it stays the same process.
     identity: Option<Identity>,
--- a/src/gateway/identity.rs
+++ b/src/gateway/identity.rs
@@ -78,7 +78,7 @@
 
 impl Identity {
     /// Returns whether the process is the start that an entry names; `None` if they don't tell.
-    pub fn is(self, server: &Server) -> Option<bool> {
+    pub fn matches(self, server: &Server) -> Option<bool> {
         match self {
             Self::Start(started) if server.started > 0 => Some(started == server.started),
             _ => None,
@@ -151,7 +151,7 @@
             return asked;
         }
         let outcome = match &asked {
-            Ok(identity) => match identity.is(server) {
+            Ok(identity) => match identity.matches(server) {
                 Some(true) => "same",
                 Some(false) => "other",
                 None => "unstated",
@@ -163,7 +163,7 @@
             Ok(identity) => {
                 let describes = matches!(identity, Identity::Start(_));
                 self.fleet.record_description(&server.service, describes);
-                if identity.is(server) == Some(true) {
+                if identity.matches(server) == Some(true) {
                     self.fleet.record_alive(asked_at, server);
                 }
                 log::debug!(
@@ -188,7 +188,7 @@
     ) -> Result<(), &'static str> {
         let identity = self.identify(server, connection).await;
         let identity = identity.map_err(|_| "unidentified")?;
-        match identity.is(server) {
+        match identity.matches(server) {
             Some(true) => Ok(()),
             Some(false) => {
                 // A kept connection may lead to an earlier start.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -197,7 +197,7 @@
 }
 
 /// The registry does not show all versions that have served.
-struct Stale;
+struct Outdated;
 
 /// Reason why a stream ended before it was complete.
 #[derive(Clone, Copy, Debug)]
@@ -274,7 +274,7 @@
             match self.presume_version().await {
                 Ok(Some(version)) => return self.set_origin(Origin { service, version }),
                 Ok(None) => {}
-                Err(Stale) => search = Search::Unanswered,
+                Err(Outdated) => search = Search::Unanswered,
             }
         }
         match search {
@@ -299,16 +299,16 @@
 
     /// Returns the version of a stream of which nobody knows where it began: the only one that has
     /// served lately, if there is one. Other instances may have read of another one before.
-    async fn presume_version(&self) -> Result<Option<Arc<str>>, Stale> {
+    async fn presume_version(&self) -> Result<Option<Arc<str>>, Outdated> {
         if !self.gateway.fleet.refresh().await {
-            return Err(Stale);
+            return Err(Outdated);
         }
         let (service, now) = (&self.job.service, Time::monotonic());
         let registry = self.gateway.fleet.registry.borrow();
         match registry.sole_version(now, service) {
             // Instances that have run for longer may know.
-            Some(_) if registry.may_lack_versions(now, Time::now(), service) => Err(Stale),
-            None if !registry.is_current(now) => Err(Stale),
+            Some(_) if registry.may_lack_versions(now, Time::now(), service) => Err(Outdated),
+            None if !registry.is_current(now) => Err(Outdated),
             version => Ok(version),
         }
     }
@@ -946,7 +946,7 @@
         };
         let (server, connection) = (&exchange.server, &exchange.connection);
         let identity = connection.identity();
-        let proved = match identity.and_then(|identity| identity.is(server)) {
+        let proved = match identity.and_then(|identity| identity.matches(server)) {
             Some(same) => same,
             None => {
                 let registry = self.gateway.fleet.registry.borrow();
--- a/tests/gateway/identity.rs
+++ b/tests/gateway/identity.rs
@@ -20,7 +20,7 @@
     thread,
     time::{
         Duration,
-        Instant as Moment,
+        Instant, //
         SystemTime,
         UNIX_EPOCH, //
     },
@@ -512,8 +512,8 @@
 /// its store is slow.
 fn restart_in_resumptions(engine: &Upstream, start: Start) -> Upstream {
     // Some may be refused without being sent.
-    let until = Moment::now() + Duration::from_secs(1);
-    while engine.requests().len() < 2 * STREAMS && Moment::now() < until {
+    let until = Instant::now() + Duration::from_secs(1);
+    while engine.requests().len() < 2 * STREAMS && Instant::now() < until {
         thread::sleep(Duration::from_millis(1));
     }
     thread::sleep(Duration::from_millis(50));
@@ -598,8 +598,8 @@
 /// Lets a report arrive every few milliseconds, as those of many engines do, so that reads of the
 /// registry don't wait for one.
 fn report_continuously(store: &Server<Store>, ended: &AtomicBool) {
-    let until = Moment::now() + Duration::from_secs(60);
-    while !ended.load(Ordering::SeqCst) && Moment::now() < until {
+    let until = Instant::now() + Duration::from_secs(60);
+    while !ended.load(Ordering::SeqCst) && Instant::now() < until {
         V1.register_for("other", store, "i-other", ANY);
         thread::sleep(Duration::from_millis(20));
     }
