--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -142,7 +142,7 @@
         }
     }
 
-    /// Records that a start of an upstream answered; `now` is not before it did.
+    /// Records that a start of an upstream answered; `now` is not after it did.
     pub fn record_alive(&self, now: Time, server: &Server) {
         let mut alive = self.alive.borrow_mut();
         alive.insert(server.id.clone(), (server.started, now));
@@ -209,7 +209,7 @@
             .borrow_mut()
             .retain(|upstream| registry.get(upstream).is_some());
         let now = Time::monotonic();
-        // A stream that goes on later than this began long ago.
+        // Streams end, and are taken up, well within this time.
         self.alive
             .borrow_mut()
             .retain(|_, (_, last)| now.since(*last) < ALIVE_RETENTION);
--- a/src/gateway/origin.rs
+++ b/src/gateway/origin.rs
@@ -81,7 +81,8 @@
     /// Identifier of the upstream; empty in records of older builds.
     #[serde(rename = "u", default)]
     pub upstream: Arc<str>,
-    /// Start that the entry named, in Unix milliseconds; 0 if unknown.
+    /// Start that the entry named, in Unix milliseconds; 0 if unknown, or if another start
+    /// answered.
     #[serde(rename = "b", default)]
     pub started: u64,
     /// Whether the process that answered is known to be that start.
