Read the memory and descriptors of the machine from the settings

Nothing bounds what callers can make an instance hold, and the instance does not know what its machine bears: the platform states both limits in the fields of the template, which left them out. The settings now have `machine.memory_mb` and `machine.descriptors`, checked for their unit, with defaults for machines that state none. They take no effect yet.

The tests of the gateway can start an instance on such a machine, and publish other limits on what callers may send.

--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -29,6 +29,16 @@
 /// Maximum capacity, in cores; a larger value is most likely in another unit.
 const MAX_CORES: f64 = 1_024.0;
 
+/// Minimum memory of a machine, in MiB; a smaller value is most likely in another unit.
+const MIN_MEMORY_MB: usize = 32;
+
+/// Maximum memory of a machine, in MiB; a larger value is most likely in another unit.
+const MAX_MEMORY_MB: usize = 1 << 20;
+
+/// Minimum descriptors of a process; with fewer, connections to the store, upstreams and other instances
+/// leave none for callers.
+const MIN_DESCRIPTORS: usize = 256;
+
 /// Minimum read rate of the store in MB/s; a smaller value is most likely in another unit.
 const MIN_READ_RATE: f64 = 0.1;
 
@@ -64,6 +74,9 @@
     /// that instances do for each other. 0 if unknown.
     #[serde(default)]
     pub cores: f64,
+    /// Limits of the machine on this process.
+    #[serde(default)]
+    pub machine: Machine,
     /// Time between SIGTERM and SIGKILL by the platform, in seconds.
     pub grace_s: f64,
     /// Logs.
@@ -91,6 +104,26 @@
     }
 }
 
+/// Limits of the machine on this process, which ends if it exceeds the memory.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Machine {
+    /// Memory, in MiB.
+    pub memory_mb: usize,
+    /// Maximum open descriptors.
+    pub descriptors: usize,
+}
+
+impl Default for Machine {
+    fn default() -> Self {
+        Self {
+            memory_mb: 512,
+            descriptors: 8_192,
+        }
+    }
+}
+
 /// Addresses to listen on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -181,6 +214,16 @@
         if !(0.0..=MAX_CORES).contains(&settings.cores) {
             return Err(Fault(format!("cores: must be 0 to {MAX_CORES}")));
         }
+        if !(MIN_MEMORY_MB..=MAX_MEMORY_MB).contains(&settings.machine.memory_mb) {
+            return Err(Fault(format!(
+                "machine.memory_mb: must be {MIN_MEMORY_MB} to {MAX_MEMORY_MB}"
+            )));
+        }
+        if settings.machine.descriptors < MIN_DESCRIPTORS {
+            return Err(Fault(format!(
+                "machine.descriptors: must be at least {MIN_DESCRIPTORS}"
+            )));
+        }
         let descending = |tunnels: Tunnels| tunnels.ports[0] > tunnels.ports[1];
         if settings.peers.tunnels.is_some_and(descending) {
             return Err(Fault(
--- a/tests/gateway/settings.rs
+++ b/tests/gateway/settings.rs
@@ -37,6 +37,16 @@
             "read_mb_per_s",
         ),
         ("grace_s: 8.5", "grace_s: -1", "grace_s"),
+        (
+            "grace_s: 8.5",
+            "grace_s: 8.5\nmachine: { memory_mb: 0 }",
+            "memory_mb",
+        ),
+        (
+            "grace_s: 8.5",
+            "grace_s: 8.5\nmachine: { descriptors: 100 }",
+            "descriptors",
+        ),
         (
             "  cluster: entry",
             "  cluster: entry\n  tunnels: { ip: 127.0.0.1, ports: [9, 8] }",
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -38,7 +38,10 @@
     },
 };
 
-use serde_json::json;
+use serde_json::{
+    json,
+    Value, //
+};
 use socket2::SockRef;
 use standin::{
     server::Server,
@@ -506,12 +509,34 @@
         Self::start_with("a", name, store, "other", false)
     }
 
+    /// Starts a process on a machine with this memory, in MiB, and as many descriptors.
+    pub fn start_limited(
+        name: &str,
+        store: SocketAddr,
+        memory_mb: usize,
+        descriptors: usize,
+    ) -> Self {
+        let machine = json!({ "memory_mb": memory_mb, "descriptors": descriptors });
+        Self::start_on("a", name, store, "test", true, &machine)
+    }
+
     fn start_with(
         zone: &str,
         name: &str,
         store: SocketAddr,
         secret: &str,
         first_start: bool,
+    ) -> Self {
+        Self::start_on(zone, name, store, secret, first_start, &json!({}))
+    }
+
+    fn start_on(
+        zone: &str,
+        name: &str,
+        store: SocketAddr,
+        secret: &str,
+        first_start: bool,
+        machine: &Value,
     ) -> Self {
         static NUMBER: AtomicU32 = AtomicU32::new(0);
         let [callers, ready, metrics, peers, tunnels] = [
@@ -535,6 +560,7 @@
             "store": { "address": store, "partitions": 12 },
             "grace_s": 8,
             "first_start": first_start,
+            "machine": machine,
         });
         fs::write(&settings, text.to_string()).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_gypsumleverd"))
@@ -564,7 +590,7 @@
     }
 
     /// Waits until the process listens for callers.
-    fn wait_listening(&self) {
+    pub fn wait_listening(&self) {
         let until = Instant::now() + START_TIMEOUT;
         while TcpStream::connect(self.callers).is_err() {
             assert!(Instant::now() < until, "the gateway does not listen");
@@ -694,6 +720,16 @@
 
 /// Publishes a configuration with a number of routes that get no requests.
 pub fn configure(store: &Server<Store>, version: u64, idle_routes: usize) {
+    configure_limits(
+        store,
+        version,
+        idle_routes,
+        &json!({ "maxBodyBytes": 1000 }),
+    );
+}
+
+/// Publishes a configuration with limits on what callers may send.
+pub fn configure_limits(store: &Server<Store>, version: u64, idle_routes: usize, limits: &Value) {
     let route = |prefix: &str, kind: &str, attempts: u32| {
         json!({
             "name": prefix, "host": "h.example", "pathPrefix": prefix, "kind": kind,
@@ -711,7 +747,7 @@
         "version": version,
         "routes": routes,
         "services": [{ "name": "s", "maxConns": 10, "engine": { "tokensPerEvent": 10 } }],
-        "limits": { "maxBodyBytes": 1000 },
+        "limits": limits,
     });
     store.put("keyed.op", "config", config.to_string().as_bytes());
 }
