Take no long frame before a peer has shown the secret

A host that knows no secret made an instance hold 64 frames of 4 MiB, as many as there are handshakes at a time: 199 MiB in the test, on a machine of 64 MiB. The limit on frames of a link held for its first message too.

A `Hello` may now be 16 KiB long; the limit of the settings applies from the reply on. The peer sends nothing before it has the reply, so that no bytes are lost when the stream changes over. A handshake also counts from the time at which its connection is accepted, not from the first run of its task.

--- a/src/peer/handshake.rs
+++ b/src/peer/handshake.rs
@@ -18,10 +18,12 @@
         protocol::{
             frame::coding::CloseCode,
             CloseFrame,
+            Role,
             WebSocketConfig, //
         },
         Message,
     },
+    WebSocketStream,
 };
 
 use super::{
@@ -74,14 +76,17 @@
     }
 }
 
-fn websocket_config(settings: &Settings) -> WebSocketConfig {
+/// Maximum length of a `Hello`. Any host may send one, before it has shown that it knows the secret.
+const MAX_HELLO_BYTES: usize = 16 << 10;
+
+fn websocket_config(frame_bytes: usize) -> WebSocketConfig {
     // Buffers are allocated for each link, for which the defaults of 128 KiB are too large.
     WebSocketConfig::default()
         .read_buffer_size(8 << 10)
         .write_buffer_size(8 << 10)
-        .max_write_buffer_size(settings.frame_bytes + (1 << 20))
-        .max_message_size(Some(settings.frame_bytes))
-        .max_frame_size(Some(settings.frame_bytes))
+        .max_write_buffer_size(frame_bytes + (1 << 20))
+        .max_message_size(Some(frame_bytes))
+        .max_frame_size(Some(frame_bytes))
 }
 
 /// Builds the `Hello` of this instance.
@@ -156,8 +161,12 @@
         let _ = stream.set_nodelay(true);
         let stream = Metered::new(stream, meter);
         let request = format!("ws://{address}/");
-        let opened =
-            client_async_with_config(request, stream, Some(websocket_config(settings))).await;
+        let opened = client_async_with_config(
+            request,
+            stream,
+            Some(websocket_config(settings.frame_bytes)),
+        )
+        .await;
         let (mut socket, _) = opened.map_err(|error| failed(error.to_string()))?;
         send(&mut socket, &local_hello(settings, local)).await?;
         let hello = receive(&mut socket).await?;
@@ -185,13 +194,18 @@
     let attempt = async {
         let _ = stream.set_nodelay(true);
         let stream = Metered::new(stream, meter);
-        let opened = accept_async_with_config(stream, Some(websocket_config(settings))).await;
+        let opened =
+            accept_async_with_config(stream, Some(websocket_config(MAX_HELLO_BYTES))).await;
         let mut socket = opened.map_err(|error| Error::Malformed(error.to_string()))?;
         let hello = receive(&mut socket).await?;
         if let Err(error) = verify(settings, &hello) {
             refuse(&mut socket, &error).await;
             return Err(error);
         }
+        // The peer sends nothing more before it has the reply, so no bytes are lost here.
+        let config = websocket_config(settings.frame_bytes);
+        let stream = socket.into_inner();
+        let mut socket = WebSocketStream::from_raw_socket(stream, Role::Server, Some(config)).await;
         send(&mut socket, &local_hello(settings, local)).await?;
         Ok((socket, hello.entry))
     };
--- a/src/peer/mesh.rs
+++ b/src/peer/mesh.rs
@@ -412,6 +412,7 @@
             };
             match accepted {
                 Ok((stream, _)) if self.handshakes.get() < MAX_HANDSHAKES => {
+                    self.handshakes.set(self.handshakes.get() + 1);
                     actix_web::rt::spawn(self.clone().accept(stream));
                 }
                 // The connection is dropped, so the peer retries after its back-off.
@@ -427,7 +428,6 @@
     async fn accept(self: Rc<Self>, stream: TcpStream) {
         let shared = self.shared();
         let from = stream.peer_addr();
-        self.handshakes.set(self.handshakes.get() + 1);
         let accepted = handshake::accept(
             &shared.settings,
             shared.meter.clone(),
