Bound connections to the tunnel port that have not sent their number

Any host may connect to the tunnel port, and each connection is kept for a second until its number arrives. With 600 of them at one of its listeners an instance with 400 descriptors had 512 open. At most 64 are now kept; a peer whose connection is closed tries another path.

crowd::open_connections_are_borne_at_each_listener covers it; it passes with the account of callers only, which bounds the other listeners.

--- a/src/gateway/tunnel.rs
+++ b/src/gateway/tunnel.rs
@@ -59,6 +59,9 @@
 /// Maximum tunnels that an instance carries at a time.
 const MAX_TUNNELS: usize = 256;
 
+/// Maximum connections that have not sent their number. Any host may open some.
+const MAX_PICKUPS: usize = 64;
+
 /// Timeout of a connection for another instance, which waits for it.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(80);
 
@@ -131,6 +134,8 @@
     waiting: RefCell<Map<Token, TcpStream>>,
     /// Tunnels that wait to be picked up or are in use.
     open: Cell<usize>,
+    /// Connections that have not sent their number.
+    pickups: Cell<usize>,
     /// Tunnels in use.
     active: RefCell<Map<Token, Rc<Activity>>>,
     /// Whether this instance has lost its own paths.
@@ -145,6 +150,7 @@
             address: Cell::default(),
             waiting: RefCell::default(),
             open: Cell::new(0),
+            pickups: Cell::new(0),
             active: RefCell::default(),
             lost: Cell::new(false),
         }
@@ -232,7 +238,10 @@
         self.address.set(listener.local_addr().ok());
         loop {
             match listener.accept().await {
+                // The peer loses one path of several if it was its connection.
+                Ok(_) if self.pickups.get() >= MAX_PICKUPS => {}
                 Ok((stream, _)) => {
+                    self.pickups.set(self.pickups.get() + 1);
                     actix_web::rt::spawn(self.clone().carry(stream));
                 }
                 Err(error) => {
@@ -245,6 +254,7 @@
 
     async fn carry(self: Rc<Self>, mut peer: TcpStream) {
         let token = timeout(PICKUP_TIMEOUT, peer.read_u64()).await;
+        self.pickups.set(self.pickups.get() - 1);
         let Ok(Ok(token)) = token else {
             return;
         };
