Write long bodies to upstreams without a copy

A body was copied behind its head and the copy kept until the answer began, so that a request of 4 MiB held 8 MiB while it ran. Bodies above 64 KiB are now written from where they are; shorter ones still go out with their head in one write.

The tests of tests/gateway/connection.rs pass, one of which sends 16 MiB to an upstream that answers before it has read them.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -29,6 +29,7 @@
     Version, //
 };
 use bytes::{
+    Buf as _,
     Bytes,
     BytesMut, //
 };
@@ -61,6 +62,9 @@
     name::Instance, //
 };
 
+/// Longest body that is copied behind its head, so that both are written at once.
+const MAX_COPIED_BYTES: usize = 64 << 10;
+
 /// Timeout of a connection attempt: many round trips between zones, far less than a deadline.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -350,11 +354,17 @@
             length => BodySize::Sized(length as u64),
         };
         self.bodiless = head.method == Method::HEAD;
-        let mut out = BytesMut::with_capacity(1_024 + body.len());
+        // A long body is not copied, as it is held for as long as its answer is awaited.
+        let copied = match body.len() {
+            length @ ..=MAX_COPIED_BYTES => length,
+            _ => 0,
+        };
+        let mut first = BytesMut::with_capacity(1_024 + copied);
         let head = Message::Item((RequestHeadType::Owned(head), length));
-        codec.encode(head, &mut out).map_err(Fault::Unsent)?;
-        out.extend_from_slice(body);
-        let total = out.len();
+        codec.encode(head, &mut first).map_err(Fault::Unsent)?;
+        first.extend_from_slice(&body[..copied]);
+        let mut out = first.freeze().chain(body.slice(copied..));
+        let total = out.remaining();
         self.keep_alive = false;
         self.overhead = 0;
         let (mut skipped, mut skipped_bytes) = (0, 0);
@@ -372,7 +382,7 @@
                     self.codec = Codec::Head(self::codec());
                 }
                 if !interim && accepts(&head) {
-                    self.keep_alive = out.is_empty();
+                    self.keep_alive = !out.has_remaining();
                     break self.start_body(&head).map(|()| head);
                 }
                 if !interim {
@@ -393,18 +403,18 @@
             make_room(&mut self.buffer);
             let (mut reader, mut writer) = self.stream.split();
             tokio::select! {
-                written = writer.write_buf(&mut out), if !out.is_empty() => match written {
-                    Err(error) if out.len() == total => break Err(Fault::Unsent(error)),
+                written = writer.write_buf(&mut out), if out.has_remaining() => match written {
+                    Err(error) if out.remaining() == total => break Err(Fault::Unsent(error)),
                     Err(error) => break Err(Fault::Broken(error)),
                     Ok(_) => {}
                 },
                 read = receive(&mut reader, &mut self.frames, &mut self.buffer) => match read {
-                    Ok(0) if out.len() == total => {
+                    Ok(0) if out.remaining() == total => {
                         break Err(Fault::Unsent(io::ErrorKind::ConnectionAborted.into()));
                     }
                     Ok(0) => break Err(Fault::Truncated),
                     Ok(length) => self.count(length)?,
-                    Err(error) if out.len() == total => break Err(Fault::Unsent(error)),
+                    Err(error) if out.remaining() == total => break Err(Fault::Unsent(error)),
                     Err(error) => break Err(Fault::Broken(error)),
                 },
             }
