Account for the memory and descriptors that callers make an instance hold

Clients that nobody controls ended a process by its memory: with bodies that stop short of their end, whole, in pieces or in chunks, with long heads, with requests behind each other, with answers that they don't read.

Cause: nothing summed up what callers make the process hold. Bodies were held without a deadline, buffers doubled as they grew, the limits of the configuration on heads and idle connections were not read, and the kernel enlarged the receive buffer of each connection.

One account now has what each connection holds in each stage, at the listeners of callers, readiness and metrics, bounded by a quarter of the machine's memory and three quarters of its descriptors. Over the bound, the connection without progress for the longest time is closed, of those that hold the mean or more, so that short requests outlast long ones; a whole head is answered 503, which is proved as not run, with a time to retry. A connection that is idle is kept if a request has arrived meanwhile. Heads and idle connections are bounded by the configuration's limits (431, 408), a body by the deadline of its request (408), as it could not be served after it. Bodies grow in segments of one length, short chunks are read 4 KiB at a time, the requests behind one that waits stay in the kernel, whose buffers shrink with the number of connections.

tenant::key_withdrawn_while_a_connection_is_open_is_refused left a body open for 3 s on a route with a timeout of 3 s, which now ends it. The timeout of its routes is longer; what it checks of keys is unchanged.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -24,10 +24,7 @@
     StatusCode,
     Uri, //
 };
-use bytes::{
-    Bytes,
-    BytesMut, //
-};
+use bytes::Bytes;
 use tokio::time::{
     sleep,
     timeout_at, //
@@ -42,6 +39,10 @@
         Call,
         Prefix, //
     },
+    callers::{
+        body::Buffer,
+        Charge, //
+    },
     connection::{
         Connection,
         Fault, //
@@ -177,6 +178,8 @@
     pub inputs: Cell<balance::Inputs>,
     /// Sends of the request.
     pub sends: Sends,
+    /// Charges the caller's connection for the body.
+    pub memory: Charge,
     /// Counts the request as being answered.
     pub busy: Busy<D, L>,
 }
@@ -451,6 +454,8 @@
     pub head: ResponseHead,
     /// Body of the answer.
     pub body: Bytes,
+    /// Charges the caller's connection for the body.
+    pub memory: Option<Charge>,
 }
 
 impl<D: Dialect, L: Log + 'static> Gateway<D, L> {
@@ -802,7 +807,12 @@
             exchange.flight.prefilled();
             // A short body is read so that the connection can be reused.
             let limit = Instant::now() + RETRY_PAUSE;
-            if let Ok(Ok(_)) = timeout_at(limit.into(), body(&mut exchange.connection)).await {
+            if let Ok(Ok(_)) = timeout_at(
+                limit.into(),
+                body(&mut exchange.connection, Buffer::default()),
+            )
+            .await
+            {
                 self.dialer
                     .pool
                     .put(exchange.server.address, exchange.connection);
@@ -912,14 +922,14 @@
             Sent::NotRun(reason) | Sent::Lost(reason) => return Err(reason),
         };
         let read = async {
-            let body = body(&mut exchange.connection).await?;
+            let body = body(&mut exchange.connection, job.memory.buffer()).await?;
             match self.ended_by_crash(&exchange).await {
                 true => Err(Fault::Truncated),
                 false => Ok(body),
             }
         };
         match timeout_at(limit.into(), read).await {
-            Ok(Ok(body)) => {
+            Ok(Ok((body, memory))) => {
                 self.dialer
                     .pool
                     .put(exchange.server.address, exchange.connection);
@@ -927,6 +937,7 @@
                     server: exchange.server,
                     head: exchange.head,
                     body,
+                    memory,
                 })
             }
             Ok(Err(fault)) => {
@@ -955,19 +966,18 @@
     )
 }
 
-/// Reads a complete body.
-pub async fn body(connection: &mut Connection) -> Result<Bytes, Fault> {
-    let Some(first) = connection.chunk().await? else {
-        return Ok(Bytes::new());
-    };
-    let mut buffer = BytesMut::from(first);
+/// Reads a complete body into an empty buffer.
+pub async fn body(
+    connection: &mut Connection,
+    mut buffer: Buffer,
+) -> Result<(Bytes, Option<Charge>), Fault> {
     while let Some(chunk) = connection.chunk().await? {
         if buffer.len() + chunk.len() > MAX_ANSWER_BYTES {
             return Err(Fault::Invalid(
                 "the answer exceeds the maximum length".into(),
             ));
         }
-        buffer.extend_from_slice(&chunk);
+        buffer.push(chunk);
     }
-    Ok(buffer.freeze())
+    Ok(buffer.finish())
 }
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -18,6 +18,8 @@
         HeaderValue, //
     },
     HttpService,
+    Protocol,
+    RequestHead,
     ResponseHead, //
 };
 use actix_service::{
@@ -31,12 +33,20 @@
         to_bytes_limited,
         BoxBody, //
     },
-    dev::AppConfig,
+    dev::{
+        AppConfig,
+        ServiceRequest,
+        ServiceResponse, //
+    },
     http::{
         header,
         StatusCode,
         Version, //
     },
+    middleware::{
+        from_fn,
+        Next, //
+    },
     web::{
         self,
         Data, //
@@ -46,21 +56,21 @@
     HttpResponse,
     HttpResponseBuilder, //
 };
-use bytes::{
-    Bytes,
-    BytesMut, //
-};
+use bytes::Bytes;
 use futures_util::{
     stream::unfold,
     StreamExt as _, //
 };
 use socket2::{
     Domain,
-    Protocol,
+    SockRef,
     Socket,
     Type, //
 };
-use tokio::net::TcpListener;
+use tokio::{
+    net::TcpListener,
+    time::timeout_at, //
+};
 
 use super::{
     cache,
@@ -68,6 +78,17 @@
         Call,
         Prompt, //
     },
+    callers::{
+        self,
+        body::{
+            Buffer,
+            Reply, //
+        },
+        Charge,
+        Connection,
+        Connections,
+        Stream, //
+    },
     dialect::Dialect,
     fingerprint::Fingerprint,
     forward::{
@@ -106,19 +127,22 @@
     log::Log, //
 };
 
-/// Keep-alive time of idle connections of callers: longer than any limit that the operator sets, so
-/// that the gateway never closes a connection on which a request is on its way.
+/// Maximum keep-alive time of idle connections of callers; the limit of the configuration is shorter.
 const KEEP_ALIVE: Duration = Duration::from_secs(300);
 
-/// Timeout of the first request head on a connection.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
-
 /// Connections that wait to be accepted; a peak of callers arrives within milliseconds.
 const BACKLOG: i32 = 1_024;
 
+/// Receive buffer of connections that are not accepted yet, in bytes: what senders send at first.
+const FIRST_WINDOW: usize = 16 << 10;
+
 /// Time after which callers retry while the instance has no configuration yet.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Time after which callers retry while their requests take too much memory; other instances may have
+/// more left.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// Time for which a caller waits if it states none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -130,7 +154,7 @@
     let socket = Socket::new(
         Domain::for_address(address),
         Type::STREAM,
-        Some(Protocol::TCP),
+        Some(socket2::Protocol::TCP),
     )?;
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
@@ -145,10 +169,12 @@
     listener: TcpListener,
 ) -> anyhow::Result<()> {
     let state = Data::new(gateway.clone());
+    let connections = gateway.callers.clone();
     let app = App::new()
         .app_data(state)
-        .default_service(web::to(handle::<D, L>));
-    accept(listener, app, move || gateway.closed()).await
+        .default_service(web::to(handle::<D, L>))
+        .wrap(from_fn(account));
+    accept(listener, connections, app, move || gateway.closed()).await
 }
 
 /// Serves readiness checks, metrics and views for operators; never returns unless the HTTP service can't be created.
@@ -156,13 +182,15 @@
     gateway: Rc<Gateway<D, L>>,
     listener: TcpListener,
 ) -> anyhow::Result<()> {
+    let connections = gateway.callers.clone();
     let state = Data::new(gateway);
     let app = App::new()
         .app_data(state)
         .route(D::READINESS, web::get().to(ready::<D, L>))
         .route("/metrics", web::get().to(metrics::<D, L>))
-        .configure(operate::configure::<D, L>);
-    accept(listener, app, std::future::pending::<()>).await
+        .configure(operate::configure::<D, L>)
+        .wrap(from_fn(account));
+    accept(listener, connections, app, std::future::pending::<()>).await
 }
 
 /// Accepts connections on the current thread.
@@ -170,6 +198,7 @@
 /// An instance has half a core, so more worker threads would only add context switches.
 async fn accept<F, S, C>(
     listener: TcpListener,
+    connections: Rc<Connections>,
     app: F,
     closed: impl Fn() -> C + 'static,
 ) -> anyhow::Result<()>
@@ -179,7 +208,7 @@
     S: ServiceFactory<
             actix_http::Request,
             Config = AppConfig,
-            Response = actix_web::dev::ServiceResponse,
+            Response = ServiceResponse<Reply<BoxBody>>,
             Error = actix_web::Error,
             InitError = (),
         > + 'static,
@@ -188,18 +217,26 @@
 {
     let service = HttpService::build()
         .keep_alive(KEEP_ALIVE)
-        .client_request_timeout(HEAD_TIMEOUT)
-        .tcp_nodelay(true)
+        // The limits of the configuration apply in its place.
+        .client_request_timeout(Duration::ZERO)
+        .on_connect_ext(|stream: &Stream, data| {
+            data.insert(stream.connection().clone());
+        })
         .h1_allow_half_closed(false)
         .graceful_shutdown_signal(closed)
         .finish(map_config(app, |()| AppConfig::default()))
-        .tcp()
         .new_service(())
         .await
         .map_err(|()| anyhow::anyhow!("the HTTP service can't be created"))?;
     let service = Rc::new(service);
+    // Connections that are not accepted yet have it; the kernel's default holds without it.
+    let _ = SockRef::from(&listener).set_recv_buffer_size(FIRST_WINDOW);
     loop {
-        let (stream, _) = match listener.accept().await {
+        // Connections that are closed in favour of new ones end as their tasks run.
+        while connections.is_full() {
+            tokio::task::yield_now().await;
+        }
+        let (socket, peer) = match listener.accept().await {
             Ok(accepted) => accepted,
             Err(error) => {
                 log::warn!(
@@ -210,15 +247,37 @@
                 continue;
             }
         };
-        let served = service.call(stream);
+        // Without it a connection only is slower.
+        let _ = socket.set_nodelay(true);
+        let stream = Stream::new(socket, &connections);
+        let connection = stream.connection().clone();
+        let served = service.call((stream, Protocol::Http1, Some(peer)));
         actix_web::rt::spawn(async move {
-            if let Err(error) = served.await {
+            if let Err(error) = callers::serve(connection, served).await {
                 log::debug!(error:%; "front: connection of a caller failed");
             }
         });
     }
 }
 
+/// Charges the connection of a request for it and its answer until the answer is written.
+async fn account(
+    request: ServiceRequest,
+    next: Next<BoxBody>,
+) -> Result<ServiceResponse<Reply<BoxBody>>, actix_web::Error> {
+    let head_bytes = head_bytes(request.head());
+    let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
+    let open = connection(request.request()).begin(head_bytes, chunked);
+    let response = next.call(request).await?;
+    Ok(response.map_body(|_, body| Reply::new(body, open)))
+}
+
+/// Returns the connection on which a request arrived.
+fn connection(request: &HttpRequest) -> Rc<Connection> {
+    let connection = request.conn_data::<Rc<Connection>>();
+    connection.expect("each connection has an account").clone()
+}
+
 async fn ready<D: Dialect, L: Log + 'static>(gateway: Shared<D, L>) -> HttpResponse {
     match gateway.ready() {
         true => HttpResponse::Ok().finish(),
@@ -244,9 +303,13 @@
     let gateway = gateway.get_ref().clone();
     let arrived = Instant::now();
     let sends = Sends::default();
+    let connection = connection(&request);
     let answered = tokio::select! {
         biased;
-        answered = answer(&gateway, &request, payload, &sends) => answered,
+        answered = answer(&gateway, &request, payload, &sends, &connection) => answered,
+        closing = connection.wait_closing() => {
+            Err(Refusal::after(&sends, closing.reason(), MEMORY_RETRY_AFTER))
+        }
         () = gateway.grace.ended() => Err(Refusal::stopping(&sends)),
     };
     let answered = match answered {
@@ -319,6 +382,9 @@
         response.insert_header((header::RETRY_AFTER, seconds));
     }
     close_unless_ready(gateway, &mut response);
+    if connection(request).closing().is_some() {
+        response.force_close();
+    }
     response.body(refusal.reason)
 }
 
@@ -337,6 +403,7 @@
     request: &HttpRequest,
     payload: web::Payload,
     sends: &Sends,
+    connection: &Rc<Connection>,
 ) -> Result<HttpResponse, Refusal> {
     let arrived = Instant::now();
     let busy = Busy::new(gateway);
@@ -349,6 +416,13 @@
     {
         return Err(Refusal::invalid(StatusCode::BAD_REQUEST, "two_lengths"));
     }
+    let limits = table.limits();
+    if head_bytes(request.head()) > limits.head {
+        return Err(Refusal::invalid(
+            StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            "head_too_long",
+        ));
+    }
     let invalid = |_| Refusal::invalid(StatusCode::BAD_REQUEST, "invalid_header");
     let call = D::call(headers).map_err(invalid)?;
     let host = headers
@@ -356,8 +430,14 @@
         .and_then(|host| host.to_str().ok());
     let (table, route) = find_route(gateway, table, host.unwrap_or(""), request.path()).await?;
     authenticate(gateway, &table, &route, &call)?;
-    let limit = table.limits().body;
-    let body = read(payload, limit).await?;
+    let limit = limits.body;
+    if announced_bytes(headers).is_some_and(|bytes| bytes > limit as u64) {
+        return Err(body_too_long());
+    }
+    let timeout = call.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
+    let deadline = arrived + timeout;
+    let (body, memory) = read(payload, limit, connection, deadline).await?;
+    connection.finish_body(sends);
     let complete = Instant::now();
     // The body may have taken long to arrive, and the key may have been revoked since.
     let latest = gateway.table().unwrap_or_else(|| table.clone());
@@ -369,7 +449,8 @@
         }
         None => (body, None),
     };
-    let timeout = call.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
+    let mut memory = memory.unwrap_or_else(|| connection.charge(0));
+    memory.resize(body.len());
     let service = route.service(key(&call)).clone();
     let engine = table
         .service(&service)
@@ -395,10 +476,11 @@
         cache_tokens,
         arrived,
         complete,
-        deadline: arrived + timeout,
+        deadline,
         version: table.version(),
         inputs: Cell::default(),
         sends: sends.clone(),
+        memory,
         busy,
     };
     gateway.reports.sync().await;
@@ -540,25 +622,55 @@
     crate::hash::stable(session.unwrap_or(&call.id).as_bytes())
 }
 
-async fn read(mut payload: web::Payload, max_bytes: usize) -> Result<Bytes, Refusal> {
+/// Reads a body until the time at which the request is no longer of use.
+async fn read(
+    mut payload: web::Payload,
+    max_bytes: usize,
+    connection: &Rc<Connection>,
+    deadline: Instant,
+) -> Result<(Bytes, Option<Charge>), Refusal> {
     let cut = |_| Refusal::invalid(StatusCode::BAD_REQUEST, "body_cut");
-    let mut buffer = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(cut)?;
-        if buffer.len() + chunk.len() > max_bytes {
-            return Err(Refusal::invalid(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "body_too_long",
-            ));
-        }
-        if buffer.is_empty() {
-            // Most bodies arrive in one chunk, which is not copied here.
-            buffer = BytesMut::from(chunk);
-        } else {
-            buffer.extend_from_slice(&chunk);
+    let whole = async {
+        let mut buffer = Buffer::new(connection.charge(0));
+        while let Some(chunk) = payload.next().await {
+            let chunk = chunk.map_err(cut)?;
+            if buffer.len() + chunk.len() > max_bytes {
+                return Err(body_too_long());
+            }
+            connection.receive_chunk(chunk.len());
+            buffer.push(chunk);
         }
-    }
-    Ok(buffer.freeze())
+        Ok(buffer.finish())
+    };
+    let late = |_| Refusal::invalid(StatusCode::REQUEST_TIMEOUT, "body_timeout");
+    timeout_at(deadline.into(), whole).await.map_err(late)?
+}
+
+fn body_too_long() -> Refusal {
+    Refusal::invalid(StatusCode::PAYLOAD_TOO_LARGE, "body_too_long")
+}
+
+/// Returns the length of a body that a head states.
+fn announced_bytes(headers: &HeaderMap) -> Option<u64> {
+    headers
+        .get(header::CONTENT_LENGTH)?
+        .to_str()
+        .ok()?
+        .parse()
+        .ok()
+}
+
+/// Returns the length of a head, without spaces that mean nothing.
+fn head_bytes(head: &RequestHead) -> usize {
+    let first = head.method.as_str().len()
+        + head
+            .uri
+            .path_and_query()
+            .map_or(1, |path| path.as_str().len())
+        + " HTTP/1.1\r\n ".len();
+    let headers = head.headers.iter();
+    let headers = headers.map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len());
+    first + headers.sum::<usize>() + "\r\n".len()
 }
 
 /// Returns the headers that don't apply to one connection only.
--- a/src/gateway/identity.rs
+++ b/src/gateway/identity.rs
@@ -36,6 +36,7 @@
 };
 
 use super::{
+    callers::body::Buffer,
     connection::{
         Connection,
         Fault, //
@@ -115,7 +116,7 @@
     let accepts = |head: &ResponseHead| D::reply(&head.headers).id.is_none();
     let answer = timeout(ASK_TIMEOUT, async {
         let head = connection.send(head, &Bytes::new(), accepts).await?;
-        Ok::<_, Fault>((head.status, body(connection).await?))
+        Ok::<_, Fault>((head.status, body(connection, Buffer::default()).await?.0))
     });
     let (status, body) = answer
         .await
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -28,6 +28,9 @@
 struct Inner {
     exporter: Exporter,
     refusals: Counter<u64>,
+    closed_callers: Counter<u64>,
+    callers: Gauge<u64>,
+    caller_bytes: Gauge<u64>,
     retries: Counter<u64>,
     answers: Counter<u64>,
     placements: Counter<u64>,
@@ -63,6 +66,9 @@
         let counter = |name: &'static str, text: &'static str| {
             meter.u64_counter(name).with_description(text).build()
         };
+        let gauge = |name: &'static str, text: &'static str| {
+            meter.u64_gauge(name).with_description(text).build()
+        };
         let histogram = |name: &'static str, text: &'static str| {
             meter
                 .f64_histogram(name)
@@ -73,6 +79,12 @@
         };
         let inner = Inner {
             refusals: counter("refusals", "Requests answered by the gateway, by reason."),
+            closed_callers: counter(
+                "closed_callers",
+                "Connections of callers that the gateway closed, by reason.",
+            ),
+            callers: gauge("callers", "Open connections of callers."),
+            caller_bytes: gauge("caller_bytes", "Memory that connections of callers hold."),
             retries: counter("retries", "Sends made again, by reason."),
             answers: counter(
                 "answers",
@@ -143,10 +155,7 @@
                 "history_chains",
                 "Turns that continue others, by where these were found.",
             ),
-            history_bytes: meter
-                .u64_gauge("history_bytes")
-                .with_description("Memory of kept turns.")
-                .build(),
+            history_bytes: gauge("history_bytes", "Memory of kept turns."),
             history_keep: histogram("history_keep", "Time until a turn that ended was safe."),
             history_find: histogram(
                 "history_find",
@@ -162,6 +171,18 @@
         self.0.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a connection of a caller that the gateway closes, by reason.
+    pub fn closed_caller(&self, reason: &'static str) {
+        let labels = [KeyValue::new("reason", reason)];
+        self.0.closed_callers.add(1, &labels);
+    }
+
+    /// Records the number of open connections of callers, and the memory that they hold.
+    pub fn record_callers(&self, connections: u64, bytes: u64) {
+        self.0.callers.record(connections, &[]);
+        self.0.caller_bytes.record(bytes, &[]);
+    }
+
     /// Counts a send that is retried.
     pub fn retried(&self, reason: &'static str) {
         self.0.retries.add(1, &[KeyValue::new("reason", reason)]);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod balance;
 pub mod cache;
 pub mod call;
+pub mod callers;
 pub mod configuration;
 pub mod connection;
 pub mod dial;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -809,12 +809,14 @@
         };
         let gateway = &self.gateway;
         let read = async {
-            let body = body(&mut exchange.connection).await.ok()?;
+            let body = body(&mut exchange.connection, self.job.memory.buffer())
+                .await
+                .ok()?;
             let cut = gateway.ended_by_crash(&exchange).await;
             (!cut).then_some(body)
         };
         let read = timeout_at(self.job.deadline.into(), read).await;
-        let Ok(Some(body)) = read else {
+        let Ok(Some((body, memory))) = read else {
             return Err(Refusal::unknown("answer_cut"));
         };
         self.gateway
@@ -825,6 +827,7 @@
             server: exchange.server,
             head: exchange.head,
             body,
+            memory,
         })
     }
 
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -128,6 +128,25 @@
 pub struct Limits {
     /// Maximum length of a body, in bytes.
     pub body: usize,
+    /// Maximum length of a head, in bytes.
+    pub head: usize,
+    /// Maximum time of a head from its first byte.
+    pub head_time: Duration,
+    /// Maximum time without a request.
+    pub idle: Duration,
+}
+
+impl Default for Limits {
+    /// Returns the limits without a configuration, or of one that states none.
+    fn default() -> Self {
+        Self {
+            body: 4 << 20,
+            // The HTTP library reads no longer heads.
+            head: 128 << 10,
+            head_time: Duration::from_secs(15),
+            idle: Duration::from_secs(300),
+        }
+    }
 }
 
 /// One version of the configuration.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -19,6 +19,10 @@
 use tokio::sync::watch;
 
 use super::{
+    callers::{
+        self,
+        budget::Bounds, //
+    },
     configuration::Configurations,
     dial::Dialer,
     dispatcher::Placer,
@@ -67,6 +71,8 @@
     table: RefCell<Option<Rc<Table>>>,
     /// Earlier configurations; at most [`MAX_MOVES`], the latest last.
     moved: RefCell<VecDeque<Moved>>,
+    /// Connections of callers.
+    pub callers: Rc<callers::Connections>,
     /// Bytes of the configuration, and whether it is the newest.
     pub configurations: Rc<Configurations>,
     /// Upstreams that exist, and their load.
@@ -124,6 +130,7 @@
             .is_none_or(|current| table.version() > current.version());
         if newer {
             let table = Rc::new(table);
+            self.callers.configure(table.limits());
             self.quotas.configure(&table);
             self.grace.retain(|route| table.has_route(route));
             if let Some(old) = current.replace(table.clone()) {
@@ -150,11 +157,13 @@
         reports: Rc<Reports>,
         metrics: Metrics,
     ) -> Self {
+        let callers = callers::Connections::new(Bounds::from(settings.machine), metrics.clone());
         let (fleet, limiter) = (placer.fleet().clone(), placer.limiter().clone());
         Self {
             settings,
             table: RefCell::default(),
             moved: RefCell::default(),
+            callers: Rc::new(callers),
             configurations: Rc::default(),
             fleet,
             limiter,
@@ -244,6 +253,7 @@
         self.dialer.sweep(|address| registry.has_address(address));
         drop(registry);
         self.dialer.test_paths();
+        self.callers.sweep();
         self.fleet.sweep();
         self.placer.sweep();
         self.reports.sweep();
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -154,6 +154,12 @@
 #[serde(rename_all = "camelCase")]
 struct RawLimits {
     max_body_bytes: usize,
+    #[serde(default)]
+    max_header_bytes: Option<usize>,
+    #[serde(default)]
+    header_timeout_ms: Option<f64>,
+    #[serde(default)]
+    idle_timeout_ms: Option<f64>,
 }
 
 fn milliseconds(field: &str, value: f64) -> Result<Duration, Invalid> {
@@ -213,6 +219,24 @@
     }
 }
 
+impl TryFrom<RawLimits> for Limits {
+    type Error = Invalid;
+
+    fn try_from(raw: RawLimits) -> Result<Self, Invalid> {
+        let default = Self::default();
+        let time = |field: &str, value: Option<f64>, default| match value {
+            Some(value) => milliseconds(field, value),
+            None => Ok(default),
+        };
+        Ok(Self {
+            body: raw.max_body_bytes,
+            head: raw.max_header_bytes.unwrap_or(default.head),
+            head_time: time("headerTimeoutMs", raw.header_timeout_ms, default.head_time)?,
+            idle: time("idleTimeoutMs", raw.idle_timeout_ms, default.idle)?,
+        })
+    }
+}
+
 impl TryFrom<&[u8]> for Table {
     type Error = Invalid;
 
@@ -229,9 +253,7 @@
                 cache_tokens: engine.kv_capacity.unwrap_or(DEFAULT_CAPACITY),
             }),
         });
-        let limits = Limits {
-            body: raw.limits.max_body_bytes,
-        };
+        let limits = Limits::try_from(raw.limits)?;
         let table = Self::new(raw.version, routes?, services, limits);
         Ok(match raw.tenants {
             Some(tenants) => table.with_tenants(directory(tenants)?),
--- a/tests/gateway/connection.rs
+++ b/tests/gateway/connection.rs
@@ -30,6 +30,7 @@
 use actix_web::rt::System;
 use bytes::Bytes;
 use gypsumlever::gateway::{
+    callers::body::Buffer,
     connection::{
         Connection,
         Fault, //
@@ -89,7 +90,8 @@
     connection
         .send(head(id), &Bytes::new(), matches_id(id))
         .await?;
-    body(connection).await
+    let (body, _) = body(connection, Buffer::default()).await?;
+    Ok(body)
 }
 
 #[test]
@@ -197,7 +199,8 @@
             request.method = method;
             let exchange = async {
                 connection.send(request, &Bytes::new(), |_| true).await?;
-                body(&mut connection).await
+                let (body, _) = body(&mut connection, Buffer::default()).await?;
+                Ok::<_, Fault>(body)
             };
             let read = tokio::time::timeout(Duration::from_secs(2), exchange).await;
             assert_eq!(read.expect(answer).unwrap(), "", "{answer}");
--- a/tests/gateway/follow.rs
+++ b/tests/gateway/follow.rs
@@ -270,7 +270,7 @@
 struct Hanging(Cell<u64>);
 
 fn published(version: u64) -> Published {
-    let limits = Limits { body: 1_000 };
+    let limits = Limits::default();
     Published {
         table: Table::new(version, Vec::new(), [], limits),
         document: document(1),
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod accounts;
 mod allowance;
 mod balance;
+mod callers;
 mod connection;
 mod crashed;
 mod deadly;
--- a/tests/gateway/route.rs
+++ b/tests/gateway/route.rs
@@ -37,7 +37,7 @@
 }
 
 fn table(routes: Vec<Route>) -> Table {
-    Table::new(1, routes, [], Limits { body: 100 })
+    Table::new(1, routes, [], Limits::default())
 }
 
 #[test]
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -491,7 +491,7 @@
 impl Instance {
     /// Starts a process, which connects to a store, in availability zone `a`.
     pub fn start(name: &str, store: SocketAddr) -> Self {
-        Self::start_in("a", name, store)
+        Self::start_limited(name, store, 512, 8_192)
     }
 
     /// Starts a process in an availability zone, in a deployment that starts for the first time.
--- a/tests/gateway/tenant.rs
+++ b/tests/gateway/tenant.rs
@@ -41,7 +41,7 @@
     let route = |prefix: &str, public: bool, service: &str| {
         json!({
             "name": prefix, "host": "h.example", "pathPrefix": prefix, "kind": "unsafe",
-            "timeoutMs": 3000, "service": service, "maxAttempts": 1, "public": public,
+            "timeoutMs": 10000, "service": service, "maxAttempts": 1, "public": public,
         })
     };
     let config = json!({
