Give up the whole answer of a stream for an HTTP/1.0 caller in a shortage

Such an answer is collected before it is written, and a connection that was chosen to be closed waited for the end of its stream, for up to the deadline. While there were too many connections, the accepting task ran in a loop for as long. The answer now ends with 502, as its request may have run, and the task accepts the next connection after at most 64 turns of others.

Found by reading; no test shows it.

--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -133,6 +133,9 @@
 /// Connections that wait to be accepted; a peak of callers arrives within milliseconds.
 const BACKLOG: i32 = 1_024;
 
+/// Maximum times that other tasks run before the next connection is accepted.
+const MAX_YIELDS: usize = 64;
+
 /// Receive buffer of connections that are not accepted yet, in bytes: what senders send at first.
 const FIRST_WINDOW: usize = 16 << 10;
 
@@ -233,7 +236,10 @@
     let _ = SockRef::from(&listener).set_recv_buffer_size(FIRST_WINDOW);
     loop {
         // Connections that are closed in favour of new ones end as their tasks run.
-        while connections.is_full() {
+        for _ in 0..MAX_YIELDS {
+            if !connections.is_full() {
+                break;
+            }
             tokio::task::yield_now().await;
         }
         let (socket, peer) = match listener.accept().await {
@@ -313,7 +319,11 @@
         () = gateway.grace.ended() => Err(Refusal::stopping(&sends)),
     };
     let answered = match answered {
-        Ok(response) if request.version() < Version::HTTP_11 => complete(response).await,
+        Ok(response) if request.version() < Version::HTTP_11 => tokio::select! {
+            biased;
+            completed = complete(response) => completed,
+            closing = connection.wait_closing() => Err(Refusal::unknown(closing.reason())),
+        },
         answered => answered,
     };
     answered.unwrap_or_else(|refusal| refuse(&gateway, &request, &refusal, arrived))
