Pass on comments in a stream with the event after them

The splitter took each block for an event, and an event needs an identifier.

Blocks of comments are now part of the event that follows them, so that the caller gets the bytes as they are; those after the last event are dropped. Comments without end count as an event that is too long.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -131,6 +131,9 @@
     buffer: BytesMut,
     /// Length of the buffer's prefix that is known to contain no end of an event.
     scanned: usize,
+    /// Length of the comments before the next event, which are passed on with it; those after the last
+    /// event are not. At most `scanned`.
+    comments: usize,
     last: Option<u64>,
 }
 
@@ -150,13 +153,21 @@
 
     /// Returns the next complete event.
     pub fn event(&mut self) -> Result<Option<Event>, Fault> {
-        let Some(end) = self.end() else {
-            self.scanned = self.buffer.len();
-            return match self.buffer.len() > MAX_EVENT_BYTES {
-                true => Err(Fault::TooLong),
-                false => Ok(None),
+        let end = loop {
+            let Some(end) = self.end() else {
+                self.scanned = self.buffer.len();
+                return match self.buffer.len() > MAX_EVENT_BYTES {
+                    true => Err(Fault::TooLong),
+                    false => Ok(None),
+                };
             };
+            if !is_comment(&self.buffer[self.comments..end]) {
+                break end;
+            }
+            self.comments = end;
+            self.scanned = end;
         };
+        self.comments = 0;
         self.scanned = 0;
         let bytes = self.buffer.split_to(end).freeze();
         let id = identifier(&bytes).ok_or(Fault::Order)?;
@@ -169,7 +180,7 @@
 
     /// Returns the length of the first complete event.
     fn end(&self) -> Option<usize> {
-        let from = self.scanned.saturating_sub(3);
+        let from = self.scanned.saturating_sub(3).max(self.comments);
         let rest = &self.buffer[from..];
         let newlines = (0..rest.len()).filter(|at| rest[*at] == b'\n');
         newlines
@@ -184,10 +195,16 @@
 
     /// Returns whether the buffer holds an incomplete event.
     pub fn partial(&self) -> bool {
-        !self.buffer.is_empty()
+        self.buffer.len() > self.comments
     }
 }
 
+/// Returns whether a block has no line but comments.
+fn is_comment(block: &[u8]) -> bool {
+    let mut lines = block.split(|byte| *byte == b'\n');
+    lines.all(|line| matches!(line, [] | [b'\r'] | [b':', ..]))
+}
+
 /// Returns the identifier of an event.
 fn identifier(event: &[u8]) -> Option<u64> {
     event
--- a/tests/gateway/events.rs
+++ b/tests/gateway/events.rs
@@ -31,6 +31,43 @@
     }
 }
 
+/// Engines keep a connection alive by comments, which are no events without an identifier.
+#[test]
+fn event_takes_the_comments_before_it() {
+    let cases = [
+        (":\n\nid: 1\ndata: a\n\n", vec![1], 1, false),
+        (
+            ": a\r\n\r\n\n: b\n: c\n\nid: 1\n\nid: 2\n\n",
+            vec![1, 2],
+            2,
+            false,
+        ),
+        ("id: 1\n\n: a\n\n", vec![1], 1, false),
+        ("id: 1\n\n: a\n\nid: 2", vec![1], 1, true),
+        (": a\n", vec![], 0, true),
+    ];
+    for (text, ids, events, partial) in cases {
+        for length in [1, 2, 7, text.len()] {
+            let mut splitter = Splitter::default();
+            let (mut found, mut bytes) = (Vec::new(), Vec::new());
+            for part in text.as_bytes().chunks(length) {
+                splitter.push(part);
+                while let Some(event) = splitter.event().unwrap() {
+                    found.push(event.id);
+                    bytes.extend_from_slice(&event.bytes);
+                }
+            }
+            assert_eq!((found.len(), &found), (events, &ids), "{text:?}");
+            assert!(text.as_bytes().starts_with(&bytes), "{text:?}");
+            assert_eq!(splitter.partial(), partial, "{text:?}");
+        }
+    }
+    // Comments without end are given up like an event without end.
+    let mut splitter = Splitter::default();
+    splitter.push(&b":\n\n".repeat(100_000));
+    assert_eq!(splitter.event(), Err(Fault::TooLong));
+}
+
 #[test]
 fn event_has_to_follow_the_last_one() {
     let cases = [
