Count refused tunnels, and admit the links of a whole restart

The bound on connections without their number dropped those whose number had arrived, where many were accepted before the first of their tasks ran, as after a pause of the process. Their tasks now run first. Handshakes count from the time at which their connection is accepted, so that a burst in which all instances connect had come to be refused above 64; the bound is 128, about as many as were accepted before their tasks ran.

Connections that the tunnel port closes are counted in gypsumlever_gateway_refused_tunnels_total.

Found by reading. crowd::frames_without_a_secret_are_borne and crowd::open_connections_are_borne_at_each_listener pass (one run).

--- a/src/gateway/lifecycle.rs
+++ b/src/gateway/lifecycle.rs
@@ -123,7 +123,7 @@
     }
     let accounts = Rc::new(Client::new(replica.clone()));
     let fleet = Rc::new(Fleet::new(settings.balance));
-    let tunnels = Rc::new(Tunnels::new(fleet.clone()));
+    let tunnels = Rc::new(Tunnels::new(fleet.clone(), metrics.clone()));
     let dialer = Rc::new(Dialer::new(tunnels.clone(), metrics.clone()));
     let dispatcher = Rc::new(Dispatcher::new(settings.zone.as_str(), fleet));
     let placer = Rc::new(Placer::new(dispatcher.clone()));
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -29,6 +29,7 @@
     exporter: Exporter,
     refusals: Counter<u64>,
     closed_callers: Counter<u64>,
+    refused_tunnels: Counter<u64>,
     callers: Gauge<u64>,
     caller_bytes: Gauge<u64>,
     retries: Counter<u64>,
@@ -83,6 +84,10 @@
                 "closed_callers",
                 "Connections of callers that the gateway closed, by reason.",
             ),
+            refused_tunnels: counter(
+                "refused_tunnels",
+                "Connections to the tunnel port closed as too many had not sent their number.",
+            ),
             callers: gauge("callers", "Open connections of callers."),
             caller_bytes: gauge("caller_bytes", "Memory that connections of callers hold."),
             retries: counter("retries", "Sends made again, by reason."),
@@ -177,6 +182,11 @@
         self.0.closed_callers.add(1, &labels);
     }
 
+    /// Counts a connection to the tunnel port that is closed, as too many have not sent their number.
+    pub fn refused_tunnel(&self) {
+        self.0.refused_tunnels.add(1, &[]);
+    }
+
     /// Records the number of open connections of callers, and the memory that they hold.
     pub fn record_callers(&self, connections: u64, bytes: u64) {
         self.0.callers.record(connections, &[]);
--- a/src/gateway/tunnel.rs
+++ b/src/gateway/tunnel.rs
@@ -48,6 +48,7 @@
     fleet::Fleet,
     frames,
     front,
+    metrics::Metrics,
     registry::Server,
     settings, //
 };
@@ -60,7 +61,7 @@
 const MAX_TUNNELS: usize = 256;
 
 /// Maximum connections that have not sent their number. Any host may open some.
-const MAX_PICKUPS: usize = 64;
+const MAX_PICKUPS: usize = 128;
 
 /// Timeout of a connection for another instance, which waits for it.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(80);
@@ -128,6 +129,7 @@
 /// Tunnels that this instance carries for others.
 pub struct Tunnels {
     fleet: Rc<Fleet>,
+    metrics: Metrics,
     /// Address of the tunnel port; `None` if this instance carries no tunnels.
     address: Cell<Option<SocketAddr>>,
     /// Connections to upstreams that wait to be picked up.
@@ -144,9 +146,10 @@
 
 impl Tunnels {
     /// Returns a state without a tunnel port.
-    pub fn new(fleet: Rc<Fleet>) -> Self {
+    pub fn new(fleet: Rc<Fleet>, metrics: Metrics) -> Self {
         Self {
             fleet,
+            metrics,
             address: Cell::default(),
             waiting: RefCell::default(),
             open: Cell::new(0),
@@ -237,9 +240,15 @@
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
         self.address.set(listener.local_addr().ok());
         loop {
+            if self.pickups.get() >= MAX_PICKUPS {
+                // Numbers that have arrived are read first.
+                tokio::task::yield_now().await;
+            }
             match listener.accept().await {
                 // The peer loses one path of several if it was its connection.
-                Ok(_) if self.pickups.get() >= MAX_PICKUPS => {}
+                Ok(_) if self.pickups.get() >= MAX_PICKUPS => {
+                    self.metrics.refused_tunnel();
+                }
                 Ok((stream, _)) => {
                     self.pickups.set(self.pickups.get() + 1);
                     actix_web::rt::spawn(self.clone().carry(stream));
--- a/src/peer/mesh.rs
+++ b/src/peer/mesh.rs
@@ -77,7 +77,7 @@
 const MAX_WAITING_FRAMES: usize = 256;
 
 /// Maximum number of concurrent handshakes of accepted connections.
-const MAX_HANDSHAKES: usize = 64;
+const MAX_HANDSHAKES: usize = 128;
 
 /// Maximum number of warnings per second that other hosts can cause.
 const MAX_WARNINGS_PER_SECOND: u32 = 5;
--- a/tests/gateway/follow.rs
+++ b/tests/gateway/follow.rs
@@ -315,7 +315,10 @@
     let metrics = Metrics::new().unwrap();
     let accounts = Rc::new(Client::new(Rc::new(Replica::new(Memory::new(1), 1))));
     let fleet = Rc::new(Fleet::new(settings.balance));
-    let dialer = Dialer::new(Rc::new(Tunnels::new(fleet.clone())), metrics.clone());
+    let dialer = Dialer::new(
+        Rc::new(Tunnels::new(fleet.clone(), metrics.clone())),
+        metrics.clone(),
+    );
     let placer = Placer::new(Rc::new(Dispatcher::new("a", fleet)));
     Rc::new(Gateway::new(
         settings,
--- a/tests/gateway/owner.rs
+++ b/tests/gateway/owner.rs
@@ -136,7 +136,7 @@
         let settings = Settings::new("test", name.clone(), zone_name, address, "test");
         let dispatcher = Rc::new(Dispatcher::new(zone, Rc::default()));
         let (reports, _) = Reports::new(Metrics::new().unwrap());
-        let tunnels = Rc::new(Tunnels::new(Rc::default()));
+        let tunnels = Rc::new(Tunnels::new(Rc::default(), Metrics::new().unwrap()));
         let quotas = Rc::new(Quotas::new(Metrics::new().unwrap()));
         let mesh = Mesh::run(
             settings,
