review: show half an answer that passes for whole after a freeze

Cause: the connection that shows whether the engine of an answer without a length lives on is opened after the freeze, to the process that the engine started again as.

--- a/review/harness-2/deployment.rs
+++ b/review/harness-2/deployment.rs
@@ -37,6 +37,21 @@
     }
 }
 
+/// Adds a process that was started elsewhere.
+pub fn adopt(name: &str, child: Child) {
+    CHILDREN.lock().unwrap().push((name.to_owned(), child));
+}
+
+/// Kills a process.
+pub fn end(name: &str) {
+    let mut children = CHILDREN.lock().unwrap();
+    for (_, child) in children.iter_mut().filter(|(other, _)| other == name) {
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+    children.retain(|(other, _)| other != name);
+}
+
 /// A gateway process.
 #[derive(Clone, Debug)]
 pub struct Instance {
@@ -52,14 +67,14 @@
     store: Store,
     pub instances: Vec<Instance>,
     pub runs: Runs,
-    engines: Arc<Vec<Engine>>,
+    engines: Arc<Mutex<Vec<Engine>>>,
     /// Whether the store takes no calls, also none of the engines.
     down: Arc<AtomicBool>,
     requests: AtomicU64,
 }
 
 /// Returns the first of `count` free ports below those that the kernel gives to clients.
-fn free_ports(count: u16) -> u16 {
+pub fn free_ports(count: u16) -> u16 {
     const FIRST: u32 = 12_000;
     const LAST: u32 = 31_000;
     for attempt in 0..2_000 {
@@ -103,7 +118,7 @@
             store,
             instances: instances.collect(),
             runs,
-            engines: Arc::new(engines),
+            engines: Arc::new(Mutex::new(engines)),
             down: Arc::default(),
             requests: AtomicU64::new(1),
         };
@@ -124,7 +139,7 @@
     fn report_engines(&self) {
         let (engines, down, store) = (self.engines.clone(), self.down.clone(), self.store.clone());
         let report = move |sequence: u64| {
-            for (index, engine) in engines.iter().enumerate() {
+            for (index, engine) in engines.lock().unwrap().iter().enumerate() {
                 let zone = ["a", "b", "c"][index % 3];
                 let value = format!(
                     "{{\"service\":\"models\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"1\",\"slots\":64,\"state\":\"ready\",\"coldLeftMs\":0,\"sequence\":{sequence},\"born\":{},\"stage\":\"both\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}]}}",
@@ -257,6 +272,48 @@
         children.retain(|(name, _)| !killed(name));
     }
 
+    /// Adds an engine, which reports itself from now on.
+    pub fn add_engine(&self, engine: Engine) {
+        self.engines.lock().unwrap().push(engine);
+    }
+
+    /// Records that an engine has started again.
+    pub fn set_born(&self, id: &str, born: u64) {
+        let mut engines = self.engines.lock().unwrap();
+        let started = engines.iter_mut().filter(|engine| engine.id == id);
+        started.for_each(|engine| engine.born = born);
+    }
+
+    /// Returns the memory of the process of an instance.
+    pub fn memory_kb(&self, instance: &Instance) -> u64 {
+        let children = CHILDREN.lock().unwrap();
+        let child = children.iter().find(|(name, _)| *name == instance.name);
+        let status = child
+            .and_then(|(_, child)| fs::read_to_string(format!("/proc/{}/status", child.id())).ok());
+        let line = status
+            .as_deref()
+            .unwrap_or("")
+            .lines()
+            .find(|line| line.starts_with("VmRSS"))
+            .unwrap_or("")
+            .to_owned();
+        line.split_whitespace()
+            .nth(1)
+            .and_then(|kb| kb.parse().ok())
+            .unwrap_or(0)
+    }
+
+    /// Sends a signal to the process of an instance.
+    pub fn signal(&self, instance: &Instance, signal: &str) {
+        let children = CHILDREN.lock().unwrap();
+        for (name, child) in children.iter().filter(|(name, _)| *name == instance.name) {
+            let _ = Command::new("kill")
+                .args([signal, &child.id().to_string()])
+                .status();
+            record::line(&format!("{name} gets {signal}"));
+        }
+    }
+
     /// Sends SIGTERM to the processes of instances.
     pub fn terminate(&self, instances: &[Instance]) {
         let children = CHILDREN.lock().unwrap();
--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -1,11 +1,14 @@
 //! Stand-ins, clients and scenarios of the scripts in `review/6` and later.
 //!
-//! Only the standard library is used. Usage: `review-2 CASE DIRECTORY`; the environment variable
+//! Only the standard library is used. Usage: `review-2 CASE DIRECTORY`, where the cases `crowd` and
+//! `lost-in-outage` have no folder and are named in the report; the environment variable
 //! `TROUBLE=0` leaves the disruption out. Exit codes: 0 rule held, 1 rule broken, 2 could not run.
 
 mod budget;
+mod crowd;
 mod deployment;
 mod engine;
+mod half;
 mod http;
 mod kept;
 mod reader;
@@ -16,6 +19,12 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
+    // An engine of the case `half-answer` is a process of its own.
+    if let [_, mode, id, port, born] = &arguments[..] {
+        if mode == "engine" {
+            engine::run_process(id, port, born);
+        }
+    }
     let [_, case, directory] = &arguments[..] else {
         eprintln!("usage: review-2 CASE DIRECTORY");
         exit(2);
@@ -24,6 +33,8 @@
     record::open(directory);
     let run = || match case.as_str() {
         "lost-in-outage" => kept::lost_in_outage(trouble),
+        "half-answer" => half::run(trouble),
+        "crowd" => crowd::run(trouble),
         "lost-parent" => kept::lost_parent(trouble),
         "lost-with-zone" => kept::lost_with_zone(trouble),
         "slow-readers" => reader::run(trouble),
--- a/review/harness-2/reader.rs
+++ b/review/harness-2/reader.rs
@@ -15,7 +15,7 @@
 };
 
 /// Length of an answer; the engine sends it at once.
-const ANSWER_BYTES: usize = 4 << 20;
+const ANSWER_BYTES: usize = 6 << 20;
 /// Time that a client takes to read an answer; the route's `timeoutMs` is 4 s.
 const READ_TIME: Duration = Duration::from_millis(2_500);
 /// Parts that a client reads, with pauses in between.
