--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/release
-rustc -O --edition 2021 -o target/release/review-2 review/harness-2/main.rs
+rustc -O --edition 2021 -o target/release/review-2 review/6/stand-ins/main.rs
