--- a/review/standins-3/client.rs
+++ b/review/standins-3/client.rs
@@ -23,6 +23,8 @@
     pub input: &'a str,
     /// Time until the program should be finished.
     pub finish: Duration,
+    /// Tokens that all turns of the program may generate, and most of this turn.
+    pub tokens: (u64, u64),
     /// Event after which a broken stream is taken up.
     pub after: Option<u64>,
 }
@@ -44,11 +46,12 @@
     let after = turn
         .after
         .map_or(String::new(), |event| format!("Last-Event-Id: {event}\r\n"));
+    let (budget, most) = turn.tokens;
     let (deadline, finish, length) = (DEADLINE.as_millis(), turn.finish.as_millis(), input.len());
     let text = format!(
         "POST /chat/1 HTTP/1.1\r\nHost: chat.example\r\nRequest-Id: {id}\r\n{previous}{after}\
          Program-Id: {program}\r\nSession-Id: s-{program}\r\nFinish-Ms: {finish}\r\n\
-         Token-Budget: 4000\r\nModel: m\r\nToken-Count: 120,200\r\n\
+         Token-Budget: {budget}\r\nModel: m\r\nToken-Count: 1840,{most}\r\n\
          Deadline-Ms: {deadline}\r\nContent-Length: {length}\r\n\r\n{input}"
     );
     stream.write_all(text.as_bytes())?;
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -10,8 +10,10 @@
 mod program;
 mod record;
 mod resumed_turn;
+mod rolling_stop;
 mod slow_reader;
 mod store;
+mod stuck_program;
 
 use std::process::ExitCode;
 
@@ -47,6 +49,8 @@
     let played = match name.as_str() {
         "slow-reader" => slow_reader::play(&record, &network, trouble),
         "resumed-turn" => resumed_turn::play(&record, &network, trouble),
+        "stuck-program" => stuck_program::play(&record, &network, trouble),
+        "rolling-stop" => rolling_stop::play(&record, &network, trouble),
         "lost-turn" => lost_turn::play(&record, &network, trouble),
         _ => {
             eprintln!("unknown case {name}");
--- a/review/standins-3/program.rs
+++ b/review/standins-3/program.rs
@@ -17,6 +17,9 @@
 /// Time after its first turn within which the program should be finished.
 pub const FINISH: Duration = Duration::from_secs(60);
 
+/// Tokens of a program that is far from its budget, and most of each turn.
+pub const TOKENS: (u64, u64) = (4_000, 200);
+
 /// Sends turns as a program does, and counts its tries.
 pub struct Program<'a> {
     record: &'a Record,
@@ -24,6 +27,10 @@
     name: String,
     /// When its first turn was sent.
     pub begun: Instant,
+    /// Time after its first turn within which it should be finished.
+    pub aim: Duration,
+    /// Tokens that all turns may generate, and most of each.
+    pub tokens: (u64, u64),
     /// Turns sent so far.
     pub tries: usize,
 }
@@ -36,6 +43,8 @@
             fleet,
             name: name.to_owned(),
             begun: Instant::now(),
+            aim: FINISH,
+            tokens: TOKENS,
             tries: 0,
         }
     }
@@ -50,7 +59,8 @@
             previous,
             program: &self.name,
             input,
-            finish: FINISH.saturating_sub(self.begun.elapsed()),
+            finish: self.aim.saturating_sub(self.begun.elapsed()),
+            tokens: self.tokens,
             after: None,
         };
         let answer = client::send(machine.front, &turn);
--- a/review/standins-3/resumed_turn.rs
+++ b/review/standins-3/resumed_turn.rs
@@ -12,7 +12,7 @@
     engine::{stream_events, Engine},
     fleet::Fleet,
     http,
-    program::{Program, FINISH, TRY_INTERVAL},
+    program::{Program, FINISH, TOKENS, TRY_INTERVAL},
     record::Record,
     store::Store,
     Verdict,
@@ -67,6 +67,7 @@
         program: "chat",
         input: "one;",
         finish: FINISH,
+        tokens: TOKENS,
         after: None,
     };
     let mut stream = client::begin(fleet.machines[0].front, &first)?;
