review: Show that programs are refused for good after a kill of all processes

Reserves of the killed processes stay charged, and each instance charges a third of the rest although the log was never out of reach.

--- /dev/null
+++ b/review/14/run.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Plays the case: exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")/../.." || exit 2
+for program in target/release/gypsumleverd target/review-3/cases; do
+    if [ ! -x "$program" ]; then
+        echo "$program is missing: build the deploy file, then run review/build-3.sh" >&2
+        exit 2
+    fi
+done
+exec target/review-3/cases stuck-program review/14
