--- a/review/standins-3/engine.rs
+++ b/review/standins-3/engine.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     http::{self, Message},
+    record::Record,
     store::Store,
 };
 
@@ -137,6 +138,14 @@
     }
 }
 
+/// Records the requests that ran, in their order at each engine.
+pub fn record_runs(record: &Record, engines: &[Arc<Engine>]) {
+    for engine in engines {
+        let ids: Vec<_> = engine.runs().into_iter().map(|run| run.id).collect();
+        record.line(format!("{} ran {}", engine.id, ids.join(" ")));
+    }
+}
+
 /// Returns the headers of an answer that ran.
 pub fn seal(request: &Message) -> String {
     let id = request.header("request-id").unwrap_or("");
--- a/review/standins-3/fleet.rs
+++ b/review/standins-3/fleet.rs
@@ -29,6 +29,13 @@
 /// Time between readiness checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+extern "C" {
+    fn kill(process: i32, signal: i32) -> i32;
+}
+
+/// Number of the signal on Linux.
+const SIGTERM: i32 = 15;
+
 /// A machine with one process.
 pub struct Machine {
     /// Name.
@@ -56,10 +63,14 @@
         let folder = std::env::temp_dir().join(format!("review-3-{}", std::process::id()));
         fs::create_dir_all(&folder)?;
         let machines = zones.iter().enumerate().map(|(index, zone)| {
+            let number = zones[..=index]
+                .iter()
+                .filter(|other| *other == zone)
+                .count();
             let ip = format!("{network}.{}", index + 10);
             let address = |port: u16| format!("{ip}:{port}").parse().unwrap();
             Machine {
-                name: format!("edge-{zone}-{}", index + 1),
+                name: format!("edge-{zone}-{number}"),
                 front: address(FRONT_PORT),
                 ready: address(READY_PORT),
                 ip: ip.clone(),
@@ -117,12 +128,11 @@
         true
     }
 
-    /// Sends a signal to the process of a machine.
-    pub fn signal(&self, index: usize, name: &str) {
+    /// Sends SIGTERM to the process of a machine.
+    pub fn terminate(&self, index: usize) {
         if let Some(child) = &self.machines[index].child {
-            let id = child.id().to_string();
-            // The process may have ended.
-            let _ = Command::new("kill").args(["-s", name, &id]).status();
+            // The process is a child that was not waited for, so that the number is its own.
+            let _ = unsafe { kill(child.id() as i32, SIGTERM) };
         }
     }
 
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -6,12 +6,12 @@
 mod engine;
 mod fleet;
 mod http;
-mod lost_turn;
+mod minority_killed;
+mod outage;
 mod program;
 mod record;
 mod resumed_turn;
 mod rolling_stop;
-mod slow_reader;
 mod store;
 mod stuck_program;
 
@@ -47,11 +47,11 @@
     let id = std::process::id();
     let network = format!("127.{}.{}", 1 + id % 200, 1 + id / 200 % 250);
     let played = match name.as_str() {
-        "slow-reader" => slow_reader::play(&record, &network, trouble),
         "resumed-turn" => resumed_turn::play(&record, &network, trouble),
         "stuck-program" => stuck_program::play(&record, &network, trouble),
+        "outage" => outage::play(&record, &network, trouble),
         "rolling-stop" => rolling_stop::play(&record, &network, trouble),
-        "lost-turn" => lost_turn::play(&record, &network, trouble),
+        "minority-killed" => minority_killed::play(&record, &network, trouble),
         _ => {
             eprintln!("unknown case {name}");
             return ExitCode::from(2);
--- a/review/standins-3/resumed_turn.rs
+++ b/review/standins-3/resumed_turn.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     client::{self, Turn},
-    engine::{stream_events, Engine},
+    engine::{record_runs, stream_events, Engine},
     fleet::Fleet,
     http,
     program::{Program, FINISH, TOKENS, TRY_INTERVAL},
@@ -149,6 +149,7 @@
         "the next turn reached engines {runs} times in {} tries; {served} first turns were served",
         chat.tries
     ));
+    record_runs(record, &engines);
     drop(fleet);
     Ok(match runs {
         1.. => Verdict::Held,
--- a/review/standins-3/rolling_stop.rs
+++ b/review/standins-3/rolling_stop.rs
@@ -8,7 +8,7 @@
 };
 
 use crate::{
-    engine::{stream_events, Engine},
+    engine::{record_runs, stream_events, Engine},
     fleet::Fleet,
     program::{Program, TRY_INTERVAL},
     record::Record,
@@ -83,7 +83,7 @@
     thread::sleep(Duration::from_secs(2));
     if trouble {
         record.line(format!("SIGTERM to {STOPPED} machines"));
-        (0..STOPPED).for_each(|index| fleet.signal(index, "TERM"));
+        (0..STOPPED).for_each(|index| fleet.terminate(index));
         let signalled = Instant::now();
         for index in 0..STOPPED {
             while !fleet.has_ended(index) && signalled.elapsed() < GRACE {
@@ -132,6 +132,7 @@
                 "turn {number} reached engines {reached} times in {TRIES} tries and {:.1} s; {served} first turns were served; {handed} tokens of {budget} were handed out, and a turn has {most} at most",
                 started.elapsed().as_secs_f64()
             ));
+            record_runs(record, &engines);
             drop(fleet);
             return Ok(match reached {
                 0 if 10 * served >= 9 * TRIES => Verdict::Broken,
@@ -145,6 +146,7 @@
     record.line(format!(
         "{number} turns were answered: {handed} tokens of {budget}, which cover no further turn"
     ));
+    record_runs(record, &engines);
     drop(fleet);
     Ok(Verdict::Held)
 }
--- a/review/standins-3/stuck_program.rs
+++ b/review/standins-3/stuck_program.rs
@@ -8,7 +8,7 @@
 };
 
 use crate::{
-    engine::{stream_events, Engine},
+    engine::{record_runs, stream_events, Engine},
     fleet::Fleet,
     program::{Program, TRY_INTERVAL},
     record::Record,
@@ -118,6 +118,7 @@
         "the next turn reached engines {reached} times; of {others} other turns in the last {} s, {served} were served",
         LAST.as_secs()
     ));
+    record_runs(record, &engines);
     drop(fleet);
     Ok(match reached {
         1.. => Verdict::Held,
