--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -7,4 +7,4 @@
         exit 2
     fi
 done
-exec target/review-3/cases slow-reader review/13
+exec target/review-3/cases outage review/13
