--- a/review/standins-3/stuck_program.rs
+++ b/review/11/stand-ins/stuck_program.rs
@@ -20,7 +20,7 @@
 const ZONES: [&str; 6] = ["a", "b", "c", "a", "b", "c"];
 
 /// Time that the processes are down (`down_s` of the closing fault).
-const DOWN: Duration = Duration::from_millis(700);
+const DOWN: Duration = Duration::from_millis(500);
 
 /// Time after the machines are back within which turns are served again (`recoveryS`), and the last
 /// part of it in which the rule looks at other turns.
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-rustc --edition 2021 -O -o target/review-3/cases review/standins-3/main.rs
+rustc --edition 2021 -O -o target/review-3/cases review/11/stand-ins/main.rs
